--- /dev/null
+++ b/crates/simhost/src/facts.rs
@@ -0,0 +1,240 @@
+//! The wire's start-up parameters and what they are called by the module.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use tulipgap::{Advice, Below, Effect, Given, Halting, Handler, Tenant};
+
+use crate::wire::{millis, share};
+
+#[derive(Deserialize)]
+struct Class {
+    name: String,
+    objective: f64,
+    #[serde(default)]
+    aim_stretch: f64,
+    deadline: f64,
+    worth: f64,
+    effect: WireEffect,
+    #[serde(default)]
+    memory_span: f64,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireEffect {
+    Pure,
+    Token,
+    SideEffect,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireBelow {
+    Shared,
+    Tier,
+    Silent,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireHalt {
+    Silent,
+    Drop,
+    Pause,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireSay {
+    Level,
+    Credit,
+    Weight,
+    Silent,
+}
+
+#[derive(Deserialize)]
+struct FamilyInfo {
+    below: WireBelow,
+    blowup: f64,
+    #[serde(default)]
+    callers: u32,
+    #[serde(default)]
+    calls_out: f64,
+    #[serde(default)]
+    class_calls: Vec<bool>,
+    #[serde(default)]
+    class_skip_worth: Vec<f64>,
+    #[serde(default)]
+    cold: bool,
+    cores: u32,
+    #[serde(default)]
+    entry_kb: f64,
+    #[serde(default)]
+    fresh: f64,
+    halt: WireHalt,
+    mem_limit_kb: f64,
+    say: WireSay,
+    #[serde(default)]
+    share_span: f64,
+    #[serde(default)]
+    stays_for: f64,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    #[serde(default)]
+    max_retry_after: f64,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    cold_from: f64,
+    drain_grace: f64,
+    fall: f64,
+    fall_multiple: f64,
+    grace_to_answer: f64,
+    warm_up: f64,
+}
+
+#[derive(Deserialize)]
+struct WireTenant {
+    name: String,
+    allowance_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Facts {
+    classes: Vec<Class>,
+    family_info: FamilyInfo,
+    fleet_size: u32,
+    limits: Limits,
+    #[serde(default)]
+    over_share_worth: Option<f64>,
+    rules: Rules,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+/// The names that the wire uses for handlers and tenants, to their indices.
+#[derive(Default)]
+pub struct Names {
+    pub handlers: HashMap<String, usize>,
+    pub tenants: HashMap<String, usize>,
+}
+
+/// Reads the JSON text of `facts`; says what is wrong with it otherwise.
+pub fn read(text: &str) -> Result<(Given, Names), String> {
+    let facts: Facts = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    let info = &facts.family_info;
+    let names = Names {
+        handlers: facts
+            .classes
+            .iter()
+            .enumerate()
+            .map(|(at, class)| (class.name.clone(), at))
+            .collect(),
+        tenants: facts
+            .tenants
+            .iter()
+            .enumerate()
+            .map(|(at, tenant)| (tenant.name.clone(), at))
+            .collect(),
+    };
+    for (name, length) in [
+        ("class_calls", info.class_calls.len()),
+        ("class_skip_worth", info.class_skip_worth.len()),
+    ] {
+        if length != 0 && length != facts.classes.len() {
+            return Err(format!(
+                "family_info.{name} has {length} entries for {} classes",
+                facts.classes.len()
+            ));
+        }
+    }
+    let handlers = facts
+        .classes
+        .iter()
+        .enumerate()
+        .map(|(at, class)| handler(at, class, info))
+        .collect::<Result<_, _>>()?;
+    let given = Given {
+        handlers,
+        tenants: facts
+            .tenants
+            .iter()
+            .map(|t| Tenant {
+                allowance_per_s: t.allowance_per_s,
+            })
+            .collect(),
+        over_share_value: share("over_share_worth", facts.over_share_worth.unwrap_or(1.0))?,
+        cores: info.cores,
+        memory_kb: info.mem_limit_kb,
+        run_factor: info.blowup,
+        key_kb: info.entry_kb,
+        cold: info.cold,
+        cold_speed: facts.rules.cold_from,
+        warm_up: millis("rules.warm_up", facts.rules.warm_up)?,
+        crowd_limit: facts.rules.fall_multiple,
+        crowd_span: millis("rules.fall", facts.rules.fall)?,
+        answer_slack: millis("rules.grace_to_answer", facts.rules.grace_to_answer)?,
+        drain_grace: millis("rules.drain_grace", facts.rules.drain_grace)?,
+        below: match info.below {
+            WireBelow::Silent => Below::Nothing,
+            WireBelow::Tier => Below::Tier,
+            WireBelow::Shared => Below::Shared {
+                share: info.calls_out,
+                span: millis("family_info.share_span", info.share_span)?,
+                linger: millis("family_info.stays_for", info.stays_for)?,
+            },
+        },
+        halting: match info.halt {
+            WireHalt::Silent => Halting::Never,
+            WireHalt::Drop => Halting::Drops,
+            WireHalt::Pause => Halting::Pauses,
+        },
+        advice: match info.say {
+            WireSay::Level => Advice::Level,
+            WireSay::Credit => Advice::Credit,
+            WireSay::Weight => Advice::Weight,
+            WireSay::Silent => Advice::Nothing,
+        },
+        max_wait: match facts.limits.retry_after {
+            true => Some(millis("limits.max_retry_after", facts.limits.max_retry_after)?),
+            false => None,
+        },
+        servers: facts.fleet_size,
+        callers: info.callers,
+        reuse: millis("family_info.fresh", info.fresh)?,
+    };
+    Ok((given, names))
+}
+
+fn handler(at: usize, class: &Class, info: &FamilyInfo) -> Result<Handler, String> {
+    Ok(Handler {
+        response_target: millis("classes.objective", class.objective)?,
+        target_stretch: class.aim_stretch,
+        client_timeout: millis("classes.deadline", class.deadline)?,
+        value: class.worth,
+        effect: match class.effect {
+            WireEffect::Pure => Effect::Replayable,
+            WireEffect::Token => Effect::Uniqued,
+            WireEffect::SideEffect => Effect::NonReplayable,
+        },
+        repeat_window: millis("classes.memory_span", class.memory_span)?,
+        calls_below: info
+            .class_calls
+            .get(at)
+            .copied()
+            .unwrap_or(!matches!(info.below, WireBelow::Silent)),
+        skip_value: info.class_skip_worth.get(at).copied().unwrap_or(0.0),
+    })
+}
+
+/// How long a caller's wait may be told to be, at most, when it is written on the wire.
+pub fn as_millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
--- /dev/null
+++ b/crates/simhost/src/wire.rs
@@ -0,0 +1,415 @@
+//! The lines of the wire: batches of events in, actions out. The wire's words end here.
+
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use slab::Slab;
+use tulipgap::{Action, Arrival, Decider, Event, Gauges, Outcome};
+
+use crate::facts::{self, Names, as_millis};
+
+/// Input that cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum WireError {
+    #[error("line {line}: {field}: {problem}")]
+    Malformed {
+        line: usize,
+        field: String,
+        problem: String,
+    },
+    #[error("standard streams: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+impl WireError {
+    pub fn at(line: usize, field: &str, problem: impl Into<String>) -> Self {
+        WireError::Malformed {
+            line,
+            field: field.to_owned(),
+            problem: problem.into(),
+        }
+    }
+}
+
+/// A time given in milliseconds.
+pub fn millis(name: &str, value: f64) -> Result<Duration, String> {
+    Duration::try_from_secs_f64(value / 1e3).map_err(|_| format!("{name}: {value} is no time"))
+}
+
+/// A figure from 0 to 1.
+pub fn share(name: &str, value: f64) -> Result<f64, String> {
+    if (0.0..=1.0).contains(&value) {
+        Ok(value)
+    } else {
+        Err(format!("{name}: {value} is not from 0 to 1"))
+    }
+}
+
+/// The name=value pairs of one line.
+struct Fields<'a> {
+    line: usize,
+    pairs: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Fields<'a> {
+    fn read(line: usize, mut rest: &'a str) -> Result<Self, WireError> {
+        let mut pairs = Vec::with_capacity(14);
+        while !rest.is_empty() {
+            let Some((name, after)) = rest.split_once('=') else {
+                return Err(WireError::at(line, rest, "it is no name=value pair"));
+            };
+            let text = name == "facts";
+            let (value, next) = if text {
+                (after, "")
+            } else {
+                after.split_once(' ').unwrap_or((after, ""))
+            };
+            pairs.push((name, value));
+            rest = next;
+        }
+        Ok(Fields { line, pairs })
+    }
+
+    fn find(&self, name: &str) -> Option<&'a str> {
+        self.pairs
+            .iter()
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| *value)
+    }
+
+    fn error(&self, name: &str, problem: impl Into<String>) -> WireError {
+        WireError::at(self.line, name, problem)
+    }
+
+    fn text(&self, name: &str) -> Result<&'a str, WireError> {
+        self.find(name)
+            .filter(|value| !value.is_empty())
+            .ok_or_else(|| self.error(name, "it is missing"))
+    }
+
+    fn whole(&self, name: &str) -> Result<u64, WireError> {
+        let value = self.text(name)?;
+        value
+            .parse()
+            .map_err(|_| self.error(name, format!("'{value}' is no whole number")))
+    }
+
+    fn number(&self, name: &str) -> Result<Option<f64>, WireError> {
+        let Some(value) = self.find(name) else {
+            return Ok(None);
+        };
+        match value.parse::<f64>() {
+            Ok(number) if number.is_finite() && number >= 0.0 => Ok(Some(number)),
+            _ => Err(self.error(name, format!("'{value}' is no number of at least 0"))),
+        }
+    }
+
+    fn needed(&self, name: &str) -> Result<f64, WireError> {
+        self.number(name)?
+            .ok_or_else(|| self.error(name, "it is missing"))
+    }
+
+    fn time(&self, name: &str, value: f64) -> Result<Duration, WireError> {
+        millis(name, value).map_err(|problem| self.error(name, problem))
+    }
+
+    fn flag(&self, name: &str) -> Result<bool, WireError> {
+        match self.find(name) {
+            None | Some("0") => Ok(false),
+            Some("1") => Ok(true),
+            Some(value) => Err(self.error(name, format!("'{value}' is not 0 or 1"))),
+        }
+    }
+
+    /// An id that is left out, or 0, where there is none.
+    fn optional(&self, name: &str) -> Option<&'a str> {
+        self.find(name).filter(|value| !matches!(*value, "" | "0"))
+    }
+
+    fn outcome(&self) -> Result<Outcome, WireError> {
+        Ok(match self.text("reason")? {
+            "success" => Outcome::Done,
+            "failure" => Outcome::Errored,
+            "overloaded" => Outcome::Full,
+            "timed_out" => Outcome::TimedOut,
+            "unreachable" => Outcome::Unreachable,
+            "broken" => Outcome::Broken,
+            "withdrawn" => Outcome::Stopped,
+            "void" => Outcome::Void,
+            other => return Err(self.error("reason", format!("'{other}' is no outcome"))),
+        })
+    }
+
+    fn gauges(&self) -> Result<Gauges, WireError> {
+        let mut gauges = Gauges::default();
+        for pair in self
+            .find("feedback")
+            .unwrap_or("")
+            .split(',')
+            .filter(|pair| !pair.is_empty())
+        {
+            let Some((name, value)) = pair.split_once(':') else {
+                return Err(self.error("feedback", format!("'{pair}' is no name:value pair")));
+            };
+            let slot = match name {
+                "core_use" => &mut gauges.cores_busy,
+                "heap_share" => &mut gauges.memory,
+                "links" => &mut gauges.connections,
+                _ => continue,
+            };
+            match value.parse::<f64>() {
+                Ok(number) if number.is_finite() => *slot = Some(number),
+                _ => return Err(self.error("feedback", format!("'{value}' is no number"))),
+            }
+        }
+        Ok(gauges)
+    }
+}
+
+/// One backend: its module, and the ids of the reqs that the module knows by index.
+struct Backend {
+    started: f64,
+    decider: Decider,
+    names: Names,
+    ids: Slab<String>,
+    indices: HashMap<String, usize>,
+    events: Vec<Event>,
+}
+
+impl Backend {
+    fn spawn(fields: &Fields, now: f64) -> Result<Self, WireError> {
+        let seed = fields.whole("prng")?;
+        let text = fields.text("facts")?;
+        let (given, names) = facts::read(text).map_err(|problem| fields.error("facts", problem))?;
+        let decider =
+            Decider::new(&given, seed).map_err(|problem| fields.error("facts", problem.to_string()))?;
+        let (ids, indices) = (Slab::new(), HashMap::new());
+        Ok(Backend {
+            started: now,
+            decider,
+            names,
+            ids,
+            indices,
+            events: vec![Event::Started],
+        })
+    }
+
+    /// The index of a req that the module has not ended yet.
+    fn req(&self, fields: &Fields) -> Result<Option<usize>, WireError> {
+        Ok(self.indices.get(fields.text("tid")?).copied())
+    }
+
+    fn take_in(&mut self, kind: &str, fields: &Fields) -> Result<(), WireError> {
+        let event = match kind {
+            "INCOMING" => Some(self.arrival(fields)?),
+            "GONE" => self.req(fields)?.map(|req| Event::Gone { req }),
+            "AT_CALL" => self.req(fields)?.map(|req| Event::AtCall { req }),
+            "DONE" => {
+                let outcome = fields.outcome()?;
+                self.req(fields)?.map(|req| Event::Ended { req, outcome })
+            }
+            "CAME_BACK" => {
+                let outcome = fields.outcome()?;
+                self.req(fields)?.map(|req| Event::CallEnded { req, outcome })
+            }
+            "ELAPSED" => Some(Event::Alarm {
+                gauges: fields.gauges()?,
+            }),
+            "SIGTERM" => {
+                let left = fields.time("expires_in", fields.needed("expires_in")?)?;
+                Some(Event::Leave { left })
+            }
+            other => return Err(WireError::at(fields.line, other, "it is no known message")),
+        };
+        self.events.extend(event);
+        Ok(())
+    }
+
+    fn arrival(&mut self, fields: &Fields) -> Result<Event, WireError> {
+        let id = fields.text("tid")?;
+        if self.indices.contains_key(id) {
+            return Err(fields.error("tid", format!("'{id}' is here already")));
+        }
+        let class = fields.text("type")?;
+        let Some(&handler) = self.names.handlers.get(class) else {
+            return Err(fields.error("type", format!("'{class}' is no known class")));
+        };
+        let tenant = match fields.optional("realm") {
+            None => None,
+            Some(name) => match self.names.tenants.get(name) {
+                Some(&tenant) => Some(tenant),
+                None => return Err(fields.error("realm", format!("'{name}' is no known tenant"))),
+            },
+        };
+        let positive = |name: &str| -> Result<Option<Duration>, WireError> {
+            fields
+                .number(name)?
+                .filter(|&value| value > 0.0)
+                .map(|value| fields.time(name, value))
+                .transpose()
+        };
+        let age = fields.time("queued_for", fields.number("queued_for")?.unwrap_or(0.0))?;
+        let (patience, work) = (positive("expires_in")?, positive("work")?);
+        let held_kb = fields.needed("footprint")?;
+        let (retry, repeats) = (
+            fields.flag("again_by_client")?,
+            fields.optional("original").is_some(),
+        );
+        let req = self.ids.insert(id.to_owned());
+        self.indices.insert(id.to_owned(), req);
+        Ok(Event::Arrived(Arrival {
+            req,
+            handler,
+            tenant,
+            age,
+            patience,
+            work,
+            held_kb,
+            retry,
+            repeats,
+        }))
+    }
+
+    /// Lets the module decide on the batch's events, and writes down what it wants done.
+    fn answer(&mut self, number: u64, now: f64, reply: &mut String) {
+        let since_start = Duration::from_secs_f64((now - self.started).max(0.0) / 1e3);
+        for action in self.decider.decide(since_start, &self.events) {
+            self.write(number, &action, reply);
+        }
+        self.events.clear();
+    }
+
+    fn write(&mut self, number: u64, action: &Action, reply: &mut String) {
+        let mut line = |word: &str, req: Option<usize>, rest: std::fmt::Arguments| {
+            let _ = write!(reply, "{word} backend_id={number}");
+            if let Some(req) = req {
+                let _ = write!(reply, " tid={}", self.ids[req]);
+            }
+            let _ = reply.write_fmt(rest);
+            reply.push('\n');
+        };
+        match *action {
+            Action::Run { req } => line("EXECUTE", Some(req), format_args!("")),
+            Action::Shed { req, wait, elsewhere } => {
+                let (wait, last) = (as_millis(wait.unwrap_or_default()), u8::from(!elsewhere));
+                line(
+                    "TURN_AWAY",
+                    Some(req),
+                    format_args!(" wait={wait:.3} terminal={last}"),
+                );
+            }
+            Action::Fail { req } => line("REPORT_FAILURE", Some(req), format_args!("")),
+            Action::Stop { req } => line("YANK", Some(req), format_args!("")),
+            Action::Join { req } => line("JOIN", Some(req), format_args!("")),
+            Action::Remember { req, span } => {
+                line(
+                    "KEEP",
+                    Some(req),
+                    format_args!(" lifetime={:.3}", as_millis(span)),
+                );
+            }
+            Action::Forget { req } => line("EVICT", Some(req), format_args!("")),
+            Action::Call { req, patience } => {
+                line(
+                    "DIAL",
+                    Some(req),
+                    format_args!(" patience={:.3}", as_millis(patience)),
+                );
+            }
+            Action::SkipCall { req } => line("OMIT", Some(req), format_args!("")),
+            Action::Advise { value } => line("SAY", None, format_args!(" amount={value:.4}")),
+            Action::Health { good } => {
+                line(
+                    "SET_HEALTH",
+                    None,
+                    format_args!(" enable={} light=1", u8::from(good)),
+                );
+            }
+            Action::Alarm { at } => {
+                let at = self.started + as_millis(at);
+                line("TIMER", None, format_args!(" handle=beat alarm_time={at:.3}"));
+            }
+            Action::Over { req } => {
+                let id = self.ids.remove(req);
+                self.indices.remove(&id);
+            }
+        }
+    }
+}
+
+/// All backends of this process, and the batch that is being read.
+#[derive(Default)]
+pub struct Host {
+    backends: HashMap<u64, Backend>,
+    now: Option<f64>,
+    in_batch: bool,
+    /// Backends with an event in this batch, in the order of their first.
+    turn: Vec<u64>,
+}
+
+impl Host {
+    /// Takes one line; yields the reply when it closes a batch.
+    pub fn line(&mut self, number: usize, line: &str) -> Result<Option<String>, WireError> {
+        let (kind, rest) = line.split_once(' ').unwrap_or((line, ""));
+        if !self.in_batch {
+            if kind != "CLOCK" {
+                return Err(WireError::at(number, kind, "a batch opens with CLOCK"));
+            }
+            let fields = Fields::read(number, rest)?;
+            let now = fields.needed("t")?;
+            if self.now.is_some_and(|before| now < before) {
+                return Err(fields.error("t", "the clock went back"));
+            }
+            (self.now, self.in_batch) = (Some(now), true);
+            return Ok(None);
+        }
+        let now = self.now.unwrap_or_default();
+        if kind == "OVER_TO_YOU" {
+            self.in_batch = false;
+            let mut reply = String::new();
+            for number in std::mem::take(&mut self.turn) {
+                if let Some(backend) = self.backends.get_mut(&number) {
+                    backend.answer(number, now, &mut reply);
+                }
+            }
+            reply.push_str("NEXT\n");
+            return Ok(Some(reply));
+        }
+        let fields = Fields::read(number, rest)?;
+        let id = match kind {
+            "SPAWN" | "POWER_OFF" | "INCOMING" | "GONE" | "AT_CALL" | "DONE" | "CAME_BACK" | "ELAPSED"
+            | "SIGTERM" => fields.whole("backend_id")?,
+            _ => return Err(WireError::at(number, kind, "it is no known message")),
+        };
+        match kind {
+            "SPAWN" => {
+                self.backends.insert(id, Backend::spawn(&fields, now)?);
+            }
+            "POWER_OFF" => {
+                self.backends.remove(&id);
+            }
+            // Events of a backend that is not running have nobody to decide on them.
+            _ => match self.backends.get_mut(&id) {
+                Some(backend) => backend.take_in(kind, &fields)?,
+                None => return Ok(None),
+            },
+        }
+        if !self.turn.contains(&id) {
+            self.turn.push(id);
+        }
+        Ok(None)
+    }
+
+    /// The input ended before this line.
+    pub fn finish(&self, number: usize) -> Result<(), WireError> {
+        match self.in_batch {
+            true => Err(WireError::at(
+                number,
+                "OVER_TO_YOU",
+                "the input ends inside a batch",
+            )),
+            false => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,889 @@
+//! All decisions. A host makes one [`Decider`] when its server starts, from what it was given and a seed, and
+//! then calls [`Decider::decide`] with whatever has happened; it carries out the actions that come back, in
+//! order. The types of both are in `interface.rs`. docs/design.md tells why each rule is as it is.
+//!
+//! Every figure tuned by hand is a constant right below.
+
+use std::time::Duration;
+
+use crate::interface::*;
+use crate::ring::Ring;
+
+/// Between two looks at the clock: how late an overdue answer can be.
+const BEAT: Duration = Duration::from_millis(25);
+/// Width of the buckets in which measures are kept.
+const BUCKET: Duration = Duration::from_millis(250);
+/// Between two steps of the dimmer, and the window of its mean.
+const PERIOD: Duration = Duration::from_millis(500);
+const WINDOW: Duration = Duration::from_millis(2000);
+/// Pole of the dimmer's closed loop and its derivative gain.
+const POLE: f64 = 0.6;
+const DERIVATIVE: f64 = 0.2;
+/// The setpoint of t, as a part of the mean response target.
+const SETPOINT: f64 = 0.6;
+/// Below this the dimmer counts as zero and its estimator is frozen.
+const NEAR_ZERO: f64 = 0.02;
+/// Gains of the admission loop on the relative error, its floor, and the recovery, each a step.
+const SHARE_PROPORTIONAL: f64 = 0.3;
+const SHARE_INTEGRAL: f64 = 0.15;
+const SHARE_FLOOR: f64 = 0.05;
+const SHARE_RECOVERY: f64 = 0.05;
+/// From this gauge on the cores count as nearly all busy.
+const BUSY: f64 = 0.9;
+/// A req is taken while its predicted answer comes within this part of its response target.
+const PROMISE: f64 = 0.85;
+/// Of the crowd, memory and calls that are survivable, the part that is used.
+const SAFE: f64 = 0.9;
+/// Of the memory, the part that held reqs may take.
+const HOLD_MEMORY: f64 = 0.5;
+/// Calls in hand for each core, where what lies below tells no share.
+const CALLS_PER_CORE: f64 = 4.0;
+/// Tries of one call, where the one before is known not to have run or the req may run again.
+const CALL_TRIES: u32 = 3;
+/// Times its usual pace from which a server takes itself to be in trouble of its own.
+const AILING: f64 = 1.7;
+/// Time before the stop by which all must be answered.
+const LEAVE_MARGIN: Duration = Duration::from_millis(150);
+
+/// What the ring of measures counts in each bucket; the arrivals of each level follow.
+const DONE: usize = 0;
+const RESPONSE: usize = 1;
+const ON_CORE: usize = 2;
+const WORK: usize = 3;
+const ERRORED: usize = 4;
+const CALLS: usize = 5;
+const CALL_TIME: usize = 6;
+const CALLS_IN_HAND: usize = 7;
+const ARRIVED: usize = 8;
+const ARRIVED_WORK: usize = 9;
+const RETRIES: usize = 10;
+const LEVELS: usize = 11;
+
+/// What decisions need of a handler.
+struct Aims {
+    target: Duration,
+    stretch: f64,
+    timeout: Duration,
+    effect: Effect,
+    repeat_window: Duration,
+    skippable: bool,
+    calls: bool,
+    /// Rank of its value among all values, within and beyond a tenant's share.
+    level: usize,
+    over_level: usize,
+}
+
+/// A tenant's claim on this server: filled at the rate of its share, emptied by what is taken.
+struct Purse {
+    per_s: f64,
+    left: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Held,
+    Joined,
+    OnCore,
+    /// Stands at a call that is not made yet.
+    AtCall,
+    Calling,
+}
+
+struct Entry {
+    handler: usize,
+    level: usize,
+    held_kb: f64,
+    work: f64,
+    long: bool,
+    reached: Duration,
+    target: Duration,
+    due: Duration,
+    state: State,
+    /// Time on a core in earlier stretches, and the start (awake time) of the present one.
+    on_core: f64,
+    since: f64,
+    /// When its call began and will be given up.
+    called: Duration,
+    call_until: Duration,
+    call_tries: u32,
+    /// The draw against the dimmer, once made.
+    calls: Option<bool>,
+    answered: bool,
+    /// Until when its key is remembered.
+    key: Option<Duration>,
+}
+
+struct Leaving {
+    /// What reached the machine later is not run.
+    run_until: Duration,
+    answer_by: Duration,
+}
+
+pub struct Decider {
+    aims: Vec<Aims>,
+    levels: usize,
+    purses: Vec<Purse>,
+    setpoint: f64,
+    cores: f64,
+    /// Reqs on the cores that a server survives when warm, and at its coldest.
+    crowd_warm: f64,
+    crowd_cold: f64,
+    warm_at: f64,
+    memory_kb: f64,
+    run_factor: f64,
+    key_kb: f64,
+    drain_grace: Duration,
+    /// Seconds of calls in hand that the dependency grants over `calls_span`, where it tells them.
+    calls_granted: Option<f64>,
+    calls_span: Duration,
+    linger: Duration,
+    stoppable: bool,
+    advice: Advice,
+    max_wait: Option<Duration>,
+
+    rng: fastrand::Rng,
+    ring: Ring,
+    reqs: Vec<Option<Entry>>,
+    /// The hold: short and long work, each by falling level and then by response target.
+    short: Vec<Req>,
+    long: Vec<Req>,
+    standing: Vec<Req>,
+    /// When calls given up leave the hands of what lies below.
+    lingering: Vec<Duration>,
+    /// When remembered keys are forgotten.
+    keys: Vec<Duration>,
+    on_core: usize,
+    calling: usize,
+    used_kb: f64,
+    held_kb: f64,
+
+    now: Duration,
+    /// Time that the process stood still, which measures leave out.
+    stalled: f64,
+    beat_due: Duration,
+    step_due: Duration,
+    busy: f64,
+    cap: f64,
+    dimmer: f64,
+    alpha: f64,
+    error: f64,
+    admitted: f64,
+    /// Seconds on a core for a unit of work, now and usually.
+    pace: f64,
+    usual_pace: f64,
+    advised: f64,
+    leaving: Option<Leaving>,
+}
+
+impl Decider {
+    pub fn new(given: &Given, seed: u64) -> Result<Self, GivenError> {
+        given.check()?;
+        let mut values: Vec<f64> = given.handlers.iter().map(|h| h.value).collect();
+        values.extend(given.handlers.iter().map(|h| h.value * given.over_share_value));
+        values.sort_by(f64::total_cmp);
+        values.dedup();
+        let level = |value: f64| values.partition_point(|&other| other < value);
+        let aims: Vec<Aims> = (given.handlers.iter())
+            .map(|h| Aims {
+                target: h.response_target,
+                stretch: h.target_stretch,
+                timeout: h.client_timeout,
+                effect: h.effect,
+                repeat_window: h.repeat_window,
+                skippable: h.skip_value > 0.0,
+                calls: h.calls_below && given.below != Below::Nothing,
+                level: level(h.value),
+                over_level: level(h.value * given.over_share_value),
+            })
+            .collect();
+        let servers = f64::from(given.servers.max(1));
+        let purse = |t: &Tenant| Purse {
+            per_s: t.allowance_per_s / servers,
+            left: t.allowance_per_s / servers,
+        };
+        let (calls_granted, calls_span, linger) = match given.below {
+            Below::Shared { share, span, linger } => (Some(share * span.as_secs_f64() * SAFE), span, linger),
+            _ => (None, Duration::ZERO, Duration::ZERO),
+        };
+        let targets: f64 = aims.iter().map(|a| a.target.as_secs_f64()).sum();
+        let cores = f64::from(given.cores);
+        let crowd = |speed: f64| cores * (1.0 + (given.crowd_limit - 1.0) * speed);
+        let pace = if given.cold {
+            1.0 / given.cold_speed.max(0.05)
+        } else {
+            1.0
+        };
+        let ring_span = calls_span.max(Duration::from_secs(5));
+        Ok(Decider {
+            setpoint: SETPOINT * targets / aims.len() as f64,
+            levels: values.len(),
+            purses: given.tenants.iter().map(purse).collect(),
+            cores,
+            crowd_warm: crowd(1.0),
+            crowd_cold: crowd(given.cold_speed),
+            warm_at: if given.cold {
+                given.warm_up.as_secs_f64()
+            } else {
+                0.0
+            },
+            memory_kb: given.memory_kb * SAFE,
+            run_factor: given.run_factor,
+            key_kb: given.key_kb,
+            drain_grace: given.drain_grace,
+            calls_granted,
+            calls_span,
+            linger,
+            stoppable: given.halting != Halting::Never,
+            advice: given.advice,
+            max_wait: given.max_wait,
+            rng: fastrand::Rng::with_seed(seed),
+            ring: Ring::new(BUCKET, ring_span, LEVELS + values.len()),
+            aims,
+            reqs: Vec::new(),
+            short: Vec::new(),
+            long: Vec::new(),
+            standing: Vec::new(),
+            lingering: Vec::new(),
+            keys: Vec::new(),
+            on_core: 0,
+            calling: 0,
+            used_kb: 0.0,
+            held_kb: 0.0,
+            now: Duration::ZERO,
+            stalled: 0.0,
+            beat_due: BEAT,
+            step_due: PERIOD,
+            busy: 0.0,
+            cap: cores,
+            dimmer: 1.0,
+            alpha: 0.1,
+            error: 0.0,
+            admitted: 1.0,
+            pace,
+            usual_pace: 1.0,
+            advised: -1.0,
+            leaving: None,
+        })
+    }
+
+    /// Takes what happened, in order, and returns what is to be done, in order.
+    pub fn decide(&mut self, now: Duration, events: &[Event]) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.pass_time(now);
+        for event in events {
+            match event {
+                Event::Started => {
+                    out.push(Action::Health { good: true });
+                    out.push(Action::Alarm { at: self.beat_due });
+                }
+                Event::Arrived(arrival) => self.arrived(arrival, &mut out),
+                Event::Ended { req, outcome } => self.ended(*req, *outcome, &mut out),
+                Event::Gone { req } => self.gone(*req, &mut out),
+                Event::AtCall { req } => self.at_call(*req, &mut out),
+                Event::CallEnded { req, outcome } => self.call_ended(*req, *outcome, &mut out),
+                Event::Alarm { gauges } => self.beat(gauges, &mut out),
+                Event::Leave { left } => self.leave(*left, &mut out),
+            }
+        }
+        self.retry_standing(&mut out);
+        self.fill_cores(&mut out);
+        out
+    }
+
+    /// The ordinary path of a req, from its reading to the hold.
+    fn arrived(&mut self, arrival: &Arrival, out: &mut Vec<Action>) {
+        let Some(aims) = self.aims.get(arrival.handler) else {
+            return;
+        };
+        let work = arrival.work.map_or(0.1, |work| work.as_secs_f64());
+        let reached = self.now.saturating_sub(arrival.age);
+        let due = arrival
+            .patience
+            .map_or(reached + aims.timeout, |patience| self.now + patience);
+        let target = (reached + aims.target + Duration::from_secs_f64(aims.stretch * work)).min(due);
+        let (effect, repeat_window) = (aims.effect, aims.repeat_window);
+        // What a tenant sends beyond its share is worth little: it ranks below all that is within.
+        let purse = arrival.tenant.and_then(|tenant| self.purses.get(tenant));
+        let over = purse.is_some_and(|purse| purse.left < 1.0);
+        let level = if over { aims.over_level } else { aims.level };
+        let (mean, held_kb) = (self.mean_work(), arrival.held_kb.max(0.0));
+        if self.reqs.len() <= arrival.req {
+            self.reqs.resize_with(arrival.req + 1, || None);
+        }
+        if self.reqs[arrival.req].is_some() {
+            return;
+        }
+        self.reqs[arrival.req] = Some(Entry {
+            handler: arrival.handler,
+            level,
+            held_kb,
+            work,
+            long: work > mean,
+            reached,
+            target,
+            due,
+            state: State::Held,
+            on_core: 0.0,
+            since: 0.0,
+            called: Duration::ZERO,
+            call_until: Duration::ZERO,
+            call_tries: 0,
+            calls: None,
+            answered: false,
+            key: None,
+        });
+        self.used_kb += held_kb;
+        self.held_kb += held_kb;
+        self.ring.add(ARRIVED, 1.0);
+        self.ring.add(ARRIVED_WORK, work);
+        self.ring.add(RETRIES, f64::from(u8::from(arrival.retry)));
+        self.ring.add(LEVELS + level, 1.0);
+
+        // No effect twice: a repeat of a uniqued req is never run, nor shed, as the first may have run.
+        if arrival.repeats && effect != Effect::Replayable {
+            return match self.used_kb <= self.memory_kb {
+                true => {
+                    self.entry(arrival.req).state = State::Joined;
+                    out.push(Action::Join { req: arrival.req });
+                }
+                false => self.give_up(arrival.req, false, out),
+            };
+        }
+        // Safe drain: what came too late after the notice is not run.
+        if let Some(leaving) = &self.leaving
+            && (reached > leaving.run_until || self.now >= leaving.answer_by)
+        {
+            return self.give_up(arrival.req, true, out);
+        }
+        let key_kb = if effect == Effect::Uniqued {
+            self.key_kb
+        } else {
+            0.0
+        };
+        let no_room = self.held_kb > self.memory_kb * HOLD_MEMORY || self.used_kb + key_kb > self.memory_kb;
+        let elsewhere = self.ailing() && !arrival.retry;
+        if no_room || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
+            return self.give_up(arrival.req, elsewhere, out);
+        }
+        if let Some(purse) = arrival.tenant.and_then(|tenant| self.purses.get_mut(tenant)) {
+            purse.left -= if over { 0.0 } else { 1.0 };
+        }
+        if effect == Effect::Uniqued {
+            let span = (repeat_window + BUCKET).saturating_sub(arrival.age);
+            self.entry(arrival.req).key = Some(self.now + span);
+            self.keys.push(self.now + span);
+            self.used_kb += self.key_kb;
+            out.push(Action::Remember {
+                req: arrival.req,
+                span,
+            });
+        }
+        self.hold(arrival.req);
+    }
+
+    /// Puts a req in its line, behind what ranks higher or must be answered sooner.
+    fn hold(&mut self, req: Req) {
+        let place = |e: &Entry| (std::cmp::Reverse(e.level), e.target);
+        let Some(entry) = self.reqs[req].as_ref() else {
+            return;
+        };
+        let line = if entry.long { &self.long } else { &self.short };
+        let at = line.partition_point(|&other| {
+            self.reqs[other]
+                .as_ref()
+                .is_none_or(|other| place(other) <= place(entry))
+        });
+        if entry.long {
+            self.long.insert(at, req)
+        } else {
+            self.short.insert(at, req)
+        }
+    }
+
+    /// The admitted share, spent on the highest levels first; a coin decides only within the marginal one.
+    fn drawn_in(&mut self, level: usize) -> bool {
+        if self.admitted >= 1.0 {
+            return true;
+        }
+        let count = |l: usize| self.ring.sum(LEVELS + l, WINDOW);
+        let above: f64 = (level + 1..self.levels).map(count).sum();
+        let all: f64 = (0..self.levels).map(count).sum();
+        self.rng.f64() * count(level) < self.admitted * all - above
+    }
+
+    /// The time in which a req is likely to be done, if that is within `part` of its response target.
+    fn response_of(&self, req: Req, part: f64) -> Option<f64> {
+        let e = self.reqs[req].as_ref()?;
+        let before = |other: &&Entry| (other.level, e.target) > (e.level, other.target);
+        let held = self
+            .short
+            .iter()
+            .chain(&self.long)
+            .filter_map(|&r| self.reqs[r].as_ref());
+        let ahead: f64 = held.filter(before).map(|other| other.work).sum();
+        let wait = if (self.on_core as f64) < self.cap && ahead == 0.0 {
+            0.0
+        } else {
+            ahead * self.pace / self.cap + self.mean_work() * self.pace / self.cap
+        };
+        let call = if self.aims[e.handler].calls {
+            self.call_time() * self.dimmer
+        } else {
+            0.0
+        };
+        let response = (self.now - e.reached).as_secs_f64() + wait + e.work * self.pace + call;
+        (response <= (e.target - e.reached.min(e.target)).as_secs_f64() * part).then_some(response)
+    }
+
+    /// Starts held reqs while the running cap and the memory allow.
+    fn fill_cores(&mut self, out: &mut Vec<Action>) {
+        while (self.on_core as f64) < self.cap
+            && ((self.on_core + self.calling + self.standing.len()) as f64) < self.crowd() * SAFE
+        {
+            let Some(req) = self.next() else { return };
+            let entry = self.entry(req);
+            if entry.target.saturating_sub(Duration::from_secs_f64(0.0)) < self.now {
+                self.give_up(req, false, out);
+                continue;
+            }
+            let more_kb = self.entry(req).held_kb * (self.run_factor - 1.0);
+            if self.used_kb + more_kb > self.memory_kb {
+                return;
+            }
+            self.unline(req);
+            self.used_kb += more_kb;
+            self.held_kb -= self.entry(req).held_kb;
+            self.go_on_core(req);
+            out.push(Action::Run { req });
+        }
+    }
+
+    /// The better head of the two lines; long work leaves a core to short work that waits.
+    fn next(&self) -> Option<Req> {
+        let (Some(&short), Some(&long)) = (self.short.first(), self.long.first()) else {
+            return self.short.first().or(self.long.first()).copied();
+        };
+        let (s, l) = (self.reqs[short].as_ref()?, self.reqs[long].as_ref()?);
+        let on_core = |e: &&Entry| e.state == State::OnCore && e.long;
+        let longs = self.reqs.iter().flatten().filter(on_core).count();
+        let crowded = longs as f64 >= self.cap - 1.0;
+        let short_first = crowded || (s.level, l.target) >= (l.level, s.target);
+        Some(if short_first { short } else { long })
+    }
+
+    fn at_call(&mut self, req: Req, out: &mut Vec<Action>) {
+        if !self
+            .reqs
+            .get(req)
+            .is_some_and(|e| e.as_ref().is_some_and(|e| e.state == State::OnCore))
+        {
+            return;
+        }
+        self.leave_core(req, State::AtCall);
+        if !self.entry(req).answered {
+            self.standing.push(req);
+            self.make_call(req, out);
+        }
+    }
+
+    /// Makes the call that a req stands at, or goes on without it; else it stays where it stands.
+    fn make_call(&mut self, req: Req, out: &mut Vec<Action>) {
+        let (dimmer, draw) = (self.dimmer, self.rng.f64());
+        let now = self.now;
+        let call_time = self.call_time();
+        let entry = self.entry(req);
+        let drawn = *entry.calls.get_or_insert(draw < dimmer);
+        let left = entry.target.saturating_sub(now).as_secs_f64();
+        let due = entry.due.saturating_sub(now);
+        let (handler, tries) = (entry.handler, entry.call_tries);
+        let skippable = self.aims[handler].skippable;
+        let mut patience = if skippable {
+            Duration::from_secs_f64(left * 0.5)
+        } else {
+            due
+        };
+        if let Some(granted) = self.calls_granted {
+            patience = patience.min(Duration::from_secs_f64(granted / 4.0));
+        }
+        let room = self.call_room(patience) && patience > BEAT;
+        if skippable && (!drawn || !room || tries > 0 || left * 0.5 < call_time) {
+            self.standing.retain(|&other| other != req);
+            self.go_on_core(req);
+            out.push(Action::SkipCall { req });
+        } else if room {
+            self.standing.retain(|&other| other != req);
+            self.calling += 1;
+            let entry = self.entry(req);
+            entry.state = State::Calling;
+            entry.called = now;
+            entry.call_until = now + patience;
+            entry.call_tries += 1;
+            out.push(Action::Call { req, patience });
+        }
+    }
+
+    /// Whether one more call keeps this server within its part of what the dependency survives.
+    fn call_room(&self, patience: Duration) -> bool {
+        let Some(granted) = self.calls_granted else {
+            return (self.calling as f64) < self.cores * CALLS_PER_CORE;
+        };
+        let past = self.ring.sum(CALLS_IN_HAND, self.calls_span);
+        let until = |e: &Entry| {
+            (e.call_until + self.linger)
+                .saturating_sub(self.now)
+                .as_secs_f64()
+        };
+        let calling = self.reqs.iter().flatten().filter(|e| e.state == State::Calling);
+        let lingering = self
+            .lingering
+            .iter()
+            .map(|&end| end.saturating_sub(self.now).as_secs_f64());
+        let ahead: f64 = calling.map(until).sum::<f64>() + lingering.sum::<f64>();
+        past + ahead + (patience + self.linger).as_secs_f64() <= granted
+    }
+
+    fn retry_standing(&mut self, out: &mut Vec<Action>) {
+        for req in self.standing.clone() {
+            self.make_call(req, out);
+        }
+    }
+
+    fn call_ended(&mut self, req: Req, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(entry) = self.reqs.get(req).and_then(Option::as_ref) else {
+            return;
+        };
+        if entry.state != State::Calling {
+            return;
+        }
+        let took = (self.now - entry.called).as_secs_f64();
+        let aims = &self.aims[entry.handler];
+        let (tries, effect, skippable) = (entry.call_tries, aims.effect, aims.skippable);
+        let answered = entry.answered;
+        self.calling -= 1;
+        if outcome == Outcome::TimedOut {
+            self.lingering.push(self.now + self.linger);
+        }
+        self.ring.add(CALLS, 1.0);
+        self.ring.add(CALL_TIME, took);
+        if outcome == Outcome::Done {
+            return self.go_on_core(req);
+        }
+        self.entry(req).state = State::AtCall;
+        if answered {
+            return;
+        }
+        let unrun = matches!(outcome, Outcome::Full | Outcome::Unreachable);
+        if skippable || ((unrun || effect == Effect::Replayable) && tries < CALL_TRIES) {
+            self.standing.push(req);
+        } else {
+            self.give_up(req, false, out);
+        }
+    }
+
+    fn ended(&mut self, req: Req, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(entry) = self.reqs.get(req).and_then(Option::as_ref) else {
+            return;
+        };
+        let (state, answered) = (entry.state, entry.answered);
+        if state == State::Held {
+            return;
+        }
+        if state == State::OnCore {
+            self.leave_core(req, State::AtCall);
+        }
+        let entry = self.entry(req);
+        let response = (entry.reached, entry.on_core, entry.work);
+        match outcome {
+            Outcome::Done if state == State::OnCore => {
+                let (reached, on_core, work) = response;
+                if !answered {
+                    self.ring.add(DONE, 1.0);
+                    self.ring.add(RESPONSE, (self.now - reached).as_secs_f64());
+                }
+                self.ring.add(ON_CORE, on_core);
+                self.ring.add(WORK, work);
+            }
+            Outcome::Errored => self.ring.add(ERRORED, 1.0),
+            Outcome::Stopped if !answered => out.push(Action::Fail { req }),
+            _ => {}
+        }
+        self.over(req, out);
+    }
+
+    fn gone(&mut self, req: Req, out: &mut Vec<Action>) {
+        let Some(entry) = self.reqs.get_mut(req).and_then(Option::as_mut) else {
+            return;
+        };
+        entry.answered = true;
+        match entry.state {
+            State::Held | State::Joined => self.over(req, out),
+            State::OnCore if self.stoppable => out.push(Action::Stop { req }),
+            State::OnCore | State::Calling => {}
+            State::AtCall => self.standing.retain(|&other| other != req),
+        }
+    }
+
+    /// Answers a req that cannot be done any more, at once, and stops its work where that is possible.
+    fn give_up(&mut self, req: Req, elsewhere: bool, out: &mut Vec<Action>) {
+        let entry = self.entry(req);
+        let (state, handler, key) = (entry.state, entry.handler, entry.key);
+        entry.answered = true;
+        let unrun = state == State::Held;
+        if state != State::Joined && (unrun || self.aims[handler].effect == Effect::Replayable) {
+            let wait = if self.ailing() { self.max_wait } else { None };
+            out.push(Action::Shed { req, wait, elsewhere });
+        } else {
+            out.push(Action::Fail { req });
+        }
+        match state {
+            State::Held => {
+                // Never run: a repeat of it is a first one again.
+                if let Some(until) = key {
+                    if let Some(at) = self.keys.iter().position(|&other| other == until) {
+                        self.keys.swap_remove(at);
+                        self.used_kb -= self.key_kb;
+                    }
+                    out.push(Action::Forget { req });
+                }
+                self.over(req, out);
+            }
+            State::Joined => self.over(req, out),
+            State::OnCore if self.stoppable => out.push(Action::Stop { req }),
+            State::OnCore | State::Calling => {}
+            State::AtCall => self.standing.retain(|&other| other != req),
+        }
+    }
+
+    fn leave(&mut self, left: Duration, out: &mut Vec<Action>) {
+        let answer_by = (self.now + left).saturating_sub(LEAVE_MARGIN);
+        self.leaving = Some(Leaving {
+            run_until: self.now + self.drain_grace,
+            answer_by,
+        });
+        out.push(Action::Health { good: false });
+    }
+
+    /// Everything that goes by the clock.
+    fn beat(&mut self, gauges: &Gauges, out: &mut Vec<Action>) {
+        self.beat_due = self.now + BEAT;
+        out.push(Action::Alarm { at: self.beat_due });
+        let before = (self.keys.len(), self.now);
+        self.keys.retain(|&until| until > before.1);
+        self.used_kb -= (before.0 - self.keys.len()) as f64 * self.key_kb;
+        self.busy = gauges.cores_busy.unwrap_or(if self.on_core as f64 >= self.cores {
+            1.0
+        } else {
+            0.0
+        });
+        self.give_up_late(out);
+        self.measure_pace();
+        let waits = !(self.short.is_empty() && self.long.is_empty());
+        if self.now >= self.step_due {
+            self.step_due = self.now + PERIOD;
+            // The running cap grows only while cores idle with work held.
+            self.cap = if waits && self.busy < BUSY {
+                self.cap + 1.0
+            } else {
+                self.cap - 1.0
+            };
+            self.cap = self.cap.clamp(self.cores, (self.crowd() * SAFE).max(self.cores));
+            self.steer();
+        }
+        self.advise(out);
+    }
+
+    /// One step of the dimmer and of the admitted share.
+    fn steer(&mut self) {
+        let done = self.ring.sum(DONE, WINDOW);
+        let t = (done > 0.0).then(|| self.ring.sum(RESPONSE, WINDOW) / done);
+        let error = self.setpoint - t.unwrap_or(0.0);
+        // Near zero the dimmer says nothing of its own effect: the estimate is frozen.
+        if let Some(t) = t
+            && self.dimmer > NEAR_ZERO
+        {
+            self.alpha = (t / self.dimmer).max(0.1 * self.setpoint);
+        }
+        if self.dimmer <= NEAR_ZERO && error < 0.0 && self.busy >= BUSY {
+            let relative = (error / self.setpoint, (error - self.error) / self.setpoint);
+            self.admitted +=
+                SHARE_INTEGRAL * relative.0.max(-1.0) + SHARE_PROPORTIONAL * relative.1.clamp(-1.0, 1.0);
+        } else {
+            self.admitted += SHARE_RECOVERY;
+        }
+        self.admitted = self.admitted.clamp(SHARE_FLOOR, 1.0);
+        let gain = (1.0 - POLE) / self.alpha.max(1e-3);
+        self.dimmer += gain * error + DERIVATIVE * (error - self.error);
+        self.dimmer = self.dimmer.clamp(0.0, 1.0);
+        self.error = error;
+    }
+
+    /// Answers what is due, what the stop would catch, and what can no longer be in time.
+    fn give_up_late(&mut self, out: &mut Vec<Action>) {
+        for req in 0..self.reqs.len() {
+            let Some(entry) = self.reqs[req].as_ref() else {
+                continue;
+            };
+            if entry.answered {
+                // A stop does nothing while the cores stand still.
+                if entry.state == State::OnCore && self.stoppable {
+                    out.push(Action::Stop { req });
+                }
+                continue;
+            }
+            let stop = self
+                .leaving
+                .as_ref()
+                .map_or(Duration::MAX, |leaving| leaving.answer_by);
+            let due = entry.due.min(stop) <= self.now + BEAT;
+            let replayable = self.aims[entry.handler].effect == Effect::Replayable;
+            let left = match entry.state {
+                State::Held => entry.work * self.pace,
+                State::Joined => 0.0,
+                _ if !replayable || !self.stoppable => 0.0,
+                _ => 0.0,
+            };
+            let hopeless = (replayable || entry.state == State::Held)
+                && entry.state != State::Joined
+                && entry.target < self.now + Duration::from_secs_f64(left);
+            if due || hopeless {
+                self.give_up(req, false, out);
+            }
+        }
+    }
+
+    /// Seconds on a core for a unit of work, from what was done of late and what runs longer than that.
+    fn measure_pace(&mut self) {
+        let (mut on_core, mut work) = (self.ring.sum(ON_CORE, WINDOW), self.ring.sum(WORK, WINDOW));
+        for entry in self.reqs.iter().flatten().filter(|e| e.state == State::OnCore) {
+            let so_far = entry.on_core + self.awake() - entry.since;
+            if so_far > entry.work * self.pace {
+                on_core += so_far;
+                work += entry.work;
+            }
+        }
+        let prior = 2.0 * self.mean_work();
+        self.pace = (on_core + prior * self.pace) / (work + prior);
+        let step = if self.pace < self.usual_pace { 0.02 } else { 0.0005 };
+        self.usual_pace += step * (self.pace - self.usual_pace);
+    }
+
+    /// Tells callers how much to send here, where they can be told.
+    fn advise(&mut self, out: &mut Vec<Action>) {
+        let willing = match self.leaving {
+            Some(_) => 0.0,
+            None => (AILING * self.usual_pace / self.pace).min(1.0),
+        };
+        let value = match self.advice {
+            Advice::Weight => (willing * 10.0).round() / 10.0,
+            Advice::Level => f64::from(u8::from(willing == 0.0)),
+            _ => return,
+        };
+        if value != self.advised {
+            self.advised = value;
+            out.push(Action::Advise { value });
+        }
+    }
+
+    /// Whether this server does worse than it should, so that another would serve better.
+    fn ailing(&self) -> bool {
+        self.leaving.is_some() || self.pace > AILING * self.usual_pace
+    }
+
+    fn mean_work(&self) -> f64 {
+        let arrived = self.ring.sum(ARRIVED, Duration::from_secs(5));
+        if arrived > 0.0 {
+            self.ring.sum(ARRIVED_WORK, Duration::from_secs(5)) / arrived
+        } else {
+            0.1
+        }
+    }
+
+    fn call_time(&self) -> f64 {
+        let calls = self.ring.sum(CALLS, WINDOW);
+        if calls > 0.0 {
+            self.ring.sum(CALL_TIME, WINDOW) / calls
+        } else {
+            0.0
+        }
+    }
+
+    /// The crowd on the cores that is survivable now: lower while cold.
+    fn crowd(&self) -> f64 {
+        let age = self.now.as_secs_f64();
+        if age >= self.warm_at {
+            return self.crowd_warm;
+        }
+        self.crowd_cold + (self.crowd_warm - self.crowd_cold) * age / self.warm_at
+    }
+
+    fn awake(&self) -> f64 {
+        self.now.as_secs_f64() - self.stalled
+    }
+
+    fn pass_time(&mut self, now: Duration) {
+        let now = now.max(self.now);
+        let passed = (now - self.now).as_secs_f64();
+        self.lingering.retain(|&end| end > self.now);
+        self.ring.advance(now);
+        self.ring.add(
+            CALLS_IN_HAND,
+            (self.calling + self.lingering.len()) as f64 * passed,
+        );
+        for purse in &mut self.purses {
+            purse.left = (purse.left + purse.per_s * passed).min(purse.per_s.max(1.0) * 2.0);
+        }
+        self.now = now;
+        if now > self.beat_due + BEAT * 2 {
+            self.stalled += (now - self.beat_due).as_secs_f64().min(passed);
+        }
+    }
+
+    fn go_on_core(&mut self, req: Req) {
+        let awake = self.awake();
+        let entry = self.entry(req);
+        entry.state = State::OnCore;
+        entry.since = awake;
+        self.on_core += 1;
+    }
+
+    fn leave_core(&mut self, req: Req, to: State) {
+        let awake = self.awake();
+        let entry = self.entry(req);
+        entry.on_core += awake - entry.since;
+        entry.state = to;
+        self.on_core -= 1;
+    }
+
+    fn unline(&mut self, req: Req) {
+        self.short.retain(|&other| other != req);
+        self.long.retain(|&other| other != req);
+    }
+
+    /// Frees what a req took; its index may come again.
+    fn over(&mut self, req: Req, out: &mut Vec<Action>) {
+        let Some(entry) = self.reqs[req].take() else {
+            return;
+        };
+        match entry.state {
+            State::Held | State::Joined => {
+                self.unline(req);
+                self.held_kb -= entry.held_kb;
+                self.used_kb -= entry.held_kb;
+            }
+            State::OnCore => self.on_core -= 1,
+            State::Calling => {
+                self.calling -= 1;
+                self.lingering.push(self.now + self.linger);
+            }
+            State::AtCall => self.standing.retain(|&other| other != req),
+        }
+        if !matches!(entry.state, State::Held | State::Joined) {
+            self.used_kb -= entry.held_kb * self.run_factor;
+        }
+        out.push(Action::Over { req });
+    }
+
+    fn entry(&mut self, req: Req) -> &mut Entry {
+        self.reqs[req].as_mut().expect("callers have looked the req up")
+    }
+}
