--- a/src/decide.rs
+++ b/src/decide.rs
@@ -441,8 +441,8 @@
             && ((self.on_core + self.calling + self.standing.len()) as f64) < self.crowd() * SAFE
         {
             let Some(req) = self.next() else { return };
-            let entry = self.entry(req);
-            if entry.target.saturating_sub(Duration::from_secs_f64(0.0)) < self.now {
+            let now = self.now;
+            if self.entry(req).target < now {
                 self.give_up(req, false, out);
                 continue;
             }
@@ -566,6 +566,7 @@
         self.ring.add(CALLS, 1.0);
         self.ring.add(CALL_TIME, took);
         if outcome == Outcome::Done {
+            self.entry(req).call_tries = 0;
             return self.go_on_core(req);
         }
         self.entry(req).state = State::AtCall;
