--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,8 @@
 const BUSY: f64 = 0.9;
 /// A req is taken while its predicted answer comes within this part of its response target.
 const PROMISE: f64 = 0.85;
+/// How far a hint of work may be off, where trying costs nobody a core.
+const BENEFIT: f64 = 2.0;
 /// Of the crowd, memory and calls that are survivable, the part that is used.
 const SAFE: f64 = 0.9;
 /// Of the memory, the part that held reqs may take.
@@ -432,6 +434,8 @@
             0.0
         };
         let response = (self.now - e.reached).as_secs_f64() + wait + e.work * self.pace + call;
+        // With a core free nothing else is delayed, so a hint that may be wrong is given the benefit.
+        let part = if wait == 0.0 { part * BENEFIT } else { part };
         (response <= (e.target - e.reached.min(e.target)).as_secs_f64() * part).then_some(response)
     }
 
