Ask callers for less while reqs stand unread

Cause: on all three first incidents reqs stood unread for seconds, which no shedding on reading can mend.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,6 +34,14 @@
 const PROMISE: f64 = 0.85;
 /// How far a hint of work may be off, where trying costs nobody a core.
 const BENEFIT: f64 = 2.0;
+/// Mean time unread, as a part of the setpoint, from which callers are asked to send less; how fast the wish
+/// for traffic recovers each step, and its floor.
+const UNREAD_PART: f64 = 0.15;
+const WANTED_RECOVERY: f64 = 0.05;
+const WANTED_FLOOR: f64 = 0.1;
+/// Reqs out here for each core that callers are granted at the least, and beyond that with all traffic wanted.
+const CREDIT_LEAST: f64 = 0.5;
+const CREDIT_MORE: f64 = 3.5;
 /// Of the crowd, memory and calls that are survivable, the part that is used.
 const SAFE: f64 = 0.9;
 /// Of the memory, the part that held reqs may take.
@@ -59,7 +67,8 @@
 const ARRIVED: usize = 8;
 const ARRIVED_WORK: usize = 9;
 const RETRIES: usize = 10;
-const LEVELS: usize = 11;
+const UNREAD: usize = 11;
+const LEVELS: usize = 12;
 
 /// What decisions need of a handler.
 struct Aims {
@@ -173,7 +182,10 @@
     /// Seconds on a core for a unit of work, now and usually.
     pace: f64,
     usual_pace: f64,
+    /// The part of the usual traffic that is wanted, and what callers were told last.
+    wanted: f64,
     advised: f64,
+    callers: f64,
     leaving: Option<Leaving>,
 }
 
@@ -263,7 +275,9 @@
             admitted: 1.0,
             pace,
             usual_pace: 1.0,
+            wanted: 1.0,
             advised: -1.0,
+            callers: f64::from(given.callers.max(1)),
             leaving: None,
         })
     }
@@ -340,6 +354,7 @@
         self.ring.add(ARRIVED_WORK, work);
         self.ring.add(RETRIES, f64::from(u8::from(arrival.retry)));
         self.ring.add(LEVELS + level, 1.0);
+        self.ring.add(UNREAD, arrival.age.as_secs_f64());
 
         // No effect twice: a repeat of a uniqued req is never run, nor shed, as the first may have run.
         if arrival.repeats && effect != Effect::Replayable {
@@ -720,6 +735,17 @@
         self.dimmer += gain * error + DERIVATIVE * (error - self.error);
         self.dimmer = self.dimmer.clamp(0.0, 1.0);
         self.error = error;
+        // What stands unread is not ours to shed, and reading it takes the cores from what can be in time: only
+        // fewer sends help. Guards against any flood, lopsided callers and a server grown slow.
+        let unread = self.ring.sum(UNREAD, PERIOD) / self.ring.sum(ARRIVED, PERIOD).max(1.0);
+        let bearable = UNREAD_PART * self.setpoint;
+        let step = if unread > bearable {
+            (bearable / unread).max(0.5)
+        } else {
+            1.0
+        };
+        self.wanted =
+            (self.wanted * step + if step < 1.0 { 0.0 } else { WANTED_RECOVERY }).clamp(WANTED_FLOOR, 1.0);
     }
 
     /// Answers what is due, what the stop would catch, and what can no longer be in time.
@@ -776,13 +802,16 @@
     fn advise(&mut self, out: &mut Vec<Action>) {
         let willing = match self.leaving {
             Some(_) => 0.0,
-            None => (AILING * self.usual_pace / self.pace).min(1.0),
+            None => (AILING * self.usual_pace / self.pace).min(self.wanted),
         };
         let value = match self.advice {
-            Advice::Weight => (willing * 10.0).round() / 10.0,
-            Advice::Level => f64::from(u8::from(willing == 0.0)),
-            _ => return,
+            Advice::Weight => willing,
+            Advice::Level => 1.0 - willing,
+            Advice::Credit if willing >= 1.0 => self.crowd_warm,
+            Advice::Credit => self.cores * (CREDIT_LEAST + CREDIT_MORE * willing) / self.callers,
+            Advice::Nothing => return,
         };
+        let value = (value * 20.0).round() / 20.0;
         if value != self.advised {
             self.advised = value;
             out.push(Action::Advise { value });
