--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -154,6 +154,7 @@
             };
             let slot = match name {
                 "core_use" => &mut gauges.cores_busy,
+                "on_cores" => &mut gauges.on_cores,
                 "heap_share" => &mut gauges.memory,
                 "links" => &mut gauges.connections,
                 _ => continue,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,6 +39,9 @@
 const UNREAD_PART: f64 = 0.15;
 const WANTED_RECOVERY: f64 = 0.05;
 const WANTED_FLOOR: f64 = 0.1;
+/// Cores' worth of crowd that reading may add to the runs, and the part of the cores that runs always keep.
+const READING_SLACK: f64 = 1.0;
+const LANES_LEAST: f64 = 0.34;
 /// Reqs out here for each core that callers are granted at the least, and beyond that with all traffic wanted.
 const CREDIT_LEAST: f64 = 0.5;
 const CREDIT_MORE: f64 = 3.5;
@@ -174,6 +177,8 @@
     beat_due: Duration,
     step_due: Duration,
     busy: f64,
+    /// What wants a core beside our runs, reading above all.
+    reading: f64,
     cap: f64,
     dimmer: f64,
     alpha: f64,
@@ -268,6 +273,7 @@
             beat_due: BEAT,
             step_due: PERIOD,
             busy: 0.0,
+            reading: 0.0,
             cap: cores,
             dimmer: 1.0,
             alpha: 0.1,
@@ -456,7 +462,7 @@
 
     /// Starts held reqs while the running cap and the memory allow.
     fn fill_cores(&mut self, out: &mut Vec<Action>) {
-        while (self.on_core as f64) < self.cap
+        while (self.on_core as f64) < self.lanes()
             && ((self.on_core + self.calling + self.standing.len()) as f64) < self.crowd() * SAFE
         {
             let Some(req) = self.next() else { return };
@@ -477,6 +483,14 @@
         }
     }
 
+    /// Runs that the cores bear beside the reading that goes on: crowded cores do less in all, and starving the
+    /// reading leaves reqs unread until they are late. Guards against floods; at rest it never binds.
+    fn lanes(&self) -> f64 {
+        (self.cores + READING_SLACK - self.reading)
+            .max(self.cores * LANES_LEAST)
+            .min(self.cap)
+    }
+
     /// The better head of the two lines; long work leaves a core to short work that waits.
     fn next(&self) -> Option<Req> {
         let (Some(&short), Some(&long)) = (self.short.first(), self.long.first()) else {
@@ -695,6 +709,9 @@
         } else {
             0.0
         });
+        self.reading = gauges
+            .on_cores
+            .map_or(0.0, |all| (all - self.on_core as f64).max(0.0));
         self.give_up_late(out);
         self.measure_pace();
         let waits = !(self.short.is_empty() && self.long.is_empty());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -182,6 +182,8 @@
 pub struct Gauges {
     /// The part of the cores busy of late.
     pub cores_busy: Option<f64>,
+    /// All that wants a core now: runs, reading, checks, new connections.
+    pub on_cores: Option<f64>,
     /// The part of the memory in use.
     pub memory: Option<f64>,
     /// Open connections.
