--- a/src/decide.rs
+++ b/src/decide.rs
@@ -664,7 +664,7 @@
         entry.answered = true;
         let unrun = state == State::Held;
         if state != State::Joined && (unrun || self.aims[handler].effect == Effect::Replayable) {
-            let wait = if self.ailing() || self.wanted < 1.0 { self.max_wait } else { None };
+            let wait = if self.ailing() { self.max_wait } else { None };
             out.push(Action::Shed { req, wait, elsewhere });
         } else {
             out.push(Action::Fail { req });
