--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,6 +39,8 @@
 const UNREAD_PART: f64 = 0.15;
 const WANTED_RECOVERY: f64 = 0.05;
 const WANTED_FLOOR: f64 = 0.1;
+/// Part of arrivals that are retries from which callers are asked not to try elsewhere.
+const RETRIED: f64 = 0.1;
 /// Cores' worth of crowd that reading may add to the runs, and the part of the cores that runs always keep.
 const READING_SLACK: f64 = 1.0;
 const LANES_LEAST: f64 = 0.34;
@@ -384,7 +386,9 @@
             0.0
         };
         let no_room = self.held_kb > self.memory_kb * HOLD_MEMORY || self.used_kb + key_kb > self.memory_kb;
-        let elsewhere = self.ailing() && !arrival.retry;
+        // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full, and
+        // a further try would only cost another reading.
+        let elsewhere = !arrival.retry && (self.ailing() || self.retried() < RETRIED);
         if no_room || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
             return self.give_up(arrival.req, elsewhere, out);
         }
@@ -840,6 +844,11 @@
         self.leaving.is_some() || self.pace > AILING * self.usual_pace
     }
 
+    /// The part of recent arrivals known to be later tries.
+    fn retried(&self) -> f64 {
+        self.ring.sum(RETRIES, WINDOW) / self.ring.sum(ARRIVED, WINDOW).max(1.0)
+    }
+
     fn mean_work(&self) -> f64 {
         let arrived = self.ring.sum(ARRIVED, Duration::from_secs(5));
         if arrived > 0.0 {
