--- a/src/decide.rs
+++ b/src/decide.rs
@@ -388,7 +388,7 @@
         let no_room = self.held_kb > self.memory_kb * HOLD_MEMORY || self.used_kb + key_kb > self.memory_kb;
         // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full, and
         // a further try would only cost another reading.
-        let worth_it = self.now + (target - reached.min(target)) / 2 < target;
+        let worth_it = !over && self.now + (target - reached.min(target)) / 2 < target;
         let elsewhere = worth_it && !arrival.retry && (self.ailing() || self.retried() < RETRIED);
         if no_room || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
             return self.give_up(arrival.req, elsewhere, out);
