--- a/src/decide.rs
+++ b/src/decide.rs
@@ -57,6 +57,8 @@
 const CALL_TRIES: u32 = 3;
 /// Times its usual pace from which a server takes itself to be in trouble of its own.
 const AILING: f64 = 1.7;
+/// How much of a measured pace is forgotten each beat while nothing runs.
+const PACE_FADES: f64 = 0.1;
 /// Time before the stop by which all must be answered.
 const LEAVE_MARGIN: Duration = Duration::from_millis(150);
 
@@ -814,6 +816,10 @@
                 work += entry.work;
             }
         }
+        // With nothing on the cores the last measure only ages: a server that hung would else shed for ever.
+        if self.on_core == 0 {
+            self.pace += PACE_FADES * (self.usual_pace - self.pace);
+        }
         let prior = 2.0 * self.mean_work();
         self.pace = (on_core + prior * self.pace) / (work + prior);
         let step = if self.pace < self.usual_pace { 0.02 } else { 0.0005 };
