--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,6 +39,8 @@
 const UNREAD_PART: f64 = 0.15;
 const WANTED_RECOVERY: f64 = 0.05;
 const WANTED_FLOOR: f64 = 0.1;
+/// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
+const FAIR_BURST: f64 = 5.0;
 /// Part of arrivals that are retries from which callers are asked not to try elsewhere.
 const RETRIED: f64 = 0.1;
 /// Cores' worth of crowd that reading may add to the runs, and the part of the cores that runs always keep.
@@ -91,10 +93,13 @@
     over_level: usize,
 }
 
-/// A tenant's claim on this server: filled at the rate of its share, emptied by what is taken.
+/// A tenant's claims on this server, emptied by what is taken: `left` fills at the rate of its allowance, `fair`
+/// by its part of each req taken from anyone, as one server may well see more of a tenant than others do.
 struct Purse {
     per_s: f64,
+    part: f64,
     left: f64,
+    fair: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -220,9 +225,15 @@
             })
             .collect();
         let servers = f64::from(given.servers.max(1));
-        let purse = |t: &Tenant| Purse {
-            per_s: t.allowance_per_s / servers,
-            left: t.allowance_per_s / servers,
+        let allowances: f64 = given.tenants.iter().map(|t| t.allowance_per_s).sum();
+        let purse = |t: &Tenant| {
+            let per_s = t.allowance_per_s / servers;
+            Purse {
+                per_s,
+                part: t.allowance_per_s / allowances.max(f64::MIN_POSITIVE),
+                left: per_s,
+                fair: 1.0,
+            }
         };
         let (calls_granted, calls_span, linger) = match given.below {
             Below::Shared { share, span, linger } => (Some(share * span.as_secs_f64() * SAFE), span, linger),
@@ -330,7 +341,7 @@
         let (effect, repeat_window) = (aims.effect, aims.repeat_window);
         // What a tenant sends beyond its share is worth little: it ranks below all that is within.
         let purse = arrival.tenant.and_then(|tenant| self.purses.get(tenant));
-        let over = purse.is_some_and(|purse| purse.left < 1.0);
+        let over = purse.is_some_and(|purse| purse.left < 1.0 && purse.fair < 1.0);
         let level = if over { aims.over_level } else { aims.level };
         let (mean, held_kb) = (self.mean_work(), arrival.held_kb.max(0.0));
         if self.reqs.len() <= arrival.req {
@@ -395,8 +406,10 @@
         if no_room || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
             return self.give_up(arrival.req, elsewhere, out);
         }
-        if let Some(purse) = arrival.tenant.and_then(|tenant| self.purses.get_mut(tenant)) {
-            purse.left -= if over { 0.0 } else { 1.0 };
+        for (tenant, purse) in self.purses.iter_mut().enumerate() {
+            let mine = arrival.tenant == Some(tenant);
+            purse.left -= if mine && purse.left >= 1.0 { 1.0 } else { 0.0 };
+            purse.fair = (purse.fair + purse.part - f64::from(u8::from(mine))).clamp(-FAIR_BURST, FAIR_BURST);
         }
         if effect == Effect::Uniqued {
             let span = (repeat_window + BUCKET).saturating_sub(arrival.age);
