--- a/src/decide.rs
+++ b/src/decide.rs
@@ -401,11 +401,8 @@
         let no_room = self.held_kb > self.memory_kb * HOLD_MEMORY || self.used_kb + key_kb > self.memory_kb;
         // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full, and
         // a further try would only cost another reading.
-        // What is too long for this server alone may fit a faster one.
-        let spent = self.now + (target - reached.min(target)) / 2 >= target;
-        let too_long = work * self.pace > target.saturating_sub(self.now).as_secs_f64();
-        let others_free = !arrival.retry && (self.ailing() || self.retried() < RETRIED);
-        let elsewhere = !over && !spent && (too_long || others_free);
+        let worth_it = !over && self.now + (target - reached.min(target)) / 2 < target;
+        let elsewhere = worth_it && !arrival.retry && (self.ailing() || self.retried() < RETRIED);
         if no_room || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
             return self.give_up(arrival.req, elsewhere, out);
         }
