--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,7 +31,7 @@
 /// From this gauge on the cores count as nearly all busy.
 const BUSY: f64 = 0.9;
 /// A req is taken while its predicted answer comes within this part of its response target.
-const PROMISE: f64 = 0.85;
+const PROMISE: f64 = 0.65;
 /// How far a hint of work may be off, where trying costs nobody a core.
 const BENEFIT: f64 = 2.0;
 /// Mean time unread, as a part of the setpoint, from which callers are asked to send less; how fast the wish
