--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,7 +20,7 @@
 const POLE: f64 = 0.6;
 const DERIVATIVE: f64 = 0.2;
 /// The setpoint of t, as a part of the mean response target.
-const SETPOINT: f64 = 0.45;
+const SETPOINT: f64 = 0.6;
 /// Below this the dimmer counts as zero and its estimator is frozen.
 const NEAR_ZERO: f64 = 0.02;
 /// Gains of the admission loop on the relative error, its floor, and the recovery, each a step.
