--- a/src/decide.rs
+++ b/src/decide.rs
@@ -93,13 +93,11 @@
     over_level: usize,
 }
 
-/// A tenant's claims on this server, emptied by what is taken: `left` fills at the rate of its allowance, `fair`
-/// by its part of each req taken from anyone, as one server may well see more of a tenant than others do.
+/// A tenant's claim on this server: filled by its part of each req taken from anyone, emptied by its own. Parts
+/// of what is taken here, and not a rate, as one server may see far more of a tenant than others do.
 struct Purse {
-    per_s: f64,
     part: f64,
     left: f64,
-    fair: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -224,16 +222,10 @@
                 over_level: level(h.value * given.over_share_value),
             })
             .collect();
-        let servers = f64::from(given.servers.max(1));
         let allowances: f64 = given.tenants.iter().map(|t| t.allowance_per_s).sum();
-        let purse = |t: &Tenant| {
-            let per_s = t.allowance_per_s / servers;
-            Purse {
-                per_s,
-                part: t.allowance_per_s / allowances.max(f64::MIN_POSITIVE),
-                left: per_s,
-                fair: 1.0,
-            }
+        let purse = |t: &Tenant| Purse {
+            part: t.allowance_per_s / allowances.max(f64::MIN_POSITIVE),
+            left: 1.0,
         };
         let (calls_granted, calls_span, linger) = match given.below {
             Below::Shared { share, span, linger } => (Some(share * span.as_secs_f64() * SAFE), span, linger),
@@ -341,7 +333,7 @@
         let (effect, repeat_window) = (aims.effect, aims.repeat_window);
         // What a tenant sends beyond its share is worth little: it ranks below all that is within.
         let purse = arrival.tenant.and_then(|tenant| self.purses.get(tenant));
-        let over = purse.is_some_and(|purse| purse.left < 1.0 && purse.fair < 1.0);
+        let over = purse.is_some_and(|purse| purse.left < 1.0);
         let level = if over { aims.over_level } else { aims.level };
         let (mean, held_kb) = (self.mean_work(), arrival.held_kb.max(0.0));
         if self.reqs.len() <= arrival.req {
@@ -407,9 +399,8 @@
             return self.give_up(arrival.req, elsewhere, out);
         }
         for (tenant, purse) in self.purses.iter_mut().enumerate() {
-            let mine = arrival.tenant == Some(tenant);
-            purse.left -= if mine && purse.left >= 1.0 { 1.0 } else { 0.0 };
-            purse.fair = (purse.fair + purse.part - f64::from(u8::from(mine))).clamp(-FAIR_BURST, FAIR_BURST);
+            let taken = f64::from(u8::from(arrival.tenant == Some(tenant)));
+            purse.left = (purse.left + purse.part - taken).clamp(-FAIR_BURST, FAIR_BURST);
         }
         if effect == Effect::Uniqued {
             let span = (repeat_window + BUCKET).saturating_sub(arrival.age);
@@ -909,9 +900,6 @@
             CALLS_IN_HAND,
             (self.calling + self.lingering.len()) as f64 * passed,
         );
-        for purse in &mut self.purses {
-            purse.left = (purse.left + purse.per_s * passed).min(purse.per_s.max(1.0) * 2.0);
-        }
         self.now = now;
         if now > self.beat_due + BEAT * 2 {
             self.stalled += (now - self.beat_due).as_secs_f64().min(passed);
