--- a/crates/simhost/src/facts.rs
+++ b/crates/simhost/src/facts.rs
@@ -71,8 +71,6 @@
     cores: u32,
     #[serde(default)]
     entry_kb: f64,
-    #[serde(default)]
-    fresh: f64,
     halt: WireHalt,
     mem_limit_kb: f64,
     say: WireSay,
@@ -110,7 +108,6 @@
 struct Facts {
     classes: Vec<Class>,
     family_info: FamilyInfo,
-    fleet_size: u32,
     limits: Limits,
     #[serde(default)]
     over_share_worth: Option<f64>,
@@ -131,23 +128,12 @@
     let facts: Facts = serde_json::from_str(text).map_err(|error| error.to_string())?;
     let info = &facts.family_info;
     let names = Names {
-        handlers: facts
-            .classes
-            .iter()
-            .enumerate()
-            .map(|(at, class)| (class.name.clone(), at))
-            .collect(),
-        tenants: facts
-            .tenants
-            .iter()
-            .enumerate()
-            .map(|(at, tenant)| (tenant.name.clone(), at))
-            .collect(),
+        handlers: facts.classes.iter().enumerate().map(|(at, class)| (class.name.clone(), at)).collect(),
+        tenants: facts.tenants.iter().enumerate().map(|(at, tenant)| (tenant.name.clone(), at)).collect(),
     };
-    for (name, length) in [
-        ("class_calls", info.class_calls.len()),
-        ("class_skip_worth", info.class_skip_worth.len()),
-    ] {
+    for (name, length) in
+        [("class_calls", info.class_calls.len()), ("class_skip_worth", info.class_skip_worth.len())]
+    {
         if length != 0 && length != facts.classes.len() {
             return Err(format!(
                 "family_info.{name} has {length} entries for {} classes",
@@ -163,13 +149,7 @@
         .collect::<Result<_, _>>()?;
     let given = Given {
         handlers,
-        tenants: facts
-            .tenants
-            .iter()
-            .map(|t| Tenant {
-                allowance_per_s: t.allowance_per_s,
-            })
-            .collect(),
+        tenants: facts.tenants.iter().map(|t| Tenant { allowance_per_s: t.allowance_per_s }).collect(),
         over_share_value: share("over_share_worth", facts.over_share_worth.unwrap_or(1.0))?,
         cores: info.cores,
         memory_kb: info.mem_limit_kb,
@@ -206,9 +186,7 @@
             true => Some(millis("limits.max_retry_after", facts.limits.max_retry_after)?),
             false => None,
         },
-        servers: facts.fleet_size,
         callers: info.callers,
-        reuse: millis("family_info.fresh", info.fresh)?,
     };
     Ok((given, names))
 }
@@ -225,11 +203,7 @@
             WireEffect::SideEffect => Effect::NonReplayable,
         },
         repeat_window: millis("classes.memory_span", class.memory_span)?,
-        calls_below: info
-            .class_calls
-            .get(at)
-            .copied()
-            .unwrap_or(!matches!(info.below, WireBelow::Silent)),
+        calls_below: info.class_calls.get(at).copied().unwrap_or(!matches!(info.below, WireBelow::Silent)),
         skip_value: info.class_skip_worth.get(at).copied().unwrap_or(0.0),
     })
 }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -13,22 +13,14 @@
 #[derive(Debug, thiserror::Error)]
 pub enum WireError {
     #[error("line {line}: {field}: {problem}")]
-    Malformed {
-        line: usize,
-        field: String,
-        problem: String,
-    },
+    Malformed { line: usize, field: String, problem: String },
     #[error("standard streams: {0}")]
     Io(#[from] std::io::Error),
 }
 
 impl WireError {
     pub fn at(line: usize, field: &str, problem: impl Into<String>) -> Self {
-        WireError::Malformed {
-            line,
-            field: field.to_owned(),
-            problem: problem.into(),
-        }
+        WireError::Malformed { line, field: field.to_owned(), problem: problem.into() }
     }
 }
 
@@ -39,11 +31,7 @@
 
 /// A figure from 0 to 1.
 pub fn share(name: &str, value: f64) -> Result<f64, String> {
-    if (0.0..=1.0).contains(&value) {
-        Ok(value)
-    } else {
-        Err(format!("{name}: {value} is not from 0 to 1"))
-    }
+    if (0.0..=1.0).contains(&value) { Ok(value) } else { Err(format!("{name}: {value} is not from 0 to 1")) }
 }
 
 /// The name=value pairs of one line.
@@ -60,11 +48,7 @@
                 return Err(WireError::at(line, rest, "it is no name=value pair"));
             };
             let text = name == "facts";
-            let (value, next) = if text {
-                (after, "")
-            } else {
-                after.split_once(' ').unwrap_or((after, ""))
-            };
+            let (value, next) = if text { (after, "") } else { after.split_once(' ').unwrap_or((after, "")) };
             pairs.push((name, value));
             rest = next;
         }
@@ -72,10 +56,7 @@
     }
 
     fn find(&self, name: &str) -> Option<&'a str> {
-        self.pairs
-            .iter()
-            .find(|(key, _)| *key == name)
-            .map(|(_, value)| *value)
+        self.pairs.iter().find(|(key, _)| *key == name).map(|(_, value)| *value)
     }
 
     fn error(&self, name: &str, problem: impl Into<String>) -> WireError {
@@ -83,16 +64,12 @@
     }
 
     fn text(&self, name: &str) -> Result<&'a str, WireError> {
-        self.find(name)
-            .filter(|value| !value.is_empty())
-            .ok_or_else(|| self.error(name, "it is missing"))
+        self.find(name).filter(|value| !value.is_empty()).ok_or_else(|| self.error(name, "it is missing"))
     }
 
     fn whole(&self, name: &str) -> Result<u64, WireError> {
         let value = self.text(name)?;
-        value
-            .parse()
-            .map_err(|_| self.error(name, format!("'{value}' is no whole number")))
+        value.parse().map_err(|_| self.error(name, format!("'{value}' is no whole number")))
     }
 
     fn number(&self, name: &str) -> Result<Option<f64>, WireError> {
@@ -106,8 +83,7 @@
     }
 
     fn needed(&self, name: &str) -> Result<f64, WireError> {
-        self.number(name)?
-            .ok_or_else(|| self.error(name, "it is missing"))
+        self.number(name)?.ok_or_else(|| self.error(name, "it is missing"))
     }
 
     fn time(&self, name: &str, value: f64) -> Result<Duration, WireError> {
@@ -143,12 +119,7 @@
 
     fn gauges(&self) -> Result<Gauges, WireError> {
         let mut gauges = Gauges::default();
-        for pair in self
-            .find("feedback")
-            .unwrap_or("")
-            .split(',')
-            .filter(|pair| !pair.is_empty())
-        {
+        for pair in self.find("feedback").unwrap_or("").split(',').filter(|pair| !pair.is_empty()) {
             let Some((name, value)) = pair.split_once(':') else {
                 return Err(self.error("feedback", format!("'{pair}' is no name:value pair")));
             };
@@ -186,14 +157,7 @@
         let decider =
             Decider::new(&given, seed).map_err(|problem| fields.error("facts", problem.to_string()))?;
         let (ids, indices) = (Slab::new(), HashMap::new());
-        Ok(Backend {
-            started: now,
-            decider,
-            names,
-            ids,
-            indices,
-            events: vec![Event::Started],
-        })
+        Ok(Backend { started: now, decider, names, ids, indices, events: vec![Event::Started] })
     }
 
     /// The index of a req that the module has not ended yet.
@@ -214,9 +178,7 @@
                 let outcome = fields.outcome()?;
                 self.req(fields)?.map(|req| Event::CallEnded { req, outcome })
             }
-            "ELAPSED" => Some(Event::Alarm {
-                gauges: fields.gauges()?,
-            }),
+            "ELAPSED" => Some(Event::Alarm { gauges: fields.gauges()? }),
             "SIGTERM" => {
                 let left = fields.time("expires_in", fields.needed("expires_in")?)?;
                 Some(Event::Leave { left })
@@ -253,23 +215,10 @@
         let age = fields.time("queued_for", fields.number("queued_for")?.unwrap_or(0.0))?;
         let (patience, work) = (positive("expires_in")?, positive("work")?);
         let held_kb = fields.needed("footprint")?;
-        let (retry, repeats) = (
-            fields.flag("again_by_client")?,
-            fields.optional("original").is_some(),
-        );
+        let (retry, repeats) = (fields.flag("again_by_client")?, fields.optional("original").is_some());
         let req = self.ids.insert(id.to_owned());
         self.indices.insert(id.to_owned(), req);
-        Ok(Event::Arrived(Arrival {
-            req,
-            handler,
-            tenant,
-            age,
-            patience,
-            work,
-            held_kb,
-            retry,
-            repeats,
-        }))
+        Ok(Event::Arrived(Arrival { req, handler, tenant, age, patience, work, held_kb, retry, repeats }))
     }
 
     /// Lets the module decide on the batch's events, and writes down what it wants done.
@@ -294,38 +243,22 @@
             Action::Run { req } => line("EXECUTE", Some(req), format_args!("")),
             Action::Shed { req, wait, elsewhere } => {
                 let (wait, last) = (as_millis(wait.unwrap_or_default()), u8::from(!elsewhere));
-                line(
-                    "TURN_AWAY",
-                    Some(req),
-                    format_args!(" wait={wait:.3} terminal={last}"),
-                );
+                line("TURN_AWAY", Some(req), format_args!(" wait={wait:.3} terminal={last}"));
             }
             Action::Fail { req } => line("REPORT_FAILURE", Some(req), format_args!("")),
             Action::Stop { req } => line("YANK", Some(req), format_args!("")),
             Action::Join { req } => line("JOIN", Some(req), format_args!("")),
             Action::Remember { req, span } => {
-                line(
-                    "KEEP",
-                    Some(req),
-                    format_args!(" lifetime={:.3}", as_millis(span)),
-                );
+                line("KEEP", Some(req), format_args!(" lifetime={:.3}", as_millis(span)));
             }
             Action::Forget { req } => line("EVICT", Some(req), format_args!("")),
             Action::Call { req, patience } => {
-                line(
-                    "DIAL",
-                    Some(req),
-                    format_args!(" patience={:.3}", as_millis(patience)),
-                );
+                line("DIAL", Some(req), format_args!(" patience={:.3}", as_millis(patience)));
             }
             Action::SkipCall { req } => line("OMIT", Some(req), format_args!("")),
             Action::Advise { value } => line("SAY", None, format_args!(" amount={value:.4}")),
             Action::Health { good } => {
-                line(
-                    "SET_HEALTH",
-                    None,
-                    format_args!(" enable={} light=1", u8::from(good)),
-                );
+                line("SET_HEALTH", None, format_args!(" enable={} light=1", u8::from(good)));
             }
             Action::Alarm { at } => {
                 let at = self.started + as_millis(at);
@@ -405,11 +338,7 @@
     /// The input ended before this line.
     pub fn finish(&self, number: usize) -> Result<(), WireError> {
         match self.in_batch {
-            true => Err(WireError::at(
-                number,
-                "OVER_TO_YOU",
-                "the input ends inside a batch",
-            )),
+            true => Err(WireError::at(number, "OVER_TO_YOU", "the input ends inside a batch")),
             false => Ok(()),
         }
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -61,8 +61,8 @@
 const AILING: f64 = 1.7;
 /// How much of a measured pace is forgotten each beat while nothing runs.
 const PACE_FADES: f64 = 0.1;
-/// Time before the stop by which all must be answered.
-const LEAVE_MARGIN: Duration = Duration::from_millis(150);
+/// Time before the stop by which all must be answered, so that a pause does not carry any past it.
+const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 
 /// What the ring of measures counts in each bucket; the arrivals of each level follow.
 const DONE: usize = 0;
@@ -223,10 +223,8 @@
             })
             .collect();
         let allowances: f64 = given.tenants.iter().map(|t| t.allowance_per_s).sum();
-        let purse = |t: &Tenant| Purse {
-            part: t.allowance_per_s / allowances.max(f64::MIN_POSITIVE),
-            left: 1.0,
-        };
+        let purse =
+            |t: &Tenant| Purse { part: t.allowance_per_s / allowances.max(f64::MIN_POSITIVE), left: 1.0 };
         let (calls_granted, calls_span, linger) = match given.below {
             Below::Shared { share, span, linger } => (Some(share * span.as_secs_f64() * SAFE), span, linger),
             _ => (None, Duration::ZERO, Duration::ZERO),
@@ -234,11 +232,7 @@
         let targets: f64 = aims.iter().map(|a| a.target.as_secs_f64()).sum();
         let cores = f64::from(given.cores);
         let crowd = |speed: f64| cores * (1.0 + (given.crowd_limit - 1.0) * speed);
-        let pace = if given.cold {
-            1.0 / given.cold_speed.max(0.05)
-        } else {
-            1.0
-        };
+        let pace = if given.cold { 1.0 / given.cold_speed.max(0.05) } else { 1.0 };
         let ring_span = calls_span.max(Duration::from_secs(5));
         Ok(Decider {
             setpoint: SETPOINT * targets / aims.len() as f64,
@@ -247,11 +241,7 @@
             cores,
             crowd_warm: crowd(1.0),
             crowd_cold: crowd(given.cold_speed),
-            warm_at: if given.cold {
-                given.warm_up.as_secs_f64()
-            } else {
-                0.0
-            },
+            warm_at: if given.cold { given.warm_up.as_secs_f64() } else { 0.0 },
             memory_kb: given.memory_kb * SAFE,
             run_factor: given.run_factor,
             key_kb: given.key_kb,
@@ -326,16 +316,14 @@
         };
         let work = arrival.work.map_or(0.1, |work| work.as_secs_f64());
         let reached = self.now.saturating_sub(arrival.age);
-        let due = arrival
-            .patience
-            .map_or(reached + aims.timeout, |patience| self.now + patience);
+        let due = arrival.patience.map_or(reached + aims.timeout, |patience| self.now + patience);
         let target = (reached + aims.target + Duration::from_secs_f64(aims.stretch * work)).min(due);
         let (effect, repeat_window) = (aims.effect, aims.repeat_window);
         // What a tenant sends beyond its share is worth little: it ranks below all that is within.
         let purse = arrival.tenant.and_then(|tenant| self.purses.get(tenant));
         let over = purse.is_some_and(|purse| purse.left < 1.0);
         let level = if over { aims.over_level } else { aims.level };
-        let (mean, held_kb) = (self.mean_work(), arrival.held_kb.max(0.0));
+        let (mean, held_kb) = (self.mean_work(), arrival.held_kb.max(0.0).min(self.memory_kb * 2.0));
         if self.reqs.len() <= arrival.req {
             self.reqs.resize_with(arrival.req + 1, || None);
         }
@@ -385,11 +373,7 @@
         {
             return self.give_up(arrival.req, true, out);
         }
-        let key_kb = if effect == Effect::Uniqued {
-            self.key_kb
-        } else {
-            0.0
-        };
+        let key_kb = if effect == Effect::Uniqued { self.key_kb } else { 0.0 };
         let no_room = self.held_kb > self.memory_kb * HOLD_MEMORY || self.used_kb + key_kb > self.memory_kb;
         // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full, and
         // a further try would only cost another reading.
@@ -403,14 +387,11 @@
             purse.left = (purse.left + purse.part - taken).clamp(-FAIR_BURST, FAIR_BURST);
         }
         if effect == Effect::Uniqued {
-            let span = (repeat_window + BUCKET).saturating_sub(arrival.age);
-            self.entry(arrival.req).key = Some(self.now + span);
-            self.keys.push(self.now + span);
+            let span = repeat_window.saturating_add(BUCKET).saturating_sub(arrival.age);
+            self.entry(arrival.req).key = Some(self.now.saturating_add(span));
+            self.keys.push(self.now.saturating_add(span));
             self.used_kb += self.key_kb;
-            out.push(Action::Remember {
-                req: arrival.req,
-                span,
-            });
+            out.push(Action::Remember { req: arrival.req, span });
         }
         self.hold(arrival.req);
     }
@@ -423,15 +404,9 @@
         };
         let line = if entry.long { &self.long } else { &self.short };
         let at = line.partition_point(|&other| {
-            self.reqs[other]
-                .as_ref()
-                .is_none_or(|other| place(other) <= place(entry))
+            self.reqs[other].as_ref().is_none_or(|other| place(other) <= place(entry))
         });
-        if entry.long {
-            self.long.insert(at, req)
-        } else {
-            self.short.insert(at, req)
-        }
+        if entry.long { self.long.insert(at, req) } else { self.short.insert(at, req) }
     }
 
     /// The admitted share, spent on the highest levels first; a coin decides only within the marginal one.
@@ -449,22 +424,14 @@
     fn response_of(&self, req: Req, part: f64) -> Option<f64> {
         let e = self.reqs[req].as_ref()?;
         let before = |other: &&Entry| (other.level, e.target) > (e.level, other.target);
-        let held = self
-            .short
-            .iter()
-            .chain(&self.long)
-            .filter_map(|&r| self.reqs[r].as_ref());
+        let held = self.short.iter().chain(&self.long).filter_map(|&r| self.reqs[r].as_ref());
         let ahead: f64 = held.filter(before).map(|other| other.work).sum();
         let wait = if (self.on_core as f64) < self.cap && ahead == 0.0 {
             0.0
         } else {
             ahead * self.pace / self.cap + self.mean_work() * self.pace / self.cap
         };
-        let call = if self.aims[e.handler].calls {
-            self.call_time() * self.dimmer
-        } else {
-            0.0
-        };
+        let call = if self.aims[e.handler].calls { self.call_time() * self.dimmer } else { 0.0 };
         let response = (self.now - e.reached).as_secs_f64() + wait + e.work * self.pace + call;
         // With a core free nothing else is delayed, so a hint that may be wrong is given the benefit.
         let part = if wait == 0.0 { part * BENEFIT } else { part };
@@ -497,9 +464,7 @@
     /// Runs that the cores bear beside the reading that goes on: crowded cores do less in all, and starving the
     /// reading leaves reqs unread until they are late. Guards against floods; at rest it never binds.
     fn lanes(&self) -> f64 {
-        (self.cores + READING_SLACK - self.reading)
-            .max(self.cores * LANES_LEAST)
-            .min(self.cap)
+        (self.cores + READING_SLACK - self.reading).max(self.cores * LANES_LEAST).min(self.cap)
     }
 
     /// The better head of the two lines; long work leaves a core to short work that waits.
@@ -516,11 +481,7 @@
     }
 
     fn at_call(&mut self, req: Req, out: &mut Vec<Action>) {
-        if !self
-            .reqs
-            .get(req)
-            .is_some_and(|e| e.as_ref().is_some_and(|e| e.state == State::OnCore))
-        {
+        if !self.reqs.get(req).is_some_and(|e| e.as_ref().is_some_and(|e| e.state == State::OnCore)) {
             return;
         }
         self.leave_core(req, State::AtCall);
@@ -541,13 +502,9 @@
         let due = entry.due.saturating_sub(now);
         let (handler, tries) = (entry.handler, entry.call_tries);
         let skippable = self.aims[handler].skippable;
-        let mut patience = if skippable {
-            Duration::from_secs_f64(left * 0.5)
-        } else {
-            due
-        };
+        let mut patience = if skippable { seconds(left * 0.5) } else { due };
         if let Some(granted) = self.calls_granted {
-            patience = patience.min(Duration::from_secs_f64(granted / 4.0));
+            patience = patience.min(seconds(granted / 4.0));
         }
         let room = self.call_room(patience) && patience > BEAT;
         if skippable && (!drawn || !room || tries > 0 || left * 0.5 < call_time) {
@@ -560,7 +517,7 @@
             let entry = self.entry(req);
             entry.state = State::Calling;
             entry.called = now;
-            entry.call_until = now + patience;
+            entry.call_until = now.saturating_add(patience);
             entry.call_tries += 1;
             out.push(Action::Call { req, patience });
         }
@@ -572,18 +529,12 @@
             return (self.calling as f64) < self.cores * CALLS_PER_CORE;
         };
         let past = self.ring.sum(CALLS_IN_HAND, self.calls_span);
-        let until = |e: &Entry| {
-            (e.call_until + self.linger)
-                .saturating_sub(self.now)
-                .as_secs_f64()
-        };
+        let until =
+            |e: &Entry| e.call_until.saturating_add(self.linger).saturating_sub(self.now).as_secs_f64();
         let calling = self.reqs.iter().flatten().filter(|e| e.state == State::Calling);
-        let lingering = self
-            .lingering
-            .iter()
-            .map(|&end| end.saturating_sub(self.now).as_secs_f64());
+        let lingering = self.lingering.iter().map(|&end| end.saturating_sub(self.now).as_secs_f64());
         let ahead: f64 = calling.map(until).sum::<f64>() + lingering.sum::<f64>();
-        past + ahead + (patience + self.linger).as_secs_f64() <= granted
+        past + ahead + patience.saturating_add(self.linger).as_secs_f64() <= granted
     }
 
     fn retry_standing(&mut self, out: &mut Vec<Action>) {
@@ -605,7 +556,7 @@
         let answered = entry.answered;
         self.calling -= 1;
         if outcome == Outcome::TimedOut {
-            self.lingering.push(self.now + self.linger);
+            self.lingering.push(self.now.saturating_add(self.linger));
         }
         self.ring.add(CALLS, 1.0);
         self.ring.add(CALL_TIME, took);
@@ -700,11 +651,11 @@
     }
 
     fn leave(&mut self, left: Duration, out: &mut Vec<Action>) {
-        let answer_by = (self.now + left).saturating_sub(LEAVE_MARGIN);
-        self.leaving = Some(Leaving {
-            run_until: self.now + self.drain_grace,
-            answer_by,
-        });
+        if self.leaving.is_some() {
+            return;
+        }
+        let answer_by = self.now.saturating_add(left).saturating_sub(LEAVE_MARGIN);
+        self.leaving = Some(Leaving { run_until: self.now.saturating_add(self.drain_grace), answer_by });
         out.push(Action::Health { good: false });
     }
 
@@ -715,25 +666,15 @@
         let before = (self.keys.len(), self.now);
         self.keys.retain(|&until| until > before.1);
         self.used_kb -= (before.0 - self.keys.len()) as f64 * self.key_kb;
-        self.busy = gauges.cores_busy.unwrap_or(if self.on_core as f64 >= self.cores {
-            1.0
-        } else {
-            0.0
-        });
-        self.reading = gauges
-            .on_cores
-            .map_or(0.0, |all| (all - self.on_core as f64).max(0.0));
+        self.busy = gauges.cores_busy.unwrap_or(if self.on_core as f64 >= self.cores { 1.0 } else { 0.0 });
+        self.reading = gauges.on_cores.map_or(0.0, |all| (all - self.on_core as f64).max(0.0));
         self.give_up_late(out);
         self.measure_pace();
         let waits = !(self.short.is_empty() && self.long.is_empty());
         if self.now >= self.step_due {
             self.step_due = self.now + PERIOD;
             // The running cap grows only while cores idle with work held.
-            self.cap = if waits && self.busy < BUSY {
-                self.cap + 1.0
-            } else {
-                self.cap - 1.0
-            };
+            self.cap = if waits && self.busy < BUSY { self.cap + 1.0 } else { self.cap - 1.0 };
             self.cap = self.cap.clamp(self.cores, (self.crowd() * SAFE).max(self.cores));
             self.steer();
         }
@@ -767,11 +708,7 @@
         // fewer sends help. Guards against any flood, lopsided callers and a server grown slow.
         let unread = self.ring.sum(UNREAD, PERIOD) / self.ring.sum(ARRIVED, PERIOD).max(1.0);
         let bearable = UNREAD_PART * self.setpoint;
-        let step = if unread > bearable {
-            (bearable / unread).max(0.5)
-        } else {
-            1.0
-        };
+        let step = if unread > bearable { (bearable / unread).max(0.5) } else { 1.0 };
         self.wanted =
             (self.wanted * step + if step < 1.0 { 0.0 } else { WANTED_RECOVERY }).clamp(WANTED_FLOOR, 1.0);
     }
@@ -789,21 +726,15 @@
                 }
                 continue;
             }
-            let stop = self
-                .leaving
-                .as_ref()
-                .map_or(Duration::MAX, |leaving| leaving.answer_by);
+            let stop = self.leaving.as_ref().map_or(Duration::MAX, |leaving| leaving.answer_by);
             let due = entry.due.min(stop) <= self.now + BEAT;
             let replayable = self.aims[entry.handler].effect == Effect::Replayable;
-            let left = match entry.state {
-                State::Held => entry.work * self.pace,
-                State::Joined => 0.0,
-                _ if !replayable || !self.stoppable => 0.0,
-                _ => 0.0,
+            // Held work must still fit before the target; work under way is given up only once it is late.
+            let hopeless = match entry.state {
+                State::Joined => false,
+                State::Held => entry.target < self.now.saturating_add(seconds(entry.work * self.pace)),
+                _ => replayable && entry.target < self.now,
             };
-            let hopeless = (replayable || entry.state == State::Held)
-                && entry.state != State::Joined
-                && entry.target < self.now + Duration::from_secs_f64(left);
             if due || hopeless {
                 self.give_up(req, false, out);
             }
@@ -862,20 +793,12 @@
 
     fn mean_work(&self) -> f64 {
         let arrived = self.ring.sum(ARRIVED, Duration::from_secs(5));
-        if arrived > 0.0 {
-            self.ring.sum(ARRIVED_WORK, Duration::from_secs(5)) / arrived
-        } else {
-            0.1
-        }
+        if arrived > 0.0 { self.ring.sum(ARRIVED_WORK, Duration::from_secs(5)) / arrived } else { 0.1 }
     }
 
     fn call_time(&self) -> f64 {
         let calls = self.ring.sum(CALLS, WINDOW);
-        if calls > 0.0 {
-            self.ring.sum(CALL_TIME, WINDOW) / calls
-        } else {
-            0.0
-        }
+        if calls > 0.0 { self.ring.sum(CALL_TIME, WINDOW) / calls } else { 0.0 }
     }
 
     /// The crowd on the cores that is survivable now: lower while cold.
@@ -896,10 +819,7 @@
         let passed = (now - self.now).as_secs_f64();
         self.lingering.retain(|&end| end > self.now);
         self.ring.advance(now);
-        self.ring.add(
-            CALLS_IN_HAND,
-            (self.calling + self.lingering.len()) as f64 * passed,
-        );
+        self.ring.add(CALLS_IN_HAND, (self.calling + self.lingering.len()) as f64 * passed);
         self.now = now;
         if now > self.beat_due + BEAT * 2 {
             self.stalled += (now - self.beat_due).as_secs_f64().min(passed);
@@ -941,7 +861,7 @@
             State::OnCore => self.on_core -= 1,
             State::Calling => {
                 self.calling -= 1;
-                self.lingering.push(self.now + self.linger);
+                self.lingering.push(self.now.saturating_add(self.linger));
             }
             State::AtCall => self.standing.retain(|&other| other != req),
         }
@@ -955,3 +875,8 @@
         self.reqs[req].as_mut().expect("callers have looked the req up")
     }
 }
+
+/// A span of that many seconds, or the longest there is.
+fn seconds(span: f64) -> Duration {
+    Duration::try_from_secs_f64(span).unwrap_or(Duration::MAX)
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -48,11 +48,7 @@
     Nothing,
     /// One dependency shared by all servers. `share` is this server's part of the calls that it survives, as
     /// a mean over `span`; a call given up may stay in its hands for `linger`.
-    Shared {
-        share: f64,
-        span: Duration,
-        linger: Duration,
-    },
+    Shared { share: f64, span: Duration, linger: Duration },
     /// Another tier of servers.
     Tier,
 }
@@ -114,12 +110,8 @@
     pub advice: Advice,
     /// The longest wait that callers honour; `None` where none is passed on.
     pub max_wait: Option<Duration>,
-    /// Servers of this kind when this one started.
-    pub servers: u32,
     /// Callers of this server when it started.
     pub callers: u32,
-    /// How long a replayable read's answer may serve others; zero means never.
-    pub reuse: Duration,
 }
 
 /// Why a [`Given`] was turned down.
@@ -230,11 +222,7 @@
     /// Start a held req, or take up a paused one.
     Run { req: Req },
     /// Final answer: turned away. `elsewhere` is false where the caller should not try another server.
-    Shed {
-        req: Req,
-        wait: Option<Duration>,
-        elsewhere: bool,
-    },
+    Shed { req: Req, wait: Option<Duration>, elsewhere: bool },
     /// Final answer: an error.
     Fail { req: Req },
     /// Stop running work.
@@ -301,11 +289,7 @@
                 }
             }
         }
-        match self
-            .tenants
-            .iter()
-            .position(|t| !at_least(0.0, t.allowance_per_s))
-        {
+        match self.tenants.iter().position(|t| !at_least(0.0, t.allowance_per_s)) {
             Some(tenant) => Err(GivenError::Tenant(tenant)),
             None => Ok(()),
         }
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -12,11 +12,7 @@
 impl Ring {
     pub fn new(width: Duration, span: Duration, measures: usize) -> Self {
         let length = span.as_millis().div_ceil(width.as_millis()) as usize + 1;
-        Ring {
-            width,
-            at: 0,
-            buckets: vec![vec![0.0; measures]; length],
-        }
+        Ring { width, at: 0, buckets: vec![vec![0.0; measures]; length] }
     }
 
     /// Moves to the bucket of `now`, clearing what is used again.
@@ -39,8 +35,6 @@
     pub fn sum(&self, measure: usize, span: Duration) -> f64 {
         let length = self.buckets.len() as u64;
         let count = (span.as_millis().div_ceil(self.width.as_millis()) as u64 + 1).min(length);
-        (0..count)
-            .map(|back| self.buckets[((self.at + length - back) % length) as usize][measure])
-            .sum()
+        (0..count).map(|back| self.buckets[((self.at + length - back) % length) as usize][measure]).sum()
     }
 }
