--- a/src/decide.rs
+++ b/src/decide.rs
@@ -359,13 +359,12 @@
 
         // No effect twice: a repeat of a uniqued req is never run, nor shed, as the first may have run.
         if arrival.repeats && effect != Effect::Replayable {
-            return match self.used_kb <= self.memory_kb {
-                true => {
-                    self.entry(arrival.req).state = State::Joined;
-                    out.push(Action::Join { req: arrival.req });
-                }
-                false => self.give_up(arrival.req, false, out),
-            };
+            self.entry(arrival.req).state = State::Joined;
+            let stopping = self.leaving.as_ref().is_some_and(|leaving| self.now >= leaving.answer_by);
+            if stopping || self.used_kb > self.memory_kb {
+                return self.give_up(arrival.req, false, out);
+            }
+            return out.push(Action::Join { req: arrival.req });
         }
         // Safe drain: what came too late after the notice is not run.
         if let Some(leaving) = &self.leaving
