--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -91,6 +91,7 @@
     /// The last value said to callers.
     pub advised: Option<f64>,
     alarm: Option<Duration>,
+    /// Remembered marks; one that has run out still marks what reached the server before.
     keys: Vec<(u64, Req, Duration)>,
     /// Marks that were run, with the arrival of the try that ran.
     runs: Vec<(u64, Duration)>,
@@ -236,8 +237,9 @@
                 self.keys.push((mark, req, now + span));
             }
             Action::Forget { req } => {
-                assert!(!self.seen(req, action).ran, "duplicate: forgotten after a run");
-                self.keys.retain(|key| key.1 != req);
+                let seen = self.seen(req, action).clone();
+                assert!(!seen.ran, "duplicate: forgotten after a run");
+                self.keys.retain(|key| (key.0, key.1) != (seen.mark, req));
             }
             Action::Call { req, patience } => {
                 let linger = match given.below {
@@ -284,11 +286,11 @@
 
     fn check_crowds(&mut self) {
         let now = self.now;
-        self.keys.retain(|key| key.2 > now);
+        let keys = self.keys.iter().filter(|key| key.2 > now).count() as f64;
         let running = |seen: &&Seen| !matches!(seen.place, Place::Held | Place::Joined);
         let held: f64 = self.reqs.values().map(|seen| seen.held_kb).sum();
         let runs: f64 = self.reqs.values().filter(running).map(|seen| seen.held_kb).sum();
-        let need = held + runs * (self.given.run_factor - 1.0) + self.keys.len() as f64 * self.given.key_kb;
+        let need = held + runs * (self.given.run_factor - 1.0) + keys * self.given.key_kb;
         assert!(need <= self.given.memory_kb, "fall-over: {need} kB needed");
         let on_cores = self.reqs.values().filter(|seen| seen.place == Place::OnCore).count() as f64;
         let warmth = match self.given.cold {
