--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,9 +37,8 @@
 /// Mean time unread, as a part of the setpoint, from which callers are asked to send less; how fast the wish
 /// for traffic recovers each step, and its floor.
 const UNREAD_PART: f64 = 0.15;
-const WANTED_RECOVERY: f64 = 0.0025;
-const WANTED_FLOOR: f64 = 0.05;
-const WANTED_FALL: f64 = 0.95;
+const WANTED_RECOVERY: f64 = 0.05;
+const WANTED_FLOOR: f64 = 0.1;
 /// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
 const FAIR_BURST: f64 = 5.0;
 /// Part of arrivals that are retries from which callers are asked not to try elsewhere.
@@ -706,6 +705,13 @@
         self.dimmer += gain * error + DERIVATIVE * (error - self.error);
         self.dimmer = self.dimmer.clamp(0.0, 1.0);
         self.error = error;
+        // What stands unread is not ours to shed, and reading it takes the cores from what can be in time: only
+        // fewer sends help. Guards against any flood, lopsided callers and a server grown slow.
+        let unread = self.ring.sum(UNREAD, PERIOD) / self.ring.sum(ARRIVED, PERIOD).max(1.0);
+        let bearable = UNREAD_PART * self.setpoint;
+        let step = if unread > bearable { (bearable / unread).max(0.5) } else { 1.0 };
+        self.wanted =
+            (self.wanted * step + if step < 1.0 { 0.0 } else { WANTED_RECOVERY }).clamp(WANTED_FLOOR, 1.0);
     }
 
     /// Answers what is due, what the stop would catch, and what can no longer be in time.
@@ -758,14 +764,6 @@
 
     /// Tells callers how much to send here, where they can be told.
     fn advise(&mut self, out: &mut Vec<Action>) {
-        // What stands unread is not ours to shed, and reading it takes the cores from what can be in time: only
-        // fewer sends help. Guards against any flood, lopsided callers and a server grown slow; at once, since
-        // answers to what stood unread for long reach nobody, and their advice with them.
-        let unread = self.ring.sum(UNREAD, BUCKET) / self.ring.sum(ARRIVED, BUCKET).max(1.0);
-        let over = UNREAD_PART * self.setpoint / unread.max(f64::MIN_POSITIVE);
-        let wanted =
-            if over < 1.0 { self.wanted * over.max(WANTED_FALL) } else { self.wanted + WANTED_RECOVERY };
-        self.wanted = wanted.clamp(WANTED_FLOOR, 1.0);
         let willing = match self.leaving {
             Some(_) => 0.0,
             None => (AILING * self.usual_pace / self.pace).min(self.wanted),
