--- a/src/decide.rs
+++ b/src/decide.rs
@@ -509,6 +509,8 @@
         }
         let room = self.call_room(patience) && patience > BEAT;
         if skippable && (!drawn || !room || tries > 0 || left * 0.5 < call_time) {
+            // One call left out makes the answer poorer already: the others would be made for nothing.
+            self.entry(req).calls = Some(false);
             self.standing.retain(|&other| other != req);
             self.go_on_core(req);
             out.push(Action::SkipCall { req });
