--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,12 +53,8 @@
 const SAFE: f64 = 0.9;
 /// Of the memory, the part that held reqs may take.
 const HOLD_MEMORY: f64 = 0.5;
-/// Calls in hand for each core at the most; times the usual call time from which the bound falls, by this part,
-/// and by how much it grows otherwise, each step.
+/// Calls in hand for each core, where what lies below tells no share.
 const CALLS_PER_CORE: f64 = 4.0;
-const CALLS_SLOW: f64 = 4.0;
-const CALLS_FALL: f64 = 0.8;
-const CALLS_GROWTH: f64 = 0.25;
 /// Tries of one call, where the one before is known not to have run or the req may run again.
 const CALL_TRIES: u32 = 3;
 /// Times its usual pace from which a server takes itself to be in trouble of its own.
@@ -92,8 +88,6 @@
     repeat_window: Duration,
     skippable: bool,
     calls: bool,
-    /// What leaving a call out costs, as a part of the most that it costs any handler.
-    stake: f64,
     /// Rank of its value among all values, within and beyond a tenant's share.
     level: usize,
     over_level: usize,
@@ -162,9 +156,6 @@
     drain_grace: Duration,
     /// Seconds of calls in hand that the dependency grants over `calls_span`, where it tells them.
     calls_granted: Option<f64>,
-    /// Calls in hand at once: fewer while they take far longer than usual.
-    calls_cap: f64,
-    usual_call: f64,
     calls_span: Duration,
     linger: Duration,
     stoppable: bool,
@@ -218,9 +209,6 @@
         values.sort_by(f64::total_cmp);
         values.dedup();
         let level = |value: f64| values.partition_point(|&other| other < value);
-        let loss = |h: &Handler| h.value * (1.0 - h.skip_value);
-        let skippable = given.handlers.iter().filter(|h| h.skip_value > 0.0);
-        let most = skippable.map(loss).fold(0.0, f64::max);
         let aims: Vec<Aims> = (given.handlers.iter())
             .map(|h| Aims {
                 target: h.response_target,
@@ -230,7 +218,6 @@
                 repeat_window: h.repeat_window,
                 skippable: h.skip_value > 0.0,
                 calls: h.calls_below && given.below != Below::Nothing,
-                stake: if h.skip_value > 0.0 { loss(h) / most.max(f64::MIN_POSITIVE) } else { 1.0 },
                 level: level(h.value),
                 over_level: level(h.value * given.over_share_value),
             })
@@ -260,8 +247,6 @@
             key_kb: given.key_kb,
             drain_grace: given.drain_grace,
             calls_granted,
-            calls_cap: cores * CALLS_PER_CORE,
-            usual_call: 0.0,
             calls_span,
             linger,
             stoppable: given.halting != Halting::Never,
@@ -522,7 +507,7 @@
         if let Some(granted) = self.calls_granted {
             patience = patience.min(seconds(granted / 4.0));
         }
-        let room = self.call_room(handler, patience) && patience > BEAT;
+        let room = self.call_room(patience) && patience > BEAT;
         if skippable && (!drawn || !room || tries > 0 || left * 0.5 < call_time) {
             // One call left out makes the answer poorer already: the others would be made for nothing.
             self.entry(req).calls = Some(false);
@@ -542,13 +527,10 @@
     }
 
     /// Whether one more call keeps this server within its part of what the dependency survives.
-    fn call_room(&self, handler: usize, patience: Duration) -> bool {
-        // Reqs that lose less without their call leave room to those that lose more.
-        let cap = self.calls_cap * (1.0 + self.aims[handler].stake) / 2.0;
-        if self.calling as f64 + 1.0 > cap.max(1.0) {
-            return false;
-        }
-        let Some(granted) = self.calls_granted else { return true };
+    fn call_room(&self, patience: Duration) -> bool {
+        let Some(granted) = self.calls_granted else {
+            return (self.calling as f64) < self.cores * CALLS_PER_CORE;
+        };
         let past = self.ring.sum(CALLS_IN_HAND, self.calls_span);
         let until =
             |e: &Entry| e.call_until.saturating_add(self.linger).saturating_sub(self.now).as_secs_f64();
@@ -721,16 +703,6 @@
             self.admitted += SHARE_RECOVERY;
         }
         self.admitted = self.admitted.clamp(SHARE_FLOOR, 1.0);
-        // A crowd below slows what all call, so its own slowness bounds the calls in hand, as idle cores the runs.
-        let call_time = self.call_time();
-        if call_time > CALLS_SLOW * self.usual_call && self.usual_call > 0.0 {
-            let in_hand = self.ring.sum(CALLS_IN_HAND, WINDOW) / WINDOW.as_secs_f64();
-            self.calls_cap = (self.calls_cap.min(in_hand + 1.0) * CALLS_FALL).max(1.0);
-        } else {
-            self.calls_cap = (self.calls_cap + CALLS_GROWTH).min(self.cores * CALLS_PER_CORE);
-        }
-        let part = if call_time < self.usual_call || self.usual_call == 0.0 { 0.3 } else { 0.01 };
-        self.usual_call += part * (call_time - self.usual_call);
         let gain = (1.0 - POLE) / self.alpha.max(1e-3);
         self.dimmer += gain * error + DERIVATIVE * (error - self.error);
         self.dimmer = self.dimmer.clamp(0.0, 1.0);
