--- a/src/decide.rs
+++ b/src/decide.rs
@@ -88,8 +88,6 @@
     repeat_window: Duration,
     skippable: bool,
     calls: bool,
-    /// What leaving a call out costs, as a part of the most that it costs any handler.
-    stake: f64,
     /// Rank of its value among all values, within and beyond a tenant's share.
     level: usize,
     over_level: usize,
@@ -211,8 +209,6 @@
         values.sort_by(f64::total_cmp);
         values.dedup();
         let level = |value: f64| values.partition_point(|&other| other < value);
-        let loss = |h: &Handler| h.value * (1.0 - h.skip_value);
-        let most = given.handlers.iter().filter(|h| h.skip_value > 0.0).map(loss).fold(0.0, f64::max);
         let aims: Vec<Aims> = (given.handlers.iter())
             .map(|h| Aims {
                 target: h.response_target,
@@ -222,7 +218,6 @@
                 repeat_window: h.repeat_window,
                 skippable: h.skip_value > 0.0,
                 calls: h.calls_below && given.below != Below::Nothing,
-                stake: if h.skip_value > 0.0 { loss(h) / most.max(f64::MIN_POSITIVE) } else { 1.0 },
                 level: level(h.value),
                 over_level: level(h.value * given.over_share_value),
             })
@@ -512,7 +507,7 @@
         if let Some(granted) = self.calls_granted {
             patience = patience.min(seconds(granted / 4.0));
         }
-        let room = self.call_room(handler, patience) && patience > BEAT;
+        let room = self.call_room(patience) && patience > BEAT;
         if skippable && (!drawn || !room || tries > 0 || left * 0.5 < call_time) {
             // One call left out makes the answer poorer already: the others would be made for nothing.
             self.entry(req).calls = Some(false);
@@ -532,19 +527,17 @@
     }
 
     /// Whether one more call keeps this server within its part of what the dependency survives.
-    fn call_room(&self, handler: usize, patience: Duration) -> bool {
+    fn call_room(&self, patience: Duration) -> bool {
         let Some(granted) = self.calls_granted else {
             return (self.calling as f64) < self.cores * CALLS_PER_CORE;
         };
-        // Reqs that lose less without their call leave room to those that lose more.
-        let part = (1.0 + self.aims[handler].stake) / 2.0;
         let past = self.ring.sum(CALLS_IN_HAND, self.calls_span);
         let until =
             |e: &Entry| e.call_until.saturating_add(self.linger).saturating_sub(self.now).as_secs_f64();
         let calling = self.reqs.iter().flatten().filter(|e| e.state == State::Calling);
         let lingering = self.lingering.iter().map(|&end| end.saturating_sub(self.now).as_secs_f64());
         let ahead: f64 = calling.map(until).sum::<f64>() + lingering.sum::<f64>();
-        past + ahead + patience.saturating_add(self.linger).as_secs_f64() <= granted * part
+        past + ahead + patience.saturating_add(self.linger).as_secs_f64() <= granted
     }
 
     fn retry_standing(&mut self, out: &mut Vec<Action>) {
