--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,9 +55,6 @@
 const HOLD_MEMORY: f64 = 0.5;
 /// Calls in hand for each core, where what lies below tells no share.
 const CALLS_PER_CORE: f64 = 4.0;
-/// Patience with a call that may be skipped: so many times the mean call, and at least so long.
-const CALL_PATIENCE: f64 = 8.0;
-const CALL_PATIENCE_LEAST: Duration = Duration::from_millis(400);
 /// Tries of one call, where the one before is known not to have run or the req may run again.
 const CALL_TRIES: u32 = 3;
 /// Times its usual pace from which a server takes itself to be in trouble of its own.
@@ -506,9 +503,7 @@
         let due = entry.due.saturating_sub(now);
         let (handler, tries) = (entry.handler, entry.call_tries);
         let skippable = self.aims[handler].skippable;
-        // Where the answer may do without, waiting far longer than calls take only keeps others from theirs.
-        let usual = seconds(call_time * CALL_PATIENCE).max(CALL_PATIENCE_LEAST);
-        let mut patience = if skippable { seconds(left * 0.5).min(usual) } else { due };
+        let mut patience = if skippable { seconds(left * 0.5) } else { due };
         if let Some(granted) = self.calls_granted {
             patience = patience.min(seconds(granted / 4.0));
         }
