Turn traffic away while most recent runs error

Told from overload by errored against done runs. It covers any cause of failing runs on one server; it could harm where all servers fail alike.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -61,6 +61,9 @@
 const AILING: f64 = 1.7;
 /// How much of a measured pace is forgotten each beat while nothing runs.
 const PACE_FADES: f64 = 0.1;
+/// The part of recent runs that errored, and how many at the least, from which a server turns traffic away.
+const FAILING: f64 = 0.4;
+const FAILING_LEAST: f64 = 3.0;
 /// Time before the stop by which all must be answered, so that a pause does not carry any past it.
 const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -316,8 +319,10 @@
         };
         let work = arrival.work.map_or(0.1, |work| work.as_secs_f64());
         let reached = self.now.saturating_sub(arrival.age);
-        let due = arrival.patience.map_or(reached + aims.timeout, |patience| self.now + patience);
-        let target = (reached + aims.target + Duration::from_secs_f64(aims.stretch * work)).min(due);
+        let due =
+            arrival.patience.map_or(reached.saturating_add(aims.timeout), |p| self.now.saturating_add(p));
+        let target =
+            reached.saturating_add(aims.target).saturating_add(seconds(aims.stretch * work)).min(due);
         let (effect, repeat_window) = (aims.effect, aims.repeat_window);
         // What a tenant sends beyond its share is worth little: it ranks below all that is within.
         let purse = arrival.tenant.and_then(|tenant| self.purses.get(tenant));
@@ -376,9 +381,10 @@
         let no_room = self.held_kb > self.memory_kb * HOLD_MEMORY || self.used_kb + key_kb > self.memory_kb;
         // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full, and
         // a further try would only cost another reading.
-        let worth_it = !over && self.now + (target - reached.min(target)) / 2 < target;
+        let worth_it = !over && target.saturating_sub(reached) / 2 < target.saturating_sub(self.now);
         let elsewhere = worth_it && !arrival.retry && (self.ailing() || self.retried() < RETRIED);
-        if no_room || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
+        let errs = self.failing() > 0.0 && self.rng.f64() < self.failing();
+        if no_room || errs || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
             return self.give_up(arrival.req, elsewhere, out);
         }
         for (tenant, purse) in self.purses.iter_mut().enumerate() {
@@ -768,6 +774,7 @@
     fn advise(&mut self, out: &mut Vec<Action>) {
         let willing = match self.leaving {
             Some(_) => 0.0,
+            None if self.failing() > 0.0 => 0.0,
             None => (AILING * self.usual_pace / self.pace).min(self.wanted),
         };
         let value = match self.advice {
@@ -786,7 +793,16 @@
 
     /// Whether this server does worse than it should, so that another would serve better.
     fn ailing(&self) -> bool {
-        self.leaving.is_some() || self.pace > AILING * self.usual_pace
+        self.leaving.is_some() || self.failing() > 0.0 || self.pace > AILING * self.usual_pace
+    }
+
+    /// The part of recent runs that errored, if that is so large that others are likely to do better; what it still
+    /// takes shows when the trouble is over. Guards against a server that fails fast and so draws more than its
+    /// part. It could harm where every server fails alike: then what is shed finds no better.
+    fn failing(&self) -> f64 {
+        let (errored, done) = (self.ring.sum(ERRORED, WINDOW), self.ring.sum(DONE, WINDOW));
+        let part = errored / (errored + done).max(1.0);
+        if errored >= FAILING_LEAST && part > FAILING { part } else { 0.0 }
     }
 
     /// The part of recent arrivals known to be later tries.
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -132,3 +132,16 @@
         Some(GivenError::OutOfRange("below"))
     );
 }
+
+#[test]
+fn a_server_whose_runs_error_turns_most_away_and_asks_for_none() {
+    let mut world = plain();
+    for turn in 0..4 {
+        let req = world.arrive(0, 0, None, 50, turn * 5 + 1);
+        world.finish(req, Outcome::Errored);
+    }
+    world.arrive(0, 0, None, 50, 31);
+    assert_eq!(shed_among(&world), [true]);
+    world.pass(ms(50));
+    assert_eq!(world.advised, Some(0.0));
+}
