--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -135,7 +135,7 @@
 
 #[test]
 fn a_server_whose_runs_error_turns_most_away_and_asks_for_none() {
-    let mut world = plain();
+    let mut world = World::new(Given { tenants: Vec::new(), ..given() }, 1);
     for turn in 0..3 {
         let req = world.arrive(0, 0, None, 50, turn * 5 + 1);
         world.finish(req, Outcome::Errored);
