--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,6 +37,9 @@
 /// Mean time unread, as a part of the setpoint, from which callers are asked to send less; how fast the wish
 /// for traffic recovers each step, and its floor.
 const UNREAD_PART: f64 = 0.15;
+/// Part of the cores that goes into reading what is shed, from which the wish falls too, and by how much.
+const WASTED: f64 = 0.04;
+const WASTED_FALL: f64 = 0.9;
 const WANTED_RECOVERY: f64 = 0.05;
 const WANTED_FLOOR: f64 = 0.1;
 /// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
@@ -80,7 +83,9 @@
 const ARRIVED_WORK: usize = 9;
 const RETRIES: usize = 10;
 const UNREAD: usize = 11;
-const LEVELS: usize = 12;
+const READING: usize = 12;
+const SHED: usize = 13;
+const LEVELS: usize = 14;
 
 /// What decisions need of a handler.
 struct Aims {
@@ -385,6 +390,7 @@
         let elsewhere = worth_it && !arrival.retry && (self.ailing() || self.retried() < RETRIED);
         let errs = self.failing() > 0.0 && self.rng.f64() < self.failing();
         if no_room || errs || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
+            self.ring.add(SHED, 1.0);
             return self.give_up(arrival.req, elsewhere, out);
         }
         for (tenant, purse) in self.purses.iter_mut().enumerate() {
@@ -677,6 +683,7 @@
         self.used_kb -= (before.0 - self.keys.len()) as f64 * self.key_kb;
         self.busy = gauges.cores_busy.unwrap_or(if self.on_core as f64 >= self.cores { 1.0 } else { 0.0 });
         self.reading = gauges.on_cores.map_or(0.0, |all| (all - self.on_core as f64).max(0.0));
+        self.ring.add(READING, self.reading);
         self.give_up_late(out);
         self.measure_pace();
         let waits = !(self.short.is_empty() && self.long.is_empty());
@@ -717,7 +724,17 @@
         // fewer sends help. Guards against any flood, lopsided callers and a server grown slow.
         let unread = self.ring.sum(UNREAD, PERIOD) / self.ring.sum(ARRIVED, PERIOD).max(1.0);
         let bearable = UNREAD_PART * self.setpoint;
-        let step = if unread > bearable { (bearable / unread).max(0.5) } else { 1.0 };
+        // Reading what is then shed costs cores too; where that is much, callers had better not send it.
+        let beats = WINDOW.as_secs_f64() / BEAT.as_secs_f64();
+        let shed = self.ring.sum(SHED, WINDOW) / self.ring.sum(ARRIVED, WINDOW).max(1.0);
+        let wasted = shed * self.ring.sum(READING, WINDOW) / beats / self.cores;
+        let step = if unread > bearable {
+            (bearable / unread).max(0.5)
+        } else if wasted > WASTED {
+            WASTED_FALL
+        } else {
+            1.0
+        };
         self.wanted =
             (self.wanted * step + if step < 1.0 { 0.0 } else { WANTED_RECOVERY }).clamp(WANTED_FLOOR, 1.0);
     }
