--- a/src/decide.rs
+++ b/src/decide.rs
@@ -38,7 +38,7 @@
 /// for traffic recovers each step, and its floor.
 const UNREAD_PART: f64 = 0.15;
 /// Part of the cores that goes into reading what is shed, from which the wish falls too, and by how much.
-const WASTED: f64 = 0.04;
+const WASTED: f64 = 0.08;
 const WASTED_FALL: f64 = 0.9;
 const WANTED_RECOVERY: f64 = 0.05;
 const WANTED_FLOOR: f64 = 0.1;
