--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,8 +37,10 @@
 /// Mean time unread, as a part of the setpoint, from which callers are asked to send less; how fast the wish
 /// for traffic recovers each step, and its floor.
 const UNREAD_PART: f64 = 0.15;
-/// Part of the cores that goes into reading what is shed, from which the wish falls too, and by how much.
-const WASTED: f64 = 0.08;
+/// Part of the cores that goes into reading what is shed, from which the wish falls too, or where that cuts
+/// whatever its value, and by how much.
+const WASTED: f64 = 0.04;
+const WASTED_BLIND: f64 = 0.08;
 const WASTED_FALL: f64 = 0.9;
 const WANTED_RECOVERY: f64 = 0.05;
 const WANTED_FLOOR: f64 = 0.1;
@@ -168,6 +170,8 @@
     linger: Duration,
     stoppable: bool,
     advice: Advice,
+    /// Part of the cores that may go into reading what is shed before callers are asked for less.
+    bearable_waste: f64,
     max_wait: Option<Duration>,
 
     rng: fastrand::Rng,
@@ -259,6 +263,8 @@
             linger,
             stoppable: given.halting != Halting::Never,
             advice: given.advice,
+            // Credit moves what is not sent here elsewhere, a level spares what is worth most; a weight is blind.
+            bearable_waste: if given.advice == Advice::Weight { WASTED_BLIND } else { WASTED },
             max_wait: given.max_wait,
             rng: fastrand::Rng::with_seed(seed),
             ring: Ring::new(BUCKET, ring_span, LEVELS + values.len()),
@@ -730,7 +736,7 @@
         let wasted = shed * self.ring.sum(READING, WINDOW) / beats / self.cores;
         let step = if unread > bearable {
             (bearable / unread).max(0.5)
-        } else if wasted > WASTED {
+        } else if wasted > self.bearable_waste {
             WASTED_FALL
         } else {
             1.0
