--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,6 +51,8 @@
 /// Cores' worth of crowd that reading may add to the runs, and the part of the cores that runs always keep.
 const READING_SLACK: f64 = 1.0;
 const LANES_LEAST: f64 = 0.34;
+/// Mean time unread, as a part of the setpoint, from which reading gets all it wants.
+const DROWNED: f64 = 0.5;
 /// Reqs out here for each core that callers are granted at the least, and beyond that with all traffic wanted.
 const CREDIT_LEAST: f64 = 0.5;
 const CREDIT_MORE: f64 = 3.5;
@@ -483,7 +485,10 @@
     /// Runs that the cores bear beside the reading that goes on: crowded cores do less in all, and starving the
     /// reading leaves reqs unread until they are late. Guards against floods; at rest it never binds.
     fn lanes(&self) -> f64 {
-        (self.cores + READING_SLACK - self.reading).max(self.cores * LANES_LEAST).min(self.cap)
+        let spare = self.cores + READING_SLACK - self.reading;
+        // Drowned: what is read is late already, and answers reach nobody until the reading has caught up.
+        let drowned = self.unread(BUCKET) > DROWNED * self.setpoint;
+        if drowned { spare - READING_SLACK } else { spare.max(self.cores * LANES_LEAST) }.min(self.cap)
     }
 
     /// The better head of the two lines; long work leaves a core to short work that waits.
@@ -728,7 +733,7 @@
         self.error = error;
         // What stands unread is not ours to shed, and reading it takes the cores from what can be in time: only
         // fewer sends help. Guards against any flood, lopsided callers and a server grown slow.
-        let unread = self.ring.sum(UNREAD, PERIOD) / self.ring.sum(ARRIVED, PERIOD).max(1.0);
+        let unread = self.unread(PERIOD);
         let bearable = UNREAD_PART * self.setpoint;
         // Reading what is then shed costs cores too; where that is much, callers had better not send it.
         let beats = WINDOW.as_secs_f64() / BEAT.as_secs_f64();
@@ -828,6 +833,11 @@
         if errored >= FAILING_LEAST && part > FAILING { part } else { 0.0 }
     }
 
+    /// How long reqs stood unread of late, in the mean.
+    fn unread(&self, span: Duration) -> f64 {
+        self.ring.sum(UNREAD, span) / self.ring.sum(ARRIVED, span).max(1.0)
+    }
+
     /// The part of recent arrivals known to be later tries.
     fn retried(&self) -> f64 {
         self.ring.sum(RETRIES, WINDOW) / self.ring.sum(ARRIVED, WINDOW).max(1.0)
