--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,7 +52,7 @@
 const READING_SLACK: f64 = 1.0;
 const LANES_LEAST: f64 = 0.34;
 /// Mean time unread, as a part of the setpoint, from which reading gets all it wants.
-const DROWNED: f64 = 0.3;
+const DROWNED: f64 = 0.5;
 /// Reqs out here for each core that callers are granted at the least, and beyond that with all traffic wanted.
 const CREDIT_LEAST: f64 = 0.5;
 const CREDIT_MORE: f64 = 3.5;
