--- a/src/decide.rs
+++ b/src/decide.rs
@@ -487,7 +487,8 @@
     fn lanes(&self) -> f64 {
         let spare = self.cores + READING_SLACK - self.reading;
         // Drowned: what is read is late already, and answers reach nobody until the reading has caught up.
-        if self.drowned() { spare - READING_SLACK } else { spare.max(self.cores * LANES_LEAST) }.min(self.cap)
+        let drowned = self.unread(BUCKET) > DROWNED * self.setpoint;
+        if drowned { spare - READING_SLACK } else { spare.max(self.cores * LANES_LEAST) }.min(self.cap)
     }
 
     /// The better head of the two lines; long work leaves a core to short work that waits.
@@ -651,7 +652,7 @@
         entry.answered = true;
         let unrun = state == State::Held;
         if state != State::Joined && (unrun || self.aims[handler].effect == Effect::Replayable) {
-            let wait = if self.ailing() || self.drowned() { self.max_wait } else { None };
+            let wait = if self.ailing() { self.max_wait } else { None };
             out.push(Action::Shed { req, wait, elsewhere });
         } else {
             out.push(Action::Fail { req });
@@ -832,10 +833,6 @@
         if errored >= FAILING_LEAST && part > FAILING { part } else { 0.0 }
     }
 
-    fn drowned(&self) -> bool {
-        self.unread(BUCKET) > DROWNED * self.setpoint
-    }
-
     /// How long reqs stood unread of late, in the mean.
     fn unread(&self, span: Duration) -> f64 {
         self.ring.sum(UNREAD, span) / self.ring.sum(ARRIVED, span).max(1.0)
