--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,7 +33,7 @@
 /// A req is taken while its predicted answer comes within this part of its response target.
 const PROMISE: f64 = 0.65;
 /// How far a hint of work may be off, where trying costs nobody a core.
-const BENEFIT: f64 = 2.6;
+const BENEFIT: f64 = 4.0;
 /// Mean time unread, as a part of the setpoint, from which callers are asked to send less; how fast the wish
 /// for traffic recovers each step, and its floor.
 const UNREAD_PART: f64 = 0.15;
