--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,8 +32,9 @@
 const BUSY: f64 = 0.9;
 /// A req is taken while its predicted answer comes within this part of its response target.
 const PROMISE: f64 = 0.65;
-/// How far a hint of work may be off, where trying costs nobody a core.
+/// How far a hint of work may be off, where trying costs nobody a core; less where others are likely faster.
 const BENEFIT: f64 = 4.0;
+const BENEFIT_AILING: f64 = 2.0;
 /// Mean time unread, as a part of the setpoint, from which callers are asked to send less; how fast the wish
 /// for traffic recovers each step, and its floor.
 const UNREAD_PART: f64 = 0.15;
@@ -454,7 +455,8 @@
         let call = if self.aims[e.handler].calls { self.call_time() * self.dimmer } else { 0.0 };
         let response = (self.now - e.reached).as_secs_f64() + wait + e.work * self.pace + call;
         // With a core free nothing else is delayed, so a hint that may be wrong is given the benefit.
-        let part = if wait == 0.0 { part * BENEFIT } else { part };
+        let benefit = if self.ailing() { BENEFIT_AILING } else { BENEFIT };
+        let part = if wait == 0.0 { part * benefit } else { part };
         (response <= (e.target - e.reached.min(e.target)).as_secs_f64() * part).then_some(response)
     }
 
