--- a/src/decide.rs
+++ b/src/decide.rs
@@ -69,6 +69,10 @@
 const AILING: f64 = 1.7;
 /// How much of a measured pace is forgotten each beat while nothing runs.
 const PACE_FADES: f64 = 0.1;
+/// How much of the measured pace enters the usual one each beat, while it is better or new, and while it is worse.
+const PACE_LEARNT: f64 = 0.02;
+const PACE_DRIFTS: f64 = 0.0005;
+const LEARNING: Duration = Duration::from_secs(4);
 /// The part of recent runs that errored, and how many at the least, from which a server turns traffic away.
 const FAILING: f64 = 0.4;
 const FAILING_LEAST: f64 = 3.0;
@@ -796,7 +800,9 @@
         }
         let prior = 2.0 * self.mean_work();
         self.pace = (on_core + prior * self.pace) / (work + prior);
-        let step = if self.pace < self.usual_pace { 0.02 } else { 0.0005 };
+        // A warm start learns how fast this machine is in its first seconds: else a slow kind seems in trouble.
+        let learning = self.warm_at == 0.0 && self.now < LEARNING;
+        let step = if self.pace < self.usual_pace || learning { PACE_LEARNT } else { PACE_DRIFTS };
         self.usual_pace += step * (self.pace - self.usual_pace);
     }
 
