--- a/src/decide.rs
+++ b/src/decide.rs
@@ -816,7 +816,7 @@
         let value = match self.advice {
             Advice::Weight => willing,
             Advice::Level => 1.0 - willing,
-            Advice::Credit if willing == 0.0 => 0.0,
+            Advice::Credit if self.failing() > 0.0 => 0.0,
             Advice::Credit if willing >= 1.0 => self.crowd_warm,
             Advice::Credit => self.cores * (CREDIT_LEAST + CREDIT_MORE * willing) / self.callers,
             Advice::Nothing => return,
