--- a/src/decide.rs
+++ b/src/decide.rs
@@ -77,8 +77,6 @@
 const FAILING: f64 = 0.4;
 const FAILING_LEAST: f64 = 3.0;
 /// Time before the stop by which all must be answered, so that a pause does not carry any past it.
-/// Before the end of the grace from which callers are asked to send nothing more.
-const LEAVE_SOON: Duration = Duration::from_millis(1000);
 const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 
 /// What the ring of measures counts in each bucket; the arrivals of each level follow.
@@ -810,11 +808,10 @@
 
     /// Tells callers how much to send here, where they can be told.
     fn advise(&mut self, out: &mut Vec<Action>) {
-        let willing = match &self.leaving {
-            // Early in the grace work is still welcome: the successor is cold, and the others are full.
-            Some(leaving) if self.now.saturating_add(LEAVE_SOON) > leaving.run_until => 0.0,
-            _ if self.failing() > 0.0 => 0.0,
-            _ => (AILING * self.usual_pace / self.pace).min(self.wanted),
+        let willing = match self.leaving {
+            Some(_) => 0.0,
+            None if self.failing() > 0.0 => 0.0,
+            None => (AILING * self.usual_pace / self.pace).min(self.wanted),
         };
         let value = match self.advice {
             Advice::Weight => willing,
