Leave the time a process stood still out of t and of the unread time

Cause: read against the design's weak points: pauses entered t and the wish for traffic, only the pace left them out. Kept for what the design asks; a small test holds it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,7 +54,7 @@
 const LANES_LEAST: f64 = 0.34;
 /// Mean time unread, as a part of the setpoint, from which reading gets all it wants.
 const DROWNED: f64 = 0.5;
-/// Reqs out here for each core that callers are granted at the least, and beyond that with all traffic wanted.
+/// Reqs out here for each core that callers are granted at the least, and beyond that at full appetite.
 const CREDIT_LEAST: f64 = 0.5;
 const CREDIT_MORE: f64 = 3.5;
 /// Of the crowd, memory and calls that are survivable, the part that is used.
@@ -69,7 +69,7 @@
 const AILING: f64 = 1.7;
 /// How much of a measured pace is forgotten each beat while nothing runs.
 const PACE_FADES: f64 = 0.1;
-/// How much of the measured pace enters the usual one each beat, while it is better or new, and while it is worse.
+/// How much of the measured pace enters the usual one each beat, while it is better or new, or else worse.
 const PACE_LEARNT: f64 = 0.02;
 const PACE_DRIFTS: f64 = 0.0005;
 const LEARNING: Duration = Duration::from_secs(4);
@@ -110,8 +110,8 @@
     over_level: usize,
 }
 
-/// A tenant's claim on this server: filled by its part of each req taken from anyone, emptied by its own. Parts
-/// of what is taken here, and not a rate, as one server may see far more of a tenant than others do.
+/// A tenant's claim on this server: filled by its part of each req taken from anyone, emptied by its own.
+/// Parts of what is taken here, and not a rate, as one server may see far more of a tenant than others do.
 struct Purse {
     part: f64,
     left: f64,
@@ -136,6 +136,8 @@
     reached: Duration,
     target: Duration,
     due: Duration,
+    /// How long the process had stood still when it reached the server.
+    stalled: f64,
     state: State,
     /// Time on a core in earlier stretches, and the start (awake time) of the present one.
     on_core: f64,
@@ -200,6 +202,8 @@
     now: Duration,
     /// Time that the process stood still, which measures leave out.
     stalled: f64,
+    stall_end: Duration,
+    stall_span: f64,
     beat_due: Duration,
     step_due: Duration,
     busy: f64,
@@ -270,7 +274,7 @@
             linger,
             stoppable: given.halting != Halting::Never,
             advice: given.advice,
-            // Credit moves what is not sent here elsewhere, a level spares what is worth most; a weight is blind.
+            // Credit moves what is not sent here, a level spares what is worth most; a weight is blind.
             bearable_waste: if given.advice == Advice::Weight { WASTED_BLIND } else { WASTED },
             max_wait: given.max_wait,
             rng: fastrand::Rng::with_seed(seed),
@@ -288,6 +292,8 @@
             held_kb: 0.0,
             now: Duration::ZERO,
             stalled: 0.0,
+            stall_end: Duration::ZERO,
+            stall_span: 0.0,
             beat_due: BEAT,
             step_due: PERIOD,
             busy: 0.0,
@@ -346,6 +352,8 @@
         let purse = arrival.tenant.and_then(|tenant| self.purses.get(tenant));
         let over = purse.is_some_and(|purse| purse.left < 1.0);
         let level = if over { aims.over_level } else { aims.level };
+        // Pauses must not steer: what of its age the process stood still is not the load's doing.
+        let stood_still = self.stall_end.saturating_sub(reached).as_secs_f64().min(self.stall_span);
         let (mean, held_kb) = (self.mean_work(), arrival.held_kb.max(0.0).min(self.memory_kb * 2.0));
         if self.reqs.len() <= arrival.req {
             self.reqs.resize_with(arrival.req + 1, || None);
@@ -362,6 +370,7 @@
             reached,
             target,
             due,
+            stalled: self.stalled - stood_still,
             state: State::Held,
             on_core: 0.0,
             since: 0.0,
@@ -378,7 +387,7 @@
         self.ring.add(ARRIVED_WORK, work);
         self.ring.add(RETRIES, f64::from(u8::from(arrival.retry)));
         self.ring.add(LEVELS + level, 1.0);
-        self.ring.add(UNREAD, arrival.age.as_secs_f64());
+        self.ring.add(UNREAD, arrival.age.as_secs_f64() - stood_still);
 
         // No effect twice: a repeat of a uniqued req is never run, nor shed, as the first may have run.
         if arrival.repeats && effect != Effect::Replayable {
@@ -397,8 +406,8 @@
         }
         let key_kb = if effect == Effect::Uniqued { self.key_kb } else { 0.0 };
         let no_room = self.held_kb > self.memory_kb * HOLD_MEMORY || self.used_kb + key_kb > self.memory_kb;
-        // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full, and
-        // a further try would only cost another reading.
+        // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full,
+        // and a further try would only cost another reading.
         let worth_it = !over && target.saturating_sub(reached) / 2 < target.saturating_sub(self.now);
         let elsewhere = worth_it && !arrival.retry && (self.ailing() || self.retried() < RETRIED);
         let errs = self.failing() > 0.0 && self.rng.f64() < self.failing();
@@ -488,8 +497,8 @@
         }
     }
 
-    /// Runs that the cores bear beside the reading that goes on: crowded cores do less in all, and starving the
-    /// reading leaves reqs unread until they are late. Guards against floods; at rest it never binds.
+    /// Runs that the cores bear beside the reading that goes on: crowded cores do less in all, and starving
+    /// the reading leaves reqs unread until they are late. Guards against floods; at rest it never binds.
     fn lanes(&self) -> f64 {
         let spare = self.cores + READING_SLACK - self.reading;
         // Drowned: what is read is late already, and answers reach nobody until the reading has caught up.
@@ -620,13 +629,13 @@
             self.leave_core(req, State::AtCall);
         }
         let entry = self.entry(req);
-        let response = (entry.reached, entry.on_core, entry.work);
+        let (reached, stalled, on_core, work) = (entry.reached, entry.stalled, entry.on_core, entry.work);
         match outcome {
             Outcome::Done if state == State::OnCore => {
-                let (reached, on_core, work) = response;
                 if !answered {
                     self.ring.add(DONE, 1.0);
-                    self.ring.add(RESPONSE, (self.now - reached).as_secs_f64());
+                    let awake = (self.now - reached).as_secs_f64() - (self.stalled - stalled);
+                    self.ring.add(RESPONSE, awake.max(0.0));
                 }
                 self.ring.add(ON_CORE, on_core);
                 self.ring.add(WORK, work);
@@ -737,8 +746,8 @@
         self.dimmer += gain * error + DERIVATIVE * (error - self.error);
         self.dimmer = self.dimmer.clamp(0.0, 1.0);
         self.error = error;
-        // What stands unread is not ours to shed, and reading it takes the cores from what can be in time: only
-        // fewer sends help. Guards against any flood, lopsided callers and a server grown slow.
+        // What stands unread is not ours to shed, and reading it takes the cores from what can be in time:
+        // only fewer sends help. Guards against any flood, lopsided callers and a server grown slow.
         let unread = self.unread(PERIOD);
         let bearable = UNREAD_PART * self.setpoint;
         // Reading what is then shed costs cores too; where that is much, callers had better not send it.
@@ -800,7 +809,7 @@
         }
         let prior = 2.0 * self.mean_work();
         self.pace = (on_core + prior * self.pace) / (work + prior);
-        // A warm start learns how fast this machine is in its first seconds: else a slow kind seems in trouble.
+        // A warm start learns how fast this machine is in its first seconds: else a slow kind seems ailing.
         let learning = self.warm_at == 0.0 && self.now < LEARNING;
         let step = if self.pace < self.usual_pace || learning { PACE_LEARNT } else { PACE_DRIFTS };
         self.usual_pace += step * (self.pace - self.usual_pace);
@@ -833,9 +842,9 @@
         self.leaving.is_some() || self.failing() > 0.0 || self.pace > AILING * self.usual_pace
     }
 
-    /// The part of recent runs that errored, if that is so large that others are likely to do better; what it still
-    /// takes shows when the trouble is over. Guards against a server that fails fast and so draws more than its
-    /// part. It could harm where every server fails alike: then what is shed finds no better.
+    /// The part of recent runs that errored, if that is so large that others are likely to do better; what it
+    /// still takes shows when the trouble is over. Guards against a server that fails fast and so draws more
+    /// than its part. It could harm where every server fails alike: then what is shed finds no better.
     fn failing(&self) -> f64 {
         let (errored, done) = (self.ring.sum(ERRORED, WINDOW), self.ring.sum(DONE, WINDOW));
         let part = errored / (errored + done).max(1.0);
@@ -883,7 +892,9 @@
         self.ring.add(CALLS_IN_HAND, (self.calling + self.lingering.len()) as f64 * passed);
         self.now = now;
         if now > self.beat_due + BEAT * 2 {
-            self.stalled += (now - self.beat_due).as_secs_f64().min(passed);
+            self.stall_span = (now - self.beat_due).as_secs_f64().min(passed);
+            self.stall_end = now;
+            self.stalled += self.stall_span;
         }
     }
 
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -145,3 +145,16 @@
     world.pass(ms(50));
     assert_eq!(world.advised, Some(0.0));
 }
+
+#[test]
+fn a_pause_of_the_process_does_not_steer() {
+    let mut world = plain();
+    for turn in 0..6 {
+        world.pass(ms(600));
+        world.now += ms(400);
+        let req = world.arrive(0, 400, None, 50, turn * 5 + 1);
+        world.finish(req, Outcome::Done);
+    }
+    world.pass(ms(600));
+    assert_eq!(world.advised, Some(1.0));
+}
