--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,7 +37,7 @@
 const BENEFIT_AILING: f64 = 2.0;
 /// Mean time unread, as a part of the setpoint, from which callers are asked to send less; how fast the wish
 /// for traffic recovers each step, and its floor.
-const UNREAD_PART: f64 = 0.11;
+const UNREAD_PART: f64 = 0.15;
 /// Part of the cores that goes into reading what is shed, from which the wish falls too, or where that cuts
 /// whatever its value, and by how much.
 const WASTED: f64 = 0.04;
