--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,6 @@
 const BUSY: f64 = 0.9;
 /// A req is taken while its predicted answer comes within this part of its response target.
 const PROMISE: f64 = 0.65;
-const PROMISE_TOLD: f64 = 0.75;
 /// How far a hint of work may be off, where trying costs nobody a core; less where others are likely faster.
 const BENEFIT: f64 = 4.0;
 const BENEFIT_AILING: f64 = 2.0;
@@ -411,9 +410,8 @@
         // and a further try would only cost another reading.
         let worth_it = !over && target.saturating_sub(reached) / 2 < target.saturating_sub(self.now);
         let elsewhere = worth_it && !arrival.retry && (self.ailing() || self.retried() < RETRIED);
-        let promise = if arrival.patience.is_some() { PROMISE_TOLD } else { PROMISE };
         let errs = self.failing() > 0.0 && self.rng.f64() < self.failing();
-        if no_room || errs || !self.drawn_in(level) || self.response_of(arrival.req, promise).is_none() {
+        if no_room || errs || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
             self.ring.add(SHED, 1.0);
             return self.give_up(arrival.req, elsewhere, out);
         }
