--- a/src/decide.rs
+++ b/src/decide.rs
@@ -728,7 +728,7 @@
         self.advise(out);
     }
 
-    /// One step of the dimmer, of the admitted share and of the wish for traffic. An empty window is no lateness.
+    /// One step of the dimmer, the admitted share and the wish for traffic. An empty window is no lateness.
     fn steer(&mut self) {
         let done = self.ring.sum(DONE, WINDOW);
         let t = (done > 0.0).then(|| self.ring.sum(RESPONSE, WINDOW) / done);
