--- a/src/decide.rs
+++ b/src/decide.rs
@@ -786,10 +786,10 @@
             let stop = self.leaving.as_ref().map_or(Duration::MAX, |leaving| leaving.answer_by);
             let due = entry.due.min(stop) <= self.now + self.beat;
             let replayable = self.aims[entry.handler].effect == Effect::Replayable;
-            // Held work must still fit before the target; work under way is given up only once it is late.
+            // Held work must still be likely in time, behind what has come before it since; work under way is given up only once it is late.
             let hopeless = match entry.state {
                 State::Joined => false,
-                State::Held => entry.target < self.now.saturating_add(seconds(entry.work * self.pace)),
+                State::Held => self.response_of(req, 1.0).is_none(),
                 _ => replayable && entry.target < self.now,
             };
             if due || hopeless {
