--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,8 +31,10 @@
 const SHARE_RECOVERY: f64 = 0.05;
 /// From this gauge on the cores count as nearly all busy.
 const BUSY: f64 = 0.9;
-/// A req is taken while its predicted answer comes within this part of its response target.
+/// A req is taken while its predicted answer comes within this part of its response target, and stays held
+/// within the other.
 const PROMISE: f64 = 0.65;
+const PROMISE_HELD: f64 = 0.9;
 /// How far a hint of work may be off, where trying costs nobody a core; less where others are likely faster.
 const BENEFIT: f64 = 4.0;
 const BENEFIT_AILING: f64 = 2.0;
@@ -415,7 +417,11 @@
         let worth_it = !over && target.saturating_sub(reached) / 2 < target.saturating_sub(self.now);
         let elsewhere = worth_it && !arrival.retry && (self.ailing() || self.retried() < RETRIED);
         let errs = self.failing() > 0.0 && self.rng.f64() < self.failing();
-        if no_room || errs || !self.drawn_in(level) || self.response_of(arrival.req, PROMISE).is_none() {
+        if no_room
+            || errs
+            || !self.drawn_in(level)
+            || !self.in_time(arrival.req, self.ahead_of(arrival.req), PROMISE)
+        {
             self.ring.add(SHED, 1.0);
             return self.give_up(arrival.req, elsewhere, out);
         }
@@ -458,12 +464,17 @@
         self.rng.f64() * count(level) < self.admitted * all - above
     }
 
-    /// The time in which a req is likely to be done, if that is within `part` of its response target.
-    fn response_of(&self, req: Req, part: f64) -> Option<f64> {
-        let e = self.reqs[req].as_ref()?;
+    /// Held work that goes before a req.
+    fn ahead_of(&self, req: Req) -> f64 {
+        let Some(e) = self.reqs[req].as_ref() else { return 0.0 };
         let before = |other: &&Entry| (other.level, e.target) >= (e.level, other.target);
         let held = self.short.iter().chain(&self.long).filter_map(|&r| self.reqs[r].as_ref());
-        let ahead: f64 = held.filter(before).map(|other| other.work).sum();
+        held.filter(before).map(|other| other.work).sum()
+    }
+
+    /// Whether a req behind that much work is likely to be done within `part` of its response target.
+    fn in_time(&self, req: Req, ahead: f64, part: f64) -> bool {
+        let Some(e) = self.reqs[req].as_ref() else { return false };
         let wait = if (self.on_core as f64) < self.cap && ahead == 0.0 {
             0.0
         } else {
@@ -474,7 +485,7 @@
         // With a core free nothing else is delayed, so a hint that may be wrong is given the benefit.
         let benefit = if self.ailing() { BENEFIT_AILING } else { BENEFIT };
         let part = if wait == 0.0 { part * benefit } else { part };
-        (response <= (e.target - e.reached.min(e.target)).as_secs_f64() * part).then_some(response)
+        response <= e.target.saturating_sub(e.reached).as_secs_f64() * part
     }
 
     /// Starts held reqs while the running cap and the memory allow.
@@ -772,6 +783,18 @@
 
     /// Answers what is due, what the stop would catch, and what can no longer be in time.
     fn give_up_late(&mut self, out: &mut Vec<Action>) {
+        // Held work must still be likely in time behind what has come before it since.
+        let mut held: Vec<Req> = self.short.iter().chain(&self.long).copied().collect();
+        let place = |&req: &Req| self.reqs[req].as_ref().map(|e| (std::cmp::Reverse(e.level), e.target));
+        held.sort_by_key(place);
+        let mut ahead = 0.0;
+        for req in held {
+            if self.in_time(req, ahead, PROMISE_HELD) {
+                ahead += self.entry(req).work;
+            } else {
+                self.give_up(req, false, out);
+            }
+        }
         for req in 0..self.reqs.len() {
             let Some(entry) = self.reqs[req].as_ref() else {
                 continue;
@@ -786,10 +809,10 @@
             let stop = self.leaving.as_ref().map_or(Duration::MAX, |leaving| leaving.answer_by);
             let due = entry.due.min(stop) <= self.now + self.beat;
             let replayable = self.aims[entry.handler].effect == Effect::Replayable;
-            // Held work must still be likely in time, behind what has come before it since; work under way is given up only once it is late.
+            // Work under way is given up only once it is late.
             let hopeless = match entry.state {
                 State::Joined => false,
-                State::Held => self.response_of(req, 1.0).is_none(),
+                State::Held => false,
                 _ => replayable && entry.target < self.now,
             };
             if due || hopeless {
