--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,6 +8,7 @@
 
 use crate::interface::*;
 use crate::ring::Ring;
+use crate::state::*;
 
 /// Between two looks at the clock, at the longest and shortest: how late an overdue answer can be.
 const BEAT: Duration = Duration::from_millis(25);
@@ -34,7 +35,7 @@
 /// A req is taken while its predicted answer comes within this part of its response target, and stays held
 /// within the other.
 const PROMISE: f64 = 0.65;
-const PROMISE_HELD: f64 = 0.9;
+const PROMISE_HELD: f64 = 1.0;
 /// How far a hint of work may be off, where trying costs nobody a core; less where others are likely faster.
 const BENEFIT: f64 = 4.0;
 const BENEFIT_AILING: f64 = 2.0;
@@ -82,86 +83,6 @@
 /// Time before the stop by which all must be answered, so that a pause does not carry any past it.
 const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 
-/// What the ring of measures counts in each bucket; the arrivals of each level follow.
-const DONE: usize = 0;
-const RESPONSE: usize = 1;
-const ON_CORE: usize = 2;
-const WORK: usize = 3;
-const ERRORED: usize = 4;
-const CALLS: usize = 5;
-const CALL_TIME: usize = 6;
-const CALLS_IN_HAND: usize = 7;
-const ARRIVED: usize = 8;
-const ARRIVED_WORK: usize = 9;
-const RETRIES: usize = 10;
-const UNREAD: usize = 11;
-const READING: usize = 12;
-const SHED: usize = 13;
-const LEVELS: usize = 14;
-
-/// What decisions need of a handler.
-struct Aims {
-    target: Duration,
-    stretch: f64,
-    timeout: Duration,
-    effect: Effect,
-    repeat_window: Duration,
-    skippable: bool,
-    calls: bool,
-    /// Rank of its value among all values, within and beyond a tenant's share.
-    level: usize,
-    over_level: usize,
-}
-
-/// A tenant's claim on this server: filled by its part of each req taken from anyone, emptied by its own.
-/// Parts of what is taken here, and not a rate, as one server may see far more of a tenant than others do.
-struct Purse {
-    part: f64,
-    left: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Held,
-    Joined,
-    OnCore,
-    /// Stands at a call that is not made yet.
-    AtCall,
-    Calling,
-}
-
-struct Entry {
-    handler: usize,
-    level: usize,
-    held_kb: f64,
-    work: f64,
-    long: bool,
-    reached: Duration,
-    target: Duration,
-    due: Duration,
-    /// How long the process had stood still when it reached the server.
-    stalled: f64,
-    state: State,
-    /// Time on a core in earlier stretches, and the start (awake time) of the present one.
-    on_core: f64,
-    since: f64,
-    /// When its call began and will be given up.
-    called: Duration,
-    call_until: Duration,
-    call_tries: u32,
-    /// The draw against the dimmer, once made.
-    calls: Option<bool>,
-    answered: bool,
-    /// Until when its key is remembered.
-    key: Option<Duration>,
-}
-
-struct Leaving {
-    /// What reached the machine later is not run.
-    run_until: Duration,
-    answer_by: Duration,
-}
-
 pub struct Decider {
     aims: Vec<Aims>,
     levels: usize,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod decide;
 mod interface;
 mod ring;
+mod state;
 
 pub use decide::Decider;
 pub use interface::*;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,86 @@
+//! What the decision module keeps of reqs, handlers and tenants, and the names of its measures. No decision is
+//! taken here.
+
+use std::time::Duration;
+
+use crate::interface::*;
+
+/// What the ring of measures counts in each bucket; the arrivals of each level follow.
+pub const DONE: usize = 0;
+pub const RESPONSE: usize = 1;
+pub const ON_CORE: usize = 2;
+pub const WORK: usize = 3;
+pub const ERRORED: usize = 4;
+pub const CALLS: usize = 5;
+pub const CALL_TIME: usize = 6;
+pub const CALLS_IN_HAND: usize = 7;
+pub const ARRIVED: usize = 8;
+pub const ARRIVED_WORK: usize = 9;
+pub const RETRIES: usize = 10;
+pub const UNREAD: usize = 11;
+pub const READING: usize = 12;
+pub const SHED: usize = 13;
+pub const LEVELS: usize = 14;
+
+/// What decisions need of a handler.
+pub struct Aims {
+    pub target: Duration,
+    pub stretch: f64,
+    pub timeout: Duration,
+    pub effect: Effect,
+    pub repeat_window: Duration,
+    pub skippable: bool,
+    pub calls: bool,
+    /// Rank of its value among all values, within and beyond a tenant's share.
+    pub level: usize,
+    pub over_level: usize,
+}
+
+/// A tenant's claim on this server: filled by its part of each req taken from anyone, emptied by its own.
+/// Parts of what is taken here, and not a rate, as one server may see far more of a tenant than others do.
+pub struct Purse {
+    pub part: f64,
+    pub left: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Held,
+    Joined,
+    OnCore,
+    /// Stands at a call that is not made yet.
+    AtCall,
+    Calling,
+}
+
+pub struct Entry {
+    pub handler: usize,
+    pub level: usize,
+    pub held_kb: f64,
+    pub work: f64,
+    pub long: bool,
+    pub reached: Duration,
+    pub target: Duration,
+    pub due: Duration,
+    /// How long the process had stood still when it reached the server.
+    pub stalled: f64,
+    pub state: State,
+    /// Time on a core in earlier stretches, and the start (awake time) of the present one.
+    pub on_core: f64,
+    pub since: f64,
+    /// When its call began and will be given up.
+    pub called: Duration,
+    pub call_until: Duration,
+    pub call_tries: u32,
+    /// The draw against the dimmer, once made.
+    pub calls: Option<bool>,
+    pub answered: bool,
+    /// Until when its key is remembered.
+    pub key: Option<Duration>,
+}
+
+pub struct Leaving {
+    /// What reached the machine later is not run.
+    pub run_until: Duration,
+    pub answer_by: Duration,
+}
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -166,3 +166,21 @@
     world.leave(ms(10));
     assert!(world.reqs.values().all(|seen| seen.answered));
 }
+
+#[test]
+fn what_higher_levels_overtake_is_shed_before_it_is_late() {
+    let mut given = given();
+    given.tenants.clear();
+    given.handlers.push(Handler { value: 5.0, ..given.handlers[0].clone() });
+    let mut world = World::new(given, 1);
+    for turn in 1..3 {
+        world.arrive(0, 0, None, 300, turn);
+    }
+    let low = world.arrive(0, 0, None, 450, 3);
+    assert_eq!(world.reqs[&low].place, Place::Held);
+    for turn in 6..12 {
+        world.arrive(3, 0, None, 300, turn);
+    }
+    world.pass(ms(200));
+    assert!(!world.reqs.contains_key(&low), "overtaken, it cannot be in time");
+}
