--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,6 +36,8 @@
 /// within the other.
 const PROMISE: f64 = 0.65;
 const PROMISE_HELD: f64 = 1.0;
+/// The part of the running cap that is thought to go to higher levels at the most.
+const OVERTAKING_MOST: f64 = 0.8;
 /// How far a hint of work may be off, where trying costs nobody a core; less where others are likely faster.
 const BENEFIT: f64 = 4.0;
 const BENEFIT_AILING: f64 = 2.0;
@@ -399,7 +401,8 @@
         let wait = if (self.on_core as f64) < self.cap && ahead == 0.0 {
             0.0
         } else {
-            ahead * self.pace / self.cap + self.mean_work() * self.pace / self.cap
+            // What ranks higher and comes while it waits goes first too.
+            (ahead + self.mean_work()) * self.pace / self.cap / (1.0 - self.overtaking(e.level))
         };
         let call = if self.aims[e.handler].calls { self.call_time() * self.dimmer } else { 0.0 };
         let response = (self.now - e.reached).as_secs_f64() + wait + e.work * self.pace + call;
@@ -409,6 +412,13 @@
         response <= e.target.saturating_sub(e.reached).as_secs_f64() * part
     }
 
+    /// The part of the running cap that work of higher levels takes as it comes.
+    fn overtaking(&self, level: usize) -> f64 {
+        let higher: f64 = (level + 1..self.levels).map(|l| self.ring.sum(LEVELS + l, WINDOW)).sum();
+        let work = higher * self.mean_work() / WINDOW.as_secs_f64();
+        (work * self.pace / self.cap).min(OVERTAKING_MOST)
+    }
+
     /// Starts held reqs while the running cap and the memory allow.
     fn fill_cores(&mut self, out: &mut Vec<Action>) {
         while (self.on_core as f64) < self.lanes()
