Count half of what will overtake a req while it waits

Cause: reqs of low value were admitted and then overtaken, so that most sheds came from the hold; the design refuses early. Half, as much of the higher work is shed too or finds a free core.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,8 +36,9 @@
 /// within the other.
 const PROMISE: f64 = 0.65;
 const PROMISE_HELD: f64 = 1.0;
-/// The part of the running cap that is thought to go to higher levels at the most.
-const OVERTAKING_MOST: f64 = 0.8;
+/// How much of the work of higher levels that comes is thought to overtake, and how much of the cap at most.
+const OVERTAKING: f64 = 0.5;
+const OVERTAKING_MOST: f64 = 0.6;
 /// How far a hint of work may be off, where trying costs nobody a core; less where others are likely faster.
 const BENEFIT: f64 = 4.0;
 const BENEFIT_AILING: f64 = 2.0;
@@ -416,7 +417,7 @@
     fn overtaking(&self, level: usize) -> f64 {
         let higher: f64 = (level + 1..self.levels).map(|l| self.ring.sum(LEVELS + l, WINDOW)).sum();
         let work = higher * self.mean_work() / WINDOW.as_secs_f64();
-        (work * self.pace / self.cap).min(OVERTAKING_MOST)
+        (OVERTAKING * work * self.pace / self.cap).min(OVERTAKING_MOST)
     }
 
     /// Starts held reqs while the running cap and the memory allow.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,5 @@
-//! What the decision module keeps of reqs, handlers and tenants, and the names of its measures. No decision is
-//! taken here.
+//! What the decision module keeps of reqs, handlers and tenants, and the names of its measures. No decision
+//! is taken here.
 
 use std::time::Duration;
 
