--- a/src/decide.rs
+++ b/src/decide.rs
@@ -49,7 +49,7 @@
 /// whatever its value, and by how much.
 const WASTED: f64 = 0.04;
 const WASTED_BLIND: f64 = 0.08;
-const WASTED_FALL: f64 = 0.8;
+const WASTED_FALL: f64 = 0.9;
 const WANTED_RECOVERY: f64 = 0.05;
 const WANTED_FLOOR: f64 = 0.1;
 /// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
