--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,9 +54,7 @@
 const WANTED_FLOOR: f64 = 0.1;
 /// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
 const FAIR_BURST: f64 = 5.0;
-/// Part of arrivals that are retries, or are shed where retries bear no mark, from which callers are asked not
-/// to try elsewhere.
-const SHED_MOST: f64 = 0.5;
+/// Part of arrivals that are retries from which callers are asked not to try elsewhere.
 const RETRIED: f64 = 0.1;
 /// Cores' worth of crowd that reading may add to the runs, and the part of the cores that runs always keep.
 const READING_SLACK: f64 = 1.0;
@@ -341,8 +339,7 @@
         // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full,
         // and a further try would only cost another reading.
         let worth_it = !over && target.saturating_sub(reached) / 2 < target.saturating_sub(self.now);
-        let few = self.shed_share() < SHED_MOST && (self.ailing() || self.retried() < RETRIED);
-        let elsewhere = worth_it && !arrival.retry && few;
+        let elsewhere = worth_it && !arrival.retry && (self.ailing() || self.retried() < RETRIED);
         let errs = self.failing() > 0.0 && self.rng.f64() < self.failing();
         if no_room
             || errs
@@ -703,7 +700,8 @@
         let bearable = UNREAD_PART * self.setpoint;
         // Reading what is then shed costs cores too; where that is much, callers had better not send it.
         let beats = WINDOW.as_secs_f64() / self.beat.as_secs_f64();
-        let wasted = self.shed_share() * self.ring.sum(READING, WINDOW) / beats / self.cores;
+        let shed = self.ring.sum(SHED, WINDOW) / self.ring.sum(ARRIVED, WINDOW).max(1.0);
+        let wasted = shed * self.ring.sum(READING, WINDOW) / beats / self.cores;
         let step = if unread > bearable {
             (bearable / unread).max(0.5)
         } else if wasted > self.bearable_waste {
@@ -818,10 +816,6 @@
         self.ring.sum(UNREAD, span) / self.ring.sum(ARRIVED, span).max(1.0)
     }
 
-    fn shed_share(&self) -> f64 {
-        self.ring.sum(SHED, WINDOW) / self.ring.sum(ARRIVED, WINDOW).max(1.0)
-    }
-
     /// The part of recent arrivals known to be later tries.
     fn retried(&self) -> f64 {
         self.ring.sum(RETRIES, WINDOW) / self.ring.sum(ARRIVED, WINDOW).max(1.0)
