--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -23,6 +23,8 @@
     /// Events that do not fit: for ended reqs, or for what a req is not doing.
     Odd(usize),
     Leave(u64),
+    /// The process dies, and another starts cold.
+    Die,
 }
 
 impl Arbitrary for Step {
@@ -45,6 +47,7 @@
             38 => Step::Odd(up_to(9) as usize),
             _ => match up_to(8) {
                 0 => Step::Leave(2000 + up_to(4000)),
+                1 => Step::Die,
                 _ => Step::Pass(up_to(1500)),
             },
         }
@@ -145,6 +148,7 @@
                 let free = (0..).find(|req| !world.reqs.contains_key(req)).unwrap();
                 let mut events = vec![Event::Ended { req: free + 50, outcome: Outcome::Done }];
                 events.push(Event::Gone { req: free });
+                events.push(Event::Ended { req: free, outcome: Outcome::Void });
                 if let Some(req) = world.nth(Place::OnCore, nth) {
                     events.push(Event::CallEnded { req, outcome: Outcome::Done });
                 }
@@ -154,6 +158,10 @@
                 world.tell(events);
             }
             Step::Leave(left) => world.leave(ms(left)),
+            Step::Die => {
+                let next = Day { cold: true, seed: day.seed.wrapping_add(1), ..day.clone() };
+                world = self::world(&next);
+            }
         }
     }
     world.pass(ms(6000));
