--- a/src/decide.rs
+++ b/src/decide.rs
@@ -780,7 +780,7 @@
         let willing = match self.leaving {
             Some(_) => 0.0,
             None if self.failing() > 0.0 => 0.0,
-            None => self.wanted,
+            None => (AILING * self.usual_pace / self.pace).min(self.wanted),
         };
         let value = match self.advice {
             Advice::Weight => willing,
