--- a/src/decide.rs
+++ b/src/decide.rs
@@ -56,8 +56,7 @@
 const FAIR_BURST: f64 = 5.0;
 /// Part of arrivals that are retries from which callers are asked not to try elsewhere.
 const RETRIED: f64 = 0.1;
-/// Cores' worth of crowd that reading may add to the runs, and the part of the cores that runs always keep.
-const READING_SLACK: f64 = 1.0;
+/// The part of the cores that runs keep beside reading.
 const LANES_LEAST: f64 = 0.34;
 /// Mean time unread, as a part of the setpoint, from which reading gets all it wants.
 const DROWNED: f64 = 0.5;
@@ -447,10 +446,10 @@
     /// Runs that the cores bear beside the reading that goes on: crowded cores do less in all, and starving
     /// the reading leaves reqs unread until they are late. Guards against floods; at rest it never binds.
     fn lanes(&self) -> f64 {
-        let spare = self.cores + READING_SLACK - self.reading;
+        let spare = self.cores - self.reading;
         // Drowned: what is read is late already, and answers reach nobody until the reading has caught up.
         let drowned = self.unread(BUCKET) > DROWNED * self.setpoint;
-        if drowned { spare - READING_SLACK } else { spare.max(self.cores * LANES_LEAST) }.min(self.cap)
+        if drowned { spare } else { spare.max(self.cores * LANES_LEAST) }.min(self.cap)
     }
 
     /// The better head of the two lines; long work leaves a core to short work that waits.
