--- a/crates/simhost/src/facts.rs
+++ b/crates/simhost/src/facts.rs
@@ -208,7 +208,7 @@
     })
 }
 
-/// How long a caller's wait may be told to be, at most, when it is written on the wire.
+/// A time in the wire's milliseconds.
 pub fn as_millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1e3
 }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -126,8 +126,6 @@
             let slot = match name {
                 "core_use" => &mut gauges.cores_busy,
                 "on_cores" => &mut gauges.on_cores,
-                "heap_share" => &mut gauges.memory,
-                "links" => &mut gauges.connections,
                 _ => continue,
             };
             match value.parse::<f64>() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -176,10 +176,6 @@
     pub cores_busy: Option<f64>,
     /// All that wants a core now: runs, reading, checks, new connections.
     pub on_cores: Option<f64>,
-    /// The part of the memory in use.
-    pub memory: Option<f64>,
-    /// Open connections.
-    pub connections: Option<f64>,
 }
 
 /// What happened.
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -342,7 +342,7 @@
                 self.alarm = None;
                 let on_cores = self.reqs.values().filter(|seen| seen.place == Place::OnCore).count() as f64;
                 let busy = (on_cores / f64::from(self.given.cores)).min(1.0);
-                let gauges = Gauges { cores_busy: Some(busy), on_cores: Some(on_cores), ..Gauges::default() };
+                let gauges = Gauges { cores_busy: Some(busy), on_cores: Some(on_cores) };
                 events.push(Event::Alarm { gauges });
             }
             self.tell(events);
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -42,7 +42,7 @@
 #[test]
 fn runs_leave_cores_to_reading() {
     let mut world = plain();
-    let flood = Gauges { cores_busy: Some(1.0), on_cores: Some(6.0), ..Gauges::default() };
+    let flood = Gauges { cores_busy: Some(1.0), on_cores: Some(6.0) };
     world.tell(vec![Event::Alarm { gauges: flood }]);
     world.arrive(0, 0, None, 100, 1);
     world.arrive(0, 0, None, 100, 2);
