--- a/crates/simhost/src/facts.rs
+++ b/crates/simhost/src/facts.rs
@@ -1,7 +1,6 @@
 //! The wire's start-up parameters and what they are called by the module.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use serde::Deserialize;
 use tulipgap::{Advice, Below, Effect, Given, Halting, Handler, Tenant};
@@ -207,8 +206,3 @@
         skip_value: info.class_skip_worth.get(at).copied().unwrap_or(0.0),
     })
 }
-
-/// A time in the wire's milliseconds.
-pub fn as_millis(time: Duration) -> f64 {
-    time.as_secs_f64() * 1e3
-}
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -7,7 +7,7 @@
 use slab::Slab;
 use tulipgap::{Action, Arrival, Decider, Event, Gauges, Outcome};
 
-use crate::facts::{self, Names, as_millis};
+use crate::facts::{self, Names};
 
 /// Input that cannot be read.
 #[derive(Debug, thiserror::Error)]
@@ -29,6 +29,11 @@
     Duration::try_from_secs_f64(value / 1e3).map_err(|_| format!("{name}: {value} is no time"))
 }
 
+/// A time in the wire's milliseconds.
+fn as_millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
 /// A figure from 0 to 1.
 pub fn share(name: &str, value: f64) -> Result<f64, String> {
     if (0.0..=1.0).contains(&value) { Ok(value) } else { Err(format!("{name}: {value} is not from 0 to 1")) }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,6 +4,7 @@
 //!
 //! Every figure tuned by hand is a constant right below.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use crate::interface::*;
@@ -45,13 +46,13 @@
 /// Mean time unread, as a part of the setpoint, from which callers are asked to send less; how fast the wish
 /// for traffic recovers each step, and its floor.
 const UNREAD_PART: f64 = 0.15;
+const WANTED_RECOVERY: f64 = 0.05;
+const WANTED_FLOOR: f64 = 0.1;
 /// Part of the cores that goes into reading what is shed, from which the wish falls too, or where that cuts
 /// whatever its value, and by how much.
 const WASTED: f64 = 0.04;
 const WASTED_BLIND: f64 = 0.08;
 const WASTED_FALL: f64 = 0.9;
-const WANTED_RECOVERY: f64 = 0.05;
-const WANTED_FLOOR: f64 = 0.1;
 /// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
 const FAIR_BURST: f64 = 5.0;
 /// Part of arrivals that are retries from which callers are asked not to try elsewhere.
@@ -338,8 +339,10 @@
         // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full,
         // and a further try would only cost another reading.
         let worth_it = !over && target.saturating_sub(reached) / 2 < target.saturating_sub(self.now);
-        let elsewhere = worth_it && !arrival.retry && (self.ailing() || self.retried() < RETRIED);
-        let errs = self.failing() > 0.0 && self.rng.f64() < self.failing();
+        let elsewhere =
+            worth_it && !arrival.retry && (self.ailing() || self.per_arrival(RETRIES, WINDOW) < RETRIED);
+        let failing = self.failing();
+        let errs = failing > 0.0 && self.rng.f64() < failing;
         if no_room
             || errs
             || !self.drawn_in(level)
@@ -355,8 +358,9 @@
         if effect == Effect::Uniqued {
             let until = reached.saturating_add(repeat_window).saturating_add(BUCKET);
             let span = until.saturating_sub(self.now);
-            self.entry(arrival.req).key = Some(self.now.saturating_add(span));
-            self.keys.push(self.now.saturating_add(span));
+            let until = until.max(self.now);
+            self.entry(arrival.req).key = Some(until);
+            self.keys.push(until);
             self.used_kb += self.key_kb;
             out.push(Action::Remember { req: arrival.req, span });
         }
@@ -365,7 +369,6 @@
 
     /// Puts a req in its line, behind what ranks higher or must be answered sooner.
     fn hold(&mut self, req: Req) {
-        let place = |e: &Entry| (std::cmp::Reverse(e.level), e.target);
         let Some(entry) = self.reqs[req].as_ref() else {
             return;
         };
@@ -390,9 +393,8 @@
     /// Held work that goes before a req.
     fn ahead_of(&self, req: Req) -> f64 {
         let Some(e) = self.reqs[req].as_ref() else { return 0.0 };
-        let before = |other: &&Entry| (other.level, e.target) >= (e.level, other.target);
         let held = self.short.iter().chain(&self.long).filter_map(|&r| self.reqs[r].as_ref());
-        held.filter(before).map(|other| other.work).sum()
+        held.filter(|other| place(other) <= place(e)).map(|other| other.work).sum()
     }
 
     /// Whether a req behind that much work is likely to be done within `part` of its response target.
@@ -448,7 +450,7 @@
     fn lanes(&self) -> f64 {
         let spare = self.cores - self.reading;
         // Drowned: what is read is late already, and answers reach nobody until the reading has caught up.
-        let drowned = self.unread(BUCKET) > DROWNED * self.setpoint;
+        let drowned = self.per_arrival(UNREAD, BUCKET) > DROWNED * self.setpoint;
         if drowned { spare } else { spare.max(self.cores * LANES_LEAST) }.min(self.cap)
     }
 
@@ -461,8 +463,7 @@
         let on_core = |e: &&Entry| e.state == State::OnCore && e.long;
         let longs = self.reqs.iter().flatten().filter(on_core).count();
         let crowded = longs as f64 >= self.cap - 1.0;
-        let short_first = crowded || (s.level, l.target) >= (l.level, s.target);
-        Some(if short_first { short } else { long })
+        Some(if crowded || place(s) <= place(l) { short } else { long })
     }
 
     fn at_call(&mut self, req: Req, out: &mut Vec<Action>) {
@@ -598,7 +599,13 @@
             return;
         };
         entry.answered = true;
-        match entry.state {
+        self.let_go(req, out);
+    }
+
+    /// Ends a req that owes no answer any more, or what can be ended of it now.
+    fn let_go(&mut self, req: Req, out: &mut Vec<Action>) {
+        let state = self.entry(req).state;
+        match state {
             State::Held | State::Joined => self.over(req, out),
             State::OnCore if self.stoppable => out.push(Action::Stop { req }),
             State::OnCore | State::Calling => {}
@@ -618,23 +625,17 @@
         } else {
             out.push(Action::Fail { req });
         }
-        match state {
-            State::Held => {
-                // Never run: a repeat of it is a first one again.
-                if let Some(until) = key {
-                    if let Some(at) = self.keys.iter().position(|&other| other == until) {
-                        self.keys.swap_remove(at);
-                        self.used_kb -= self.key_kb;
-                    }
-                    out.push(Action::Forget { req });
-                }
-                self.over(req, out);
+        // Never run: a repeat of it is a first one again.
+        if let Some(until) = key
+            && unrun
+        {
+            if let Some(at) = self.keys.iter().position(|&other| other == until) {
+                self.keys.swap_remove(at);
+                self.used_kb -= self.key_kb;
             }
-            State::Joined => self.over(req, out),
-            State::OnCore if self.stoppable => out.push(Action::Stop { req }),
-            State::OnCore | State::Calling => {}
-            State::AtCall => self.standing.retain(|&other| other != req),
+            out.push(Action::Forget { req });
         }
+        self.let_go(req, out);
     }
 
     fn leave(&mut self, left: Duration, out: &mut Vec<Action>) {
@@ -695,12 +696,11 @@
         self.error = error;
         // What stands unread is not ours to shed, and reading it takes the cores from what can be in time:
         // only fewer sends help. Guards against any flood, lopsided callers and a server grown slow.
-        let unread = self.unread(PERIOD);
+        let unread = self.per_arrival(UNREAD, PERIOD);
         let bearable = UNREAD_PART * self.setpoint;
         // Reading what is then shed costs cores too; where that is much, callers had better not send it.
         let beats = WINDOW.as_secs_f64() / self.beat.as_secs_f64();
-        let shed = self.ring.sum(SHED, WINDOW) / self.ring.sum(ARRIVED, WINDOW).max(1.0);
-        let wasted = shed * self.ring.sum(READING, WINDOW) / beats / self.cores;
+        let wasted = self.per_arrival(SHED, WINDOW) * self.ring.sum(READING, WINDOW) / beats / self.cores;
         let step = if unread > bearable {
             (bearable / unread).max(0.5)
         } else if wasted > self.bearable_waste {
@@ -716,8 +716,7 @@
     fn give_up_late(&mut self, out: &mut Vec<Action>) {
         // Held work must still be likely in time behind what has come before it since.
         let mut held: Vec<Req> = self.short.iter().chain(&self.long).copied().collect();
-        let place = |&req: &Req| self.reqs[req].as_ref().map(|e| (std::cmp::Reverse(e.level), e.target));
-        held.sort_by_key(place);
+        held.sort_by_key(|&req| self.reqs[req].as_ref().map(place));
         let mut ahead = 0.0;
         for req in held {
             if self.in_time(req, ahead, PROMISE_HELD) {
@@ -741,11 +740,8 @@
             let due = entry.due.min(stop) <= self.now + self.beat;
             let replayable = self.aims[entry.handler].effect == Effect::Replayable;
             // Work under way is given up only once it is late.
-            let hopeless = match entry.state {
-                State::Joined => false,
-                State::Held => false,
-                _ => replayable && entry.target < self.now,
-            };
+            let under_way = !matches!(entry.state, State::Held | State::Joined);
+            let hopeless = under_way && replayable && entry.target < self.now;
             if due || hopeless {
                 self.give_up(req, false, out);
             }
@@ -776,15 +772,16 @@
 
     /// Tells callers how much to send here, where they can be told.
     fn advise(&mut self, out: &mut Vec<Action>) {
+        let failing = self.failing() > 0.0;
         let willing = match self.leaving {
             Some(_) => 0.0,
-            None if self.failing() > 0.0 => 0.0,
+            None if failing => 0.0,
             None => (AILING * self.usual_pace / self.pace).min(self.wanted),
         };
         let value = match self.advice {
             Advice::Weight => willing,
             Advice::Level => 1.0 - willing,
-            Advice::Credit if self.failing() > 0.0 => 0.0,
+            Advice::Credit if failing => 0.0,
             Advice::Credit if willing >= 1.0 => self.crowd_warm,
             Advice::Credit => self.cores * (CREDIT_LEAST + CREDIT_MORE * willing) / self.callers,
             Advice::Nothing => return,
@@ -810,14 +807,9 @@
         if errored >= FAILING_LEAST && part > FAILING { part } else { 0.0 }
     }
 
-    /// How long reqs stood unread of late, in the mean.
-    fn unread(&self, span: Duration) -> f64 {
-        self.ring.sum(UNREAD, span) / self.ring.sum(ARRIVED, span).max(1.0)
-    }
-
-    /// The part of recent arrivals known to be later tries.
-    fn retried(&self) -> f64 {
-        self.ring.sum(RETRIES, WINDOW) / self.ring.sum(ARRIVED, WINDOW).max(1.0)
+    /// A measure for each req that arrived of late.
+    fn per_arrival(&self, measure: usize, span: Duration) -> f64 {
+        self.ring.sum(measure, span) / self.ring.sum(ARRIVED, span).max(1.0)
     }
 
     fn mean_work(&self) -> f64 {
@@ -907,6 +899,11 @@
     }
 }
 
+/// The order of the hold: falling levels, then the earlier response target.
+fn place(entry: &Entry) -> (Reverse<usize>, Duration) {
+    (Reverse(entry.level), entry.target)
+}
+
 /// A span of that many seconds, or the longest there is.
 fn seconds(span: f64) -> Duration {
     Duration::try_from_secs_f64(span).unwrap_or(Duration::MAX)
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -85,8 +85,6 @@
     pub reqs: BTreeMap<Req, Seen>,
     pub pending: Vec<Event>,
     pub done: u32,
-    pub shed: u32,
-    pub errored: u32,
     pub last: Vec<Action>,
     /// The last value said to callers.
     pub advised: Option<f64>,
@@ -110,8 +108,6 @@
             reqs: BTreeMap::new(),
             pending: Vec::new(),
             done: 0,
-            shed: 0,
-            errored: 0,
             last: Vec::new(),
             advised: None,
             alarm: None,
@@ -212,11 +208,9 @@
                     "duplicate: a repeat is shed: {seen:?}"
                 );
                 self.answer(req, action);
-                self.shed += 1;
             }
             Action::Fail { req } => {
                 self.answer(req, action);
-                self.errored += 1;
             }
             Action::Stop { req } => {
                 assert!(given.halting != Halting::Never, "a stop where nothing can be stopped");
@@ -242,10 +236,7 @@
                 self.keys.retain(|key| (key.0, key.1) != (seen.mark, req));
             }
             Action::Call { req, patience } => {
-                let linger = match given.below {
-                    Below::Shared { linger, .. } => linger,
-                    _ => Duration::ZERO,
-                };
+                let linger = self.linger();
                 let seen = self.seen(req, action);
                 assert_eq!(seen.place, Place::AtCall, "a call from elsewhere: {seen:?}");
                 let again = given.handlers[seen.handler].effect == Effect::Replayable;
@@ -311,6 +302,14 @@
         }
     }
 
+    /// How long a call given up may stay in the hands of what lies below.
+    fn linger(&self) -> Duration {
+        match self.given.below {
+            Below::Shared { linger, .. } => linger,
+            _ => Duration::ZERO,
+        }
+    }
+
     fn calls_in_hand(&self) -> f64 {
         let calling = self.reqs.values().filter(|seen| seen.place == Place::Calling).count();
         (calling + self.lingering.iter().filter(|&&end| end > self.now).count()) as f64
@@ -354,10 +353,7 @@
 
     /// Books what pending ends do before the module hears of them.
     fn settle(&mut self, events: &[Event]) {
-        let linger = match self.given.below {
-            Below::Shared { linger, .. } => linger,
-            _ => Duration::ZERO,
-        };
+        let linger = self.linger();
         for event in events {
             if let Event::Ended { req, .. } = event
                 && let Some(seen) = self.reqs.get(req)
