Close idle connections sooner while rare callers crowd the table

So: fall while over 6 a core are open, most callers have none and under 0.4 of arrivals are shed; rise from 0.6 shed. The adapter lists the instances of a batch in a set: it searched a list that grows with the fleet. Also covers: any burst of one-off callers. Harms where the table is far larger than the crowd: callers connect anew.

--- a/crates/simhost/src/facts.rs
+++ b/crates/simhost/src/facts.rs
@@ -71,6 +71,7 @@
     #[serde(default)]
     entry_kb: f64,
     halt: WireHalt,
+    idle: f64,
     mem_limit_kb: f64,
     say: WireSay,
     #[serde(default)]
@@ -186,6 +187,7 @@
             false => None,
         },
         callers: info.callers,
+        idle_link: millis("family_info.idle", info.idle)?,
     };
     Ok((given, names))
 }
--- a/crates/simhost/src/tests.rs
+++ b/crates/simhost/src/tests.rs
@@ -1,7 +1,7 @@
 use crate::serve;
 
 const FACTS: &str = r#"{"classes":[{"name":"page","objective":1800.0,"deadline":4500.0,"worth":1.0,"effect":"pure"}],
-"family_info":{"below":"silent","blowup":4.0,"cores":2,"halt":"drop","mem_limit_kb":9000.0,"say":"weight","new_key":[1]},
+"family_info":{"below":"silent","blowup":4.0,"cores":2,"halt":"drop","idle":9000.0,"mem_limit_kb":9000.0,"say":"weight","new_key":[1]},
 "fleet_size":3,"limits":{"max_retry_after":1000.0,"retry_after":true},"rules":{"cold_from":0.3,"drain_grace":1000.0,
 "fall":2000.0,"fall_multiple":4.0,"grace_to_answer":60.0,"warm_up":9000.0}}"#;
 
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,6 +1,6 @@
 //! The lines of the wire: batches of events in, actions out. The wire's words end here.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt::Write;
 use std::time::Duration;
 
@@ -131,6 +131,7 @@
             let slot = match name {
                 "core_use" => &mut gauges.cores_busy,
                 "on_cores" => &mut gauges.on_cores,
+                "links" => &mut gauges.links,
                 _ => continue,
             };
             match value.parse::<f64>() {
@@ -260,6 +261,9 @@
             }
             Action::SkipCall { req } => line("OMIT", Some(req), format_args!("")),
             Action::Advise { value } => line("SAY", None, format_args!(" amount={value:.4}")),
+            Action::CloseIdle { after } => {
+                line("CLOSE_IDLE", None, format_args!(" lifetime={:.3}", as_millis(after)));
+            }
             Action::Health { good } => {
                 line("SET_HEALTH", None, format_args!(" enable={} light=1", u8::from(good)));
             }
@@ -283,6 +287,7 @@
     in_batch: bool,
     /// Backends with an event in this batch, in the order of their first.
     turn: Vec<u64>,
+    listed: HashSet<u64>,
 }
 
 impl Host {
@@ -304,6 +309,7 @@
         let now = self.now.unwrap_or_default();
         if kind == "OVER_TO_YOU" {
             self.in_batch = false;
+            self.listed.clear();
             let mut reply = String::new();
             for number in std::mem::take(&mut self.turn) {
                 if let Some(backend) = self.backends.get_mut(&number) {
@@ -332,7 +338,7 @@
                 None => return Ok(None),
             },
         }
-        if !self.turn.contains(&id) {
+        if self.listed.insert(id) {
             self.turn.push(id);
         }
         Ok(None)
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -61,6 +61,16 @@
 const LANES_LEAST: f64 = 0.34;
 /// Mean time unread, as a part of the setpoint, from which reading gets all it wants.
 const DROWNED: f64 = 0.5;
+/// Connections for each core from which they crowd the table, while most callers have none.
+const TABLE_CROWD: f64 = 6.0;
+/// Part of arrivals shed up to which a crowded table is emptied sooner, and from which it is left to fill; how
+/// the time that a connection may stay idle then changes each step, how it recovers otherwise, and its floor.
+const TABLE_SHED_FEW: f64 = 0.4;
+const TABLE_SHED_MANY: f64 = 0.6;
+const IDLE_FALL: f64 = 0.6;
+const IDLE_RISE: f64 = 1.5;
+const IDLE_RECOVERY: f64 = 1.02;
+const IDLE_LEAST: Duration = Duration::from_secs(1);
 /// Reqs out here for each core that callers are granted at the least, and beyond that at full appetite.
 const CREDIT_LEAST: f64 = 0.5;
 const CREDIT_MORE: f64 = 3.5;
@@ -149,6 +159,9 @@
     wanted: f64,
     advised: f64,
     callers: f64,
+    /// When idle connections are closed, and when callers do so by themselves.
+    idle: Duration,
+    idle_most: Duration,
     leaving: Option<Leaving>,
 }
 
@@ -238,6 +251,8 @@
             wanted: 1.0,
             advised: -1.0,
             callers: f64::from(given.callers.max(1)),
+            idle: given.idle_link,
+            idle_most: given.idle_link,
             leaving: None,
         })
     }
@@ -658,6 +673,7 @@
         self.busy = gauges.cores_busy.unwrap_or(if self.on_core as f64 >= self.cores { 1.0 } else { 0.0 });
         self.reading = gauges.on_cores.map_or(0.0, |all| (all - self.on_core as f64).max(0.0));
         self.ring.add(READING, self.reading);
+        let links = gauges.links.unwrap_or(0.0);
         self.give_up_late(out);
         self.measure_pace();
         let waits = !(self.short.is_empty() && self.long.is_empty());
@@ -667,10 +683,32 @@
             self.cap = if waits && self.busy < BUSY { self.cap + 1.0 } else { self.cap - 1.0 };
             self.cap = self.cap.clamp(self.cores, (self.crowd() * SAFE).max(self.cores));
             self.steer();
+            self.tend_links(links, out);
         }
         self.advise(out);
     }
 
+    /// Closes idle connections sooner while they crowd the table, and lets it fill while much is shed.
+    /// Guards against many callers that each come rarely: what they leave open shuts the others out and takes
+    /// of the cores. Each connection opened costs the cores too, so in a storm of tries the table is the
+    /// cheapest gate. It harms where the table is far larger than the crowd: callers then connect anew.
+    fn tend_links(&mut self, links: f64, out: &mut Vec<Action>) {
+        let crowded = links > TABLE_CROWD * self.cores && links * 2.0 < self.callers;
+        let shed = self.per_arrival(SHED, WINDOW);
+        let factor = if shed > TABLE_SHED_MANY {
+            IDLE_RISE
+        } else if crowded && shed < TABLE_SHED_FEW {
+            IDLE_FALL
+        } else {
+            IDLE_RECOVERY
+        };
+        let idle = self.idle.mul_f64(factor).clamp(IDLE_LEAST.min(self.idle_most), self.idle_most);
+        if idle != self.idle {
+            self.idle = idle;
+            out.push(Action::CloseIdle { after: idle });
+        }
+    }
+
     /// One step of the dimmer, the admitted share and the wish for traffic. An empty window is no lateness.
     fn steer(&mut self) {
         let done = self.ring.sum(DONE, WINDOW);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,6 +112,8 @@
     pub max_wait: Option<Duration>,
     /// Callers of this server when it started.
     pub callers: u32,
+    /// After this time without use callers close a connection by themselves.
+    pub idle_link: Duration,
 }
 
 /// Why a [`Given`] was turned down.
@@ -176,6 +178,8 @@
     pub cores_busy: Option<f64>,
     /// All that wants a core now: runs, reading, checks, new connections.
     pub on_cores: Option<f64>,
+    /// Connections open.
+    pub links: Option<f64>,
 }
 
 /// What happened.
@@ -235,6 +239,8 @@
     SkipCall { req: Req },
     /// The value that answers carry from now on; see [`Advice`].
     Advise { value: f64 },
+    /// Close connections once nothing has come over them for so long.
+    CloseIdle { after: Duration },
     /// What health checks are told, straight from this setting.
     Health { good: bool },
     /// Send an [`Event::Alarm`] at this time.
@@ -258,6 +264,7 @@
             ("memory_kb", at_least(f64::MIN_POSITIVE, self.memory_kb)),
             ("run_factor", at_least(1.0, self.run_factor)),
             ("key_kb", at_least(0.0, self.key_kb)),
+            ("idle_link", self.idle_link > Duration::ZERO),
             ("cold_speed", self.cold_speed > 0.0 && self.cold_speed <= 1.0),
             ("crowd_limit", at_least(1.0, self.crowd_limit)),
         ] {
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -48,6 +48,7 @@
         advice: Advice::Weight,
         max_wait: Some(ms(1000)),
         callers: 3,
+        idle_link: ms(15_000),
     }
 }
 
@@ -88,6 +89,9 @@
     pub last: Vec<Action>,
     /// The last value said to callers.
     pub advised: Option<f64>,
+    /// Connections open, and after what time without use they are closed.
+    pub links: f64,
+    pub idle: Duration,
     alarm: Option<Duration>,
     /// Remembered marks; one that has run out still marks what reached the server before.
     keys: Vec<(u64, Req, Duration)>,
@@ -110,6 +114,8 @@
             done: 0,
             last: Vec::new(),
             advised: None,
+            links: 0.0,
+            idle: Duration::MAX,
             alarm: None,
             keys: Vec::new(),
             runs: Vec::new(),
@@ -254,6 +260,10 @@
                 assert!(given.advice != Advice::Nothing && value >= 0.0, "advice that nobody takes");
                 self.advised = Some(value);
             }
+            Action::CloseIdle { after } => {
+                assert!(after > Duration::ZERO && after <= given.idle_link, "closed after {after:?}");
+                self.idle = after;
+            }
             Action::Health { .. } => {}
             Action::Alarm { at } => self.alarm = Some(at.max(now + ms(1))),
             Action::Over { req } => {
@@ -341,7 +351,8 @@
                 self.alarm = None;
                 let on_cores = self.reqs.values().filter(|seen| seen.place == Place::OnCore).count() as f64;
                 let busy = (on_cores / f64::from(self.given.cores)).min(1.0);
-                let gauges = Gauges { cores_busy: Some(busy), on_cores: Some(on_cores) };
+                let links = Some(self.links);
+                let gauges = Gauges { cores_busy: Some(busy), on_cores: Some(on_cores), links };
                 events.push(Event::Alarm { gauges });
             }
             self.tell(events);
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -1,5 +1,7 @@
 //! One small test for each failure found in rounds, against the module alone.
 
+use std::time::Duration;
+
 use crate::common::{Place, World, given, ms};
 use tulipgap::*;
 
@@ -42,7 +44,7 @@
 #[test]
 fn runs_leave_cores_to_reading() {
     let mut world = plain();
-    let flood = Gauges { cores_busy: Some(1.0), on_cores: Some(6.0) };
+    let flood = Gauges { cores_busy: Some(1.0), on_cores: Some(6.0), links: None };
     world.tell(vec![Event::Alarm { gauges: flood }]);
     world.arrive(0, 0, None, 100, 1);
     world.arrive(0, 0, None, 100, 2);
@@ -184,3 +186,26 @@
     world.pass(ms(200));
     assert!(!world.reqs.contains_key(&low), "overtaken, it cannot be in time");
 }
+
+#[test]
+fn a_table_full_of_rare_callers_is_emptied_and_in_a_storm_left_full() {
+    let mut given = given();
+    given.callers = 400;
+    let mut world = World::new(given, 1);
+    world.links = 60.0;
+    world.pass(ms(6000));
+    assert!(world.idle <= ms(1000), "{:?}", world.idle);
+    for turn in 0..60 {
+        world.arrive(0, 0, None, 9000, turn);
+        world.pass(ms(100));
+    }
+    assert!(world.idle > ms(10_000), "{:?}", world.idle);
+}
+
+#[test]
+fn few_callers_keep_their_connections() {
+    let mut world = plain();
+    world.links = 3.0;
+    world.pass(ms(6000));
+    assert_eq!(world.idle, Duration::MAX, "never told");
+}
