Measure pace from six usual reqs up, so that two rough hints do not make a server ailing

Two seconds on two cores hold four runs of rough hints, and the old prior leaned on the last pace, so it held nothing. Told from real slowness by the run times over the hints of the same servers. Change: the prior is the usual pace. Also covers any small sample: a server after a lull, long-tailed costs. Harms by noticing real slowness some runs later.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -84,6 +84,8 @@
 const CALL_TRIES: u32 = 3;
 /// Times its usual pace from which a server takes itself to be in trouble of its own.
 const AILING: f64 = 1.7;
+/// Reqs of mean work at the usual pace that the measure of pace starts from.
+const PACE_PRIOR: f64 = 6.0;
 /// How much of a measured pace is forgotten each beat while nothing runs.
 const PACE_FADES: f64 = 0.1;
 /// How much of the measured pace enters the usual one each beat, while it is better or new, or else worse.
@@ -800,8 +802,10 @@
         if self.on_core == 0 {
             self.pace += PACE_FADES * (self.usual_pace - self.pace);
         }
-        let prior = 2.0 * self.mean_work();
-        self.pace = (on_core + prior * self.pace) / (work + prior);
+        // Few reqs of rough hints say little: on a small server two long ones would else make it seem ailing, and
+        // it sheds with its cores idle. The usual pace counts as so many reqs more. Harms by slower notice.
+        let prior = PACE_PRIOR * self.mean_work();
+        self.pace = (on_core + prior * self.usual_pace) / (work + prior);
         // A warm start learns how fast this machine is in its first seconds: else a slow kind seems ailing.
         let learning = self.warm_at == 0.0 && self.now < LEARNING;
         let step = if self.pace < self.usual_pace || learning { PACE_LEARNT } else { PACE_DRIFTS };
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -209,3 +209,16 @@
     world.pass(ms(6000));
     assert_eq!(world.idle, Duration::MAX, "never told");
 }
+
+#[test]
+fn one_req_of_a_wrong_hint_does_not_make_a_server_seem_slow() {
+    let mut world = plain();
+    let misjudged = world.arrive(0, 0, None, 100, 1);
+    world.pass(ms(900));
+    world.finish(misjudged, Outcome::Done);
+    world.pass(ms(50));
+    for turn in 2..5 {
+        let req = world.arrive(0, 0, None, 100, turn);
+        assert!(world.reqs.contains_key(&req), "shed: {:?}", world.last);
+    }
+}
