Let held reqs that are shed be tried elsewhere, as those shed on reading

One function now answers for both, with half the target left as before. Harms where the whole fleet is full before retries show it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -56,7 +56,7 @@
 /// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
 const FAIR_BURST: f64 = 5.0;
 /// Part of arrivals that are retries from which callers are asked not to try elsewhere.
-const RETRIED: f64 = 0.1;
+const RETRIED: f64 = 0.2;
 /// The part of the cores that runs keep beside reading.
 const LANES_LEAST: f64 = 0.34;
 /// Mean time unread, as a part of the setpoint, from which reading gets all it wants.
@@ -314,6 +314,8 @@
             held_kb,
             work,
             long: work > mean,
+            over,
+            retry: arrival.retry,
             reached,
             target,
             due,
@@ -353,11 +355,6 @@
         }
         let key_kb = if effect == Effect::Uniqued { self.key_kb } else { 0.0 };
         let no_room = self.held_kb > self.memory_kb * HOLD_MEMORY || self.used_kb + key_kb > self.memory_kb;
-        // Few retries among what arrives: others still take what this server sheds. Many: the fleet is full,
-        // and a further try would only cost another reading.
-        let worth_it = !over && target.saturating_sub(reached) / 2 < target.saturating_sub(self.now);
-        let elsewhere =
-            worth_it && !arrival.retry && (self.ailing() || self.per_arrival(RETRIES, WINDOW) < RETRIED);
         let failing = self.failing();
         let errs = failing > 0.0 && self.rng.f64() < failing;
         if no_room
@@ -366,6 +363,7 @@
             || !self.in_time(arrival.req, self.ahead_of(arrival.req), PROMISE)
         {
             self.ring.add(SHED, 1.0);
+            let elsewhere = self.elsewhere(arrival.req);
             return self.give_up(arrival.req, elsewhere, out);
         }
         for (tenant, purse) in self.purses.iter_mut().enumerate() {
@@ -384,6 +382,14 @@
         self.hold(arrival.req);
     }
 
+    /// Whether a shed req is worth another try. Few retries among what arrives: others still take what this
+    /// server sheds. Many: the fleet is full, and a further try would only cost another reading.
+    fn elsewhere(&self, req: Req) -> bool {
+        let Some(e) = self.reqs[req].as_ref() else { return false };
+        let worth_it = !e.over && e.target.saturating_sub(e.reached) / 2 < e.target.saturating_sub(self.now);
+        worth_it && !e.retry && (self.ailing() || self.per_arrival(RETRIES, WINDOW) < RETRIED)
+    }
+
     /// Puts a req in its line, behind what ranks higher or must be answered sooner.
     fn hold(&mut self, req: Req) {
         let Some(entry) = self.reqs[req].as_ref() else {
@@ -762,7 +768,8 @@
             if self.in_time(req, ahead, PROMISE_HELD) {
                 ahead += self.entry(req).work;
             } else {
-                self.give_up(req, false, out);
+                let elsewhere = self.elsewhere(req);
+                self.give_up(req, elsewhere, out);
             }
         }
         for req in 0..self.reqs.len() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,9 @@
     pub held_kb: f64,
     pub work: f64,
     pub long: bool,
+    /// Beyond its tenant's share.
+    pub over: bool,
+    pub retry: bool,
     pub reached: Duration,
     pub target: Duration,
     pub due: Duration,
