--- a/src/decide.rs
+++ b/src/decide.rs
@@ -56,7 +56,7 @@
 /// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
 const FAIR_BURST: f64 = 5.0;
 /// Part of arrivals that are retries from which callers are asked not to try elsewhere.
-const RETRIED: f64 = 0.2;
+const RETRIED: f64 = 0.1;
 /// The part of the cores that runs keep beside reading.
 const LANES_LEAST: f64 = 0.34;
 /// Mean time unread, as a part of the setpoint, from which reading gets all it wants.
