--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,8 +55,10 @@
 const WASTED_FALL: f64 = 0.9;
 /// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
 const FAIR_BURST: f64 = 5.0;
-/// Part of arrivals that are retries from which callers are asked not to try elsewhere.
+/// Part of arrivals that are retries, or that are shed (retries need not be marked), from which callers are
+/// asked not to try elsewhere.
 const RETRIED: f64 = 0.1;
+const FULL_WHEN_SHED: f64 = 0.5;
 /// The part of the cores that runs keep beside reading.
 const LANES_LEAST: f64 = 0.34;
 /// Mean time unread, as a part of the setpoint, from which reading gets all it wants.
@@ -382,12 +384,15 @@
         self.hold(arrival.req);
     }
 
-    /// Whether a shed req is worth another try. Few retries among what arrives: others still take what this
-    /// server sheds. Many: the fleet is full, and a further try would only cost another reading.
+    /// Whether a shed req is worth another try. Few retries among what arrives, and most of it taken: others
+    /// still take what this server sheds. Else the fleet is full, and a further try only costs another reading.
+    /// Guards against storms of tries; harms on a server that is the only full one.
     fn elsewhere(&self, req: Req) -> bool {
         let Some(e) = self.reqs[req].as_ref() else { return false };
         let worth_it = !e.over && e.target.saturating_sub(e.reached) / 2 < e.target.saturating_sub(self.now);
-        worth_it && !e.retry && (self.ailing() || self.per_arrival(RETRIES, WINDOW) < RETRIED)
+        let room =
+            self.per_arrival(RETRIES, WINDOW) < RETRIED && self.per_arrival(SHED, WINDOW) < FULL_WHEN_SHED;
+        worth_it && !e.retry && (self.ailing() || room)
     }
 
     /// Puts a req in its line, behind what ranks higher or must be answered sooner.
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -122,6 +122,7 @@
     assert_eq!(turned_down(|g| g.cores = 0), Some(GivenError::NoCores));
     assert_eq!(turned_down(|g| g.handlers.clear()), Some(GivenError::NoHandlers));
     assert_eq!(turned_down(|g| g.memory_kb = f64::NAN), Some(GivenError::OutOfRange("memory_kb")));
+    assert_eq!(turned_down(|g| g.idle_link = Duration::ZERO), Some(GivenError::OutOfRange("idle_link")));
     assert_eq!(turned_down(|g| g.cold_speed = 0.0), Some(GivenError::OutOfRange("cold_speed")));
     assert_eq!(
         turned_down(|g| g.handlers[1].skip_value = 2.0),
@@ -180,11 +181,16 @@
     }
     let low = world.arrive(0, 0, None, 450, 3);
     assert_eq!(world.reqs[&low].place, Place::Held);
-    for turn in 6..12 {
+    for turn in 6..10 {
         world.arrive(3, 0, None, 300, turn);
     }
-    world.pass(ms(200));
+    let mut sent_on = Vec::new();
+    for _ in 0..16 {
+        world.pass(ms(25));
+        sent_on.extend(shed_among(&world));
+    }
     assert!(!world.reqs.contains_key(&low), "overtaken, it cannot be in time");
+    assert!(sent_on[0], "with half its time left another server may take it");
 }
 
 #[test]
@@ -222,3 +228,14 @@
         assert!(world.reqs.contains_key(&req), "shed: {:?}", world.last);
     }
 }
+
+#[test]
+fn a_server_that_sheds_most_sends_nothing_on_even_if_retries_bear_no_mark() {
+    let mut given = given();
+    given.tenants.clear();
+    let mut world = World::new(given, 1);
+    for _ in 0..6 {
+        world.arrive(0, 0, None, 600, 1);
+    }
+    assert_eq!(shed_among(&world), [false], "{:?}", world.last);
+}
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -69,6 +69,8 @@
     below: u8,
     advice: u8,
     memory_kb: f64,
+    callers: u32,
+    links: f64,
     steps: Vec<Step>,
 }
 
@@ -78,9 +80,11 @@
             seed: u64::arbitrary(g),
             cold: bool::arbitrary(g),
             halting: u8::arbitrary(g) % 3,
-            below: u8::arbitrary(g) % 4,
+            below: u8::arbitrary(g) % 5,
             advice: u8::arbitrary(g) % 4,
             memory_kb: *g.choose(&[300.0, 1000.0, 4000.0]).unwrap(),
+            callers: *g.choose(&[3, 40, 1000]).unwrap(),
+            links: *g.choose(&[2.0, 30.0, 70.0]).unwrap(),
             steps: Vec::arbitrary(g),
         }
     }
@@ -96,12 +100,15 @@
     let given = Given {
         cold: day.cold,
         halting: [Halting::Never, Halting::Drops, Halting::Pauses][day.halting as usize],
-        below: [Below::Nothing, Below::Tier, shared(0.4), shared(2.0)][day.below as usize],
+        below: [Below::Nothing, Below::Tier, shared(0.4), shared(2.0), shared(0.05)][day.below as usize],
         advice: [Advice::Nothing, Advice::Level, Advice::Credit, Advice::Weight][day.advice as usize],
         memory_kb: day.memory_kb,
+        callers: day.callers,
         ..given()
     };
-    World::new(given, day.seed)
+    let mut world = World::new(given, day.seed);
+    world.links = day.links;
+    world
 }
 
 fn play(day: Day) -> bool {
