--- a/src/decide.rs
+++ b/src/decide.rs
@@ -38,7 +38,7 @@
 const PROMISE: f64 = 0.65;
 const PROMISE_HELD: f64 = 1.0;
 /// How much of the work of higher levels that comes is thought to overtake, and how much of the cap at most.
-const OVERTAKING: f64 = 0.25;
+const OVERTAKING: f64 = 0.4;
 const OVERTAKING_MOST: f64 = 0.6;
 /// How far a hint of work may be off, where trying costs nobody a core; less where others are likely faster.
 const BENEFIT: f64 = 4.0;
