--- a/src/decide.rs
+++ b/src/decide.rs
@@ -88,8 +88,6 @@
 const AILING: f64 = 1.7;
 /// Reqs of mean work at the usual pace that the measure of pace starts from.
 const PACE_PRIOR: f64 = 6.0;
-/// How much of a measured pace is forgotten each beat while nothing runs.
-const PACE_FADES: f64 = 0.1;
 /// How much of the measured pace enters the usual one each beat, while it is better or new, or else worse.
 const PACE_LEARNT: f64 = 0.02;
 const PACE_DRIFTS: f64 = 0.0005;
@@ -810,12 +808,9 @@
                 work += entry.work;
             }
         }
-        // With nothing on the cores the last measure only ages: a server that hung would else shed for ever.
-        if self.on_core == 0 {
-            self.pace += PACE_FADES * (self.usual_pace - self.pace);
-        }
         // Few reqs of rough hints say little: on a small server two long ones would else make it seem ailing, and
-        // it sheds with its cores idle. The usual pace counts as so many reqs more. Harms by slower notice.
+        // it sheds with its cores idle. The usual pace counts as so many reqs more, and is all that
+        // counts once nothing runs: a server that hung would else shed for ever. Harms by slower notice.
         let prior = PACE_PRIOR * self.mean_work();
         self.pace = (on_core + prior * self.usual_pace) / (work + prior);
         // A warm start learns how fast this machine is in its first seconds: else a slow kind seems ailing.
