--- a/src/decide.rs
+++ b/src/decide.rs
@@ -684,7 +684,6 @@
         self.busy = gauges.cores_busy.unwrap_or(if self.on_core as f64 >= self.cores { 1.0 } else { 0.0 });
         self.reading = gauges.on_cores.map_or(0.0, |all| (all - self.on_core as f64).max(0.0));
         self.ring.add(READING, self.reading);
-        let links = gauges.links.unwrap_or(0.0);
         self.give_up_late(out);
         self.measure_pace();
         let waits = !(self.short.is_empty() && self.long.is_empty());
@@ -694,7 +693,7 @@
             self.cap = if waits && self.busy < BUSY { self.cap + 1.0 } else { self.cap - 1.0 };
             self.cap = self.cap.clamp(self.cores, (self.crowd() * SAFE).max(self.cores));
             self.steer();
-            self.tend_links(links, out);
+            self.tend_links(gauges.links.unwrap_or(0.0), out);
         }
         self.advise(out);
     }
@@ -713,7 +712,8 @@
         } else {
             IDLE_RECOVERY
         };
-        let idle = self.idle.mul_f64(factor).clamp(IDLE_LEAST.min(self.idle_most), self.idle_most);
+        let idle =
+            seconds(self.idle.as_secs_f64() * factor).clamp(IDLE_LEAST.min(self.idle_most), self.idle_most);
         if idle != self.idle {
             self.idle = idle;
             out.push(Action::CloseIdle { after: idle });
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -239,3 +239,10 @@
     }
     assert_eq!(shed_among(&world), [false], "{:?}", world.last);
 }
+
+#[test]
+fn connections_that_never_close_by_themselves_are_no_overflow() {
+    let mut world = World::new(Given { idle_link: Duration::MAX, ..given() }, 1);
+    world.pass(ms(1000));
+    assert_eq!(world.idle, Duration::MAX);
+}
