--- /dev/null
+++ b/crates/server/src/gate.rs
@@ -0,0 +1,502 @@
+//! The facade around the decision module, in blocking style: a req's coroutine *picks* its next order, peers
+//! *report* what became of runs and calls, and a clock *ticks*. Only this file sees the module's events and
+//! actions. It maps ids to indices, keeps the keys of uniqued reqs and drives the alarms; it decides nothing
+//! and knows no protocol.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use may::sync::Blocker;
+use parking_lot::Mutex;
+use slab::Slab;
+use tulipgap::{Action, Arrival, Decider, Event, Given};
+pub use tulipgap::{Gauges, Outcome};
+
+use crate::must;
+
+pub type Id = Arc<str>;
+pub type Bytes = Arc<[u8]>;
+
+/// A req as it was read.
+pub struct Incoming {
+    pub id: Id,
+    pub handler: usize,
+    pub tenant: Option<usize>,
+    /// How long ago it reached the machine.
+    pub age: Duration,
+    pub patience: Option<Duration>,
+    pub work: Option<Duration>,
+    pub held_kb: f64,
+    pub retry: bool,
+    /// By what a repeat of it is known.
+    pub key: Option<Id>,
+}
+
+/// What a req's coroutine is to do next.
+#[derive(Debug, PartialEq)]
+pub enum Order {
+    Run,
+    Stop,
+    /// Make the call that it stands at.
+    Call {
+        patience: Duration,
+        body: Bytes,
+    },
+    /// Its call went well: hand the reply to its run.
+    GoOn {
+        reply: Bytes,
+    },
+    /// Go on without the call of that number.
+    Skip {
+        call: u64,
+    },
+    Answer(Answer),
+    /// Nothing more will be ordered.
+    Over,
+}
+
+/// The one final answer of a req.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Done(Bytes),
+    Shed { wait: Option<Duration>, elsewhere: bool },
+    Errored,
+}
+
+/// What became of a req's run or call.
+#[derive(Debug)]
+pub enum Report {
+    Ended {
+        outcome: Outcome,
+        result: Bytes,
+    },
+    AtCall {
+        call: u64,
+        body: Bytes,
+    },
+    CallEnded {
+        outcome: Outcome,
+        reply: Bytes,
+    },
+    /// Its caller is known to be gone.
+    Gone,
+}
+
+/// Why a req could not be taken in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Unfit {
+    /// One of that id is open.
+    Known,
+    /// What runs reqs was never up.
+    NotStarted,
+}
+
+struct Slot {
+    id: Id,
+    orders: VecDeque<Order>,
+    waiter: Arc<Blocker>,
+    /// Its final answer was ordered.
+    answered: bool,
+    gone: bool,
+    /// The module is through with it.
+    over: bool,
+    /// Its coroutine left without waiting for the end.
+    left: bool,
+    /// The call it stands at.
+    call: Option<(u64, Bytes)>,
+    calling: bool,
+    key: Option<Id>,
+}
+
+impl Slot {
+    fn order(&mut self, order: Order) {
+        // The module asks again for a stop until the run has ended.
+        if order != Order::Stop || !self.orders.contains(&order) {
+            self.orders.push_back(order);
+            self.waiter.unpark();
+        }
+    }
+}
+
+/// What repeats of a uniqued req are answered with.
+struct Key {
+    until: Duration,
+    /// The req that holds the key, while it is open.
+    first: Option<usize>,
+    answer: Option<Answer>,
+    joined: Vec<usize>,
+}
+
+struct Running {
+    decider: Decider,
+    /// When the module's clock stood at zero.
+    zero: Instant,
+}
+
+struct State {
+    running: Option<Running>,
+    slots: Slab<Slot>,
+    indices: HashMap<Id, usize>,
+    keys: HashMap<Id, Key>,
+    alarms: BTreeSet<Duration>,
+    signal: Option<f64>,
+    idle: Option<Duration>,
+    healthy: bool,
+    leaving: bool,
+}
+
+pub struct Gate {
+    given: Given,
+    seed: u64,
+    state: Mutex<State>,
+}
+
+impl Gate {
+    pub fn new(given: Given, seed: u64) -> Self {
+        let state = State {
+            running: None,
+            slots: Slab::new(),
+            indices: HashMap::new(),
+            keys: HashMap::new(),
+            alarms: BTreeSet::new(),
+            signal: None,
+            idle: None,
+            healthy: false,
+            leaving: false,
+        };
+        Gate { given, seed, state: Mutex::new(state) }
+    }
+
+    /// What runs reqs is up, cold or not, since that long. Only the first time counts. The module's clock starts
+    /// with a cold machine, to know how warm it is; with a warm one it starts now, as the module then learns in
+    /// its first seconds how fast the machine is.
+    pub fn start(&self, cold: bool, since: Duration) -> bool {
+        let mut state = self.state.lock();
+        if state.running.is_some() {
+            return false;
+        }
+        let given = Given { cold, ..self.given.clone() };
+        let decider = match Decider::new(&given, self.seed) {
+            Ok(decider) => decider,
+            Err(error) => {
+                log::error!("the settings were checked, but now: {error}");
+                return false;
+            }
+        };
+        let since = if cold { since } else { Duration::ZERO };
+        let zero = Instant::now().checked_sub(since).unwrap_or_else(Instant::now);
+        state.running = Some(Running { decider, zero });
+        state.decide(Event::Started);
+        true
+    }
+
+    /// Takes in a req that was read. The ticket brings its orders, the final answer among them.
+    pub fn enter(self: &Arc<Self>, incoming: Incoming) -> Result<Ticket, Unfit> {
+        let mut state = self.state.lock();
+        if state.running.is_none() {
+            return Err(Unfit::NotStarted);
+        }
+        if state.indices.contains_key(&incoming.id) {
+            return Err(Unfit::Known);
+        }
+        let now = state.now();
+        state.keys.retain(|_, key| key.until > now || !key.joined.is_empty());
+        let repeats = incoming.key.as_ref().is_some_and(|key| state.keys.contains_key(key));
+        let waiter = Arc::new(Blocker::new(true));
+        let at = state.slots.insert(Slot {
+            id: incoming.id.clone(),
+            orders: VecDeque::new(),
+            waiter: waiter.clone(),
+            answered: false,
+            gone: false,
+            over: false,
+            left: false,
+            call: None,
+            calling: false,
+            key: incoming.key,
+        });
+        state.indices.insert(incoming.id, at);
+        state.decide(Event::Arrived(Arrival {
+            req: at,
+            handler: incoming.handler,
+            tenant: incoming.tenant,
+            age: incoming.age,
+            patience: incoming.patience,
+            work: incoming.work,
+            held_kb: incoming.held_kb,
+            retry: incoming.retry,
+            repeats,
+        }));
+        Ok(Ticket { gate: self.clone(), at, waiter })
+    }
+
+    /// Tells what became of a req's run or call. What concerns no open req is no news.
+    pub fn report(&self, id: &str, report: Report) {
+        let mut state = self.state.lock();
+        if let Some(&at) = state.indices.get(id) {
+            state.report(at, report);
+        }
+    }
+
+    /// Tells the module the time, if an alarm is due.
+    pub fn tick(&self, gauges: Gauges) {
+        let mut state = self.state.lock();
+        let now = state.now();
+        if state.alarms.first().is_some_and(|&at| at <= now) {
+            state.alarms.retain(|&at| at > now);
+            state.decide(Event::Alarm { gauges });
+        }
+    }
+
+    /// How long until the next alarm is due, if one is set.
+    pub fn until_alarm(&self) -> Option<Duration> {
+        let state = self.state.lock();
+        let at = *state.alarms.first()?;
+        Some(at.saturating_sub(state.now()))
+    }
+
+    /// The notice to leave: the process is stopped after `left`.
+    pub fn leave(&self, left: Duration) {
+        let mut state = self.state.lock();
+        if !std::mem::replace(&mut state.leaving, true) && state.running.is_some() {
+            state.decide(Event::Leave { left });
+        }
+    }
+
+    /// Whether what runs reqs was up.
+    pub fn started(&self) -> bool {
+        self.state.lock().running.is_some()
+    }
+
+    /// The free value that goes with every answer.
+    pub fn signal(&self) -> Option<f64> {
+        self.state.lock().signal
+    }
+
+    /// After what time connections without use are to be closed.
+    pub fn idle(&self) -> Option<Duration> {
+        self.state.lock().idle
+    }
+
+    /// What health checks are told.
+    pub fn healthy(&self) -> bool {
+        self.state.lock().healthy
+    }
+
+    /// How many reqs are open.
+    pub fn open(&self) -> usize {
+        self.state.lock().slots.len()
+    }
+}
+
+impl State {
+    fn now(&self) -> Duration {
+        self.running.as_ref().map_or(Duration::ZERO, |running| running.zero.elapsed())
+    }
+
+    fn report(&mut self, at: usize, report: Report) {
+        let Some(slot) = self.slots.get_mut(at).filter(|slot| !slot.over) else {
+            return;
+        };
+        let event = match report {
+            Report::Gone => {
+                slot.gone = true;
+                Event::Gone { req: at }
+            }
+            Report::AtCall { call, body } => {
+                slot.call = Some((call, body));
+                slot.calling = false;
+                Event::AtCall { req: at }
+            }
+            Report::CallEnded { outcome, reply } => {
+                // A reply that crosses the end of its call is no news.
+                if !std::mem::replace(&mut slot.calling, false) {
+                    return;
+                }
+                if outcome == Outcome::Done {
+                    slot.call = None;
+                    slot.order(Order::GoOn { reply });
+                }
+                Event::CallEnded { req: at, outcome }
+            }
+            Report::Ended { outcome, result } => {
+                let answer = match outcome {
+                    Outcome::Done => Some(Answer::Done(result)),
+                    Outcome::Errored => Some(Answer::Errored),
+                    _ => None,
+                };
+                if let Some(answer) = answer.clone() {
+                    self.answer(at, answer);
+                }
+                self.settle(at, answer.unwrap_or(Answer::Errored));
+                Event::Ended { req: at, outcome }
+            }
+        };
+        self.decide(event);
+    }
+
+    /// Orders a final answer, unless the req has one.
+    fn answer(&mut self, at: usize, answer: Answer) {
+        let slot = &mut self.slots[at];
+        if !std::mem::replace(&mut slot.answered, true) && !slot.gone {
+            slot.order(Order::Answer(answer));
+        }
+    }
+
+    /// The run of a req that holds a key is over: those that joined it are answered alike.
+    fn settle(&mut self, at: usize, answer: Answer) {
+        let key = self.slots[at].key.clone().and_then(|key| self.keys.get_mut(&key));
+        if let Some(key) = key.filter(|key| key.first == Some(at)) {
+            key.first = None;
+            key.answer = Some(answer);
+        }
+    }
+
+    /// Lets the module decide on what happened, and on what its actions bring about in turn.
+    fn decide(&mut self, event: Event) {
+        let mut events = vec![event];
+        while !events.is_empty() {
+            let now = self.now();
+            let Some(running) = self.running.as_mut() else {
+                return;
+            };
+            let actions = running.decider.decide(now, &std::mem::take(&mut events));
+            for action in actions {
+                self.apply(action, now);
+            }
+            self.joins(&mut events);
+        }
+    }
+
+    fn apply(&mut self, action: Action, now: Duration) {
+        match action {
+            Action::Run { req } => self.slots[req].order(Order::Run),
+            Action::Shed { req, wait, elsewhere } => {
+                must!(!self.slots[req].answered, "a req is answered once");
+                self.answer(req, Answer::Shed { wait, elsewhere });
+            }
+            Action::Fail { req } => {
+                must!(!self.slots[req].answered, "a req is answered once");
+                self.answer(req, Answer::Errored);
+            }
+            Action::Stop { req } => self.slots[req].order(Order::Stop),
+            Action::Join { req } => {
+                let key = self.slots[req].key.clone().and_then(|key| self.keys.get_mut(&key));
+                must!(key.is_some(), "what is joined has a key that is known");
+                if let Some(key) = key {
+                    key.joined.push(req);
+                }
+            }
+            Action::Remember { req, span } => {
+                if let Some(key) = self.slots[req].key.clone() {
+                    let until = now.saturating_add(span);
+                    let fresh = Key { until, first: Some(req), answer: None, joined: Vec::new() };
+                    self.keys.insert(key, fresh);
+                }
+            }
+            Action::Forget { req } => {
+                if let Some(key) = self.slots[req].key.clone().and_then(|key| self.keys.get_mut(&key)) {
+                    // Never run: those that joined it meanwhile are answered before the key goes.
+                    key.until = Duration::ZERO;
+                    key.first = None;
+                    key.answer = Some(Answer::Errored);
+                }
+            }
+            Action::Call { req, patience } => {
+                let slot = &mut self.slots[req];
+                if let Some((_, body)) = slot.call.clone() {
+                    slot.calling = true;
+                    slot.order(Order::Call { patience, body });
+                }
+            }
+            Action::SkipCall { req } => {
+                let slot = &mut self.slots[req];
+                if let Some((call, _)) = slot.call.take() {
+                    slot.order(Order::Skip { call });
+                }
+            }
+            Action::Advise { value } => self.signal = Some(value),
+            Action::CloseIdle { after } => self.idle = Some(after),
+            Action::Health { good } => self.healthy = good,
+            Action::Alarm { at } => {
+                self.alarms.insert(at);
+            }
+            Action::Over { req } => self.over(req),
+        }
+    }
+
+    fn over(&mut self, at: usize) {
+        // A run that ended with nothing for its caller, and that the module left unanswered.
+        self.answer(at, Answer::Errored);
+        self.settle(at, Answer::Errored);
+        let slot = &mut self.slots[at];
+        slot.over = true;
+        slot.order(Order::Over);
+        let left = slot.left;
+        let id = slot.id.clone();
+        self.indices.remove(&id);
+        if left {
+            self.slots.remove(at);
+        }
+    }
+
+    /// Answers those that joined a req that is over.
+    fn joins(&mut self, events: &mut Vec<Event>) {
+        let settled: Vec<(Vec<usize>, Answer)> = self
+            .keys
+            .values_mut()
+            .filter(|key| !key.joined.is_empty())
+            .filter_map(|key| key.answer.clone().map(|answer| (std::mem::take(&mut key.joined), answer)))
+            .collect();
+        for (mut joined, answer) in settled {
+            joined.sort_unstable();
+            for at in joined {
+                let open = self.slots.get(at).is_some_and(|slot| !slot.over);
+                if open {
+                    let done = matches!(answer, Answer::Done(_));
+                    let outcome = if done { Outcome::Done } else { Outcome::Errored };
+                    self.answer(at, if done { answer.clone() } else { Answer::Errored });
+                    events.push(Event::Ended { req: at, outcome });
+                }
+            }
+        }
+    }
+}
+
+/// A req's claim to its orders.
+pub struct Ticket {
+    gate: Arc<Gate>,
+    at: usize,
+    waiter: Arc<Blocker>,
+}
+
+impl Ticket {
+    /// Blocks until there is an order; `None` once `by` has passed without one.
+    pub fn pick(&self, by: Option<Instant>) -> Option<Order> {
+        loop {
+            if let Some(order) = self.gate.state.lock().slots[self.at].orders.pop_front() {
+                return Some(order);
+            }
+            let left = by.map(|by| by.saturating_duration_since(Instant::now()));
+            if left == Some(Duration::ZERO) {
+                return None;
+            }
+            // Woken or timed out: the orders and the clock tell.
+            let _ = self.waiter.park(left);
+        }
+    }
+}
+
+impl Drop for Ticket {
+    /// A coroutine that ends before its req is over leaves nobody to answer.
+    fn drop(&mut self) {
+        let mut state = self.gate.state.lock();
+        if state.slots[self.at].over {
+            state.slots.remove(self.at);
+            return;
+        }
+        state.slots[self.at].left = true;
+        state.report(self.at, Report::Gone);
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/kernel.rs
@@ -0,0 +1,324 @@
+//! The kernel, which runs reqs: one link, kept open. A link that breaks is opened again from the last notice
+//! that was read; what may have been lost on the way is then said once more, where that is safe.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use may::coroutine;
+use may::net::TcpStream;
+use may::sync::Blocker;
+use parking_lot::Mutex;
+
+use super::lines::{self, Line, line};
+use super::{Link, Out};
+use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report};
+use crate::log::Bound;
+
+const IN_MOST: usize = 256 * 1024;
+const OUT_MOST: usize = 256 * 1024;
+/// Between two tries to reach it.
+const RETRY: Duration = Duration::from_millis(50);
+/// The longest that an alarm waits for its gauges.
+const GAUGES_MOST: Duration = Duration::from_millis(20);
+
+static REMARKS: Bound = Bound::new();
+static REFUSALS: Bound = Bound::new();
+static LINKS: Bound = Bound::new();
+
+/// The last command for a run, by which it can be told what may have been lost.
+#[derive(Clone, Copy, PartialEq)]
+enum Said {
+    Start,
+    Skip(u64),
+    /// A reply, with its place among all commands.
+    Reply(u64),
+}
+
+struct Run {
+    class: Id,
+    body: Bytes,
+    said: Said,
+}
+
+struct Ask {
+    waiter: Arc<Blocker>,
+    /// Commands said before it: its answer shows that they arrived.
+    after: u64,
+    reply: Option<Reply>,
+}
+
+enum Reply {
+    Gauges(Gauges),
+    Worked(bool),
+}
+
+#[derive(Default)]
+struct State {
+    /// The link, from the moment that all missed notices were read.
+    out: Option<Arc<Out>>,
+    last_notice: u64,
+    runs: HashMap<Id, Run>,
+    asks: HashMap<u64, Ask>,
+    tags: u64,
+    commands: u64,
+    /// So many commands are known to have arrived.
+    arrived: u64,
+}
+
+pub struct Kernel {
+    address: SocketAddr,
+    gate: Arc<Gate>,
+    gauges: Vec<String>,
+    state: Mutex<State>,
+}
+
+impl Kernel {
+    pub fn new(address: SocketAddr, gate: Arc<Gate>, gauges: Vec<String>) -> Arc<Self> {
+        Arc::new(Kernel { address, gate, gauges, state: Mutex::new(State::default()) })
+    }
+
+    /// Runs a req.
+    pub fn start(&self, id: &Id, class: &Id, body: &Bytes) {
+        let run = Run { class: class.clone(), body: body.clone(), said: Said::Start };
+        self.state.lock().runs.insert(id.clone(), run);
+        self.say(&[line(format_args!("SCHED {id} {class} {}", body.len())).as_bytes(), body, b"\r\n"]);
+    }
+
+    pub fn stop(&self, id: &Id) {
+        self.say(&[line(format_args!("PREEMPT {id}")).as_bytes()]);
+    }
+
+    /// Hands a run the reply to its call.
+    pub fn reply(&self, id: &Id, reply: &Bytes) {
+        {
+            let mut state = self.state.lock();
+            let place = state.commands + 1;
+            if let Some(run) = state.runs.get_mut(id) {
+                run.said = Said::Reply(place);
+            }
+        }
+        self.say(&[line(format_args!("IODONE {id} {}", reply.len())).as_bytes(), reply, b"\r\n"]);
+    }
+
+    /// Lets a run go on without the call of that notice.
+    pub fn skip(&self, id: &Id, notice: u64) {
+        if let Some(run) = self.state.lock().runs.get_mut(id) {
+            run.said = Said::Skip(notice);
+        }
+        self.say(&[line(format_args!("NOIO {id} {notice}")).as_bytes()]);
+    }
+
+    /// The gauges now; none where the kernel does not answer soon.
+    pub fn gauges(&self) -> Gauges {
+        match self.ask("SYSINFO", GAUGES_MOST) {
+            Some(Reply::Gauges(gauges)) => gauges,
+            _ => Gauges::default(),
+        }
+    }
+
+    /// Whether work gets done, within that time.
+    pub fn works(&self, within: Duration) -> bool {
+        matches!(self.ask("POST", within), Some(Reply::Worked(true)))
+    }
+
+    /// Says a command; without a link it is dropped, and said again where need be once there is one.
+    fn say(&self, parts: &[&[u8]]) {
+        let out = {
+            let mut state = self.state.lock();
+            state.commands += 1;
+            state.out.clone()
+        };
+        if let Some(out) = out {
+            out.push(parts);
+        }
+    }
+
+    fn ask(&self, command: &str, within: Duration) -> Option<Reply> {
+        let waiter = Arc::new(Blocker::new(true));
+        let (tag, out) = {
+            let mut state = self.state.lock();
+            let out = state.out.clone()?;
+            (state.ask(waiter.clone()), out)
+        };
+        out.push(&[line(format_args!("{command} {tag}")).as_bytes()]);
+        let until = Instant::now() + within;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let mut state = self.state.lock();
+            if left.is_zero() || state.asks.get(&tag).is_none_or(|ask| ask.reply.is_some()) {
+                return state.asks.remove(&tag).and_then(|ask| ask.reply);
+            }
+            drop(state);
+            let _ = waiter.park(Some(left));
+        }
+    }
+
+    /// Keeps the link open for good.
+    pub fn run(self: Arc<Self>) {
+        loop {
+            let end = TcpStream::connect(self.address)
+                .and_then(|stream| self.carry(&mut Link::new(stream, IN_MOST, OUT_MOST)));
+            self.state.lock().out = None;
+            if let (Err(error), Some(count)) = (end, LINKS.pass()) {
+                log::warn!("kernel link: {error} ({count} so far)");
+            }
+            coroutine::sleep(RETRY);
+        }
+    }
+
+    fn carry(&self, link: &mut Link) -> io::Result<()> {
+        let (last, barrier) = {
+            let mut state = self.state.lock();
+            let waiter = Arc::new(Blocker::new(true));
+            (state.last_notice, state.ask(waiter))
+        };
+        let open = format!("OPEN {last}\r\n");
+        link.out.push(&[open.as_bytes()]);
+        loop {
+            link.flush()?;
+            while link.fill()? {
+                loop {
+                    let next = lines::next(link.input.whole(), |words| matches!(words[0], "REAP" | "IOREQ"));
+                    let next = next.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+                    let Some(line) = next else { break };
+                    let used = line.used;
+                    self.hear(&line, barrier, &link.out)?;
+                    link.input.consume(used);
+                }
+            }
+            if link.at_end {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            link.flush()?;
+            link.wait();
+        }
+    }
+
+    /// Takes one line.
+    fn hear(&self, heard: &Line, barrier: u64, out: &Arc<Out>) -> io::Result<()> {
+        let wrong = || io::Error::new(io::ErrorKind::InvalidData, format!("no notice: {:?}", heard.words));
+        let number = |word: &str| word.parse::<u64>().map_err(|_| wrong());
+        let body = || Bytes::from(heard.body);
+        match heard.words[..] {
+            ["BOOTED", state, since] => {
+                let since = since.parse().ok().and_then(|ms: f64| Duration::try_from_secs_f64(ms / 1e3).ok());
+                let since = since.ok_or_else(wrong)?;
+                if self.gate.start(state == "booting", since) {
+                    log::info!("kernel up: {state} since {} ms", since.as_millis());
+                }
+                // Its answer comes behind all missed notices.
+                out.push(&[line(format_args!("SYSINFO {barrier}")).as_bytes()]);
+            }
+            ["REAP", notice, id, end, _, _] => {
+                if self.fresh(number(notice)?) {
+                    let outcome = match end {
+                        "success" => Outcome::Done,
+                        "failure" => Outcome::Errored,
+                        "interrupted" => Outcome::Stopped,
+                        "nothing" => Outcome::Void,
+                        _ => return Err(wrong()),
+                    };
+                    self.state.lock().runs.remove(id);
+                    self.gate.report(id, Report::Ended { outcome, result: body() });
+                }
+            }
+            ["IOREQ", notice, id, _] => {
+                let call = number(notice)?;
+                if self.fresh(call) {
+                    self.gate.report(id, Report::AtCall { call, body: body() });
+                }
+            }
+            ["INFO", tag, ref values @ ..] => {
+                let mut gauges = Gauges::default();
+                for (name, value) in self.gauges.iter().zip(values) {
+                    if let Some(slot) = tulipgap_settings::gauge(&mut gauges, name) {
+                        *slot = value.parse().ok().filter(|value: &f64| value.is_finite());
+                    }
+                }
+                let tag = number(tag)?;
+                self.answered(tag, Reply::Gauges(gauges));
+                if tag == barrier {
+                    self.state.lock().asks.remove(&tag);
+                    self.resume(out);
+                }
+            }
+            ["POSTED", tag, end] => self.answered(number(tag)?, Reply::Worked(end == "success")),
+            ["EINVAL", command, ref rest @ ..] => {
+                if let Some(count) = REFUSALS.pass() {
+                    log::warn!("the kernel did not carry out {command} {} ({count} so far)", rest.join(" "));
+                }
+                if let ("SCHED", [id, ..]) = (command, rest) {
+                    self.state.lock().runs.remove(*id);
+                    self.gate
+                        .report(id, Report::Ended { outcome: Outcome::Errored, result: Bytes::default() });
+                }
+            }
+            ["DMESG", notice, ref text @ ..] => {
+                if self.fresh(number(notice)?)
+                    && let Some(count) = REMARKS.pass()
+                {
+                    log::info!("the kernel remarks: {} ({count} so far)", text.join(" "));
+                }
+            }
+            _ => return Err(wrong()),
+        }
+        Ok(())
+    }
+
+    /// Whether a notice was not read before.
+    fn fresh(&self, notice: u64) -> bool {
+        let mut state = self.state.lock();
+        let fresh = notice > state.last_notice;
+        state.last_notice = state.last_notice.max(notice);
+        fresh
+    }
+
+    fn answered(&self, tag: u64, reply: Reply) {
+        let mut state = self.state.lock();
+        if let Some(ask) = state.asks.get_mut(&tag) {
+            ask.reply = Some(reply);
+            ask.waiter.unpark();
+            let after = ask.after;
+            state.arrived = state.arrived.max(after);
+        }
+    }
+
+    /// All missed notices were read. To start a run that runs already does nothing, and a skip names its call,
+    /// so both may be said again. A reply may not: it could meet the next call of its run. A run whose reply
+    /// may be lost is stopped instead.
+    fn resume(&self, out: &Arc<Out>) {
+        let mut again = String::new();
+        let mut starts = Vec::new();
+        {
+            let mut state = self.state.lock();
+            state.out = Some(out.clone());
+            let arrived = state.arrived;
+            for (id, run) in &state.runs {
+                match run.said {
+                    Said::Start => starts.push((id.clone(), run.class.clone(), run.body.clone())),
+                    Said::Skip(notice) => again.push_str(&line(format_args!("NOIO {id} {notice}"))),
+                    Said::Reply(place) if place > arrived => {
+                        again.push_str(&line(format_args!("PREEMPT {id}")));
+                    }
+                    Said::Reply(_) => {}
+                }
+            }
+        }
+        for (id, class, body) in starts {
+            let head = line(format_args!("SCHED {id} {class} {}", body.len()));
+            out.push(&[head.as_bytes(), &body, b"\r\n"]);
+        }
+        out.push(&[again.as_bytes()]);
+    }
+}
+
+impl State {
+    fn ask(&mut self, waiter: Arc<Blocker>) -> u64 {
+        self.tags += 1;
+        self.asks.insert(self.tags, Ask { waiter, after: self.commands, reply: None });
+        self.tags
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/mod.rs
@@ -0,0 +1,133 @@
+//! What is spoken on sockets, by peer. Here: a connection with its two ring buffers, as all peers use it.
+
+pub mod clients;
+pub mod kernel;
+pub mod lines;
+pub mod list;
+pub mod ring;
+pub mod store;
+pub mod thrift;
+
+use std::io;
+use std::net::Shutdown;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use may::coroutine;
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+use parking_lot::Mutex;
+
+use ring::Ring;
+
+/// How long a coroutine that finds a full ring leaves it to drain.
+const FULL_PAUSE: Duration = Duration::from_millis(5);
+
+/// Starts a coroutine.
+pub fn spawn(body: impl FnOnce() + Send + 'static) {
+    // Safe where the body uses no thread-local storage across a switch and keeps to its stack, as all of
+    // ours do: buffers are on the heap, and nothing recurses but the bounded skipping of unknown fields.
+    drop(unsafe { coroutine::spawn(body) });
+}
+
+/// The way out of a connection. Any coroutine may add to it; the connection's own one moves the bytes, so what
+/// is added at one time goes out in one call.
+pub struct Out {
+    ring: Mutex<Ring>,
+    waker: WaitIoWaker,
+    ended: AtomicBool,
+}
+
+impl Out {
+    /// Adds all parts, waiting while there is no room; false once the connection has ended.
+    pub fn push(&self, parts: &[&[u8]]) -> bool {
+        loop {
+            if self.ended.load(Ordering::Acquire) {
+                return false;
+            }
+            if self.ring.lock().push(parts) {
+                self.waker.wakeup();
+                return true;
+            }
+            coroutine::sleep(FULL_PAUSE);
+        }
+    }
+
+    /// Lets the connection's own coroutine look around.
+    pub fn wake(&self) {
+        self.waker.wakeup();
+    }
+
+    pub fn len(&self) -> usize {
+        self.ring.lock().len()
+    }
+}
+
+/// A connection, in the hands of its own coroutine.
+pub struct Link {
+    stream: TcpStream,
+    pub out: Arc<Out>,
+    pub input: Ring,
+    /// The peer has sent all that it will.
+    pub at_end: bool,
+}
+
+impl Link {
+    pub fn new(stream: TcpStream, in_most: usize, out_most: usize) -> Self {
+        // A socket that does not take this works all the same, slower.
+        let _ = stream.set_nodelay(true);
+        let out = Out {
+            ring: Mutex::new(Ring::new(out_most)),
+            waker: stream.waker(),
+            ended: AtomicBool::new(false),
+        };
+        Link { stream, out: Arc::new(out), input: Ring::new(in_most), at_end: false }
+    }
+
+    /// Writes what there is to write, as far as the peer takes it.
+    pub fn flush(&mut self) -> io::Result<()> {
+        let mut ring = self.out.ring.lock();
+        while ring.len() > 0 {
+            match ring.drain(&mut self.stream.inner()) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads once; yields whether there may be more to read at once.
+    pub fn fill(&mut self) -> io::Result<bool> {
+        if self.at_end {
+            return Ok(false);
+        }
+        match self.input.fill(&mut self.stream.inner()) {
+            Ok(None) => Ok(true),
+            Ok(Some(0)) => {
+                self.at_end = true;
+                Ok(false)
+            }
+            Ok(Some(_)) => Ok(true),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(true),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Blocks until the socket is ready for something new or somebody wakes this.
+    pub fn wait(&self) {
+        self.stream.wait_io();
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.out.ended.store(true, Ordering::Release);
+        // Ended already, mostly.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/store.rs
@@ -0,0 +1,197 @@
+//! The store, which runs call: two lanes, one connection each at the most, opened when needed. A further call
+//! for a req takes the other lane, so that a late reply to the one before can't be taken for its own.
+
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use may::net::TcpStream;
+use parking_lot::Mutex;
+
+use super::lines::{self, Line, line};
+use super::{Link, Out, spawn};
+use crate::gate::{Bytes, Gate, Id, Outcome, Report};
+use crate::log::Bound;
+
+const IN_MOST: usize = 256 * 1024;
+const OUT_MOST: usize = 256 * 1024;
+/// The store closes what stands idle for 10 s; a connection is left before, so that no call meets that.
+const IDLE: Duration = Duration::from_secs(7);
+
+static ENDS: Bound = Bound::new();
+
+#[derive(Default)]
+struct Lane {
+    out: Option<Arc<Out>>,
+    connecting: bool,
+    /// Calls that wait for the connection.
+    waiting: HashMap<Id, Vec<u8>>,
+    /// Calls that were written.
+    open: HashSet<Id>,
+    used: Option<Instant>,
+    leaving: bool,
+}
+
+pub struct Store {
+    address: Option<SocketAddr>,
+    gate: Arc<Gate>,
+    lanes: [Mutex<Lane>; 2],
+}
+
+impl Store {
+    pub fn new(address: Option<SocketAddr>, gate: Arc<Gate>) -> Arc<Self> {
+        Arc::new(Store { address, gate, lanes: Default::default() })
+    }
+
+    /// Makes a req's call of that number; its end is reported to the gate.
+    pub fn call(self: &Arc<Self>, id: &Id, number: usize, patience: Duration, body: &Bytes) {
+        let Some(address) = self.address else {
+            return self.ended(id, Outcome::Unreachable);
+        };
+        let head = line(format_args!("CALL {id} {} {}", patience.as_millis().max(1), body.len()));
+        let bytes = [head.as_bytes(), body, b"\r\n"].concat();
+        let at = number % 2;
+        let mut lane = self.lanes[at].lock();
+        lane.used = Some(Instant::now());
+        if let Some(out) = lane.out.clone() {
+            lane.open.insert(id.clone());
+            drop(lane);
+            if !out.push(&[&bytes]) && self.lanes[at].lock().open.remove(id) {
+                self.ended(id, Outcome::Broken);
+            }
+            return;
+        }
+        lane.waiting.insert(id.clone(), bytes);
+        if !std::mem::replace(&mut lane.connecting, true) {
+            let store = self.clone();
+            spawn(move || store.run(address, at));
+        }
+    }
+
+    /// Gives a req's call of that number up, and tells what is known of it then.
+    pub fn give_up(&self, id: &Id, number: usize) -> Outcome {
+        let mut lane = self.lanes[number % 2].lock();
+        if lane.waiting.remove(id).is_some() {
+            return Outcome::Unreachable;
+        }
+        let out = lane.out.clone();
+        if lane.open.remove(id)
+            && let Some(out) = out
+        {
+            drop(lane);
+            out.push(&[line(format_args!("DROP {id}")).as_bytes()]);
+        }
+        Outcome::TimedOut
+    }
+
+    /// Leaves connections that stand idle.
+    pub fn sweep(&self) {
+        for lane in &self.lanes {
+            let mut lane = lane.lock();
+            let idle = lane.used.is_some_and(|used| used.elapsed() > IDLE) && lane.open.is_empty();
+            if idle && let Some(out) = lane.out.take() {
+                lane.leaving = true;
+                out.wake();
+            }
+        }
+    }
+
+    fn ended(&self, id: &str, outcome: Outcome) {
+        self.gate.report(id, Report::CallEnded { outcome, reply: Bytes::default() });
+    }
+
+    /// A lane's connection, from its opening to its end.
+    fn run(&self, address: SocketAddr, at: usize) {
+        let stream = TcpStream::connect(address);
+        let mut lane = self.lanes[at].lock();
+        lane.connecting = false;
+        let waiting = std::mem::take(&mut lane.waiting);
+        let mut link = match stream {
+            Ok(stream) => Link::new(stream, IN_MOST, OUT_MOST),
+            Err(error) => {
+                drop(lane);
+                self.tell(&error);
+                for id in waiting.keys() {
+                    self.ended(id, Outcome::Unreachable);
+                }
+                return;
+            }
+        };
+        lane.out = Some(link.out.clone());
+        lane.leaving = false;
+        lane.open.extend(waiting.keys().cloned());
+        drop(lane);
+        for bytes in waiting.values() {
+            link.out.push(&[bytes]);
+        }
+        let end = self.carry(&mut link, at);
+        let mut lane = self.lanes[at].lock();
+        // Left on purpose, its place may be another's already.
+        if !lane.leaving || lane.out.as_ref().is_some_and(|out| Arc::ptr_eq(out, &link.out)) {
+            lane.out = None;
+            let open = std::mem::take(&mut lane.open);
+            drop(lane);
+            drop(link);
+            for id in open {
+                self.ended(&id, Outcome::Broken);
+            }
+        }
+        if let Err(error) = end {
+            self.tell(&error);
+        }
+    }
+
+    fn tell(&self, error: &io::Error) {
+        if let Some(count) = ENDS.pass() {
+            log::warn!("store: {error} ({count} so far)");
+        }
+    }
+
+    fn carry(&self, link: &mut Link, at: usize) -> io::Result<()> {
+        loop {
+            link.flush()?;
+            while link.fill()? {
+                loop {
+                    let next = lines::next(link.input.whole(), |words| words.get(1) == Some(&"OK"));
+                    let next = next.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+                    let Some(line) = next else { break };
+                    let used = line.used;
+                    self.hear(&line, at)?;
+                    link.input.consume(used);
+                }
+            }
+            if link.at_end {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            if self.lanes[at].lock().leaving {
+                return Ok(());
+            }
+            link.wait();
+        }
+    }
+
+    fn hear(&self, heard: &Line, at: usize) -> io::Result<()> {
+        let (id, outcome) = match heard.words[..] {
+            [id, "OK", _] => (id, Outcome::Done),
+            [id, "BUSY" | "VOID"] => (id, Outcome::Full),
+            [id, "ERR"] => (id, Outcome::Errored),
+            [id, "LATE"] => (id, Outcome::TimedOut),
+            _ => {
+                return Err(io::Error::new(
+                    io::ErrorKind::InvalidData,
+                    format!("no reply: {:?}", heard.words),
+                ));
+            }
+        };
+        let mut lane = self.lanes[at].lock();
+        lane.used = Some(Instant::now());
+        let ours = lane.open.remove(id);
+        drop(lane);
+        if ours {
+            self.gate.report(id, Report::CallEnded { outcome, reply: Bytes::from(heard.body) });
+        }
+        Ok(())
+    }
+}
--- a/crates/simhost/src/facts.rs
+++ b/crates/settings/src/lib.rs
@@ -1,11 +1,11 @@
-//! The wire's start-up parameters and what they are called by the module.
+//! The settings that a server is told at its start, as JSON, and what the module calls them. Both hosts read
+//! them here.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use serde::Deserialize;
-use tulipgap::{Advice, Below, Effect, Given, Halting, Handler, Tenant};
-
-use crate::wire::{millis, share};
+use tulipgap::{Advice, Below, Effect, Gauges, Given, Halting, Handler, Tenant};
 
 #[derive(Deserialize)]
 struct Class {
@@ -75,6 +75,8 @@
     mem_limit_kb: f64,
     say: WireSay,
     #[serde(default)]
+    own_stats: Vec<String>,
+    #[serde(default)]
     share_span: f64,
     #[serde(default)]
     stays_for: f64,
@@ -104,8 +106,9 @@
     allowance_per_s: f64,
 }
 
+/// The settings as they are written.
 #[derive(Deserialize)]
-struct Facts {
+pub struct Facts {
     classes: Vec<Class>,
     family_info: FamilyInfo,
     limits: Limits,
@@ -116,20 +119,46 @@
     tenants: Vec<WireTenant>,
 }
 
-/// The names that the wire uses for handlers and tenants, to their indices.
+/// The names of handlers and tenants, to their indices, and those of the gauges in their order.
 #[derive(Default)]
 pub struct Names {
     pub handlers: HashMap<String, usize>,
     pub tenants: HashMap<String, usize>,
+    pub gauges: Vec<String>,
+}
+
+/// A time given in milliseconds.
+pub fn millis(name: &str, value: f64) -> Result<Duration, String> {
+    Duration::try_from_secs_f64(value / 1e3).map_err(|_| format!("{name}: {value} is no time"))
+}
+
+/// A figure from 0 to 1.
+fn share(name: &str, value: f64) -> Result<f64, String> {
+    if (0.0..=1.0).contains(&value) { Ok(value) } else { Err(format!("{name}: {value} is not from 0 to 1")) }
 }
 
-/// Reads the JSON text of `facts`; says what is wrong with it otherwise.
+/// The gauge of that name, if the module reads it.
+pub fn gauge<'a>(gauges: &'a mut Gauges, name: &str) -> Option<&'a mut Option<f64>> {
+    match name {
+        "core_use" => Some(&mut gauges.cores_busy),
+        "on_cores" => Some(&mut gauges.on_cores),
+        "links" => Some(&mut gauges.links),
+        _ => None,
+    }
+}
+
+/// Reads the JSON text of the settings; says what is wrong with it otherwise.
 pub fn read(text: &str) -> Result<(Given, Names), String> {
-    let facts: Facts = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    understand(&serde_json::from_str(text).map_err(|error| error.to_string())?)
+}
+
+/// Turns the settings into what the module is given.
+pub fn understand(facts: &Facts) -> Result<(Given, Names), String> {
     let info = &facts.family_info;
     let names = Names {
         handlers: facts.classes.iter().enumerate().map(|(at, class)| (class.name.clone(), at)).collect(),
         tenants: facts.tenants.iter().enumerate().map(|(at, tenant)| (tenant.name.clone(), at)).collect(),
+        gauges: info.own_stats.clone(),
     };
     for (name, length) in
         [("class_calls", info.class_calls.len()), ("class_skip_worth", info.class_skip_worth.len())]
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -3,7 +3,6 @@
 //! Reads batches on standard input, answers on standard output. Input it cannot read ends it with one line on
 //! standard error and exit code 2; end of input ends it with 0.
 
-mod facts;
 mod wire;
 
 use std::io::{self, BufRead, BufWriter, Write};
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -6,8 +6,7 @@
 
 use slab::Slab;
 use tulipgap::{Action, Arrival, Decider, Event, Gauges, Outcome};
-
-use crate::facts::{self, Names};
+use tulipgap_settings::{self as settings, Names, millis};
 
 /// Input that cannot be read.
 #[derive(Debug, thiserror::Error)]
@@ -24,21 +23,11 @@
     }
 }
 
-/// A time given in milliseconds.
-pub fn millis(name: &str, value: f64) -> Result<Duration, String> {
-    Duration::try_from_secs_f64(value / 1e3).map_err(|_| format!("{name}: {value} is no time"))
-}
-
 /// A time in the wire's milliseconds.
 fn as_millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1e3
 }
 
-/// A figure from 0 to 1.
-pub fn share(name: &str, value: f64) -> Result<f64, String> {
-    if (0.0..=1.0).contains(&value) { Ok(value) } else { Err(format!("{name}: {value} is not from 0 to 1")) }
-}
-
 /// The name=value pairs of one line.
 struct Fields<'a> {
     line: usize,
@@ -128,11 +117,8 @@
             let Some((name, value)) = pair.split_once(':') else {
                 return Err(self.error("feedback", format!("'{pair}' is no name:value pair")));
             };
-            let slot = match name {
-                "core_use" => &mut gauges.cores_busy,
-                "on_cores" => &mut gauges.on_cores,
-                "links" => &mut gauges.links,
-                _ => continue,
+            let Some(slot) = settings::gauge(&mut gauges, name) else {
+                continue;
             };
             match value.parse::<f64>() {
                 Ok(number) if number.is_finite() => *slot = Some(number),
@@ -157,7 +143,7 @@
     fn spawn(fields: &Fields, now: f64) -> Result<Self, WireError> {
         let seed = fields.whole("prng")?;
         let text = fields.text("facts")?;
-        let (given, names) = facts::read(text).map_err(|problem| fields.error("facts", problem))?;
+        let (given, names) = settings::read(text).map_err(|problem| fields.error("facts", problem))?;
         let decider =
             Decider::new(&given, seed).map_err(|problem| fields.error("facts", problem.to_string()))?;
         let (ids, indices) = (Slab::new(), HashMap::new());
