--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -99,6 +99,8 @@
     /// Its final answer was ordered.
     answered: bool,
     gone: bool,
+    /// A run of it was ordered.
+    running: bool,
     /// The module is through with it.
     over: bool,
     /// Its coroutine left without waiting for the end.
@@ -210,6 +212,7 @@
             waiter: waiter.clone(),
             answered: false,
             gone: false,
+            running: false,
             over: false,
             left: false,
             call: None,
@@ -299,11 +302,17 @@
         let Some(slot) = self.slots.get_mut(at).filter(|slot| !slot.over) else {
             return;
         };
+        // Nothing can become of what was never started.
+        if !slot.running && !matches!(report, Report::Gone) {
+            return;
+        }
         let event = match report {
             Report::Gone => {
                 slot.gone = true;
                 Event::Gone { req: at }
             }
+            // It stands at one call at a time.
+            Report::AtCall { .. } if slot.call.is_some() => return,
             Report::AtCall { call, body } => {
                 slot.call = Some((call, body));
                 slot.calling = false;
@@ -371,7 +380,10 @@
 
     fn apply(&mut self, action: Action, now: Duration) {
         match action {
-            Action::Run { req } => self.slots[req].order(Order::Run),
+            Action::Run { req } => {
+                self.slots[req].running = true;
+                self.slots[req].order(Order::Run);
+            }
             Action::Shed { req, wait, elsewhere } => {
                 must!(!self.slots[req].answered, "a req is answered once");
                 self.answer(req, Answer::Shed { wait, elsewhere });
@@ -500,3 +512,6 @@
         state.report(self.at, Report::Gone);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/server/src/gate/tests.rs
@@ -0,0 +1,337 @@
+//! The gate and the module behind it, against a plain model of the rules: whatever peers report, and in
+//! whatever order, each req gets one answer, and no effect happens twice.
+
+use std::collections::HashMap;
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use tulipgap::{Advice, Below, Effect, Halting, Handler, Tenant};
+
+use super::*;
+
+fn ms(span: u64) -> Duration {
+    Duration::from_millis(span)
+}
+
+const EFFECTS: [Effect; 3] = [Effect::Replayable, Effect::Uniqued, Effect::NonReplayable];
+const WINDOW: u64 = 2000;
+const TIMEOUT: u64 = 3000;
+
+fn given() -> Given {
+    let handler = |effect| Handler {
+        response_target: ms(1000),
+        target_stretch: 0.0,
+        client_timeout: ms(TIMEOUT),
+        value: 1.0,
+        effect,
+        repeat_window: ms(WINDOW),
+        calls_below: true,
+        skip_value: if effect == Effect::Replayable { 0.5 } else { 0.0 },
+    };
+    Given {
+        handlers: EFFECTS.map(handler).into(),
+        tenants: vec![Tenant { allowance_per_s: 5.0 }],
+        over_share_value: 0.1,
+        cores: 2,
+        memory_kb: 2000.0,
+        run_factor: 4.0,
+        key_kb: 20.0,
+        cold: false,
+        cold_speed: 0.25,
+        warm_up: ms(10_000),
+        crowd_limit: 4.0,
+        crowd_span: ms(2000),
+        answer_slack: ms(60),
+        drain_grace: ms(1000),
+        below: Below::Shared { share: 2.0, span: ms(5000), linger: ms(200) },
+        halting: Halting::Drops,
+        advice: Advice::Weight,
+        max_wait: Some(ms(1000)),
+        callers: 3,
+        idle_link: ms(15_000),
+    }
+}
+
+fn gate() -> Arc<Gate> {
+    let gate = Arc::new(Gate::new(given(), 7));
+    assert!(gate.start(false, Duration::ZERO));
+    gate
+}
+
+impl Gate {
+    /// Lets time pass, without waiting for it.
+    fn pass(&self, span: Duration) {
+        let mut state = self.state.lock();
+        let running = state.running.as_mut().unwrap();
+        running.zero = running.zero.checked_sub(span).expect("the machine is up for long enough");
+        drop(state);
+        self.tick(Gauges::default());
+    }
+}
+
+fn incoming(id: &str, handler: usize, key: Option<&str>) -> Incoming {
+    Incoming {
+        id: id.into(),
+        handler,
+        tenant: Some(0),
+        age: ms(1),
+        patience: None,
+        work: Some(ms(50)),
+        held_kb: 10.0,
+        retry: false,
+        key: key.map(Id::from),
+    }
+}
+
+fn bytes(text: &str) -> Bytes {
+    text.as_bytes().into()
+}
+
+/// The next order, if there is one now.
+fn now(ticket: &Ticket) -> Option<Order> {
+    ticket.pick(Some(Instant::now()))
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Enter {
+        handler: usize,
+        key: usize,
+    },
+    /// Something is reported of one of the reqs, fitting or not.
+    Report {
+        of: usize,
+        what: usize,
+    },
+    Pass {
+        span: u64,
+    },
+    Pick {
+        of: usize,
+    },
+    Leave,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let index = |g: &mut Gen| usize::arbitrary(g) % 1000;
+        match u8::arbitrary(g) % 32 {
+            0..12 => Step::Enter { handler: index(g) % 3, key: index(g) % 4 },
+            12..22 => Step::Report { of: index(g), what: index(g) },
+            22..26 => Step::Pass { span: u64::arbitrary(g) % 400 },
+            26..31 => Step::Pick { of: index(g) },
+            _ => Step::Leave,
+        }
+    }
+}
+
+/// A req as the model sees it.
+struct Seen {
+    ticket: Ticket,
+    id: String,
+    effect: Effect,
+    key: Option<String>,
+    entered: Duration,
+    answer: Option<Answer>,
+    runs: u32,
+    call: Option<u64>,
+    calls: u64,
+    over: bool,
+}
+
+#[derive(Default)]
+struct Model {
+    seen: Vec<Seen>,
+    now: Duration,
+    /// By key, when the req that ran last with it came.
+    ran: HashMap<String, Duration>,
+}
+
+impl Model {
+    fn enter(&mut self, gate: &Arc<Gate>, handler: usize, key: usize) {
+        let id = format!("r{}", self.seen.len());
+        let key = (EFFECTS[handler] == Effect::Uniqued).then(|| format!("k{key}"));
+        let ticket = gate.enter(incoming(&id, handler, key.as_deref())).expect("its id is new");
+        self.seen.push(Seen {
+            ticket,
+            id,
+            effect: EFFECTS[handler],
+            key,
+            entered: self.now,
+            answer: None,
+            runs: 0,
+            call: None,
+            calls: 0,
+            over: false,
+        });
+    }
+
+    fn report(&mut self, gate: &Gate, of: usize, what: usize) {
+        const OUTCOMES: [Outcome; 8] = [
+            Outcome::Done,
+            Outcome::Errored,
+            Outcome::Full,
+            Outcome::TimedOut,
+            Outcome::Unreachable,
+            Outcome::Broken,
+            Outcome::Stopped,
+            Outcome::Void,
+        ];
+        let count = self.seen.len();
+        let Some(seen) = self.seen.get_mut(of % count.max(1)) else {
+            return;
+        };
+        let outcome = OUTCOMES[what % 8];
+        let report = match what % 3 {
+            0 => Report::Ended { outcome, result: bytes(&seen.id) },
+            1 => Report::CallEnded { outcome, reply: bytes("reply") },
+            _ => {
+                seen.calls += 1;
+                Report::AtCall { call: seen.calls, body: bytes("body") }
+            }
+        };
+        gate.report(&seen.id, report);
+    }
+
+    /// Takes one order of a req and holds it against the rules.
+    fn pick(&mut self, of: usize) -> bool {
+        let count = self.seen.len();
+        let Some(seen) = self.seen.get_mut(of % count.max(1)) else {
+            return false;
+        };
+        let Some(order) = now(&seen.ticket) else {
+            return false;
+        };
+        assert!(!seen.over, "an order after the end");
+        match order {
+            Order::Run => {
+                seen.runs += 1;
+                assert_eq!(seen.runs, 1, "run once");
+                if let Some(key) = &seen.key {
+                    let last = self.ran.insert(key.clone(), seen.entered);
+                    assert!(last.is_none_or(|last| seen.entered >= last + ms(WINDOW)), "once in its window");
+                }
+            }
+            Order::Answer(answer) => {
+                assert_eq!(seen.answer, None, "answered once");
+                let shed = matches!(answer, Answer::Shed { .. });
+                assert!(!shed || seen.runs == 0 || seen.effect == Effect::Replayable, "shed after a run");
+                seen.answer = Some(answer);
+            }
+            Order::Call { body, .. } => assert_eq!(body, bytes("body")),
+            Order::Skip { call } => {
+                assert!(seen.effect == Effect::Replayable && call <= seen.calls);
+                seen.call = None;
+            }
+            Order::GoOn { reply } => assert_eq!(reply, bytes("reply")),
+            Order::Stop => assert!(seen.runs > 0, "nothing to stop"),
+            Order::Over => seen.over = true,
+        }
+        true
+    }
+
+    /// All orders there are now.
+    fn pick_all(&mut self) {
+        for of in 0..self.seen.len() {
+            while self.pick(of) {}
+        }
+    }
+}
+
+quickcheck! {
+    fn each_req_gets_one_answer_whatever_is_reported(steps: Vec<Step>) -> bool {
+        let gate = gate();
+        let mut model = Model::default();
+        for step in steps {
+            match step {
+                Step::Enter { handler, key } => model.enter(&gate, handler, key),
+                Step::Report { of, what } => model.report(&gate, of, what),
+                Step::Pass { span } => {
+                    gate.pass(ms(span));
+                    model.now += ms(span);
+                }
+                Step::Pick { of } => drop(model.pick(of)),
+                Step::Leave => gate.leave(ms(2000)),
+            }
+        }
+        // By its timeout each has its answer, whatever has not ended.
+        for _ in 0..TIMEOUT / 20 + 5 {
+            gate.pass(ms(20));
+        }
+        model.pick_all();
+        assert!(model.seen.iter().all(|seen| seen.answer.is_some()), "lost");
+        // And nothing stays once what runs has ended.
+        for seen in &model.seen {
+            gate.report(&seen.id, Report::Ended { outcome: Outcome::Stopped, result: bytes("") });
+        }
+        model.pick_all();
+        assert!(model.seen.iter().all(|seen| seen.over), "held for ever");
+        model.seen.clear();
+        gate.open() == 0
+    }
+}
+
+#[test]
+fn a_req_runs_calls_and_is_done() {
+    let gate = gate();
+    let ticket = gate.enter(incoming("a", 0, None)).unwrap();
+    assert_eq!(now(&ticket), Some(Order::Run));
+    assert_eq!(now(&ticket), None);
+    assert_eq!(gate.enter(incoming("a", 0, None)).err(), Some(Unfit::Known));
+    gate.report("a", Report::AtCall { call: 4, body: bytes("body") });
+    assert!(matches!(now(&ticket), Some(Order::Call { body, .. }) if body == bytes("body")));
+    gate.report("a", Report::CallEnded { outcome: Outcome::Done, reply: bytes("reply") });
+    assert_eq!(now(&ticket), Some(Order::GoOn { reply: bytes("reply") }));
+    // A second reply to the same call is no news.
+    gate.report("a", Report::CallEnded { outcome: Outcome::Errored, reply: bytes("") });
+    gate.report("a", Report::AtCall { call: 5, body: bytes("body") });
+    assert!(matches!(now(&ticket), Some(Order::Call { .. })));
+    gate.report("a", Report::CallEnded { outcome: Outcome::Full, reply: bytes("") });
+    assert_eq!(now(&ticket), Some(Order::Skip { call: 5 }));
+    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page") });
+    assert_eq!(now(&ticket), Some(Order::Answer(Answer::Done(bytes("page")))));
+    assert_eq!(now(&ticket), Some(Order::Over));
+    drop(ticket);
+    assert_eq!(gate.open(), 0);
+}
+
+#[test]
+fn repeats_are_joined_and_answered_alike() {
+    let gate = gate();
+    let first = gate.enter(incoming("a", 1, Some("k"))).unwrap();
+    assert_eq!(now(&first), Some(Order::Run));
+    let second = gate.enter(incoming("b", 1, Some("k"))).unwrap();
+    assert_eq!(now(&second), None);
+    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page") });
+    assert_eq!(now(&second), Some(Order::Answer(Answer::Done(bytes("page")))));
+    // One that comes when the first is over gets its result too, until the window has passed.
+    gate.pass(ms(WINDOW - 100));
+    let third = gate.enter(incoming("c", 1, Some("k"))).unwrap();
+    assert_eq!(now(&third), Some(Order::Answer(Answer::Done(bytes("page")))));
+    gate.pass(ms(500));
+    let fourth = gate.enter(incoming("d", 1, Some("k"))).unwrap();
+    assert_eq!(now(&fourth), Some(Order::Run));
+}
+
+#[test]
+fn a_warm_start_begins_the_clock_and_a_cold_one_takes_its_age() {
+    for (cold, age) in [(false, Duration::ZERO), (true, ms(4000))] {
+        let gate = Gate::new(given(), 7);
+        assert!(!gate.started() && !gate.healthy());
+        assert!(gate.start(cold, ms(4000)));
+        assert!(!gate.start(cold, ms(9000)), "only once");
+        assert!(gate.healthy());
+        let now = gate.state.lock().now();
+        assert!(now >= age && now < age + ms(3000));
+    }
+}
+
+#[test]
+fn a_coroutine_that_leaves_takes_its_req_along() {
+    let gate = gate();
+    let ticket = gate.enter(incoming("a", 0, None)).unwrap();
+    assert_eq!(now(&ticket), Some(Order::Run));
+    drop(ticket);
+    assert_eq!(gate.open(), 1, "its run goes on");
+    gate.report("a", Report::Ended { outcome: Outcome::Stopped, result: bytes("") });
+    assert_eq!(gate.open(), 0);
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -64,7 +64,8 @@
     let gate = Arc::new(Gate::new(told.given, told.seed));
     let kernel = Kernel::new(told.kernel, gate.clone(), told.names.gauges.clone());
     let store = Store::new(told.store, gate.clone());
-    let clients = Clients::new(gate.clone(), kernel.clone(), store.clone(), told.names, told.sockets);
+    let clients =
+        Clients::new(gate.clone(), kernel.clone(), store.clone(), told.names, told.sockets, told.memory_mb);
     let leaving = Arc::new(AtomicBool::new(false));
     {
         let kernel = kernel.clone();
@@ -105,6 +106,12 @@
     leaving.store(true, Ordering::Release);
     gate.leave(told.stop);
     clients.leave();
+    let listen = told.listen;
+    if std::env::var_os("LB_TRY_CLOSE").is_some()
+        && let Err(error) = clients.close(listen)
+    {
+        ::log::warn!("{listen}: {error}");
+    }
     while !(clients.none() && gate.open() == 0) && notice.elapsed() + STOP_MARGIN < told.stop {
         std::thread::sleep(Duration::from_millis(5));
     }
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -28,6 +29,10 @@
 const IN_MOST: usize = thrift::FRAME_MOST + 4;
 /// Descriptors that are kept for the kernel, the store, the log and the runtime.
 const KEPT: usize = 24;
+/// What one open req takes at the most: its coroutine's stack as far as it is touched, body and result.
+const REQ_KB: f64 = 24.0;
+/// The part of this process's memory that open reqs may take; what comes beyond is turned away unseen.
+const MEMORY_PART: f64 = 0.6;
 /// How long an accept waits when no descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long an edge node may take to close what it was asked to leave.
@@ -37,6 +42,7 @@
 
 static GARBLED: Bound = Bound::new();
 static ACCEPTS: Bound = Bound::new();
+static NO_ROOM: Bound = Bound::new();
 
 /// One connection, as others than its own coroutine see it.
 struct Connection {
@@ -79,7 +85,9 @@
     names: Names,
     connections: Mutex<Slab<Arc<Connection>>>,
     most: usize,
-    closed: AtomicBool,
+    open_most: usize,
+    /// Where the connection comes from that is to be the last.
+    last: Mutex<Option<SocketAddr>>,
 }
 
 impl Clients {
@@ -89,20 +97,24 @@
         store: Arc<Store>,
         names: Names,
         sockets: usize,
+        memory_mb: f64,
     ) -> Arc<Self> {
         let most = sockets.saturating_sub(KEPT).max(1);
-        let (connections, closed) = (Mutex::new(Slab::new()), AtomicBool::new(false));
-        Arc::new(Clients { gate, kernel, store, names, connections, most, closed })
+        let connections = Mutex::new(Slab::new());
+        let open_most = (memory_mb * MEMORY_PART * 1024.0 / REQ_KB) as usize;
+        let last = Mutex::new(None);
+        Arc::new(Clients { gate, kernel, store, names, connections, most, open_most, last })
     }
 
-    /// Accepts until the listener is to be closed.
+    /// Accepts until the listener is to be closed. What came before that is served.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
-        while !self.closed.load(Ordering::Acquire) {
+        loop {
             if self.connections.lock().len() >= self.most {
                 coroutine::sleep(ACCEPT_PAUSE);
                 continue;
             }
             match listener.accept() {
+                Ok((_, peer)) if Some(peer) == *self.last.lock() => return,
                 Ok((stream, _)) => {
                     let clients = self.clone();
                     spawn(move || clients.serve(stream));
@@ -117,6 +129,14 @@
         }
     }
 
+    /// Has the listener closed behind all that came before: a connection of our own is the last to be accepted.
+    pub fn close(&self, listen: SocketAddr) -> io::Result<()> {
+        let mut last = self.last.lock();
+        let stream = std::net::TcpStream::connect(listen)?;
+        *last = Some(stream.local_addr()?);
+        Ok(())
+    }
+
     /// Whether no connection is open.
     pub fn none(&self) -> bool {
         self.connections.lock().is_empty()
@@ -188,10 +208,7 @@
             let mut more = readable;
             while more && connection.busy() < OPEN_MOST && link.out.len() < UNREAD_MOST {
                 more = link.fill()?;
-                loop {
-                    if connection.busy() >= OPEN_MOST {
-                        break;
-                    }
+                while connection.busy() < OPEN_MOST && link.out.len() < UNREAD_MOST {
                     match thrift::frame(link.input.whole()) {
                         Ok(None) => break,
                         Ok(Some(length)) => {
@@ -219,6 +236,9 @@
             }
             let done = connection.busy() == 0 && link.out.len() == 0;
             if done && (link.at_end || !readable || connection.ending.load(Ordering::Acquire)) {
+                if !link.at_end {
+                    link.see_off();
+                }
                 return Ok(());
             }
             link.wait();
@@ -231,6 +251,12 @@
             Ok(Asked::Process { fields, body }) => {
                 let free = !connection.open.lock().contains_key(&sequence);
                 match read_fields(&fields, &self.names) {
+                    Ok(_) if free && self.gate.open() >= self.open_most => {
+                        if let Some(count) = NO_ROOM.pass() {
+                            log::warn!("no memory for another req ({count} so far)");
+                        }
+                        return connection.say(&method, sequence, &Said::Rejected { fields: &[] });
+                    }
                     Ok(read) if free => {
                         connection.open.lock().insert(sequence, read.incoming.id.clone());
                         let (clients, connection) = (self.clone(), connection.clone());
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 
 use super::lines::{self, Line, line};
-use super::{Link, Out};
+use super::{Added, FULL_PAUSE, Link, Out, spawn};
 use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report};
 use crate::log::Bound;
 
@@ -29,12 +29,13 @@
 static LINKS: Bound = Bound::new();
 
 /// The last command for a run, by which it can be told what may have been lost.
-#[derive(Clone, Copy, PartialEq)]
 enum Said {
     Start,
     Skip(u64),
     /// A reply, with its place among all commands.
     Reply(u64),
+    /// A reply that came while there was no link.
+    Unsent(Bytes),
 }
 
 struct Run {
@@ -82,33 +83,35 @@
 
     /// Runs a req.
     pub fn start(&self, id: &Id, class: &Id, body: &Bytes) {
-        let run = Run { class: class.clone(), body: body.clone(), said: Said::Start };
-        self.state.lock().runs.insert(id.clone(), run);
-        self.say(&[line(format_args!("SCHED {id} {class} {}", body.len())).as_bytes(), body, b"\r\n"]);
+        let head = line(format_args!("SCHED {id} {class} {}", body.len()));
+        self.say(&[head.as_bytes(), body, b"\r\n"], |state, _| {
+            let run = Run { class: class.clone(), body: body.clone(), said: Said::Start };
+            state.runs.insert(id.clone(), run);
+        });
     }
 
+    /// Stops a run. The module says so again until it has ended, so a stop that is lost does no harm.
     pub fn stop(&self, id: &Id) {
-        self.say(&[line(format_args!("PREEMPT {id}")).as_bytes()]);
+        self.say(&[line(format_args!("PREEMPT {id}")).as_bytes()], |_, _| ());
     }
 
     /// Hands a run the reply to its call.
     pub fn reply(&self, id: &Id, reply: &Bytes) {
-        {
-            let mut state = self.state.lock();
-            let place = state.commands + 1;
+        let head = line(format_args!("IODONE {id} {}", reply.len()));
+        self.say(&[head.as_bytes(), reply, b"\r\n"], |state, place| {
             if let Some(run) = state.runs.get_mut(id) {
-                run.said = Said::Reply(place);
+                run.said = place.map_or_else(|| Said::Unsent(reply.clone()), Said::Reply);
             }
-        }
-        self.say(&[line(format_args!("IODONE {id} {}", reply.len())).as_bytes(), reply, b"\r\n"]);
+        });
     }
 
     /// Lets a run go on without the call of that notice.
     pub fn skip(&self, id: &Id, notice: u64) {
-        if let Some(run) = self.state.lock().runs.get_mut(id) {
-            run.said = Said::Skip(notice);
-        }
-        self.say(&[line(format_args!("NOIO {id} {notice}")).as_bytes()]);
+        self.say(&[line(format_args!("NOIO {id} {notice}")).as_bytes()], |state, _| {
+            if let Some(run) = state.runs.get_mut(id) {
+                run.said = Said::Skip(notice);
+            }
+        });
     }
 
     /// The gauges now; none where the kernel does not answer soon.
@@ -124,26 +127,39 @@
         matches!(self.ask("POST", within), Some(Reply::Worked(true)))
     }
 
-    /// Says a command; without a link it is dropped, and said again where need be once there is one.
-    fn say(&self, parts: &[&[u8]]) {
-        let out = {
+    /// Says a command, and notes its place among all; none where there is no link. What was not said is said
+    /// once there is one, where need be.
+    fn say(&self, parts: &[&[u8]], note: impl FnOnce(&mut State, Option<u64>)) {
+        loop {
+            // Under the lock, so that commands arrive in the order of their places.
             let mut state = self.state.lock();
-            state.commands += 1;
-            state.out.clone()
-        };
-        if let Some(out) = out {
-            out.push(parts);
+            match state.out.as_ref().map_or(Added::Ended, |out| out.add(parts)) {
+                Added::Full => {}
+                Added::Ended => return note(&mut state, None),
+                Added::Yes => {
+                    state.commands += 1;
+                    let place = state.commands;
+                    return note(&mut state, Some(place));
+                }
+            }
+            drop(state);
+            coroutine::sleep(FULL_PAUSE);
         }
     }
 
     fn ask(&self, command: &str, within: Duration) -> Option<Reply> {
         let waiter = Arc::new(Blocker::new(true));
-        let (tag, out) = {
+        let tag = {
             let mut state = self.state.lock();
             let out = state.out.clone()?;
-            (state.ask(waiter.clone()), out)
+            let tag = state.ask(waiter.clone());
+            // Full: the answer would come too late anyway.
+            if out.add(&[line(format_args!("{command} {tag}")).as_bytes()]) != Added::Yes {
+                state.asks.remove(&tag);
+                return None;
+            }
+            tag
         };
-        out.push(&[line(format_args!("{command} {tag}")).as_bytes()]);
         let until = Instant::now() + within;
         loop {
             let left = until.saturating_duration_since(Instant::now());
@@ -169,7 +185,7 @@
         }
     }
 
-    fn carry(&self, link: &mut Link) -> io::Result<()> {
+    fn carry(self: &Arc<Self>, link: &mut Link) -> io::Result<()> {
         let (last, barrier) = {
             let mut state = self.state.lock();
             let waiter = Arc::new(Blocker::new(true));
@@ -198,7 +214,7 @@
     }
 
     /// Takes one line.
-    fn hear(&self, heard: &Line, barrier: u64, out: &Arc<Out>) -> io::Result<()> {
+    fn hear(self: &Arc<Self>, heard: &Line, barrier: u64, out: &Arc<Out>) -> io::Result<()> {
         let wrong = || io::Error::new(io::ErrorKind::InvalidData, format!("no notice: {:?}", heard.words));
         let number = |word: &str| word.parse::<u64>().map_err(|_| wrong());
         let body = || Bytes::from(heard.body);
@@ -219,7 +235,8 @@
                         "failure" => Outcome::Errored,
                         "interrupted" => Outcome::Stopped,
                         "nothing" => Outcome::Void,
-                        _ => return Err(wrong()),
+                        // It is over, in a way that is not known here.
+                        _ => Outcome::Broken,
                     };
                     self.state.lock().runs.remove(id);
                     self.gate.report(id, Report::Ended { outcome, result: body() });
@@ -242,7 +259,9 @@
                 self.answered(tag, Reply::Gauges(gauges));
                 if tag == barrier {
                     self.state.lock().asks.remove(&tag);
-                    self.resume(out);
+                    // In a coroutine of its own, as this one must drain what it adds.
+                    let (kernel, out) = (self.clone(), out.clone());
+                    spawn(move || kernel.resume(&out));
                 }
             }
             ["POSTED", tag, end] => self.answered(number(tag)?, Reply::Worked(end == "success")),
@@ -287,31 +306,41 @@
     }
 
     /// All missed notices were read. To start a run that runs already does nothing, and a skip names its call,
-    /// so both may be said again. A reply may not: it could meet the next call of its run. A run whose reply
-    /// may be lost is stopped instead.
+    /// so both may be said again. A reply may not, once it was said: it could meet the next call of its run. A
+    /// run whose reply may be lost is stopped instead.
     fn resume(&self, out: &Arc<Out>) {
-        let mut again = String::new();
-        let mut starts = Vec::new();
+        let mut again = Vec::new();
         {
             let mut state = self.state.lock();
             state.out = Some(out.clone());
             let arrived = state.arrived;
-            for (id, run) in &state.runs {
-                match run.said {
-                    Said::Start => starts.push((id.clone(), run.class.clone(), run.body.clone())),
-                    Said::Skip(notice) => again.push_str(&line(format_args!("NOIO {id} {notice}"))),
-                    Said::Reply(place) if place > arrived => {
-                        again.push_str(&line(format_args!("PREEMPT {id}")));
+            let mut ids: Vec<Id> = state.runs.keys().cloned().collect();
+            ids.sort_unstable();
+            for id in ids {
+                let place = state.commands + 1;
+                let Some(run) = state.runs.get_mut(&id) else { continue };
+                let (head, body) = match &run.said {
+                    Said::Start => {
+                        (format!("SCHED {id} {} {}", run.class, run.body.len()), Some(run.body.clone()))
                     }
-                    Said::Reply(_) => {}
+                    Said::Skip(notice) => (format!("NOIO {id} {notice}"), None),
+                    Said::Unsent(reply) => (format!("IODONE {id} {}", reply.len()), Some(reply.clone())),
+                    Said::Reply(place) if *place > arrived => (format!("PREEMPT {id}"), None),
+                    Said::Reply(_) => continue,
+                };
+                if matches!(run.said, Said::Unsent(_)) {
+                    run.said = Said::Reply(place);
                 }
+                state.commands = place;
+                again.push((head, body));
             }
         }
-        for (id, class, body) in starts {
-            let head = line(format_args!("SCHED {id} {class} {}", body.len()));
-            out.push(&[head.as_bytes(), &body, b"\r\n"]);
+        for (head, body) in again {
+            match body {
+                Some(body) => out.push(&[head.as_bytes(), b"\r\n", &body, b"\r\n"]),
+                None => out.push(&[head.as_bytes(), b"\r\n"]),
+            };
         }
-        out.push(&[again.as_bytes()]);
     }
 }
 
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -22,7 +22,10 @@
 use ring::Ring;
 
 /// How long a coroutine that finds a full ring leaves it to drain.
-const FULL_PAUSE: Duration = Duration::from_millis(5);
+pub const FULL_PAUSE: Duration = Duration::from_millis(5);
+
+/// How often it is looked whether a peer that is seen off has closed.
+const SEE_OFF_LOOKS: usize = 200;
 
 /// Starts a coroutine.
 pub fn spawn(body: impl FnOnce() + Send + 'static) {
@@ -39,18 +42,34 @@
     ended: AtomicBool,
 }
 
+/// What became of bytes that were to be added.
+#[derive(PartialEq)]
+pub enum Added {
+    Yes,
+    Full,
+    Ended,
+}
+
 impl Out {
+    /// Adds all parts or none.
+    pub fn add(&self, parts: &[&[u8]]) -> Added {
+        if self.ended.load(Ordering::Acquire) {
+            return Added::Ended;
+        }
+        if !self.ring.lock().push(parts) {
+            return Added::Full;
+        }
+        self.waker.wakeup();
+        Added::Yes
+    }
+
     /// Adds all parts, waiting while there is no room; false once the connection has ended.
     pub fn push(&self, parts: &[&[u8]]) -> bool {
         loop {
-            if self.ended.load(Ordering::Acquire) {
-                return false;
+            match self.add(parts) {
+                Added::Full => coroutine::sleep(FULL_PAUSE),
+                added => return added == Added::Yes,
             }
-            if self.ring.lock().push(parts) {
-                self.waker.wakeup();
-                return true;
-            }
-            coroutine::sleep(FULL_PAUSE);
         }
     }
 
@@ -118,6 +137,21 @@
         }
     }
 
+    /// Lets the peer read all that was written before this closes: what it still sends is read and dropped, for
+    /// a socket closed with bytes unread would cut off the answers on their way.
+    pub fn see_off(&mut self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+        for _ in 0..SEE_OFF_LOOKS {
+            while matches!(self.fill(), Ok(true)) {
+                self.input.consume(usize::MAX);
+            }
+            if self.at_end {
+                return;
+            }
+            coroutine::sleep(FULL_PAUSE);
+        }
+    }
+
     /// Blocks until the socket is ready for something new or somebody wakes this.
     pub fn wait(&self) {
         self.stream.wait_io();
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -123,9 +123,13 @@
         lane.leaving = false;
         lane.open.extend(waiting.keys().cloned());
         drop(lane);
-        for bytes in waiting.values() {
-            link.out.push(&[bytes]);
-        }
+        let out = link.out.clone();
+        // In a coroutine of its own, as this one must drain what it adds.
+        spawn(move || {
+            for bytes in waiting.values() {
+                out.push(&[bytes]);
+            }
+        });
         let end = self.carry(&mut link, at);
         let mut lane = self.lanes[at].lock();
         // Left on purpose, its place may be another's already.
--- a/crates/server/src/net/thrift.rs
+++ b/crates/server/src/net/thrift.rs
@@ -237,3 +237,123 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn call(
+        method: &str,
+        kind: TMessageType,
+        write: impl FnOnce(&mut Output) -> thrift::Result<()>,
+    ) -> Vec<u8> {
+        framed(method, kind, 9, write).split_off(4)
+    }
+
+    fn process(fields: &[(&str, String)], body: &[u8]) -> Vec<u8> {
+        call("process", TMessageType::Call, |protocol| {
+            // Unknown fields, nested ones too, are skipped.
+            protocol.write_field_begin(&field(TType::Struct, 7))?;
+            protocol.write_field_begin(&field(TType::I32, 1))?;
+            protocol.write_i32(5)?;
+            protocol.write_field_stop()?;
+            write_map(protocol, 1, fields)?;
+            protocol.write_field_begin(&field(TType::String, 2))?;
+            protocol.write_bytes(body)?;
+            protocol.write_field_stop()
+        })
+    }
+
+    quickcheck::quickcheck! {
+        /// What is asked comes out as it went in; cut at any byte or followed by more it is malformed.
+        fn a_req_is_read_as_written(value: String, body: Vec<u8>, cut: usize) -> bool {
+            let frame = process(&[("kind", value.clone())], &body);
+            let read = read(&frame).unwrap();
+            let asked = Asked::Process { fields: vec![("kind".to_owned(), value)], body };
+            let cut = super::read(&frame[..cut % frame.len()]);
+            let longer = super::read(&[&frame[..], b"x"].concat()).unwrap();
+            read.sequence == 9
+                && read.asked == Ok(asked)
+                && cut.is_none_or(|cut| matches!(cut.asked, Err(Fault::Malformed(_))))
+                && matches!(longer.asked, Err(Fault::Malformed(_)))
+        }
+
+        /// One byte changed anywhere is read or turned down, and never panics.
+        fn a_mutilated_req_does_no_harm(at: usize, byte: u8) -> bool {
+            let mut frame = process(&[("kind", "page".to_owned()), ("req", "x".to_owned())], b"body");
+            let at = at % frame.len();
+            frame[at] = byte;
+            read(&frame);
+            true
+        }
+
+        fn any_bytes_can_be_read(bytes: Vec<u8>) -> bool {
+            read(&bytes);
+            !matches!(frame(&bytes), Ok(Some(length)) if length + 4 > bytes.len())
+        }
+    }
+
+    #[test]
+    fn hostile_lengths_and_depths_are_turned_down() {
+        assert_eq!(frame(&[0, 0, 0]), Ok(None));
+        assert_eq!(frame(&[0, 0, 0, 1]), Ok(None));
+        for head in [[0xff, 0xff, 0xff, 0xff], [0x7f, 0, 0, 0], [0, 0, 0, 0]] {
+            assert_eq!(frame(&head), Err(()));
+        }
+        let malformed = |write: fn(&mut Output) -> thrift::Result<()>| {
+            let read = read(&call("process", TMessageType::Call, write)).unwrap();
+            assert!(matches!(read.asked, Err(Fault::Malformed(_))), "{read:?}");
+        };
+        // A body of two gigabytes, a map of a million entries, a map of numbers, no fields at all.
+        malformed(|protocol| {
+            protocol.write_field_begin(&field(TType::String, 2))?;
+            protocol.write_i32(i32::MAX)
+        });
+        malformed(|protocol| {
+            protocol.write_field_begin(&field(TType::Map, 1))?;
+            protocol.write_map_begin(&TMapIdentifier::new(TType::String, TType::String, 1_000_000))
+        });
+        malformed(|protocol| {
+            protocol.write_field_begin(&field(TType::Map, 1))?;
+            protocol.write_map_begin(&TMapIdentifier::new(TType::I32, TType::I32, 1))?;
+            protocol.write_i32(1)?;
+            protocol.write_i32(2)?;
+            protocol.write_field_stop()
+        });
+        malformed(|protocol| protocol.write_field_stop());
+        malformed(|protocol| {
+            for _ in 0..2000 {
+                protocol.write_field_begin(&field(TType::Struct, 3))?;
+            }
+            Ok(())
+        });
+    }
+
+    #[test]
+    fn methods_and_kinds_of_message_are_told_apart() {
+        let read = |method, kind| read(&call(method, kind, |protocol| protocol.write_field_stop()));
+        let asked = |method, kind| read(method, kind).unwrap().asked;
+        assert_eq!(asked("probe", TMessageType::Call), Ok(Asked::Probe { deep: false }));
+        assert_eq!(asked("prob", TMessageType::Call), Err(Fault::UnknownMethod));
+        assert_eq!(asked("process", TMessageType::OneWay), Err(Fault::MessageType));
+        assert_eq!(read("process", TMessageType::Reply), None);
+        assert_eq!(super::read(b"\0\0\0\x05probe\x01\0\0\0\x01\0"), None, "the old form is not strict");
+    }
+
+    #[test]
+    fn answers_are_what_the_declaration_says() {
+        let fields = [("signal", "0.2500".to_owned())];
+        let bytes = answer("process", 9, &Said::Rejected { fields: &fields });
+        let head =
+            b"\0\0\0\x35\x80\x01\0\x02\0\0\0\x07process\0\0\0\x09\x0c\0\x01\x0d\0\x01\x0b\x0b\0\0\0\x01";
+        assert_eq!(bytes, [&head[..], b"\0\0\0\x06signal\0\0\0\x060.2500\0\0"].concat());
+        let bytes = answer("probe", 1, &Said::Answer { body: b"ab", fields: &[], good: true });
+        let head = b"\0\0\0\x2c\x80\x01\0\x02\0\0\0\x05probe\0\0\0\x01\x0c\0\0";
+        let rest = b"\x0b\0\x01\0\0\0\x02ab\x0d\0\x02\x0b\x0b\0\0\0\0\x02\0\x03\x01\0\0";
+        assert_eq!(bytes, [&head[..], rest].concat());
+        let bytes = answer("x", 1, &Said::Exception(&Fault::UnknownMethod));
+        assert_eq!(bytes[4..8], [0x80, 1, 0, 3]);
+        assert!(bytes.ends_with(b"\x08\0\x02\0\0\0\x01\0"));
+        assert_eq!(no_more(0), b"\0\0\0\x13\x80\x01\0\x04\0\0\0\x06noMore\0\0\0\0\0");
+    }
+}
--- /dev/null
+++ b/crates/server/tests/program.rs
@@ -0,0 +1,505 @@
+//! The program on loopback, between small stand-ins for kernel and store and hand-made messages of an edge
+//! node. Nothing here hangs on how fast the machine is: whatever is awaited has long to come.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const LONG: Duration = Duration::from_secs(30);
+
+/// An address of its own for each test, so that none meets another.
+fn host() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (id, next) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    format!("127.{}.{}.{}", 64 + next, id >> 8 & 255, 1 + id % 254)
+}
+
+fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONG, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A kernel that does what a req's body says: "run" ends at once, "hang" when it is told to or stopped, "call"
+/// once its call is over.
+#[derive(Default)]
+struct Kernel {
+    /// All notices so far; the first has number 1.
+    notices: Vec<Vec<u8>>,
+    /// Runs that have not ended, and how often each was started.
+    runs: HashMap<String, u32>,
+    link: Option<TcpStream>,
+    links: u32,
+    replies: Vec<Vec<u8>>,
+}
+
+type Shared = Arc<Mutex<Kernel>>;
+
+impl Kernel {
+    fn notice(&mut self, word: &str, rest: String, body: &[u8]) {
+        let head = format!("{word} {} {rest} {}\r\n", self.notices.len() + 1, body.len());
+        let bytes = [head.as_bytes(), body, b"\r\n"].concat();
+        if let Some(link) = &mut self.link {
+            let _ = link.write_all(&bytes);
+        }
+        self.notices.push(bytes);
+    }
+
+    fn end(&mut self, id: &str, end: &str, result: &[u8]) {
+        if self.runs.remove(id).is_some() {
+            self.notice("REAP", format!("{id} {end} 1.5"), result);
+        }
+    }
+
+    fn say(&mut self, line: String) {
+        if let Some(link) = &mut self.link {
+            let _ = link.write_all(line.as_bytes());
+        }
+    }
+
+    fn hear(&mut self, words: &[&str], body: Vec<u8>) {
+        match words {
+            ["SCHED", id, "page", _] => {
+                let id = id.to_string();
+                let starts = self.runs.entry(id.clone()).or_default();
+                *starts += 1;
+                match &body[..] {
+                    b"run" => self.end(&id, "success", format!("page \0 {id}").as_bytes()),
+                    b"call" if *starts == 1 => self.notice("IOREQ", id, b"what is called"),
+                    _ => {}
+                }
+            }
+            ["PREEMPT", id] => self.end(id, "interrupted", b""),
+            ["NOIO", id, _] => self.end(id, "success", b"poorer"),
+            ["IODONE", id, _] => {
+                self.replies.push(body);
+                self.end(id, "success", b"richer");
+            }
+            ["SYSINFO", tag] => self.say(format!("INFO {tag} 0.1 0 0 1\r\n")),
+            ["POST", tag] => self.say(format!("POSTED {tag} success\r\n")),
+            other => panic!("no command: {other:?}"),
+        }
+    }
+}
+
+fn kernel(host: &str) -> Shared {
+    let shared = Shared::default();
+    let (kernel, listener) = (shared.clone(), TcpListener::bind((host, 7300)).unwrap());
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let kernel = kernel.clone();
+            std::thread::spawn(move || serve_link(&kernel, stream));
+        }
+    });
+    shared
+}
+
+fn serve_link(kernel: &Shared, stream: TcpStream) {
+    let mut input = BufReader::new(stream.try_clone().unwrap());
+    let mut line = String::new();
+    loop {
+        line.clear();
+        if input.read_line(&mut line).unwrap_or(0) == 0 {
+            return;
+        }
+        let words: Vec<&str> = line.trim_end().split(' ').collect();
+        let mut body = Vec::new();
+        if matches!(words[0], "SCHED" | "IODONE") {
+            body.resize(words.last().unwrap().parse::<usize>().unwrap() + 2, 0);
+            if input.read_exact(&mut body).is_err() {
+                return;
+            }
+            assert!(body.ends_with(b"\r\n"));
+            body.truncate(body.len() - 2);
+        }
+        let mut kernel = kernel.lock().unwrap();
+        if let ["OPEN", last] = words[..] {
+            kernel.link = Some(stream.try_clone().unwrap());
+            kernel.links += 1;
+            kernel.say("BOOTED steady 1000.0\r\nDMESG 0 a remark of no meaning\r\n".to_owned());
+            // A notice too many: what was read before must not be taken twice.
+            let from = last.parse::<usize>().unwrap().saturating_sub(1);
+            let missed = kernel.notices[from..].concat();
+            let _ = kernel.link.as_ref().unwrap().write_all(&missed);
+        } else {
+            kernel.hear(&words, body);
+        }
+    }
+}
+
+/// A store that answers every call with its body, until it is down.
+struct Store {
+    down: Arc<AtomicBool>,
+    calls: Arc<AtomicU32>,
+}
+
+fn store(host: &str) -> Store {
+    let store = Store { down: Arc::default(), calls: Arc::default() };
+    let (down, calls) = (store.down.clone(), store.calls.clone());
+    let listener = TcpListener::bind((host, 7700)).unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let (down, calls) = (down.clone(), calls.clone());
+            std::thread::spawn(move || {
+                let mut input = BufReader::new(stream.try_clone().unwrap());
+                let mut line = String::new();
+                while !down.load(Ordering::Acquire) && input.read_line(&mut line).unwrap_or(0) > 0 {
+                    let words: Vec<&str> = line.trim_end().split(' ').collect();
+                    if let ["CALL", id, _, length] = words[..] {
+                        let mut body = vec![0; length.parse::<usize>().unwrap() + 2];
+                        input.read_exact(&mut body).unwrap();
+                        calls.fetch_add(1, Ordering::AcqRel);
+                        if down.load(Ordering::Acquire) {
+                            break;
+                        }
+                        let head = format!("{id} OK {length}\r\n");
+                        (&stream).write_all(&[head.as_bytes(), &body].concat()).unwrap();
+                    }
+                    line.clear();
+                }
+                let _ = stream.shutdown(Shutdown::Both);
+            });
+        }
+    });
+    store
+}
+
+/// A backend, its stand-ins, and the file that it is told by.
+struct Stand {
+    host: String,
+    kernel: Shared,
+    store: Store,
+    child: Child,
+    file: std::path::PathBuf,
+}
+
+fn file(host: &str, text: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("tulipgapd-{host}.json"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn start(file: &std::path::Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tulipgapd"));
+    command.env("LB_CONFIG", file).stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap()
+}
+
+fn told(host: &str) -> String {
+    let settings = r#"{"classes":[{"name":"page","objective":10000.0,"deadline":20000.0,"worth":1.0,"effect":"pure"}],
+        "family_info":{"below":"shared","calls_out":20.0,"share_span":5000.0,"stays_for":100.0,"blowup":4.0,"cores":4,
+        "class_calls":[true],"class_skip_worth":[0.5],"halt":"drop","idle":9000.0,"mem_limit_kb":9000.0,"say":"weight",
+        "own_stats":["core_use","on_cores","heap_share","links"]},
+        "limits":{"max_retry_after":1000.0,"retry_after":true},"tenants":[{"name":"acme","allowance_per_s":40.0}],
+        "rules":{"cold_from":0.3,"drain_grace":1000.0,"fall":2000.0,"fall_multiple":4.0,"grace_to_answer":60.0,"warm_up":9000.0}}"#;
+    format!(
+        r#"{{"name":"n3","listen":"{host}:6565","kernel":"{host}:7300","announce":"{host}:7946","store":"{host}:7700",
+        "seed":"8c1f30d27a5be964","stop_ms":4000,"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"settings":{settings}}}"#
+    )
+}
+
+fn stand() -> Stand {
+    let host = host();
+    let (kernel, store) = (kernel(&host), store(&host));
+    let file = file(&host, &told(&host));
+    let child = start(&file);
+    let stand = Stand { host, kernel, store, child, file };
+    until("it serves", || {
+        let Ok(stream) = TcpStream::connect((&stand.host[..], 6565)) else { return false };
+        let mut edge = Edge { stream };
+        edge.call(1, "probe", b"\x02\0\x01\x01\0");
+        edge.answer().is_some_and(|answer| {
+            answer.kind == Kind::Answer
+                && answer.holds(b"signal")
+                && answer.bytes.ends_with(b"\x02\0\x03\x01\0\0")
+        })
+    });
+    stand
+}
+
+impl Stand {
+    fn edge(&self) -> Edge {
+        let stream = TcpStream::connect((&self.host[..], 6565)).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Edge { stream }
+    }
+
+    fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("sh").args(["-c", "kill -TERM \"$0\"", &pid]).status().unwrap().success());
+    }
+
+    fn ended(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(start.elapsed() < LONG, "it ends");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Stand {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+#[derive(Debug, PartialEq)]
+enum Kind {
+    Answer,
+    Rejected,
+    Crashed,
+    Exception,
+    NoMore,
+}
+
+struct Answer {
+    kind: Kind,
+    sequence: u32,
+    bytes: Vec<u8>,
+}
+
+impl Answer {
+    fn holds(&self, text: &[u8]) -> bool {
+        self.bytes.windows(text.len()).any(|window| window == text)
+    }
+}
+
+/// An edge node's connection.
+struct Edge {
+    stream: TcpStream,
+}
+
+fn string(bytes: &[u8]) -> Vec<u8> {
+    [&(bytes.len() as u32).to_be_bytes(), bytes].concat()
+}
+
+fn fields(id: &str, need: &str) -> Vec<(&'static str, String)> {
+    let ts = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let mut fields = vec![("kind", "page".to_owned()), ("req", id.to_owned()), ("ts", ts.to_string())];
+    fields.extend([("owner", "acme".to_owned()), ("ms", "5.00".to_owned()), ("need", need.to_owned())]);
+    fields.extend([("via", "4".to_owned()), ("level", "0.5".to_owned()), ("unheard", "of".to_owned())]);
+    fields
+}
+
+impl Edge {
+    fn call(&mut self, sequence: u32, method: &str, arguments: &[u8]) {
+        let head = [&b"\x80\x01\0\x01"[..], &string(method.as_bytes()), &sequence.to_be_bytes()].concat();
+        self.stream.write_all(&string(&[&head, arguments].concat())).unwrap();
+    }
+
+    fn process(&mut self, sequence: u32, fields: &[(&str, String)], body: &[u8]) {
+        let mut map = [&b"\x0d\0\x01\x0b\x0b"[..], &(fields.len() as u32).to_be_bytes()].concat();
+        for (name, value) in fields {
+            map.extend([string(name.as_bytes()), string(value.as_bytes())].concat());
+        }
+        let arguments = [&map[..], b"\x0b\0\x02", &string(body), b"\0"].concat();
+        self.call(sequence, "process", &arguments);
+    }
+
+    fn req(&mut self, sequence: u32, id: &str, body: &[u8]) {
+        self.process(sequence, &fields(id, "20.0"), body);
+    }
+
+    /// The next answer, or none once the connection is closed.
+    fn answer(&mut self) -> Option<Answer> {
+        let mut head = [0; 4];
+        self.stream.read_exact(&mut head).ok()?;
+        let mut bytes = vec![0; u32::from_be_bytes(head) as usize];
+        self.stream.read_exact(&mut bytes).ok()?;
+        let named = 8 + u32::from_be_bytes(bytes[4..8].try_into().unwrap()) as usize;
+        let sequence = u32::from_be_bytes(bytes[named..named + 4].try_into().unwrap());
+        let kind = match (bytes[3], bytes.get(named + 4..named + 7)) {
+            (4, _) => Kind::NoMore,
+            (3, _) => Kind::Exception,
+            (2, Some([12, 0, 0])) => Kind::Answer,
+            (2, Some([12, 0, 1])) => Kind::Rejected,
+            (2, Some([12, 0, 2])) => Kind::Crashed,
+            other => panic!("no answer: {other:?}"),
+        };
+        Some(Answer { kind, sequence, bytes })
+    }
+
+    fn expect(&mut self, sequence: u32, kind: Kind) -> Answer {
+        let answer = self.answer().expect("an answer");
+        assert_eq!((answer.sequence, &answer.kind), (sequence, &kind));
+        answer
+    }
+}
+
+#[test]
+fn it_serves_calls_sheds_and_drains() {
+    let mut stand = stand();
+    let mut edge = stand.edge();
+    edge.req(1, "00000000000000a1", b"hang");
+    edge.req(2, "00000000000000a2", b"run");
+    // Answers come in any order, the result byte for byte, the free value with it.
+    let done = edge.expect(2, Kind::Answer);
+    assert!(done.holds(b"page \0 00000000000000a2") && done.holds(b"signal"));
+    edge.req(3, "00000000000000a3", b"call");
+    assert!(edge.expect(3, Kind::Answer).holds(b"richer"));
+    assert_eq!(stand.kernel.lock().unwrap().replies, [b"what is called"]);
+    // More memory than there is.
+    edge.process(4, &fields("00000000000000a4", "1900000.0"), b"run");
+    edge.expect(4, Kind::Rejected);
+    edge.call(5, "probe", b"\0");
+    edge.expect(5, Kind::Answer);
+
+    stand.terminate();
+    // What was read is answered, and the connection is wished closed.
+    let (mut answered, mut no_more) = (false, false);
+    while !(answered && no_more) {
+        let answer = edge.answer().expect("an answer before the end");
+        match answer.kind {
+            Kind::NoMore => no_more = true,
+            _ => answered |= answer.sequence == 1,
+        }
+    }
+    drop(edge);
+    assert_eq!(stand.ended().code(), Some(0));
+}
+
+#[test]
+fn a_link_that_is_cut_is_taken_up_where_it_was() {
+    let stand = stand();
+    let mut edge = stand.edge();
+    edge.req(1, "00000000000000b1", b"run");
+    edge.expect(1, Kind::Answer);
+    edge.req(2, "00000000000000b2", b"hang");
+    until("it runs", || stand.kernel.lock().unwrap().runs.contains_key("00000000000000b2"));
+    {
+        let mut kernel = stand.kernel.lock().unwrap();
+        let link = kernel.link.take().unwrap();
+        // It ends while nobody hears of it.
+        kernel.end("00000000000000b2", "success", b"ended unheard");
+        link.shutdown(Shutdown::Both).unwrap();
+    }
+    edge.req(3, "00000000000000b3", b"hang");
+    assert!(edge.expect(2, Kind::Answer).holds(b"ended unheard"));
+    // What came in between runs, and once.
+    until("it runs", || stand.kernel.lock().unwrap().runs.contains_key("00000000000000b3"));
+    let mut kernel = stand.kernel.lock().unwrap();
+    assert_eq!(kernel.links, 2);
+    assert!(!kernel.runs.contains_key("00000000000000b2"), "run again");
+    kernel.end("00000000000000b3", "failure", b"");
+    drop(kernel);
+    edge.expect(3, Kind::Crashed);
+}
+
+#[test]
+fn calls_are_left_out_while_the_store_is_down() {
+    let stand = stand();
+    stand.store.down.store(true, Ordering::Release);
+    let mut edge = stand.edge();
+    for sequence in 1..4 {
+        edge.req(sequence, &format!("00000000000000c{sequence}"), b"call");
+        assert!(edge.expect(sequence, Kind::Answer).holds(b"poorer"));
+    }
+    stand.store.down.store(false, Ordering::Release);
+    until("calls are made again", || {
+        let mut edge = stand.edge();
+        edge.req(1, &format!("{:016x}", stand.store.calls.load(Ordering::Acquire) + 0xc000), b"call");
+        let answer = edge.expect(1, Kind::Answer);
+        answer.holds(b"richer")
+    });
+}
+
+#[test]
+fn a_hostile_peer_harms_only_itself() {
+    let stand = stand();
+    let mut edge = stand.edge();
+    edge.req(1, "00000000000000d1", b"hang");
+    // Each of these gets its exception, and the connection goes on.
+    edge.call(2, "drop_tables", b"\0");
+    edge.expect(2, Kind::Exception);
+    edge.call(3, "process", b"\x0d\0\x01\x0b\x0b\x7f\xff\xff\xff");
+    edge.expect(3, Kind::Exception);
+    for (sequence, name, value) in [
+        (4, "kind", "pag"),
+        (5, "owner", "nobody"),
+        (6, "ts", "soon"),
+        (7, "need", "-1"),
+        (8, "req", "short"),
+    ] {
+        let mut fields = fields("00000000000000d2", "20.0");
+        fields.iter_mut().find(|(key, _)| *key == name).unwrap().1 = value.to_owned();
+        edge.process(sequence, &fields, b"run");
+        edge.expect(sequence, Kind::Exception);
+    }
+    // The id and the sequence of a req that is open.
+    edge.req(9, "00000000000000d1", b"run");
+    edge.expect(9, Kind::Exception);
+    edge.req(1, "00000000000000d3", b"run");
+    edge.expect(1, Kind::Exception);
+    edge.req(10, "00000000000000d4", b"run");
+    edge.expect(10, Kind::Answer);
+    // After what is no frame nothing is read there any more, but what is open is answered.
+    edge.stream.write_all(&[0xff; 64]).unwrap();
+    for garbage in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0, 0, 0, 5, 1, 2, 3, 4, 5], &[0x7f, 0xff, 0xff, 0xff]] {
+        let mut other = stand.edge();
+        other.stream.write_all(garbage).unwrap();
+        assert!(other.answer().is_none(), "closed");
+    }
+    stand.kernel.lock().unwrap().end("00000000000000d1", "success", b"all the same");
+    assert!(edge.expect(1, Kind::Answer).holds(b"all the same"));
+    assert!(edge.answer().is_none(), "closed");
+    // A connection cut off takes its req along, and others are served.
+    let mut cut = stand.edge();
+    cut.req(1, "00000000000000d5", b"hang");
+    until("it runs", || stand.kernel.lock().unwrap().runs.contains_key("00000000000000d5"));
+    let mut edge = stand.edge();
+    edge.req(1, "00000000000000d6", b"run");
+    edge.expect(1, Kind::Answer);
+}
+
+#[test]
+fn a_reader_that_is_slow_holds_up_nobody_else() {
+    let stand = stand();
+    let mut slow = stand.edge();
+    let mut edge = stand.edge();
+    for sequence in 1..400 {
+        slow.req(sequence, &format!("{sequence:016x}"), b"run");
+        if sequence % 40 == 0 {
+            edge.req(sequence, &format!("{sequence:015x}e"), b"run");
+            edge.expect(sequence, Kind::Answer);
+        }
+    }
+    let mut left: Vec<u32> = (1..400).collect();
+    while !left.is_empty() {
+        let answer = slow.answer().expect("an answer for each");
+        assert!(left.contains(&answer.sequence), "once each");
+        left.retain(|&sequence| sequence != answer.sequence);
+    }
+}
+
+#[test]
+fn what_makes_no_sense_is_told_in_one_line() {
+    let host = host();
+    let told = told(&host);
+    for (from, to, problem) in [
+        ("{\"name\":\"n3\"", "{\"name\"", "expected `:`"),
+        ("\"cores\":4", "\"cores\":0", "no cores are given"),
+        ("\"8c1f30d27a5be964\"", "\"seed\"", "seed: 'seed' is no hex number"),
+        ("\"sockets\":1024", "\"sockets\":3", "limits.sockets: 3 are too few to serve"),
+        (&format!("{host}:6565"), "nowhere", "invalid socket address"),
+        ("\"stop_ms\":4000", "\"stop_ms\":-4", "stop_ms: -4 is no time"),
+    ] {
+        assert!(told.contains(from), "{from}");
+        let file = file(&format!("{host}-wrong"), &told.replace(from, to));
+        let output = start(&file).wait_with_output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        assert!(said.lines().count() == 1 && said.contains(problem), "{said}");
+        std::fs::remove_file(file).unwrap();
+    }
+}
