Drain: serve through the grace, then refuse connections and wait for edge nodes to close

Seen: a draining backend that asked edge nodes to leave at the notice got its connections opened anew at once, and ended 100 ms before the stop with two of them still open; a req written there in that time would have been lost (none was). A connection of our own is the last to be accepted, so the listener closes behind all that came before (clients.rs close, main.rs serve).

--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -32,6 +32,8 @@
 const STACKS_KEPT: usize = 256;
 /// Between two looks at idle connections.
 const SWEEP: Duration = Duration::from_millis(500);
+/// The time before the stop that edge nodes get to close their connections, at the least.
+const FAREWELL: Duration = Duration::from_secs(1);
 /// Before the stop all is to be over.
 const STOP_MARGIN: Duration = Duration::from_millis(100);
 
@@ -61,6 +63,7 @@
 
 fn serve(told: Told, listener: TcpListener, signals: &mut Signals) {
     ::log::info!("{} listens on {}", told.name, told.listen);
+    let grace = told.given.drain_grace;
     let gate = Arc::new(Gate::new(told.given, told.seed));
     let kernel = Kernel::new(told.kernel, gate.clone(), told.names.gauges.clone());
     let store = Store::new(told.store, gate.clone());
@@ -105,12 +108,11 @@
     ::log::info!("notice to leave: {} reqs open, {} connections", gate.open(), clients.count());
     leaving.store(true, Ordering::Release);
     gate.leave(told.stop);
-    clients.leave();
-    let listen = told.listen;
-    if std::env::var_os("LB_TRY_CLOSE").is_some()
-        && let Err(error) = clients.close(listen)
-    {
-        ::log::warn!("{listen}: {error}");
+    // The module goes on taking reqs for a while. Once nothing that comes may be run any more, a connection
+    // refused sends a caller elsewhere sooner than an answer could.
+    std::thread::sleep(grace.min(told.stop.saturating_sub(FAREWELL)).saturating_sub(notice.elapsed()));
+    if let Err(error) = clients.close(told.listen) {
+        ::log::warn!("{}: {error}", told.listen);
     }
     while !(clients.none() && gate.open() == 0) && notice.elapsed() + STOP_MARGIN < told.stop {
         std::thread::sleep(Duration::from_millis(5));
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -86,6 +86,7 @@
     connections: Mutex<Slab<Arc<Connection>>>,
     most: usize,
     open_most: usize,
+    leaving: AtomicBool,
     /// Where the connection comes from that is to be the last.
     last: Mutex<Option<SocketAddr>>,
 }
@@ -102,8 +103,8 @@
         let most = sockets.saturating_sub(KEPT).max(1);
         let connections = Mutex::new(Slab::new());
         let open_most = (memory_mb * MEMORY_PART * 1024.0 / REQ_KB) as usize;
-        let last = Mutex::new(None);
-        Arc::new(Clients { gate, kernel, store, names, connections, most, open_most, last })
+        let (leaving, last) = (AtomicBool::new(false), Mutex::new(None));
+        Arc::new(Clients { gate, kernel, store, names, connections, most, open_most, leaving, last })
     }
 
     /// Accepts until the listener is to be closed. What came before that is served.
@@ -129,8 +130,13 @@
         }
     }
 
-    /// Has the listener closed behind all that came before: a connection of our own is the last to be accepted.
+    /// Has the listener closed behind all that came before, and asks all edge nodes to leave. A connection of
+    /// our own is the last to be accepted.
     pub fn close(&self, listen: SocketAddr) -> io::Result<()> {
+        self.leaving.store(true, Ordering::Release);
+        for connection in self.all() {
+            connection.leave();
+        }
         let mut last = self.last.lock();
         let stream = std::net::TcpStream::connect(listen)?;
         *last = Some(stream.local_addr()?);
@@ -146,13 +152,6 @@
         self.connections.lock().len()
     }
 
-    /// Asks all edge nodes to send nothing more here.
-    pub fn leave(&self) {
-        for connection in self.all() {
-            connection.leave();
-        }
-    }
-
     /// Asks for the end of connections that stand idle, and ends those that were asked long ago.
     pub fn sweep(&self) {
         let idle = self.gate.idle();
@@ -186,6 +185,9 @@
             ending: AtomicBool::new(false),
         });
         let at = self.connections.lock().insert(connection.clone());
+        if self.leaving.load(Ordering::Acquire) {
+            connection.leave();
+        }
         let end = self.carry(&mut link, &connection);
         self.connections.lock().remove(at);
         drop(link);
