--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -162,7 +162,7 @@
     indices: HashMap<Id, usize>,
     keys: HashMap<Id, Key>,
     alarms: BTreeSet<Duration>,
-    signal: Option<f64>,
+    advice: Option<f64>,
     idle: Option<Duration>,
     healthy: bool,
     leaving: bool,
@@ -183,7 +183,7 @@
             indices: HashMap::new(),
             keys: HashMap::new(),
             alarms: BTreeSet::new(),
-            signal: None,
+            advice: None,
             idle: None,
             healthy: false,
             leaving: false,
@@ -295,9 +295,9 @@
         self.state.lock().running.is_some()
     }
 
-    /// The free value that goes with every answer.
-    pub fn signal(&self) -> Option<f64> {
-        self.state.lock().signal
+    /// What callers are advised with every answer.
+    pub fn advice(&self) -> Option<f64> {
+        self.state.lock().advice
     }
 
     /// After what time connections without use are to be closed.
@@ -466,7 +466,7 @@
                     slot.order(Order::Skip { call });
                 }
             }
-            Action::Advise { value } => self.signal = Some(value),
+            Action::Advise { value } => self.advice = Some(value),
             Action::CloseIdle { after } => self.idle = Some(after),
             Action::Health { good } => self.healthy = good,
             Action::Alarm { at } => {
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -16,7 +16,7 @@
 use super::kernel::Kernel;
 use super::store::Store;
 use super::thrift::{self, Asked, Fault, Fields, Said};
-use super::{Link, Out, spawn};
+use super::{Added, Link, Out, spawn};
 use crate::gate::{Answer, Bytes, Gate, Id, Incoming, Order, Report, Unfit};
 use crate::log::Bound;
 use crate::must;
@@ -38,6 +38,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long an edge node may take to close what it was asked to leave.
 const CLOSING: Duration = Duration::from_secs(2);
+/// How long the connection may take that closes the listener.
+const CLOSE_MOST: Duration = Duration::from_millis(200);
 /// The longest that a deep check waits for its work.
 const CHECK_MOST: Duration = Duration::from_secs(2);
 
@@ -66,10 +68,9 @@
     /// Asks the edge node to close this once all is answered.
     fn leave(&self) {
         let mut leaving = self.leaving.lock();
-        if leaving.is_none() {
+        // Where there is no room, the next look asks.
+        if leaving.is_none() && self.out.add(&[&thrift::no_more(0)]) == Added::Yes {
             *leaving = Some(Instant::now());
-            drop(leaving);
-            self.out.push(&[&thrift::no_more(0)]);
         }
     }
 
@@ -139,7 +140,7 @@
             connection.leave();
         }
         let mut last = self.last.lock();
-        let stream = std::net::TcpStream::connect(listen)?;
+        let stream = std::net::TcpStream::connect_timeout(&listen, CLOSE_MOST)?;
         *last = Some(stream.local_addr()?);
         Ok(())
     }
@@ -170,7 +171,9 @@
             if asked.is_some_and(|asked| asked.elapsed() > CLOSING) {
                 connection.ending.store(true, Ordering::Release);
                 connection.out.wake();
-            } else if idle.is_some_and(|idle| connection.used.lock().elapsed() > idle) {
+            } else if self.leaving.load(Ordering::Acquire)
+                || idle.is_some_and(|idle| connection.used.lock().elapsed() > idle)
+            {
                 connection.leave();
             }
         }
@@ -326,10 +329,13 @@
                     give_up = None;
                     self.kernel.reply(&id, &reply);
                 }
-                Order::Skip { call } => self.kernel.skip(&id, call),
+                Order::Skip { call } => {
+                    give_up = None;
+                    self.kernel.skip(&id, call);
+                }
                 Order::Answer(answer) => {
                     let mut fields = Vec::with_capacity(3);
-                    fields.extend(self.gate.signal().map(|value| ("signal", format!("{value:.4}"))));
+                    fields.extend(self.gate.advice().map(|value| ("signal", format!("{value:.4}"))));
                     match &answer {
                         Answer::Done(result) => {
                             say(&Said::Answer { body: result, fields: &fields, good: true })
@@ -361,7 +367,7 @@
     fn check(&self, connection: &Connection, sequence: i32, deep: bool) {
         let good = self.gate.healthy() && (!deep || self.kernel.works(CHECK_MOST));
         let fields: Vec<_> =
-            self.gate.signal().map(|value| ("signal", format!("{value:.4}"))).into_iter().collect();
+            self.gate.advice().map(|value| ("signal", format!("{value:.4}"))).into_iter().collect();
         connection.checks.fetch_sub(1, Ordering::AcqRel);
         connection.say("probe", sequence, &Said::Answer { body: &[], fields: &fields, good });
     }
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -62,6 +62,8 @@
     /// The link, from the moment that all missed notices were read.
     out: Option<Arc<Out>>,
     last_notice: u64,
+    /// Notices are missing, so what was not heard of may have ended.
+    missed: bool,
     runs: HashMap<Id, Run>,
     asks: HashMap<u64, Ask>,
     tags: u64,
@@ -292,6 +294,7 @@
     fn fresh(&self, notice: u64) -> bool {
         let mut state = self.state.lock();
         let fresh = notice > state.last_notice;
+        state.missed |= notice > state.last_notice + 1;
         state.last_notice = state.last_notice.max(notice);
         fresh
     }
@@ -308,12 +311,23 @@
 
     /// All missed notices were read. To start a run that runs already does nothing, and a skip names its call,
     /// so both may be said again. A reply may not, once it was said: it could meet the next call of its run. A
-    /// run whose reply may be lost is stopped instead.
+    /// run whose reply may be lost is stopped instead. Where notices are missing, as the kernel keeps only so
+    /// many, a run that was not heard of may have ended, and nothing of it is said again.
     fn resume(&self, out: &Arc<Out>) {
         let mut again = Vec::new();
         {
             let mut state = self.state.lock();
             state.out = Some(out.clone());
+            if std::mem::replace(&mut state.missed, false) {
+                let lost = std::mem::take(&mut state.runs);
+                drop(state);
+                log::warn!("kernel link: notices are missing, {} runs count as broken", lost.len());
+                for id in lost.keys() {
+                    self.gate
+                        .report(id, Report::Ended { outcome: Outcome::Broken, result: Bytes::default() });
+                }
+                return;
+            }
             let arrived = state.arrived;
             let mut ids: Vec<Id> = state.runs.keys().cloned().collect();
             ids.sort_unstable();
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -1,7 +1,7 @@
 //! The store, which runs call: two lanes, one connection each at the most, opened when needed. A further call
 //! for a req takes the other lane, so that a late reply to the one before can't be taken for its own.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 
 use super::lines::{self, Line, line};
-use super::{Link, Out, spawn};
+use super::{Added, Link, Out, spawn};
 use crate::gate::{Bytes, Gate, Id, Outcome, Report};
 use crate::log::Bound;
 
@@ -27,11 +27,16 @@
     out: Option<Arc<Out>>,
     connecting: bool,
     /// Calls that wait for the connection.
-    waiting: HashMap<Id, Vec<u8>>,
+    waiting: BTreeMap<Id, Vec<u8>>,
     /// Calls that were written.
-    open: HashSet<Id>,
+    open: BTreeSet<Id>,
     used: Option<Instant>,
-    leaving: bool,
+}
+
+impl Lane {
+    fn is(&self, out: &Arc<Out>) -> bool {
+        self.out.as_ref().is_some_and(|ours| Arc::ptr_eq(ours, out))
+    }
 }
 
 pub struct Store {
@@ -92,7 +97,6 @@
             let mut lane = lane.lock();
             let idle = lane.used.is_some_and(|used| used.elapsed() > IDLE) && lane.open.is_empty();
             if idle && let Some(out) = lane.out.take() {
-                lane.leaving = true;
                 out.wake();
             }
         }
@@ -120,20 +124,17 @@
             }
         };
         lane.out = Some(link.out.clone());
-        lane.leaving = false;
-        lane.open.extend(waiting.keys().cloned());
+        let (written, left): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|(_, bytes)| link.out.add(&[bytes]) == Added::Yes);
+        lane.open.extend(written.into_iter().map(|(id, _)| id));
         drop(lane);
-        let out = link.out.clone();
-        // In a coroutine of its own, as this one must drain what it adds.
-        spawn(move || {
-            for bytes in waiting.values() {
-                out.push(&[bytes]);
-            }
-        });
+        for (id, _) in left {
+            self.ended(&id, Outcome::Unreachable);
+        }
         let end = self.carry(&mut link, at);
         let mut lane = self.lanes[at].lock();
-        // Left on purpose, its place may be another's already.
-        if !lane.leaving || lane.out.as_ref().is_some_and(|out| Arc::ptr_eq(out, &link.out)) {
+        // Left on purpose, its place may be another's already, and nothing was open.
+        if lane.is(&link.out) {
             lane.out = None;
             let open = std::mem::take(&mut lane.open);
             drop(lane);
@@ -141,6 +142,8 @@
             for id in open {
                 self.ended(&id, Outcome::Broken);
             }
+        } else {
+            drop(lane);
         }
         if let Err(error) = end {
             self.tell(&error);
@@ -169,7 +172,7 @@
             if link.at_end {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
-            if self.lanes[at].lock().leaving {
+            if !self.lanes[at].lock().is(&link.out) {
                 return Ok(());
             }
             link.wait();
--- a/crates/server/tests/program.rs
+++ b/crates/server/tests/program.rs
@@ -396,6 +396,29 @@
     edge.expect(3, Kind::Crashed);
 }
 
+#[test]
+fn what_was_not_heard_of_behind_missing_notices_is_not_run_again() {
+    let stand = stand();
+    let mut edge = stand.edge();
+    edge.req(1, "00000000000000e1", b"hang");
+    edge.req(2, "00000000000000e2", b"hang");
+    until("both run", || stand.kernel.lock().unwrap().runs.len() == 2);
+    {
+        let mut kernel = stand.kernel.lock().unwrap();
+        kernel.link.take().unwrap().shutdown(Shutdown::Both).unwrap();
+        // The end of the first is forgotten before anybody hears of it.
+        kernel.end("00000000000000e1", "success", b"forgotten");
+        kernel.notices.last_mut().unwrap().clear();
+        kernel.end("00000000000000e2", "success", b"kept");
+    }
+    let (one, other) = (edge.answer().unwrap(), edge.answer().unwrap());
+    for answer in [one, other] {
+        let kind = if answer.sequence == 1 { Kind::Crashed } else { Kind::Answer };
+        assert_eq!(answer.kind, kind);
+    }
+    assert!(stand.kernel.lock().unwrap().runs.is_empty(), "run again");
+}
+
 #[test]
 fn calls_are_left_out_while_the_store_is_down() {
     let stand = stand();
@@ -453,6 +476,11 @@
     stand.kernel.lock().unwrap().end("00000000000000d1", "success", b"all the same");
     assert!(edge.expect(1, Kind::Answer).holds(b"all the same"));
     assert!(edge.answer().is_none(), "closed");
+    // A message cut short by its end.
+    let mut other = stand.edge();
+    other.stream.write_all(b"\0\0\0\x30\x80\x01\0\x01").unwrap();
+    other.stream.shutdown(Shutdown::Write).unwrap();
+    assert!(other.answer().is_none(), "closed");
     // A connection cut off takes its req along, and others are served.
     let mut cut = stand.edge();
     cut.req(1, "00000000000000d5", b"hang");
