--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -55,6 +55,7 @@
         (_, Err(error)) => return refuse(&format!("{}: {error}", told.listen)),
     };
     serve(told, listener, &mut signals);
+    ::log::logger().flush();
     ExitCode::SUCCESS
 }
 
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -298,6 +298,8 @@
         let (id, class, came) = (read.incoming.id.clone(), read.class, read.came);
         let mut incoming = read.incoming;
         incoming.age = age(came);
+        // It is told as it was when the req came.
+        incoming.patience = incoming.patience.map(|patience| patience.saturating_sub(incoming.age));
         let say = |said: &Said| {
             connection.open.lock().remove(&sequence);
             connection.say("process", sequence, said);
--- a/crates/server/tests/program.rs
+++ b/crates/server/tests/program.rs
@@ -34,6 +34,8 @@
     notices: Vec<Vec<u8>>,
     /// Runs that have not ended, and how often each was started.
     runs: HashMap<String, u32>,
+    /// How often each has ended.
+    ends: HashMap<String, u32>,
     link: Option<TcpStream>,
     links: u32,
     replies: Vec<Vec<u8>>,
@@ -53,6 +55,7 @@
 
     fn end(&mut self, id: &str, end: &str, result: &[u8]) {
         if self.runs.remove(id).is_some() {
+            *self.ends.entry(id.to_owned()).or_default() += 1;
             self.notice("REAP", format!("{id} {end} 1.5"), result);
         }
     }
@@ -437,6 +440,43 @@
     });
 }
 
+#[test]
+fn each_req_is_answered_once_while_links_are_cut() {
+    const EACH: u32 = 150;
+    let stand = stand();
+    let mut edges: Vec<Edge> = (0..4).map(|_| stand.edge()).collect();
+    let mut left: Vec<Vec<u32>> = vec![(1..=EACH).collect(); edges.len()];
+    let mut sent = 0;
+    while left.iter().any(|left| !left.is_empty()) {
+        // A few more on each connection; their answers come in any order while everything breaks.
+        let few = sent..EACH.min(sent + 10);
+        for (at, edge) in edges.iter_mut().enumerate() {
+            for sequence in few.clone() {
+                let body = if (sequence + at as u32).is_multiple_of(3) { &b"call"[..] } else { b"run" };
+                edge.req(sequence + 1, &format!("{at:08x}{:08x}", sequence + 1), body);
+            }
+        }
+        sent = few.end;
+        if let Some(link) = stand.kernel.lock().unwrap().link.take() {
+            let _ = link.shutdown(Shutdown::Both);
+        }
+        stand.store.down.store(sent % 40 == 0, Ordering::Release);
+        for (at, edge) in edges.iter_mut().enumerate() {
+            while left[at].iter().any(|&sequence| sequence <= sent) {
+                let answer = edge.answer().expect("an answer for each");
+                let place = left[at].iter().position(|&sequence| sequence == answer.sequence);
+                left[at].swap_remove(place.expect("once each"));
+                let own = format!("page \0 {at:08x}{:08x}", answer.sequence);
+                let whole = [own.as_bytes(), b"richer", b"poorer"].iter().any(|result| answer.holds(result));
+                assert!(answer.kind != Kind::Answer || whole, "a result of its own");
+            }
+        }
+    }
+    let kernel = stand.kernel.lock().unwrap();
+    assert!(kernel.links > 10, "{} links", kernel.links);
+    assert!(kernel.ends.values().all(|&ends| ends == 1), "run again");
+}
+
 #[test]
 fn a_hostile_peer_harms_only_itself() {
     let stand = stand();
