Wait in whole milliseconds rounded up: calls are given up in time, the clock cannot stop

Seen: in the new test of a kernel that talks nonsense the second line broke nothing; the log showed that alarms had stopped for good once the link broke under a SYSINFO. Logged around the question: it was asked and never came back, while sleeps went on. Ruled out: a lost wake-up of the link (it served reqs), the timer thread (sleeps of 50 ms ended). Cause: may keeps the span of a park in whole milliseconds and takes 0 for no limit (its sync/atomic_dur.rs); a wait of 59.98 ms ends after 59, and the rest of 0.98 ms is for ever. Change: one park for both that rounds up; what is asked on a link that ends is answered at once with nothing. Tests: a coroutine that waits for 0 to 5.7 ms, a store that falls silent, a kernel that talks nonsense; with the rounding undone the first two fail.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -131,6 +131,14 @@
     joined: Vec<usize>,
 }
 
+/// Blocks a coroutine until it is woken, or until the span has passed. may counts such spans in whole
+/// milliseconds and takes less than one for no limit: without rounding up, the last part of a wait never ends.
+pub fn park(waiter: &Blocker, span: Option<Duration>) {
+    let whole = span.map(|span| Duration::from_millis(span.as_millis().min(1 << 40) as u64 + 1));
+    // Woken or timed out: what is waited for, and the clock, tell.
+    let _ = waiter.park(whole);
+}
+
 /// What became of reqs so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
@@ -532,8 +540,7 @@
             if left == Some(Duration::ZERO) {
                 return None;
             }
-            // Woken or timed out: the orders and the clock tell.
-            let _ = self.waiter.park(left);
+            park(&self.waiter, left);
         }
     }
 }
--- a/crates/server/src/gate/tests.rs
+++ b/crates/server/src/gate/tests.rs
@@ -335,3 +335,20 @@
     gate.report("a", Report::Ended { outcome: Outcome::Stopped, result: bytes("") });
     assert_eq!(gate.open(), 0);
 }
+
+/// A wait of a coroutine that was over by less than a millisecond once had no end: calls were never given up,
+/// and alarms stopped for good when the kernel's link broke under a question.
+#[test]
+fn a_coroutine_waits_no_longer_than_it_says() {
+    let (told, heard) = std::sync::mpsc::channel();
+    crate::net::spawn(move || {
+        let ticket = gate().enter(incoming("a", 0, None)).unwrap();
+        assert_eq!(ticket.pick(None), Some(Order::Run));
+        for span in (0..20).map(|step| Duration::from_micros(300 * step)) {
+            told.send(ticket.pick(Some(Instant::now() + span))).unwrap();
+        }
+    });
+    for _ in 0..20 {
+        assert_eq!(heard.recv_timeout(Duration::from_secs(30)), Ok(None));
+    }
+}
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -14,7 +14,7 @@
 
 use super::lines::{self, Line, line};
 use super::{Added, FULL_PAUSE, Link, Out, spawn};
-use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report};
+use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report, park};
 use crate::log::Bound;
 
 const IN_MOST: usize = 256 * 1024;
@@ -171,7 +171,7 @@
                 return state.asks.remove(&tag).and_then(|ask| ask.reply);
             }
             drop(state);
-            let _ = waiter.park(Some(left));
+            park(&waiter, Some(left));
         }
     }
 
@@ -180,7 +180,14 @@
         loop {
             let end = TcpStream::connect(self.address)
                 .and_then(|stream| self.carry(&mut Link::new(stream, IN_MOST, OUT_MOST)));
-            self.state.lock().out = None;
+            {
+                let mut state = self.state.lock();
+                state.out = None;
+                // What was asked is not answered any more.
+                for ask in std::mem::take(&mut state.asks).into_values() {
+                    ask.waiter.unpark();
+                }
+            }
             if let (Err(error), Some(count)) = (end, LINKS.pass()) {
                 log::warn!("kernel link: {error} ({count} so far)");
             }
--- a/crates/server/tests/program.rs
+++ b/crates/server/tests/program.rs
@@ -136,19 +136,24 @@
     }
 }
 
-/// A store that answers every call with its body, until it is down.
+/// A store that answers every call with its body, until it falls silent or is down.
 struct Store {
     down: Arc<AtomicBool>,
+    silent: Arc<AtomicBool>,
+    drops: Arc<AtomicU32>,
     calls: Arc<AtomicU32>,
 }
 
 fn store(host: &str) -> Store {
-    let store = Store { down: Arc::default(), calls: Arc::default() };
+    let store =
+        Store { down: Arc::default(), silent: Arc::default(), drops: Arc::default(), calls: Arc::default() };
     let (down, calls) = (store.down.clone(), store.calls.clone());
+    let (silent, drops) = (store.silent.clone(), store.drops.clone());
     let listener = TcpListener::bind((host, 7700)).unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let (down, calls) = (down.clone(), calls.clone());
+            let (silent, drops) = (silent.clone(), drops.clone());
             std::thread::spawn(move || {
                 let mut input = BufReader::new(stream.try_clone().unwrap());
                 let mut line = String::new();
@@ -161,8 +166,12 @@
                         if down.load(Ordering::Acquire) {
                             break;
                         }
-                        let head = format!("{id} OK {length}\r\n");
-                        (&stream).write_all(&[head.as_bytes(), &body].concat()).unwrap();
+                        if !silent.load(Ordering::Acquire) {
+                            let head = format!("{id} OK {length}\r\n");
+                            (&stream).write_all(&[head.as_bytes(), &body].concat()).unwrap();
+                        }
+                    } else if words[0] == "DROP" {
+                        drops.fetch_add(1, Ordering::AcqRel);
                     }
                     line.clear();
                 }
@@ -440,6 +449,43 @@
     });
 }
 
+#[test]
+fn a_call_that_is_not_answered_is_given_up() {
+    let stand = stand();
+    stand.store.silent.store(true, Ordering::Release);
+    let mut edge = stand.edge();
+    edge.req(1, "00000000000000c9", b"call");
+    assert!(edge.expect(1, Kind::Answer).holds(b"poorer"));
+    until("it is dropped", || stand.store.drops.load(Ordering::Acquire) == 1);
+}
+
+#[test]
+fn a_peer_that_talks_nonsense_is_spoken_to_anew() {
+    let stand = stand();
+    let mut edge = stand.edge();
+    let long = "x".repeat(5000);
+    for (sequence, nonsense) in
+        (1..).zip(["HELLO 1\r\n", "REAP 1 2\r\n", "IOREQ 5 x -1\r\n", "\u{1}\r\n", &long])
+    {
+        let links = stand.kernel.lock().unwrap().links;
+        stand.kernel.lock().unwrap().say(nonsense.to_owned());
+        until(nonsense, || stand.kernel.lock().unwrap().links > links);
+        edge.req(sequence, &format!("{sequence:016x}"), b"run");
+        edge.expect(sequence, Kind::Answer);
+    }
+    // What has no meaning, and what was refused, breaks nothing.
+    edge.req(9, "00000000000000f9", b"hang");
+    until("it runs", || !stand.kernel.lock().unwrap().runs.is_empty());
+    let links = stand.kernel.lock().unwrap().links;
+    stand
+        .kernel
+        .lock()
+        .unwrap()
+        .say("EINVAL NOIO x\r\nINFO 999999 x\r\nEINVAL SCHED 00000000000000f9\r\n".to_owned());
+    edge.expect(9, Kind::Crashed);
+    assert_eq!(stand.kernel.lock().unwrap().links, links);
+}
+
 #[test]
 fn each_req_is_answered_once_while_links_are_cut() {
     const EACH: u32 = 150;
