--- a/crates/server/tests/program.rs
+++ b/crates/server/tests/program.rs
@@ -216,9 +216,13 @@
 }
 
 fn stand() -> Stand {
+    stand_with(1024)
+}
+
+fn stand_with(sockets: usize) -> Stand {
     let host = host();
     let (kernel, store) = (kernel(&host), store(&host));
-    let file = file(&host, &told(&host));
+    let file = file(&host, &told(&host).replace("1024", &sockets.to_string()));
     let child = start(&file);
     let stand = Stand { host, kernel, store, child, file };
     until("it serves", || {
@@ -618,6 +622,23 @@
     }
 }
 
+#[test]
+fn connections_beyond_the_limit_wait_for_a_place() {
+    let stand = stand_with(32);
+    let mut edges: Vec<Edge> = (0..20).map(|_| stand.edge()).collect();
+    for edge in &mut edges {
+        edge.call(1, "probe", b"\0");
+    }
+    edges[0].expect(1, Kind::Answer);
+    let files = std::fs::read_dir(format!("/proc/{}/fd", stand.child.id())).unwrap().count();
+    assert!(files <= 32, "{files} descriptors");
+    // Those that came last are served once others have gone.
+    drop(edges.remove(0));
+    for mut edge in edges {
+        edge.expect(1, Kind::Answer);
+    }
+}
+
 #[test]
 fn thousands_of_held_reqs_fit_its_memory() {
     let stand = stand();
