--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use may::coroutine;
 use may::sync::Blocker;
 use parking_lot::Mutex;
 use slab::Slab;
@@ -16,6 +17,9 @@
 
 use crate::must;
 
+/// Between two looks whether the module has started.
+const UNSTARTED: Duration = Duration::from_millis(20);
+
 pub type Id = Arc<str>;
 pub type Bytes = Arc<[u8]>;
 
@@ -273,8 +277,20 @@
         }
     }
 
-    /// Tells the module the time, if an alarm is due.
-    pub fn tick(&self, gauges: Gauges) {
+    /// Blocks until the next alarm is due, and tells the module of it with the gauges of that moment.
+    pub fn tick(&self, gauges: impl FnOnce() -> Gauges) {
+        let left = {
+            let state = self.state.lock();
+            state.alarms.first().map_or(UNSTARTED, |at| at.saturating_sub(state.now()))
+        };
+        if left.is_zero() {
+            self.alarm(gauges());
+        } else {
+            coroutine::sleep(left);
+        }
+    }
+
+    fn alarm(&self, gauges: Gauges) {
         let mut state = self.state.lock();
         let now = state.now();
         if state.alarms.first().is_some_and(|&at| at <= now) {
@@ -283,13 +299,6 @@
         }
     }
 
-    /// How long until the next alarm is due, if one is set.
-    pub fn until_alarm(&self) -> Option<Duration> {
-        let state = self.state.lock();
-        let at = *state.alarms.first()?;
-        Some(at.saturating_sub(state.now()))
-    }
-
     /// The notice to leave: the process is stopped after `left`.
     pub fn leave(&self, left: Duration) {
         let mut state = self.state.lock();
--- a/crates/server/src/gate/tests.rs
+++ b/crates/server/src/gate/tests.rs
@@ -64,7 +64,7 @@
         let running = state.running.as_mut().unwrap();
         running.zero = running.zero.checked_sub(span).expect("the machine is up for long enough");
         drop(state);
-        self.tick(Gauges::default());
+        self.alarm(Gauges::default());
     }
 }
 
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -83,7 +83,11 @@
     }
     {
         let (gate, kernel) = (gate.clone(), kernel.clone());
-        spawn(move || keep_time(&gate, &kernel));
+        spawn(move || {
+            loop {
+                gate.tick(|| kernel.gauges());
+            }
+        });
     }
     {
         let (gate, clients, store) = (gate.clone(), clients.clone(), store.clone());
@@ -125,14 +129,3 @@
     }
     ::log::info!("left after {} ms; {}; {}", notice.elapsed().as_millis(), gate.counts(), clients.told());
 }
-
-/// Brings the module its alarms, each with the gauges of its moment.
-fn keep_time(gate: &Gate, kernel: &Kernel) {
-    const IDLE: Duration = Duration::from_millis(20);
-    loop {
-        match gate.until_alarm() {
-            Some(left) if left.is_zero() => gate.tick(kernel.gauges()),
-            left => coroutine::sleep(left.unwrap_or(IDLE)),
-        }
-    }
-}
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -25,15 +25,16 @@
 const OPEN_MOST: usize = 32;
 /// Answers that a slow reader may leave standing before nothing more is read from it; what is open then comes
 /// on top, so the ring holds all that can become due.
-const UNREAD_MOST: usize = 16 * 1024;
-const OUT_MOST: usize = UNREAD_MOST + (OPEN_MOST + 1) * 8 * 1024;
+const UNREAD_MOST: usize = 4 * 1024;
+const ANSWER_MOST: usize = 4608;
+const OUT_MOST: usize = UNREAD_MOST + (OPEN_MOST + 1) * ANSWER_MOST;
 const IN_MOST: usize = thrift::FRAME_MOST + 4;
 /// Descriptors that are kept for the kernel, the store, the log and the runtime.
 const KEPT: usize = 24;
 /// What one open req takes at the most: its coroutine's stack as far as it is touched, body and result.
 const REQ_KB: f64 = 24.0;
 /// The part of this process's memory that open reqs may take; what comes beyond is turned away unseen.
-const MEMORY_PART: f64 = 0.6;
+const MEMORY_PART: f64 = 0.45;
 /// How long an accept waits when no descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long an edge node may take to close what it was asked to leave.
