A req's place on its connection is freed once; stamps an hour old are senseless

Found by reading: a coroutine that outlived its answer could free the place of a later req that used the same sequence, and a coroutine that failed would have owed its answer and kept one of the 32 places.

--- a/crates/server/src/gate/tests.rs
+++ b/crates/server/src/gate/tests.rs
@@ -4,53 +4,19 @@
 use std::collections::HashMap;
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use tulipgap::{Advice, Below, Effect, Halting, Handler, Tenant};
+use tulipgap::Effect;
 
 use super::*;
 
-fn ms(span: u64) -> Duration {
-    Duration::from_millis(span)
-}
+#[path = "../../../../tests/decisions/common.rs"]
+#[allow(dead_code)]
+mod common;
+use common::{given, ms};
 
 const EFFECTS: [Effect; 3] = [Effect::Replayable, Effect::Uniqued, Effect::NonReplayable];
 const WINDOW: u64 = 2000;
 const TIMEOUT: u64 = 3000;
 
-fn given() -> Given {
-    let handler = |effect| Handler {
-        response_target: ms(1000),
-        target_stretch: 0.0,
-        client_timeout: ms(TIMEOUT),
-        value: 1.0,
-        effect,
-        repeat_window: ms(WINDOW),
-        calls_below: true,
-        skip_value: if effect == Effect::Replayable { 0.5 } else { 0.0 },
-    };
-    Given {
-        handlers: EFFECTS.map(handler).into(),
-        tenants: vec![Tenant { allowance_per_s: 5.0 }],
-        over_share_value: 0.1,
-        cores: 2,
-        memory_kb: 2000.0,
-        run_factor: 4.0,
-        key_kb: 20.0,
-        cold: false,
-        cold_speed: 0.25,
-        warm_up: ms(10_000),
-        crowd_limit: 4.0,
-        crowd_span: ms(2000),
-        answer_slack: ms(60),
-        drain_grace: ms(1000),
-        below: Below::Shared { share: 2.0, span: ms(5000), linger: ms(200) },
-        halting: Halting::Drops,
-        advice: Advice::Weight,
-        max_wait: Some(ms(1000)),
-        callers: 3,
-        idle_link: ms(15_000),
-    }
-}
-
 fn gate() -> Arc<Gate> {
     let gate = Arc::new(Gate::new(given(), 7));
     assert!(gate.start(false, Duration::ZERO));
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -1,5 +1,6 @@
 //! Edge nodes: the connections that they open here, and the life of each req that comes over them.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -39,6 +40,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long an edge node may take to close what it was asked to leave.
 const CLOSING: Duration = Duration::from_secs(2);
+/// What came to the machine longer ago has a senseless stamp.
+const AGE_MOST: Duration = Duration::from_secs(3600);
 /// How long the connection may take that closes the listener.
 const CLOSE_MOST: Duration = Duration::from_millis(200);
 /// The longest that a deep check waits for its work.
@@ -81,6 +84,39 @@
     }
 }
 
+/// A req's place on its connection, free again once it is answered or nobody is there to answer.
+struct Place<'a> {
+    connection: &'a Connection,
+    sequence: i32,
+    free: Cell<bool>,
+}
+
+impl Place<'_> {
+    fn leave(&self) -> bool {
+        let held = !self.free.replace(true);
+        if held {
+            self.connection.open.lock().remove(&self.sequence);
+        }
+        held
+    }
+
+    fn answer(&self, said: &Said) {
+        must!(self.leave(), "a req is answered in its place");
+        self.connection.say("process", self.sequence, said);
+    }
+}
+
+impl Drop for Place<'_> {
+    /// Gone without an answer; a coroutine that fails owes one all the same.
+    fn drop(&mut self) {
+        if !self.free.get() && std::thread::panicking() {
+            self.answer(&Said::Crashed { fields: &[] });
+        } else if self.leave() {
+            self.connection.out.wake();
+        }
+    }
+}
+
 pub struct Clients {
     gate: Arc<Gate>,
     kernel: Arc<Kernel>,
@@ -301,10 +337,8 @@
         incoming.age = age(came);
         // It is told as it was when the req came.
         incoming.patience = incoming.patience.map(|patience| patience.saturating_sub(incoming.age));
-        let say = |said: &Said| {
-            connection.open.lock().remove(&sequence);
-            connection.say("process", sequence, said);
-        };
+        let place = Place { connection, sequence, free: Cell::new(false) };
+        let say = |said: &Said| place.answer(said);
         let ticket = match self.gate.enter(incoming) {
             Ok(ticket) => ticket,
             Err(Unfit::Known) => return say(&Said::Exception(&Fault::Malformed("its id is open".into()))),
@@ -360,10 +394,6 @@
         if give_up.is_some() {
             self.store.give_up(&id, calls);
         }
-        // Gone without an answer.
-        if connection.open.lock().remove(&sequence).is_some() {
-            connection.out.wake();
-        }
     }
 
     /// A health check; a deep one has work done, for a bounded time.
@@ -418,6 +448,10 @@
         return Err(wrong("req"));
     }
     let came = needed("ts")?.parse().map(Duration::from_millis).map_err(|_| wrong("ts"))?;
+    // One such age would drown the mean time unread for all.
+    if age(came) > AGE_MOST {
+        return Err(wrong("ts"));
+    }
     let incoming = Incoming {
         id: id.into(),
         handler,
