--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -34,6 +34,12 @@
 }
 
 impl Lane {
+    /// Leaves a connection that stands idle; yields it.
+    fn leave(&mut self) -> Option<Arc<Out>> {
+        let idle = self.used.is_some_and(|used| used.elapsed() > IDLE) && self.open.is_empty();
+        if idle { self.out.take() } else { None }
+    }
+
     fn is(&self, out: &Arc<Out>) -> bool {
         self.out.as_ref().is_some_and(|ours| Arc::ptr_eq(ours, out))
     }
@@ -59,6 +65,9 @@
         let bytes = [head.as_bytes(), body, b"\r\n"].concat();
         let at = number % 2;
         let mut lane = self.lanes[at].lock();
+        if let Some(out) = lane.leave() {
+            out.wake();
+        }
         lane.used = Some(Instant::now());
         if let Some(out) = lane.out.clone() {
             lane.open.insert(id.clone());
@@ -94,9 +103,7 @@
     /// Leaves connections that stand idle.
     pub fn sweep(&self) {
         for lane in &self.lanes {
-            let mut lane = lane.lock();
-            let idle = lane.used.is_some_and(|used| used.elapsed() > IDLE) && lane.open.is_empty();
-            if idle && let Some(out) = lane.out.take() {
+            if let Some(out) = lane.lock().leave() {
                 out.wake();
             }
         }
