One loop over lines, one spelling of commands, one bound of log lines

Found on reading the whole change; behaviour is meant to stay as it is. kernel.rs and store.rs each had the loop that flushes, fills, takes lines and ends with the peer: Link::take_lines serves both, with one bound of their rings. The advice field was built in two places. The gate's flag for a second notice to leave repeated what the module checks itself.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -177,7 +177,6 @@
     advice: Option<f64>,
     idle: Option<Duration>,
     healthy: bool,
-    leaving: bool,
     counts: Counts,
 }
 
@@ -198,7 +197,6 @@
             advice: None,
             idle: None,
             healthy: false,
-            leaving: false,
             counts: Counts::default(),
         };
         Gate { given, seed, state: Mutex::new(state) }
@@ -301,10 +299,7 @@
 
     /// The notice to leave: the process is stopped after `left`.
     pub fn leave(&self, left: Duration) {
-        let mut state = self.state.lock();
-        if !std::mem::replace(&mut state.leaving, true) && state.running.is_some() {
-            state.decide(Event::Leave { left });
-        }
+        self.state.lock().decide(Event::Leave { left });
     }
 
     /// Whether what runs reqs was up.
--- a/crates/server/src/must.rs
+++ b/crates/server/src/must.rs
@@ -1,9 +1,8 @@
-//! What must hold: asserted in debug builds; counted, and logged by the first few, in release builds.
+//! What must hold: asserted in debug builds; counted, and logged at a bounded rate, in release builds.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use crate::log::Bound;
 
-static BROKEN: AtomicU64 = AtomicU64::new(0);
-const LOGGED: u64 = 20;
+static BROKEN: Bound = Bound::new();
 
 /// Checks that something holds, and says what otherwise.
 #[macro_export]
@@ -18,12 +17,12 @@
 #[cold]
 pub fn broken(what: &str) {
     debug_assert!(false, "must hold: {what}");
-    if BROKEN.fetch_add(1, Ordering::Relaxed) < LOGGED {
+    if BROKEN.pass().is_some() {
         log::error!("must hold: {what}");
     }
 }
 
 /// How often something did not hold.
 pub fn count() -> u64 {
-    BROKEN.load(Ordering::Relaxed)
+    BROKEN.count()
 }
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -372,7 +372,7 @@
                 }
                 Order::Answer(answer) => {
                     let mut fields = Vec::with_capacity(3);
-                    fields.extend(self.gate.advice().map(|value| ("signal", format!("{value:.4}"))));
+                    fields.extend(self.signal());
                     match &answer {
                         Answer::Done(result) => {
                             say(&Said::Answer { body: result, fields: &fields, good: true })
@@ -396,11 +396,15 @@
         }
     }
 
+    /// The field by which callers are advised with every answer.
+    fn signal(&self) -> Option<(&'static str, String)> {
+        self.gate.advice().map(|value| ("signal", format!("{value:.4}")))
+    }
+
     /// A health check; a deep one has work done, for a bounded time.
     fn check(&self, connection: &Connection, sequence: i32, deep: bool) {
         let good = self.gate.healthy() && (!deep || self.kernel.works(CHECK_MOST));
-        let fields: Vec<_> =
-            self.gate.advice().map(|value| ("signal", format!("{value:.4}"))).into_iter().collect();
+        let fields: Vec<_> = self.signal().into_iter().collect();
         connection.checks.fetch_sub(1, Ordering::AcqRel);
         connection.say("probe", sequence, &Said::Answer { body: &[], fields: &fields, good });
     }
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -12,13 +12,11 @@
 use may::sync::Blocker;
 use parking_lot::Mutex;
 
-use super::lines::{self, Line, line};
-use super::{Added, FULL_PAUSE, Link, Out, spawn};
+use super::lines::{Line, line};
+use super::{Added, FULL_PAUSE, LINES_MOST, Link, Out, garbled, spawn};
 use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report, park};
 use crate::log::Bound;
 
-const IN_MOST: usize = 256 * 1024;
-const OUT_MOST: usize = 256 * 1024;
 /// Between two tries to reach it.
 const RETRY: Duration = Duration::from_millis(50);
 /// The longest that an alarm waits for its gauges. While the machine stands still none come, and the module
@@ -39,6 +37,31 @@
     Unsent(Bytes),
 }
 
+/// What is said about a run.
+enum Command<'a> {
+    Start { class: &'a str, body: &'a [u8] },
+    Stop,
+    Reply(&'a [u8]),
+    Skip(u64),
+}
+
+impl Command<'_> {
+    fn bytes(&self, id: &str) -> Vec<u8> {
+        let (head, body) = match *self {
+            Command::Start { class, body } => {
+                (line(format_args!("SCHED {id} {class} {}", body.len())), Some(body))
+            }
+            Command::Stop => (line(format_args!("PREEMPT {id}")), None),
+            Command::Reply(reply) => (line(format_args!("IODONE {id} {}", reply.len())), Some(reply)),
+            Command::Skip(notice) => (line(format_args!("NOIO {id} {notice}")), None),
+        };
+        match body {
+            Some(body) => [head.as_bytes(), body, b"\r\n"].concat(),
+            None => head.into_bytes(),
+        }
+    }
+}
+
 struct Run {
     class: Id,
     body: Bytes,
@@ -86,8 +109,7 @@
 
     /// Runs a req.
     pub fn start(&self, id: &Id, class: &Id, body: &Bytes) {
-        let head = line(format_args!("SCHED {id} {class} {}", body.len()));
-        self.say(&[head.as_bytes(), body, b"\r\n"], |state, _| {
+        self.say(id, &Command::Start { class, body }, |state, _| {
             let run = Run { class: class.clone(), body: body.clone(), said: Said::Start };
             state.runs.insert(id.clone(), run);
         });
@@ -95,13 +117,12 @@
 
     /// Stops a run. The module says so again until it has ended, so a stop that is lost does no harm.
     pub fn stop(&self, id: &Id) {
-        self.say(&[line(format_args!("PREEMPT {id}")).as_bytes()], |_, _| ());
+        self.say(id, &Command::Stop, |_, _| ());
     }
 
     /// Hands a run the reply to its call.
     pub fn reply(&self, id: &Id, reply: &Bytes) {
-        let head = line(format_args!("IODONE {id} {}", reply.len()));
-        self.say(&[head.as_bytes(), reply, b"\r\n"], |state, place| {
+        self.say(id, &Command::Reply(reply), |state, place| {
             if let Some(run) = state.runs.get_mut(id) {
                 run.said = place.map_or_else(|| Said::Unsent(reply.clone()), Said::Reply);
             }
@@ -110,7 +131,7 @@
 
     /// Lets a run go on without the call of that notice.
     pub fn skip(&self, id: &Id, notice: u64) {
-        self.say(&[line(format_args!("NOIO {id} {notice}")).as_bytes()], |state, _| {
+        self.say(id, &Command::Skip(notice), |state, _| {
             if let Some(run) = state.runs.get_mut(id) {
                 run.said = Said::Skip(notice);
             }
@@ -132,11 +153,12 @@
 
     /// Says a command, and notes its place among all; none where there is no link. What was not said is said
     /// once there is one, where need be.
-    fn say(&self, parts: &[&[u8]], note: impl FnOnce(&mut State, Option<u64>)) {
+    fn say(&self, id: &str, command: &Command, note: impl FnOnce(&mut State, Option<u64>)) {
+        let bytes = command.bytes(id);
         loop {
             // Under the lock, so that commands arrive in the order of their places.
             let mut state = self.state.lock();
-            match state.out.as_ref().map_or(Added::Ended, |out| out.add(parts)) {
+            match state.out.as_ref().map_or(Added::Ended, |out| out.add(&[&bytes])) {
                 Added::Full => {}
                 Added::Ended => return note(&mut state, None),
                 Added::Yes => {
@@ -179,7 +201,7 @@
     pub fn run(self: Arc<Self>) {
         loop {
             let end = TcpStream::connect(self.address)
-                .and_then(|stream| self.carry(&mut Link::new(stream, IN_MOST, OUT_MOST)));
+                .and_then(|stream| self.carry(&mut Link::new(stream, LINES_MOST, LINES_MOST)));
             {
                 let mut state = self.state.lock();
                 state.out = None;
@@ -202,30 +224,18 @@
             (state.last_notice, state.ask(waiter))
         };
         let open = format!("OPEN {last}\r\n");
-        link.out.push(&[open.as_bytes()]);
+        let out = link.out.clone();
+        out.push(&[open.as_bytes()]);
         loop {
-            link.flush()?;
-            while link.fill()? {
-                loop {
-                    let next = lines::next(link.input.whole(), |words| matches!(words[0], "REAP" | "IOREQ"));
-                    let next = next.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
-                    let Some(line) = next else { break };
-                    let used = line.used;
-                    self.hear(&line, barrier, &link.out)?;
-                    link.input.consume(used);
-                }
-            }
-            if link.at_end {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-            link.flush()?;
+            let has_body = |words: &[&str]| matches!(words[0], "REAP" | "IOREQ");
+            link.take_lines(has_body, |line| self.hear(line, barrier, &out))?;
             link.wait();
         }
     }
 
     /// Takes one line.
     fn hear(self: &Arc<Self>, heard: &Line, barrier: u64, out: &Arc<Out>) -> io::Result<()> {
-        let wrong = || io::Error::new(io::ErrorKind::InvalidData, format!("no notice: {:?}", heard.words));
+        let wrong = || garbled(format!("no notice: {:?}", heard.words));
         let number = |word: &str| word.parse::<u64>().map_err(|_| wrong());
         let body = || Bytes::from(heard.body);
         match heard.words[..] {
@@ -341,27 +351,22 @@
             for id in ids {
                 let place = state.commands + 1;
                 let Some(run) = state.runs.get_mut(&id) else { continue };
-                let (head, body) = match &run.said {
-                    Said::Start => {
-                        (format!("SCHED {id} {} {}", run.class, run.body.len()), Some(run.body.clone()))
-                    }
-                    Said::Skip(notice) => (format!("NOIO {id} {notice}"), None),
-                    Said::Unsent(reply) => (format!("IODONE {id} {}", reply.len()), Some(reply.clone())),
-                    Said::Reply(place) if *place > arrived => (format!("PREEMPT {id}"), None),
+                let command = match &run.said {
+                    Said::Start => Command::Start { class: &run.class, body: &run.body },
+                    Said::Skip(notice) => Command::Skip(*notice),
+                    Said::Unsent(reply) => Command::Reply(reply),
+                    Said::Reply(place) if *place > arrived => Command::Stop,
                     Said::Reply(_) => continue,
                 };
+                again.push(command.bytes(&id));
                 if matches!(run.said, Said::Unsent(_)) {
                     run.said = Said::Reply(place);
                 }
                 state.commands = place;
-                again.push((head, body));
             }
         }
-        for (head, body) in again {
-            match body {
-                Some(body) => out.push(&[head.as_bytes(), b"\r\n", &body, b"\r\n"]),
-                None => out.push(&[head.as_bytes(), b"\r\n"]),
-            };
+        for bytes in again {
+            out.push(&[&bytes]);
         }
     }
 }
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -19,8 +19,12 @@
 use may::net::TcpStream;
 use parking_lot::Mutex;
 
+use lines::Line;
 use ring::Ring;
 
+/// What a ring of a peer that speaks lines holds at the most.
+pub const LINES_MOST: usize = 256 * 1024;
+
 /// How long a coroutine that finds a full ring leaves it to drain.
 pub const FULL_PAUSE: Duration = Duration::from_millis(5);
 
@@ -137,6 +141,23 @@
         }
     }
 
+    /// Writes what there is to write, and takes all lines that have come; an error once the peer has closed.
+    pub fn take_lines(
+        &mut self,
+        has_body: impl Fn(&[&str]) -> bool,
+        mut take: impl FnMut(&Line) -> io::Result<()>,
+    ) -> io::Result<()> {
+        self.flush()?;
+        while self.fill()? {
+            while let Some(line) = lines::next(self.input.whole(), &has_body).map_err(garbled)? {
+                let used = line.used;
+                take(&line)?;
+                self.input.consume(used);
+            }
+        }
+        if self.at_end { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
+    }
+
     /// Lets the peer read all that was written before this closes: what it still sends is read and dropped, for
     /// a socket closed with bytes unread would cut off the answers on their way.
     pub fn see_off(&mut self) {
@@ -158,6 +179,11 @@
     }
 }
 
+/// The error of a peer that does not keep to its protocol.
+pub fn garbled(what: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.out.ended.store(true, Ordering::Release);
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -10,13 +10,11 @@
 use may::net::TcpStream;
 use parking_lot::Mutex;
 
-use super::lines::{self, Line, line};
-use super::{Added, Link, Out, spawn};
+use super::lines::{Line, line};
+use super::{Added, LINES_MOST, Link, Out, garbled, spawn};
 use crate::gate::{Bytes, Gate, Id, Outcome, Report};
 use crate::log::Bound;
 
-const IN_MOST: usize = 256 * 1024;
-const OUT_MOST: usize = 256 * 1024;
 /// The store closes what stands idle for 10 s; a connection is left before, so that no call meets that.
 const IDLE: Duration = Duration::from_secs(7);
 
@@ -120,7 +118,7 @@
         lane.connecting = false;
         let waiting = std::mem::take(&mut lane.waiting);
         let mut link = match stream {
-            Ok(stream) => Link::new(stream, IN_MOST, OUT_MOST),
+            Ok(stream) => Link::new(stream, LINES_MOST, LINES_MOST),
             Err(error) => {
                 drop(lane);
                 self.tell(&error);
@@ -165,20 +163,7 @@
 
     fn carry(&self, link: &mut Link, at: usize) -> io::Result<()> {
         loop {
-            link.flush()?;
-            while link.fill()? {
-                loop {
-                    let next = lines::next(link.input.whole(), |words| words.get(1) == Some(&"OK"));
-                    let next = next.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
-                    let Some(line) = next else { break };
-                    let used = line.used;
-                    self.hear(&line, at)?;
-                    link.input.consume(used);
-                }
-            }
-            if link.at_end {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
+            link.take_lines(|words| words.get(1) == Some(&"OK"), |line| self.hear(line, at))?;
             if !self.lanes[at].lock().is(&link.out) {
                 return Ok(());
             }
@@ -192,12 +177,7 @@
             [id, "BUSY" | "VOID"] => (id, Outcome::Full),
             [id, "ERR"] => (id, Outcome::Errored),
             [id, "LATE"] => (id, Outcome::TimedOut),
-            _ => {
-                return Err(io::Error::new(
-                    io::ErrorKind::InvalidData,
-                    format!("no reply: {:?}", heard.words),
-                ));
-            }
+            _ => return Err(garbled(format!("no reply: {:?}", heard.words))),
         };
         let mut lane = self.lanes[at].lock();
         lane.used = Some(Instant::now());
