--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -1,10 +1,13 @@
-//! What `LB_CONFIG` tells: who this backend is, where its peers are, its limits and the settings.
+//! What `LB_CONFIG` tells: who this backend is, where its peers are, its limits and the settings; and what of it
+//! may change while it runs.
 
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use serde::Deserialize;
+use serde_json::{Map, Value};
 use tulipgap::Given;
 use tulipgap_settings::{Facts, Names, millis, understand};
 
@@ -18,28 +21,73 @@
 struct File {
     name: String,
     listen: SocketAddr,
-    kernel: SocketAddr,
-    announce: Option<SocketAddr>,
-    store: Option<SocketAddr>,
+    #[serde(flatten)]
+    peers: Peers,
     seed: String,
     stop_ms: f64,
     limits: Limits,
     settings: Facts,
 }
 
+/// Where its peers are. They may move while it runs.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+pub struct Peers {
+    pub kernel: SocketAddr,
+    pub announce: Option<SocketAddr>,
+    pub store: Option<SocketAddr>,
+}
+
+impl Peers {
+    const NAMES: [&str; 3] = ["kernel", "announce", "store"];
+}
+
+/// Where a peer is now.
+pub struct Where<T>(Mutex<T>);
+
+impl<T: Copy + PartialEq> Where<T> {
+    pub fn new(at: T) -> Self {
+        Where(Mutex::new(at))
+    }
+
+    pub fn now(&self) -> T {
+        *self.0.lock()
+    }
+
+    /// Whether that is news.
+    pub fn set(&self, at: T) -> bool {
+        std::mem::replace(&mut *self.0.lock(), at) != at
+    }
+}
+
 /// All that this backend is told, checked.
 pub struct Told {
     pub name: String,
     pub listen: SocketAddr,
-    pub kernel: SocketAddr,
-    pub announce: Option<SocketAddr>,
-    pub store: Option<SocketAddr>,
+    pub peers: Peers,
     pub seed: u64,
     pub stop: Duration,
     pub memory_mb: f64,
     pub sockets: usize,
     pub given: Given,
     pub names: Names,
+    /// The file as it was, to tell later what of it has changed.
+    entries: Map<String, Value>,
+}
+
+impl Told {
+    /// Reads the file again: where the peers are now, and what else has changed, which takes a restart. What
+    /// makes no sense as a whole changes nothing.
+    pub fn reread(&self, path: Option<&Path>) -> Result<(Peers, Vec<String>), ConfigError> {
+        let told = read(path)?;
+        let mut rest: Vec<String> = (told.entries.keys().chain(self.entries.keys()))
+            .filter(|&name| !Peers::NAMES.contains(&&name[..]))
+            .filter(|&name| told.entries.get(name) != self.entries.get(name))
+            .cloned()
+            .collect();
+        rest.sort();
+        rest.dedup();
+        Ok((told.peers, rest))
+    }
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -62,6 +110,7 @@
 
 fn understood(text: &str) -> Result<Told, String> {
     let file: File = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    let entries = serde_json::from_str(text).map_err(|error| error.to_string())?;
     let (given, names) = understand(&file.settings).map_err(|problem| format!("settings: {problem}"))?;
     given.check().map_err(|problem| format!("settings: {problem}"))?;
     let seed =
@@ -78,14 +127,13 @@
     Ok(Told {
         name: file.name,
         listen: file.listen,
-        kernel: file.kernel,
-        announce: file.announce,
-        store: file.store,
+        peers: file.peers,
         seed,
         stop: millis("stop_ms", file.stop_ms)?,
         memory_mb: file.limits.memory_mb,
         sockets: file.limits.sockets,
         given,
         names,
+        entries,
     })
 }
--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -175,7 +175,7 @@
     keys: HashMap<Id, Key>,
     alarms: BTreeSet<Duration>,
     advice: Option<f64>,
-    idle: Option<Duration>,
+    idle: Duration,
     healthy: bool,
     counts: Counts,
 }
@@ -195,7 +195,7 @@
             keys: HashMap::new(),
             alarms: BTreeSet::new(),
             advice: None,
-            idle: None,
+            idle: given.idle_link,
             healthy: false,
             counts: Counts::default(),
         };
@@ -313,10 +313,15 @@
     }
 
     /// After what time connections without use are to be closed.
-    pub fn idle(&self) -> Option<Duration> {
+    pub fn idle(&self) -> Duration {
         self.state.lock().idle
     }
 
+    /// How long the clients of a handler wait.
+    pub fn client_timeout(&self, handler: usize) -> Duration {
+        self.given.handlers.get(handler).map_or(Duration::MAX, |handler| handler.client_timeout)
+    }
+
     /// What health checks are told.
     pub fn healthy(&self) -> bool {
         self.state.lock().healthy
@@ -479,7 +484,7 @@
                 }
             }
             Action::Advise { value } => self.advice = Some(value),
-            Action::CloseIdle { after } => self.idle = Some(after),
+            Action::CloseIdle { after } => self.idle = after,
             Action::Health { good } => self.healthy = good,
             Action::Alarm { at } => {
                 self.alarms.insert(at);
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,5 +1,6 @@
 //! `tulipgapd`: one real backend. It reads what `LB_CONFIG` tells, serves until SIGTERM, answers all that it
-//! has read, and ends with 0. What it cannot work with ends it with one line on standard error and 2.
+//! has read, and ends with 0. What it cannot work with ends it with one line on standard error and 2. SIGHUP has
+//! it read again where its peers are.
 
 mod config;
 mod gate;
@@ -11,14 +12,15 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 use may::coroutine;
 use may::net::TcpListener;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use config::Told;
+use config::{Told, Where};
 use gate::Gate;
 use net::clients::Clients;
 use net::kernel::Kernel;
@@ -30,6 +32,8 @@
 const STACK_WORDS: usize = 8 * 1024;
 /// Stacks kept for reuse.
 const STACKS_KEPT: usize = 256;
+/// Of the descriptors, one in so many may go to the store.
+const STORE_PART: usize = 8;
 /// Between two looks at idle connections.
 const SWEEP: Duration = Duration::from_millis(500);
 /// Looks between two summaries in the log.
@@ -40,21 +44,24 @@
 const STOP_MARGIN: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
+    // Before anything else: a signal that nobody has asked for ends the program.
+    let signals = Signals::new([SIGHUP, SIGTERM, SIGINT]);
     log::start(std::env::var("LB_LOG").ok().as_deref());
-    let told = match config::read(std::env::var_os("LB_CONFIG").as_deref().map(Path::new)) {
+    let path = std::env::var_os("LB_CONFIG");
+    let path = path.as_deref().map(Path::new);
+    let told = match config::read(path) {
         Ok(told) => told,
         Err(error) => return refuse(&error.to_string()),
     };
     // One core is shared with others: one worker, which sleeps while there is nothing to do.
     may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(STACKS_KEPT);
     may::config().set_worker_pin(false);
-    let signals = Signals::new([SIGTERM, SIGINT]);
-    let (mut signals, listener) = match (signals, TcpListener::bind(told.listen)) {
+    let (signals, listener) = match (signals, TcpListener::bind(told.listen)) {
         (Ok(signals), Ok(listener)) => (signals, listener),
         (Err(error), _) => return refuse(&format!("signals: {error}")),
         (_, Err(error)) => return refuse(&format!("{}: {error}", told.listen)),
     };
-    serve(told, listener, &mut signals);
+    serve(told, path, listener, signals);
     ::log::logger().flush();
     ExitCode::SUCCESS
 }
@@ -64,14 +71,21 @@
     ExitCode::from(2)
 }
 
-fn serve(told: Told, listener: TcpListener, signals: &mut Signals) {
+fn serve(told: Told, path: Option<&Path>, listener: TcpListener, mut signals: Signals) {
     ::log::info!("{} listens on {}", told.name, told.listen);
     let grace = told.given.drain_grace;
-    let gate = Arc::new(Gate::new(told.given, told.seed));
-    let kernel = Kernel::new(told.kernel, gate.clone(), told.names.gauges.clone());
-    let store = Store::new(told.store, gate.clone());
-    let clients =
-        Clients::new(gate.clone(), kernel.clone(), store.clone(), told.names, told.sockets, told.memory_mb);
+    let gate = Arc::new(Gate::new(told.given.clone(), told.seed));
+    let kernel = Kernel::new(told.peers.kernel, gate.clone(), told.names.gauges.clone());
+    let store = Store::new(told.peers.store, gate.clone(), told.sockets / STORE_PART);
+    let announce = Arc::new(Where::new(told.peers.announce));
+    let clients = Clients::new(
+        gate.clone(),
+        kernel.clone(),
+        store.clone(),
+        told.names.clone(),
+        told.sockets,
+        told.memory_mb,
+    );
     let leaving = Arc::new(AtomicBool::new(false));
     {
         let kernel = kernel.clone();
@@ -102,29 +116,53 @@
             }
         });
     }
-    if let Some(address) = told.announce {
-        let (gate, leaving) = (gate.clone(), leaving.clone());
+    {
+        let (gate, leaving, announce) = (gate.clone(), leaving.clone(), announce.clone());
         let name = told.name.clone();
         spawn(move || {
-            list::run(address, &name, || match () {
+            list::run(&announce, &name, || match () {
                 () if leaving.load(Ordering::Acquire) => list::State::Leaving,
                 () if gate.started() => list::State::Serving,
                 () => list::State::Coming,
             });
         });
     }
-    signals.forever().next();
-    let notice = Instant::now();
+    let (notice, noticed) = channel();
+    let (listen, stop) = (told.listen, told.stop);
+    let path = path.map(Path::to_owned);
+    // Peers may move while this leaves, too.
+    std::thread::spawn(move || {
+        for signal in &mut signals {
+            if signal != SIGHUP {
+                // Told once; the second time nobody listens.
+                let _ = notice.send(Instant::now());
+                continue;
+            }
+            match told.reread(path.as_deref()) {
+                Ok((peers, rest)) => {
+                    ::log::info!("read again: {peers:?}");
+                    if !rest.is_empty() {
+                        ::log::warn!("read again: a change of {} takes a restart", rest.join(", "));
+                    }
+                    kernel.move_to(peers.kernel);
+                    store.move_to(peers.store);
+                    announce.set(peers.announce);
+                }
+                Err(error) => ::log::error!("read again, nothing taken: {error}"),
+            }
+        }
+    });
+    let notice = noticed.recv().unwrap_or_else(|_| Instant::now());
     ::log::info!("notice to leave; so far {}; {}", gate.counts(), clients.told());
     leaving.store(true, Ordering::Release);
-    gate.leave(told.stop);
+    gate.leave(stop);
     // The module goes on taking reqs for a while. Once nothing that comes may be run any more, a connection
     // refused sends a caller elsewhere sooner than an answer could.
-    std::thread::sleep(grace.min(told.stop.saturating_sub(FAREWELL)).saturating_sub(notice.elapsed()));
-    if let Err(error) = clients.close(told.listen) {
-        ::log::warn!("{}: {error}", told.listen);
+    std::thread::sleep(grace.min(stop.saturating_sub(FAREWELL)).saturating_sub(notice.elapsed()));
+    if let Err(error) = clients.close(listen) {
+        ::log::warn!("{listen}: {error}");
     }
-    while !(clients.none() && gate.open() == 0) && notice.elapsed() + STOP_MARGIN < told.stop {
+    while !(clients.none() && gate.open() == 0) && notice.elapsed() + STOP_MARGIN < stop {
         std::thread::sleep(Duration::from_millis(5));
     }
     ::log::info!("left after {} ms; {}; {}", notice.elapsed().as_millis(), gate.counts(), clients.told());
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! Edge nodes: the connections that they open here, and the life of each req that comes over them.
 
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,8 +30,24 @@
 const ANSWER_MOST: usize = 4608;
 const OUT_MOST: usize = UNREAD_MOST + (OPEN_MOST + 1) * ANSWER_MOST;
 const IN_MOST: usize = thrift::FRAME_MOST + 4;
-/// Descriptors that are kept for the kernel, the store, the log and the runtime.
-const KEPT: usize = 24;
+/// Descriptors that are kept for the kernel, the log and the runtime.
+const KEPT: usize = 16;
+/// What is open beyond this part of the places makes those go that are idle.
+const CROWDED: f64 = 0.85;
+/// How long a connection may take to its first message, and a message from its first byte to its last.
+const MESSAGE_MOST: Duration = Duration::from_secs(2);
+/// What is read from one connection before others have their turn: messages, and reads of a ring's room.
+const TURN_MOST: usize = 64;
+const TURN_PAUSE: Duration = Duration::from_millis(1);
+/// Messages of no sense after which a connection ends.
+const FAULTS_MOST: usize = 8;
+/// The ids that came last, by which it is known what comes again.
+const RECENT_MOST: usize = 8192;
+/// How long a connection asked to close is left to the edge node while places are short: a req that is on its way
+/// then is sent again.
+const CROSSING: Duration = Duration::from_millis(60);
+/// How much longer than an edge node a connection without use is kept here.
+const IDLE_MORE: Duration = Duration::from_secs(2);
 /// What one open req takes at the most: its coroutine's stack as far as it is touched, body and result.
 const REQ_KB: f64 = 24.0;
 /// The part of this process's memory that open reqs may take; what comes beyond is turned away unseen.
@@ -40,8 +56,13 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long an edge node may take to close what it was asked to leave.
 const CLOSING: Duration = Duration::from_secs(2);
-/// What came to the machine longer ago has a senseless stamp.
-const AGE_MOST: Duration = Duration::from_secs(3600);
+/// By how much the stamp of a req may lie before the opening of its connection here, or after now.
+const STAMP_SLACK: Duration = Duration::from_secs(1);
+/// The memory that a req may ask for, in KB, below which it is; and its work, as a multiple of the time that its
+/// client waits.
+const NEED_LIMIT: f64 = 2000.0;
+const WORK_MOST: f64 = 4.0;
+const BODY_MOST: usize = 2048;
 /// How long the connection may take that closes the listener.
 const CLOSE_MOST: Duration = Duration::from_millis(200);
 /// The longest that a deep check waits for its work.
@@ -50,6 +71,8 @@
 static GARBLED: Bound = Bound::new();
 static ACCEPTS: Bound = Bound::new();
 static NO_ROOM: Bound = Bound::new();
+static SILENT: Bound = Bound::new();
+static CROWDS: Bound = Bound::new();
 
 /// One connection, as others than its own coroutine see it.
 struct Connection {
@@ -59,6 +82,11 @@
     /// Checks under way.
     checks: AtomicUsize,
     used: Mutex<Instant>,
+    opened: Instant,
+    /// Since when a whole message is awaited: the first one, or one that has begun.
+    awaited: Mutex<Option<Instant>>,
+    /// A whole message has come.
+    spoke: AtomicBool,
     /// When it was asked to send nothing more here.
     leaving: Mutex<Option<Instant>>,
     ending: AtomicBool,
@@ -78,6 +106,17 @@
         }
     }
 
+    /// A whole message takes too long.
+    fn overdue(&self) -> bool {
+        self.awaited.lock().is_some_and(|since| since.elapsed() > MESSAGE_MOST)
+    }
+
+    /// Closes it as soon as nothing on it is open.
+    fn end(&self) {
+        self.ending.store(true, Ordering::Release);
+        self.out.wake();
+    }
+
     fn say(&self, method: &str, sequence: i32, said: &Said) {
         self.out.push(&[&thrift::answer(method, sequence, said)]);
         *self.used.lock() = Instant::now();
@@ -125,6 +164,7 @@
     connections: Mutex<Slab<Arc<Connection>>>,
     most: usize,
     open_most: usize,
+    recent: Mutex<Recent>,
     leaving: AtomicBool,
     /// Where the connection comes from that is to be the last.
     last: Mutex<Option<SocketAddr>>,
@@ -139,18 +179,20 @@
         sockets: usize,
         memory_mb: f64,
     ) -> Arc<Self> {
-        let most = sockets.saturating_sub(KEPT).max(1);
+        let most = sockets.saturating_sub(KEPT + store.most()).max(1);
         let connections = Mutex::new(Slab::new());
         let open_most = (memory_mb * MEMORY_PART * 1024.0 / REQ_KB) as usize;
         let (leaving, last) = (AtomicBool::new(false), Mutex::new(None));
-        Arc::new(Clients { gate, kernel, store, names, connections, most, open_most, leaving, last })
+        let recent = Mutex::default();
+        Arc::new(Clients { gate, kernel, store, names, connections, most, open_most, recent, leaving, last })
     }
 
     /// Accepts until the listener is to be closed. What came before that is served.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
             if self.connections.lock().len() >= self.most {
-                coroutine::sleep(ACCEPT_PAUSE);
+                let pause = if self.make_room(true) { TURN_PAUSE } else { ACCEPT_PAUSE };
+                coroutine::sleep(pause);
                 continue;
             }
             match listener.accept() {
@@ -158,8 +200,12 @@
                 Ok((stream, _)) => {
                     let clients = self.clone();
                     spawn(move || clients.serve(stream));
+                    if self.connections.lock().len() as f64 > self.most as f64 * CROWDED {
+                        self.make_room(false);
+                    }
                 }
                 Err(error) => {
+                    self.make_room(true);
                     if let Some(count) = ACCEPTS.pass() {
                         log::warn!("accept: {error} ({count} so far)");
                     }
@@ -169,6 +215,38 @@
         }
     }
 
+    /// Ends a connection on which nothing is open, so that another has its place: one that never said anything,
+    /// else the one that was used longest ago, which is asked to leave first unless all places are taken.
+    /// Yields whether one goes. Guards edge nodes against those who open connections and hold them.
+    fn make_room(&self, at_once: bool) -> bool {
+        let idle: Vec<_> = (self.all().into_iter())
+            .filter(|one| one.busy() == 0 && !one.ending.load(Ordering::Acquire))
+            .collect();
+        let asked = |one: &Arc<Connection>| *one.leaving.lock();
+        let silent = (idle.iter())
+            .filter(|one| !one.spoke.load(Ordering::Acquire) && (at_once || one.opened.elapsed() > CROSSING))
+            .min_by_key(|one| one.opened);
+        let left = (idle.iter())
+            .filter(|one| asked(one).is_some_and(|asked| asked.elapsed() > CROSSING))
+            .min_by_key(|one| asked(one));
+        let unused =
+            (idle.iter()).filter(|one| at_once || asked(one).is_none()).min_by_key(|one| *one.used.lock());
+        match (silent.or(left), unused) {
+            (Some(one), _) => one.end(),
+            (None, Some(one)) => {
+                one.leave();
+                if at_once {
+                    one.end();
+                }
+            }
+            (None, None) => return false,
+        }
+        if let Some(count) = CROWDS.pass() {
+            log::warn!("connections are short, an idle one goes ({count} so far)");
+        }
+        true
+    }
+
     /// Has the listener closed behind all that came before, and asks all edge nodes to leave. A connection of
     /// our own is the last to be accepted.
     pub fn close(&self, listen: SocketAddr) -> io::Result<()> {
@@ -199,18 +277,18 @@
 
     /// Asks for the end of connections that stand idle, and ends those that were asked long ago.
     pub fn sweep(&self) {
-        let idle = self.gate.idle();
+        let idle = self.gate.idle().saturating_add(IDLE_MORE);
         for connection in self.all() {
+            if connection.overdue() {
+                connection.out.wake();
+            }
             if connection.busy() > 0 {
                 continue;
             }
             let asked = *connection.leaving.lock();
             if asked.is_some_and(|asked| asked.elapsed() > CLOSING) {
-                connection.ending.store(true, Ordering::Release);
-                connection.out.wake();
-            } else if self.leaving.load(Ordering::Acquire)
-                || idle.is_some_and(|idle| connection.used.lock().elapsed() > idle)
-            {
+                connection.end();
+            } else if self.leaving.load(Ordering::Acquire) || connection.used.lock().elapsed() > idle {
                 connection.leave();
             }
         }
@@ -228,6 +306,9 @@
             open: Mutex::new(HashMap::new()),
             checks: AtomicUsize::new(0),
             used: Mutex::new(Instant::now()),
+            opened: Instant::now(),
+            awaited: Mutex::new(Some(Instant::now())),
+            spoke: AtomicBool::new(false),
             leaving: Mutex::new(None),
             ending: AtomicBool::new(false),
         });
@@ -250,75 +331,104 @@
 
     /// Moves bytes until the edge node has closed and all is answered, or the connection breaks.
     fn carry(self: &Arc<Self>, link: &mut Link, connection: &Arc<Connection>) -> io::Result<()> {
-        // After something that is no frame nothing more can be read, but what is open is answered.
+        // After something that is no message nothing more is read, but what is open is answered.
         let mut readable = true;
+        let mut faults = 0;
         loop {
             link.flush()?;
-            let mut more = readable;
-            while more && connection.busy() < OPEN_MOST && link.out.len() < UNREAD_MOST {
+            let (mut more, mut turn) = (readable, 0);
+            let room = |link: &Link| connection.busy() < OPEN_MOST && link.out.len() < UNREAD_MOST;
+            while more && readable && room(link) && turn < TURN_MOST {
                 more = link.fill()?;
-                while connection.busy() < OPEN_MOST && link.out.len() < UNREAD_MOST {
-                    match thrift::frame(link.input.whole()) {
+                turn += 1;
+                while readable && room(link) && turn < TURN_MOST {
+                    let length = match thrift::frame(link.input.whole()) {
                         Ok(None) => break,
-                        Ok(Some(length)) => {
-                            let message = thrift::read(&link.input.whole()[4..4 + length]);
-                            link.input.consume(4 + length);
-                            *connection.used.lock() = Instant::now();
-                            let Some(message) = message else {
-                                readable = false;
-                                break;
-                            };
-                            self.take(connection, message);
-                        }
+                        Ok(Some(length)) => length,
                         Err(()) => {
                             readable = false;
                             break;
                         }
-                    }
+                    };
+                    let message = thrift::read(&link.input.whole()[4..4 + length]);
+                    link.input.consume(4 + length);
+                    turn += 1;
+                    *connection.used.lock() = Instant::now();
+                    *connection.awaited.lock() = None;
+                    connection.spoke.store(true, Ordering::Release);
+                    readable = match message {
+                        None => false,
+                        Some(message) => {
+                            let unanswerable = message.oneway;
+                            let fine = self.take(connection, message);
+                            faults += usize::from(!fine);
+                            fine || !(unanswerable || faults > FAULTS_MOST)
+                        }
+                    };
                 }
-                if !readable {
-                    if let Some(count) = GARBLED.pass() {
-                        log::warn!("an edge node sent what is no message ({count} so far)");
-                    }
-                    break;
+            }
+            if readable && turn < TURN_MOST && link.input.len() > 0 && room(link) {
+                connection.awaited.lock().get_or_insert_with(Instant::now);
+            }
+            if readable && connection.overdue() {
+                readable = false;
+                if let Some(count) = SILENT.pass() {
+                    log::warn!("no whole message in time, a connection ends ({count} so far)");
                 }
+            } else if more
+                && !readable
+                && let Some(count) = GARBLED.pass()
+            {
+                log::warn!("what came is no message, a connection ends ({count} so far)");
             }
             let done = connection.busy() == 0 && link.out.len() == 0;
-            if done && (link.at_end || !readable || connection.ending.load(Ordering::Acquire)) {
+            if done && (link.at_end || !readable) {
                 if !link.at_end {
                     link.see_off();
                 }
                 return Ok(());
             }
-            link.wait();
+            // What has come is read first.
+            if done && link.input.len() == 0 && connection.ending.load(Ordering::Acquire) {
+                return Ok(());
+            }
+            if turn < TURN_MOST { link.wait() } else { coroutine::sleep(TURN_PAUSE) }
         }
     }
 
-    fn take(self: &Arc<Self>, connection: &Arc<Connection>, message: thrift::Message) {
+    /// Takes a message; yields whether it made sense.
+    fn take(self: &Arc<Self>, connection: &Arc<Connection>, message: thrift::Message) -> bool {
         let (method, sequence) = (message.method, message.sequence);
         let fault = match message.asked {
             Ok(Asked::Process { fields, body }) => {
                 let free = !connection.open.lock().contains_key(&sequence);
-                match read_fields(&fields, &self.names) {
-                    Ok(_) if free && self.gate.open() >= self.open_most => {
+                match self.read_fields(&fields, connection.opened) {
+                    Ok(_) if !free => Fault::Malformed("a sequence that is open".into()),
+                    Ok(_) if body.len() > BODY_MOST => Fault::Malformed("a body too long".into()),
+                    Ok(_) if self.gate.open() >= self.open_most => {
                         if let Some(count) = NO_ROOM.pass() {
                             log::warn!("no memory for another req ({count} so far)");
                         }
-                        return connection.say(&method, sequence, &Said::Rejected { fields: &[] });
+                        connection.say(&method, sequence, &Said::Rejected { fields: &[] });
+                        return true;
+                    }
+                    Ok(read) if !self.recent.lock().is_new(read.number) => {
+                        Fault::Malformed("its id came before".into())
                     }
-                    Ok(read) if free => {
+                    Ok(read) => {
                         connection.open.lock().insert(sequence, read.incoming.id.clone());
                         let (clients, connection) = (self.clone(), connection.clone());
-                        return spawn(move || clients.live(&connection, sequence, read, body.into()));
+                        spawn(move || clients.live(&connection, sequence, read, body.into()));
+                        return true;
                     }
-                    Ok(_) => Fault::Malformed("a sequence that is open".into()),
                     Err(fault) => fault,
                 }
             }
             Ok(Asked::Probe { deep }) => {
                 connection.checks.fetch_add(1, Ordering::AcqRel);
                 let (clients, connection) = (self.clone(), connection.clone());
-                return spawn(move || clients.check(&connection, sequence, deep));
+                spawn(move || clients.check(&connection, sequence, deep));
+                return true;
             }
             Err(fault) => fault,
         };
@@ -328,6 +438,7 @@
         if !message.oneway {
             connection.say(&method, sequence, &Said::Exception(&fault));
         }
+        false
     }
 
     /// The life of a req: from its reading, through what the gate orders, to its answer and the end of its run.
@@ -414,6 +525,8 @@
 struct Read {
     incoming: Incoming,
     class: Id,
+    /// Its id as a number.
+    number: u64,
     /// When it came to the machine, since the Unix epoch.
     came: Duration,
 }
@@ -424,48 +537,83 @@
     now.saturating_sub(came)
 }
 
-fn read_fields(fields: &Fields, names: &Names) -> Result<Read, Fault> {
-    let find = |name: &str| fields.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str());
-    let wrong = |name: &'static str| Fault::Malformed(format!("{name}: missing or senseless").into());
-    let needed = |name: &'static str| find(name).ok_or_else(|| wrong(name));
-    let number = |name: &'static str| match find(name) {
-        None => Ok(None),
-        Some(text) => match text.parse::<f64>() {
-            Ok(value) if value.is_finite() && value >= 0.0 => Ok(Some(value)),
-            _ => Err(wrong(name)),
-        },
-    };
-    let span = |name: &'static str| -> Result<Option<Duration>, Fault> {
-        let Some(value) = number(name)?.filter(|&value| value > 0.0) else {
-            return Ok(None);
+impl Clients {
+    /// What the fields of a req say, where that makes sense; it came over a connection that was opened then.
+    fn read_fields(&self, fields: &Fields, opened: Instant) -> Result<Read, Fault> {
+        let names = &self.names;
+        let find = |name: &str| fields.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str());
+        let wrong = |name: &'static str| Fault::Malformed(format!("{name}: missing or senseless").into());
+        let needed = |name: &'static str| find(name).ok_or_else(|| wrong(name));
+        let number_of = |name: &'static str| match find(name) {
+            None => Ok(None),
+            Some(text) => match text.parse::<f64>() {
+                Ok(value) if value.is_finite() && value >= 0.0 => Ok(Some(value)),
+                _ => Err(wrong(name)),
+            },
+        };
+        let span = |name: &'static str| -> Result<Option<Duration>, Fault> {
+            let Some(value) = number_of(name)?.filter(|&value| value > 0.0) else {
+                return Ok(None);
+            };
+            Duration::try_from_secs_f64(value / 1e3).map(Some).map_err(|_| wrong(name))
         };
-        Duration::try_from_secs_f64(value / 1e3).map(Some).map_err(|_| wrong(name))
-    };
-    let class = needed("kind")?;
-    let &handler = names.handlers.get(class).ok_or_else(|| wrong("kind"))?;
-    let tenant = match find("owner").filter(|owner| !owner.is_empty()) {
-        None => None,
-        Some(owner) => Some(*names.tenants.get(owner).ok_or_else(|| wrong("owner"))?),
-    };
-    let id = needed("req")?;
-    if id.len() != 16 || !id.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-        return Err(wrong("req"));
+        let class = needed("kind")?;
+        let &handler = names.handlers.get(class).ok_or_else(|| wrong("kind"))?;
+        let tenant = match find("owner").filter(|owner| !owner.is_empty()) {
+            None => None,
+            Some(owner) => Some(*names.tenants.get(owner).ok_or_else(|| wrong("owner"))?),
+        };
+        let id = needed("req")?;
+        let number = u64::from_str_radix(id, 16).ok().filter(|_| id.len() == 16 && !id.starts_with('+'));
+        let number = number.ok_or_else(|| wrong("req"))?;
+        let came = needed("ts")?.parse().map(Duration::from_millis).map_err(|_| wrong("ts"))?;
+        // Figures of no sense would steer what others get: the mean time unread, the mean work, the memory.
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        if age(came) > opened.elapsed() + STAMP_SLACK || came > now + STAMP_SLACK {
+            return Err(wrong("ts"));
+        }
+        let held_kb = number_of("need")?.filter(|&kb| kb > 0.0 && kb < NEED_LIMIT);
+        let work = span("ms")?;
+        if work.is_some_and(|work| work > self.gate.client_timeout(handler).mul_f64(WORK_MOST)) {
+            return Err(wrong("ms"));
+        }
+        if number_of("level")?.is_some_and(|level| level >= 1.0) {
+            return Err(wrong("level"));
+        }
+        let incoming = Incoming {
+            id: id.into(),
+            handler,
+            tenant,
+            age: Duration::ZERO,
+            patience: span("timeout")?,
+            work,
+            held_kb: held_kb.ok_or_else(|| wrong("need"))?,
+            retry: find("resent").is_some_and(|value| value == "1"),
+            key: find("opkey").filter(|key| !key.is_empty()).map(Id::from),
+        };
+        Ok(Read { incoming, class: class.into(), number, came })
     }
-    let came = needed("ts")?.parse().map(Duration::from_millis).map_err(|_| wrong("ts"))?;
-    // One such age would drown the mean time unread for all.
-    if age(came) > AGE_MOST {
-        return Err(wrong("ts"));
+}
+
+/// The ids that came last. Each is new with every try, so one that comes again is no req: else whoever sends the
+/// same thing again as it is turned away would steer what is measured and waste what is done for it.
+#[derive(Default)]
+struct Recent {
+    known: HashSet<u64>,
+    order: VecDeque<u64>,
+}
+
+impl Recent {
+    fn is_new(&mut self, id: u64) -> bool {
+        if !self.known.insert(id) {
+            return false;
+        }
+        if self.order.len() >= RECENT_MOST
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.known.remove(&oldest);
+        }
+        self.order.push_back(id);
+        true
     }
-    let incoming = Incoming {
-        id: id.into(),
-        handler,
-        tenant,
-        age: Duration::ZERO,
-        patience: span("timeout")?,
-        work: span("ms")?,
-        held_kb: number("need")?.ok_or_else(|| wrong("need"))?,
-        retry: find("resent").is_some_and(|value| value == "1"),
-        key: find("opkey").filter(|key| !key.is_empty()).map(Id::from),
-    };
-    Ok(Read { incoming, class: class.into(), came })
 }
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -14,6 +14,7 @@
 
 use super::lines::{Line, line};
 use super::{Added, FULL_PAUSE, LINES_MOST, Link, Out, garbled, spawn};
+use crate::config::Where;
 use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report, park};
 use crate::log::Bound;
 
@@ -22,6 +23,8 @@
 /// The longest that an alarm waits for its gauges. While the machine stands still none come, and the module
 /// knows that from an alarm that is late; longer than this, what is due could be answered too late.
 const GAUGES_MOST: Duration = Duration::from_millis(60);
+/// How long a link that is left may take to show that all said there has arrived.
+const FAREWELL: Duration = Duration::from_millis(100);
 
 static REMARKS: Bound = Bound::new();
 static REFUSALS: Bound = Bound::new();
@@ -30,9 +33,8 @@
 /// The last command for a run, by which it can be told what may have been lost.
 enum Said {
     Start,
-    Skip(u64),
-    /// A reply, with its place among all commands.
-    Reply(u64),
+    Skip,
+    Reply,
     /// A reply that came while there was no link.
     Unsent(Bytes),
 }
@@ -66,6 +68,11 @@
     class: Id,
     body: Bytes,
     said: Said,
+    /// The place among all commands of what was said last; 0 once a notice shows that it arrived, none while it
+    /// was not said.
+    place: Option<u64>,
+    /// The notice of the call that it stood at last.
+    call: u64,
 }
 
 struct Ask {
@@ -84,6 +91,8 @@
 struct State {
     /// The link, from the moment that all missed notices were read.
     out: Option<Arc<Out>>,
+    /// The link from its opening on.
+    link: Option<Arc<Out>>,
     last_notice: u64,
     /// Notices are missing, so what was not heard of may have ended.
     missed: bool,
@@ -96,7 +105,7 @@
 }
 
 pub struct Kernel {
-    address: SocketAddr,
+    address: Where<SocketAddr>,
     gate: Arc<Gate>,
     gauges: Vec<String>,
     state: Mutex<State>,
@@ -104,13 +113,22 @@
 
 impl Kernel {
     pub fn new(address: SocketAddr, gate: Arc<Gate>, gauges: Vec<String>) -> Arc<Self> {
-        Arc::new(Kernel { address, gate, gauges, state: Mutex::new(State::default()) })
+        Arc::new(Kernel { address: Where::new(address), gate, gauges, state: Mutex::new(State::default()) })
+    }
+
+    /// It listens there from now on.
+    pub fn move_to(&self, address: SocketAddr) {
+        if self.address.set(address)
+            && let Some(link) = self.state.lock().link.clone()
+        {
+            link.wake();
+        }
     }
 
     /// Runs a req.
     pub fn start(&self, id: &Id, class: &Id, body: &Bytes) {
-        self.say(id, &Command::Start { class, body }, |state, _| {
-            let run = Run { class: class.clone(), body: body.clone(), said: Said::Start };
+        self.say(id, &Command::Start { class, body }, |state, place| {
+            let run = Run { class: class.clone(), body: body.clone(), said: Said::Start, place, call: 0 };
             state.runs.insert(id.clone(), run);
         });
     }
@@ -124,16 +142,17 @@
     pub fn reply(&self, id: &Id, reply: &Bytes) {
         self.say(id, &Command::Reply(reply), |state, place| {
             if let Some(run) = state.runs.get_mut(id) {
-                run.said = place.map_or_else(|| Said::Unsent(reply.clone()), Said::Reply);
+                run.said = if place.is_some() { Said::Reply } else { Said::Unsent(reply.clone()) };
+                run.place = place;
             }
         });
     }
 
     /// Lets a run go on without the call of that notice.
     pub fn skip(&self, id: &Id, notice: u64) {
-        self.say(id, &Command::Skip(notice), |state, _| {
+        self.say(id, &Command::Skip(notice), |state, place| {
             if let Some(run) = state.runs.get_mut(id) {
-                run.said = Said::Skip(notice);
+                (run.said, run.place) = (Said::Skip, place);
             }
         });
     }
@@ -177,7 +196,8 @@
         let tag = {
             let mut state = self.state.lock();
             let out = state.out.clone()?;
-            let tag = state.ask(waiter.clone());
+            let after = state.commands;
+            let tag = state.ask(waiter.clone(), after);
             // Full: the answer would come too late anyway.
             if out.add(&[line(format_args!("{command} {tag}")).as_bytes()]) != Added::Yes {
                 state.asks.remove(&tag);
@@ -200,39 +220,78 @@
     /// Keeps the link open for good.
     pub fn run(self: Arc<Self>) {
         loop {
-            let end = TcpStream::connect(self.address)
-                .and_then(|stream| self.carry(&mut Link::new(stream, LINES_MOST, LINES_MOST)));
-            {
+            let address = self.address.now();
+            let end = TcpStream::connect(address)
+                .and_then(|stream| self.carry(&mut Link::new(stream, LINES_MOST, LINES_MOST), address));
+            let was_up = {
                 let mut state = self.state.lock();
-                state.out = None;
+                state.link = None;
                 // What was asked is not answered any more.
                 for ask in std::mem::take(&mut state.asks).into_values() {
                     ask.waiter.unpark();
                 }
+                state.out.take().is_some()
+            };
+            match end {
+                Ok(()) => log::info!("kernel link: moves to {}", self.address.now()),
+                Err(error) => {
+                    if let Some(count) = LINKS.pass() {
+                        log::warn!("kernel link: {error} ({count} so far)");
+                    }
+                    // Cut off while all was well, it can be had again at once.
+                    if !was_up {
+                        coroutine::sleep(RETRY);
+                    }
+                }
             }
-            if let (Err(error), Some(count)) = (end, LINKS.pass()) {
-                log::warn!("kernel link: {error} ({count} so far)");
-            }
-            coroutine::sleep(RETRY);
         }
     }
 
-    fn carry(self: &Arc<Self>, link: &mut Link) -> io::Result<()> {
+    /// A link, from its opening to its end; ends without an error where the kernel has moved.
+    fn carry(self: &Arc<Self>, link: &mut Link, address: SocketAddr) -> io::Result<()> {
+        let out = link.out.clone();
         let (last, barrier) = {
             let mut state = self.state.lock();
-            let waiter = Arc::new(Blocker::new(true));
-            (state.last_notice, state.ask(waiter))
+            state.link = Some(out.clone());
+            // What was said on the link before may have been lost with it: this answer shows nothing of it.
+            (state.last_notice, state.ask(Arc::new(Blocker::new(true)), 0))
         };
         let open = format!("OPEN {last}\r\n");
-        let out = link.out.clone();
         out.push(&[open.as_bytes()]);
+        let mut farewell = None;
         loop {
             let has_body = |words: &[&str]| matches!(words[0], "REAP" | "IOREQ");
             link.take_lines(has_body, |line| self.hear(line, barrier, &out))?;
+            if self.address.now() != address {
+                let tag = *farewell.get_or_insert_with(|| self.farewell(&out));
+                let answered = |tag| self.state.lock().asks.get(&tag).is_none_or(|ask| ask.reply.is_some());
+                if tag.is_none_or(answered) {
+                    return Ok(());
+                }
+            }
             link.wait();
         }
     }
 
+    /// Nothing more is said here: what comes now is said on the next link. Asks once more for the gauges, as the
+    /// answer shows that all before has arrived, and nothing need be taken for lost; where it does not come
+    /// soon, this is left all the same.
+    fn farewell(self: &Arc<Self>, out: &Arc<Out>) -> Option<u64> {
+        let mut state = self.state.lock();
+        state.out.take()?;
+        let after = state.commands;
+        let tag = state.ask(Arc::new(Blocker::new(true)), after);
+        drop(state);
+        out.add(&[line(format_args!("SYSINFO {tag}")).as_bytes()]);
+        let (kernel, out) = (self.clone(), out.clone());
+        spawn(move || {
+            coroutine::sleep(FAREWELL);
+            kernel.state.lock().asks.remove(&tag);
+            out.wake();
+        });
+        Some(tag)
+    }
+
     /// Takes one line.
     fn hear(self: &Arc<Self>, heard: &Line, barrier: u64, out: &Arc<Out>) -> io::Result<()> {
         let wrong = || garbled(format!("no notice: {:?}", heard.words));
@@ -265,6 +324,9 @@
             ["IOREQ", notice, id, _] => {
                 let call = number(notice)?;
                 if self.fresh(call) {
+                    if let Some(run) = self.state.lock().runs.get_mut(id) {
+                        (run.place, run.call) = (Some(0), call);
+                    }
                     self.gate.report(id, Report::AtCall { call, body: body() });
                 }
             }
@@ -289,10 +351,16 @@
                 if let Some(count) = REFUSALS.pass() {
                     log::warn!("the kernel did not carry out {command} {} ({count} so far)", rest.join(" "));
                 }
-                if let ("SCHED", [id, ..]) = (command, rest) {
-                    self.state.lock().runs.remove(*id);
-                    self.gate
-                        .report(id, Report::Ended { outcome: Outcome::Errored, result: Bytes::default() });
+                match (command, rest) {
+                    // Nothing was run, so this says nothing of how runs do here.
+                    ("SCHED", [id, ..]) => {
+                        self.state.lock().runs.remove(*id);
+                        self.gate
+                            .report(id, Report::Ended { outcome: Outcome::Void, result: Bytes::default() });
+                    }
+                    // The run stands where it stood, and nothing else can be said to it.
+                    ("NOIO" | "IODONE", [id, ..]) => drop(out.add(&[&Command::Stop.bytes(id)])),
+                    _ => {}
                 }
             }
             ["DMESG", notice, ref text @ ..] => {
@@ -326,10 +394,11 @@
         }
     }
 
-    /// All missed notices were read. To start a run that runs already does nothing, and a skip names its call,
-    /// so both may be said again. A reply may not, once it was said: it could meet the next call of its run. A
-    /// run whose reply may be lost is stopped instead. Where notices are missing, as the kernel keeps only so
-    /// many, a run that was not heard of may have ended, and nothing of it is said again.
+    /// All missed notices were read. What is not known to have arrived is said again. To start a run that runs
+    /// already does nothing, and a skip names its call. A reply may not be said again, as it could meet the next
+    /// call of its run: the call is skipped instead, which does nothing where the reply has arrived. Where
+    /// notices are missing, as the kernel keeps only so many, a run that was not heard of may have ended, and
+    /// nothing of it is said again.
     fn resume(&self, out: &Arc<Out>) {
         let mut again = Vec::new();
         {
@@ -351,17 +420,16 @@
             for id in ids {
                 let place = state.commands + 1;
                 let Some(run) = state.runs.get_mut(&id) else { continue };
-                let command = match &run.said {
-                    Said::Start => Command::Start { class: &run.class, body: &run.body },
-                    Said::Skip(notice) => Command::Skip(*notice),
-                    Said::Unsent(reply) => Command::Reply(reply),
-                    Said::Reply(place) if *place > arrived => Command::Stop,
-                    Said::Reply(_) => continue,
+                if run.place.is_some_and(|place| place <= arrived) {
+                    continue;
+                }
+                let (command, said) = match &run.said {
+                    Said::Start => (Command::Start { class: &run.class, body: &run.body }, Said::Start),
+                    Said::Skip | Said::Reply => (Command::Skip(run.call), Said::Skip),
+                    Said::Unsent(reply) => (Command::Reply(reply), Said::Reply),
                 };
                 again.push(command.bytes(&id));
-                if matches!(run.said, Said::Unsent(_)) {
-                    run.said = Said::Reply(place);
-                }
+                (run.said, run.place) = (said, Some(place));
                 state.commands = place;
             }
         }
@@ -372,9 +440,10 @@
 }
 
 impl State {
-    fn ask(&mut self, waiter: Arc<Blocker>) -> u64 {
+    /// A new tag; its answer shows that so many commands have arrived.
+    fn ask(&mut self, waiter: Arc<Blocker>, after: u64) -> u64 {
         self.tags += 1;
-        self.asks.insert(self.tags, Ask { waiter, after: self.commands, reply: None });
+        self.asks.insert(self.tags, Ask { waiter, after, reply: None });
         self.tags
     }
 }
--- a/crates/server/src/net/lines.rs
+++ b/crates/server/src/net/lines.rs
@@ -3,8 +3,8 @@
 use std::fmt::Write;
 
 /// The longest line without its body, and the longest body.
-const LINE_MOST: usize = 4096;
-const BODY_MOST: usize = 64 * 1024;
+pub const LINE_MOST: usize = 4096;
+pub const BODY_MOST: usize = 64 * 1024;
 
 /// What no peer that keeps to the protocol sends.
 #[derive(Debug, PartialEq, thiserror::Error)]
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -30,6 +30,8 @@
 
 /// How often it is looked whether a peer that is seen off has closed.
 const SEE_OFF_LOOKS: usize = 200;
+/// Reads of up to 4 KB that are dropped meanwhile.
+const SEE_OFF_READS: usize = 256;
 
 /// Starts a coroutine.
 pub fn spawn(body: impl FnOnce() + Send + 'static) {
@@ -162,11 +164,19 @@
     /// a socket closed with bytes unread would cut off the answers on their way.
     pub fn see_off(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Write);
+        let mut reads = 0;
         for _ in 0..SEE_OFF_LOOKS {
-            while matches!(self.fill(), Ok(true)) {
+            let turn = reads + SEE_OFF_READS / 8;
+            while reads < turn {
                 self.input.consume(usize::MAX);
+                match self.fill() {
+                    Ok(true) => reads += 1,
+                    Ok(false) => break,
+                    Err(_) => return,
+                }
             }
-            if self.at_end {
+            // Who sends without end has had its chance to read.
+            if self.at_end || reads >= SEE_OFF_READS {
                 return;
             }
             coroutine::sleep(FULL_PAUSE);
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -1,7 +1,8 @@
-//! The store, which runs call: two lanes, one connection each at the most, opened when needed. A further call
-//! for a req takes the other lane, so that a late reply to the one before can't be taken for its own.
+//! The store, which runs call: a bounded pool of connections, each with one open call at a time, so that a reply
+//! that is spoilt costs its own call only. The connection used last is taken first, and those that stand idle
+//! are left before the store closes them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,182 +11,271 @@
 use may::net::TcpStream;
 use parking_lot::Mutex;
 
-use super::lines::{Line, line};
-use super::{Added, LINES_MOST, Link, Out, garbled, spawn};
+use super::lines::{self, Line, line};
+use super::{Added, Link, Out, garbled, spawn};
+use crate::config::Where;
 use crate::gate::{Bytes, Gate, Id, Outcome, Report};
 use crate::log::Bound;
 
-/// The store closes what stands idle for 10 s; a connection is left before, so that no call meets that.
-const IDLE: Duration = Duration::from_secs(7);
+/// The store closes what stands idle for 10 s, or sooner; a connection is left before, so that few calls meet
+/// that.
+const IDLE: Duration = Duration::from_secs(2);
+/// What a connection holds at the most: one call, and one reply with what comes beside it.
+const RING_MOST: usize = 2 * (lines::LINE_MOST + lines::BODY_MOST);
+/// Lines of no meaning that are passed over while a reply is awaited.
+const STRAYS_MOST: usize = 8;
 
 static ENDS: Bound = Bound::new();
+static STRAYS: Bound = Bound::new();
 
-#[derive(Default)]
+/// A req's call of that number, which is also its place among all calls of that req.
+struct Call {
+    id: Id,
+    number: usize,
+    bytes: Vec<u8>,
+}
+
+/// One connection, as others than its own coroutine see it.
 struct Lane {
+    /// Its way out, once it is open.
     out: Option<Arc<Out>>,
-    connecting: bool,
-    /// Calls that wait for the connection.
-    waiting: BTreeMap<Id, Vec<u8>>,
-    /// Calls that were written.
-    open: BTreeSet<Id>,
-    used: Option<Instant>,
+    address: SocketAddr,
+    call: Option<Call>,
+    /// For whom it called last: a second copy of that reply must not pass for a new one.
+    last: Option<Id>,
+    used: Instant,
+    /// It is to close: its call was given up, or it stood idle.
+    ending: bool,
 }
 
-impl Lane {
-    /// Leaves a connection that stands idle; yields it.
-    fn leave(&mut self) -> Option<Arc<Out>> {
-        let idle = self.used.is_some_and(|used| used.elapsed() > IDLE) && self.open.is_empty();
-        if idle { self.out.take() } else { None }
-    }
-
-    fn is(&self, out: &Arc<Out>) -> bool {
-        self.out.as_ref().is_some_and(|ours| Arc::ptr_eq(ours, out))
-    }
+#[derive(Default)]
+struct Pool {
+    lanes: HashMap<u64, Lane>,
+    /// Those without a call, the one used last behind.
+    idle: Vec<u64>,
+    /// On which lane a req's call is out.
+    open: HashMap<Id, u64>,
+    /// Calls for which no lane was free.
+    waiting: VecDeque<Call>,
+    numbers: u64,
 }
 
 pub struct Store {
-    address: Option<SocketAddr>,
+    address: Where<Option<SocketAddr>>,
     gate: Arc<Gate>,
-    lanes: [Mutex<Lane>; 2],
+    most: usize,
+    pool: Mutex<Pool>,
 }
 
 impl Store {
-    pub fn new(address: Option<SocketAddr>, gate: Arc<Gate>) -> Arc<Self> {
-        Arc::new(Store { address, gate, lanes: Default::default() })
+    /// A store that is called over so many connections at the most.
+    pub fn new(address: Option<SocketAddr>, gate: Arc<Gate>, most: usize) -> Arc<Self> {
+        Arc::new(Store { address: Where::new(address), gate, most, pool: Mutex::default() })
+    }
+
+    /// Connections that it takes at the most.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
+    /// It listens there from now on: open calls get their replies where they were made, new ones go there.
+    pub fn move_to(&self, address: Option<SocketAddr>) {
+        if self.address.set(address) {
+            self.sweep();
+        }
     }
 
     /// Makes a req's call of that number; its end is reported to the gate.
     pub fn call(self: &Arc<Self>, id: &Id, number: usize, patience: Duration, body: &Bytes) {
-        let Some(address) = self.address else {
-            return self.ended(id, Outcome::Unreachable);
+        let Some(address) = self.address.now() else {
+            return self.ended(id, Outcome::Unreachable, Bytes::default());
         };
         let head = line(format_args!("CALL {id} {} {}", patience.as_millis().max(1), body.len()));
-        let bytes = [head.as_bytes(), body, b"\r\n"].concat();
-        let at = number % 2;
-        let mut lane = self.lanes[at].lock();
-        if let Some(out) = lane.leave() {
-            out.wake();
-        }
-        lane.used = Some(Instant::now());
-        if let Some(out) = lane.out.clone() {
-            lane.open.insert(id.clone());
-            drop(lane);
-            if !out.push(&[&bytes]) && self.lanes[at].lock().open.remove(id) {
-                self.ended(id, Outcome::Broken);
-            }
-            return;
-        }
-        lane.waiting.insert(id.clone(), bytes);
-        if !std::mem::replace(&mut lane.connecting, true) {
-            let store = self.clone();
-            spawn(move || store.run(address, at));
+        let call = Call { id: id.clone(), number, bytes: [head.as_bytes(), body, b"\r\n"].concat() };
+        let mut pool = self.pool.lock();
+        pool.leave_idle(Some(address));
+        let free = pool.idle.iter().rposition(|at| pool.lanes[at].last.as_ref() != Some(id));
+        if let Some(at) = free.map(|place| pool.idle.remove(place)) {
+            pool.give(at, call);
+        } else if pool.lanes.len() < self.most {
+            self.open(&mut pool, address, call);
+        } else {
+            pool.waiting.push_back(call);
         }
     }
 
-    /// Gives a req's call of that number up, and tells what is known of it then.
+    fn open(self: &Arc<Self>, pool: &mut Pool, address: SocketAddr, call: Call) {
+        pool.numbers += 1;
+        let at = pool.numbers;
+        let used = Instant::now();
+        pool.open.insert(call.id.clone(), at);
+        let lane = Lane { out: None, address, call: Some(call), last: None, used, ending: false };
+        pool.lanes.insert(at, lane);
+        let store = self.clone();
+        spawn(move || store.run(address, at));
+    }
+
+    /// Gives a req's call of that number up, and tells what is known of it then. Its connection is left: that
+    /// gives the call up there, and nothing that still comes can be taken for another's reply.
     pub fn give_up(&self, id: &Id, number: usize) -> Outcome {
-        let mut lane = self.lanes[number % 2].lock();
-        if lane.waiting.remove(id).is_some() {
+        let mut pool = self.pool.lock();
+        if let Some(place) = pool.waiting.iter().position(|call| call.id == *id && call.number == number) {
+            pool.waiting.remove(place);
             return Outcome::Unreachable;
         }
-        let out = lane.out.clone();
-        if lane.open.remove(id)
-            && let Some(out) = out
-        {
-            drop(lane);
-            out.push(&[line(format_args!("DROP {id}")).as_bytes()]);
-        }
-        Outcome::TimedOut
+        let at = pool.open.get(id).copied();
+        let lane = at.and_then(|at| pool.lanes.get_mut(&at));
+        let Some(lane) = lane.filter(|lane| lane.call.as_ref().is_some_and(|call| call.number == number))
+        else {
+            return Outcome::TimedOut;
+        };
+        lane.call = None;
+        lane.end();
+        let sent = lane.out.is_some();
+        pool.open.remove(id);
+        if sent { Outcome::TimedOut } else { Outcome::Unreachable }
     }
 
-    /// Leaves connections that stand idle.
+    /// Leaves connections that stand idle, or that lead where the store is no more.
     pub fn sweep(&self) {
-        for lane in &self.lanes {
-            if let Some(out) = lane.lock().leave() {
-                out.wake();
-            }
-        }
+        let address = self.address.now();
+        self.pool.lock().leave_idle(address);
     }
 
-    fn ended(&self, id: &str, outcome: Outcome) {
-        self.gate.report(id, Report::CallEnded { outcome, reply: Bytes::default() });
+    fn ended(&self, id: &str, outcome: Outcome, reply: Bytes) {
+        self.gate.report(id, Report::CallEnded { outcome, reply });
     }
 
-    /// A lane's connection, from its opening to its end.
-    fn run(&self, address: SocketAddr, at: usize) {
-        let stream = TcpStream::connect(address);
-        let mut lane = self.lanes[at].lock();
-        lane.connecting = false;
-        let waiting = std::mem::take(&mut lane.waiting);
-        let mut link = match stream {
-            Ok(stream) => Link::new(stream, LINES_MOST, LINES_MOST),
-            Err(error) => {
-                drop(lane);
-                self.tell(&error);
-                for id in waiting.keys() {
-                    self.ended(id, Outcome::Unreachable);
-                }
-                return;
-            }
-        };
-        lane.out = Some(link.out.clone());
-        let (written, left): (Vec<_>, Vec<_>) =
-            waiting.into_iter().partition(|(_, bytes)| link.out.add(&[bytes]) == Added::Yes);
-        lane.open.extend(written.into_iter().map(|(id, _)| id));
-        drop(lane);
-        for (id, _) in left {
-            self.ended(&id, Outcome::Unreachable);
+    /// A connection, from its opening to its end.
+    fn run(self: &Arc<Self>, address: SocketAddr, at: u64) {
+        let end = TcpStream::connect(address).and_then(|stream| self.carry(stream, at));
+        let mut pool = self.pool.lock();
+        pool.idle.retain(|&other| other != at);
+        let lane = pool.lanes.remove(&at);
+        let call = lane.as_ref().and_then(|lane| lane.call.as_ref());
+        let lost = call.map(|call| {
+            // What had not begun to leave has not run.
+            let out = lane.as_ref().and_then(|lane| lane.out.as_ref());
+            let unsent = out.is_none_or(|out| out.len() >= call.bytes.len());
+            (call.id.clone(), if unsent { Outcome::Unreachable } else { Outcome::Broken })
+        });
+        if let Some((id, _)) = &lost {
+            pool.open.remove(id);
         }
-        let end = self.carry(&mut link, at);
-        let mut lane = self.lanes[at].lock();
-        // Left on purpose, its place may be another's already, and nothing was open.
-        if lane.is(&link.out) {
-            lane.out = None;
-            let open = std::mem::take(&mut lane.open);
-            drop(lane);
-            drop(link);
-            for id in open {
-                self.ended(&id, Outcome::Broken);
-            }
-        } else {
-            drop(lane);
+        // Its place is another's.
+        if let (Some(address), Some(call)) = (self.address.now(), pool.waiting.pop_front()) {
+            self.open(&mut pool, address, call);
         }
-        if let Err(error) = end {
-            self.tell(&error);
+        drop(pool);
+        if let Some((id, outcome)) = lost {
+            self.ended(&id, outcome, Bytes::default());
         }
-    }
-
-    fn tell(&self, error: &io::Error) {
-        if let Some(count) = ENDS.pass() {
+        if let Err(error) = end
+            && let Some(count) = ENDS.pass()
+        {
             log::warn!("store: {error} ({count} so far)");
         }
     }
 
-    fn carry(&self, link: &mut Link, at: usize) -> io::Result<()> {
+    fn carry(&self, stream: TcpStream, at: u64) -> io::Result<()> {
+        let mut link = Link::new(stream, RING_MOST, RING_MOST);
+        {
+            let mut pool = self.pool.lock();
+            let Some(lane) = pool.lanes.get_mut(&at) else { return Ok(()) };
+            lane.out = Some(link.out.clone());
+            if let Some(call) = &lane.call {
+                link.out.add(&[&call.bytes]);
+            }
+        }
+        let mut strays = 0;
         loop {
-            link.take_lines(|words| words.get(1) == Some(&"OK"), |line| self.hear(line, at))?;
-            if !self.lanes[at].lock().is(&link.out) {
-                return Ok(());
+            let end =
+                link.take_lines(|words| words.get(1) == Some(&"OK"), |line| self.hear(line, at, &mut strays));
+            let mut pool = self.pool.lock();
+            match pool.lanes.get(&at) {
+                Some(lane) if !lane.ending => {}
+                _ => return Ok(()),
+            }
+            // A connection that stood idle may be closed at any time.
+            if let Err(error) = end {
+                let idle = pool.lanes.get(&at).is_some_and(|lane| lane.call.is_none());
+                // Nothing is given to it any more.
+                pool.idle.retain(|&other| other != at);
+                return if idle { Ok(()) } else { Err(error) };
             }
+            drop(pool);
             link.wait();
         }
     }
 
-    fn hear(&self, heard: &Line, at: usize) -> io::Result<()> {
-        let (id, outcome) = match heard.words[..] {
-            [id, "OK", _] => (id, Outcome::Done),
-            [id, "BUSY" | "VOID"] => (id, Outcome::Full),
-            [id, "ERR"] => (id, Outcome::Errored),
-            [id, "LATE"] => (id, Outcome::TimedOut),
+    fn hear(&self, heard: &Line, at: u64, strays: &mut usize) -> io::Result<()> {
+        let mut pool = self.pool.lock();
+        let Some(lane) = pool.lanes.get_mut(&at) else { return Ok(()) };
+        let ours = lane.call.as_ref().is_some_and(|call| heard.words.first() == Some(&&call.id[..]));
+        if !ours {
+            // A second copy, or a reply to nobody.
+            *strays += 1;
+            if let Some(count) = STRAYS.pass() {
+                log::warn!("store: a reply to no call ({count} so far)");
+            }
+            return if *strays > STRAYS_MOST { Err(garbled("too many replies to no call")) } else { Ok(()) };
+        }
+        let outcome = match heard.words[1..] {
+            ["OK", _] => Outcome::Done,
+            ["BUSY" | "VOID"] => Outcome::Full,
+            ["ERR"] => Outcome::Errored,
+            ["LATE"] => Outcome::TimedOut,
             _ => return Err(garbled(format!("no reply: {:?}", heard.words))),
         };
-        let mut lane = self.lanes[at].lock();
-        lane.used = Some(Instant::now());
-        let ours = lane.open.remove(id);
-        drop(lane);
-        if ours {
-            self.gate.report(id, Report::CallEnded { outcome, reply: Bytes::from(heard.body) });
+        *strays = 0;
+        lane.used = Instant::now();
+        let Some(call) = lane.call.take() else { return Ok(()) };
+        lane.last = Some(call.id.clone());
+        pool.open.remove(&call.id);
+        pool.idle.push(at);
+        let next = pool.waiting.iter().position(|next| next.id != call.id);
+        if let Some(next) = next.and_then(|place| pool.waiting.remove(place)) {
+            pool.idle.pop();
+            pool.give(at, next);
         }
+        drop(pool);
+        self.ended(&call.id, outcome, Bytes::from(heard.body));
         Ok(())
     }
 }
+
+impl Lane {
+    fn end(&mut self) {
+        self.ending = true;
+        if let Some(out) = &self.out {
+            out.wake();
+        }
+    }
+}
+
+impl Pool {
+    /// Gives a lane that is open and free its next call.
+    fn give(&mut self, at: u64, call: Call) {
+        self.open.insert(call.id.clone(), at);
+        let Some(lane) = self.lanes.get_mut(&at) else { return };
+        let added = lane.out.as_ref().map(|out| out.add(&[&call.bytes]));
+        lane.call = Some(call);
+        // It has ended, or holds what it should not; its end reports the call.
+        if added != Some(Added::Yes) {
+            lane.end();
+        }
+    }
+
+    /// Leaves what stood idle for long, and what leads elsewhere than to this address.
+    fn leave_idle(&mut self, address: Option<SocketAddr>) {
+        let Pool { lanes, idle, .. } = self;
+        idle.retain(|at| {
+            let Some(lane) = lanes.get_mut(at) else { return false };
+            let stays = Some(lane.address) == address && lane.used.elapsed() < IDLE && !lane.ending;
+            if !stays {
+                lane.end();
+            }
+            stays
+        });
+    }
+}
--- a/crates/server/tests/program.rs
+++ b/crates/server/tests/program.rs
@@ -91,16 +91,16 @@
     }
 }
 
-fn kernel(host: &str) -> Shared {
-    let shared = Shared::default();
-    let (kernel, listener) = (shared.clone(), TcpListener::bind((host, 7300)).unwrap());
+/// Has the kernel listen there.
+fn listen(kernel: Shared, host: &str) -> Shared {
+    let (shared, listener) = (kernel.clone(), TcpListener::bind((host, 7300)).unwrap());
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            let kernel = kernel.clone();
+            let kernel = shared.clone();
             std::thread::spawn(move || serve_link(&kernel, stream));
         }
     });
-    shared
+    kernel
 }
 
 fn serve_link(kernel: &Shared, stream: TcpStream) {
@@ -140,20 +140,21 @@
 struct Store {
     down: Arc<AtomicBool>,
     silent: Arc<AtomicBool>,
-    drops: Arc<AtomicU32>,
+    /// Connections that were left while a call was open.
+    left: Arc<AtomicU32>,
     calls: Arc<AtomicU32>,
 }
 
 fn store(host: &str) -> Store {
     let store =
-        Store { down: Arc::default(), silent: Arc::default(), drops: Arc::default(), calls: Arc::default() };
+        Store { down: Arc::default(), silent: Arc::default(), left: Arc::default(), calls: Arc::default() };
     let (down, calls) = (store.down.clone(), store.calls.clone());
-    let (silent, drops) = (store.silent.clone(), store.drops.clone());
+    let (silent, left) = (store.silent.clone(), store.left.clone());
     let listener = TcpListener::bind((host, 7700)).unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let (down, calls) = (down.clone(), calls.clone());
-            let (silent, drops) = (silent.clone(), drops.clone());
+            let (silent, left) = (silent.clone(), left.clone());
             std::thread::spawn(move || {
                 let mut input = BufReader::new(stream.try_clone().unwrap());
                 let mut line = String::new();
@@ -170,11 +171,10 @@
                             let head = format!("{id} OK {length}\r\n");
                             (&stream).write_all(&[head.as_bytes(), &body].concat()).unwrap();
                         }
-                    } else if words[0] == "DROP" {
-                        drops.fetch_add(1, Ordering::AcqRel);
                     }
                     line.clear();
                 }
+                left.fetch_add(u32::from(silent.load(Ordering::Acquire)), Ordering::AcqRel);
                 let _ = stream.shutdown(Shutdown::Both);
             });
         }
@@ -221,7 +221,7 @@
 
 fn stand_with(sockets: usize) -> Stand {
     let host = host();
-    let (kernel, store) = (kernel(&host), store(&host));
+    let (kernel, store) = (listen(Shared::default(), &host), store(&host));
     let file = file(&host, &told(&host).replace("1024", &sockets.to_string()));
     let child = start(&file);
     let stand = Stand { host, kernel, store, child, file };
@@ -245,9 +245,10 @@
         Edge { stream }
     }
 
-    fn terminate(&self) {
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("sh").args(["-c", "kill -TERM \"$0\"", &pid]).status().unwrap().success());
+        let kill = Command::new("sh").args(["-c", "kill -$1 \"$0\"", &pid, signal]).status();
+        assert!(kill.unwrap().success());
     }
 
     fn ended(&mut self) -> ExitStatus {
@@ -308,12 +309,24 @@
     fields
 }
 
+/// The fields of a req, one of them changed.
+fn with(id: &str, name: &str, value: &str) -> Vec<(&'static str, String)> {
+    let mut fields = fields(id, "20.0");
+    fields.iter_mut().find(|(key, _)| *key == name).unwrap().1 = value.to_owned();
+    fields
+}
+
 impl Edge {
     fn call(&mut self, sequence: u32, method: &str, arguments: &[u8]) {
         let head = [&b"\x80\x01\0\x01"[..], &string(method.as_bytes()), &sequence.to_be_bytes()].concat();
         self.stream.write_all(&string(&[&head, arguments].concat())).unwrap();
     }
 
+    fn oneway(&mut self, sequence: u32, method: &str) {
+        let head = [&b"\x80\x01\0\x04"[..], &string(method.as_bytes()), &sequence.to_be_bytes()].concat();
+        self.stream.write_all(&string(&[&head[..], b"\0"].concat())).unwrap();
+    }
+
     fn process(&mut self, sequence: u32, fields: &[(&str, String)], body: &[u8]) {
         let mut map = [&b"\x0d\0\x01\x0b\x0b"[..], &(fields.len() as u32).to_be_bytes()].concat();
         for (name, value) in fields {
@@ -365,13 +378,13 @@
     edge.req(3, "00000000000000a3", b"call");
     assert!(edge.expect(3, Kind::Answer).holds(b"richer"));
     assert_eq!(stand.kernel.lock().unwrap().replies, [b"what is called"]);
-    // More memory than there is.
-    edge.process(4, &fields("00000000000000a4", "1900000.0"), b"run");
+    // More work than can be in time.
+    edge.process(4, &with("00000000000000a4", "ms", "60000.00"), b"run");
     edge.expect(4, Kind::Rejected);
     edge.call(5, "probe", b"\0");
     edge.expect(5, Kind::Answer);
 
-    stand.terminate();
+    stand.signal("TERM");
     // What was read is answered, and the connection is wished closed.
     let (mut answered, mut no_more) = (false, false);
     while !(answered && no_more) {
@@ -412,6 +425,49 @@
     edge.expect(3, Kind::Crashed);
 }
 
+#[test]
+fn peers_move_when_it_is_told() {
+    let stand = stand();
+    let mut edge = stand.edge();
+    edge.req(1, "0000000000000aa1", b"hang");
+    edge.req(2, "0000000000000aa2", b"hang");
+    until("both run", || stand.kernel.lock().unwrap().runs.len() == 2);
+    // A file half written changes nothing.
+    std::fs::write(&stand.file, "{\"name\":").unwrap();
+    stand.signal("HUP");
+    edge.req(3, "0000000000000aa3", b"run");
+    edge.expect(3, Kind::Answer);
+    let there = host();
+    listen(stand.kernel.clone(), &there);
+    let store = store(&there);
+    let announce = std::net::UdpSocket::bind((&there[..], 7946)).unwrap();
+    announce.set_read_timeout(Some(LONG)).unwrap();
+    let mut text = told(&stand.host);
+    for port in [7300, 7700, 7946] {
+        text = text.replace(&format!("{}:{port}", stand.host), &format!("{there}:{port}"));
+    }
+    std::fs::write(&stand.file, text).unwrap();
+    for _ in 0..3 {
+        stand.signal("HUP");
+    }
+    // Runs continue, calls are made there, and there it is reported.
+    until("the link moves", || stand.kernel.lock().unwrap().links == 2);
+    stand.kernel.lock().unwrap().end("0000000000000aa1", "success", b"all the same");
+    assert!(edge.expect(1, Kind::Answer).holds(b"all the same"));
+    edge.req(4, "0000000000000aa4", b"call");
+    assert!(edge.expect(4, Kind::Answer).holds(b"richer"));
+    assert_eq!((stand.store.calls.load(Ordering::Acquire), store.calls.load(Ordering::Acquire)), (0, 1));
+    let mut report = [0; 64];
+    let length = announce.recv(&mut report).unwrap();
+    assert_eq!(&report[..length], b"announce n3 true");
+    // While it leaves, too.
+    stand.signal("TERM");
+    stand.signal("HUP");
+    stand.kernel.lock().unwrap().end("0000000000000aa2", "success", b"in the end");
+    while !edge.answer().expect("an answer").holds(b"in the end") {}
+    assert!(stand.kernel.lock().unwrap().ends.values().all(|&ends| ends == 1), "run again");
+}
+
 #[test]
 fn what_was_not_heard_of_behind_missing_notices_is_not_run_again() {
     let stand = stand();
@@ -460,7 +516,7 @@
     let mut edge = stand.edge();
     edge.req(1, "00000000000000c9", b"call");
     assert!(edge.expect(1, Kind::Answer).holds(b"poorer"));
-    until("it is dropped", || stand.store.drops.load(Ordering::Acquire) == 1);
+    until("its connection is left", || stand.store.left.load(Ordering::Acquire) == 1);
 }
 
 #[test]
@@ -544,18 +600,32 @@
         (7, "need", "-1"),
         (8, "req", "short"),
     ] {
-        let mut fields = fields("00000000000000d2", "20.0");
-        fields.iter_mut().find(|(key, _)| *key == name).unwrap().1 = value.to_owned();
-        edge.process(sequence, &fields, b"run");
+        edge.process(sequence, &with("00000000000000d2", name, value), b"run");
         edge.expect(sequence, Kind::Exception);
     }
-    // The id and the sequence of a req that is open.
-    edge.req(9, "00000000000000d1", b"run");
-    edge.expect(9, Kind::Exception);
-    edge.req(1, "00000000000000d3", b"run");
-    edge.expect(1, Kind::Exception);
     edge.req(10, "00000000000000d4", b"run");
     edge.expect(10, Kind::Answer);
+    // The id of a req that is open, and of one that is over; then the sequence of one that is open. With too
+    // much of that it is cut short.
+    let mut other = stand.edge();
+    for (sequence, id) in [(1, "00000000000000d1"), (2, "00000000000000d4")] {
+        other.req(sequence, id, b"run");
+        other.expect(sequence, Kind::Exception);
+    }
+    other.req(3, "00000000000000d7", b"hang");
+    for id in 0..7 {
+        other.req(3, &format!("00000000000001d{id}"), b"run");
+        other.expect(3, Kind::Exception);
+    }
+    other.req(4, "00000000000000d8", b"run");
+    until("it runs", || stand.kernel.lock().unwrap().runs.contains_key("00000000000000d7"));
+    stand.kernel.lock().unwrap().end("00000000000000d7", "success", b"the last");
+    assert!(other.expect(3, Kind::Answer).holds(b"the last"));
+    assert!(other.answer().is_none(), "closed");
+    // A withdrawal is not known here, and can't be answered.
+    let mut other = stand.edge();
+    other.oneway(1, "giveUp");
+    assert!(other.answer().is_none(), "closed");
     // After what is no frame nothing is read there any more, but what is open is answered.
     edge.stream.write_all(&[0xff; 64]).unwrap();
     for garbage in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0, 0, 0, 5, 1, 2, 3, 4, 5], &[0x7f, 0xff, 0xff, 0xff]] {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -120,7 +120,7 @@
 }
 
 /// The names of handlers and tenants, to their indices, and those of the gauges in their order.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Names {
     pub handlers: HashMap<String, usize>,
     pub tenants: HashMap<String, usize>,
