Places counted as connections are accepted; noise of the store ends its connection at once

Found while writing the tests: a burst of connections was counted only once each had its coroutine, so more than the descriptors allow could be accepted (clients.rs `accept`); a line of the store that is no reply at all passed for a stray, and its call waited for its whole patience (store.rs `hear`); a new connection could be closed after 60 ms of silence while places are short (now 500 ms, unless none is left).

Tests, with the program on loopback: a spoilt reply costs its own call only; a reply lost with the kernel's link is made up for by a skip; unknown ids turn nobody away; who says nothing, asks once or stops halfway keeps nobody out; a full house waits for a place.

--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -46,6 +46,8 @@
 /// How long a connection asked to close is left to the edge node while places are short: a req that is on its way
 /// then is sent again.
 const CROSSING: Duration = Duration::from_millis(60);
+/// How long a connection may be silent at first while places are short.
+const SILENT_LEAST: Duration = Duration::from_millis(500);
 /// How much longer than an edge node a connection without use is kept here.
 const IDLE_MORE: Duration = Duration::from_secs(2);
 /// What one open req takes at the most: its coroutine's stack as far as it is touched, body and result.
@@ -162,6 +164,8 @@
     store: Arc<Store>,
     names: Names,
     connections: Mutex<Slab<Arc<Connection>>>,
+    /// Places taken, each by a connection that was accepted and has not closed.
+    taken: AtomicUsize,
     most: usize,
     open_most: usize,
     recent: Mutex<Recent>,
@@ -183,14 +187,26 @@
         let connections = Mutex::new(Slab::new());
         let open_most = (memory_mb * MEMORY_PART * 1024.0 / REQ_KB) as usize;
         let (leaving, last) = (AtomicBool::new(false), Mutex::new(None));
-        let recent = Mutex::default();
-        Arc::new(Clients { gate, kernel, store, names, connections, most, open_most, recent, leaving, last })
+        let (recent, taken) = (Mutex::default(), AtomicUsize::new(0));
+        Arc::new(Clients {
+            gate,
+            kernel,
+            store,
+            names,
+            connections,
+            taken,
+            most,
+            open_most,
+            recent,
+            leaving,
+            last,
+        })
     }
 
     /// Accepts until the listener is to be closed. What came before that is served.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
-            if self.connections.lock().len() >= self.most {
+            if self.taken.load(Ordering::Acquire) >= self.most {
                 let pause = if self.make_room(true) { TURN_PAUSE } else { ACCEPT_PAUSE };
                 coroutine::sleep(pause);
                 continue;
@@ -199,8 +215,12 @@
                 Ok((_, peer)) if Some(peer) == *self.last.lock() => return,
                 Ok((stream, _)) => {
                     let clients = self.clone();
-                    spawn(move || clients.serve(stream));
-                    if self.connections.lock().len() as f64 > self.most as f64 * CROWDED {
+                    let taken = 1 + self.taken.fetch_add(1, Ordering::AcqRel);
+                    spawn(move || {
+                        clients.serve(stream);
+                        clients.taken.fetch_sub(1, Ordering::AcqRel);
+                    });
+                    if taken as f64 > self.most as f64 * CROWDED {
                         self.make_room(false);
                     }
                 }
@@ -224,7 +244,9 @@
             .collect();
         let asked = |one: &Arc<Connection>| *one.leaving.lock();
         let silent = (idle.iter())
-            .filter(|one| !one.spoke.load(Ordering::Acquire) && (at_once || one.opened.elapsed() > CROSSING))
+            .filter(|one| {
+                !one.spoke.load(Ordering::Acquire) && (at_once || one.opened.elapsed() > SILENT_LEAST)
+            })
             .min_by_key(|one| one.opened);
         let left = (idle.iter())
             .filter(|one| asked(one).is_some_and(|asked| asked.elapsed() > CROSSING))
@@ -299,7 +321,7 @@
     }
 
     /// A connection, from its opening to its end.
-    fn serve(self: Arc<Self>, stream: TcpStream) {
+    fn serve(self: &Arc<Self>, stream: TcpStream) {
         let mut link = Link::new(stream, IN_MOST, OUT_MOST);
         let connection = Arc::new(Connection {
             out: link.out.clone(),
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -209,9 +209,16 @@
     }
 
     fn hear(&self, heard: &Line, at: u64, strays: &mut usize) -> io::Result<()> {
+        let (id, outcome) = match heard.words[..] {
+            [id, "OK", _] => (id, Outcome::Done),
+            [id, "BUSY" | "VOID"] => (id, Outcome::Full),
+            [id, "ERR"] => (id, Outcome::Errored),
+            [id, "LATE"] => (id, Outcome::TimedOut),
+            _ => return Err(garbled(format!("no reply: {:?}", heard.words))),
+        };
         let mut pool = self.pool.lock();
         let Some(lane) = pool.lanes.get_mut(&at) else { return Ok(()) };
-        let ours = lane.call.as_ref().is_some_and(|call| heard.words.first() == Some(&&call.id[..]));
+        let ours = lane.call.as_ref().is_some_and(|call| *call.id == *id);
         if !ours {
             // A second copy, or a reply to nobody.
             *strays += 1;
@@ -220,13 +227,6 @@
             }
             return if *strays > STRAYS_MOST { Err(garbled("too many replies to no call")) } else { Ok(()) };
         }
-        let outcome = match heard.words[1..] {
-            ["OK", _] => Outcome::Done,
-            ["BUSY" | "VOID"] => Outcome::Full,
-            ["ERR"] => Outcome::Errored,
-            ["LATE"] => Outcome::TimedOut,
-            _ => return Err(garbled(format!("no reply: {:?}", heard.words))),
-        };
         *strays = 0;
         lane.used = Instant::now();
         let Some(call) = lane.call.take() else { return Ok(()) };
