Own clock for all waits: may's timer thread died of a freed list, and nothing was due any more

Cause: may's timeout_list keeps a list for each different span, and past 1024 of them drops a list as it empties, with its last node, though the handle of a wait that timed out still refers to that node. The tick sleeps for spans in nanoseconds, so the 1024 are passed within half a minute; then each call without a reply (a wait that times out) may free the node twice. Change: clock.rs, a thread with a heap of wakes; may's timed parks and sleeps are no longer used.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -8,14 +8,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use may::coroutine;
 use may::sync::Blocker;
 use parking_lot::Mutex;
 use slab::Slab;
 use tulipgap::{Action, Arrival, Decider, Event, Given};
 pub use tulipgap::{Gauges, Outcome};
 
-use crate::must;
+use crate::{clock, must};
 
 /// Between two looks whether the module has started.
 const UNSTARTED: Duration = Duration::from_millis(20);
@@ -135,14 +134,6 @@
     joined: Vec<usize>,
 }
 
-/// Blocks a coroutine until it is woken, or until the span has passed. may counts such spans in whole
-/// milliseconds and takes less than one for no limit: without rounding up, the last part of a wait never ends.
-pub fn park(waiter: &Blocker, span: Option<Duration>) {
-    let whole = span.map(|span| Duration::from_millis(span.as_millis().min(1 << 40) as u64 + 1));
-    // Woken or timed out: what is waited for, and the clock, tell.
-    let _ = waiter.park(whole);
-}
-
 /// What became of reqs so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
@@ -284,7 +275,7 @@
         if left.is_zero() {
             self.alarm(gauges());
         } else {
-            coroutine::sleep(left);
+            clock::sleep(left);
         }
     }
 
@@ -545,11 +536,10 @@
             if let Some(order) = self.gate.state.lock().slots[self.at].orders.pop_front() {
                 return Some(order);
             }
-            let left = by.map(|by| by.saturating_duration_since(Instant::now()));
-            if left == Some(Duration::ZERO) {
+            if by.is_some_and(|by| by <= Instant::now()) {
                 return None;
             }
-            park(&self.waiter, left);
+            clock::park(&self.waiter, by);
         }
     }
 }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -2,6 +2,7 @@
 //! has read, and ends with 0. What it cannot work with ends it with one line on standard error and 2. SIGHUP has
 //! it read again where its peers are.
 
+mod clock;
 mod config;
 mod gate;
 mod log;
@@ -15,7 +16,6 @@
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-use may::coroutine;
 use may::net::TcpListener;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -107,7 +107,7 @@
         let (gate, clients, store) = (gate.clone(), clients.clone(), store.clone());
         spawn(move || {
             for sweep in 1u32.. {
-                coroutine::sleep(SWEEP);
+                clock::sleep(SWEEP);
                 clients.sweep();
                 store.sweep();
                 if sweep.is_multiple_of(SUMMARY) {
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -8,7 +8,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use may::coroutine;
 use may::net::{TcpListener, TcpStream};
 use parking_lot::Mutex;
 use slab::Slab;
@@ -20,7 +19,7 @@
 use super::{Added, Link, Out, spawn};
 use crate::gate::{Answer, Bytes, Gate, Id, Incoming, Order, Report, Unfit};
 use crate::log::Bound;
-use crate::must;
+use crate::{clock, must};
 
 /// Open reqs that one connection carries by the protocol.
 const OPEN_MOST: usize = 32;
@@ -208,7 +207,7 @@
         loop {
             if self.taken.load(Ordering::Acquire) >= self.most {
                 let pause = if self.make_room(true) { TURN_PAUSE } else { ACCEPT_PAUSE };
-                coroutine::sleep(pause);
+                clock::sleep(pause);
                 continue;
             }
             match listener.accept() {
@@ -229,7 +228,7 @@
                     if let Some(count) = ACCEPTS.pass() {
                         log::warn!("accept: {error} ({count} so far)");
                     }
-                    coroutine::sleep(ACCEPT_PAUSE);
+                    clock::sleep(ACCEPT_PAUSE);
                 }
             }
         }
@@ -308,9 +307,10 @@
                 continue;
             }
             let asked = *connection.leaving.lock();
-            if asked.is_some_and(|asked| asked.elapsed() > CLOSING) {
+            let leaving = self.leaving.load(Ordering::Acquire);
+            if asked.is_some_and(|asked| asked.elapsed() > if leaving { CROSSING } else { CLOSING }) {
                 connection.end();
-            } else if self.leaving.load(Ordering::Acquire) || connection.used.lock().elapsed() > idle {
+            } else if leaving || connection.used.lock().elapsed() > idle {
                 connection.leave();
             }
         }
@@ -414,7 +414,7 @@
             if done && link.input.len() == 0 && connection.ending.load(Ordering::Acquire) {
                 return Ok(());
             }
-            if turn < TURN_MOST { link.wait() } else { coroutine::sleep(TURN_PAUSE) }
+            if turn < TURN_MOST { link.wait() } else { clock::sleep(TURN_PAUSE) }
         }
     }
 
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -7,15 +7,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use may::coroutine;
 use may::net::TcpStream;
 use may::sync::Blocker;
 use parking_lot::Mutex;
 
 use super::lines::{Line, line};
 use super::{Added, FULL_PAUSE, LINES_MOST, Link, Out, garbled, spawn};
+use crate::clock;
 use crate::config::Where;
-use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report, park};
+use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report};
 use crate::log::Bound;
 
 /// Between two tries to reach it.
@@ -187,7 +187,7 @@
                 }
             }
             drop(state);
-            coroutine::sleep(FULL_PAUSE);
+            clock::sleep(FULL_PAUSE);
         }
     }
 
@@ -207,13 +207,12 @@
         };
         let until = Instant::now() + within;
         loop {
-            let left = until.saturating_duration_since(Instant::now());
             let mut state = self.state.lock();
-            if left.is_zero() || state.asks.get(&tag).is_none_or(|ask| ask.reply.is_some()) {
+            if until <= Instant::now() || state.asks.get(&tag).is_none_or(|ask| ask.reply.is_some()) {
                 return state.asks.remove(&tag).and_then(|ask| ask.reply);
             }
             drop(state);
-            park(&waiter, Some(left));
+            clock::park(&waiter, Some(until));
         }
     }
 
@@ -240,7 +239,7 @@
                     }
                     // Cut off while all was well, it can be had again at once.
                     if !was_up {
-                        coroutine::sleep(RETRY);
+                        clock::sleep(RETRY);
                     }
                 }
             }
@@ -285,7 +284,7 @@
         out.add(&[line(format_args!("SYSINFO {tag}")).as_bytes()]);
         let (kernel, out) = (self.clone(), out.clone());
         spawn(move || {
-            coroutine::sleep(FAREWELL);
+            clock::sleep(FAREWELL);
             kernel.state.lock().asks.remove(&tag);
             out.wake();
         });
--- a/crates/server/src/net/list.rs
+++ b/crates/server/src/net/list.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use may::coroutine;
 use may::net::UdpSocket;
 
+use crate::clock;
 use crate::config::Where;
 use crate::log::Bound;
 
@@ -31,7 +31,7 @@
                 return;
             }
         }
-        coroutine::sleep(PERIOD);
+        clock::sleep(PERIOD);
     }
 }
 
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -19,6 +19,7 @@
 use may::net::TcpStream;
 use parking_lot::Mutex;
 
+use crate::clock;
 use lines::Line;
 use ring::Ring;
 
@@ -73,7 +74,7 @@
     pub fn push(&self, parts: &[&[u8]]) -> bool {
         loop {
             match self.add(parts) {
-                Added::Full => coroutine::sleep(FULL_PAUSE),
+                Added::Full => clock::sleep(FULL_PAUSE),
                 added => return added == Added::Yes,
             }
         }
@@ -179,7 +180,7 @@
             if self.at_end || reads >= SEE_OFF_READS {
                 return;
             }
-            coroutine::sleep(FULL_PAUSE);
+            clock::sleep(FULL_PAUSE);
         }
     }
 
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -26,6 +26,7 @@
 const STRAYS_MOST: usize = 8;
 
 static ENDS: Bound = Bound::new();
+static SILENT: Bound = Bound::new();
 static STRAYS: Bound = Bound::new();
 
 /// A req's call of that number, which is also its place among all calls of that req.
@@ -133,7 +134,13 @@
         lane.end();
         let sent = lane.out.is_some();
         pool.open.remove(id);
-        if sent { Outcome::TimedOut } else { Outcome::Unreachable }
+        if !sent {
+            return Outcome::Unreachable;
+        }
+        if let Some(count) = SILENT.pass() {
+            log::warn!("store: no reply in time ({count} so far)");
+        }
+        Outcome::TimedOut
     }
 
     /// Leaves connections that stand idle, or that lead where the store is no more.
