Calls cut off or without a reply are made again; they say nothing of the store's pace

Each call without a reply was waited for until half of what was left of the response target, and then left out; a call that was cut off was left out at once, and its time entered the call time as if it were the store's pace (decide.rs `make_call`, `tries > 0`; `call_ended`). Tests fail without it (seen).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -84,6 +84,12 @@
 const CALLS_PER_CORE: f64 = 4.0;
 /// Tries of one call, where the one before is known not to have run or the req may run again.
 const CALL_TRIES: u32 = 3;
+/// How long a call that may be made again is waited for: so many times the usual, or that part of what is left of
+/// the response target, if that is more.
+const CALL_PATIENCE: f64 = 8.0;
+const CALL_PATIENCE_LEAST: f64 = 0.15;
+/// The part of recent calls without a reply in time up to which these count as lost, and not as slow.
+const CALLS_LATE_FEW: f64 = 0.1;
 /// Times its usual pace from which a server takes itself to be in trouble of its own.
 const AILING: f64 = 1.7;
 /// Reqs of mean work at the usual pace that the measure of pace starts from.
@@ -326,6 +332,7 @@
             called: Duration::ZERO,
             call_until: Duration::ZERO,
             call_tries: 0,
+            call_again: false,
             calls: None,
             answered: false,
             key: None,
@@ -513,13 +520,20 @@
         let left = entry.target.saturating_sub(now).as_secs_f64();
         let due = entry.due.saturating_sub(now);
         let (handler, tries) = (entry.handler, entry.call_tries);
-        let skippable = self.aims[handler].skippable;
+        let again = tries == 0 || entry.call_again;
+        let (skippable, effect) = (self.aims[handler].skippable, self.aims[handler].effect);
         let mut patience = if skippable { seconds(left * 0.5) } else { due };
+        // Guards against replies that never come: given up early, the call can be made again in time. Harms where
+        // a few calls take far longer than most; where many do, what lies below is slow, and this does not act.
+        let early = skippable && effect == Effect::Replayable && tries + 1 < CALL_TRIES;
+        if early && call_time > 0.0 && self.few_calls_late() {
+            patience = patience.min(seconds((CALL_PATIENCE * call_time).max(CALL_PATIENCE_LEAST * left)));
+        }
         if let Some(granted) = self.calls_granted {
             patience = patience.min(seconds(granted / 4.0));
         }
         let room = self.call_room(patience) && patience > self.beat;
-        if skippable && (!drawn || !room || tries > 0 || left * 0.5 < call_time) {
+        if skippable && (!drawn || !room || !again || left * 0.5 < call_time) {
             // One call left out makes the answer poorer already: the others would be made for nothing.
             self.entry(req).calls = Some(false);
             self.standing.retain(|&other| other != req);
@@ -569,21 +583,32 @@
         let (tries, effect, skippable) = (entry.call_tries, aims.effect, aims.skippable);
         let answered = entry.answered;
         self.calling -= 1;
-        if outcome == Outcome::TimedOut {
+        self.ring.add(CALLS_LATE, f64::from(u8::from(outcome == Outcome::TimedOut)));
+        if matches!(outcome, Outcome::TimedOut | Outcome::Broken) {
             self.lingering.push(self.now.saturating_add(self.linger));
         }
-        self.ring.add(CALLS, 1.0);
-        self.ring.add(CALL_TIME, took);
+        // A call that was cut off, or never left, says nothing of the pace of what lies below.
+        let cut = matches!(outcome, Outcome::Broken | Outcome::Unreachable);
+        if !cut {
+            self.ring.add(CALLS, 1.0);
+            self.ring.add(CALL_TIME, took);
+        }
         if outcome == Outcome::Done {
             self.entry(req).call_tries = 0;
             return self.go_on_core(req);
         }
-        self.entry(req).state = State::AtCall;
+        let unrun = matches!(outcome, Outcome::Full | Outcome::Unreachable);
+        let again = (unrun || effect == Effect::Replayable) && tries < CALL_TRIES;
+        let few_late = self.few_calls_late();
+        let entry = self.entry(req);
+        entry.state = State::AtCall;
+        // What may be left out is tried again only where the connection was at fault, or no reply came: what
+        // lies below and says no is full.
+        entry.call_again = again && (cut || outcome == Outcome::TimedOut && few_late);
         if answered {
             return;
         }
-        let unrun = matches!(outcome, Outcome::Full | Outcome::Unreachable);
-        if skippable || ((unrun || effect == Effect::Replayable) && tries < CALL_TRIES) {
+        if skippable || again {
             self.standing.push(req);
         } else {
             self.give_up(req, false, out);
@@ -871,6 +896,11 @@
         if calls > 0.0 { self.ring.sum(CALL_TIME, WINDOW) / calls } else { 0.0 }
     }
 
+    /// Whether a call without a reply is the exception, so that one is rather lost than slow.
+    fn few_calls_late(&self) -> bool {
+        self.ring.sum(CALLS_LATE, WINDOW) <= CALLS_LATE_FEW * self.ring.sum(CALLS, WINDOW)
+    }
+
     /// The crowd on the cores that is survivable now: lower while cold.
     fn crowd(&self) -> f64 {
         let age = self.now.as_secs_f64();
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,7 +20,8 @@
 pub const UNREAD: usize = 11;
 pub const READING: usize = 12;
 pub const SHED: usize = 13;
-pub const LEVELS: usize = 14;
+pub const CALLS_LATE: usize = 14;
+pub const LEVELS: usize = 15;
 
 /// What decisions need of a handler.
 pub struct Aims {
@@ -75,6 +76,8 @@
     pub called: Duration,
     pub call_until: Duration,
     pub call_tries: u32,
+    /// The call before may be made once more, though it may be left out.
+    pub call_again: bool,
     /// The draw against the dimmer, once made.
     pub calls: Option<bool>,
     pub answered: bool,
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -246,3 +246,63 @@
     world.pass(ms(1000));
     assert_eq!(world.idle, Duration::MAX);
 }
+
+/// Whether the last that the module asked for is a call, or to go on without it.
+fn calls(world: &World) -> bool {
+    match world.last[..] {
+        [Action::Call { .. }] => true,
+        [Action::SkipCall { .. }] => false,
+        _ => panic!("{:?}", world.last),
+    }
+}
+
+#[test]
+fn a_call_that_is_cut_off_is_made_again_in_time() {
+    let mut world = World::new(given(), 1);
+    let req = world.arrive(0, 0, None, 100, 1);
+    world.reach_call(req);
+    for outcome in [Outcome::Broken, Outcome::Unreachable] {
+        world.end_call(req, outcome);
+        assert!(calls(&world), "{outcome:?}");
+    }
+    world.end_call(req, Outcome::Broken);
+    assert!(!calls(&world), "three are enough");
+    // Who lies below and says no is full.
+    let req = world.arrive(0, 0, None, 100, 2);
+    world.reach_call(req);
+    world.end_call(req, Outcome::Full);
+    assert!(!calls(&world));
+}
+
+#[test]
+fn a_call_without_a_reply_is_given_up_early_and_made_again() {
+    let mut world = World::new(given(), 1);
+    let patience = |world: &World| match world.last[..] {
+        [Action::Call { patience, .. }] => patience,
+        _ => panic!("{:?}", world.last),
+    };
+    let mut first = Duration::ZERO;
+    for turn in 0..20 {
+        let req = world.arrive(0, 0, None, 10, turn);
+        world.reach_call(req);
+        first = first.max(patience(&world));
+        world.pass(ms(10));
+        world.end_call(req, Outcome::Done);
+        world.finish(req, Outcome::Done);
+    }
+    let req = world.arrive(0, 0, None, 10, 9);
+    world.reach_call(req);
+    assert!(patience(&world) * 2 < first, "{:?} after {first:?}", patience(&world));
+    world.end_call(req, Outcome::TimedOut);
+    assert!(calls(&world));
+    // Where that is no exception, what lies below is slow: it is left alone.
+    for outcome in [Outcome::TimedOut, Outcome::TimedOut] {
+        world.end_call(req, outcome);
+    }
+    world.finish(req, Outcome::Done);
+    let req = world.arrive(0, 0, None, 10, 10);
+    world.reach_call(req);
+    assert!(patience(&world) * 2 > first, "{:?}", patience(&world));
+    world.end_call(req, Outcome::TimedOut);
+    assert!(!calls(&world));
+}
