A leaving server stays welcome early in the grace while it sheds more than a fiftieth

Found by a probe of advice and reads after the notice: it advised 0 at the next beat (decide.rs `advise`), while what arrived might have run for 2.5 s and the others were full. Ruled out: sheds that ask to stay away (none), health, connections closed early.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -84,8 +84,7 @@
 const CALLS_PER_CORE: f64 = 4.0;
 /// Tries of one call, where the one before is known not to have run or the req may run again.
 const CALL_TRIES: u32 = 3;
-/// How long a call that may be made again is waited for: so many times the usual, or that part of what is left of
-/// the response target, if that is more.
+/// A call that may be made again waits so many usual times, or that part of the time left, if that is more.
 const CALL_PATIENCE: f64 = 8.0;
 const CALL_PATIENCE_LEAST: f64 = 0.15;
 /// The part of recent calls without a reply in time up to which these count as lost, and not as slow.
@@ -101,6 +100,8 @@
 /// The part of recent runs that errored, and how many at the least, from which a server turns traffic away.
 const FAILING: f64 = 0.4;
 const FAILING_LEAST: f64 = 3.0;
+/// The part of arrivals shed from which traffic stays welcome after the notice to leave.
+const LEAVING_SHORT: f64 = 0.02;
 /// Time before the stop by which all must be answered, so that a pause does not carry any past it.
 const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -513,8 +514,7 @@
     /// Makes the call that a req stands at, or goes on without it; else it stays where it stands.
     fn make_call(&mut self, req: Req, out: &mut Vec<Action>) {
         let (dimmer, draw) = (self.dimmer, self.rng.f64());
-        let now = self.now;
-        let call_time = self.call_time();
+        let (now, call_time) = (self.now, self.call_time());
         let entry = self.entry(req);
         let drawn = *entry.calls.get_or_insert(draw < dimmer);
         let left = entry.target.saturating_sub(now).as_secs_f64();
@@ -525,8 +525,8 @@
         let mut patience = if skippable { seconds(left * 0.5) } else { due };
         // Guards against replies that never come: given up early, the call can be made again in time. Harms where
         // a few calls take far longer than most; where many do, what lies below is slow, and this does not act.
-        let early = skippable && effect == Effect::Replayable && tries + 1 < CALL_TRIES;
-        if early && call_time > 0.0 && self.few_calls_late() {
+        let may_again = skippable && effect == Effect::Replayable && tries + 1 < CALL_TRIES;
+        if may_again && call_time > 0.0 && self.few_calls_late() {
             patience = patience.min(seconds((CALL_PATIENCE * call_time).max(CALL_PATIENCE_LEAST * left)));
         }
         if let Some(granted) = self.calls_granted {
@@ -589,21 +589,19 @@
         }
         // A call that was cut off, or never left, says nothing of the pace of what lies below.
         let cut = matches!(outcome, Outcome::Broken | Outcome::Unreachable);
-        if !cut {
-            self.ring.add(CALLS, 1.0);
-            self.ring.add(CALL_TIME, took);
-        }
+        let counts = f64::from(u8::from(!cut));
+        self.ring.add(CALLS, counts);
+        self.ring.add(CALL_TIME, took * counts);
         if outcome == Outcome::Done {
             self.entry(req).call_tries = 0;
             return self.go_on_core(req);
         }
-        let unrun = matches!(outcome, Outcome::Full | Outcome::Unreachable);
+        let (few_late, unrun) =
+            (self.few_calls_late(), matches!(outcome, Outcome::Full | Outcome::Unreachable));
         let again = (unrun || effect == Effect::Replayable) && tries < CALL_TRIES;
-        let few_late = self.few_calls_late();
         let entry = self.entry(req);
         entry.state = State::AtCall;
-        // What may be left out is tried again only where the connection was at fault, or no reply came: what
-        // lies below and says no is full.
+        // What may be left out is tried again only where its connection or reply was lost: who says no is full.
         entry.call_again = again && (cut || outcome == Outcome::TimedOut && few_late);
         if answered {
             return;
@@ -694,7 +692,11 @@
             return;
         }
         let answer_by = self.now.saturating_add(left).saturating_sub(LEAVE_MARGIN);
-        self.leaving = Some(Leaving { run_until: self.now.saturating_add(self.drain_grace), answer_by });
+        let run_until = self.now.saturating_add(self.drain_grace);
+        // Guards a short fleet: what may still run here is welcome until callers must forget. Harms as one full server.
+        let short = self.per_arrival(SHED, WINDOW) > LEAVING_SHORT;
+        let welcome_until = if short { run_until.saturating_sub(seconds(self.setpoint)) } else { self.now };
+        self.leaving = Some(Leaving { run_until, answer_by, welcome_until });
         out.push(Action::Health { good: false });
         self.give_up_late(out);
     }
@@ -848,9 +850,9 @@
     fn advise(&mut self, out: &mut Vec<Action>) {
         let failing = self.failing() > 0.0;
         let willing = match self.leaving {
-            Some(_) => 0.0,
-            None if failing => 0.0,
-            None => (AILING * self.usual_pace / self.pace).min(self.wanted),
+            Some(ref leaving) if self.now >= leaving.welcome_until => 0.0,
+            _ if failing => 0.0,
+            _ => (AILING * self.usual_pace / self.pace).min(self.wanted),
         };
         let value = match self.advice {
             Advice::Weight => willing,
--- a/src/state.rs
+++ b/src/state.rs
@@ -89,4 +89,6 @@
     /// What reached the machine later is not run.
     pub run_until: Duration,
     pub answer_by: Duration,
+    /// Until then callers are not asked to stay away.
+    pub welcome_until: Duration,
 }
