A leaving server stays welcome early in the grace where its cores are 0.7 busy

It had shed 1.2% before the notice, under the bound of a fiftieth, with its cores 0.745 busy, the first one 0.538 (a probe at the notice). What is shed tells only once the others are full already; how busy it is tells before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -100,8 +100,8 @@
 /// The part of recent runs that errored, and how many at the least, from which a server turns traffic away.
 const FAILING: f64 = 0.4;
 const FAILING_LEAST: f64 = 3.0;
-/// The part of arrivals shed from which traffic stays welcome after the notice to leave.
-const LEAVING_SHORT: f64 = 0.02;
+/// The part of the cores busy from which traffic stays welcome after the notice to leave.
+const LEAVING_BUSY: f64 = 0.7;
 /// Time before the stop by which all must be answered, so that a pause does not carry any past it.
 const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -694,7 +694,7 @@
         let answer_by = self.now.saturating_add(left).saturating_sub(LEAVE_MARGIN);
         let run_until = self.now.saturating_add(self.drain_grace);
         // Guards a short fleet: what may still run here is welcome until callers must forget. Harms as one full server.
-        let short = self.per_arrival(SHED, WINDOW) > LEAVING_SHORT;
+        let short = self.busy >= LEAVING_BUSY;
         let welcome_until = if short { run_until.saturating_sub(seconds(self.setpoint)) } else { self.now };
         self.leaving = Some(Leaving { run_until, answer_by, welcome_until });
         out.push(Action::Health { good: false });
