--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -23,6 +23,8 @@
 /// The longest that an alarm waits for its gauges. While the machine stands still none come, and the module
 /// knows that from an alarm that is late; longer than this, what is due could be answered too late.
 const GAUGES_MOST: Duration = Duration::from_millis(60);
+/// How long gauges stand for those that do not come.
+const GAUGES_KEPT: Duration = Duration::from_millis(500);
 /// How long a link that is left may take to show that all said there has arrived.
 const FAREWELL: Duration = Duration::from_millis(100);
 
@@ -100,6 +102,8 @@
     asks: HashMap<u64, Ask>,
     tags: u64,
     commands: u64,
+    /// The gauges heard last.
+    gauged: Option<(Instant, Gauges)>,
     /// So many commands are known to have arrived.
     arrived: u64,
 }
@@ -157,11 +161,14 @@
         });
     }
 
-    /// The gauges now; none where the kernel does not answer soon.
+    /// The gauges now; where the kernel does not answer soon, what it said last, unless that is old.
     pub fn gauges(&self) -> Gauges {
         match self.ask("SYSINFO", GAUGES_MOST) {
-            Some(Reply::Gauges(gauges)) => gauges,
-            _ => Gauges::default(),
+            Some(Reply::Gauges(gauges)) => {
+                self.state.lock().gauged = Some((Instant::now(), gauges));
+                gauges
+            }
+            _ => known(self.state.lock().gauged, Instant::now()),
         }
     }
 
@@ -438,6 +445,12 @@
     }
 }
 
+/// What is known from the gauges heard last. Cores are not idle because a link broke.
+fn known(gauged: Option<(Instant, Gauges)>, now: Instant) -> Gauges {
+    let fresh = gauged.filter(|(at, _)| now.saturating_duration_since(*at) < GAUGES_KEPT);
+    fresh.map_or_else(Gauges::default, |(_, gauges)| gauges)
+}
+
 impl State {
     /// A new tag; its answer shows that so many commands have arrived.
     fn ask(&mut self, waiter: Arc<Blocker>, after: u64) -> u64 {
@@ -446,3 +459,16 @@
         self.tags
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn cores_do_not_idle_because_a_link_broke() {
+        let (at, busy) = (Instant::now(), Gauges { cores_busy: Some(0.9), ..Gauges::default() });
+        assert_eq!(known(Some((at, busy)), at + GAUGES_KEPT / 2), busy);
+        assert_eq!(known(Some((at, busy)), at + GAUGES_KEPT), Gauges::default());
+        assert_eq!(known(None, at), Gauges::default());
+    }
+}
