A repeat that has gone is no longer joined: its index, used again, got another's result

Found by reading the gate (reread for what goes by the number of keys): `over` left the index of a req in `joined` of its key. Had its caller gone, the next req with that index was answered with the result of the first, which breaks the rule on lost reqs (gate.rs `over`, `joins`). Also: each event looked at all remembered keys (`joins`), and each req read at all of them again (`enter`). Keys with news are listed now, and their ends are kept in order; what is settled is answered in the order of events instead of the map's. A test holds that nothing of them stays.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -164,6 +164,10 @@
     slots: Slab<Slot>,
     indices: HashMap<Id, usize>,
     keys: HashMap<Id, Key>,
+    /// When keys are to be forgotten, so that not all of them are looked at each time.
+    ends: BTreeSet<(Duration, Id)>,
+    /// Keys whose answer is news to those that joined them.
+    settled: Vec<Id>,
     alarms: BTreeSet<Duration>,
     advice: Option<f64>,
     idle: Duration,
@@ -184,6 +188,8 @@
             slots: Slab::new(),
             indices: HashMap::new(),
             keys: HashMap::new(),
+            ends: BTreeSet::new(),
+            settled: Vec::new(),
             alarms: BTreeSet::new(),
             advice: None,
             idle: given.idle_link,
@@ -225,8 +231,7 @@
         if state.indices.contains_key(&incoming.id) {
             return Err(Unfit::Known);
         }
-        let now = state.now();
-        state.keys.retain(|_, key| key.until > now || !key.joined.is_empty());
+        state.forget_keys();
         let repeats = incoming.key.as_ref().is_some_and(|key| state.keys.contains_key(key));
         let waiter = Arc::new(Blocker::new(true));
         let at = state.slots.insert(Slot {
@@ -401,10 +406,22 @@
 
     /// The run of a req that holds a key is over: those that joined it are answered alike.
     fn settle(&mut self, at: usize, answer: Answer) {
-        let key = self.slots[at].key.clone().and_then(|key| self.keys.get_mut(&key));
-        if let Some(key) = key.filter(|key| key.first == Some(at)) {
+        let Some(id) = self.slots[at].key.clone() else { return };
+        if let Some(key) = self.keys.get_mut(&id).filter(|key| key.first == Some(at)) {
             key.first = None;
             key.answer = Some(answer);
+            self.settled.push(id);
+        }
+    }
+
+    /// Forgets the keys whose time is over; one that others have joined goes once they are answered.
+    fn forget_keys(&mut self) {
+        let now = self.now();
+        while self.ends.first().is_some_and(|(until, _)| *until <= now) {
+            let Some((_, id)) = self.ends.pop_first() else { return };
+            if self.keys.get(&id).is_some_and(|key| key.until <= now && key.joined.is_empty()) {
+                self.keys.remove(&id);
+            }
         }
     }
 
@@ -440,25 +457,32 @@
             }
             Action::Stop { req } => self.slots[req].order(Order::Stop),
             Action::Join { req } => {
-                let key = self.slots[req].key.clone().and_then(|key| self.keys.get_mut(&key));
+                let id = self.slots[req].key.clone().unwrap_or_default();
+                let key = self.keys.get_mut(&id);
                 must!(key.is_some(), "what is joined has a key that is known");
                 if let Some(key) = key {
                     key.joined.push(req);
+                    self.settled.push(id);
                 }
             }
             Action::Remember { req, span } => {
                 if let Some(key) = self.slots[req].key.clone() {
                     let until = now.saturating_add(span);
                     let fresh = Key { until, first: Some(req), answer: None, joined: Vec::new() };
+                    self.ends.insert((until, key.clone()));
                     self.keys.insert(key, fresh);
                 }
             }
             Action::Forget { req } => {
-                if let Some(key) = self.slots[req].key.clone().and_then(|key| self.keys.get_mut(&key)) {
+                if let Some(id) = self.slots[req].key.clone()
+                    && let Some(key) = self.keys.get_mut(&id)
+                {
                     // Never run: those that joined it meanwhile are answered before the key goes.
                     key.until = Duration::ZERO;
                     key.first = None;
                     key.answer = Some(Answer::Errored);
+                    self.ends.insert((Duration::ZERO, id.clone()));
+                    self.settled.push(id);
                 }
             }
             Action::Call { req, patience } => {
@@ -488,6 +512,10 @@
         // A run that ended with nothing for its caller, and that the module left unanswered.
         self.answer(at, Answer::Errored);
         self.settle(at, Answer::Errored);
+        // Its index may come again: whoever has it then did not join.
+        if let Some(key) = self.slots[at].key.clone().and_then(|key| self.keys.get_mut(&key)) {
+            key.joined.retain(|&other| other != at);
+        }
         let slot = &mut self.slots[at];
         slot.over = true;
         slot.order(Order::Over);
@@ -501,13 +529,14 @@
 
     /// Answers those that joined a req that is over.
     fn joins(&mut self, events: &mut Vec<Event>) {
-        let settled: Vec<(Vec<usize>, Answer)> = self
-            .keys
-            .values_mut()
-            .filter(|key| !key.joined.is_empty())
-            .filter_map(|key| key.answer.clone().map(|answer| (std::mem::take(&mut key.joined), answer)))
-            .collect();
-        for (mut joined, answer) in settled {
+        let now = self.now();
+        for id in std::mem::take(&mut self.settled) {
+            let Some(key) = self.keys.get_mut(&id) else { continue };
+            let Some(answer) = key.answer.clone() else { continue };
+            let mut joined = std::mem::take(&mut key.joined);
+            if key.until <= now {
+                self.keys.remove(&id);
+            }
             joined.sort_unstable();
             for at in joined {
                 let open = self.slots.get(at).is_some_and(|slot| !slot.over);
--- a/crates/server/src/gate/tests.rs
+++ b/crates/server/src/gate/tests.rs
@@ -318,3 +318,32 @@
         assert_eq!(heard.recv_timeout(Duration::from_secs(30)), Ok(None));
     }
 }
+
+#[test]
+fn an_index_that_comes_again_is_not_taken_for_one_that_joined() {
+    let gate = gate();
+    let first = gate.enter(incoming("a", 1, Some("k"))).unwrap();
+    assert_eq!(now(&first), Some(Order::Run));
+    let second = gate.enter(incoming("b", 1, Some("k"))).unwrap();
+    gate.report("b", Report::Gone);
+    drop(second);
+    let third = gate.enter(incoming("c", 0, None)).unwrap();
+    assert_eq!(now(&third), Some(Order::Run));
+    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("another's page") });
+    assert_eq!(now(&third), None, "it joined nothing");
+}
+
+#[test]
+fn keys_are_forgotten_when_their_time_is_over() {
+    let gate = gate();
+    for at in 0..5 {
+        let ticket = gate.enter(incoming(&format!("r{at}"), 1, Some(&format!("k{at}")))).unwrap();
+        gate.report(&format!("r{at}"), Report::Ended { outcome: Outcome::Done, result: bytes("page") });
+        drop(ticket);
+    }
+    assert_eq!(gate.state.lock().keys.len(), 5);
+    gate.pass(ms(WINDOW + 1000));
+    drop(gate.enter(incoming("last", 0, None)).unwrap());
+    let state = gate.state.lock();
+    assert_eq!((state.keys.len(), state.ends.len(), state.settled.len()), (0, 0, 0));
+}
