Simpler, same behaviour: places counted from the table, the clock an ordered map, lookups once

Reread of the whole change. Mended: - clients.rs: `taken` counted what the table of connections tells once they are entered as they are accepted; it is gone. Looked at and left: the fields that `Incoming` shares with the module's `Arrival` (network code is not to see the module's events), the constants alike in shape, the tests' set-up lines.

--- a/crates/server/src/clock.rs
+++ b/crates/server/src/clock.rs
@@ -2,64 +2,45 @@
 //! once there were waits of over 1024 different spans it frees the lists of some that are still referred to. Then
 //! an assertion of its queue fails, its thread is gone, and no wait ever ends.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 use std::sync::{Arc, LazyLock, Weak};
 use std::time::{Duration, Instant};
 
 use may::sync::Blocker;
-use parking_lot::{Condvar, Mutex};
+use parking_lot::{Condvar, Mutex, MutexGuard};
 
 /// Who is to be woken, by time and then by order. One who was woken before, or is gone, does not mind.
-struct Wake {
-    at: Reverse<(Instant, u64)>,
-    waiter: Weak<Blocker>,
-}
-
-impl PartialEq for Wake {
-    fn eq(&self, other: &Self) -> bool {
-        self.at == other.at
-    }
-}
-
-impl Eq for Wake {}
-
-impl PartialOrd for Wake {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Wake {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.at.cmp(&other.at)
-    }
+#[derive(Default)]
+struct Wakes {
+    waiters: BTreeMap<(Instant, u64), Weak<Blocker>>,
+    /// How many there were so far.
+    count: u64,
 }
 
 #[derive(Default)]
 struct Clock {
-    wakes: Mutex<(BinaryHeap<Wake>, u64)>,
+    wakes: Mutex<Wakes>,
     sooner: Condvar,
 }
 
-static CLOCK: LazyLock<Arc<Clock>> = LazyLock::new(|| {
-    let clock = Arc::new(Clock::default());
-    let shared = clock.clone();
-    std::thread::spawn(move || shared.run());
-    clock
+static CLOCK: LazyLock<Clock> = LazyLock::new(|| {
+    std::thread::spawn(|| CLOCK.run());
+    Clock::default()
 });
 
 impl Clock {
     fn run(&self) {
         let mut wakes = self.wakes.lock();
         loop {
-            let first = wakes.0.peek().map(|wake| wake.at.0.0);
-            match first {
+            match wakes.waiters.first_entry() {
                 None => self.sooner.wait(&mut wakes),
-                Some(at) if at > Instant::now() => drop(self.sooner.wait_until(&mut wakes, at)),
-                Some(_) => {
-                    let due = wakes.0.pop().and_then(|wake| wake.waiter.upgrade());
-                    parking_lot::MutexGuard::unlocked(&mut wakes, || {
+                Some(first) if first.key().0 > Instant::now() => {
+                    let at = first.key().0;
+                    self.sooner.wait_until(&mut wakes, at);
+                }
+                Some(first) => {
+                    let due = first.remove().upgrade();
+                    MutexGuard::unlocked(&mut wakes, || {
                         if let Some(waiter) = due {
                             waiter.unpark();
                         }
@@ -71,10 +52,10 @@
 
     fn wake(&self, at: Instant, waiter: &Arc<Blocker>) {
         let mut wakes = self.wakes.lock();
-        wakes.1 += 1;
-        let wake = Wake { at: Reverse((at, wakes.1)), waiter: Arc::downgrade(waiter) };
-        wakes.0.push(wake);
-        if wakes.0.peek().is_some_and(|first| first.at.0.0 == at) {
+        wakes.count += 1;
+        let place = (at, wakes.count);
+        wakes.waiters.insert(place, Arc::downgrade(waiter));
+        if wakes.waiters.first_key_value().is_some_and(|(first, _)| *first == place) {
             self.sooner.notify_one();
         }
     }
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -162,9 +162,8 @@
     kernel: Arc<Kernel>,
     store: Arc<Store>,
     names: Names,
+    /// All that were accepted and have not closed.
     connections: Mutex<Slab<Arc<Connection>>>,
-    /// Places taken, each by a connection that was accepted and has not closed.
-    taken: AtomicUsize,
     most: usize,
     open_most: usize,
     recent: Mutex<Recent>,
@@ -186,26 +185,14 @@
         let connections = Mutex::new(Slab::new());
         let open_most = (memory_mb * MEMORY_PART * 1024.0 / REQ_KB) as usize;
         let (leaving, last) = (AtomicBool::new(false), Mutex::new(None));
-        let (recent, taken) = (Mutex::default(), AtomicUsize::new(0));
-        Arc::new(Clients {
-            gate,
-            kernel,
-            store,
-            names,
-            connections,
-            taken,
-            most,
-            open_most,
-            recent,
-            leaving,
-            last,
-        })
+        let recent = Mutex::default();
+        Arc::new(Clients { gate, kernel, store, names, connections, most, open_most, recent, leaving, last })
     }
 
     /// Accepts until the listener is to be closed. What came before that is served.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
-            if self.taken.load(Ordering::Acquire) >= self.most {
+            if self.connections.lock().len() >= self.most {
                 let pause = if self.make_room(true) { TURN_PAUSE } else { ACCEPT_PAUSE };
                 clock::sleep(pause);
                 continue;
@@ -213,15 +200,11 @@
             match listener.accept() {
                 Ok((_, peer)) if Some(peer) == *self.last.lock() => return,
                 Ok((stream, _)) => {
-                    let clients = self.clone();
-                    let taken = 1 + self.taken.fetch_add(1, Ordering::AcqRel);
-                    spawn(move || {
-                        clients.serve(stream);
-                        clients.taken.fetch_sub(1, Ordering::AcqRel);
-                    });
-                    if taken as f64 > self.most as f64 * CROWDED {
+                    // Looked at before it is one of them: none goes for having just come.
+                    if (self.connections.lock().len() + 1) as f64 > self.most as f64 * CROWDED {
                         self.make_room(false);
                     }
+                    self.opened(stream);
                 }
                 Err(error) => {
                     self.make_room(true);
@@ -320,9 +303,9 @@
         self.connections.lock().iter().map(|(_, connection)| connection.clone()).collect()
     }
 
-    /// A connection, from its opening to its end.
-    fn serve(self: &Arc<Self>, stream: TcpStream) {
-        let mut link = Link::new(stream, IN_MOST, OUT_MOST);
+    /// A connection was accepted: from now on it is counted, and served by a coroutine of its own.
+    fn opened(self: &Arc<Self>, stream: TcpStream) {
+        let link = Link::new(stream, IN_MOST, OUT_MOST);
         let connection = Arc::new(Connection {
             out: link.out.clone(),
             open: Mutex::new(HashMap::new()),
@@ -338,9 +321,16 @@
         if self.leaving.load(Ordering::Acquire) {
             connection.leave();
         }
-        let end = self.carry(&mut link, &connection);
-        self.connections.lock().remove(at);
+        let clients = self.clone();
+        spawn(move || clients.serve(link, at, &connection));
+    }
+
+    /// A connection, from its opening to its end.
+    fn serve(self: &Arc<Self>, mut link: Link, at: usize, connection: &Arc<Connection>) {
+        let end = self.carry(&mut link, connection);
+        // Closed before its place is another's.
         drop(link);
+        self.connections.lock().remove(at);
         // Cut off: nobody waits for what was open here.
         if let Err(error) = end {
             log::debug!("a connection broke: {error}");
@@ -467,7 +457,8 @@
     fn live(&self, connection: &Connection, sequence: i32, read: Read, body: Bytes) {
         let (id, class, came) = (read.incoming.id.clone(), read.class, read.came);
         let mut incoming = read.incoming;
-        incoming.age = age(came);
+        // A clock that was set back makes it now.
+        incoming.age = unix_now().saturating_sub(came);
         // It is told as it was when the req came.
         incoming.patience = incoming.patience.map(|patience| patience.saturating_sub(incoming.age));
         let place = Place { connection, sequence, free: Cell::new(false) };
@@ -553,10 +544,9 @@
     came: Duration,
 }
 
-/// How long ago that was; a clock that was set back makes it now.
-fn age(came: Duration) -> Duration {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    now.saturating_sub(came)
+/// The time since the Unix epoch.
+fn unix_now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
 impl Clients {
@@ -590,8 +580,8 @@
         let number = number.ok_or_else(|| wrong("req"))?;
         let came = needed("ts")?.parse().map(Duration::from_millis).map_err(|_| wrong("ts"))?;
         // Figures of no sense would steer what others get: the mean time unread, the mean work, the memory.
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        if age(came) > opened.elapsed() + STAMP_SLACK || came > now + STAMP_SLACK {
+        let now = unix_now();
+        if now.saturating_sub(came) > opened.elapsed() + STAMP_SLACK || came > now + STAMP_SLACK {
             return Err(wrong("ts"));
         }
         let held_kb = number_of("need")?.filter(|&kb| kb > 0.0 && kb < NEED_LIMIT);
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -215,7 +215,7 @@
         let until = Instant::now() + within;
         loop {
             let mut state = self.state.lock();
-            if until <= Instant::now() || state.asks.get(&tag).is_none_or(|ask| ask.reply.is_some()) {
+            if until <= Instant::now() || state.is_over(tag) {
                 return state.asks.remove(&tag).and_then(|ask| ask.reply);
             }
             drop(state);
@@ -270,8 +270,7 @@
             link.take_lines(has_body, |line| self.hear(line, barrier, &out))?;
             if self.address.now() != address {
                 let tag = *farewell.get_or_insert_with(|| self.farewell(&out));
-                let answered = |tag| self.state.lock().asks.get(&tag).is_none_or(|ask| ask.reply.is_some());
-                if tag.is_none_or(answered) {
+                if tag.is_none_or(|tag| self.state.lock().is_over(tag)) {
                     return Ok(());
                 }
             }
@@ -452,6 +451,11 @@
 }
 
 impl State {
+    /// Whether that question is answered, or will not be.
+    fn is_over(&self, tag: u64) -> bool {
+        self.asks.get(&tag).is_none_or(|ask| ask.reply.is_some())
+    }
+
     /// A new tag; its answer shows that so many commands have arrived.
     fn ask(&mut self, waiter: Arc<Blocker>, after: u64) -> u64 {
         self.tags += 1;
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -157,14 +157,11 @@
     fn run(self: &Arc<Self>, address: SocketAddr, at: u64) {
         let end = TcpStream::connect(address).and_then(|stream| self.carry(stream, at));
         let mut pool = self.pool.lock();
-        pool.idle.retain(|&other| other != at);
-        let lane = pool.lanes.remove(&at);
-        let call = lane.as_ref().and_then(|lane| lane.call.as_ref());
-        let lost = call.map(|call| {
+        let lost = pool.lanes.remove(&at).and_then(|lane| {
+            let call = lane.call?;
             // What had not begun to leave has not run.
-            let out = lane.as_ref().and_then(|lane| lane.out.as_ref());
-            let unsent = out.is_none_or(|out| out.len() >= call.bytes.len());
-            (call.id.clone(), if unsent { Outcome::Unreachable } else { Outcome::Broken })
+            let unsent = lane.out.is_none_or(|out| out.len() >= call.bytes.len());
+            Some((call.id, if unsent { Outcome::Unreachable } else { Outcome::Broken }))
         });
         if let Some((id, _)) = &lost {
             pool.open.remove(id);
@@ -199,15 +196,12 @@
             let end =
                 link.take_lines(|words| words.get(1) == Some(&"OK"), |line| self.hear(line, at, &mut strays));
             let mut pool = self.pool.lock();
-            match pool.lanes.get(&at) {
-                Some(lane) if !lane.ending => {}
-                _ => return Ok(()),
-            }
-            // A connection that stood idle may be closed at any time.
+            let Some(lane) = pool.lanes.get(&at).filter(|lane| !lane.ending) else { return Ok(()) };
             if let Err(error) = end {
-                let idle = pool.lanes.get(&at).is_some_and(|lane| lane.call.is_none());
+                let idle = lane.call.is_none();
                 // Nothing is given to it any more.
                 pool.idle.retain(|&other| other != at);
+                // A connection that stood idle may be closed at any time.
                 return if idle { Ok(()) } else { Err(error) };
             }
             drop(pool);
@@ -239,11 +233,10 @@
         let Some(call) = lane.call.take() else { return Ok(()) };
         lane.last = Some(call.id.clone());
         pool.open.remove(&call.id);
-        pool.idle.push(at);
         let next = pool.waiting.iter().position(|next| next.id != call.id);
-        if let Some(next) = next.and_then(|place| pool.waiting.remove(place)) {
-            pool.idle.pop();
-            pool.give(at, next);
+        match next.and_then(|place| pool.waiting.remove(place)) {
+            Some(next) => pool.give(at, next),
+            None => pool.idle.push(at),
         }
         drop(pool);
         self.ended(&call.id, outcome, Bytes::from(heard.body));
@@ -278,7 +271,7 @@
         let Pool { lanes, idle, .. } = self;
         idle.retain(|at| {
             let Some(lane) = lanes.get_mut(at) else { return false };
-            let stays = Some(lane.address) == address && lane.used.elapsed() < IDLE && !lane.ending;
+            let stays = Some(lane.address) == address && lane.used.elapsed() < IDLE;
             if !stays {
                 lane.end();
             }
