The module tells the reason of each req shed or errored

Need: a recording of what was decided must say why, by the module's own account, and the actions Shed and Fail had no reason. Change: a closed set of eleven reasons (memory, failing, share, late, overtaken, missed, due, draining, stopping, call failed, stopped); no decision and no draw is changed.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -447,11 +447,11 @@
                 self.slots[req].running = true;
                 self.slots[req].order(Order::Run);
             }
-            Action::Shed { req, wait, elsewhere } => {
+            Action::Shed { req, wait, elsewhere, .. } => {
                 must!(!self.slots[req].answered, "a req is answered once");
                 self.answer(req, Answer::Shed { wait, elsewhere });
             }
-            Action::Fail { req } => {
+            Action::Fail { req, .. } => {
                 must!(!self.slots[req].answered, "a req is answered once");
                 self.answer(req, Answer::Errored);
             }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -231,11 +231,11 @@
         };
         match *action {
             Action::Run { req } => line("EXECUTE", Some(req), format_args!("")),
-            Action::Shed { req, wait, elsewhere } => {
+            Action::Shed { req, wait, elsewhere, .. } => {
                 let (wait, last) = (as_millis(wait.unwrap_or_default()), u8::from(!elsewhere));
                 line("TURN_AWAY", Some(req), format_args!(" wait={wait:.3} terminal={last}"));
             }
-            Action::Fail { req } => line("REPORT_FAILURE", Some(req), format_args!("")),
+            Action::Fail { req, .. } => line("REPORT_FAILURE", Some(req), format_args!("")),
             Action::Stop { req } => line("YANK", Some(req), format_args!("")),
             Action::Join { req } => line("JOIN", Some(req), format_args!("")),
             Action::Remember { req, span } => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -351,7 +351,8 @@
             self.entry(arrival.req).state = State::Joined;
             let stopping = self.leaving.as_ref().is_some_and(|leaving| self.now >= leaving.answer_by);
             if stopping || self.used_kb > self.memory_kb {
-                return self.give_up(arrival.req, false, out);
+                let reason = if stopping { Reason::Stopping } else { Reason::Memory };
+                return self.give_up(arrival.req, false, reason, out);
             }
             return out.push(Action::Join { req: arrival.req });
         }
@@ -359,20 +360,26 @@
         if let Some(leaving) = &self.leaving
             && (reached > leaving.run_until || self.now >= leaving.answer_by)
         {
-            return self.give_up(arrival.req, true, out);
+            return self.give_up(arrival.req, true, Reason::Draining, out);
         }
         let key_kb = if effect == Effect::Uniqued { self.key_kb } else { 0.0 };
         let no_room = self.held_kb > self.memory_kb * HOLD_MEMORY || self.used_kb + key_kb > self.memory_kb;
         let failing = self.failing();
         let errs = failing > 0.0 && self.rng.f64() < failing;
-        if no_room
-            || errs
-            || !self.drawn_in(level)
-            || !self.in_time(arrival.req, self.ahead_of(arrival.req), PROMISE)
-        {
+        let refused = if no_room {
+            Some(Reason::Memory)
+        } else if errs {
+            Some(Reason::Failing)
+        } else if !self.drawn_in(level) {
+            Some(Reason::Share)
+        } else {
+            let in_time = self.in_time(arrival.req, self.ahead_of(arrival.req), PROMISE);
+            (!in_time).then_some(Reason::Late)
+        };
+        if let Some(reason) = refused {
             self.ring.add(SHED, 1.0);
             let elsewhere = self.elsewhere(arrival.req);
-            return self.give_up(arrival.req, elsewhere, out);
+            return self.give_up(arrival.req, elsewhere, reason, out);
         }
         for (tenant, purse) in self.purses.iter_mut().enumerate() {
             let taken = f64::from(u8::from(arrival.tenant == Some(tenant)));
@@ -464,7 +471,7 @@
             let Some(req) = self.next() else { return };
             let now = self.now;
             if self.entry(req).target < now {
-                self.give_up(req, false, out);
+                self.give_up(req, false, Reason::Missed, out);
                 continue;
             }
             let more_kb = self.entry(req).held_kb * (self.run_factor - 1.0);
@@ -609,7 +616,7 @@
         if skippable || again {
             self.standing.push(req);
         } else {
-            self.give_up(req, false, out);
+            self.give_up(req, false, Reason::CallFailed, out);
         }
     }
 
@@ -637,7 +644,7 @@
                 self.ring.add(WORK, work);
             }
             Outcome::Errored => self.ring.add(ERRORED, 1.0),
-            Outcome::Stopped if !answered => out.push(Action::Fail { req }),
+            Outcome::Stopped if !answered => out.push(Action::Fail { req, reason: Reason::Stopped }),
             _ => {}
         }
         self.over(req, out);
@@ -663,16 +670,16 @@
     }
 
     /// Answers a req that cannot be done any more, at once, and stops its work where that is possible.
-    fn give_up(&mut self, req: Req, elsewhere: bool, out: &mut Vec<Action>) {
+    fn give_up(&mut self, req: Req, elsewhere: bool, reason: Reason, out: &mut Vec<Action>) {
         let entry = self.entry(req);
         let (state, handler, key) = (entry.state, entry.handler, entry.key);
         entry.answered = true;
         let unrun = state == State::Held;
         if state != State::Joined && (unrun || self.aims[handler].effect == Effect::Replayable) {
             let wait = if self.ailing() { self.max_wait } else { None };
-            out.push(Action::Shed { req, wait, elsewhere });
+            out.push(Action::Shed { req, wait, elsewhere, reason });
         } else {
-            out.push(Action::Fail { req });
+            out.push(Action::Fail { req, reason });
         }
         // Never run: a repeat of it is a first one again.
         if let Some(until) = key
@@ -799,7 +806,7 @@
                 ahead += self.entry(req).work;
             } else {
                 let elsewhere = self.elsewhere(req);
-                self.give_up(req, elsewhere, out);
+                self.give_up(req, elsewhere, Reason::Overtaken, out);
             }
         }
         for req in 0..self.reqs.len() {
@@ -815,12 +822,13 @@
             }
             let stop = self.leaving.as_ref().map_or(Duration::MAX, |leaving| leaving.answer_by);
             let due = entry.due.min(stop) <= self.now + self.beat;
+            let by = if stop < entry.due { Reason::Stopping } else { Reason::Due };
             let replayable = self.aims[entry.handler].effect == Effect::Replayable;
             // Work under way is given up only once it is late.
             let under_way = !matches!(entry.state, State::Held | State::Joined);
             let hopeless = under_way && replayable && entry.target < self.now;
             if due || hopeless {
-                self.give_up(req, false, out);
+                self.give_up(req, false, if due { by } else { Reason::Missed }, out);
             }
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -216,15 +216,42 @@
     },
 }
 
+/// Why a req was turned away, or answered with an error, by the module's own account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// No memory is left to hold it.
+    Memory,
+    /// Runs on this server fail so often that others are likely to do better.
+    Failing,
+    /// The admitted share was cut, and it was not drawn in.
+    Share,
+    /// It was not likely to be done within its response target.
+    Late,
+    /// The same, after it was held for a while: others came before it.
+    Overtaken,
+    /// Its response target passed while it was held or run.
+    Missed,
+    /// Its client is about to stop waiting.
+    Due,
+    /// It came too late after the notice to leave.
+    Draining,
+    /// The stop is near.
+    Stopping,
+    /// Its mandatory call failed.
+    CallFailed,
+    /// Its run was stopped with nothing for its caller.
+    Stopped,
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Start a held req, or take up a paused one.
     Run { req: Req },
     /// Final answer: turned away. `elsewhere` is false where the caller should not try another server.
-    Shed { req: Req, wait: Option<Duration>, elsewhere: bool },
+    Shed { req: Req, wait: Option<Duration>, elsewhere: bool, reason: Reason },
     /// Final answer: an error.
-    Fail { req: Req },
+    Fail { req: Req, reason: Reason },
     /// Stop running work.
     Stop { req: Req },
     /// Answer it with what the req that it repeats yields.
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -215,7 +215,7 @@
                 );
                 self.answer(req, action);
             }
-            Action::Fail { req } => {
+            Action::Fail { req, .. } => {
                 self.answer(req, action);
             }
             Action::Stop { req } => {
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -322,3 +322,32 @@
     assert_eq!(advised(0.5), (Some(0.0), Some(0.0)));
     assert_eq!(advised(0.8), (Some(1.0), Some(0.0)), "the grace is nearly over");
 }
+
+fn reasons(world: &World) -> Vec<Reason> {
+    let reason = |action: &Action| match action {
+        Action::Shed { reason, .. } | Action::Fail { reason, .. } => Some(*reason),
+        _ => None,
+    };
+    world.last.iter().filter_map(reason).collect()
+}
+
+#[test]
+fn each_answer_that_gives_a_req_up_tells_why() {
+    let mut world = plain();
+    // More work than its response target has room for, behind work that takes both cores.
+    for turn in 0..2 {
+        world.arrive(0, 0, None, 900, turn);
+    }
+    world.arrive(0, 0, None, 900, 2);
+    assert_eq!(reasons(&world), [Reason::Late]);
+    let mut given = given();
+    given.memory_kb = 1.0;
+    let mut small = World::new(given, 1);
+    small.arrive(0, 0, None, 10, 1);
+    assert_eq!(reasons(&small), [Reason::Memory]);
+    let mut world = plain();
+    world.tell(vec![Event::Leave { left: ms(3000) }]);
+    world.pass(ms(1500));
+    world.arrive(0, 0, None, 10, 2);
+    assert_eq!(reasons(&world), [Reason::Draining]);
+}
