crates/trace: a file format for what happened to every req, with recorder and tools

Need: after a festival operators want to replay what happened; today a server leaves one line in thirty seconds. Change: a library with no sockets.

--- /dev/null
+++ b/crates/trace/src/block.rs
@@ -0,0 +1,443 @@
+//! A block: some thousand records, column by column. Each column tells its kind, how its values are predicted and
+//! packed, and how long it is, so that a reader can pass over one it does not know or does not want.
+
+use std::collections::BTreeSet;
+
+use integer_encoding::VarInt;
+
+use crate::columns::{self, Column, Guess, Kind, unzigzag, zigzag};
+use crate::record::Record;
+use crate::{Micros, TraceError, WriteError};
+
+/// Records of a block, columns of a block, distinct values for which a column gets a table.
+pub const RECORDS_MOST: usize = 65_536;
+pub const COLUMNS_MOST: usize = 255;
+const TABLE_MOST: usize = 4096;
+/// What a packed column may unpack to, for each record and beside that.
+const UNPACKED_EACH: usize = 32;
+const UNPACKED_LEAST: usize = 64;
+const LEVEL: i32 = 5;
+
+/// How the values of a column are laid out before they are packed.
+const CONSTANT: u8 = 0;
+const VARINTS: u8 = 1;
+const PLANES: u8 = 2;
+const TABLE: u8 = 3;
+/// Whether each record has a value.
+const ALL: u8 = 0;
+const BITMAP: u8 = 1;
+
+/// What stands before the columns of a block.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Prelude {
+    /// The number of the block in its file, and how many records stand before it.
+    pub number: u64,
+    pub before: u64,
+    pub records: usize,
+    /// The earliest and latest `reached`.
+    pub from: Micros,
+    pub to: Micros,
+    pub handlers: BTreeSet<u32>,
+    /// A bit for each outcome.
+    pub outcomes: u32,
+}
+
+impl Prelude {
+    pub fn of(records: &[Record], number: u64, before: u64) -> Self {
+        Prelude {
+            number,
+            before,
+            records: records.len(),
+            from: records.iter().map(|r| r.reached).min().unwrap_or_default(),
+            to: records.iter().map(|r| r.reached).max().unwrap_or_default(),
+            handlers: records.iter().map(|r| r.handler).collect(),
+            outcomes: records.iter().fold(0, |all, r| all | 1 << r.outcome as u32),
+        }
+    }
+
+    pub fn write(&self, out: &mut Vec<u8>) {
+        put(out, self.number);
+        put(out, self.before);
+        put(out, self.records as u64);
+        put(out, zigzag(self.from));
+        put(out, self.to.wrapping_sub(self.from) as u64);
+        put(out, self.handlers.len() as u64);
+        for &handler in &self.handlers {
+            put(out, u64::from(handler));
+        }
+        put(out, u64::from(self.outcomes));
+    }
+
+    pub fn read(from: &mut Bytes) -> Result<Self, TraceError> {
+        let (number, before, records) = (from.number()?, from.number()?, from.number()? as usize);
+        if records > RECORDS_MOST {
+            return Err(TraceError::Bound("records of a block", records as u64));
+        }
+        let start = unzigzag(from.number()?);
+        let to = start.wrapping_add(from.number()? as i64);
+        let count = from.number()?;
+        if count > records as u64 {
+            return Err(TraceError::Bound("handlers of a block", count));
+        }
+        let mut handlers = BTreeSet::new();
+        for _ in 0..count {
+            handlers.insert(from.number_u32()?);
+        }
+        let outcomes = from.number_u32()?;
+        Ok(Prelude { number, before, records, from: start, to, handlers, outcomes })
+    }
+}
+
+/// A cursor over bytes that may be of any sense.
+pub struct Bytes<'a>(pub &'a [u8]);
+
+impl<'a> Bytes<'a> {
+    pub fn number(&mut self) -> Result<u64, TraceError> {
+        // A number of more than ten bytes, or beyond 64 bits, is none.
+        let (value, used) =
+            u64::decode_var(&self.0[..self.0.len().min(10)]).ok_or(TraceError::Senseless("a number"))?;
+        self.0 = &self.0[used..];
+        Ok(value)
+    }
+
+    pub fn number_u32(&mut self) -> Result<u32, TraceError> {
+        u32::try_from(self.number()?).map_err(|_| TraceError::Senseless("a number of 32 bits"))
+    }
+
+    pub fn byte(&mut self) -> Result<u8, TraceError> {
+        Ok(self.some(1)?[0])
+    }
+
+    pub fn some(&mut self, count: usize) -> Result<&'a [u8], TraceError> {
+        let (some, rest) = self.0.split_at_checked(count).ok_or(TraceError::Senseless("a length"))?;
+        self.0 = rest;
+        Ok(some)
+    }
+}
+
+pub fn put(out: &mut Vec<u8>, value: u64) {
+    let mut bytes = [0; 10];
+    let length = value.encode_var(&mut bytes);
+    out.extend_from_slice(&bytes[..length]);
+}
+
+/// One column on its way into a file.
+pub struct Values {
+    pub id: u8,
+    pub kind: Kind,
+    pub guess: Guess,
+    pub values: Vec<Option<u64>>,
+}
+
+/// The columns of these records in that format; what does not fit its column is an error that names it.
+pub fn columns_of(records: &[Record], version: u32) -> Result<Vec<Values>, WriteError> {
+    let mut all = Vec::new();
+    for column in columns::of_version(version) {
+        let mut values = Vec::with_capacity(records.len());
+        for record in records {
+            let value = (column.get)(record);
+            fits(column, version, value)?;
+            values.push(value);
+        }
+        all.push(Values { id: column.id, kind: column.kind, guess: column.guess, values });
+    }
+    Ok(all)
+}
+
+/// Whether a value is no wider than its column.
+pub fn fits(column: &Column, version: u32, value: Option<u64>) -> Result<(), WriteError> {
+    let bits = column.bits[usize::from(version > 1)];
+    match value {
+        Some(value) if bits < 64 && value >> bits != 0 => {
+            let shown = if column.kind == Kind::Signed { unzigzag(value) } else { value as i64 };
+            Err(WriteError::Unfit { column: column.name, value: shown, bits })
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Lays out and packs a block.
+pub fn encode(prelude: &Prelude, columns: &[Values]) -> Result<Vec<u8>, WriteError> {
+    let mut out = Vec::with_capacity(prelude.records * 24);
+    prelude.write(&mut out);
+    put(&mut out, columns.len() as u64);
+    let mut bodies = Vec::with_capacity(columns.len());
+    for column in columns {
+        let guessed = predict(column, columns);
+        let (presence, bitmap) = presence(&column.values);
+        let present: Vec<u64> = guessed.into_iter().flatten().collect();
+        let (layout, body) = lay_out(&present);
+        let raw = [bitmap, body].concat();
+        let packed = zstd::bulk::compress(&raw, LEVEL).map_err(WriteError::Io)?;
+        let packs = packed.len() < raw.len();
+        put(&mut out, u64::from(column.id));
+        out.push(column.kind.code());
+        out.push(presence);
+        let (guess, beside) = match column.guess {
+            Guess::Zero => (0, 0),
+            Guess::Before => (1, 0),
+            Guess::Beside(id) => (2, id),
+        };
+        out.extend_from_slice(&[guess, beside, layout]);
+        put(&mut out, raw.len() as u64);
+        put(&mut out, if packs { packed.len() as u64 } else { 0 });
+        bodies.push(if packs { packed } else { raw });
+    }
+    for body in bodies {
+        out.extend_from_slice(&body);
+    }
+    Ok(out)
+}
+
+/// What is stored instead of the values: how far each is from what it is predicted to be.
+fn predict(column: &Values, columns: &[Values]) -> Vec<Option<u64>> {
+    let differ = |value: u64, from: u64| zigzag(unzigzag(value).wrapping_sub(unzigzag(from)));
+    match column.guess {
+        Guess::Zero => column.values.clone(),
+        Guess::Before => {
+            let mut before = 0;
+            let step =
+                |value: &Option<u64>| value.map(|value| differ(value, std::mem::replace(&mut before, value)));
+            column.values.iter().map(step).collect()
+        }
+        Guess::Beside(id) => {
+            let beside = columns.iter().find(|other| other.id == id);
+            let from = |at: usize| beside.and_then(|other| other.values[at]).unwrap_or(0);
+            column.values.iter().enumerate().map(|(at, value)| value.map(|v| differ(v, from(at)))).collect()
+        }
+    }
+}
+
+fn presence(values: &[Option<u64>]) -> (u8, Vec<u8>) {
+    if values.iter().all(Option::is_some) {
+        return (ALL, Vec::new());
+    }
+    let mut bitmap = vec![0u8; values.len().div_ceil(8)];
+    for (at, _) in values.iter().enumerate().filter(|(_, value)| value.is_some()) {
+        bitmap[at / 8] |= 1 << (at % 8);
+    }
+    (BITMAP, bitmap)
+}
+
+/// The layout that is likely to pack best, and the bytes in it.
+fn lay_out(values: &[u64]) -> (u8, Vec<u8>) {
+    let mut out = Vec::new();
+    let Some(&first) = values.first() else { return (CONSTANT, out) };
+    if values.iter().all(|&value| value == first) {
+        put(&mut out, first);
+        return (CONSTANT, out);
+    }
+    let mut table = values.to_vec();
+    table.sort_unstable();
+    table.dedup();
+    if table.len() <= TABLE_MOST && table.len() * 3 <= values.len() {
+        put(&mut out, table.len() as u64);
+        let mut before = 0;
+        for &value in &table {
+            put(&mut out, value - before);
+            before = value;
+        }
+        let places: Vec<u64> =
+            values.iter().filter_map(|v| table.binary_search(v).ok()).map(|at| at as u64).collect();
+        planes(&mut out, &places, if table.len() <= 256 { 1 } else { 2 });
+        return (TABLE, out);
+    }
+    // Times of one order of magnitude pack best by planes, where the upper ones are nearly alike; small numbers
+    // with a few long ones among them do so as varints.
+    let bytes = |value: u64| (64 - value.leading_zeros()).div_ceil(8).max(1) as usize;
+    let width = table.last().map_or(1, |&most| bytes(most));
+    let short = values.iter().filter(|&&value| bytes(value) * 2 < width).count();
+    if width <= 2 || short * 8 < values.len() * 7 {
+        planes(&mut out, values, width);
+        (PLANES, out)
+    } else {
+        for &value in values {
+            put(&mut out, value);
+        }
+        (VARINTS, out)
+    }
+}
+
+fn planes(out: &mut Vec<u8>, values: &[u64], width: usize) {
+    out.push(width as u8);
+    for plane in 0..width {
+        out.extend(values.iter().map(|value| (value >> (8 * plane)) as u8));
+    }
+}
+
+/// One column as it stands in a block.
+#[derive(Clone, Copy, Debug)]
+pub struct Packed<'a> {
+    pub id: u64,
+    pub kind: u8,
+    presence: u8,
+    guess: u8,
+    beside: u8,
+    layout: u8,
+    raw: usize,
+    packed: usize,
+    body: &'a [u8],
+}
+
+impl Packed<'_> {
+    /// Its length in the file.
+    pub fn stored(&self) -> usize {
+        self.body.len()
+    }
+}
+
+/// The columns of a block, still packed.
+pub fn packed<'a>(from: &mut Bytes<'a>, prelude: &Prelude) -> Result<Vec<Packed<'a>>, TraceError> {
+    let count = from.number()?;
+    if count > COLUMNS_MOST as u64 {
+        return Err(TraceError::Bound("columns of a block", count));
+    }
+    let mut all = Vec::new();
+    for _ in 0..count {
+        let (id, kind, presence) = (from.number()?, from.byte()?, from.byte()?);
+        let (guess, beside, layout) = (from.byte()?, from.byte()?, from.byte()?);
+        let (raw, packed) = (from.number()?, from.number()?);
+        let most = (prelude.records * UNPACKED_EACH + UNPACKED_LEAST) as u64;
+        if raw > most {
+            return Err(TraceError::Bound("bytes of a column", raw));
+        }
+        let (raw, packed) = (raw as usize, packed.min(most + 1) as usize);
+        all.push(Packed { id, kind, presence, guess, beside, layout, raw, packed, body: &[] });
+    }
+    for column in &mut all {
+        column.body = from.some(if column.packed > 0 { column.packed } else { column.raw })?;
+    }
+    if from.0.is_empty() { Ok(all) } else { Err(TraceError::Senseless("bytes behind a block")) }
+}
+
+/// The values of a column as they are stored, still less what they are predicted to be.
+fn unpack(column: &Packed, records: usize) -> Result<Vec<Option<u64>>, TraceError> {
+    let held;
+    let raw = if column.packed > 0 {
+        held = zstd::bulk::decompress(column.body, column.raw)
+            .map_err(|_| TraceError::Senseless("a packed column"))?;
+        &held[..]
+    } else {
+        column.body
+    };
+    if raw.len() != column.raw {
+        return Err(TraceError::Senseless("the length of a column"));
+    }
+    let mut from = Bytes(raw);
+    let bitmap = match column.presence {
+        ALL => None,
+        BITMAP => Some(from.some(records.div_ceil(8))?),
+        _ => return Err(TraceError::Senseless("which records have a value")),
+    };
+    let has = |at: usize| bitmap.is_none_or(|bitmap| bitmap[at / 8] >> (at % 8) & 1 == 1);
+    let count = (0..records).filter(|&at| has(at)).count();
+    let values = match column.layout {
+        CONSTANT if count == 0 => Vec::new(),
+        CONSTANT => vec![from.number()?; count],
+        VARINTS => (0..count).map(|_| from.number()).collect::<Result<_, _>>()?,
+        PLANES => read_planes(&mut from, count)?,
+        TABLE => {
+            let length = from.number()?;
+            if length > TABLE_MOST as u64 {
+                return Err(TraceError::Bound("entries of a table", length));
+            }
+            let mut before = 0u64;
+            let mut table = Vec::new();
+            for _ in 0..length {
+                before = before.wrapping_add(from.number()?);
+                table.push(before);
+            }
+            let places = read_planes(&mut from, count)?;
+            let entry = |place: u64| usize::try_from(place).ok().and_then(|place| table.get(place)).copied();
+            places
+                .into_iter()
+                .map(|place| entry(place).ok_or(TraceError::Senseless("a place in a table")))
+                .collect::<Result<_, _>>()?
+        }
+        _ => return Err(TraceError::Senseless("the layout of a column")),
+    };
+    if !from.0.is_empty() {
+        return Err(TraceError::Senseless("bytes behind a column"));
+    }
+    let mut values = values.into_iter();
+    Ok((0..records).map(|at| if has(at) { values.next() } else { None }).collect())
+}
+
+fn read_planes(from: &mut Bytes, count: usize) -> Result<Vec<u64>, TraceError> {
+    let width = usize::from(from.byte()?);
+    if !(1..=8).contains(&width) {
+        return Err(TraceError::Senseless("the width of a column"));
+    }
+    let mut values = vec![0u64; count];
+    for plane in 0..width {
+        let bytes = from.some(count)?;
+        for (value, &byte) in values.iter_mut().zip(bytes) {
+            *value |= u64::from(byte) << (8 * plane);
+        }
+    }
+    Ok(values)
+}
+
+/// The records of a block, with the columns that are asked for and those from which they are predicted; ids of
+/// columns that are not known go to `unknown`.
+pub fn decode(
+    prelude: &Prelude,
+    columns: &[Packed],
+    wanted: &dyn Fn(u8) -> bool,
+    unknown: &mut BTreeSet<u64>,
+) -> Result<Vec<Record>, TraceError> {
+    let mut records = vec![Record::default(); prelude.records];
+    let mut whole: Vec<(u64, Vec<Option<u64>>)> = Vec::new();
+    // What is needed, and what that leans on.
+    let mut needed: BTreeSet<u64> = BTreeSet::new();
+    for column in columns.iter().rev() {
+        let asked = u8::try_from(column.id).is_ok_and(|id| columns::by_id(id).is_some() && wanted(id));
+        if asked || needed.contains(&column.id) {
+            needed.insert(column.id);
+            if column.guess == 2 {
+                needed.insert(u64::from(column.beside));
+            }
+        }
+    }
+    for column in columns {
+        let known = u8::try_from(column.id).ok().and_then(columns::by_id);
+        let Some(known) = known else {
+            unknown.insert(column.id);
+            continue;
+        };
+        if !needed.contains(&column.id) {
+            continue;
+        }
+        if column.kind != known.kind.code() || whole.iter().any(|(id, _)| *id == column.id) {
+            return Err(TraceError::Senseless("a column"));
+        }
+        let mut values = unpack(column, prelude.records)?;
+        let sum = |value: u64, from: u64| zigzag(unzigzag(value).wrapping_add(unzigzag(from)));
+        match column.guess {
+            0 => {}
+            1 => {
+                let mut before = 0;
+                for value in values.iter_mut().flatten() {
+                    *value = sum(*value, before);
+                    before = *value;
+                }
+            }
+            2 => {
+                // It leans on a column that stands before it, or on none.
+                let beside = whole.iter().find(|(id, _)| *id == u64::from(column.beside));
+                for (at, value) in values.iter_mut().enumerate() {
+                    let from = beside.and_then(|(_, other)| other[at]).unwrap_or(0);
+                    *value = value.map(|value| sum(value, from));
+                }
+            }
+            _ => return Err(TraceError::Senseless("how a column is predicted")),
+        }
+        for (record, &value) in records.iter_mut().zip(&values) {
+            if value.is_some_and(|value| !(known.set)(record, value)) {
+                return Err(TraceError::Value(known.name));
+            }
+        }
+        whole.push((column.id, values));
+    }
+    Ok(records)
+}
--- /dev/null
+++ b/crates/trace/src/cut.rs
@@ -0,0 +1,241 @@
+//! A file made from another: some of its records, or all that is whole of it; and whether a file is sound.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::{Read, Seek, Write};
+
+use crate::heads::{Gap, NAMES_MOST, Names};
+use crate::index::Wanted;
+use crate::merge::gap_of;
+use crate::reader::{Item, Loss, Survey, Trace, TraceError};
+use crate::record::Record;
+use crate::writer::{WriteError, Writer};
+use crate::{HandlerName, MergeError, Micros, TenantName};
+
+/// From the dictionary of one file to that of another.
+pub struct Translation {
+    servers: Vec<u32>,
+    handlers: Vec<u32>,
+    tenants: Vec<u32>,
+}
+
+impl Translation {
+    /// Names that the other file does not have enter its dictionary.
+    pub fn new<W: Write>(names: &Names, out: &mut Writer<W>) -> Self {
+        Translation {
+            servers: names.servers.iter().map(|name| out.server(name)).collect(),
+            handlers: names.handlers.iter().map(|handler| out.handler(handler)).collect(),
+            tenants: names.tenants.iter().map(|tenant| out.tenant(tenant)).collect(),
+        }
+    }
+
+    /// Puts a record's indices into the other dictionary's. Names come as a dictionary grows; what no dictionary
+    /// has gets a name that says so, and is never taken for another's.
+    pub fn apply<W: Write>(&mut self, record: &mut Record, names: &Names, out: &mut Writer<W>) {
+        record.server = place(&mut self.servers, record.server, |at| out.server(&names.server(at)));
+        record.handler = place(&mut self.handlers, record.handler, |at| {
+            let lost = || HandlerName { name: names.handler(at), ..HandlerName::default() };
+            out.handler(&names.handlers.get(at as usize).cloned().unwrap_or_else(lost))
+        });
+        record.tenant = record.tenant.map(|tenant| {
+            place(&mut self.tenants, tenant, |at| out.tenant(&TenantName { name: names.tenant(at) }))
+        });
+    }
+}
+
+/// Where an index leads, by a map that grows with what is asked of it.
+fn place(map: &mut Vec<u32>, at: u32, mut fresh: impl FnMut(u32) -> u32) -> u32 {
+    // An index beyond all dictionaries is damage; it does not get a map of that size.
+    let at = at.min(NAMES_MOST as u32);
+    while map.len() <= at as usize {
+        map.push(fresh(map.len() as u32));
+    }
+    map[at as usize]
+}
+
+/// What [`copy`] did.
+#[derive(Debug, Default)]
+pub struct Span {
+    pub records: u64,
+    pub losses: Vec<Loss>,
+    pub unknown: Vec<String>,
+}
+
+/// Whether a gap lies in what is wanted; one without times might.
+fn touches(wanted: &Wanted, gap: &Gap) -> bool {
+    gap.to == 0 || wanted.from.is_none_or(|from| gap.to >= from) && wanted.to.is_none_or(|to| gap.from < to)
+}
+
+/// Copies what is wanted from one file to another, each record as `change` leaves it. Where the file has an index
+/// only the blocks that are needed are read; a file that was cut off is read as far as it is whole.
+pub fn copy<R: Read + Seek, W: Write>(
+    mut trace: Trace<R>,
+    wanted: &Wanted,
+    out: &mut Writer<W>,
+    change: impl FnMut(&mut Record),
+) -> Result<Span, MergeError> {
+    let read = |error| MergeError::Read("input".into(), error);
+    let Survey { mut index, gaps, losses, indexed } = trace.survey().map_err(read)?;
+    if !indexed {
+        // It was read whole already, but for the records.
+        return stream(trace.again().map_err(read)?, wanted, out, change);
+    }
+    let mut done = Span { losses, ..Span::default() };
+    for gap in gaps.iter().filter(|gap| touches(wanted, gap)) {
+        out.gap(gap)?;
+    }
+    let mut change = change;
+    let mut trace = trace.wanted(wanted.clone());
+    let mut translation = Translation::new(trace.names(), out);
+    for at in index.find(wanted) {
+        let place = index.places()[at].clone();
+        match trace.block(&place) {
+            Ok(records) => put(records, &mut translation, trace.names(), out, &mut change, &mut done)?,
+            Err(TraceError::Io(error)) => return Err(read(error.into())),
+            Err(error) => {
+                let lost = [
+                    Loss::Frame { at: place.at, what: error.to_string() },
+                    Loss::Records { count: place.records as u64 },
+                ];
+                for loss in lost {
+                    if let Some(gap) = gap_of(&loss, &trace.head().server) {
+                        out.gap(&Gap { from: place.from, to: place.to, ..gap })?;
+                    }
+                    done.losses.push(loss);
+                }
+            }
+        }
+    }
+    done.unknown = trace.unknown();
+    Ok(done)
+}
+
+/// The same from the first byte to the last, for what has no index.
+pub fn stream<R: Read, W: Write>(
+    trace: Trace<R>,
+    wanted: &Wanted,
+    out: &mut Writer<W>,
+    mut change: impl FnMut(&mut Record),
+) -> Result<Span, MergeError> {
+    let mut trace = trace.wanted(wanted.clone());
+    let mut done = Span::default();
+    let mut translation = Translation::new(trace.names(), out);
+    while let Some(item) = trace.next() {
+        match item.map_err(|error| MergeError::Read("input".into(), error))? {
+            Item::Records(records) => {
+                put(records, &mut translation, trace.names(), out, &mut change, &mut done)?;
+            }
+            Item::Gap(gap) if touches(wanted, &gap) => out.gap(&gap)?,
+            Item::Gap(_) => {}
+            Item::Loss(loss) => {
+                if let Some(gap) = gap_of(&loss, &trace.head().server) {
+                    out.gap(&gap)?;
+                }
+                done.losses.push(loss);
+            }
+        }
+    }
+    done.unknown = trace.unknown();
+    Ok(done)
+}
+
+fn put<W: Write>(
+    records: Vec<Record>,
+    translation: &mut Translation,
+    names: &Names,
+    out: &mut Writer<W>,
+    change: &mut impl FnMut(&mut Record),
+    done: &mut Span,
+) -> Result<(), WriteError> {
+    for mut record in records {
+        translation.apply(&mut record, names, out);
+        change(&mut record);
+        out.push(record)?;
+        done.records += 1;
+    }
+    Ok(())
+}
+
+/// What [`check`] finds.
+#[derive(Debug, Default)]
+pub struct Findings {
+    pub records: u64,
+    pub blocks: usize,
+    pub gaps: Vec<Gap>,
+    pub losses: Vec<Loss>,
+    /// Columns that are not known here; they are passed over.
+    pub unknown: Vec<String>,
+    /// Records whose times run backwards, by what stands before what.
+    pub backwards: BTreeMap<&'static str, u64>,
+    /// Ids that came again on one server within the last ones, and how often.
+    pub repeated_ids: u64,
+    /// Blocks that reach further back than an hour before the latest record until then.
+    pub set_back: u64,
+    /// The index does not agree with the blocks.
+    pub index: bool,
+}
+
+impl Findings {
+    pub fn sound(&self) -> bool {
+        self.losses.is_empty() && self.backwards.is_empty() && self.repeated_ids == 0 && !self.index
+    }
+}
+
+/// Ids that are remembered to find one that comes again.
+const IDS_MOST: usize = 1 << 20;
+const SET_BACK: Micros = 60_000_000;
+
+/// Reads a file whole and looks for what cannot be.
+pub fn check<R: Read + Seek>(mut trace: Trace<R>) -> Result<Findings, TraceError> {
+    let told = trace.survey()?;
+    let mut trace = trace.again()?;
+    let mut found = Findings::default();
+    let (mut ids, mut order) = (BTreeSet::new(), VecDeque::new());
+    let mut latest = Micros::MIN;
+    for item in trace.by_ref() {
+        match item? {
+            Item::Gap(gap) => found.gaps.push(gap),
+            Item::Loss(loss) => found.losses.push(loss),
+            Item::Records(records) => {
+                found.blocks += 1;
+                found.records += records.len() as u64;
+                let to = records.iter().map(|record| record.reached).max().unwrap_or(latest);
+                found.set_back += u64::from(to < latest.saturating_sub(SET_BACK));
+                latest = latest.max(to);
+                for record in &records {
+                    for (what, wrong) in backwards(record) {
+                        if wrong {
+                            *found.backwards.entry(what).or_default() += 1;
+                        }
+                    }
+                    let id = (record.server, record.id);
+                    if !ids.insert(id) {
+                        found.repeated_ids += 1;
+                    } else {
+                        order.push_back(id);
+                        if order.len() > IDS_MOST
+                            && let Some(oldest) = order.pop_front()
+                        {
+                            ids.remove(&oldest);
+                        }
+                    }
+                }
+            }
+        }
+    }
+    found.unknown = trace.unknown();
+    // A damaged block is missing here, and is a loss already.
+    found.index = told.indexed && found.losses.is_empty() && told.index.places() != trace.met().places();
+    Ok(found)
+}
+
+fn backwards(record: &Record) -> [(&'static str, bool); 5] {
+    let before =
+        |first: Option<Micros>, then: Option<Micros>| matches!((first, then), (Some(a), Some(b)) if b < a);
+    [
+        ("read before it reached the machine", before(Some(0), record.read)),
+        ("admitted before it was read", before(record.read, record.admitted)),
+        ("run before it was admitted", before(record.admitted, record.run)),
+        ("answered before it was read", before(record.read, record.answered)),
+        ("over before it was answered", before(record.answered, record.over)),
+    ]
+}
--- /dev/null
+++ b/crates/trace/tests/files/damage.rs
@@ -0,0 +1,234 @@
+//! Files that are torn, damaged, hostile or not finished.
+
+use std::collections::HashSet;
+use std::io::Cursor;
+
+use quickcheck::quickcheck;
+use tulipgap_trace::*;
+
+use crate::common::*;
+
+const BLOCK: usize = 20;
+
+fn small(version: u32) -> (Vec<Record>, Vec<u8>) {
+    let some = records(600_000, 3);
+    let bytes = file(version, 1, "n1", &some, BLOCK);
+    (some, bytes)
+}
+
+/// Where the frames of a whole file end, with their kinds.
+fn frames(bytes: &[u8]) -> Vec<(usize, u8)> {
+    let (mut at, mut ends) = (16, Vec::new());
+    while at < bytes.len() {
+        let length = u32::from_le_bytes(bytes[at + 4..at + 8].try_into().unwrap()) as usize;
+        ends.push((at + 12 + length + 4, bytes[at + 3]));
+        at = ends.last().unwrap().0;
+    }
+    ends
+}
+
+#[test]
+fn a_file_cut_at_every_byte_gives_all_whole_blocks_and_says_what_is_lost() {
+    for version in [1, 2] {
+        let (some, bytes) = small(version);
+        let whole = read(&bytes).unwrap();
+        assert!(whole.losses.is_empty() && whole.records.len() == some.len());
+        let ends = frames(&bytes);
+        for cut in 0..bytes.len() {
+            let back = match read(&bytes[..cut]) {
+                Ok(back) => back,
+                // Nothing is whole: not even the header.
+                Err(TraceError::NoTrace | TraceError::NoHeader) if cut < ends[0].0 => continue,
+                Err(error) => panic!("cut at {cut}: {error}"),
+            };
+            let blocks = ends.iter().filter(|(end, kind)| *kind == b'B' && *end <= cut).count();
+            let expected = (blocks * BLOCK).min(some.len());
+            assert_eq!(back.records[..], whole.records[..expected], "cut at {cut}");
+            assert!(!back.losses.is_empty(), "cut at {cut}: the loss is said");
+            let torn = back.losses.iter().any(|loss| matches!(loss, Loss::Bytes { torn: true, .. }));
+            assert_eq!(torn, cut > 16 && !ends.iter().any(|(end, _)| *end == cut), "cut at {cut}");
+        }
+    }
+}
+
+quickcheck! {
+    fn a_bit_turned_costs_one_block_at_most_and_invents_nothing(at: usize, bit: u8) -> bool {
+        let (some, mut bytes) = small(2);
+        let at = at % bytes.len();
+        bytes[at] ^= 1 << (bit % 8);
+        let Ok(back) = read(&bytes) else {
+            // The mark of the file, or its version.
+            return at < 16;
+        };
+        let known: HashSet<u64> = some.iter().map(|record| record.id).collect();
+        assert!(back.records.iter().all(|record| known.contains(&record.id)));
+        for record in &back.records {
+            assert!(some.contains(record), "not one of ours: {record:?}");
+        }
+        assert!(!back.losses.is_empty(), "byte {at}");
+        back.records.len() + BLOCK >= some.len()
+    }
+
+    fn bytes_of_no_sense_are_no_trace_and_no_panic(noise: Vec<u8>, with_head: bool) -> bool {
+        let mut bytes = noise;
+        if with_head {
+            let (_, whole) = small(2);
+            bytes = [&whole[..400], &bytes[..]].concat();
+        }
+        // Whatever it is, it ends.
+        read(&bytes).is_err() || with_head
+    }
+
+    fn a_block_of_no_sense_under_a_right_checksum_is_no_panic(noise: Vec<u8>, at: usize, cut: usize) -> bool {
+        let (some, bytes) = small(2);
+        let (_, ends) = (some, frames(&bytes));
+        let (start, end) = (ends[0].0, ends[1].0);
+        let mut payload = bytes[start + 12..end - 4].to_vec();
+        let at = at % payload.len();
+        for (offset, byte) in noise.iter().enumerate().take(payload.len() - at) {
+            payload[at + offset] ^= byte;
+        }
+        payload.truncate(payload.len() - cut % payload.len().min(40));
+        let hostile = [&bytes[..start], &frame(b'B', &payload), &bytes[end..]].concat();
+        let back = read(&hostile).unwrap();
+        back.records.len() + BLOCK >= 60
+    }
+}
+
+/// A frame with right checksums, whatever it holds.
+fn frame(kind: u8, payload: &[u8]) -> Vec<u8> {
+    let mut out = vec![0xF7, b't', b'g', kind];
+    out.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    let check = crc32fast::hash(&out);
+    out.extend_from_slice(&check.to_le_bytes());
+    out.extend_from_slice(payload);
+    out.extend_from_slice(&crc32fast::hash(&[&[kind], payload].concat()).to_le_bytes());
+    out
+}
+
+#[test]
+fn a_head_that_claims_gigabytes_gets_no_memory() {
+    let (some, bytes) = small(2);
+    let ends = frames(&bytes);
+    // A frame of 4 GB, then one of all that is allowed with nothing behind it, before the second block.
+    let mut hostile = bytes[..ends[1].0].to_vec();
+    for length in [u32::MAX, 8 * 1024 * 1024] {
+        let mut head = vec![0xF7, b't', b'g', b'B'];
+        head.extend_from_slice(&length.to_le_bytes());
+        let check = crc32fast::hash(&head);
+        head.extend_from_slice(&check.to_le_bytes());
+        hostile.extend_from_slice(&head);
+    }
+    hostile.extend_from_slice(&bytes[ends[1].0..]);
+    let back = read(&hostile).unwrap();
+    assert_eq!(back.records.len(), some.len());
+    assert!(matches!(back.losses[..], [Loss::Bytes { bytes: 24, torn: false, .. }]), "{:?}", back.losses);
+    // Counts of no sense within a block under a right checksum.
+    for claim in
+        [&[0, 0, 255, 255, 255, 255, 15][..], &[0, 0, 255, 255, 3, 0, 0, 0, 0, 255, 255, 255, 255, 15]]
+    {
+        let hostile = [&bytes[..ends[0].0], &frame(b'B', claim), &bytes[ends[0].0..]].concat();
+        let back = read(&hostile).unwrap();
+        assert_eq!(back.records.len(), some.len());
+        assert!(matches!(back.losses[..], [Loss::Frame { .. }]), "{:?}", back.losses);
+    }
+}
+
+#[test]
+fn a_file_that_is_still_written_is_read_as_far_as_it_is() {
+    let (some, bytes) = small(2);
+    let ends = frames(&bytes);
+    let growing = &bytes[..ends[2].0];
+    let back = read(growing).unwrap();
+    assert_eq!((back.records.len(), &back.losses[..]), (2 * BLOCK, &[Loss::NoEnd][..]));
+    // By time, too, and without an index.
+    let mut trace = open(growing);
+    let survey = trace.survey().unwrap();
+    assert!(!survey.indexed && survey.index.len() == 2);
+    let mut out = Writer::new(Vec::new(), head(2, 9, "n1"), Pace::default()).unwrap();
+    let from = sorted(some.clone())[5].reached;
+    let wanted = Wanted { from: Some(from), ..Wanted::default() };
+    let done = copy(open(growing), &wanted, &mut out, |_| {}).unwrap();
+    let expected = back.records.iter().filter(|record| record.reached >= from).count();
+    assert_eq!(done.records, expected as u64);
+}
+
+#[test]
+fn records_between_blocks_that_are_lost_are_counted() {
+    let (some, mut bytes) = small(2);
+    let ends = frames(&bytes);
+    let middle = (ends[1].0 + ends[2].0) / 2;
+    bytes[middle] ^= 0xFF;
+    let back = read(&bytes).unwrap();
+    assert_eq!(back.records.len(), some.len() - BLOCK);
+    assert!(back.losses.contains(&Loss::Records { count: BLOCK as u64 }), "{:?}", back.losses);
+    // Repaired, it is sound, and tells of the gap.
+    let mut out = Writer::new(Vec::new(), head(2, 9, "n1"), Pace::default()).unwrap();
+    stream(open(&bytes), &Wanted::default(), &mut out, |_| {}).unwrap();
+    let repaired = out.finish().unwrap().0;
+    let found = check(open(&repaired)).unwrap();
+    assert!(found.sound(), "{found:?}");
+    assert!(found.gaps.iter().any(|gap| gap.records == Some(BLOCK as u64) && gap.why == Why::Damaged));
+    // A cut by the index of the damaged file says it, too.
+    let mut out = Writer::new(Vec::new(), head(2, 9, "n1"), Pace::default()).unwrap();
+    let done = copy(open(&bytes), &Wanted::default(), &mut out, |_| {}).unwrap();
+    assert_eq!(done.records as usize, some.len() - BLOCK);
+    assert!(done.losses.contains(&Loss::Records { count: BLOCK as u64 }));
+}
+
+#[test]
+fn a_file_without_its_header_gives_its_records_and_its_names() {
+    let (some, mut bytes) = small(2);
+    bytes[40] ^= 1;
+    let back = read(&bytes).unwrap();
+    assert_eq!(back.records.len(), some.len());
+    assert!(back.losses.contains(&Loss::Header));
+    // The index has the names again.
+    assert_eq!(back.names.handler(0), "preview");
+    // Without it they are numbers, and nobody else's names: also where others are merged in.
+    let end = frames(&bytes)[4].0;
+    let lost = Trace::open(Cursor::new(bytes[..end].to_vec())).unwrap();
+    let other = open(&file(2, 7, "n2", &records(300_000, 9), BLOCK));
+    let mut out = Writer::new(Vec::new(), head(2, 9, "out"), Pace::default()).unwrap();
+    let sources = [("other", other), ("lost", lost)].map(|(name, trace)| Source {
+        name: name.into(),
+        trace,
+        offset: 0,
+    });
+    merge(sources.into(), &mut out, |_| {}).unwrap();
+    assert!(out.names().handlers.iter().any(|handler| handler.name == "handler-1"), "{:?}", out.names());
+}
+
+#[test]
+fn times_that_run_backwards_are_kept_and_found() {
+    let odd = Record { read: Some(500), answered: Some(-200), over: Some(-300), ..Record::default() };
+    let bytes = file(2, 1, "n1", std::slice::from_ref(&odd), 10);
+    assert_eq!(read(&bytes).unwrap().records, [odd]);
+    let found = check(open(&bytes)).unwrap();
+    assert!(!found.sound());
+    assert_eq!(found.backwards["answered before it was read"], 1);
+}
+
+#[test]
+fn a_clock_set_back_an_hour_leaves_the_index_sharp() {
+    const HOUR: Micros = 3_600_000_000;
+    let some = records(4_000_000, 5);
+    let half = some.len() / 2;
+    let set: Vec<Record> = (some.iter().enumerate())
+        .map(|(at, record)| Record {
+            reached: record.reached - if at < half { 0 } else { HOUR },
+            ..record.clone()
+        })
+        .collect();
+    let bytes = file(2, 1, "n1", &set, 64);
+    let mut trace = open(&bytes);
+    let mut index = trace.survey().unwrap().index;
+    assert!(index.places().iter().all(|place| place.to - place.from < HOUR / 2), "no block spans the hour");
+    let (from, to) = (set[half].reached - 1_000_000, Load::default().start - HOUR / 2);
+    let wanted = Wanted { from: Some(from), to: Some(to), ..Wanted::default() };
+    assert!(index.find(&wanted).len() < index.len(), "the first half is not read");
+    let mut out = Writer::new(Vec::new(), head(2, 9, "n1"), Pace::default()).unwrap();
+    let done = copy(open(&bytes), &wanted, &mut out, |_| {}).unwrap();
+    assert_eq!(done.records as usize, set.iter().filter(|record| wanted.has(record)).count());
+    assert!(check(open(&bytes)).unwrap().set_back > 0);
+}
--- /dev/null
+++ b/crates/trace/tests/files/format.rs
@@ -0,0 +1,186 @@
+//! What is written comes back, in both formats; what does not fit is an error.
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use tulipgap_trace::*;
+
+use crate::common::*;
+
+#[derive(Clone, Debug)]
+struct Any(Record);
+
+/// Small values and the widest ones.
+fn value(g: &mut Gen) -> i64 {
+    match u8::arbitrary(g) % 4 {
+        0 => i64::arbitrary(g),
+        1 => *g.choose(&[i64::MIN, i64::MAX, 0, -1]).unwrap(),
+        _ => i64::from(i16::arbitrary(g)),
+    }
+}
+
+impl Arbitrary for Any {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut some = |chance: u8| (u8::arbitrary(g) % 4 < chance).then(|| value(g));
+        let [read, admitted, run, called, answered, over] = [3, 2, 2, 1, 3, 3].map(&mut some);
+        let [patience, hint, work, wait] = [1, 2, 2, 1].map(&mut some);
+        let [key, subject, caller] = [1, 2, 3].map(|chance| some(chance).map(|value| value as u64));
+        Any(Record {
+            server: u32::arbitrary(g),
+            handler: u32::arbitrary(g) % 5,
+            tenant: Option::arbitrary(g),
+            id: u64::arbitrary(g),
+            key,
+            subject,
+            caller,
+            retry: bool::arbitrary(g),
+            reached: value(g),
+            read,
+            admitted,
+            run,
+            called,
+            answered,
+            over,
+            patience,
+            hint,
+            work,
+            outcome: *g.choose(&Outcome::ALL).unwrap(),
+            reason: Reason(u8::arbitrary(g)),
+            no_more: bool::arbitrary(g),
+            wait,
+            calls: u32::arbitrary(g),
+            skipped: u32::arbitrary(g) % 3,
+            advice: Option::arbitrary(g).filter(|value: &f64| !value.is_nan()),
+        })
+    }
+}
+
+quickcheck! {
+    fn every_value_comes_back(records: Vec<Any>, block: u8) -> bool {
+        let records: Vec<Record> = records.into_iter().map(|any| any.0).collect();
+        let bytes = file(2, 1, "n1", &records, usize::from(block).max(1));
+        let back = read(&bytes).unwrap();
+        let indexed = open(&bytes).survey().unwrap();
+        assert!(back.losses.is_empty() && indexed.indexed, "{:?}", back.losses);
+        assert_eq!(indexed.index.records(), records.len() as u64);
+        // Blocks keep the order in which records came, records within a block their own.
+        sorted(back.records) == sorted(records)
+    }
+
+    fn a_block_is_found_as_by_a_plain_scan(
+        places: Vec<(i16, u8, u8, u8)>,
+        asked: (Option<i16>, Option<i16>, Option<u8>, Option<u8>)
+    ) -> bool {
+        let mut index = Index::default();
+        for (from, length, handlers, outcomes) in places {
+            let handlers = (0..8).filter(|bit| handlers >> bit & 1 == 1).collect();
+            index.add(Place {
+                at: index.len() as u64 * 100,
+                length: 100,
+                records: 1,
+                from: i64::from(from),
+                to: i64::from(from) + i64::from(length),
+                handlers,
+                outcomes: u32::from(outcomes & 15),
+            });
+        }
+        let wanted = Wanted {
+            from: asked.0.map(i64::from),
+            to: asked.1.map(i64::from),
+            handlers: asked.2.map(|handler| [u32::from(handler % 9), 3].into()),
+            outcomes: asked.3.map(|outcome| [Outcome::ALL[usize::from(outcome % 4)]].into()),
+        };
+        let scan = index.scan(&wanted);
+        index.find(&wanted) == scan
+    }
+}
+
+#[test]
+fn format_1_is_lean_and_says_what_it_leaves_out() {
+    let some = records(2_000_000, 1);
+    let bytes = file(1, 1, "n1", &some, 100);
+    let back = read(&bytes).unwrap();
+    assert!(back.losses.is_empty() && back.unknown.is_empty());
+    assert_eq!(sorted(back.records), sorted(some.iter().map(lean).collect()));
+    let writer = Writer::new(Vec::new(), head(1, 1, "n1"), Pace::default()).unwrap();
+    assert!(writer.left_out().contains(&"work") && !writer.left_out().contains(&"reached"));
+    assert!(bytes.len() < file(2, 1, "n1", &some, 100).len());
+}
+
+#[test]
+fn a_value_that_does_not_fit_is_an_error_that_names_its_column() {
+    let mut writer = Writer::new(Vec::new(), head(1, 1, "n1"), Pace::default()).unwrap();
+    let late = Record { answered: Some(3_600_000_000), ..Record::default() };
+    let error = writer.push(late).unwrap_err();
+    assert_eq!(error.to_string(), "answered: 3600000000 does not fit its column of 32 bits");
+    let other = Record { server: 1, ..Record::default() };
+    assert!(writer.push(other).unwrap_err().to_string().starts_with("server: 1 "));
+    // The others are not harmed.
+    writer.push(Record::default()).unwrap();
+    assert_eq!(read(&writer.finish().unwrap().0).unwrap().records.len(), 1);
+}
+
+#[test]
+fn a_dictionary_grows_in_mid_file() {
+    let mut writer = Writer::new(Vec::new(), head(2, 1, "n1"), Pace::default()).unwrap();
+    writer.push(Record::default()).unwrap();
+    let late = writer.handler(&HandlerName { name: "late".into(), ..HandlerName::default() });
+    writer.push(Record { handler: late, id: 2, ..Record::default() }).unwrap();
+    let bytes = writer.finish().unwrap().0;
+    let back = read(&bytes).unwrap();
+    assert_eq!(back.names.handler(late), "late");
+    let mut trace = open(&bytes);
+    trace.survey().unwrap();
+    assert_eq!(trace.names().handler(late), "late");
+}
+
+/// A file with a column of ours under an id that nobody knows, as a later writer may make it.
+#[test]
+fn a_column_that_is_not_known_is_passed_over_and_named() {
+    let some = records(1_000_000, 2);
+    let mut later = head(2, 1, "n1");
+    later.columns.iter_mut().filter(|column| column.id == 24).for_each(|column| {
+        (column.id, column.name) = (99, "mood".into());
+    });
+    let mut writer = Writer::new(Vec::new(), later, Pace { records: 50, ..Pace::default() }).unwrap();
+    some.iter().for_each(|record| writer.push(record.clone()).unwrap());
+    let (bytes, _) = writer.finish().unwrap();
+    let patched = patch_column_id(&bytes, 24, 99);
+    let back = read(&patched).unwrap();
+    assert_eq!(back.unknown, ["mood"]);
+    let without = |record: &Record| Record { wait: None, ..record.clone() };
+    assert!(back.losses.is_empty(), "{:?}", back.losses);
+    assert_eq!(sorted(back.records), sorted(some.iter().map(without).collect()));
+}
+
+/// Gives a column of each block another id, and the block a right checksum.
+fn patch_column_id(bytes: &[u8], from: u8, to: u8) -> Vec<u8> {
+    let mut out = bytes[..16].to_vec();
+    let mut rest = &bytes[16..];
+    while !rest.is_empty() {
+        let length = u32::from_le_bytes(rest[4..8].try_into().unwrap()) as usize;
+        let (frame, after) = rest.split_at(12 + length + 4);
+        let mut payload = frame[12..12 + length].to_vec();
+        if frame[3] == b'B' {
+            // Its entry: id, kind (signed), presence, guess, beside, layout.
+            let at = payload.windows(3).rposition(|w| w[0] == from && w[1] == 1 && w[2] == 1 && from == 24);
+            payload[at.unwrap()] = to;
+        }
+        out.extend_from_slice(&frame[..12]);
+        out.extend_from_slice(&payload);
+        let check = crc32fast::hash(&[&[frame[3]], &payload[..]].concat());
+        out.extend_from_slice(&check.to_le_bytes());
+        rest = after;
+    }
+    out
+}
+
+#[test]
+fn a_format_from_the_future_is_turned_down() {
+    let mut bytes = file(2, 1, "n1", &records(500_000, 1), 50);
+    bytes[8] = 3;
+    let check = crc32fast::hash(&bytes[..12]);
+    bytes[12..16].copy_from_slice(&check.to_le_bytes());
+    let error = read(&bytes).unwrap_err();
+    assert_eq!(error.to_string(), "format 3 is newer than this program, which reads up to 2");
+    assert!(matches!(read(b"GIF89a, and so on and on"), Err(TraceError::NoTrace)));
+    assert!(matches!(read(b""), Err(TraceError::NoTrace)));
+}
