tulipgap: the command line for recordings, and the product's configuration in HCL

Need: recordings are of use only with tools to read them, and the product needs settings of its own. Change: crates/cli (clap) with trace info, cut, merge, anonymise, summary, check, repair, export and synth; crates/config (hcl-rs, garde) tells every problem of a file with line, column and the nearest known name. Columns are packed part by part, plane by plane.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,51 @@
+//! `tulipgap`: the command line. Exit codes: 0; 1 where the data lacks something (all that could be given was given);
+//! 2 where the command cannot be carried out.
+
+mod args;
+mod export;
+mod files;
+mod report;
+mod times;
+mod trace;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use args::{Args, Command, ConfigCommand};
+
+fn main() -> ExitCode {
+    // clap ends with 2 on usage that makes no sense, and with 0 for help and version.
+    let args = Args::parse();
+    let ended = match args.command {
+        Command::Trace { command } => trace::run(command),
+        Command::Config { command: ConfigCommand::Check { files } } => check_config(&files),
+    };
+    match ended {
+        Ok(files::Verdict::Whole) => ExitCode::SUCCESS,
+        Ok(files::Verdict::Lacking) => ExitCode::from(1),
+        // Who reads our output has gone: nothing to say to anybody.
+        Err(error) if error.is_closed_pipe() => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tulipgap: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn check_config(paths: &[std::path::PathBuf]) -> Result<files::Verdict, files::Failure> {
+    let mut verdict = files::Verdict::Whole;
+    for path in paths {
+        match tulipgap_config::read(path) {
+            Ok(_) => println!("{}: fine", path.display()),
+            Err(error @ tulipgap_config::ConfigError::Unread { .. }) => {
+                return Err(files::Failure::Usage(error.to_string()));
+            }
+            Err(error) => {
+                println!("{error}");
+                verdict = files::Verdict::Lacking;
+            }
+        }
+    }
+    Ok(verdict)
+}
--- /dev/null
+++ b/crates/config/src/tests.rs
@@ -0,0 +1,69 @@
+use super::*;
+
+fn problems(text: &str) -> Vec<String> {
+    understand(text).expect_err("it is wrong").iter().map(Problem::to_string).collect()
+}
+
+#[test]
+fn what_is_left_out_has_its_default() {
+    assert_eq!(understand("").unwrap(), Product::default());
+    let trace = understand("trace {\n  folder = \"t\"\n}\n").unwrap().trace.unwrap();
+    assert!(trace.enabled && trace.sync && trace.format == 2);
+    assert_eq!((trace.seal_after, trace.rotate_size), (Duration::from_secs(5), ByteSize::mib(64)));
+    let told = "trace {\n folder = \"t\"\n seal_after = \"1s 500ms\"\n rotate_size = \"1 MiB\"\n keep_size = \"10 MiB\"\n}";
+    let trace = understand(told).unwrap().trace.unwrap();
+    assert_eq!((trace.seal_after, trace.keep_size), (Duration::from_millis(1500), ByteSize::mib(10)));
+}
+
+#[test]
+fn every_problem_is_told_at_its_place_and_not_only_the_first() {
+    let text = r#"trace {
+  fodler     = "t"
+  format     = "two"
+  seal_after = "soon"
+}
+trace {}
+trase "x" {}
+"#;
+    let told = problems(text);
+    assert_eq!(
+        told,
+        [
+            "1:1: 'trace.folder' is missing",
+            "2:3: 'trace.fodler' is no name; is 'folder' meant?",
+            "3:16: trace.format: it takes a whole number of 0 or more",
+            "4:16: trace.seal_after: it takes a time such as \"2s\" or \"1h 30m\"",
+            "6:1: 'trace' stands twice",
+            "7:1: 'trase' is no name; is 'trace' meant?",
+        ]
+    );
+}
+
+#[test]
+fn figures_out_of_range_are_told_at_their_place() {
+    let text = "trace {\n  folder = \"\"\n  format = 7\n  queue = 1\n  seal_after = \"5m\"\n  keep_size = \"1 MiB\"\n}\n";
+    let told = problems(text);
+    assert_eq!(told.len(), 5, "{told:?}");
+    for (line, name) in [(2, "folder"), (3, "format"), (4, "queue"), (5, "seal_after"), (6, "keep_size")] {
+        assert!(told.iter().any(|p| p.starts_with(&format!("{line}:3: trace.{name}: "))), "{name}: {told:?}");
+    }
+}
+
+#[test]
+fn what_is_no_hcl_is_told_at_its_place() {
+    let told = problems("trace {\n  folder = \n}\n");
+    assert!(told.len() == 1 && told[0].starts_with("2:"), "{told:?}");
+    let twice = problems("trace {\n folder = \"a\"\n folder = \"b\"\n}\n");
+    assert!(twice.len() == 1 && twice[0].starts_with("3:"), "{twice:?}");
+    assert_eq!(problems("trace = 3\n"), ["1:1: 'trace' is a block; write trace { ... }"]);
+    assert_eq!(problems("trace \"a\" {\n folder = \"t\"\n}\n"), ["1:7: 'trace' takes no label"]);
+}
+
+quickcheck::quickcheck! {
+    fn any_text_is_understood_or_told_wrong(text: String, cut: usize) -> bool {
+        let some = "trace {\n  folder = \"t\"\n  queue = 100\n}\n";
+        let cut = cut % some.len();
+        let mixed = format!("{}{text}{}", &some[..cut], &some[cut..]);
+        understand(&mixed).is_ok() || !problems(&mixed).is_empty()
+    }
+}
--- a/crates/trace/src/block.rs
+++ b/crates/trace/src/block.rs
@@ -1,6 +1,7 @@
 //! A block: some thousand records, column by column. Each column tells its kind, how its values are predicted and
 //! packed, and how long it is, so that a reader can pass over one it does not know or does not want.
 
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 
 use integer_encoding::VarInt;
@@ -166,10 +167,7 @@
         let guessed = predict(column, columns);
         let (presence, bitmap) = presence(&column.values);
         let present: Vec<u64> = guessed.into_iter().flatten().collect();
-        let (layout, body) = lay_out(&present);
-        let raw = [bitmap, body].concat();
-        let packed = zstd::bulk::compress(&raw, LEVEL).map_err(WriteError::Io)?;
-        let packs = packed.len() < raw.len();
+        let (layout, laid_out) = lay_out(&present);
         put(&mut out, u64::from(column.id));
         out.push(column.kind.code());
         out.push(presence);
@@ -179,9 +177,16 @@
             Guess::Beside(id) => (2, id),
         };
         out.extend_from_slice(&[guess, beside, layout]);
-        put(&mut out, raw.len() as u64);
-        put(&mut out, if packs { packed.len() as u64 } else { 0 });
-        bodies.push(if packs { packed } else { raw });
+        // Each part by itself: its bytes are alike, and those of another would spoil its code.
+        let parts: Vec<Vec<u8>> = bitmap.into_iter().chain(laid_out).collect();
+        out.push(parts.len() as u8);
+        for raw in parts {
+            let packed = zstd::bulk::compress(&raw, LEVEL).map_err(WriteError::Io)?;
+            let packs = packed.len() < raw.len();
+            put(&mut out, raw.len() as u64);
+            put(&mut out, if packs { packed.len() as u64 } else { 0 });
+            bodies.push(if packs { packed } else { raw });
+        }
     }
     for body in bodies {
         out.extend_from_slice(&body);
@@ -208,24 +213,24 @@
     }
 }
 
-fn presence(values: &[Option<u64>]) -> (u8, Vec<u8>) {
+fn presence(values: &[Option<u64>]) -> (u8, Option<Vec<u8>>) {
     if values.iter().all(Option::is_some) {
-        return (ALL, Vec::new());
+        return (ALL, None);
     }
     let mut bitmap = vec![0u8; values.len().div_ceil(8)];
     for (at, _) in values.iter().enumerate().filter(|(_, value)| value.is_some()) {
         bitmap[at / 8] |= 1 << (at % 8);
     }
-    (BITMAP, bitmap)
+    (BITMAP, Some(bitmap))
 }
 
-/// The layout that is likely to pack best, and the bytes in it.
-fn lay_out(values: &[u64]) -> (u8, Vec<u8>) {
+/// The layout that is likely to pack best, and the parts in it.
+fn lay_out(values: &[u64]) -> (u8, Vec<Vec<u8>>) {
     let mut out = Vec::new();
-    let Some(&first) = values.first() else { return (CONSTANT, out) };
+    let Some(&first) = values.first() else { return (CONSTANT, Vec::new()) };
     if values.iter().all(|&value| value == first) {
         put(&mut out, first);
-        return (CONSTANT, out);
+        return (CONSTANT, vec![out]);
     }
     let mut table = values.to_vec();
     table.sort_unstable();
@@ -239,8 +244,9 @@
         }
         let places: Vec<u64> =
             values.iter().filter_map(|v| table.binary_search(v).ok()).map(|at| at as u64).collect();
-        planes(&mut out, &places, if table.len() <= 256 { 1 } else { 2 });
-        return (TABLE, out);
+        let mut parts = vec![out];
+        parts.extend(planes(&places, if table.len() <= 256 { 1 } else { 2 }));
+        return (TABLE, parts);
     }
     // Times of one order of magnitude pack best by planes, where the upper ones are nearly alike; small numbers
     // with a few long ones among them do so as varints.
@@ -248,25 +254,22 @@
     let width = table.last().map_or(1, |&most| bytes(most));
     let short = values.iter().filter(|&&value| bytes(value) * 2 < width).count();
     if width <= 2 || short * 8 < values.len() * 7 {
-        planes(&mut out, values, width);
-        (PLANES, out)
+        (PLANES, planes(values, width))
     } else {
         for &value in values {
             put(&mut out, value);
         }
-        (VARINTS, out)
+        (VARINTS, vec![out])
     }
 }
 
-fn planes(out: &mut Vec<u8>, values: &[u64], width: usize) {
-    out.push(width as u8);
-    for plane in 0..width {
-        out.extend(values.iter().map(|value| (value >> (8 * plane)) as u8));
-    }
+/// The lowest bytes of all values, then the next ones, and so on.
+fn planes(values: &[u64], width: usize) -> Vec<Vec<u8>> {
+    (0..width).map(|plane| values.iter().map(|value| (value >> (8 * plane)) as u8).collect()).collect()
 }
 
 /// One column as it stands in a block.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Packed<'a> {
     pub id: u64,
     pub kind: u8,
@@ -274,6 +277,12 @@
     guess: u8,
     beside: u8,
     layout: u8,
+    parts: Vec<Part<'a>>,
+}
+
+/// Some bytes of a column: as they are where `packed` is 0.
+#[derive(Clone, Copy, Debug)]
+struct Part<'a> {
     raw: usize,
     packed: usize,
     body: &'a [u8],
@@ -282,7 +291,7 @@
 impl Packed<'_> {
     /// Its length in the file.
     pub fn stored(&self) -> usize {
-        self.body.len()
+        self.parts.iter().map(|part| part.body.len()).sum()
     }
 }
 
@@ -296,47 +305,66 @@
     for _ in 0..count {
         let (id, kind, presence) = (from.number()?, from.byte()?, from.byte()?);
         let (guess, beside, layout) = (from.byte()?, from.byte()?, from.byte()?);
-        let (raw, packed) = (from.number()?, from.number()?);
         let most = (prelude.records * UNPACKED_EACH + UNPACKED_LEAST) as u64;
-        if raw > most {
-            return Err(TraceError::Bound("bytes of a column", raw));
+        let mut parts = Vec::new();
+        for _ in 0..from.byte()? {
+            let (raw, packed) = (from.number()?, from.number()?);
+            if raw > most {
+                return Err(TraceError::Bound("bytes of a column", raw));
+            }
+            parts.push(Part { raw: raw as usize, packed: packed.min(most + 1) as usize, body: &[] });
         }
-        let (raw, packed) = (raw as usize, packed.min(most + 1) as usize);
-        all.push(Packed { id, kind, presence, guess, beside, layout, raw, packed, body: &[] });
+        all.push(Packed { id, kind, presence, guess, beside, layout, parts });
     }
-    for column in &mut all {
-        column.body = from.some(if column.packed > 0 { column.packed } else { column.raw })?;
+    for part in all.iter_mut().flat_map(|column| &mut column.parts) {
+        part.body = from.some(if part.packed > 0 { part.packed } else { part.raw })?;
     }
     if from.0.is_empty() { Ok(all) } else { Err(TraceError::Senseless("bytes behind a block")) }
 }
 
+/// The bytes of a part.
+fn unpacked<'a>(part: Option<Part<'a>>) -> Result<Cow<'a, [u8]>, TraceError> {
+    let part = part.ok_or(TraceError::Senseless("the parts of a column"))?;
+    if part.packed == 0 {
+        return Ok(part.body.into());
+    }
+    let raw =
+        zstd::bulk::decompress(part.body, part.raw).map_err(|_| TraceError::Senseless("a packed column"))?;
+    if raw.len() == part.raw { Ok(raw.into()) } else { Err(TraceError::Senseless("the length of a column")) }
+}
+
 /// The values of a column as they are stored, still less what they are predicted to be.
 fn unpack(column: &Packed, records: usize) -> Result<Vec<Option<u64>>, TraceError> {
-    let held;
-    let raw = if column.packed > 0 {
-        held = zstd::bulk::decompress(column.body, column.raw)
-            .map_err(|_| TraceError::Senseless("a packed column"))?;
-        &held[..]
-    } else {
-        column.body
-    };
-    if raw.len() != column.raw {
-        return Err(TraceError::Senseless("the length of a column"));
-    }
-    let mut from = Bytes(raw);
+    let mut parts = column.parts.iter().copied();
     let bitmap = match column.presence {
         ALL => None,
-        BITMAP => Some(from.some(records.div_ceil(8))?),
+        BITMAP => Some(unpacked(parts.next())?),
         _ => return Err(TraceError::Senseless("which records have a value")),
     };
-    let has = |at: usize| bitmap.is_none_or(|bitmap| bitmap[at / 8] >> (at % 8) & 1 == 1);
+    if bitmap.as_ref().is_some_and(|bitmap| bitmap.len() != records.div_ceil(8)) {
+        return Err(TraceError::Senseless("which records have a value"));
+    }
+    let has = |at: usize| bitmap.as_ref().is_none_or(|bitmap| bitmap[at / 8] >> (at % 8) & 1 == 1);
     let count = (0..records).filter(|&at| has(at)).count();
     let values = match column.layout {
         CONSTANT if count == 0 => Vec::new(),
-        CONSTANT => vec![from.number()?; count],
-        VARINTS => (0..count).map(|_| from.number()).collect::<Result<_, _>>()?,
-        PLANES => read_planes(&mut from, count)?,
+        CONSTANT => {
+            let bytes = unpacked(parts.next())?;
+            vec![Bytes(&bytes).number()?; count]
+        }
+        VARINTS => {
+            let bytes = unpacked(parts.next())?;
+            let mut from = Bytes(&bytes);
+            let values = (0..count).map(|_| from.number()).collect::<Result<_, _>>()?;
+            if !from.0.is_empty() {
+                return Err(TraceError::Senseless("bytes behind a column"));
+            }
+            values
+        }
+        PLANES => read_planes(&mut parts, count)?,
         TABLE => {
+            let bytes = unpacked(parts.next())?;
+            let mut from = Bytes(&bytes);
             let length = from.number()?;
             if length > TABLE_MOST as u64 {
                 return Err(TraceError::Bound("entries of a table", length));
@@ -347,7 +375,7 @@
                 before = before.wrapping_add(from.number()?);
                 table.push(before);
             }
-            let places = read_planes(&mut from, count)?;
+            let places = read_planes(&mut parts, count)?;
             let entry = |place: u64| usize::try_from(place).ok().and_then(|place| table.get(place)).copied();
             places
                 .into_iter()
@@ -356,22 +384,29 @@
         }
         _ => return Err(TraceError::Senseless("the layout of a column")),
     };
-    if !from.0.is_empty() {
-        return Err(TraceError::Senseless("bytes behind a column"));
+    if parts.next().is_some() {
+        return Err(TraceError::Senseless("the parts of a column"));
     }
     let mut values = values.into_iter();
     Ok((0..records).map(|at| if has(at) { values.next() } else { None }).collect())
 }
 
-fn read_planes(from: &mut Bytes, count: usize) -> Result<Vec<u64>, TraceError> {
-    let width = usize::from(from.byte()?);
+/// Values of which each part that is left is a plane.
+fn read_planes<'a>(
+    parts: &mut (impl ExactSizeIterator<Item = Part<'a>> + Clone),
+    count: usize,
+) -> Result<Vec<u64>, TraceError> {
+    let width = parts.len();
     if !(1..=8).contains(&width) {
         return Err(TraceError::Senseless("the width of a column"));
     }
     let mut values = vec![0u64; count];
     for plane in 0..width {
-        let bytes = from.some(count)?;
-        for (value, &byte) in values.iter_mut().zip(bytes) {
+        let bytes = unpacked(parts.next())?;
+        if bytes.len() != count {
+            return Err(TraceError::Senseless("the length of a plane"));
+        }
+        for (value, &byte) in values.iter_mut().zip(bytes.iter()) {
             *value |= u64::from(byte) << (8 * plane);
         }
     }
