tulipgapd records what happens to each req, off unless a settings file asks for it

Need: the trace files want a source. The program's tests are split into stand-ins, serving, recording and cost. Four tests on loopback, among them a kill under load and a folder that takes nothing.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -13,7 +13,9 @@
 use slab::Slab;
 use tulipgap::{Action, Arrival, Decider, Event, Given};
 pub use tulipgap::{Gauges, Outcome};
+use tulipgap_trace::Reason;
 
+use crate::trace::{Life, Traced, Tracer, reason};
 use crate::{clock, must};
 
 /// Between two looks whether the module has started.
@@ -35,6 +37,8 @@
     pub retry: bool,
     /// By what a repeat of it is known.
     pub key: Option<Id>,
+    /// What a recording tells of it, where there is one.
+    pub traced: Option<Traced>,
 }
 
 /// What a req's coroutine is to do next.
@@ -74,6 +78,8 @@
     Ended {
         outcome: Outcome,
         result: Bytes,
+        /// How long the run took, where that is told.
+        work: Option<Duration>,
     },
     AtCall {
         call: u64,
@@ -113,6 +119,8 @@
     call: Option<(u64, Bytes)>,
     calling: bool,
     key: Option<Id>,
+    /// What is recorded of it, where there is a recording.
+    life: Option<Box<Life>>,
 }
 
 impl Slot {
@@ -173,16 +181,18 @@
     idle: Duration,
     healthy: bool,
     counts: Counts,
+    tracer: Option<Arc<Tracer>>,
 }
 
 pub struct Gate {
     given: Given,
     seed: u64,
     state: Mutex<State>,
+    tracer: Option<Arc<Tracer>>,
 }
 
 impl Gate {
-    pub fn new(given: Given, seed: u64) -> Self {
+    pub fn new(given: Given, seed: u64, tracer: Option<Arc<Tracer>>) -> Self {
         let state = State {
             running: None,
             slots: Slab::new(),
@@ -195,8 +205,9 @@
             idle: given.idle_link,
             healthy: false,
             counts: Counts::default(),
+            tracer: tracer.clone(),
         };
-        Gate { given, seed, state: Mutex::new(state) }
+        Gate { given, seed, state: Mutex::new(state), tracer }
     }
 
     /// What runs reqs is up, cold or not, since that long. Only the first time counts. The module's clock starts
@@ -226,12 +237,14 @@
     pub fn enter(self: &Arc<Self>, incoming: Incoming) -> Result<Ticket, Unfit> {
         let mut state = self.state.lock();
         if state.running.is_none() {
+            self.unseen(&incoming, Reason::NOT_STARTED);
             return Err(Unfit::NotStarted);
         }
         if state.indices.contains_key(&incoming.id) {
             return Err(Unfit::Known);
         }
         state.forget_keys();
+        let life = self.life(&incoming);
         let repeats = incoming.key.as_ref().is_some_and(|key| state.keys.contains_key(key));
         let waiter = Arc::new(Blocker::new(true));
         let at = state.slots.insert(Slot {
@@ -246,6 +259,7 @@
             call: None,
             calling: false,
             key: incoming.key,
+            life,
         });
         state.indices.insert(incoming.id, at);
         state.counts.read += 1;
@@ -260,9 +274,51 @@
             retry: incoming.retry,
             repeats,
         }));
+        state.admitted(at);
         Ok(Ticket { gate: self.clone(), at, waiter })
     }
 
+    /// Whether there is a recording.
+    pub fn tracer(&self) -> Option<&Arc<Tracer>> {
+        self.tracer.as_ref()
+    }
+
+    /// What is recorded of a req from here on.
+    fn life(&self, incoming: &Incoming) -> Option<Box<Life>> {
+        let traced = incoming.traced.filter(|_| self.tracer.is_some())?;
+        Some(Box::new(Life {
+            traced,
+            handler: incoming.handler,
+            tenant: incoming.tenant,
+            retry: incoming.retry,
+            patience: incoming.patience,
+            hint: incoming.work,
+            entered: Instant::now(),
+            age: incoming.age,
+            admitted: None,
+            run: None,
+            called: None,
+            answered: None,
+            work: None,
+            outcome: tulipgap_trace::Outcome::Errored,
+            reason: Reason::NONE,
+            no_more: false,
+            wait: None,
+            calls: 0,
+            skipped: 0,
+            advice: None,
+        }))
+    }
+
+    /// A req was turned away before the module could see it: only a recording hears of it.
+    pub fn unseen(&self, incoming: &Incoming, why: Reason) {
+        if let (Some(mut life), Some(tracer)) = (self.life(incoming), &self.tracer) {
+            let now = Instant::now();
+            (life.outcome, life.reason, life.answered) = (tulipgap_trace::Outcome::Shed, why, Some(now));
+            tracer.record(&life, now);
+        }
+    }
+
     /// Tells what became of a req's run or call. What concerns no open req is no news.
     pub fn report(&self, id: &str, report: Report) {
         let mut state = self.state.lock();
@@ -339,6 +395,21 @@
         self.running.as_ref().map_or(Duration::ZERO, |running| running.zero.elapsed())
     }
 
+    /// The time now, where a recording wants to know.
+    fn stamp(&self) -> Option<Instant> {
+        self.tracer.as_ref().map(|_| Instant::now())
+    }
+
+    /// The module has decided on an arrival: it was taken unless it is answered.
+    fn admitted(&mut self, at: usize) {
+        let now = self.stamp();
+        if let Some(slot) = self.slots.get_mut(at).filter(|slot| !slot.answered)
+            && let Some(life) = &mut slot.life
+        {
+            life.admitted = now;
+        }
+    }
+
     fn report(&mut self, at: usize, report: Report) {
         let Some(slot) = self.slots.get_mut(at).filter(|slot| !slot.over) else {
             return;
@@ -370,14 +441,18 @@
                 }
                 Event::CallEnded { req: at, outcome }
             }
-            Report::Ended { outcome, result } => {
+            Report::Ended { outcome, result, work } => {
+                if let Some(life) = &mut slot.life {
+                    life.work = work;
+                }
                 let answer = match outcome {
                     Outcome::Done => Some(Answer::Done(result)),
                     Outcome::Errored => Some(Answer::Errored),
                     _ => None,
                 };
                 if let Some(answer) = answer.clone() {
-                    self.answer(at, answer);
+                    let why = if answer == Answer::Errored { Reason::RUN_ERRORED } else { Reason::NONE };
+                    self.answer(at, answer, why);
                 }
                 self.settle(at, answer.unwrap_or(Answer::Errored));
                 Event::Ended { req: at, outcome }
@@ -387,11 +462,24 @@
     }
 
     /// Orders a final answer, unless the req has one.
-    fn answer(&mut self, at: usize, answer: Answer) {
+    fn answer(&mut self, at: usize, answer: Answer, why: Reason) {
+        let (now, advice) = (self.stamp(), self.advice);
         let slot = &mut self.slots[at];
         if std::mem::replace(&mut slot.answered, true) {
             return;
         }
+        if let Some(life) = &mut slot.life {
+            (life.answered, life.reason, life.advice) = (now, why, advice);
+            life.outcome = match &answer {
+                _ if slot.gone => tulipgap_trace::Outcome::Gone,
+                Answer::Done(_) => tulipgap_trace::Outcome::Done,
+                Answer::Shed { .. } => tulipgap_trace::Outcome::Shed,
+                Answer::Errored => tulipgap_trace::Outcome::Errored,
+            };
+            if let Answer::Shed { wait, elsewhere } = answer {
+                (life.wait, life.no_more) = (wait, !elsewhere);
+            }
+        }
         let count = match &answer {
             _ if slot.gone => &mut self.counts.gone,
             Answer::Done(_) => &mut self.counts.done,
@@ -444,16 +532,21 @@
     fn apply(&mut self, action: Action, now: Duration) {
         match action {
             Action::Run { req } => {
-                self.slots[req].running = true;
-                self.slots[req].order(Order::Run);
+                let now = self.stamp();
+                let slot = &mut self.slots[req];
+                slot.running = true;
+                if let Some(life) = &mut slot.life {
+                    life.run = life.run.or(now);
+                }
+                slot.order(Order::Run);
             }
-            Action::Shed { req, wait, elsewhere, .. } => {
+            Action::Shed { req, wait, elsewhere, reason: why } => {
                 must!(!self.slots[req].answered, "a req is answered once");
-                self.answer(req, Answer::Shed { wait, elsewhere });
+                self.answer(req, Answer::Shed { wait, elsewhere }, reason(why));
             }
-            Action::Fail { req, .. } => {
+            Action::Fail { req, reason: why } => {
                 must!(!self.slots[req].answered, "a req is answered once");
-                self.answer(req, Answer::Errored);
+                self.answer(req, Answer::Errored, reason(why));
             }
             Action::Stop { req } => self.slots[req].order(Order::Stop),
             Action::Join { req } => {
@@ -486,7 +579,12 @@
                 }
             }
             Action::Call { req, patience } => {
+                let now = self.stamp();
                 let slot = &mut self.slots[req];
+                if let Some(life) = &mut slot.life {
+                    life.called = life.called.or(now);
+                    life.calls += 1;
+                }
                 if let Some((_, body)) = slot.call.clone() {
                     slot.calling = true;
                     slot.order(Order::Call { patience, body });
@@ -494,6 +592,9 @@
             }
             Action::SkipCall { req } => {
                 let slot = &mut self.slots[req];
+                if let Some(life) = &mut slot.life {
+                    life.skipped += 1;
+                }
                 if let Some((call, _)) = slot.call.take() {
                     slot.order(Order::Skip { call });
                 }
@@ -510,7 +611,10 @@
 
     fn over(&mut self, at: usize) {
         // A run that ended with nothing for its caller, and that the module left unanswered.
-        self.answer(at, Answer::Errored);
+        self.answer(at, Answer::Errored, Reason::STOPPED);
+        if let (Some(life), Some(tracer)) = (self.slots[at].life.take(), &self.tracer) {
+            tracer.record(&life, Instant::now());
+        }
         self.settle(at, Answer::Errored);
         // Its index may come again: whoever has it then did not join.
         if let Some(key) = self.slots[at].key.clone().and_then(|key| self.keys.get_mut(&key)) {
@@ -543,7 +647,8 @@
                 if open {
                     let done = matches!(answer, Answer::Done(_));
                     let outcome = if done { Outcome::Done } else { Outcome::Errored };
-                    self.answer(at, if done { answer.clone() } else { Answer::Errored });
+                    let why = if done { Reason::JOINED } else { Reason::FIRST_ERRORED };
+                    self.answer(at, if done { answer.clone() } else { Answer::Errored }, why);
                     events.push(Event::Ended { req: at, outcome });
                 }
             }
--- a/crates/server/src/gate/tests.rs
+++ b/crates/server/src/gate/tests.rs
@@ -18,7 +18,7 @@
 const TIMEOUT: u64 = 3000;
 
 fn gate() -> Arc<Gate> {
-    let gate = Arc::new(Gate::new(given(), 7));
+    let gate = Arc::new(Gate::new(given(), 7, None));
     assert!(gate.start(false, Duration::ZERO));
     gate
 }
@@ -45,6 +45,7 @@
         held_kb: 10.0,
         retry: false,
         key: key.map(Id::from),
+        traced: None,
     }
 }
 
@@ -148,7 +149,7 @@
         };
         let outcome = OUTCOMES[what % 8];
         let report = match what % 3 {
-            0 => Report::Ended { outcome, result: bytes(&seen.id) },
+            0 => Report::Ended { outcome, result: bytes(&seen.id), work: None },
             1 => Report::CallEnded { outcome, reply: bytes("reply") },
             _ => {
                 seen.calls += 1;
@@ -227,7 +228,7 @@
         assert!(model.seen.iter().all(|seen| seen.answer.is_some()), "lost");
         // And nothing stays once what runs has ended.
         for seen in &model.seen {
-            gate.report(&seen.id, Report::Ended { outcome: Outcome::Stopped, result: bytes("") });
+            gate.report(&seen.id, Report::Ended { outcome: Outcome::Stopped, result: bytes(""), work: None });
         }
         model.pick_all();
         assert!(model.seen.iter().all(|seen| seen.over), "held for ever");
@@ -253,7 +254,7 @@
     assert!(matches!(now(&ticket), Some(Order::Call { .. })));
     gate.report("a", Report::CallEnded { outcome: Outcome::Full, reply: bytes("") });
     assert_eq!(now(&ticket), Some(Order::Skip { call: 5 }));
-    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page") });
+    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page"), work: None });
     assert_eq!(now(&ticket), Some(Order::Answer(Answer::Done(bytes("page")))));
     assert_eq!(now(&ticket), Some(Order::Over));
     drop(ticket);
@@ -267,7 +268,7 @@
     assert_eq!(now(&first), Some(Order::Run));
     let second = gate.enter(incoming("b", 1, Some("k"))).unwrap();
     assert_eq!(now(&second), None);
-    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page") });
+    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page"), work: None });
     assert_eq!(now(&second), Some(Order::Answer(Answer::Done(bytes("page")))));
     // One that comes when the first is over gets its result too, until the window has passed.
     gate.pass(ms(WINDOW - 100));
@@ -281,7 +282,7 @@
 #[test]
 fn a_warm_start_begins_the_clock_and_a_cold_one_takes_its_age() {
     for (cold, age) in [(false, Duration::ZERO), (true, ms(4000))] {
-        let gate = Gate::new(given(), 7);
+        let gate = Gate::new(given(), 7, None);
         assert!(!gate.started() && !gate.healthy());
         assert!(gate.start(cold, ms(4000)));
         assert!(!gate.start(cold, ms(9000)), "only once");
@@ -298,7 +299,7 @@
     assert_eq!(now(&ticket), Some(Order::Run));
     drop(ticket);
     assert_eq!(gate.open(), 1, "its run goes on");
-    gate.report("a", Report::Ended { outcome: Outcome::Stopped, result: bytes("") });
+    gate.report("a", Report::Ended { outcome: Outcome::Stopped, result: bytes(""), work: None });
     assert_eq!(gate.open(), 0);
 }
 
@@ -329,7 +330,7 @@
     drop(second);
     let third = gate.enter(incoming("c", 0, None)).unwrap();
     assert_eq!(now(&third), Some(Order::Run));
-    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("another's page") });
+    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("another's page"), work: None });
     assert_eq!(now(&third), None, "it joined nothing");
 }
 
@@ -338,7 +339,10 @@
     let gate = gate();
     for at in 0..5 {
         let ticket = gate.enter(incoming(&format!("r{at}"), 1, Some(&format!("k{at}")))).unwrap();
-        gate.report(&format!("r{at}"), Report::Ended { outcome: Outcome::Done, result: bytes("page") });
+        gate.report(
+            &format!("r{at}"),
+            Report::Ended { outcome: Outcome::Done, result: bytes("page"), work: None },
+        );
         drop(ticket);
     }
     assert_eq!(gate.state.lock().keys.len(), 5);
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -8,14 +8,16 @@
 mod log;
 mod must;
 mod net;
+mod trace;
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
+use clap::Parser;
 use may::net::TcpListener;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -27,6 +29,7 @@
 use net::list;
 use net::spawn;
 use net::store::Store;
+use trace::Tracer;
 
 /// A coroutine's stack in words; only what is touched takes memory.
 const STACK_WORDS: usize = 8 * 1024;
@@ -43,7 +46,18 @@
 /// Before the stop all is to be over.
 const STOP_MARGIN: Duration = Duration::from_millis(100);
 
+/// One real backend. LB_CONFIG names the JSON file that tells it who it is, where its peers are, its limits and the
+/// settings; LB_LOG sets the level of the log (error, warn, info, debug).
+#[derive(Parser)]
+#[command(name = "tulipgapd", version)]
+struct Args {
+    /// The product's own configuration, in HCL; what it leaves out is off
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
+    let args = Args::parse();
     // Before anything else: a signal that nobody has asked for ends the program.
     let signals = Signals::new([SIGHUP, SIGTERM, SIGINT]);
     log::start(std::env::var("LB_LOG").ok().as_deref());
@@ -53,6 +67,10 @@
         Ok(told) => told,
         Err(error) => return refuse(&error.to_string()),
     };
+    let product = match args.settings.as_deref().map(tulipgap_config::read).transpose() {
+        Ok(product) => product.unwrap_or_default(),
+        Err(error) => return refuse(&error.to_string()),
+    };
     // One core is shared with others: one worker, which sleeps while there is nothing to do.
     may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(STACKS_KEPT);
     may::config().set_worker_pin(false);
@@ -61,7 +79,18 @@
         (Err(error), _) => return refuse(&format!("signals: {error}")),
         (_, Err(error)) => return refuse(&format!("{}: {error}", told.listen)),
     };
-    serve(told, path, listener, signals);
+    let tracer = match product.trace.filter(|told| told.enabled) {
+        None => None,
+        Some(trace) => match Tracer::start(&trace, &told.name, &told.given, &told.names) {
+            Ok(tracer) => Some(Arc::new(tracer)),
+            Err(error) => return refuse(&format!("trace: {error}")),
+        },
+    };
+    serve(told, path, listener, signals, tracer.clone());
+    if let Some(tracer) = tracer {
+        tracer.finish();
+        ::log::info!("{}", tracer.told());
+    }
     ::log::logger().flush();
     ExitCode::SUCCESS
 }
@@ -71,10 +100,16 @@
     ExitCode::from(2)
 }
 
-fn serve(told: Told, path: Option<&Path>, listener: TcpListener, mut signals: Signals) {
+fn serve(
+    told: Told,
+    path: Option<&Path>,
+    listener: TcpListener,
+    mut signals: Signals,
+    tracer: Option<Arc<Tracer>>,
+) {
     ::log::info!("{} listens on {}", told.name, told.listen);
     let grace = told.given.drain_grace;
-    let gate = Arc::new(Gate::new(told.given.clone(), told.seed));
+    let gate = Arc::new(Gate::new(told.given.clone(), told.seed, tracer));
     let kernel = Kernel::new(told.peers.kernel, gate.clone(), told.names.gauges.clone());
     let store = Store::new(told.peers.store, gate.clone(), told.sockets / STORE_PART);
     let announce = Arc::new(Where::new(told.peers.announce));
@@ -112,6 +147,9 @@
                 store.sweep();
                 if sweep.is_multiple_of(SUMMARY) {
                     ::log::info!("so far {}; {}", gate.counts(), clients.told());
+                    if let Some(tracer) = gate.tracer() {
+                        ::log::info!("{}", tracer.told());
+                    }
                 }
             }
         });
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use slab::Slab;
 use tulipgap_settings::Names;
+use tulipgap_trace::Reason;
 
 use super::kernel::Kernel;
 use super::store::Store;
@@ -19,6 +20,7 @@
 use super::{Added, Link, Out, spawn};
 use crate::gate::{Answer, Bytes, Gate, Id, Incoming, Order, Report, Unfit};
 use crate::log::Bound;
+use crate::trace::{Traced, hashed};
 use crate::{clock, must};
 
 /// Open reqs that one connection carries by the protocol.
@@ -417,7 +419,8 @@
                 match self.read_fields(&fields, connection.opened) {
                     Ok(_) if !free => Fault::Malformed("a sequence that is open".into()),
                     Ok(_) if body.len() > BODY_MOST => Fault::Malformed("a body too long".into()),
-                    Ok(_) if self.gate.open() >= self.open_most => {
+                    Ok(read) if self.gate.open() >= self.open_most => {
+                        self.gate.unseen(&read.incoming, Reason::NO_ROOM);
                         if let Some(count) = NO_ROOM.pass() {
                             log::warn!("no memory for another req ({count} so far)");
                         }
@@ -601,7 +604,17 @@
             held_kb: held_kb.ok_or_else(|| wrong("need"))?,
             retry: find("resent").is_some_and(|value| value == "1"),
             key: find("opkey").filter(|key| !key.is_empty()).map(Id::from),
+            traced: None,
         };
+        let traced = self.gate.tracer().map(|_| Traced {
+            number,
+            key: incoming.key.as_deref().map(hashed),
+            subject: find("subject")
+                .map(|subject| u64::from_str_radix(subject, 16).unwrap_or_else(|_| hashed(subject))),
+            caller: find("via").map(|via| via.parse().unwrap_or_else(|_| hashed(via))),
+            read: Instant::now(),
+        });
+        let incoming = Incoming { traced, ..incoming };
         Ok(Read { incoming, class: class.into(), number, came })
     }
 }
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -312,7 +312,7 @@
                 // Its answer comes behind all missed notices.
                 out.push(&[line(format_args!("SYSINFO {barrier}")).as_bytes()]);
             }
-            ["REAP", notice, id, end, _, _] => {
+            ["REAP", notice, id, end, took, _] => {
                 if self.fresh(number(notice)?) {
                     let outcome = match end {
                         "success" => Outcome::Done,
@@ -323,7 +323,9 @@
                         _ => Outcome::Broken,
                     };
                     self.state.lock().runs.remove(id);
-                    self.gate.report(id, Report::Ended { outcome, result: body() });
+                    let took = took.parse().ok().map(|ms: f64| ms / 1e3);
+                    let work = took.and_then(|took| Duration::try_from_secs_f64(took).ok());
+                    self.gate.report(id, Report::Ended { outcome, result: body(), work });
                 }
             }
             ["IOREQ", notice, id, _] => {
@@ -360,8 +362,10 @@
                     // Nothing was run, so this says nothing of how runs do here.
                     ("SCHED", [id, ..]) => {
                         self.state.lock().runs.remove(*id);
-                        self.gate
-                            .report(id, Report::Ended { outcome: Outcome::Void, result: Bytes::default() });
+                        self.gate.report(
+                            id,
+                            Report::Ended { outcome: Outcome::Void, result: Bytes::default(), work: None },
+                        );
                     }
                     // The run stands where it stood, and nothing else can be said to it.
                     ("NOIO" | "IODONE", [id, ..]) => drop(out.add(&[&Command::Stop.bytes(id)])),
@@ -414,8 +418,10 @@
                 drop(state);
                 log::warn!("kernel link: notices are missing, {} runs count as broken", lost.len());
                 for id in lost.keys() {
-                    self.gate
-                        .report(id, Report::Ended { outcome: Outcome::Broken, result: Bytes::default() });
+                    self.gate.report(
+                        id,
+                        Report::Ended { outcome: Outcome::Broken, result: Bytes::default(), work: None },
+                    );
                 }
                 return;
             }
--- /dev/null
+++ b/crates/server/tests/program/main.rs
@@ -0,0 +1,6 @@
+//! The program as a whole, on loopback.
+
+mod cost;
+mod recording;
+mod serving;
+mod stand;
--- /dev/null
+++ b/crates/server/tests/program/recording.rs
@@ -0,0 +1,186 @@
+//! The program with a recording.
+
+use std::collections::{BTreeMap, HashSet};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+use tulipgap_trace::{Item, Loss, Outcome, Reason, Record, Trace};
+
+use crate::stand::*;
+
+/// A folder for a recording, and the configuration that names it.
+pub fn recorded(seal_after: &str) -> (tempfile::TempDir, PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = folder.path().join("tulipgap.hcl");
+    let text = format!(
+        "trace {{\n  folder = \"{}\"\n  seal_after = \"{seal_after}\"\n}}\n",
+        folder.path().join("trace").display()
+    );
+    std::fs::write(&settings, text).unwrap();
+    (folder, settings)
+}
+
+struct Read {
+    records: Vec<Record>,
+    losses: Vec<Loss>,
+}
+
+fn files(folder: &Path) -> Vec<Read> {
+    let mut paths: Vec<PathBuf> =
+        std::fs::read_dir(folder.join("trace")).unwrap().map(|entry| entry.unwrap().path()).collect();
+    paths.sort();
+    let mut all = Vec::new();
+    for path in paths {
+        let mut read = Read { records: Vec::new(), losses: Vec::new() };
+        for item in Trace::open(std::fs::File::open(path).unwrap()).unwrap() {
+            match item.unwrap() {
+                Item::Records(records) => read.records.extend(records),
+                Item::Loss(loss) => read.losses.push(loss),
+                Item::Gap(gap) => panic!("nothing is missing: {gap:?}"),
+            }
+        }
+        all.push(read);
+    }
+    all
+}
+
+#[test]
+fn the_whole_life_of_each_req_is_recorded() {
+    let (folder, settings) = recorded("200ms");
+    let mut stand = stand_told(1024, Some(&settings));
+    let mut edge = stand.edge();
+    edge.req(1, "00000000000000a1", b"run");
+    edge.expect(1, Kind::Answer);
+    edge.req(2, "00000000000000a2", b"call");
+    edge.expect(2, Kind::Answer);
+    edge.process(3, &with("00000000000000a3", "ms", "60000.00"), b"run");
+    edge.expect(3, Kind::Rejected);
+    edge.req(4, "00000000000000a4", b"unknown");
+    edge.expect(4, Kind::Crashed);
+    let mut marked = fields("00000000000000a5", "20.0");
+    marked.extend([("resent", "1".to_owned()), ("subject", "7f3a9c21e0b4d655".to_owned())]);
+    marked.push(("opkey", "some key".to_owned()));
+    edge.process(5, &marked, b"run");
+    edge.expect(5, Kind::Answer);
+    // One whose caller goes.
+    let mut other = stand.edge();
+    other.req(1, "00000000000000a6", b"hang");
+    until("it runs", || stand.kernel.lock().unwrap().runs.contains_key("00000000000000a6"));
+    // An answer that is never read makes the end of the connection a reset.
+    other.req(2, "00000000000000a7", b"run");
+    until("an answer has come", || other.stream.peek(&mut [0; 16]).is_ok_and(|count| count > 0));
+    drop(other);
+    until("its run is stopped", || stand.kernel.lock().unwrap().ends.contains_key("00000000000000a6"));
+    stand.signal("TERM");
+    assert!(stand.ended().success());
+
+    let mut files = files(folder.path());
+    assert_eq!(files.len(), 1);
+    let Read { records, losses } = files.remove(0);
+    assert_eq!(losses, []);
+    let by_id: BTreeMap<u64, &Record> = records.iter().map(|record| (record.id, record)).collect();
+    assert_eq!(by_id.len(), 7);
+    let of = |last: u64| by_id[&(0xa0 + last)];
+    let told: Vec<(Outcome, Reason)> = (1..=6).map(|last| (of(last).outcome, of(last).reason)).collect();
+    assert_eq!(told[0], (Outcome::Done, Reason::NONE));
+    assert_eq!(told[1], (Outcome::Done, Reason::NONE));
+    assert_eq!(told[2], (Outcome::Shed, Reason::LATE));
+    assert_eq!(told[3], (Outcome::Errored, Reason::STOPPED));
+    assert_eq!(told[5].0, Outcome::Gone);
+    // Each time behind the one before it; the work that the kernel told.
+    for record in &records {
+        let times = [record.read, record.answered, record.over].map(Option::unwrap);
+        assert!(times.is_sorted() && times[0] >= -1000, "{record:?}");
+        assert_eq!((record.caller, record.tenant), (Some(4), Some(0)));
+        assert_eq!(record.run.is_some(), record.id != 0xa3, "{record:?}");
+        if let Some(run) = record.run {
+            assert!(record.admitted.unwrap() >= record.read.unwrap() && run >= record.read.unwrap());
+        }
+    }
+    assert_eq!(of(1).work, Some(1500));
+    assert_eq!((of(2).calls, of(2).called.is_some(), of(1).calls), (1, true, 0));
+    assert_eq!((of(3).hint, of(3).admitted), (Some(40_000_000), None));
+    assert!(of(5).retry && of(5).subject == Some(0x7f3a_9c21_e0b4_d655) && of(5).key.is_some());
+    assert!(of(1).advice.is_some());
+}
+
+/// Killed outright under load, and started again on the same folder.
+#[test]
+fn what_was_recorded_survives_a_kill() {
+    let (folder, settings) = recorded("200ms");
+    let mut stand = stand_told(1024, Some(&settings));
+    let mut sequence = 0;
+    let mut answered = 0;
+    for start in 0..2u64 {
+        let mut edge = stand.edge();
+        for number in 0..300u64 {
+            sequence += 1;
+            edge.req(sequence, &format!("{:016x}", start * 1000 + number), b"run");
+            edge.expect(sequence, Kind::Answer);
+        }
+        answered += 300;
+        // Longer than it takes a block to be on disk, while more comes.
+        let began = std::time::Instant::now();
+        while began.elapsed() < Duration::from_millis(1000) {
+            sequence += 1;
+            edge.req(sequence, &format!("{:016x}", (start + 10) * 100_000 + u64::from(sequence)), b"run");
+            edge.expect(sequence, Kind::Answer);
+        }
+        stand.child.kill().unwrap();
+        stand.child.wait().unwrap();
+        sequence = 0;
+        if start == 0 {
+            stand.child = start_with(&stand.file, Some(&settings));
+            stand.serves();
+        }
+    }
+    let files = files(folder.path());
+    assert_eq!(files.len(), 2, "the second start begins a file of its own");
+    let mut ids = HashSet::new();
+    for file in &files {
+        assert!(file.losses.contains(&Loss::NoEnd), "{:?}", file.losses);
+        assert!(file.records.iter().all(|record| ids.insert(record.id)), "no record twice");
+    }
+    let early = ids.iter().filter(|&&id| id < 2000).count();
+    assert_eq!(early, answered, "all that was over long before is there");
+}
+
+#[test]
+fn a_folder_that_takes_nothing_harms_no_req() {
+    let (folder, settings) = recorded("200ms");
+    // A file stands where the folder should be.
+    std::fs::write(folder.path().join("trace"), "in the way").unwrap();
+    let mut stand = stand_told(1024, Some(&settings));
+    let mut edge = stand.edge();
+    for sequence in 1..=50 {
+        edge.req(sequence, &format!("{sequence:016x}"), b"run");
+        edge.expect(sequence, Kind::Answer);
+    }
+    stand.signal("TERM");
+    assert!(stand.ended().success());
+    let mut log = String::new();
+    std::io::Read::read_to_string(&mut stand.child.stderr.take().unwrap(), &mut log).unwrap();
+    assert!(log.contains("trace: ") && log.contains("50 records missing"), "{log}");
+}
+
+#[test]
+fn a_configuration_that_makes_no_sense_is_told_and_ends_it_with_2() {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = folder.path().join("bad.hcl");
+    std::fs::write(&settings, "trace {\n  folder = \"t\"\n  queu = 9\n}\n").unwrap();
+    let host = host();
+    let file = file(&host, &told(&host));
+    let run = |arguments: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tulipgapd"));
+        command.args(arguments).env("LB_CONFIG", &file).stdin(Stdio::null()).output().unwrap()
+    };
+    let output = run(&["--settings", settings.to_str().unwrap()]);
+    assert_eq!(output.status.code(), Some(2));
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(error.contains("bad.hcl:3:3: 'trace.queu' is no name; is 'queue' meant?"), "{error}");
+    assert!(String::from_utf8_lossy(&run(&["--help"]).stdout).contains("--settings"));
+    assert!(run(&["--version"]).stdout.starts_with(b"tulipgapd "));
+    assert_eq!(run(&["--nonsense"]).status.code(), Some(2));
+    let _ = std::fs::remove_file(file);
+}
--- a/crates/trace/src/recorder.rs
+++ b/crates/trace/src/recorder.rs
@@ -4,8 +4,8 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -259,7 +259,7 @@
     shared: Arc<Shared>,
     start: Instant,
     zero: Micros,
-    thread: Option<JoinHandle<()>>,
+    thread: Mutex<Option<JoinHandle<()>>>,
 }
 
 /// The time since the Unix epoch.
@@ -289,7 +289,7 @@
         let thread = std::thread::Builder::new()
             .name("trace".into())
             .spawn(move || write(pen, &theirs, start, zero, told_of))?;
-        Ok(Recorder { shared, start, zero, thread: Some(thread) })
+        Ok(Recorder { shared, start, zero, thread: Mutex::new(Some(thread)) })
     }
 
     /// Adds a record, or counts it as lost where the queue is full. Never waits.
@@ -301,7 +301,9 @@
 
     /// Unix time by a clock that is never set: that of the recording's start, and what has passed since.
     pub fn unix(&self, at: Instant) -> Micros {
-        self.zero.saturating_add(at.saturating_duration_since(self.start).as_micros() as Micros)
+        let since = at.saturating_duration_since(self.start).as_micros() as Micros;
+        let before = self.start.saturating_duration_since(at).as_micros() as Micros;
+        self.zero.saturating_add(since).saturating_sub(before)
     }
 
     /// Records that were not written so far, and failures of the disk.
@@ -310,9 +312,9 @@
     }
 
     /// Ends the recording; false where the disk does not let it end in time.
-    pub fn finish(mut self, within: Duration) -> bool {
+    pub fn finish(&self, within: Duration) -> bool {
         self.shared.stopping.store(true, Ordering::Release);
-        let Some(thread) = self.thread.take() else { return true };
+        let Some(thread) = self.thread.lock().ok().and_then(|mut thread| thread.take()) else { return true };
         thread.thread().unpark();
         let start = Instant::now();
         while !thread.is_finished() {
