--- a/crates/trace/src/reader.rs
+++ b/crates/trace/src/reader.rs
@@ -311,6 +311,9 @@
 
     fn records_of(&mut self, prelude: &Prelude, mut from: Bytes) -> Result<Vec<Record>, TraceError> {
         let packed = block::packed(&mut from, prelude)?;
+        if !packed.iter().any(|column| column.id == u64::from(columns::REACHED)) {
+            return Err(TraceError::Senseless("a block without times"));
+        }
         let (columns, wanted) = (&self.columns, &self.wanted);
         let needed = |id| {
             columns(id)
--- a/crates/trace/tests/files/damage.rs
+++ b/crates/trace/tests/files/damage.rs
@@ -124,9 +124,13 @@
     assert_eq!(back.records.len(), some.len());
     assert!(matches!(back.losses[..], [Loss::Bytes { bytes: 24, torn: false, .. }]), "{:?}", back.losses);
     // Counts of no sense within a block under a right checksum.
-    for claim in
-        [&[0, 0, 255, 255, 255, 255, 15][..], &[0, 0, 255, 255, 3, 0, 0, 0, 0, 255, 255, 255, 255, 15]]
-    {
+    let claims = [
+        // Records without end, all of one time; handlers without end; records without their times.
+        &[0, 0, 255, 255, 255, 255, 15, 0, 0, 0, 1, 1, 1, 1, 0, 0, 0, 0, 1, 1, 0, 0][..],
+        &[0, 0, 255, 255, 3, 0, 0, 255, 255, 255, 255, 15],
+        &[0, 0, 255, 255, 3, 0, 0, 0, 1, 0],
+    ];
+    for claim in claims {
         let hostile = [&bytes[..ends[0].0], &frame(b'B', claim), &bytes[ends[0].0..]].concat();
         let back = read(&hostile).unwrap();
         assert_eq!(back.records.len(), some.len());
