Connections are decided by crates/admission; the server carries out what it says

Need: a look at every connection for each that came and twice a second, and decisions on connections in net/. Half a message gives way after 0.5 s only, and is read once more before. Without further settings newcomers wait in the backlog and nothing goes by address, as before.

--- a/crates/admission/src/decide.rs
+++ b/crates/admission/src/decide.rs
@@ -58,6 +58,8 @@
     asked: Option<Duration>,
     /// Since when a whole message is awaited: the first, or one that has begun.
     awaited: Option<Duration>,
+    /// When a message began that is not whole.
+    half: Option<Duration>,
     spoke: bool,
     open: u32,
     /// A message took too long while something was open: it ends once that is answered.
@@ -182,6 +184,7 @@
             used: now,
             asked: None,
             awaited: Some(now),
+            half: None,
             spoke: false,
             open: 0,
             slow: false,
@@ -248,10 +251,14 @@
     fn began(&mut self, now: Duration, conn: Conn) {
         let message = self.terms.message;
         if let Some(one) = self.one(conn)
-            && one.awaited.is_none()
+            && one.half.is_none()
         {
-            one.awaited = Some(now);
-            self.wheel.set(conn, now.saturating_add(message));
+            one.half = Some(now);
+            // The first message has its time from the opening on.
+            if one.awaited.is_none() {
+                one.awaited = Some(now);
+                self.wheel.set(conn, now.saturating_add(message));
+            }
             self.place(conn);
         }
     }
@@ -261,7 +268,7 @@
         if let Some(one) = self.one(conn) {
             one.spoke = true;
             one.used = now;
-            one.awaited = None;
+            (one.awaited, one.half) = (None, None);
             self.wheel.set(conn, now.saturating_add(idle));
             self.place(conn);
         }
@@ -276,14 +283,14 @@
     }
 
     fn answered(&mut self, now: Duration, conn: Conn, whole: bool, acts: &mut Vec<Act>) {
-        let idle = self.terms.idle;
+        let (idle, closing) = (self.terms.idle, self.closing());
         let Some(one) = self.one(conn) else { return };
         one.open = one.open.saturating_sub(1);
         one.used = now;
         let (address, free) = (one.address, one.open == 0 && one.awaited.is_none());
         let slow = one.slow && one.open == 0;
         if free {
-            let at = one.asked.map_or(now.saturating_add(idle), |asked| asked.saturating_add(CLOSING));
+            let at = one.asked.map_or(now.saturating_add(idle), |asked| asked.saturating_add(closing));
             self.wheel.set(conn, at);
         }
         self.place(conn);
@@ -341,7 +348,8 @@
             let Some(one) = self.ones[conn].as_ref() else { continue };
             let ripe = match queue {
                 SILENT => at_once || since(one.opened) > SILENT_LEAST,
-                HALF => one.awaited.is_some_and(|began| at_once || since(began) > SILENT_LEAST),
+                // Never sooner: the rest may be on its way.
+                HALF => one.half.is_some_and(|began| since(began) > SILENT_LEAST),
                 ASKED => one.asked.is_some_and(|asked| at_once || since(asked) > CROSSING),
                 IDLE => at_once || since(one.used) > STAYS,
                 _ => at_once || known && since(one.used) > KNOWN_STAYS,
@@ -397,9 +405,9 @@
         let Some(one) = self.ones.get(conn).and_then(Option::as_ref) else { return };
         let queue = match () {
             () if one.open > 0 || one.ending => return self.queues.remove(conn),
+            () if one.half.is_some() => HALF,
             () if one.asked.is_some() => ASKED,
             () if !one.spoke => SILENT,
-            () if one.awaited.is_some() => HALF,
             () if one.part == Part::KnownClients => IDLE_KNOWN,
             () => IDLE,
         };
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -21,10 +21,11 @@
 use may::net::TcpListener;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use tulipgap_admission::{Admission, Part, Terms, WhenFull};
 
 use config::{Told, Where};
 use gate::Gate;
-use net::clients::Clients;
+use net::clients::{Clients, IDLE_MORE, KEPT, MESSAGE_MOST};
 use net::kernel::Kernel;
 use net::list;
 use net::spawn;
@@ -38,9 +39,9 @@
 /// Of the descriptors, one in so many may go to the store.
 const STORE_PART: usize = 8;
 /// Between two looks at idle connections.
-const SWEEP: Duration = Duration::from_millis(500);
+const SWEEP: Duration = Duration::from_millis(100);
 /// Looks between two summaries in the log.
-const SUMMARY: u32 = 60;
+const SUMMARY: u32 = 300;
 /// The time before the stop that edge nodes get to close their connections, at the least.
 const FAREWELL: Duration = Duration::from_secs(1);
 /// Before the stop all is to be over.
@@ -95,6 +96,23 @@
     ExitCode::SUCCESS
 }
 
+/// What is decided on connections by: as far as nothing else is configured, newcomers wait in the backlog for a place
+/// and nothing goes by address.
+fn terms(told: &Told, store: usize) -> Terms {
+    Terms {
+        descriptors: told.sockets,
+        reserves: vec![(Part::Own, KEPT), (Part::Store, store.min(told.sockets.saturating_sub(KEPT + 1)))],
+        caps: None,
+        when_full: WhenFull::Wait,
+        listed: Vec::new(),
+        half_life: Duration::from_secs(600),
+        message: MESSAGE_MOST,
+        idle: told.given.idle_link.saturating_add(IDLE_MORE),
+        cold_part: 1.0,
+        warm_up: Duration::ZERO,
+    }
+}
+
 fn refuse(problem: &str) -> ExitCode {
     eprintln!("tulipgapd: {problem}");
     ExitCode::from(2)
@@ -112,13 +130,20 @@
     let gate = Arc::new(Gate::new(told.given.clone(), told.seed, tracer));
     let kernel = Kernel::new(told.peers.kernel, gate.clone(), told.names.gauges.clone());
     let store = Store::new(told.peers.store, gate.clone(), told.sockets / STORE_PART);
+    let terms = terms(&told, store.most());
+    let refuses = terms.when_full == WhenFull::Refuse;
+    let admission = match Admission::new(terms, told.seed) {
+        Ok(admission) => admission,
+        Err(error) => return ::log::error!("{error}"),
+    };
     let announce = Arc::new(Where::new(told.peers.announce));
     let clients = Clients::new(
         gate.clone(),
         kernel.clone(),
         store.clone(),
         told.names.clone(),
-        told.sockets,
+        admission,
+        refuses,
         told.memory_mb,
     );
     let leaving = Arc::new(AtomicBool::new(false));
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -11,6 +11,7 @@
 use may::net::{TcpListener, TcpStream};
 use parking_lot::Mutex;
 use slab::Slab;
+use tulipgap_admission::{Act, Admission, Cause, Conn, News, Trouble};
 use tulipgap_settings::Names;
 use tulipgap_trace::Reason;
 
@@ -32,11 +33,9 @@
 const OUT_MOST: usize = UNREAD_MOST + (OPEN_MOST + 1) * ANSWER_MOST;
 const IN_MOST: usize = thrift::FRAME_MOST + 4;
 /// Descriptors that are kept for the kernel, the log and the runtime.
-const KEPT: usize = 16;
-/// What is open beyond this part of the places makes those go that are idle.
-const CROWDED: f64 = 0.85;
+pub const KEPT: usize = 16;
 /// How long a connection may take to its first message, and a message from its first byte to its last.
-const MESSAGE_MOST: Duration = Duration::from_secs(2);
+pub const MESSAGE_MOST: Duration = Duration::from_secs(2);
 /// What is read from one connection before others have their turn: messages, and reads of a ring's room.
 const TURN_MOST: usize = 64;
 const TURN_PAUSE: Duration = Duration::from_millis(1);
@@ -44,21 +43,14 @@
 const FAULTS_MOST: usize = 8;
 /// The ids that came last, by which it is known what comes again.
 const RECENT_MOST: usize = 8192;
-/// How long a connection asked to close is left to the edge node while places are short: a req that is on its way
-/// then is sent again.
-const CROSSING: Duration = Duration::from_millis(60);
-/// How long a connection may be silent at first while places are short.
-const SILENT_LEAST: Duration = Duration::from_millis(500);
 /// How much longer than an edge node a connection without use is kept here.
-const IDLE_MORE: Duration = Duration::from_secs(2);
+pub const IDLE_MORE: Duration = Duration::from_secs(2);
 /// What one open req takes at the most: its coroutine's stack as far as it is touched, body and result.
 const REQ_KB: f64 = 24.0;
 /// The part of this process's memory that open reqs may take; what comes beyond is turned away unseen.
 const MEMORY_PART: f64 = 0.45;
 /// How long an accept waits when no descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// How long an edge node may take to close what it was asked to leave.
-const CLOSING: Duration = Duration::from_secs(2);
 /// By how much the stamp of a req may lie before the opening of its connection here, or after now.
 const STAMP_SLACK: Duration = Duration::from_secs(1);
 /// The memory that a req may ask for, in KB, is below this.
@@ -71,11 +63,18 @@
 /// The longest that a deep check waits for its work.
 const CHECK_MOST: Duration = Duration::from_secs(2);
 
+/// What the system calls the troubles of accepting; the same on all kinds of Linux that are served.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+const ENOBUFS: i32 = 105;
+const ENOMEM: i32 = 12;
+
 static GARBLED: Bound = Bound::new();
 static ACCEPTS: Bound = Bound::new();
 static NO_ROOM: Bound = Bound::new();
 static SILENT: Bound = Bound::new();
 static CROWDS: Bound = Bound::new();
+static REFUSED: Bound = Bound::new();
 
 /// One connection, as others than its own coroutine see it.
 struct Connection {
@@ -84,15 +83,14 @@
     open: Mutex<HashMap<i32, Id>>,
     /// Checks under way.
     checks: AtomicUsize,
-    used: Mutex<Instant>,
     opened: Instant,
-    /// Since when a whole message is awaited: the first one, or one that has begun.
-    awaited: Mutex<Option<Instant>>,
-    /// A whole message has come.
-    spoke: AtomicBool,
-    /// When it was asked to send nothing more here.
-    leaving: Mutex<Option<Instant>>,
+    /// By what it is known where it is decided on.
+    conn: Conn,
+    /// It is to be asked to send nothing more here.
+    asked: AtomicBool,
     ending: AtomicBool,
+    /// A message took too long: nothing more is read.
+    slow: AtomicBool,
 }
 
 impl Connection {
@@ -102,16 +100,8 @@
 
     /// Asks the edge node to close this once all is answered.
     fn leave(&self) {
-        let mut leaving = self.leaving.lock();
-        // Where there is no room, the next look asks.
-        if leaving.is_none() && self.out.add(&[&thrift::no_more(0)]) == Added::Yes {
-            *leaving = Some(Instant::now());
-        }
-    }
-
-    /// A whole message takes too long.
-    fn overdue(&self) -> bool {
-        self.awaited.lock().is_some_and(|since| since.elapsed() > MESSAGE_MOST)
+        self.asked.store(true, Ordering::Release);
+        self.out.wake();
     }
 
     /// Closes it as soon as nothing on it is open.
@@ -122,28 +112,32 @@
 
     fn say(&self, method: &str, sequence: i32, said: &Said) {
         self.out.push(&[&thrift::answer(method, sequence, said)]);
-        *self.used.lock() = Instant::now();
     }
 }
 
 /// A req's place on its connection, free again once it is answered or nobody is there to answer.
 struct Place<'a> {
+    clients: &'a Clients,
     connection: &'a Connection,
     sequence: i32,
     free: Cell<bool>,
 }
 
 impl Place<'_> {
-    fn leave(&self) -> bool {
+    /// `whole` where its caller got its answer.
+    fn leave(&self, whole: bool) -> bool {
         let held = !self.free.replace(true);
         if held {
             self.connection.open.lock().remove(&self.sequence);
+            self.clients.tell(News::Answered { conn: self.connection.conn, whole });
         }
         held
     }
 
     fn answer(&self, said: &Said) {
-        must!(self.leave(), "a req is answered in its place");
+        // Its standing grows with what was served, and not with what was turned away.
+        let whole = matches!(said, Said::Answer { .. });
+        must!(self.leave(whole), "a req is answered in its place");
         self.connection.say("process", self.sequence, said);
     }
 }
@@ -153,7 +147,7 @@
     fn drop(&mut self) {
         if !self.free.get() && std::thread::panicking() {
             self.answer(&Said::Crashed { fields: &[] });
-        } else if self.leave() {
+        } else if self.leave(false) {
             self.connection.out.wake();
         }
     }
@@ -166,10 +160,17 @@
     names: Names,
     /// All that were accepted and have not closed.
     connections: Mutex<Slab<Arc<Connection>>>,
-    most: usize,
+    admission: Mutex<Admission>,
+    /// When the clock of `admission` stood at zero, and before which time of that clock nothing is accepted.
+    zero: Instant,
+    paused: Mutex<Duration>,
+    /// After what time without use connections are asked to close, as was told last.
+    idle: Mutex<Duration>,
+    /// A descriptor that is given up to accept and close one connection when no other is left.
+    spare: Mutex<Option<std::fs::File>>,
+    refuses: bool,
     open_most: usize,
     recent: Mutex<Recent>,
-    leaving: AtomicBool,
     /// Where the connection comes from that is to be the last.
     last: Mutex<Option<SocketAddr>>,
 }
@@ -180,86 +181,124 @@
         kernel: Arc<Kernel>,
         store: Arc<Store>,
         names: Names,
-        sockets: usize,
+        admission: Admission,
+        refuses: bool,
         memory_mb: f64,
     ) -> Arc<Self> {
-        let most = sockets.saturating_sub(KEPT + store.most()).max(1);
-        let connections = Mutex::new(Slab::new());
         let open_most = (memory_mb * MEMORY_PART * 1024.0 / REQ_KB) as usize;
-        let (leaving, last) = (AtomicBool::new(false), Mutex::new(None));
-        let recent = Mutex::default();
-        Arc::new(Clients { gate, kernel, store, names, connections, most, open_most, recent, leaving, last })
+        Arc::new(Clients {
+            gate,
+            kernel,
+            store,
+            names,
+            connections: Mutex::new(Slab::new()),
+            admission: Mutex::new(admission),
+            zero: Instant::now(),
+            paused: Mutex::default(),
+            idle: Mutex::default(),
+            spare: Mutex::new(spare()),
+            refuses,
+            open_most,
+            recent: Mutex::default(),
+            last: Mutex::new(None),
+        })
+    }
+
+    /// Tells of what happened to connections, and carries out what is decided on it.
+    fn tell(&self, news: News) {
+        let mut admission = self.admission.lock();
+        let mut acts = Vec::new();
+        admission.on(self.zero.elapsed(), news, &mut acts);
+        self.carry_out(&acts);
+    }
+
+    /// Under the lock of the decisions, so that no act meets another connection of the same index.
+    fn carry_out(&self, acts: &[Act]) {
+        let connections = self.connections.lock();
+        for act in acts {
+            match *act {
+                Act::Ask { conn } => {
+                    if let Some(connection) = connections.get(conn) {
+                        connection.leave();
+                    }
+                }
+                Act::End { conn, cause } => {
+                    if let Some(connection) = connections.get(conn) {
+                        if cause == Cause::Slow {
+                            connection.slow.store(true, Ordering::Release);
+                        }
+                        connection.end();
+                    }
+                    if cause == Cause::Room
+                        && let Some(count) = CROWDS.pass()
+                    {
+                        log::warn!("connections are short, an idle one goes ({count} so far)");
+                    }
+                }
+                Act::Pause { until } => *self.paused.lock() = until,
+                // What comes is let in or refused where it came; alarms come by the sweep.
+                Act::Let { .. } | Act::Refuse { .. } | Act::Alarm { .. } => {}
+            }
+        }
     }
 
     /// Accepts until the listener is to be closed. What came before that is served.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
-            if self.connections.lock().len() >= self.most {
-                let pause = if self.make_room(true) { TURN_PAUSE } else { ACCEPT_PAUSE };
-                clock::sleep(pause);
+            let (may, acted) = {
+                let mut admission = self.admission.lock();
+                let mut acts = Vec::new();
+                let may = admission.may_accept(self.zero.elapsed(), &mut acts);
+                self.carry_out(&acts);
+                (may, !acts.is_empty())
+            };
+            if !may {
+                clock::sleep(if acted { TURN_PAUSE } else { ACCEPT_PAUSE });
                 continue;
             }
             match listener.accept() {
                 Ok((_, peer)) if Some(peer) == *self.last.lock() => return,
-                Ok((stream, _)) => {
-                    // Looked at before it is one of them: none goes for having just come.
-                    if (self.connections.lock().len() + 1) as f64 > self.most as f64 * CROWDED {
-                        self.make_room(false);
-                    }
-                    self.opened(stream);
-                }
+                Ok((stream, peer)) => self.opened(stream, peer.ip()),
                 Err(error) => {
-                    self.make_room(true);
                     if let Some(count) = ACCEPTS.pass() {
                         log::warn!("accept: {error} ({count} so far)");
                     }
-                    clock::sleep(ACCEPT_PAUSE);
+                    let trouble = trouble(&error);
+                    self.tell(News::Failed { trouble });
+                    if self.refuses && trouble == Trouble::NoDescriptor && self.turn_one_away(&listener) {
+                        return;
+                    }
+                    let left = self.paused.lock().saturating_sub(self.zero.elapsed());
+                    clock::sleep(left);
                 }
             }
         }
     }
 
-    /// Ends a connection on which nothing is open, so that another has its place: one that never said anything,
-    /// else the one that was used longest ago, which is asked to leave first unless all places are taken.
-    /// Yields whether one goes. Guards edge nodes against those who open connections and hold them.
-    fn make_room(&self, at_once: bool) -> bool {
-        let idle: Vec<_> = (self.all().into_iter())
-            .filter(|one| one.busy() == 0 && !one.ending.load(Ordering::Acquire))
-            .collect();
-        let asked = |one: &Arc<Connection>| *one.leaving.lock();
-        let silent = (idle.iter())
-            .filter(|one| {
-                !one.spoke.load(Ordering::Acquire) && (at_once || one.opened.elapsed() > SILENT_LEAST)
-            })
-            .min_by_key(|one| one.opened);
-        let left = (idle.iter())
-            .filter(|one| asked(one).is_some_and(|asked| asked.elapsed() > CROSSING))
-            .min_by_key(|one| asked(one));
-        let unused =
-            (idle.iter()).filter(|one| at_once || asked(one).is_none()).min_by_key(|one| *one.used.lock());
-        match (silent.or(left), unused) {
-            (Some(one), _) => one.end(),
-            (None, Some(one)) => {
-                one.leave();
-                if at_once {
-                    one.end();
-                }
-            }
-            (None, None) => return false,
-        }
-        if let Some(count) = CROWDS.pass() {
-            log::warn!("connections are short, an idle one goes ({count} so far)");
+    /// With no descriptor left, the spare one serves to accept and close a connection, so that its owner can go
+    /// elsewhere at once. Yields whether it was the last one.
+    fn turn_one_away(&self, listener: &TcpListener) -> bool {
+        let Some(file) = self.spare.lock().take() else {
+            *self.spare.lock() = spare();
+            return false;
+        };
+        drop(file);
+        // One stands in the backlog: the accept before failed for want of a descriptor, and not of that.
+        let last = match listener.accept() {
+            Ok((_, peer)) => Some(peer) == *self.last.lock(),
+            Err(_) => false,
+        };
+        *self.spare.lock() = spare();
+        if let Some(count) = REFUSED.pass() {
+            log::warn!("no descriptor is left, a connection is refused ({count} so far)");
         }
-        true
+        last
     }
 
     /// Has the listener closed behind all that came before, and asks all edge nodes to leave. A connection of
     /// our own is the last to be accepted.
     pub fn close(&self, listen: SocketAddr) -> io::Result<()> {
-        self.leaving.store(true, Ordering::Release);
-        for connection in self.all() {
-            connection.leave();
-        }
+        self.tell(News::Leave);
         let mut last = self.last.lock();
         let stream = std::net::TcpStream::connect_timeout(&listen, CLOSE_MOST)?;
         *last = Some(stream.local_addr()?);
@@ -281,58 +320,65 @@
         )
     }
 
-    /// Asks for the end of connections that stand idle, and ends those that were asked long ago.
+    /// Lets time pass for connections: what stands idle is asked to end, what takes too long is ended.
     pub fn sweep(&self) {
         let idle = self.gate.idle().saturating_add(IDLE_MORE);
-        for connection in self.all() {
-            if connection.overdue() {
-                connection.out.wake();
-            }
-            if connection.busy() > 0 {
-                continue;
-            }
-            let asked = *connection.leaving.lock();
-            let leaving = self.leaving.load(Ordering::Acquire);
-            if asked.is_some_and(|asked| asked.elapsed() > if leaving { CROSSING } else { CLOSING }) {
-                connection.end();
-            } else if leaving || connection.used.lock().elapsed() > idle {
-                connection.leave();
-            }
+        if std::mem::replace(&mut *self.idle.lock(), idle) != idle {
+            self.tell(News::Idle { after: idle });
         }
-    }
-
-    fn all(&self) -> Vec<Arc<Connection>> {
-        self.connections.lock().iter().map(|(_, connection)| connection.clone()).collect()
+        self.tell(News::Alarm);
     }
 
     /// A connection was accepted: from now on it is counted, and served by a coroutine of its own.
-    fn opened(self: &Arc<Self>, stream: TcpStream) {
+    fn opened(self: &Arc<Self>, stream: TcpStream, address: IpAddr) {
+        let mut admission = self.admission.lock();
+        let conn = self.connections.lock().vacant_key();
+        let mut acts = Vec::new();
+        admission.on(self.zero.elapsed(), News::Came { conn, address }, &mut acts);
+        let refused = acts.iter().find_map(|act| match act {
+            Act::Refuse { cause, .. } => Some(*cause),
+            _ => None,
+        });
+        if let Some(cause) = refused {
+            self.carry_out(&acts);
+            drop(admission);
+            // Unread, at once: its owner sees the end of the connection and can go elsewhere.
+            drop(stream);
+            if let Some(count) = REFUSED.pass() {
+                log::warn!("a connection of {address} is refused: {cause:?} ({count} so far)");
+            }
+            return;
+        }
         let link = Link::new(stream, IN_MOST, OUT_MOST);
         let connection = Arc::new(Connection {
             out: link.out.clone(),
             open: Mutex::new(HashMap::new()),
             checks: AtomicUsize::new(0),
-            used: Mutex::new(Instant::now()),
             opened: Instant::now(),
-            awaited: Mutex::new(Some(Instant::now())),
-            spoke: AtomicBool::new(false),
-            leaving: Mutex::new(None),
+            conn,
+            asked: AtomicBool::new(false),
             ending: AtomicBool::new(false),
+            slow: AtomicBool::new(false),
         });
-        let at = self.connections.lock().insert(connection.clone());
-        if self.leaving.load(Ordering::Acquire) {
-            connection.leave();
-        }
+        self.connections.lock().insert(connection.clone());
+        self.carry_out(&acts);
+        drop(admission);
         let clients = self.clone();
-        spawn(move || clients.serve(link, at, &connection));
+        spawn(move || clients.serve(link, &connection));
     }
 
     /// A connection, from its opening to its end.
-    fn serve(self: &Arc<Self>, mut link: Link, at: usize, connection: &Arc<Connection>) {
+    fn serve(self: &Arc<Self>, mut link: Link, connection: &Arc<Connection>) {
         let end = self.carry(&mut link, connection);
         // Closed before its place is another's.
         drop(link);
-        self.connections.lock().remove(at);
+        {
+            let mut admission = self.admission.lock();
+            let mut acts = Vec::new();
+            admission.on(self.zero.elapsed(), News::Closed { conn: connection.conn }, &mut acts);
+            self.connections.lock().remove(connection.conn);
+            self.carry_out(&acts);
+        }
         // Cut off: nobody waits for what was open here.
         if let Err(error) = end {
             log::debug!("a connection broke: {error}");
@@ -346,9 +392,13 @@
     /// Moves bytes until the edge node has closed and all is answered, or the connection breaks.
     fn carry(self: &Arc<Self>, link: &mut Link, connection: &Arc<Connection>) -> io::Result<()> {
         // After something that is no message nothing more is read, but what is open is answered.
-        let mut readable = true;
+        let (mut readable, mut begun, mut asked) = (true, false, false);
         let mut faults = 0;
         loop {
+            // Where there is no room, the next look asks.
+            if !asked && connection.asked.load(Ordering::Acquire) {
+                asked = link.out.add(&[&thrift::no_more(0)]) == Added::Yes;
+            }
             link.flush()?;
             let (mut more, mut turn) = (readable, 0);
             let room = |link: &Link| connection.busy() < OPEN_MOST && link.out.len() < UNREAD_MOST;
@@ -367,9 +417,8 @@
                     let message = thrift::read(&link.input.whole()[4..4 + length]);
                     link.input.consume(4 + length);
                     turn += 1;
-                    *connection.used.lock() = Instant::now();
-                    *connection.awaited.lock() = None;
-                    connection.spoke.store(true, Ordering::Release);
+                    begun = false;
+                    self.tell(News::Message { conn: connection.conn });
                     readable = match message {
                         None => false,
                         Some(message) => {
@@ -381,10 +430,14 @@
                     };
                 }
             }
-            if readable && turn < TURN_MOST && link.input.len() > 0 && room(link) {
-                connection.awaited.lock().get_or_insert_with(Instant::now);
+            let half = readable && turn < TURN_MOST && link.input.len() > 0 && room(link);
+            if half && !std::mem::replace(&mut begun, true) {
+                self.tell(News::Began { conn: connection.conn });
             }
-            if readable && connection.overdue() {
+            let ending = connection.ending.load(Ordering::Acquire);
+            if readable
+                && (connection.slow.load(Ordering::Acquire) || half && ending && connection.busy() == 0)
+            {
                 readable = false;
                 if let Some(count) = SILENT.pass() {
                     log::warn!("no whole message in time, a connection ends ({count} so far)");
@@ -403,7 +456,7 @@
                 return Ok(());
             }
             // What has come is read first.
-            if done && link.input.len() == 0 && connection.ending.load(Ordering::Acquire) {
+            if done && link.input.len() == 0 && ending {
                 return Ok(());
             }
             if turn < TURN_MOST { link.wait() } else { clock::sleep(TURN_PAUSE) }
@@ -432,6 +485,7 @@
                     }
                     Ok(read) => {
                         connection.open.lock().insert(sequence, read.incoming.id.clone());
+                        self.tell(News::Opened { conn: connection.conn });
                         let (clients, connection) = (self.clone(), connection.clone());
                         spawn(move || clients.live(&connection, sequence, read, body.into()));
                         return true;
@@ -441,6 +495,7 @@
             }
             Ok(Asked::Probe { deep }) => {
                 connection.checks.fetch_add(1, Ordering::AcqRel);
+                self.tell(News::Opened { conn: connection.conn });
                 let (clients, connection) = (self.clone(), connection.clone());
                 spawn(move || clients.check(&connection, sequence, deep));
                 return true;
@@ -450,6 +505,7 @@
         if let Some(count) = GARBLED.pass() {
             log::warn!("{method}: {fault:?} ({count} so far)");
         }
+        self.tell(News::Fault { conn: connection.conn });
         if !message.oneway {
             connection.say(&method, sequence, &Said::Exception(&fault));
         }
@@ -464,7 +520,7 @@
         incoming.age = unix_now().saturating_sub(came);
         // It is told as it was when the req came.
         incoming.patience = incoming.patience.map(|patience| patience.saturating_sub(incoming.age));
-        let place = Place { connection, sequence, free: Cell::new(false) };
+        let place = Place { clients: self, connection, sequence, free: Cell::new(false) };
         let say = |said: &Said| place.answer(said);
         let ticket = match self.gate.enter(incoming) {
             Ok(ticket) => ticket,
@@ -533,6 +589,7 @@
         let good = self.gate.healthy() && (!deep || self.kernel.works(CHECK_MOST));
         let fields: Vec<_> = self.signal().into_iter().collect();
         connection.checks.fetch_sub(1, Ordering::AcqRel);
+        self.tell(News::Answered { conn: connection.conn, whole: false });
         connection.say("probe", sequence, &Said::Answer { body: &[], fields: &fields, good });
     }
 }
@@ -552,6 +609,22 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
+/// A descriptor for bad days; without it one more connection is refused later, no more.
+fn spare() -> Option<std::fs::File> {
+    std::fs::File::open("/dev/null").ok()
+}
+
+/// What an accept that failed tells.
+fn trouble(error: &io::Error) -> Trouble {
+    match error.raw_os_error() {
+        Some(EMFILE) => Trouble::NoDescriptor,
+        Some(ENFILE) => Trouble::MachineFull,
+        Some(ENOBUFS | ENOMEM) => Trouble::NoMemory,
+        _ if error.kind() == io::ErrorKind::ConnectionAborted => Trouble::Aborted,
+        _ => Trouble::NoDescriptor,
+    }
+}
+
 impl Clients {
     /// What the fields of a req say, where that makes sense; it came over a connection that was opened then.
     fn read_fields(&self, fields: &Fields, opened: Instant) -> Result<Read, Fault> {
