Admitting connections: caps by address, a reserve for known clients, refusal at once

Need: one address that opens thousands must not keep known clients out, and descriptors that run out must neither hang nor end the server. Tests seen to fail without their code.

--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -289,7 +289,7 @@
 fn two_clients_do_not_chase_each_other_out() {
     let mut world = World::new(Terms { caps: None, ..terms() });
     // All places but a few are busy; two clients use theirs every 100 ms.
-    for host in 0..34u8 {
+    for host in 0..38u8 {
         let conn = world.come(v4(126, host, 1, 1)).unwrap();
         world.tell(News::Opened { conn });
         world.open.get_mut(&conn).unwrap().1 = 1;
@@ -374,6 +374,11 @@
     // Warm, nearly: most places are there, and others have theirs.
     let others = (0..30u8).filter(|&host| world.come(v4(127, 2, host, 1)).is_some()).count();
     assert!(others >= 20, "{others}");
+    // A herd of many addresses finds no more than that part, either.
+    let mut world =
+        World::new(Terms { caps: None, cold_part: 0.25, warm_up: Duration::from_secs(10), ..terms() });
+    let herd = (0..100u8).filter(|&host| world.come(v4(127, 3, host, 1)).is_some()).count();
+    assert!((10..=13).contains(&herd), "{herd}");
 }
 
 #[test]
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,56 @@
 pub struct Product {
     #[garde(dive)]
     pub trace: Option<Tracing>,
+    #[garde(dive)]
+    pub admission: Option<Admitting>,
+}
+
+/// Which connections are let in. What is left out is derived from the descriptors and the number of callers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Validate)]
+pub struct Admitting {
+    #[serde(default = "yes")]
+    #[garde(skip)]
+    pub enabled: bool,
+    /// "refuse" newcomers at once when all places are taken, or have them "wait" in the backlog.
+    #[serde(default = "refuse")]
+    #[garde(custom(wait_or_refuse))]
+    pub when_full: String,
+    /// The part of the places that is kept for known clients.
+    #[serde(default = "known_part")]
+    #[garde(range(min = 0.0, max = 0.9))]
+    pub known_part: f64,
+    /// Networks that are known without having earned it.
+    #[serde(default)]
+    #[garde(inner(custom(one_network)))]
+    pub known: Vec<String>,
+    /// Standing of a known client halves in this time.
+    #[serde(default = "half_life", with = "humantime_serde")]
+    #[garde(custom(between(Duration::from_secs(10), Duration::from_secs(86_400))))]
+    pub half_life: Duration,
+    /// A cold server lets in this part of its places, rising to all while it warms up.
+    #[serde(default = "all")]
+    #[garde(range(min = 0.05, max = 1.0))]
+    pub cold_part: f64,
+    #[serde(default)]
+    #[garde(dive)]
+    pub address: Cap,
+    #[serde(default)]
+    #[garde(dive)]
+    pub network: Cap,
+    #[serde(default)]
+    #[garde(dive)]
+    pub wide: Cap,
+}
+
+/// Bounds of an address (/32, /128), of the network around it (/24, /64), or of a wider one (/16, /48).
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Validate)]
+pub struct Cap {
+    /// Connections open at a time.
+    #[garde(inner(range(min = 1, max = 1_000_000)))]
+    pub open: Option<u32>,
+    /// Connections opened in a second, as a mean over three.
+    #[garde(inner(range(min = 1, max = 1_000_000)))]
+    pub rate: Option<u32>,
 }
 
 /// Recording of what happens to each req.
@@ -85,6 +135,28 @@
     ByteSize::gib(2)
 }
 
+fn refuse() -> String {
+    "refuse".into()
+}
+fn known_part() -> f64 {
+    0.5
+}
+fn half_life() -> Duration {
+    Duration::from_secs(600)
+}
+fn all() -> f64 {
+    1.0
+}
+
+fn wait_or_refuse(word: &str, _: &()) -> garde::Result {
+    let wrong = || garde::Error::new(format!("'{word}' is neither \"refuse\" nor \"wait\""));
+    if matches!(word, "refuse" | "wait") { Ok(()) } else { Err(wrong()) }
+}
+
+fn one_network(text: &str, _: &()) -> garde::Result {
+    text.parse::<tulipgap_admission::Prefix>().map(|_| ()).map_err(garde::Error::new)
+}
+
 /// What a file needs beside its blocks: one that was begun, names, the index.
 const BESIDE: ByteSize = ByteSize::mib(2);
 
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -18,6 +18,10 @@
     Time,
     /// A size such as "64 MiB".
     Size,
+    /// A number from 0 to 1.
+    Part,
+    /// A list of texts.
+    Texts,
     Block(&'static [Name]),
 }
 
@@ -44,7 +48,19 @@
     name("keep_size", Takes::Size),
     name("sync", Takes::Flag),
 ];
-const FILE: &[Name] = &[name("trace", Takes::Block(TRACE))];
+const CAP: &[Name] = &[name("open", Takes::Whole), name("rate", Takes::Whole)];
+const ADMISSION: &[Name] = &[
+    name("enabled", Takes::Flag),
+    name("when_full", Takes::Text),
+    name("known_part", Takes::Part),
+    name("known", Takes::Texts),
+    name("half_life", Takes::Time),
+    name("cold_part", Takes::Part),
+    name("address", Takes::Block(CAP)),
+    name("network", Takes::Block(CAP)),
+    name("wide", Takes::Block(CAP)),
+];
+const FILE: &[Name] = &[name("trace", Takes::Block(TRACE)), name("admission", Takes::Block(ADMISSION))];
 
 /// How much two names may differ for one to be meant by the other, of 1.
 const NEAR: f64 = 0.7;
@@ -61,8 +77,9 @@
             if let Some(&place) = self.0.get(path) {
                 return place;
             }
-            let Some((around, _)) = path.rsplit_once('.') else { return (1, 1) };
-            path = around;
+            // An entry of a list stands where the list does.
+            let Some(end) = path.rfind(['.', '[']) else { return (1, 1) };
+            path = &path[..end];
         }
     }
 }
@@ -173,6 +190,10 @@
         Takes::Whole => whole(value),
         Takes::Time => text().is_some_and(time),
         Takes::Size => whole(value) || text().is_some_and(|text| text.parse::<bytesize::ByteSize>().is_ok()),
+        Takes::Part => matches!(value, Expression::Number(number) if number.as_f64().is_some()),
+        Takes::Texts => {
+            matches!(value, Expression::Array(all) if all.iter().all(|one| matches!(one, Expression::String(_))))
+        }
         Takes::Block(_) => false,
     };
     let wanted = match takes {
@@ -181,6 +202,8 @@
         Takes::Whole => "a whole number of 0 or more",
         Takes::Time => "a time such as \"2s\" or \"1h 30m\"",
         Takes::Size => "a size such as \"64 MiB\"",
+        Takes::Part => "a number from 0 to 1",
+        Takes::Texts => "a list of texts such as [\"10.1.0.0/16\"]",
         Takes::Block(_) => "a block",
     };
     if fine { Ok(()) } else { Err(format!("it takes {wanted}")) }
--- a/crates/config/src/tests.rs
+++ b/crates/config/src/tests.rs
@@ -67,3 +67,24 @@
         understand(&mixed).is_ok() || !problems(&mixed).is_empty()
     }
 }
+
+#[test]
+fn the_block_on_connections_is_checked_as_a_whole() {
+    let text =
+        "admission {\n  known_part = 0.4\n  known = [\"10.0.0.0/8\"]\n  address {\n    open = 32\n  }\n}\n";
+    let admission = understand(text).unwrap().admission.unwrap();
+    assert_eq!((admission.known_part, admission.address.open, admission.wide.open), (0.4, Some(32), None));
+    assert_eq!((&admission.when_full[..], admission.cold_part), ("refuse", 1.0));
+    let text = "admission {\n  known_part = 2\n  known = [\"here\"]\n  when_full = \"hope\"\n  address {\n    open = 0\n  }\n}\n";
+    let told = problems(text);
+    assert_eq!(told.len(), 4, "{told:?}");
+    for (place, name) in
+        [("2:3", "known_part"), ("3:3", "known"), ("4:3", "when_full"), ("6:5", "address.open")]
+    {
+        assert!(
+            told.iter().any(|p| p.starts_with(&format!("{place}: admission.{name}"))),
+            "{name}: {told:?}"
+        );
+    }
+    assert_eq!(problems("admission {\n  known = \"x\"\n}\n").len(), 1);
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -22,6 +22,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tulipgap_admission::{Admission, Part, Terms, WhenFull};
+use tulipgap_config::{Admitting, Cap};
 
 use config::{Told, Where};
 use gate::Gate;
@@ -87,7 +88,7 @@
             Err(error) => return refuse(&format!("trace: {error}")),
         },
     };
-    serve(told, path, listener, signals, tracer.clone());
+    serve(told, path, listener, signals, tracer.clone(), product.admission);
     if let Some(tracer) = tracer {
         tracer.finish();
         ::log::info!("{}", tracer.told());
@@ -96,12 +97,13 @@
     ExitCode::SUCCESS
 }
 
-/// What is decided on connections by: as far as nothing else is configured, newcomers wait in the backlog for a place
-/// and nothing goes by address.
-fn terms(told: &Told, store: usize) -> Terms {
-    Terms {
+/// What is decided on connections by. As far as nothing is configured, newcomers wait in the backlog for a place and
+/// nothing goes by address; what a configuration leaves out is derived from the places and the number of callers.
+fn terms(told: &Told, store: usize, admitting: Option<&Admitting>) -> Terms {
+    let store = store.min(told.sockets.saturating_sub(KEPT + 1));
+    let plain = Terms {
         descriptors: told.sockets,
-        reserves: vec![(Part::Own, KEPT), (Part::Store, store.min(told.sockets.saturating_sub(KEPT + 1)))],
+        reserves: vec![(Part::Own, KEPT), (Part::Store, store)],
         caps: None,
         when_full: WhenFull::Wait,
         listed: Vec::new(),
@@ -110,6 +112,32 @@
         idle: told.given.idle_link.saturating_add(IDLE_MORE),
         cold_part: 1.0,
         warm_up: Duration::ZERO,
+    };
+    let Some(admitting) = admitting.filter(|admitting| admitting.enabled) else { return plain };
+    let places = told.sockets - KEPT - store;
+    // As many as all callers could have each, with room for twice that; never all of it.
+    let each = (2 * places / told.given.callers.max(4) as usize).clamp(4, places.max(5) - 1) as u32;
+    let cap = |cap: &Cap, open: u32| {
+        let open = cap.open.unwrap_or(open);
+        tulipgap_admission::Cap { open, rate: cap.rate.unwrap_or(open.max(8)) }
+    };
+    let most = places as u32;
+    let mut reserves = plain.reserves;
+    reserves.push((Part::KnownClients, (places as f64 * admitting.known_part) as usize));
+    Terms {
+        reserves,
+        caps: Some([
+            cap(&admitting.address, each),
+            cap(&admitting.network, most.max(1)),
+            cap(&admitting.wide, most.max(1)),
+        ]),
+        when_full: if admitting.when_full == "wait" { WhenFull::Wait } else { WhenFull::Refuse },
+        // They were checked when the file was read.
+        listed: admitting.known.iter().filter_map(|network| network.parse().ok()).collect(),
+        half_life: admitting.half_life,
+        cold_part: admitting.cold_part,
+        warm_up: if told.given.cold { told.given.warm_up } else { Duration::ZERO },
+        ..plain
     }
 }
 
@@ -124,13 +152,14 @@
     listener: TcpListener,
     mut signals: Signals,
     tracer: Option<Arc<Tracer>>,
+    admitting: Option<Admitting>,
 ) {
     ::log::info!("{} listens on {}", told.name, told.listen);
     let grace = told.given.drain_grace;
     let gate = Arc::new(Gate::new(told.given.clone(), told.seed, tracer));
     let kernel = Kernel::new(told.peers.kernel, gate.clone(), told.names.gauges.clone());
     let store = Store::new(told.peers.store, gate.clone(), told.sockets / STORE_PART);
-    let terms = terms(&told, store.most());
+    let terms = terms(&told, store.most(), admitting.as_ref());
     let refuses = terms.when_full == WhenFull::Refuse;
     let admission = match Admission::new(terms, told.seed) {
         Ok(admission) => admission,
--- /dev/null
+++ b/crates/server/tests/program/admitting.rs
@@ -0,0 +1,168 @@
+//! The program with bounds on connections: floods, known clients, descriptors that run out. Source addresses from
+//! 127.0.0.0/8 play the clients.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Socket, Type};
+
+use crate::stand::*;
+
+/// Ends the flood, also when the test fails before.
+struct Ends(Arc<AtomicBool>);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Release);
+    }
+}
+
+/// Far longer than a connection that is let in takes, far shorter than one that waits for a place.
+const PROMPT: Duration = Duration::from_secs(5);
+
+fn settings(text: &str) -> (tempfile::TempDir, std::path::PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("tulipgap.hcl");
+    std::fs::write(&file, format!("admission {{\n{text}\n}}\n")).unwrap();
+    (folder, file)
+}
+
+/// A connection from that address; `None` where the server's end of it is not to be had.
+fn from(stand: &Stand, address: [u8; 4]) -> Option<Edge> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from((Ipv4Addr::from(address), 0)).into()).ok()?;
+    let host: Ipv4Addr = stand.host.parse().unwrap();
+    socket.connect_timeout(&SocketAddr::from((host, 6565)).into(), PROMPT).ok()?;
+    let stream: TcpStream = socket.into();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    Some(Edge { stream })
+}
+
+/// Sends a req, and tells whether it was answered before the connection ended.
+fn served(edge: &mut Edge, sequence: u32, id: u64) -> bool {
+    use std::io::Write;
+    // What was refused may be closed before all is written.
+    let message = edge.message(sequence, &fields(&format!("{id:016x}"), "20.0"), b"run");
+    edge.stream.write_all(&message).is_ok() && edge.answer().is_some_and(|answer| answer.kind == Kind::Answer)
+}
+
+/// Has an address earn that it is known: reqs done over some seconds.
+fn earn(stand: &Stand, address: [u8; 4], ids: &AtomicU32) {
+    let mut edge = from(stand, address).unwrap();
+    let start = Instant::now();
+    for sequence in 1.. {
+        assert!(served(&mut edge, sequence, ids.fetch_add(1, Ordering::Relaxed).into()));
+        if sequence > 6 && start.elapsed() > Duration::from_millis(2600) {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn known_clients_get_in_while_one_address_opens_thousands() {
+    let (_folder, file) = settings("  known_part = 0.5");
+    let stand = Arc::new(stand_told(128, Some(&file)));
+    let ids = Arc::new(AtomicU32::new(1));
+    let known: Vec<[u8; 4]> = (1..=8).map(|host| [127, 200, 1, host]).collect();
+    std::thread::scope(|scope| {
+        for &address in &known {
+            let (stand, ids) = (&stand, &ids);
+            scope.spawn(move || earn(stand, address, ids));
+        }
+    });
+    let flooding = Arc::new(AtomicBool::new(true));
+    let ends = Ends(flooding.clone());
+    let flood = {
+        let (stand, flooding) = (stand.clone(), flooding.clone());
+        std::thread::spawn(move || {
+            let (mut held, mut tried) = (Vec::new(), 0u32);
+            while flooding.load(Ordering::Acquire) || tried < 5000 {
+                tried += 1;
+                held.extend(from(&stand, [127, 99, 9, 9]));
+                // Its own descriptors are bounded, too: the oldest go.
+                if held.len() > 400 {
+                    held.drain(..200);
+                }
+            }
+            tried
+        })
+    };
+    let mut slowest = Duration::ZERO;
+    for turn in 0..5 {
+        for &address in &known {
+            let start = Instant::now();
+            let mut edge = from(&stand, address).expect("it connects");
+            assert!(
+                served(&mut edge, 1, ids.fetch_add(1, Ordering::Relaxed).into()),
+                "turn {turn}, {address:?}"
+            );
+            slowest = slowest.max(start.elapsed());
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    drop(ends);
+    assert!(flood.join().unwrap() >= 5000);
+    println!("slowest of 40 known ones: {slowest:?}");
+    assert!(slowest < PROMPT, "{slowest:?}");
+    let files = std::fs::read_dir(format!("/proc/{}/fd", stand.child.id())).unwrap().count();
+    assert!(files <= 128, "{files} descriptors");
+}
+
+#[test]
+fn one_address_holds_its_cap_and_is_refused_at_once_beyond() {
+    let (_folder, file) = settings("  address {\n    open = 5\n    rate = 1000\n  }");
+    let stand = stand_told(256, Some(&file));
+    let mut edges: Vec<Edge> = (0..12).filter_map(|_| from(&stand, [127, 98, 1, 1])).collect();
+    let in_time: Vec<bool> = (1..).zip(&mut edges).map(|(id, edge)| served(edge, 1, id)).collect();
+    assert_eq!(in_time.iter().filter(|&&served| served).count(), 5);
+    // Who is refused learns it at once, and not by waiting.
+    let start = Instant::now();
+    let mut refused = from(&stand, [127, 98, 1, 1]).unwrap();
+    assert!(refused.is_closed() && start.elapsed() < PROMPT);
+    let mut other = from(&stand, [127, 98, 1, 2]).unwrap();
+    assert!(served(&mut other, 1, 77), "another address has its own");
+    drop(edges);
+    until("the place is free again", || {
+        from(&stand, [127, 98, 1, 1])
+            .is_some_and(|mut edge| served(&mut edge, 1, 99 + u64::from(fastrand::u32(..))))
+    });
+}
+
+/// The system's own limit lies below what the server was told, so that it runs out in earnest; reqs that were read are
+/// answered, also while it leaves.
+#[test]
+fn descriptors_that_run_out_in_earnest_lose_no_req_that_was_read() {
+    let (_folder, file) =
+        settings("  when_full = \"refuse\"\n  address {\n    open = 1000\n    rate = 1000\n  }");
+    let mut stand = stand_limited(256, 60, &file);
+    let mut early: Vec<Edge> = (1..=3).map(|host| from(&stand, [127, 97, 1, host]).unwrap()).collect();
+    for (id, edge) in (1u32..).zip(&mut early) {
+        edge.req(1, &format!("{id:016x}"), b"hang");
+    }
+    until("they run", || stand.kernel.lock().unwrap().runs.len() == 3);
+    // Far more than there are descriptors; each is let in, refused or waits, and none stops the server.
+    let many: Vec<Edge> = (0..120).filter_map(|at| from(&stand, [127, 96, 1, at % 4])).collect();
+    assert!(stand.child.try_wait().unwrap().is_none());
+    drop(many);
+    until("it takes new ones again", || {
+        from(&stand, [127, 95, 1, 1]).is_some_and(|mut edge| served(&mut edge, 1, fastrand::u64(..)))
+    });
+    // Once more, and then it leaves.
+    let many: Vec<Edge> = (0..120).filter_map(|at| from(&stand, [127, 96, 1, at % 4])).collect();
+    stand.signal("TERM");
+    let notice = early[0].answer();
+    assert!(notice.is_some_and(|answer| answer.kind == Kind::NoMore), "it leaves");
+    for id in 1..=3 {
+        stand.kernel.lock().unwrap().end(&format!("{id:016x}"), "success", b"late, and whole");
+    }
+    for edge in &mut early {
+        let answer = std::iter::from_fn(|| edge.answer()).find(|answer| answer.kind != Kind::NoMore);
+        assert!(answer.is_some_and(|answer| answer.kind == Kind::Answer && answer.holds(b"late, and whole")));
+    }
+    drop(many);
+    drop(early);
+    assert!(stand.ended().success());
+}
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -1,5 +1,6 @@
 //! The program as a whole, on loopback.
 
+mod admitting;
 mod cost;
 mod recording;
 mod serving;
--- a/crates/server/tests/program/stand.rs
+++ b/crates/server/tests/program/stand.rs
@@ -237,6 +237,20 @@
     command.env("LB_CONFIG", file).stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap()
 }
 
+/// A backend that is told of more descriptors than the system lets it have.
+pub fn stand_limited(sockets: usize, limit: usize, settings: &std::path::Path) -> Stand {
+    let host = host();
+    let (kernel, store) = (listen(Shared::default(), &host), store(&host));
+    let file = file(&host, &told(&host).replace("1024", &sockets.to_string()));
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {limit}; exec \"$0\" --settings \"$1\"")]);
+    command.arg(env!("CARGO_BIN_EXE_tulipgapd")).arg(settings);
+    let child = command.env("LB_CONFIG", &file).stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    let stand = Stand { host, kernel, store, child, file };
+    stand.serves();
+    stand
+}
+
 pub fn told(host: &str) -> String {
     let settings = r#"{"classes":[{"name":"page","objective":10000.0,"deadline":20000.0,"worth":1.0,"effect":"pure"}],
         "family_info":{"below":"shared","calls_out":20.0,"share_span":5000.0,"stays_for":100.0,"blowup":4.0,"cores":4,
@@ -360,10 +374,14 @@
     fields
 }
 
+fn call(sequence: u32, method: &str, arguments: &[u8]) -> Vec<u8> {
+    let head = [&b"\x80\x01\0\x01"[..], &string(method.as_bytes()), &sequence.to_be_bytes()].concat();
+    string(&[&head, arguments].concat())
+}
+
 impl Edge {
     pub fn call(&mut self, sequence: u32, method: &str, arguments: &[u8]) {
-        let head = [&b"\x80\x01\0\x01"[..], &string(method.as_bytes()), &sequence.to_be_bytes()].concat();
-        self.stream.write_all(&string(&[&head, arguments].concat())).unwrap();
+        self.stream.write_all(&call(sequence, method, arguments)).unwrap();
     }
 
     pub fn oneway(&mut self, sequence: u32, method: &str) {
@@ -372,12 +390,18 @@
     }
 
     pub fn process(&mut self, sequence: u32, fields: &[(&str, String)], body: &[u8]) {
+        let message = self.message(sequence, fields, body);
+        self.stream.write_all(&message).unwrap();
+    }
+
+    /// A req as it is written.
+    pub fn message(&self, sequence: u32, fields: &[(&str, String)], body: &[u8]) -> Vec<u8> {
         let mut map = [&b"\x0d\0\x01\x0b\x0b"[..], &(fields.len() as u32).to_be_bytes()].concat();
         for (name, value) in fields {
             map.extend([string(name.as_bytes()), string(value.as_bytes())].concat());
         }
         let arguments = [&map[..], b"\x0b\0\x02", &string(body), b"\0"].concat();
-        self.call(sequence, "process", &arguments);
+        call(sequence, "process", &arguments)
     }
 
     pub fn req(&mut self, sequence: u32, id: &str, body: &[u8]) {
