--- a/deploy/tulipgap.hcl
+++ b/deploy/tulipgap.hcl
@@ -10,3 +10,9 @@
   rotate_after = "1h"
   keep_size    = "2 GiB"
 }
+
+admission {
+  enabled    = false
+  when_full  = "refuse"
+  known_part = 0.5
+}
