Trace: files surveyed once, one way to read a block's frame, a bound that info lacked

Cause, from a reread: info read a block as long as a file's index claims, without the bound that other readers have; a merge surveyed each file twice for its progress, a cut did the same, which for a torn file is a whole reading more. Change: block and sizes read by one function with the bound; merge tells its progress how many records there are; a cut goes on with the survey that it made.

--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -134,14 +134,12 @@
     let (survey, wanted) = choose(&mut trace, path, choice)?;
     let head = head_of(output.format, &trace.head().server.clone(), trace.head().start);
     let mut writer = Writer::new(Output::new(&output.output)?, head, Pace::default())?;
-    // A stream that is read from its start to its end would read what the survey read again; so be it.
-    let done = copy(trace, &wanted, &mut writer, |_| {})?;
+    let done = copy_surveyed(trace, survey, &wanted, &mut writer, |_| {})?;
     finish(path, writer, &done.losses, &done.unknown)?;
-    let whole = done.losses.is_empty() && survey.losses.is_empty();
     if done.records == 0 {
         eprintln!("tulipgap: {}: no record is of that choice", path.display());
     }
-    Ok(Verdict::Whole.and(whole && done.records > 0))
+    Ok(Verdict::Whole.and(done.losses.is_empty() && done.records > 0))
 }
 
 /// Ends a file that was made, and says what it lacks.
@@ -222,13 +220,12 @@
         return Err(Failure::Usage(format!("--offset: no file is of server '{server}'")));
     }
     let start = sources.iter().map(|source| source.trace.head().start).min().unwrap_or(0);
-    let mut all = 0;
-    for path in paths {
-        all += open(path)?.survey().map_err(failed(path))?.index.records();
-    }
     let mut writer = Writer::new(Output::new(output)?, head_of(NEWEST, "merged", start), Pace::default())?;
-    let bar = progress("merging", all);
-    let done = merge(sources, &mut writer, |records| bar.set_position(records))?;
+    let bar = progress("merging", 0);
+    let done = merge(sources, &mut writer, |records, all| {
+        bar.set_length(all);
+        bar.set_position(records);
+    })?;
     bar.finish_and_clear();
     writer.finish()?.0.commit()?;
     for (path, first) in &done.twice {
@@ -250,7 +247,7 @@
 fn estimated(paths: &[PathBuf]) -> Result<Vec<(String, Clock)>, Failure> {
     let spool = tempfile::tempfile()?;
     let mut writer = Writer::new(BufWriter::new(spool), head_of(NEWEST, "merged", 0), Pace::default())?;
-    merge(sources(paths, &BTreeMap::new())?, &mut writer, |_| {})?;
+    merge(sources(paths, &BTreeMap::new())?, &mut writer, |_, _| {})?;
     let servers = writer.names().servers.clone();
     let (out, _) = writer.finish()?;
     let mut spool = out.into_inner().map_err(io::IntoInnerError::into_error)?;
--- a/crates/trace/src/cut.rs
+++ b/crates/trace/src/cut.rs
@@ -72,9 +72,20 @@
     wanted: &Wanted,
     out: &mut Writer<W>,
     change: impl FnMut(&mut Record),
+) -> Result<Span, MergeError> {
+    let survey = trace.survey().map_err(|error| MergeError::Read("input".into(), error))?;
+    copy_surveyed(trace, survey, wanted, out, change)
+}
+
+/// The same for a file that was surveyed already.
+pub fn copy_surveyed<R: Read + Seek, W: Write>(
+    trace: Trace<R>,
+    Survey { mut index, gaps, losses, indexed }: Survey,
+    wanted: &Wanted,
+    out: &mut Writer<W>,
+    mut change: impl FnMut(&mut Record),
 ) -> Result<Span, MergeError> {
     let read = |error| MergeError::Read("input".into(), error);
-    let Survey { mut index, gaps, losses, indexed } = trace.survey().map_err(read)?;
     if !indexed {
         // It was read whole already, but for the records.
         return stream(trace.again().map_err(read)?, wanted, out, change);
@@ -83,7 +94,6 @@
     for gap in gaps.iter().filter(|gap| touches(wanted, gap)) {
         out.gap(gap)?;
     }
-    let mut change = change;
     let mut trace = trace.wanted(wanted.clone());
     let mut translation = Translation::new(trace.names(), out);
     for at in index.find(wanted) {
--- a/crates/trace/src/frames.rs
+++ b/crates/trace/src/frames.rs
@@ -12,6 +12,8 @@
 pub const CHECK: usize = 4;
 /// The longest frame there is; no length beyond it is believed.
 pub const FRAME_MOST: usize = 8 * 1024 * 1024;
+/// The longest that a frame is with its head and check.
+pub const WHOLE_MOST: u64 = (FRAME_MOST + HEAD + CHECK) as u64;
 const READ: usize = 64 * 1024;
 
 pub const HEADER: u8 = b'H';
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -26,7 +26,7 @@
 pub use anonymise::{Hiding, Key, KeyError, anonymise};
 pub use clocks::{Clock, estimate};
 pub use columns::{COLUMNS, Column, Kind};
-pub use cut::{Findings, Span, check, copy, stream};
+pub use cut::{Findings, Span, check, copy, copy_surveyed, stream};
 pub use heads::{Gap, Head, Names, Why};
 pub use index::{Index, Place, Wanted};
 pub use join::{Joiner, Link, Seen};
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -123,17 +123,18 @@
     }
 }
 
-/// Merges files into one; `progress` hears of the records written so far.
+/// Merges files into one; `progress` hears of the records written so far, and of how many there are.
 pub fn merge<R: Read + Seek, W: Write>(
     sources: Vec<Source<R>>,
     out: &mut Writer<W>,
-    mut progress: impl FnMut(u64),
+    mut progress: impl FnMut(u64, u64),
 ) -> Result<Merged, MergeError> {
     if out.head().version != NEWEST {
         return Err(MergeError::Version);
     }
     let mut merged = Merged::default();
     let mut files: Vec<Ordered<R>> = Vec::new();
+    let mut all = 0;
     for mut source in sources {
         // The same file by its id; a file that lost its header has none.
         let id = source.trace.head().file.clone();
@@ -155,6 +156,7 @@
             gap.to = gap.to.saturating_add(source.offset);
             out.gap(&gap)?;
         }
+        all += index.records();
         let translation = Translation::new(source.trace.names(), out);
         let mut blocks = index.places().to_vec();
         blocks.sort_by_key(|place| Reverse((place.from, place.at)));
@@ -182,7 +184,7 @@
                 out.push(record)?;
                 merged.records += 1;
                 if merged.records.is_multiple_of(8192) {
-                    progress(merged.records);
+                    progress(merged.records, all);
                     let held = files.iter().map(|file| file.held.len()).sum();
                     merged.held_most = merged.held_most.max(held);
                 }
--- a/crates/trace/src/reader.rs
+++ b/crates/trace/src/reader.rs
@@ -391,26 +391,33 @@
         input.seek(SeekFrom::Start(at))?;
         let mut bytes = Vec::new();
         // A length of its own bounds what is read: an index is one frame.
-        let most = (end - at).min((frames::FRAME_MOST + frames::HEAD + frames::CHECK) as u64);
-        input.take(most).read_to_end(&mut bytes)?;
+        input.take((end - at).min(frames::WHOLE_MOST)).read_to_end(&mut bytes)?;
         match frames::whole(&bytes) {
             Some((frames::INDEX, payload)) => Ok(Index::decode(payload, at).ok()),
             _ => Ok(None),
         }
     }
 
-    /// The records of one block; gaps between blocks are not looked for.
-    pub fn block(&mut self, place: &Place) -> Result<Vec<Record>, TraceError> {
+    /// The frame of one block, as long as its place tells and no longer than a frame can be.
+    fn frame(&mut self, place: &Place) -> Result<Vec<u8>, TraceError> {
         let damaged = TraceError::Senseless("a block");
-        if place.length > (frames::FRAME_MOST + frames::HEAD + frames::CHECK) as u64 {
+        if place.length > frames::WHOLE_MOST {
             return Err(damaged);
         }
         let input = self.frames.input();
         input.seek(SeekFrom::Start(place.at))?;
         let mut bytes = Vec::new();
         input.take(place.length).read_to_end(&mut bytes)?;
-        let Some((frames::BLOCK, payload)) = frames::whole(&bytes) else { return Err(damaged) };
-        let mut from = Bytes(payload);
+        match frames::whole(&bytes) {
+            Some((frames::BLOCK, _)) => Ok(bytes),
+            _ => Err(damaged),
+        }
+    }
+
+    /// The records of one block; gaps between blocks are not looked for.
+    pub fn block(&mut self, place: &Place) -> Result<Vec<Record>, TraceError> {
+        let bytes = self.frame(place)?;
+        let mut from = Bytes(&bytes[frames::HEAD..bytes.len() - frames::CHECK]);
         let prelude = Prelude::read(&mut from)?;
         let mut records = self.records_of(&prelude, from)?;
         records.retain(|record| self.wanted.has(record));
@@ -419,14 +426,8 @@
 
     /// How many bytes each column takes in a block, by its id.
     pub fn sizes(&mut self, place: &Place) -> Result<Vec<(u64, usize)>, TraceError> {
-        let input = self.frames.input();
-        input.seek(SeekFrom::Start(place.at))?;
-        let mut bytes = Vec::new();
-        input.take(place.length).read_to_end(&mut bytes)?;
-        let Some((frames::BLOCK, payload)) = frames::whole(&bytes) else {
-            return Err(TraceError::Senseless("a block"));
-        };
-        let mut from = Bytes(payload);
+        let bytes = self.frame(place)?;
+        let mut from = Bytes(&bytes[frames::HEAD..bytes.len() - frames::CHECK]);
         let prelude = Prelude::read(&mut from)?;
         let sizes = block::packed(&mut from, &prelude)?;
         Ok(sizes.iter().map(|column| (column.id, column.stored())).collect())
--- a/crates/trace/tests/files/damage.rs
+++ b/crates/trace/tests/files/damage.rs
@@ -199,7 +199,7 @@
         trace,
         offset: 0,
     });
-    merge(sources.into(), &mut out, |_| {}).unwrap();
+    merge(sources.into(), &mut out, |_, _| {}).unwrap();
     assert!(out.names().handlers.iter().any(|handler| handler.name == "handler-1"), "{:?}", out.names());
 }
 
@@ -236,3 +236,13 @@
     assert_eq!(done.records as usize, set.iter().filter(|record| wanted.has(record)).count());
     assert!(check(open(&bytes)).unwrap().set_back > 0);
 }
+
+#[test]
+fn an_index_that_claims_a_block_longer_than_a_frame_is_not_believed() {
+    let (_, bytes) = small(2);
+    let mut trace = open(&bytes);
+    let place = trace.survey().unwrap().index.places()[0].clone();
+    assert!(trace.block(&place).is_ok() && trace.sizes(&place).is_ok());
+    let hostile = Place { length: 1 << 40, ..place };
+    assert!(trace.block(&hostile).is_err() && trace.sizes(&hostile).is_err());
+}
--- a/crates/trace/tests/files/making.rs
+++ b/crates/trace/tests/files/making.rs
@@ -14,7 +14,7 @@
     let mut head = Head::new(2, 99, "merged", 0);
     head.names = Names::default();
     let mut out = Writer::new(Vec::new(), head, Pace { records: 128, ..Pace::default() }).unwrap();
-    let done = merge(sources, &mut out, |_| {}).unwrap();
+    let done = merge(sources, &mut out, |_, _| {}).unwrap();
     (done, read(&out.finish().unwrap().0).unwrap())
 }
 
