One place asks for decisions on connections and carries them out; one hash of a key

Cause, from a reread: locking, asking and carrying out stood four times in clients.rs, and took the lock of all connections for each message though there was nothing to do; the hash of a key stood in server and trace. Change: Clients::decide, without that lock where there are no acts; hashed is the trace's, whose format names it.

--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -13,7 +13,7 @@
 use slab::Slab;
 use tulipgap_admission::{Act, Admission, Cause, Conn, News, Trouble};
 use tulipgap_settings::Names;
-use tulipgap_trace::Reason;
+use tulipgap_trace::{Reason, hashed};
 
 use super::kernel::Kernel;
 use super::store::Store;
@@ -21,7 +21,7 @@
 use super::{Added, Link, Out, spawn};
 use crate::gate::{Answer, Bytes, Gate, Id, Incoming, Order, Report, Unfit};
 use crate::log::Bound;
-use crate::trace::{Traced, hashed};
+use crate::trace::Traced;
 use crate::{clock, must};
 
 /// Open reqs that one connection carries by the protocol.
@@ -204,15 +204,23 @@
         })
     }
 
-    /// Tells of what happened to connections, and carries out what is decided on it.
-    fn tell(&self, news: News) {
+    /// Has something decided, and carries it out under the same lock, so that no act meets another connection of the
+    /// same index.
+    fn decide<T>(&self, ask: impl FnOnce(&mut Admission, Duration, &mut Vec<Act>) -> T) -> T {
         let mut admission = self.admission.lock();
         let mut acts = Vec::new();
-        admission.on(self.zero.elapsed(), news, &mut acts);
-        self.carry_out(&acts);
+        let told = ask(&mut admission, self.zero.elapsed(), &mut acts);
+        if !acts.is_empty() {
+            self.carry_out(&acts);
+        }
+        told
+    }
+
+    /// Tells of what happened to connections.
+    fn tell(&self, news: News) {
+        self.decide(|admission, now, acts| admission.on(now, news, acts));
     }
 
-    /// Under the lock of the decisions, so that no act meets another connection of the same index.
     fn carry_out(&self, acts: &[Act]) {
         let connections = self.connections.lock();
         for act in acts {
@@ -245,13 +253,10 @@
     /// Accepts until the listener is to be closed. What came before that is served.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
-            let (may, acted) = {
-                let mut admission = self.admission.lock();
-                let mut acts = Vec::new();
-                let may = admission.may_accept(self.zero.elapsed(), &mut acts);
-                self.carry_out(&acts);
+            let (may, acted) = self.decide(|admission, now, acts| {
+                let may = admission.may_accept(now, acts);
                 (may, !acts.is_empty())
-            };
+            });
             if !may {
                 clock::sleep(if acted { TURN_PAUSE } else { ACCEPT_PAUSE });
                 continue;
@@ -331,40 +336,44 @@
 
     /// A connection was accepted: from now on it is counted, and served by a coroutine of its own.
     fn opened(self: &Arc<Self>, stream: TcpStream, address: IpAddr) {
-        let mut admission = self.admission.lock();
-        let conn = self.connections.lock().vacant_key();
-        let mut acts = Vec::new();
-        admission.on(self.zero.elapsed(), News::Came { conn, address }, &mut acts);
-        let refused = acts.iter().find_map(|act| match act {
-            Act::Refuse { cause, .. } => Some(*cause),
-            _ => None,
+        let let_in = self.decide(|admission, now, acts| {
+            let mut connections = self.connections.lock();
+            let conn = connections.vacant_key();
+            admission.on(now, News::Came { conn, address }, acts);
+            let refused = acts.iter().find_map(|act| match act {
+                Act::Refuse { cause, .. } => Some(*cause),
+                _ => None,
+            });
+            if let Some(cause) = refused {
+                return Err((cause, stream));
+            }
+            let link = Link::new(stream, IN_MOST, OUT_MOST);
+            let connection = Arc::new(Connection {
+                out: link.out.clone(),
+                open: Mutex::new(HashMap::new()),
+                checks: AtomicUsize::new(0),
+                opened: Instant::now(),
+                conn,
+                asked: AtomicBool::new(false),
+                ending: AtomicBool::new(false),
+                slow: AtomicBool::new(false),
+            });
+            connections.insert(connection.clone());
+            Ok((link, connection))
         });
-        if let Some(cause) = refused {
-            self.carry_out(&acts);
-            drop(admission);
-            // Unread, at once: its owner sees the end of the connection and can go elsewhere.
-            drop(stream);
-            if let Some(count) = REFUSED.pass() {
-                log::warn!("a connection of {address} is refused: {cause:?} ({count} so far)");
+        match let_in {
+            Ok((link, connection)) => {
+                let clients = self.clone();
+                spawn(move || clients.serve(link, &connection));
+            }
+            Err((cause, stream)) => {
+                // Unread, at once: its owner sees the end of the connection and can go elsewhere.
+                drop(stream);
+                if let Some(count) = REFUSED.pass() {
+                    log::warn!("a connection of {address} is refused: {cause:?} ({count} so far)");
+                }
             }
-            return;
         }
-        let link = Link::new(stream, IN_MOST, OUT_MOST);
-        let connection = Arc::new(Connection {
-            out: link.out.clone(),
-            open: Mutex::new(HashMap::new()),
-            checks: AtomicUsize::new(0),
-            opened: Instant::now(),
-            conn,
-            asked: AtomicBool::new(false),
-            ending: AtomicBool::new(false),
-            slow: AtomicBool::new(false),
-        });
-        self.connections.lock().insert(connection.clone());
-        self.carry_out(&acts);
-        drop(admission);
-        let clients = self.clone();
-        spawn(move || clients.serve(link, &connection));
     }
 
     /// A connection, from its opening to its end.
@@ -372,13 +381,10 @@
         let end = self.carry(&mut link, connection);
         // Closed before its place is another's.
         drop(link);
-        {
-            let mut admission = self.admission.lock();
-            let mut acts = Vec::new();
-            admission.on(self.zero.elapsed(), News::Closed { conn: connection.conn }, &mut acts);
+        self.decide(|admission, now, acts| {
+            admission.on(now, News::Closed { conn: connection.conn }, acts);
             self.connections.lock().remove(connection.conn);
-            self.carry_out(&acts);
-        }
+        });
         // Cut off: nobody waits for what was open here.
         if let Err(error) = end {
             log::debug!("a connection broke: {error}");
--- a/crates/server/src/trace.rs
+++ b/crates/server/src/trace.rs
@@ -73,12 +73,6 @@
     }
 }
 
-/// A number for a text, the same on every server, by which tries of one req are joined.
-pub fn hashed(text: &str) -> u64 {
-    let hash = blake3::hash(text.as_bytes());
-    hash.as_bytes().iter().take(8).fold(0, |number, &byte| number << 8 | u64::from(byte))
-}
-
 pub struct Tracer {
     recorder: Recorder,
 }
--- a/crates/trace/src/anonymise.rs
+++ b/crates/trace/src/anonymise.rs
@@ -7,7 +7,7 @@
 use crate::heads::Head;
 use crate::index::Wanted;
 use crate::reader::Trace;
-use crate::record::Record;
+use crate::record::{Record, first_bytes};
 use crate::writer::{Pace, Writer};
 use crate::{MergeError, NEWEST};
 
@@ -60,8 +60,7 @@
     }
 
     pub fn number(&self, of: &str, value: u64) -> u64 {
-        let hash = self.hash(of, &value.to_le_bytes());
-        hash.as_bytes().iter().take(8).fold(0, |number, &byte| number << 8 | u64::from(byte))
+        first_bytes(&self.hash(of, &value.to_le_bytes()))
     }
 
     pub fn word(&self, of: &str, word: &str) -> String {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -34,7 +34,7 @@
 pub use merge::{MergeError, Merged, Source, merge};
 pub use names::{HandlerName, TenantName};
 pub use reader::{Item, Loss, Survey, Trace, TraceError};
-pub use record::{Outcome, Reason, Record};
+pub use record::{Outcome, Reason, Record, hashed};
 pub use recorder::{Counts, Disk, Folder, Pen, Recorder, Recording, unix_now};
 pub use summary::{Group, Percentiles, Row, Summary, Tally};
 pub use synth::{Load, synth};
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -79,6 +79,16 @@
     }
 }
 
+/// The number that stands for a text in a record, the same on every server, so that tries are joined by it.
+pub fn hashed(text: &str) -> u64 {
+    first_bytes(&blake3::hash(text.as_bytes()))
+}
+
+/// The first 8 bytes of a hash, as a number.
+pub fn first_bytes(hash: &blake3::Hash) -> u64 {
+    hash.as_bytes().iter().take(8).fold(0, |number, &byte| number << 8 | u64::from(byte))
+}
+
 /// One attempt. Handlers, tenants and servers are indices into the dictionary of its file.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Record {
