--- a/crates/trace/tests/files/damage.rs
+++ b/crates/trace/tests/files/damage.rs
@@ -237,12 +237,33 @@
     assert!(check(open(&bytes)).unwrap().set_back > 0);
 }
 
+/// Counts the bytes that are read of it.
+struct Counted(Cursor<Vec<u8>>, std::rc::Rc<std::cell::Cell<usize>>);
+
+impl std::io::Read for Counted {
+    fn read(&mut self, bytes: &mut [u8]) -> std::io::Result<usize> {
+        let read = self.0.read(bytes)?;
+        self.1.set(self.1.get() + read);
+        Ok(read)
+    }
+}
+
+impl std::io::Seek for Counted {
+    fn seek(&mut self, to: std::io::SeekFrom) -> std::io::Result<u64> {
+        self.0.seek(to)
+    }
+}
+
 #[test]
 fn an_index_that_claims_a_block_longer_than_a_frame_is_not_believed() {
-    let (_, bytes) = small(2);
-    let mut trace = open(&bytes);
-    let place = trace.survey().unwrap().index.places()[0].clone();
+    let (_, mut bytes) = small(2);
+    let place = open(&bytes).survey().unwrap().index.places()[0].clone();
+    bytes.resize(bytes.len() + 20 * 1024 * 1024, 0);
+    let count = std::rc::Rc::default();
+    let mut trace = Trace::open(Counted(Cursor::new(bytes), std::rc::Rc::clone(&count))).unwrap();
     assert!(trace.block(&place).is_ok() && trace.sizes(&place).is_ok());
+    let before = count.get();
     let hostile = Place { length: 1 << 40, ..place };
     assert!(trace.block(&hostile).is_err() && trace.sizes(&hostile).is_err());
+    assert_eq!(count.get(), before, "nothing is read by such a length");
 }
