Reqs without hints take their handler's learnt work; every shed says when to come back

Changed: a handler's work for reqs without hints is learnt from what was done (on-core time over the pace, so that a slow server shows in the pace and not in the work); a guessed req goes to the long line only at 1.25 times the mean, as a guess marks a handler and not a req. Each shed carries a wait: once what is held has run, at most what callers heed, and all of that while the server ails, as before.

Tests: failures::a_shed_says_when_to_come_back_though_the_server_is_well and reqs_without_hints_take_the_work_learnt_of_their_handler fail without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,8 +65,9 @@
 const DROWNED: f64 = 0.5;
 /// Connections for each core from which they crowd the table, while most callers have none.
 const TABLE_CROWD: f64 = 6.0;
-/// Part of arrivals shed up to which a crowded table is emptied sooner, and from which it is left to fill; how
-/// the time that a connection may stay idle then changes each step, how it recovers otherwise, and its floor.
+/// Part of arrivals shed up to which a crowded table is emptied sooner, and from which it is left to fill;
+/// how the time that a connection may stay idle then changes each step, how it recovers otherwise, and its
+/// floor.
 const TABLE_SHED_FEW: f64 = 0.4;
 const TABLE_SHED_MANY: f64 = 0.6;
 const IDLE_FALL: f64 = 0.6;
@@ -91,6 +92,11 @@
 const CALLS_LATE_FEW: f64 = 0.1;
 /// Times its usual pace from which a server takes itself to be in trouble of its own.
 const AILING: f64 = 1.7;
+/// The work of a req that tells none, at first, how fast it is learnt from each done, and its floor.
+const UNTOLD_WORK: f64 = 0.1;
+const UNTOLD_LEARNT: f64 = 0.05;
+const UNTOLD_LEAST: f64 = 0.001;
+const UNTOLD_LONG: f64 = 1.25;
 /// Reqs of mean work at the usual pace that the measure of pace starts from.
 const PACE_PRIOR: f64 = 6.0;
 /// How much of the measured pace enters the usual one each beat, while it is better or new, or else worse.
@@ -193,6 +199,7 @@
                 calls: h.calls_below && given.below != Below::Nothing,
                 level: level(h.value),
                 over_level: level(h.value * given.over_share_value),
+                work: UNTOLD_WORK,
             })
             .collect();
         let allowances: f64 = given.tenants.iter().map(|t| t.allowance_per_s).sum();
@@ -295,7 +302,8 @@
         let Some(aims) = self.aims.get(arrival.handler) else {
             return;
         };
-        let work = arrival.work.map_or(0.1, |work| work.as_secs_f64());
+        // Where reqs tell no work, a handler's work is learnt from what was done: else all would look alike.
+        let work = arrival.work.map_or(aims.work, |work| work.as_secs_f64());
         let reached = self.now.saturating_sub(arrival.age);
         let due =
             arrival.patience.map_or(reached.saturating_add(aims.timeout), |p| self.now.saturating_add(p));
@@ -320,7 +328,9 @@
             level,
             held_kb,
             work,
-            long: work > mean,
+            // A guess marks a handler, not a req: only one clearly longer than the rest goes to the long
+            // line.
+            long: work > if arrival.work.is_none() { mean * UNTOLD_LONG } else { mean },
             over,
             retry: arrival.retry,
             reached,
@@ -337,6 +347,7 @@
             calls: None,
             answered: false,
             key: None,
+            guessed: arrival.work.is_none(),
         });
         self.used_kb += held_kb;
         self.held_kb += held_kb;
@@ -398,7 +409,8 @@
     }
 
     /// Whether a shed req is worth another try. Few retries among what arrives, and most of it taken: others
-    /// still take what this server sheds. Else the fleet is full, and a further try only costs another reading.
+    /// still take what this server sheds. Else the fleet is full, and a further try only costs another
+    /// reading.
     /// Guards against storms of tries; harms on a server that is the only full one.
     fn elsewhere(&self, req: Req) -> bool {
         let Some(e) = self.reqs[req].as_ref() else { return false };
@@ -530,8 +542,9 @@
         let again = tries == 0 || entry.call_again;
         let (skippable, effect) = (self.aims[handler].skippable, self.aims[handler].effect);
         let mut patience = if skippable { seconds(left * 0.5) } else { due };
-        // Guards against replies that never come: given up early, the call can be made again in time. Harms where
-        // a few calls take far longer than most; where many do, what lies below is slow, and this does not act.
+        // Guards against replies that never come: given up early, the call can be made again in time. Harms
+        // where a few calls take far longer than most; where many do, what lies below is slow, and this does
+        // not act.
         let may_again = skippable && effect == Effect::Replayable && tries + 1 < CALL_TRIES;
         if may_again && call_time > 0.0 && self.few_calls_late() {
             patience = patience.min(seconds((CALL_PATIENCE * call_time).max(CALL_PATIENCE_LEAST * left)));
@@ -608,7 +621,8 @@
         let again = (unrun || effect == Effect::Replayable) && tries < CALL_TRIES;
         let entry = self.entry(req);
         entry.state = State::AtCall;
-        // What may be left out is tried again only where its connection or reply was lost: who says no is full.
+        // What may be left out is tried again only where its connection or reply was lost: who says no is
+        // full.
         entry.call_again = again && (cut || outcome == Outcome::TimedOut && few_late);
         if answered {
             return;
@@ -633,6 +647,7 @@
         }
         let entry = self.entry(req);
         let (reached, stalled, on_core, work) = (entry.reached, entry.stalled, entry.on_core, entry.work);
+        let (handler, guessed) = (entry.handler, entry.guessed);
         match outcome {
             Outcome::Done if state == State::OnCore => {
                 if !answered {
@@ -642,6 +657,11 @@
                 }
                 self.ring.add(ON_CORE, on_core);
                 self.ring.add(WORK, work);
+                if guessed {
+                    let aims = &mut self.aims[handler];
+                    aims.work =
+                        (aims.work + UNTOLD_LEARNT * (on_core / self.pace - aims.work)).max(UNTOLD_LEAST);
+                }
             }
             Outcome::Errored => self.ring.add(ERRORED, 1.0),
             Outcome::Stopped if !answered => out.push(Action::Fail { req, reason: Reason::Stopped }),
@@ -676,7 +696,7 @@
         entry.answered = true;
         let unrun = state == State::Held;
         if state != State::Joined && (unrun || self.aims[handler].effect == Effect::Replayable) {
-            let wait = if self.ailing() { self.max_wait } else { None };
+            let wait = self.come_back();
             out.push(Action::Shed { req, wait, elsewhere, reason });
         } else {
             out.push(Action::Fail { req, reason });
@@ -694,13 +714,32 @@
         self.let_go(req, out);
     }
 
+    /// When a caller that was turned away had better try here again, where callers can be told: once what is
+    /// held now has run, and as late as they heed while this server ailing or leaving. Guards against a retry
+    /// that comes at once to a server that is as full as before, and costs another reading.
+    fn come_back(&self) -> Option<Duration> {
+        let most = self.max_wait?;
+        if self.ailing() {
+            return Some(most);
+        }
+        let held: f64 = self
+            .short
+            .iter()
+            .chain(&self.long)
+            .filter_map(|&req| self.reqs[req].as_ref())
+            .map(|e| e.work)
+            .sum();
+        Some(seconds(held * self.pace / self.cap).clamp(self.beat, most))
+    }
+
     fn leave(&mut self, left: Duration, out: &mut Vec<Action>) {
         if self.leaving.is_some() {
             return;
         }
         let answer_by = self.now.saturating_add(left).saturating_sub(LEAVE_MARGIN);
         let run_until = self.now.saturating_add(self.drain_grace);
-        // Guards a short fleet: what may still run here is welcome until callers must forget. Harms as one full server.
+        // Guards a short fleet: what may still run here is welcome until callers must forget. Harms as one
+        // full server.
         let short = self.busy >= LEAVING_BUSY;
         let welcome_until = if short { run_until.saturating_sub(seconds(self.setpoint)) } else { self.now };
         self.leaving = Some(Leaving { run_until, answer_by, welcome_until });
@@ -843,8 +882,8 @@
                 work += entry.work;
             }
         }
-        // Few reqs of rough hints say little: on a small server two long ones would else make it seem ailing, and
-        // it sheds with its cores idle. The usual pace counts as so many reqs more, and is all that
+        // Few reqs of rough hints say little: on a small server two long ones would else make it seem ailing,
+        // and it sheds with its cores idle. The usual pace counts as so many reqs more, and is all that
         // counts once nothing runs: a server that hung would else shed for ever. Harms by slower notice.
         let prior = PACE_PRIOR * self.mean_work();
         self.pace = (on_core + prior * self.usual_pace) / (work + prior);
@@ -898,7 +937,11 @@
 
     fn mean_work(&self) -> f64 {
         let arrived = self.ring.sum(ARRIVED, Duration::from_secs(5));
-        if arrived > 0.0 { self.ring.sum(ARRIVED_WORK, Duration::from_secs(5)) / arrived } else { 0.1 }
+        if arrived > 0.0 {
+            self.ring.sum(ARRIVED_WORK, Duration::from_secs(5)) / arrived
+        } else {
+            UNTOLD_WORK
+        }
     }
 
     fn call_time(&self) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,8 @@
     /// Rank of its value among all values, within and beyond a tenant's share.
     pub level: usize,
     pub over_level: usize,
+    /// The work that a req without a hint is thought to bring, learnt from what was done.
+    pub work: f64,
 }
 
 /// A tenant's claim on this server: filled by its part of each req taken from anyone, emptied by its own.
@@ -83,6 +85,8 @@
     pub answered: bool,
     /// Until when its key is remembered.
     pub key: Option<Duration>,
+    /// Its work was not told but guessed from its handler's.
+    pub guessed: bool,
 }
 
 pub struct Leaving {
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -351,3 +351,56 @@
     world.arrive(0, 0, None, 10, 2);
     assert_eq!(reasons(&world), [Reason::Draining]);
 }
+
+/// regina-main and nairobi-calc: callers heed a wait of up to a second, and a req turned away for lack of
+/// room was told nothing while the server was well, so that its retry came back at once.
+#[test]
+fn a_shed_says_when_to_come_back_though_the_server_is_well() {
+    let mut world = plain();
+    let waits: Vec<Option<Duration>> = (0..40)
+        .flat_map(|turn| {
+            world.arrive(0, 0, None, 400, turn);
+            world
+                .last
+                .iter()
+                .filter_map(|action| match action {
+                    Action::Shed { wait, .. } => Some(*wait),
+                    _ => None,
+                })
+                .collect::<Vec<_>>()
+        })
+        .collect();
+    assert!(!waits.is_empty(), "nothing was shed");
+    let heeded = |wait: &Option<Duration>| wait.is_some_and(|wait| wait > Duration::ZERO && wait <= ms(1000));
+    assert!(waits.iter().all(heeded), "{waits:?}");
+}
+
+/// Two handlers that tell no work, one ten times the other: trained alike, a burst of the long one is kept
+/// less than a burst of the short one. Where every req without a hint counted as 0.1 s, both were alike.
+#[test]
+fn reqs_without_hints_take_the_work_learnt_of_their_handler() {
+    let trained = || {
+        let mut given = given();
+        given.below = Below::Nothing;
+        let plain = Handler { calls_below: false, ..crate::common::handler(Effect::Replayable, 0.0) };
+        given.handlers = vec![plain.clone(), plain];
+        let mut world = World::new(given, 1);
+        for turn in 0..30 {
+            for (handler, work) in [(0, 500), (1, 50)] {
+                let req = world.arrive(handler, 0, None, 0, turn * 2 + handler as u64);
+                assert_eq!(world.reqs[&req].place, Place::OnCore);
+                world.pass(ms(work));
+                world.finish(req, Outcome::Done);
+            }
+            world.pass(ms(100));
+        }
+        world
+    };
+    let kept = |handler: usize| {
+        let mut world = trained();
+        let burst: Vec<Req> = (0..12).map(|turn| world.arrive(handler, 0, None, 0, 1000 + turn)).collect();
+        burst.iter().filter(|req| world.reqs.get(req).is_some_and(|seen| !seen.answered)).count()
+    };
+    let (long, short) = (kept(0), kept(1));
+    assert!(long < short, "kept of the long handler {long}, of the short {short}");
+}
