--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use tulipgap::Given;
-use tulipgap_settings::{Facts, Names, millis, understand};
+use tulipgap_settings::{Facts, Names, Steering, millis, steering, understand};
 
 #[derive(Deserialize)]
 struct Limits {
@@ -70,6 +70,8 @@
     pub sockets: usize,
     pub given: Given,
     pub names: Names,
+    /// How callers are asked to send less, as the settings say.
+    pub steering: Steering,
     /// The file as it was, to tell later what of it has changed.
     entries: Map<String, Value>,
 }
@@ -113,6 +115,7 @@
     let entries = serde_json::from_str(text).map_err(|error| error.to_string())?;
     let (given, names) = understand(&file.settings).map_err(|problem| format!("settings: {problem}"))?;
     given.check().map_err(|problem| format!("settings: {problem}"))?;
+    let steering = steering(&file.settings).map_err(|problem| format!("settings: {problem}"))?;
     let seed =
         u64::from_str_radix(&file.seed, 16).map_err(|_| format!("seed: '{}' is no hex number", file.seed))?;
     if file.limits.sockets < SOCKETS_LEAST {
@@ -134,6 +137,7 @@
         sockets: file.limits.sockets,
         given,
         names,
+        steering,
         entries,
     })
 }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -154,7 +154,11 @@
     tracer: Option<Arc<Tracer>>,
     admitting: Option<Admitting>,
 ) {
-    ::log::info!("{} listens on {}", told.name, told.listen);
+    let steering = match told.steering {
+        tulipgap_settings::Steering::Advice => "by the value on answers",
+        tulipgap_settings::Steering::List => "by health, which the list follows",
+    };
+    ::log::info!("{} listens on {}; callers are steered {steering}", told.name, told.listen);
     let grace = told.given.drain_grace;
     let gate = Arc::new(Gate::new(told.given.clone(), told.seed, tracer));
     let kernel = Kernel::new(told.peers.kernel, gate.clone(), told.names.gauges.clone());
--- a/crates/server/tests/program/serving.rs
+++ b/crates/server/tests/program/serving.rs
@@ -466,3 +466,35 @@
     println!("{} kB at the most for {} reqs", resident(), 64 * 31);
     assert!(resident() < 96 * 1024, "{} kB", resident());
 }
+
+/// The shape of regina-main and nairobi-calc: the list follows health, callers get no value, a handler
+/// writes. One build serves it from the settings alone; settings that mix it with the shape before are
+/// refused at start, by the key at fault.
+#[test]
+fn the_shape_of_the_move_is_served_and_a_mix_of_shapes_refused() {
+    let new_shape = |host: &str| {
+        told(host)
+            .replace(r#""say":"weight""#, r#""say":"silent","list_follows":true"#)
+            .replace(r#""effect":"pure"}"#, r#""effect":"side_effect","write":true}"#)
+    };
+    let host = host();
+    let mixed = file(&host, &new_shape(&host).replace(r#""say":"silent""#, r#""say":"weight""#));
+    let refused = std::cell::RefCell::new(start(&mixed));
+    until("it ends by itself", || refused.borrow_mut().try_wait().unwrap().is_some());
+    let mut refused = refused.into_inner();
+    assert!(!refused.wait().unwrap().success());
+    let mut error = String::new();
+    std::io::Read::read_to_string(&mut refused.stderr.take().unwrap(), &mut error).unwrap();
+    assert!(error.contains("settings: family_info.say: "), "{error}");
+    let _ = std::fs::remove_file(mixed);
+
+    let (kernel, store) = (listen(Shared::default(), &host), store(&host));
+    let file = file(&host, &new_shape(&host));
+    let child = start(&file);
+    let stand = Stand { host, kernel, store, child, file };
+    until("it serves", || std::net::TcpStream::connect((&stand.host[..], 6565)).is_ok());
+    let mut edge = stand.edge();
+    edge.req(1, "00000000000000b1", b"run");
+    let answer = edge.expect(1, Kind::Answer);
+    assert!(!answer.holds(b"signal"), "a value where callers take none");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,6 +18,9 @@
     effect: WireEffect,
     #[serde(default)]
     memory_span: f64,
+    /// Its reqs write: they have an effect, so that they may never be pure.
+    #[serde(default)]
+    write: bool,
 }
 
 #[derive(Clone, Copy, Deserialize)]
@@ -80,6 +83,9 @@
     share_span: f64,
     #[serde(default)]
     stays_for: f64,
+    /// The list of servers follows the health that a server tells.
+    #[serde(default)]
+    list_follows: bool,
 }
 
 #[derive(Deserialize)]
@@ -147,6 +153,32 @@
     }
 }
 
+/// How a server asks callers to send less: by the free value on its answers, as at the deployments before
+/// regina-main and nairobi-calc, or by the health that the list follows, as at those two.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Steering {
+    Advice,
+    List,
+}
+
+/// Which way of steering the settings ask for, where they ask for one alone. A deployment whose list follows
+/// health gives callers no free value; settings with both, or a write that may run again, are refused by
+/// the key at fault, so that half a move is not taken for either shape.
+pub fn steering(facts: &Facts) -> Result<Steering, String> {
+    let info = &facts.family_info;
+    if info.list_follows && !matches!(info.say, WireSay::Silent) {
+        return Err("family_info.say: callers are given a value, but family_info.list_follows has the list \
+            follow health; one of the two ways only (say \"silent\" with the list)"
+            .into());
+    }
+    let pure_write =
+        facts.classes.iter().position(|class| class.write && matches!(class.effect, WireEffect::Pure));
+    if let Some(at) = pure_write {
+        return Err(format!("classes[{at}].write: a write has an effect, so it may not be \"pure\""));
+    }
+    Ok(if info.list_follows { Steering::List } else { Steering::Advice })
+}
+
 /// Reads the JSON text of the settings; says what is wrong with it otherwise.
 pub fn read(text: &str) -> Result<(Given, Names), String> {
     understand(&serde_json::from_str(text).map_err(|error| error.to_string())?)
@@ -237,3 +269,44 @@
         skip_value: info.class_skip_worth.get(at).copied().unwrap_or(0.0),
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Settings in the shape of regina-main or nairobi-calc, with what is asked for spliced in.
+    fn facts(info: &str, class: &str) -> Facts {
+        let text = format!(
+            r#"{{"classes":[{{"name":"save","objective":2200.0,"deadline":5600.0,"worth":5.0,"effect":"token",
+            "memory_span":16743.0,"write":true}},{{"name":"page","objective":1300.0,"deadline":3200.0,"worth":1.0{class}}}],
+            "family_info":{{"below":"tier","blowup":8.0,"cores":2,"halt":"pause","idle":30000.0,
+            "mem_limit_kb":9000.0{info}}},"limits":{{"retry_after":true,"max_retry_after":1000.0}},
+            "rules":{{"cold_from":0.22,"drain_grace":2500.0,"fall":2000.0,"fall_multiple":8.0,
+            "grace_to_answer":80.0,"warm_up":16000.0}}}}"#
+        );
+        serde_json::from_str(&text).expect("settings of the right form")
+    }
+
+    #[test]
+    fn the_shape_in_force_follows_from_the_settings_alone() {
+        let old = facts(r#","say":"weight""#, r#","effect":"pure""#);
+        assert_eq!(steering(&old), Ok(Steering::Advice));
+        let new = facts(r#","say":"silent","list_follows":true"#, r#","effect":"side_effect","write":true"#);
+        assert_eq!(steering(&new), Ok(Steering::List));
+        let (given, _) = understand(&new).unwrap();
+        assert_eq!(given.advice, Advice::Nothing);
+        assert_eq!(
+            (given.handlers[0].effect, given.handlers[1].effect),
+            (Effect::Uniqued, Effect::NonReplayable)
+        );
+        assert_eq!(given.handlers[0].repeat_window, Duration::from_millis(16_743));
+    }
+
+    #[test]
+    fn settings_that_mix_the_two_shapes_are_refused_by_the_key_at_fault() {
+        let mixed = facts(r#","say":"weight","list_follows":true"#, r#","effect":"pure""#);
+        assert!(steering(&mixed).is_err_and(|problem| problem.starts_with("family_info.say: ")));
+        let pure_write = facts(r#","say":"silent""#, r#","effect":"pure","write":true"#);
+        assert!(steering(&pure_write).is_err_and(|problem| problem.starts_with("classes[1].write: ")));
+    }
+}
