A wrong word in LB_CONFIG is told by its key as well as its line

Seen: settings with "effect": "keyed", the site file's word for the wire's "token", were refused at start with "unknown variant `keyed` ... at line 12 column 114" and no key (crates/server/src/config.rs, understood: serde_json::from_str). The issue asks that bad configuration is refused with the key and its place. Checked: a mix of shapes (family_info.say) and a value out of range (classes.objective: -5 is no time) already named their keys; both end with 2, no panic.

Changed: the file is read through serde_path_to_error, so the message leads with the path, e.g. settings.classes[0].effect. Test: serving::a_wrong_word_in_the_settings_is_refused_by_its_key_and_line (on loopback; fails without the change).

--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -111,7 +111,13 @@
 }
 
 fn understood(text: &str) -> Result<Told, String> {
-    let file: File = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    // A wrong word or figure is told by its key as well as its line: "at line 12" alone leaves the reader to
+    // count braces.
+    let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))
+        .map_err(|error| match error.path().to_string() {
+            path if path == "." => error.inner().to_string(),
+            path => format!("{path}: {}", error.inner()),
+        })?;
     let entries = serde_json::from_str(text).map_err(|error| error.to_string())?;
     let (given, names) = understand(&file.settings).map_err(|problem| format!("settings: {problem}"))?;
     given.check().map_err(|problem| format!("settings: {problem}"))?;
--- a/crates/server/tests/program/serving.rs
+++ b/crates/server/tests/program/serving.rs
@@ -498,3 +498,20 @@
     let answer = edge.expect(1, Kind::Answer);
     assert!(!answer.holds(b"signal"), "a value where callers take none");
 }
+
+/// An effect of a word the backend does not know, such as the site file's "keyed" for the wire's "token",
+/// was told by its line and column alone.
+#[test]
+fn a_wrong_word_in_the_settings_is_refused_by_its_key_and_line() {
+    let host = host();
+    let file = file(&host, &told(&host).replace(r#""effect":"pure""#, r#""effect":"keyed""#));
+    let refused = std::cell::RefCell::new(start(&file));
+    until("it ends by itself", || refused.borrow_mut().try_wait().unwrap().is_some());
+    let mut refused = refused.into_inner();
+    assert_eq!(refused.wait().unwrap().code(), Some(2));
+    let mut error = String::new();
+    std::io::Read::read_to_string(&mut refused.stderr.take().unwrap(), &mut error).unwrap();
+    assert!(error.contains("settings.classes[0].effect: unknown variant `keyed`"), "{error}");
+    assert!(error.contains(" at line 2 column "), "{error}");
+    let _ = std::fs::remove_file(file);
+}
