--- a/crates/server/tests/program/serving.rs
+++ b/crates/server/tests/program/serving.rs
@@ -479,12 +479,8 @@
     };
     let host = host();
     let mixed = file(&host, &new_shape(&host).replace(r#""say":"silent""#, r#""say":"weight""#));
-    let refused = std::cell::RefCell::new(start(&mixed));
-    until("it ends by itself", || refused.borrow_mut().try_wait().unwrap().is_some());
-    let mut refused = refused.into_inner();
-    assert!(!refused.wait().unwrap().success());
-    let mut error = String::new();
-    std::io::Read::read_to_string(&mut refused.stderr.take().unwrap(), &mut error).unwrap();
+    let (status, error) = refusal(&mixed);
+    assert!(!status.success());
     assert!(error.contains("settings: family_info.say: "), "{error}");
     let _ = std::fs::remove_file(mixed);
 
@@ -505,12 +501,8 @@
 fn a_wrong_word_in_the_settings_is_refused_by_its_key_and_line() {
     let host = host();
     let file = file(&host, &told(&host).replace(r#""effect":"pure""#, r#""effect":"keyed""#));
-    let refused = std::cell::RefCell::new(start(&file));
-    until("it ends by itself", || refused.borrow_mut().try_wait().unwrap().is_some());
-    let mut refused = refused.into_inner();
-    assert_eq!(refused.wait().unwrap().code(), Some(2));
-    let mut error = String::new();
-    std::io::Read::read_to_string(&mut refused.stderr.take().unwrap(), &mut error).unwrap();
+    let (status, error) = refusal(&file);
+    assert_eq!(status.code(), Some(2));
     assert!(error.contains("settings.classes[0].effect: unknown variant `keyed`"), "{error}");
     assert!(error.contains(" at line 2 column "), "{error}");
     let _ = std::fs::remove_file(file);
--- a/crates/server/tests/program/stand.rs
+++ b/crates/server/tests/program/stand.rs
@@ -215,6 +215,22 @@
     path
 }
 
+/// Starts it on a file it is to refuse: how it ended, once it has by itself, and what it said.
+pub fn refusal(file: &std::path::Path) -> (ExitStatus, String) {
+    let mut child = start(file);
+    let start = Instant::now();
+    let status = loop {
+        if let Some(status) = child.try_wait().unwrap() {
+            break status;
+        }
+        assert!(start.elapsed() < LONG, "it ends by itself");
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    let mut said = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+    (status, said)
+}
+
 pub fn start(file: &std::path::Path) -> Child {
     start_with(file, None)
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -303,6 +303,7 @@
             return;
         };
         // Where reqs tell no work, a handler's work is learnt from what was done: else all would look alike.
+        let guessed = arrival.work.is_none();
         let work = arrival.work.map_or(aims.work, |work| work.as_secs_f64());
         let reached = self.now.saturating_sub(arrival.age);
         let due =
@@ -330,7 +331,7 @@
             work,
             // A guess marks a handler, not a req: only one clearly longer than the rest goes to the long
             // line.
-            long: work > if arrival.work.is_none() { mean * UNTOLD_LONG } else { mean },
+            long: work > if guessed { mean * UNTOLD_LONG } else { mean },
             over,
             retry: arrival.retry,
             reached,
@@ -347,7 +348,7 @@
             calls: None,
             answered: false,
             key: None,
-            guessed: arrival.work.is_none(),
+            guessed,
         });
         self.used_kb += held_kb;
         self.held_kb += held_kb;
@@ -715,7 +716,7 @@
     }
 
     /// When a caller that was turned away had better try here again, where callers can be told: once what is
-    /// held now has run, and as late as they heed while this server ailing or leaving. Guards against a retry
+    /// held now has run, and as late as they heed while this server is ailing or leaving. Guards against a retry
     /// that comes at once to a server that is as full as before, and costs another reading.
     fn come_back(&self) -> Option<Duration> {
         let most = self.max_wait?;
