--- /dev/null
+++ b/crates/server/tests/program/fleet.rs
@@ -0,0 +1,100 @@
+//! What the standing fleet test asks of `build` and `run` in the deploy file, without its bench.
+
+use std::collections::BTreeSet;
+use std::os::unix::process::CommandExt;
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+use crate::stand::*;
+
+/// System calls that are refused there, beside a new process, which is a clone that is no thread.
+const REFUSED: [i64; 6] = [
+    libc::SYS_clone3,
+    libc::SYS_io_uring_setup,
+    libc::SYS_io_uring_enter,
+    libc::SYS_splice,
+    libc::SYS_sendfile,
+    libc::SYS_vmsplice,
+];
+
+fn deployed(key: &str) -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/balancer.toml");
+    let text = std::fs::read_to_string(file).unwrap();
+    let line = text.lines().find_map(|line| line.strip_prefix(key)?.trim_start().strip_prefix('='));
+    line.unwrap_or_else(|| panic!("{key} is told")).trim().trim_matches('"').to_owned()
+}
+
+/// A filter of this and all later programs of the process: what is refused gets ENOSYS.
+fn refuse() -> std::io::Result<()> {
+    let step = |code: u32, jt: u8, jf: u8, k: u32| libc::sock_filter { code: code as u16, jt, jf, k };
+    let load = |at: u32| step(libc::BPF_LD | libc::BPF_W | libc::BPF_ABS, 0, 0, at);
+    let equal = |k: u32, jt: u8, jf: u8| step(libc::BPF_JMP | libc::BPF_JEQ | libc::BPF_K, jt, jf, k);
+    let end = |k: u32| step(libc::BPF_RET | libc::BPF_K, 0, 0, k);
+    let no = libc::SECCOMP_RET_ERRNO | libc::ENOSYS as u32;
+    let mut steps = vec![load(0)];
+    for call in REFUSED {
+        steps.extend([equal(call as u32, 0, 1), end(no)]);
+    }
+    // The first argument of a clone tells whether it is a thread.
+    steps.extend([equal(libc::SYS_clone as u32, 0, 3), load(16)]);
+    steps.push(step(libc::BPF_JMP | libc::BPF_JSET | libc::BPF_K, 1, 0, libc::CLONE_THREAD as u32));
+    steps.extend([end(no), end(libc::SECCOMP_RET_ALLOW)]);
+    let program = libc::sock_fprog { len: steps.len() as u16, filter: steps.as_mut_ptr() };
+    // The steps outlive both calls, and neither takes memory or a lock.
+    let set = unsafe {
+        libc::prctl(libc::PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) == 0
+            && libc::prctl(libc::PR_SET_SECCOMP, libc::SECCOMP_MODE_FILTER, &program) == 0
+    };
+    if set { Ok(()) } else { Err(std::io::Error::last_os_error()) }
+}
+
+/// `run` is one program, by exec, with nothing on top: recordings, which want a lasting disk, and whatever a
+/// configuration of the product's own turns on stay off there.
+#[test]
+fn run_is_one_program_by_exec_with_nothing_on_top() {
+    assert_eq!(deployed("run"), "exec target/release/tulipgapd");
+    assert!(deployed("build").contains("--release --locked --workspace"));
+    assert!(env!("CARGO_BIN_EXE_tulipgapd").ends_with("/tulipgapd"));
+}
+
+#[test]
+fn it_serves_as_one_process_where_what_the_fleet_test_refuses_is_refused() {
+    let host = host();
+    let (kernel, store) = (listen(Shared::default(), &host), store(&host));
+    let file = file(&host, &told(&host));
+    let run = deployed("run").replace("target/release/tulipgapd", env!("CARGO_BIN_EXE_tulipgapd"));
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", &run]).env("LB_CONFIG", &file).stdin(Stdio::null()).stderr(Stdio::piped());
+    // Safe: it only makes system calls.
+    let child = unsafe { command.pre_exec(refuse) }.spawn().unwrap();
+    let mut stand = Stand { host, kernel, store, child, file };
+    stand.serves();
+    let mut edge = stand.edge();
+    edge.req(1, "0000000000000f01", b"run");
+    edge.expect(1, Kind::Answer);
+    edge.req(2, "0000000000000f02", b"call");
+    assert!(edge.expect(2, Kind::Answer).holds(b"richer"));
+    stand.signal("HUP");
+    edge.req(3, "0000000000000f03", b"run");
+    edge.expect(3, Kind::Answer);
+
+    // The shell has made way for it, which is linked dynamically and has no further process and no file.
+    let of = |what: &str| format!("/proc/{}/{what}", stand.child.id());
+    let maps = std::fs::read_to_string(of("maps")).unwrap();
+    assert!(maps.contains("/tulipgapd") && maps.contains("/libc.so"), "{maps}");
+    let threads = std::fs::read_dir(of("task")).unwrap().map(|thread| thread.unwrap().path());
+    let children: Vec<_> =
+        threads.filter_map(|thread| std::fs::read_to_string(thread.join("children")).ok()).collect();
+    assert!(children.iter().all(|children| children.is_empty()), "{children:?}");
+    let links = std::fs::read_dir(of("fd")).unwrap().filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok());
+    let known = ["socket:", "pipe:", "anon_inode:[eventpoll]", "anon_inode:[eventfd]", "/dev/null"];
+    let others: BTreeSet<_> =
+        links.filter(|link| !known.iter().any(|known| link.to_string_lossy().starts_with(known))).collect();
+    // Standard output is the test's own, whatever that is.
+    let ours = std::fs::read_link("/proc/self/fd/1").unwrap();
+    assert!(others.iter().all(|other| *other == ours), "{others:?}");
+
+    stand.signal("TERM");
+    drop(edge);
+    assert_eq!(stand.ended().code(), Some(0));
+}
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -2,6 +2,7 @@
 
 mod admitting;
 mod cost;
+mod fleet;
 mod recording;
 mod serving;
 mod stand;
