--- a/crates/server/tests/program/fleet.rs
+++ b/crates/server/tests/program/fleet.rs
@@ -86,7 +86,8 @@
     let children: Vec<_> =
         threads.filter_map(|thread| std::fs::read_to_string(thread.join("children")).ok()).collect();
     assert!(children.iter().all(|children| children.is_empty()), "{children:?}");
-    let links = std::fs::read_dir(of("fd")).unwrap().filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok());
+    let links =
+        std::fs::read_dir(of("fd")).unwrap().filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok());
     let known = ["socket:", "pipe:", "anon_inode:[eventpoll]", "anon_inode:[eventfd]", "/dev/null"];
     let others: BTreeSet<_> =
         links.filter(|link| !known.iter().any(|known| link.to_string_lossy().starts_with(known))).collect();
