--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,11 +65,12 @@
 const DROWNED: f64 = 0.5;
 /// Connections for each core from which they crowd the table, while most callers have none.
 const TABLE_CROWD: f64 = 6.0;
-/// What wants a core beside our runs, for each core, from which the table is left to fill; the part of the
-/// cores busy below which a crowded one is emptied again; how the time that a connection may stay idle then
-/// changes each step, how it recovers otherwise, and its floor.
-const TABLE_STORM: f64 = 2.5;
-const TABLE_STARVED: f64 = 0.5;
+/// Reqs read for each done, and what wants a core beside our runs, for each core, from which the table is
+/// left to fill; the part of the cores busy below which it is emptied again; how the time that a connection
+/// may stay idle then changes each step, how it recovers otherwise, and its floor.
+const TABLE_TRIES: f64 = 6.0;
+const TABLE_STORM: f64 = 1.75;
+const TABLE_STARVED: f64 = 0.4;
 const IDLE_FALL: f64 = 0.3;
 const IDLE_RISE: f64 = 3.0;
 const IDLE_RECOVERY: f64 = 1.02;
@@ -415,10 +416,9 @@
     }
 
     /// Whether a shed req is worth another try. Few retries among what arrives, and most of it taken: others
-    /// still take what this server sheds. Else the fleet is full, and a further try only costs another
-    /// reading. Retries that bear no mark are not seen to be many, and none is the last: there only a server
-    /// that is leaving or errs sends reqs on.
-    /// Guards against storms of tries; harms on a server that is the only full one.
+    /// still take what this server sheds. Else the fleet is full, and a further try only costs another reading.
+    /// Retries without a mark are not seen: there only a server that is leaving or errs sends reqs on. Guards
+    /// against storms of tries; harms on a server that is the only full one.
     fn elsewhere(&self, req: Req) -> bool {
         let Some(e) = self.reqs[req].as_ref() else { return false };
         let worth_it = !e.over && e.target.saturating_sub(e.reached) / 2 < e.target.saturating_sub(self.now);
@@ -797,16 +797,17 @@
         self.advise(out);
     }
 
-    /// Closes idle connections at once while they crowd the table, until connecting and reading drown what
-    /// runs: then it lets the table fill, until the cores starve behind it. Guards against many callers that
-    /// each come rarely: what they leave open shuts others out and takes of the cores. Opening one costs too,
-    /// so in a storm of tries a full table is the cheapest gate; half full it costs and shuts nobody out.
-    /// It harms where the table is far larger than the crowd: callers then connect anew.
+    /// Closes idle connections at once while they crowd the table, until connecting and reading for tries in
+    /// vain drown what runs: then it lets the table fill, until the cores starve behind it. Guards against
+    /// many callers that each come rarely: what they leave open shuts others out and takes of the cores. As
+    /// opening one costs too, a full table is the cheapest gate in a storm of tries; half full it shuts nobody
+    /// out. It harms where the table is far larger than the crowd: callers then connect anew.
     fn tend_links(&mut self, links: f64, out: &mut Vec<Action>) {
         let crowded = links > TABLE_CROWD * self.cores && links * 2.0 < self.callers;
         let beats = WINDOW.as_secs_f64() / self.beat.as_secs_f64();
         let mean = |measure: usize| self.ring.sum(measure, WINDOW) / beats;
-        if mean(READING) > TABLE_STORM * self.cores {
+        let tries = self.ring.sum(ARRIVED, WINDOW * 2) / self.ring.sum(DONE, WINDOW * 2).max(1.0);
+        if tries > TABLE_TRIES && mean(READING) > TABLE_STORM * self.cores {
             self.storm = true;
         } else if crowded && mean(BUSY) < TABLE_STARVED {
             self.storm = false;
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -200,14 +200,21 @@
     world.pass(ms(6000));
     assert!(world.idle <= ms(300), "{:?}", world.idle);
     // Sheds alone, with cores to spare for connecting and reading, are no storm: who is worth most has to get in.
-    for turn in 0..60 {
-        world.arrive(0, 0, None, 9000, turn);
-        world.pass(ms(100));
-    }
+    let tries = |world: &mut World| {
+        for turn in 0..60 {
+            world.arrive(0, 0, None, 9000, turn);
+            world.pass(ms(100));
+        }
+    };
+    tries(&mut world);
     assert!(world.idle <= ms(300), "{:?}", world.idle);
-    // Connecting and reading drown what runs.
+    // Nor is a crowd that connects and is served.
+    world.pass(ms(5000));
     world.reading = 8.0;
     world.pass(ms(6000));
+    assert!(world.idle <= ms(300), "{:?}", world.idle);
+    // Connecting and reading for tries in vain drown what runs.
+    tries(&mut world);
     assert!(world.idle > ms(10_000), "{:?}", world.idle);
     // The full table has shut the storm out; the cores are busy, so it stays as it is.
     world.reading = 2.0;
