--- a/crates/trace/src/cut.rs
+++ b/crates/trace/src/cut.rs
@@ -3,54 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{Read, Seek, Write};
 
-use crate::heads::{Gap, NAMES_MOST, Names};
+use crate::Micros;
+use crate::heads::{Gap, Names};
 use crate::index::Wanted;
-use crate::merge::gap_of;
 use crate::reader::{Item, Loss, Survey, Trace, TraceError};
 use crate::record::Record;
+use crate::remake::{MergeError, Translation, gap_of};
 use crate::writer::{WriteError, Writer};
-use crate::{HandlerName, MergeError, Micros, TenantName};
-
-/// From the dictionary of one file to that of another.
-pub struct Translation {
-    servers: Vec<u32>,
-    handlers: Vec<u32>,
-    tenants: Vec<u32>,
-}
-
-impl Translation {
-    /// Names that the other file does not have enter its dictionary.
-    pub fn new<W: Write>(names: &Names, out: &mut Writer<W>) -> Self {
-        Translation {
-            servers: names.servers.iter().map(|name| out.server(name)).collect(),
-            handlers: names.handlers.iter().map(|handler| out.handler(handler)).collect(),
-            tenants: names.tenants.iter().map(|tenant| out.tenant(tenant)).collect(),
-        }
-    }
-
-    /// Puts a record's indices into the other dictionary's. Names come as a dictionary grows; what no dictionary
-    /// has gets a name that says so, and is never taken for another's.
-    pub fn apply<W: Write>(&mut self, record: &mut Record, names: &Names, out: &mut Writer<W>) {
-        record.server = place(&mut self.servers, record.server, |at| out.server(&names.server(at)));
-        record.handler = place(&mut self.handlers, record.handler, |at| {
-            let lost = || HandlerName { name: names.handler(at), ..HandlerName::default() };
-            out.handler(&names.handlers.get(at as usize).cloned().unwrap_or_else(lost))
-        });
-        record.tenant = record.tenant.map(|tenant| {
-            place(&mut self.tenants, tenant, |at| out.tenant(&TenantName { name: names.tenant(at) }))
-        });
-    }
-}
-
-/// Where an index leads, by a map that grows with what is asked of it.
-fn place(map: &mut Vec<u32>, at: u32, mut fresh: impl FnMut(u32) -> u32) -> u32 {
-    // An index beyond all dictionaries is damage; it does not get a map of that size.
-    let at = at.min(NAMES_MOST as u32);
-    while map.len() <= at as usize {
-        map.push(fresh(map.len() as u32));
-    }
-    map[at as usize]
-}
 
 /// What [`copy`] did.
 #[derive(Debug, Default)]
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -5,17 +5,15 @@
 use std::collections::BinaryHeap;
 use std::io::{Read, Seek, Write};
 
-use crate::cut::Translation;
+use crate::remake::{HELD_MOST, MergeError, Translation, gap_of};
+
 use crate::heads::{Gap, Why};
 use crate::index::Place;
 use crate::reader::{Loss, Survey, Trace, TraceError};
 use crate::record::Record;
-use crate::writer::{WriteError, Writer};
+use crate::writer::Writer;
 use crate::{Micros, NEWEST};
 
-/// Records that one file may have out of order at once, at the most.
-const HELD_MOST: usize = 1 << 20;
-
 /// A file that is to be merged.
 pub struct Source<R> {
     /// As it is called in what is said of it.
@@ -25,18 +23,6 @@
     pub offset: Micros,
 }
 
-#[derive(Debug, thiserror::Error)]
-pub enum MergeError {
-    #[error("{0}: {1}")]
-    Read(String, TraceError),
-    #[error("{0}")]
-    Write(#[from] WriteError),
-    #[error("{0}: more than {HELD_MOST} records overlap in time: it cannot be merged in bounded memory")]
-    Disorder(String),
-    #[error("a merge is written in format {NEWEST}")]
-    Version,
-}
-
 /// What a merge did.
 #[derive(Debug, Default)]
 pub struct Merged {
@@ -206,13 +192,3 @@
     }
     Ok(merged)
 }
-
-/// What a file that is made from a damaged one tells of the damage.
-pub fn gap_of(loss: &Loss, server: &str) -> Option<Gap> {
-    let records = match loss {
-        Loss::Records { count } => Some(*count),
-        Loss::Bytes { .. } => None,
-        _ => return None,
-    };
-    Some(Gap { why: Why::Damaged, records, from: 0, to: 0, server: server.to_owned(), by: 0 })
-}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -416,9 +416,9 @@
     }
 
     /// Whether a shed req is worth another try. Few retries among what arrives, and most of it taken: others
-    /// still take what this server sheds. Else the fleet is full, and a further try only costs another reading.
-    /// Retries without a mark are not seen: there only a server that is leaving or errs sends reqs on. Guards
-    /// against storms of tries; harms on a server that is the only full one.
+    /// still take what this server sheds. Else the fleet is full, and one more try only costs a reading.
+    /// Retries without a mark are not seen: there only a server that is leaving or errs sends reqs on.
+    /// Guards against storms of tries; harms on a server that is the only full one.
     fn elsewhere(&self, req: Req) -> bool {
         let Some(e) = self.reqs[req].as_ref() else { return false };
         let worth_it = !e.over && e.target.saturating_sub(e.reached) / 2 < e.target.saturating_sub(self.now);
@@ -670,7 +670,7 @@
         }
         let entry = self.entry(req);
         let (reached, stalled, on_core, work) = (entry.reached, entry.stalled, entry.on_core, entry.work);
-        let (handler, guessed, calls_made) = (entry.handler, entry.guessed, entry.calls_made);
+        let (handler, guessed, made) = (entry.handler, entry.guessed, entry.calls_made);
         match outcome {
             Outcome::Done if state == State::OnCore => {
                 if !answered {
@@ -681,7 +681,7 @@
                 self.ring.add(ON_CORE, on_core);
                 self.ring.add(WORK, work);
                 let aims = &mut self.aims[handler];
-                aims.calls_each += UNTOLD_LEARNT * (f64::from(calls_made) - aims.calls_each);
+                aims.calls_each += UNTOLD_LEARNT * (f64::from(made) - aims.calls_each);
                 if guessed {
                     aims.work =
                         (aims.work + UNTOLD_LEARNT * (on_core / self.pace - aims.work)).max(UNTOLD_LEAST);
@@ -799,9 +799,9 @@
 
     /// Closes idle connections at once while they crowd the table, until connecting and reading for tries in
     /// vain drown what runs: then it lets the table fill, until the cores starve behind it. Guards against
-    /// many callers that each come rarely: what they leave open shuts others out and takes of the cores. As
-    /// opening one costs too, a full table is the cheapest gate in a storm of tries; half full it shuts nobody
-    /// out. It harms where the table is far larger than the crowd: callers then connect anew.
+    /// many callers that each come rarely: what they leave open shuts others out and takes of the cores. In a
+    /// storm a full table is the cheapest gate, as opening one costs too; half full it shuts nobody out. It
+    /// harms where the table is far larger than the crowd: callers then connect anew.
     fn tend_links(&mut self, links: f64, out: &mut Vec<Action>) {
         let crowded = links > TABLE_CROWD * self.cores && links * 2.0 < self.callers;
         let beats = WINDOW.as_secs_f64() / self.beat.as_secs_f64();
@@ -846,10 +846,9 @@
         self.admitted = self.admitted.clamp(SHARE_FLOOR, 1.0);
         let gain = (1.0 - POLE) / self.alpha.max(1e-3);
         self.dimmer += gain * error + DERIVATIVE * (error - self.error);
-        self.dimmer = self.dimmer.clamp(0.0, 1.0);
+        self.dimmer = self.dimmer.clamp(0.0, self.ceiling);
         self.error = error;
         self.ceiling = (self.ceiling + CEILING_RISE).min(1.0);
-        self.dimmer = self.dimmer.min(self.ceiling);
         // What stands unread is not ours to shed, and reading it takes the cores from what can be in time:
         // only fewer sends help. Guards against any flood, lopsided callers and a server grown slow.
         let unread = self.per_arrival(UNREAD, PERIOD);
