--- a/src/decide.rs
+++ b/src/decide.rs
@@ -92,13 +92,14 @@
 /// The part of recent calls without a reply in time up to which these count as lost, and not as slow.
 const CALLS_LATE_FEW: f64 = 0.1;
 /// Times its usual time, known from so many, from which a call counts as slow; how much of a call's time
-/// enters the usual one, and of a slow one's; how the dimmer's ceiling falls with each, and rises each step.
+/// enters the usual one, and of a slow one's; how the dimmer's ceiling falls with each, rises, and its floor.
 const CALL_SLOW: f64 = 6.0;
 const CALLS_LEAST: f64 = 20.0;
 const CALL_LEARNT: f64 = 0.02;
 const CALL_DRIFTS: f64 = 0.002;
 const CEILING_FALL: f64 = 0.7;
-const CEILING_RISE: f64 = 0.02;
+const CEILING_RISE: f64 = 0.05;
+const CEILING_LEAST: f64 = 0.3;
 /// Times its usual pace from which a server takes itself to be in trouble of its own.
 const AILING: f64 = 1.7;
 /// The work of a req that tells none, at first, how fast it is learnt from each done, and its floor.
@@ -179,8 +180,7 @@
     /// Seconds on a core for a unit of work, now and usually.
     pace: f64,
     usual_pace: f64,
-    /// Seconds that a call usually takes, from how many that is known, and the most that the dimmer may be
-    /// so that what lies below bears the calls.
+    /// Seconds that a call usually takes, from how many that is known, and the most that the dimmer may be.
     usual_call: f64,
     calls_known: f64,
     ceiling: f64,
@@ -629,7 +629,7 @@
         // when it is passed. Harms where calls get slower for good, till that is learnt.
         let slow = !cut && self.calls_known >= CALLS_LEAST && took > CALL_SLOW * self.usual_call;
         if slow {
-            self.ceiling *= CEILING_FALL;
+            self.ceiling = (self.ceiling * CEILING_FALL).max(CEILING_LEAST);
             self.dimmer = self.dimmer.min(self.ceiling);
         }
         if outcome == Outcome::Done {
