--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -5,12 +5,11 @@
 use std::collections::BinaryHeap;
 use std::io::{Read, Seek, Write};
 
-use crate::remake::{HELD_MOST, MergeError, Translation, gap_of};
-
 use crate::heads::{Gap, Why};
 use crate::index::Place;
 use crate::reader::{Loss, Survey, Trace, TraceError};
 use crate::record::Record;
+use crate::remake::{HELD_MOST, MergeError, Translation, gap_of};
 use crate::writer::Writer;
 use crate::{Micros, NEWEST};
 
