One retry or shed among few reqs no longer stops tries elsewhere

A tap with the reason and state at each shed showed why: a server reads two to five reqs a second there, so its window of 2 s holds four to ten, one retry is already over RETRIED, and the shed itself, counted first, is half of two. Ruled out: servers in trouble of their own (they do send on), spent reqs, a full fleet (cores half idle). At fault: elsewhere() in src/decide.rs, two ratios taken as though a window held many. The assumption that did not carry over: eight or more reqs a second a server.

Change: one event more than the part is allowed, which at many reqs is the same as before. Harms where a full fleet of slow trickles walks a little further.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -422,8 +422,10 @@
     fn elsewhere(&self, req: Req) -> bool {
         let Some(e) = self.reqs[req].as_ref() else { return false };
         let worth_it = !e.over && e.target.saturating_sub(e.reached) / 2 < e.target.saturating_sub(self.now);
-        let room =
-            self.per_arrival(RETRIES, WINDOW) < RETRIED && self.per_arrival(SHED, WINDOW) < FULL_WHEN_SHED;
+        // One retry or shed among the few that arrive in a window proves nothing.
+        let arrived = self.ring.sum(ARRIVED, WINDOW);
+        let few = |measure: usize, part: f64| self.ring.sum(measure, WINDOW) <= part * arrived + 1.0;
+        let room = few(RETRIES, RETRIED) && few(SHED, FULL_WHEN_SHED);
         let unfit = self.leaving.is_some() || self.failing() > 0.0;
         worth_it && !e.retry && (unfit || self.marked && (self.ailing() || room))
     }
