No tenant counts as beyond its share while all send less than they may

A purse walks at random between -5 and 5 and counted as beyond under 1, so that some 60% of all reqs were, whatever the load: ranked under every other req, with nearly half of the cores thought to go to others first, and never sent on. Ruled out: lopsided zones (all servers alike), the walk of retries (1.00 tries a req). At fault: arrived() in src/decide.rs. The assumption that did not carry over: a fleet whose tenants send more than their shares together.

Change: fleet_size of the settings is read (Given::servers; where it is not told all is as before), so that a server knows what all tenants together may send to one server. While no more comes, none is beyond; of more, the purse under which a tenant is beyond rises so that as large a part is beyond as there is more. Harms where one tenant floods an otherwise idle fleet: what it sends is worth little, yet nothing better waits.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -137,6 +137,9 @@
     #[serde(default)]
     clients: Clients,
     family_info: FamilyInfo,
+    /// Backends of this tier on the list when this one started.
+    #[serde(default)]
+    fleet_size: u32,
     limits: Limits,
     #[serde(default)]
     over_share_worth: Option<f64>,
@@ -267,6 +270,7 @@
             true => Some(millis("limits.max_retry_after", facts.limits.max_retry_after)?),
             false => None,
         },
+        servers: facts.fleet_size,
         callers: info.callers,
         marks_retries: facts.clients.marks_retry,
         idle_link: millis("family_info.idle", info.idle)?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,8 +53,10 @@
 const WASTED: f64 = 0.04;
 const WASTED_BLIND: f64 = 0.08;
 const WASTED_FALL: f64 = 0.9;
-/// Reqs by which a tenant may be ahead of its part of what is taken, or behind.
+/// Reqs by which a tenant may be ahead of its part of what is taken, or behind, and the span over which what
+/// comes is held against what all tenants may send.
 const FAIR_BURST: f64 = 5.0;
+const SHARE_SPAN: Duration = Duration::from_secs(5);
 /// Part of arrivals that are retries, or that are shed (retries need not be marked), from which callers are
 /// asked not to try elsewhere.
 const RETRIED: f64 = 0.1;
@@ -125,6 +127,8 @@
     aims: Vec<Aims>,
     levels: usize,
     purses: Vec<Purse>,
+    /// Reqs a second that all tenants together may send to one server, where that is told.
+    quota_per_s: Option<f64>,
     setpoint: f64,
     cores: f64,
     /// Reqs on the cores that a server survives when warm, and at its coldest.
@@ -228,6 +232,8 @@
         Ok(Decider {
             setpoint: SETPOINT * targets / aims.len() as f64,
             levels: values.len(),
+            quota_per_s: (given.servers > 0 && allowances > 0.0)
+                .then(|| allowances / f64::from(given.servers)),
             purses: given.tenants.iter().map(purse).collect(),
             cores,
             crowd_warm: crowd(1.0),
@@ -328,7 +334,7 @@
         let (effect, repeat_window) = (aims.effect, aims.repeat_window);
         // What a tenant sends beyond its share is worth little: it ranks below all that is within.
         let purse = arrival.tenant.and_then(|tenant| self.purses.get(tenant));
-        let over = purse.is_some_and(|purse| purse.left < 1.0);
+        let over = purse.is_some_and(|purse| purse.left < self.ahead_of_share());
         let level = if over { aims.over_level } else { aims.level };
         // Pauses must not steer: what of its age the process stood still is not the load's doing.
         let stood_still = self.stall_end.saturating_sub(reached).as_secs_f64().min(self.stall_span);
@@ -430,6 +436,18 @@
         worth_it && !e.retry && (unfit || self.marked && (self.ailing() || room))
     }
 
+    /// The purse under which a tenant counts as beyond its share. While all that comes here is what all may send
+    /// to one server, none is: purses walk at random, and a low rank would shed what there is room for. Of
+    /// more, as large a part is beyond as there is more. Harms where one tenant floods a fleet that others leave
+    /// idle: its reqs are worth little, yet nothing better is there to run.
+    fn ahead_of_share(&self) -> f64 {
+        let Some(quota) = self.quota_per_s else { return 1.0 };
+        let span = SHARE_SPAN.min(self.now).max(Duration::from_secs(1));
+        let firsts = self.ring.sum(ARRIVED, SHARE_SPAN) - self.ring.sum(RETRIES, SHARE_SPAN);
+        let rate = firsts / span.as_secs_f64();
+        FAIR_BURST * (1.0 - 2.0 * quota / rate.max(quota))
+    }
+
     /// Puts a req in its line, behind what ranks higher or must be answered sooner.
     fn hold(&mut self, req: Req) {
         let Some(entry) = self.reqs[req].as_ref() else {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -110,6 +110,8 @@
     pub advice: Advice,
     /// The longest wait that callers honour; `None` where none is passed on.
     pub max_wait: Option<Duration>,
+    /// Servers like it when it started, itself included; 0 where that is not told.
+    pub servers: u32,
     /// Callers of this server when it started.
     pub callers: u32,
     /// Later tries and second copies are marked as such.
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -49,6 +49,7 @@
         max_wait: Some(ms(1000)),
         callers: 3,
         marks_retries: true,
+        servers: 0,
         idle_link: ms(15_000),
     }
 }
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -96,6 +96,28 @@
     assert!(taken[1] > 0, "{taken:?}");
 }
 
+/// Purses walk at random: most reqs of a quiet fleet were taken for reqs beyond their tenant's share, ranked
+/// below all others, shed first and not sent on.
+#[test]
+fn no_tenant_is_beyond_its_share_while_all_send_less_than_they_may() {
+    let third_sent_on = |servers: u32, flood: u64| {
+        let tenants = [0.1, 9.9].map(|allowance_per_s| Tenant { allowance_per_s }).to_vec();
+        let mut world = World::new(Given { servers, tenants, ..given() }, 1);
+        world.pass(ms(5000));
+        for turn in 0..flood {
+            let req = world.arrive(0, 2900, Some(2000), 900, turn * 5 + 1);
+            assert!(!world.reqs.contains_key(&req), "too old to be taken");
+        }
+        world.arrive(0, 0, None, 900, 1);
+        world.arrive(0, 0, None, 900, 2);
+        world.arrive(0, 0, None, 900, 3);
+        shed_among(&world)
+    };
+    assert_eq!(third_sent_on(1, 0), [true], "three reqs where ten a second are within");
+    assert_eq!(third_sent_on(0, 0), [false], "what all may send is not told");
+    assert_eq!(third_sent_on(1, 197), [false], "forty a second where ten are within");
+}
+
 #[test]
 fn over_half_spent_reqs_are_not_sent_elsewhere() {
     let mut given = given();
