Calls that may be left out leave room for one that may not; what stands late is failed

Calls to the lift database by half seconds, from a tap: 1,450 a second at 17 ms and 30 in hand up to second 30.5, then 1,690 wanted for half a second; in hand 342 within 300 ms, 80 calls a second done, all given up by 31.2, the database back at 16 ms by 31.7. At fault: make_call(), which gives room to whoever comes first, and give_up_late(), which let what may not run again stand at its call until it is due, 3 s past its target, for nobody.

Change: a call that may be left out is made only where room for one that may not stays beside it (as far as two of its own fit, so that a tiny part is still used); a req that stands at its call past its response target is failed at once, also where it may not run again: it never called, its caller hears, and it is not let go with the herd. Both hold against any slow spell of what lies below. They might hurt where calls that may not be left out are rare: some room stays idle. Two ways of reckoning the mean of a gauge became one (per_beat).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -143,6 +143,8 @@
     calls_granted: Option<f64>,
     calls_span: Duration,
     linger: Duration,
+    /// Some reqs make calls that may not be left out.
+    mandatory: bool,
     stoppable: bool,
     advice: Advice,
     /// Part of the cores that may go into reading what is shed before callers are asked for less.
@@ -246,6 +248,7 @@
             calls_granted,
             calls_span,
             linger,
+            mandatory: aims.iter().any(|a| a.calls && !a.skippable),
             stoppable: given.halting != Halting::Never,
             advice: given.advice,
             // Credit moves what is not sent here, a level spares what is worth most; a weight is blind.
@@ -580,10 +583,18 @@
         if may_again && call_time > 0.0 && self.few_calls_late() {
             patience = patience.min(seconds((CALL_PATIENCE * call_time).max(CALL_PATIENCE_LEAST * left)));
         }
+        let mut kept = 0.0;
         if let Some(granted) = self.calls_granted {
             patience = patience.min(seconds(granted / 4.0));
+            // What may be left out leaves room for one that may not, as far as two of its own fit beside it.
+            // Guards against mandatory calls that find the part of all servers spent, stand, and come back at
+            // once when it is there again: that pushes what lies below over its knee, and spends the part anew.
+            if skippable && self.mandatory {
+                let (linger, own) = (self.linger.as_secs_f64(), patience.as_secs_f64());
+                kept = (granted / 4.0 + linger).min(granted - 2.0 * (own + linger)).max(0.0);
+            }
         }
-        let room = self.call_room(patience) && patience > self.beat;
+        let room = self.call_room(patience.saturating_add(seconds(kept))) && patience > self.beat;
         if skippable && (!drawn || !room || !again || left * 0.5 < call_time) {
             // One call left out makes the answer poorer already: the others would be made for nothing.
             self.entry(req).calls = Some(false);
@@ -767,13 +778,8 @@
         if self.ailing() {
             return Some(most);
         }
-        let held: f64 = self
-            .short
-            .iter()
-            .chain(&self.long)
-            .filter_map(|&req| self.reqs[req].as_ref())
-            .map(|e| e.work)
-            .sum();
+        let held = self.short.iter().chain(&self.long).filter_map(|&req| self.reqs[req].as_ref());
+        let held: f64 = held.map(|e| e.work).sum();
         Some(seconds(held * self.pace / self.cap).clamp(self.beat, most))
     }
 
@@ -824,12 +830,10 @@
     /// harms where the table is far larger than the crowd: callers then connect anew.
     fn tend_links(&mut self, links: f64, out: &mut Vec<Action>) {
         let crowded = links > TABLE_CROWD * self.cores && links * 2.0 < self.callers;
-        let beats = WINDOW.as_secs_f64() / self.beat.as_secs_f64();
-        let mean = |measure: usize| self.ring.sum(measure, WINDOW) / beats;
         let tries = self.ring.sum(ARRIVED, WINDOW * 2) / self.ring.sum(DONE, WINDOW * 2).max(1.0);
-        if tries > TABLE_TRIES && mean(READING) > TABLE_STORM * self.cores {
+        if tries > TABLE_TRIES && self.per_beat(READING) > TABLE_STORM * self.cores {
             self.storm = true;
-        } else if crowded && mean(BUSY) < TABLE_STARVED {
+        } else if crowded && self.per_beat(BUSY) < TABLE_STARVED {
             self.storm = false;
         }
         let factor = match () {
@@ -874,8 +878,7 @@
         let unread = self.per_arrival(UNREAD, PERIOD);
         let bearable = UNREAD_PART * self.setpoint;
         // Reading what is then shed costs cores too; where that is much, callers had better not send it.
-        let beats = WINDOW.as_secs_f64() / self.beat.as_secs_f64();
-        let wasted = self.per_arrival(SHED, WINDOW) * self.ring.sum(READING, WINDOW) / beats / self.cores;
+        let wasted = self.per_arrival(SHED, WINDOW) * self.per_beat(READING) / self.cores;
         let step = if unread > bearable {
             (bearable / unread).max(0.5)
         } else if wasted > self.bearable_waste {
@@ -916,9 +919,11 @@
             let due = entry.due.min(stop) <= self.now + self.beat;
             let by = if stop < entry.due { Reason::Stopping } else { Reason::Due };
             let replayable = self.aims[entry.handler].effect == Effect::Replayable;
-            // Work under way is given up only once it is late.
+            // Work under way is given up only once it is late, and if it may not run again only where it
+            // stands: its call would be made for nobody, together with those of all that stood as long.
             let under_way = !matches!(entry.state, State::Held | State::Joined);
-            let hopeless = under_way && replayable && entry.target < self.now;
+            let stands = entry.state == State::AtCall;
+            let hopeless = under_way && (replayable || stands) && entry.target < self.now;
             if due || hopeless {
                 self.give_up(req, false, if due { by } else { Reason::Missed }, out);
             }
@@ -988,6 +993,11 @@
         self.ring.sum(measure, span) / self.ring.sum(ARRIVED, span).max(1.0)
     }
 
+    /// The mean of a gauge over the window.
+    fn per_beat(&self, measure: usize) -> f64 {
+        self.ring.sum(measure, WINDOW) * self.beat.as_secs_f64() / WINDOW.as_secs_f64()
+    }
+
     fn mean_work(&self) -> f64 {
         let arrived = self.ring.sum(ARRIVED, Duration::from_secs(5));
         if arrived > 0.0 {
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -553,3 +553,41 @@
     assert!(!unmarked.is_empty() && !unmarked.contains(&true), "{unmarked:?}");
     assert!(sheds(false, true).contains(&true));
 }
+
+fn called(world: &World) -> bool {
+    world.last.iter().any(|action| matches!(action, Action::Call { .. }))
+}
+
+/// One slow second spent every server's part of the ledger on calls that may be left out; those that may not
+/// stood until it came back five seconds later, all at once, and pushed the ledger over its knee again.
+#[test]
+fn calls_that_may_be_left_out_leave_room_for_one_that_may_not() {
+    let below = Below::Shared { share: 0.6, span: ms(5000), linger: ms(200) };
+    let mut world = World::new(Given { below, ..given() }, 1);
+    let call = |world: &mut World, handler: usize| {
+        let req = world.arrive(handler, 0, None, 20, 1);
+        world.reach_call(req);
+        let made = called(world);
+        if world.reqs.get(&req).is_some_and(|seen| seen.place == Place::OnCore) {
+            world.finish(req, Outcome::Done);
+        }
+        made
+    };
+    let made = (0..4).filter(|_| call(&mut world, 0)).count();
+    assert_eq!(made, 2, "of what may be left out");
+    assert!(call(&mut world, 2), "what may not be left out found no room: {:?}", world.last);
+}
+
+/// A req that stands at its call past its response target helps nobody by waiting on: its caller hears at once.
+#[test]
+fn what_stands_at_a_call_past_its_target_is_given_up_at_once() {
+    let below = Below::Shared { share: 0.05, span: ms(5000), linger: ms(200) };
+    let mut world = World::new(Given { below, ..given() }, 1);
+    let req = world.arrive(2, 0, None, 20, 1);
+    world.reach_call(req);
+    assert!(!called(&world), "no call fits");
+    world.pass(ms(990));
+    assert!(world.reqs.contains_key(&req), "it may still be in time");
+    world.pass(ms(110));
+    assert!(!world.reqs.contains_key(&req), "held on until it is due");
+}
