A value beside a list that follows health is served; stand-in kernel drops replaced links

Also: serving::each_req_is_answered_once_while_links_are_cut failed now and then with 'run again': the stand-in of the kernel went on carrying out commands that lay in the buffers of a link which a new one had replaced. It drops them now, as the protocol has it.

--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -157,6 +157,8 @@
     let steering = match told.steering {
         tulipgap_settings::Steering::Advice => "by the value on answers",
         tulipgap_settings::Steering::List => "by health, which the list follows",
+        tulipgap_settings::Steering::Both => "by the value on answers and by health, which the list follows",
+        tulipgap_settings::Steering::Waits => "by the wait on what is turned away alone",
     };
     ::log::info!("{} listens on {}; callers are steered {steering}", told.name, told.listen);
     let grace = told.given.drain_grace;
--- a/crates/server/tests/program/stand.rs
+++ b/crates/server/tests/program/stand.rs
@@ -121,6 +121,7 @@
 pub fn serve_link(kernel: &Shared, stream: TcpStream) {
     let mut input = BufReader::new(stream.try_clone().unwrap());
     let mut line = String::new();
+    let mut number = 0;
     loop {
         line.clear();
         if input.read_line(&mut line).unwrap_or(0) == 0 {
@@ -140,13 +141,18 @@
         if let ["OPEN", last] = words[..] {
             kernel.link = Some(stream.try_clone().unwrap());
             kernel.links += 1;
+            number = kernel.links;
             kernel.say("BOOTED steady 1000.0\r\nDMESG 0 a remark of no meaning\r\n".to_owned());
             // A notice too many: what was read before must not be taken twice.
             let from = last.parse::<usize>().unwrap().saturating_sub(1);
             let missed = kernel.notices[from..].concat();
             let _ = kernel.link.as_ref().unwrap().write_all(&missed);
-        } else {
+        } else if kernel.links == number {
             kernel.hear(&words, body);
+        } else {
+            // A new link replaces the one before: what still lies in its buffers was said again on the new one,
+            // and would run twice.
+            return;
         }
     }
 }
