--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -51,6 +51,18 @@
     assert_eq!(world.reqs.values().filter(|seen| seen.place == Place::OnCore).count(), 1);
 }
 
+/// A flood that reading cannot catch up with took every core for reading: for ten seconds nothing ran at all.
+#[test]
+fn a_server_buried_in_unread_reqs_still_runs_some() {
+    let mut world = plain();
+    world.reading = 6.0;
+    for turn in 0..40 {
+        world.pass(ms(50));
+        world.arrive(0, 700, None, 100, turn);
+    }
+    assert!(world.nth(Place::OnCore, 0).is_some(), "nothing runs");
+}
+
 #[test]
 fn callers_are_asked_for_less_while_reqs_stand_unread() {
     let mut world = plain();
