--- a/src/decide.rs
+++ b/src/decide.rs
@@ -63,6 +63,8 @@
 const FULL_WHEN_SHED: f64 = 0.5;
 /// The part of the cores that runs keep beside reading.
 const LANES_LEAST: f64 = 0.34;
+/// Mean time unread, as a part of the setpoint, from which reading gets all it wants.
+const DROWNED: f64 = 0.5;
 /// Connections for each core from which they crowd the table, while most callers have none.
 const TABLE_CROWD: f64 = 6.0;
 /// Reqs read for each done, and what wants a core beside our runs, for each core, from which the table is
@@ -534,7 +536,11 @@
     /// the reading leaves reqs unread until they are late. Guards against floods; at rest it never binds.
     fn lanes(&self) -> f64 {
         let spare = self.cores - self.reading;
-        spare.max(self.cores * LANES_LEAST).min(self.cap)
+        // Drowned: what is read is late already, and answers reach nobody until the reading has caught up. With
+        // nothing done for a whole window it does not catch up.
+        let unread = self.per_arrival(UNREAD, BUCKET);
+        let drowned = unread > DROWNED * self.setpoint && self.ring.sum(DONE, WINDOW) > 0.0;
+        if drowned { spare } else { spare.max(self.cores * LANES_LEAST) }.min(self.cap)
     }
 
     /// The better head of the two lines; long work leaves a core to short work that waits.
