--- a/src/decide.rs
+++ b/src/decide.rs
@@ -439,10 +439,9 @@
         worth_it && !e.retry && (unfit || self.marked && (self.ailing() || room))
     }
 
-    /// The purse under which a tenant counts as beyond its share. While all that comes here is what all may send
-    /// to one server, none is: purses walk at random, and a low rank would shed what there is room for. Of
-    /// more, as large a part is beyond as there is more. Harms where one tenant floods a fleet that others leave
-    /// idle: its reqs are worth little, yet nothing better is there to run.
+    /// The purse under which a tenant counts as beyond its share. While no more comes here than all may send to
+    /// one server, none is: purses walk at random, and a low rank would shed what there is room for. Of more, as
+    /// large a part is beyond as there is more. Harms where one tenant floods a fleet that others leave idle.
     fn ahead_of_share(&self) -> f64 {
         let Some(quota) = self.quota_per_s else { return 1.0 };
         let span = SHARE_SPAN.min(self.now).max(Duration::from_secs(1));
@@ -588,9 +587,8 @@
         let mut kept = 0.0;
         if let Some(granted) = self.calls_granted {
             patience = patience.min(seconds(granted / 4.0));
-            // What may be left out leaves room for one that may not, as far as two of its own fit beside it.
-            // Guards against mandatory calls that find the part of all servers spent, stand, and come back at
-            // once when it is there again: that pushes what lies below over its knee, and spends the part anew.
+            // What may be left out leaves room for one that may not, as far as two of its own fit. Guards against
+            // mandatory calls that stand, as all servers' parts are spent, and come back at once: over the knee.
             if skippable && self.mandatory {
                 let (linger, own) = (self.linger.as_secs_f64(), patience.as_secs_f64());
                 kept = (granted / 4.0 + linger).min(granted - 2.0 * (own + linger)).max(0.0);
