--- a/src/decide.rs
+++ b/src/decide.rs
@@ -439,8 +439,8 @@
         worth_it && !e.retry && (unfit || self.marked && (self.ailing() || room))
     }
 
-    /// The purse under which a tenant counts as beyond its share. While no more comes here than all may send to
-    /// one server, none is: purses walk at random, and a low rank would shed what there is room for. Of more, as
+    /// The purse under which a tenant is beyond its share. While no more comes than all may send to one
+    /// server, none is: purses walk at random, and a low rank would shed what there is room for. Of more, as
     /// large a part is beyond as there is more. Harms where one tenant floods a fleet that others leave idle.
     fn ahead_of_share(&self) -> f64 {
         let Some(quota) = self.quota_per_s else { return 1.0 };
@@ -535,8 +535,8 @@
     /// the reading leaves reqs unread until they are late. Guards against floods; at rest it never binds.
     fn lanes(&self) -> f64 {
         let spare = self.cores - self.reading;
-        // Drowned: what is read is late already, and answers reach nobody until the reading has caught up. With
-        // nothing done for a whole window it does not catch up.
+        // Drowned: what is read is late already, and answers reach nobody until the reading has caught up.
+        // With nothing done for a whole window it does not catch up.
         let unread = self.per_arrival(UNREAD, BUCKET);
         let drowned = unread > DROWNED * self.setpoint && self.ring.sum(DONE, WINDOW) > 0.0;
         if drowned { spare } else { spare.max(self.cores * LANES_LEAST) }.min(self.cap)
@@ -587,8 +587,8 @@
         let mut kept = 0.0;
         if let Some(granted) = self.calls_granted {
             patience = patience.min(seconds(granted / 4.0));
-            // What may be left out leaves room for one that may not, as far as two of its own fit. Guards against
-            // mandatory calls that stand, as all servers' parts are spent, and come back at once: over the knee.
+            // What may be left out leaves room for one that may not, as far as two of its own fit. Guards
+            // against mandatory calls that stand while all parts are spent, and come back at once.
             if skippable && self.mandatory {
                 let (linger, own) = (self.linger.as_secs_f64(), patience.as_secs_f64());
                 kept = (granted / 4.0 + linger).min(granted - 2.0 * (own + linger)).max(0.0);
