The newcomer that fills the table has 60 ms to speak before it is ended

With the table full, may_accept makes room at once, and the first in line is who has said nothing: the one just accepted, whose first message was still on its way, while idle connections stood beside it. Its caller saw the connection close.

Change: if it alone says nothing it is spared for CROSSING (60 ms), and the longest idle one goes; of several that say nothing the first goes at once as before, and with no descriptor left nobody is spared. Harms where all others are busy: 60 ms until the place is free.

--- a/crates/admission/src/decide.rs
+++ b/crates/admission/src/decide.rs
@@ -132,7 +132,13 @@
         if self.terms.when_full == WhenFull::Refuse || self.ledger.room(Part::Clients) > 0 {
             return true;
         }
-        self.make_room(now, true, false, acts);
+        // The one that filled the table, alone in saying nothing, has a moment to speak: its first message may be
+        // on its way, and it is not what crowds the table.
+        let silent = self.queues.first(SILENT).filter(|_| self.queues.len(SILENT) == 1);
+        let new = |&conn: &Conn| {
+            self.ones[conn].as_ref().is_some_and(|one| now.saturating_sub(one.opened) <= CROSSING)
+        };
+        self.make_room(now, true, false, silent.filter(new), acts);
         false
     }
 
@@ -161,7 +167,7 @@
         if let Some(cause) = self.refusal(now, address, known) {
             if cause == Cause::Full {
                 // The next one finds a place, if something may go.
-                self.make_room(now, false, known, acts);
+                self.make_room(now, false, known, None, acts);
             }
             *self.decided.refused.entry(cause).or_default() += 1;
             acts.push(Act::Refuse { conn, cause });
@@ -195,7 +201,7 @@
         acts.push(Act::Let { conn });
         // Looked at before it stands among those that may go: none goes for having just come.
         if self.open as f64 > self.places as f64 * CROWDED {
-            self.make_room(now, false, known, acts);
+            self.make_room(now, false, known, None, acts);
         }
         self.place(conn);
         self.wheel.set(conn, now.saturating_add(self.terms.message));
@@ -329,7 +335,7 @@
             Trouble::NoMemory => NO_MEMORY,
         };
         // Somebody holds descriptors that the ledger does not know of: what can go makes room.
-        self.make_room(now, true, false, acts);
+        self.make_room(now, true, false, None, acts);
         acts.push(Act::Pause { until: now.saturating_add(pause) });
     }
 
@@ -340,11 +346,19 @@
         }
     }
 
-    /// Ends or asks one connection, so that another has its place; `at_once` also one that was not asked before.
-    fn make_room(&mut self, now: Duration, at_once: bool, known: bool, acts: &mut Vec<Act>) {
+    /// Ends or asks one connection, so that another has its place; `at_once` also one that was not asked before,
+    /// but not the one that is spared.
+    fn make_room(
+        &mut self,
+        now: Duration,
+        at_once: bool,
+        known: bool,
+        spared: Option<Conn>,
+        acts: &mut Vec<Act>,
+    ) {
         let since = |at: Duration| now.saturating_sub(at);
         for queue in 0..QUEUES {
-            let Some(conn) = self.queues.first(queue) else { continue };
+            let Some(conn) = self.queues.first(queue).filter(|&conn| Some(conn) != spared) else { continue };
             let Some(one) = self.ones[conn].as_ref() else { continue };
             let ripe = match queue {
                 SILENT => at_once || since(one.opened) > SILENT_LEAST,
--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -578,3 +578,35 @@
         assert!(wrong.parse::<Prefix>().is_err(), "{wrong}");
     }
 }
+
+/// Where newcomers wait for a place, the one that filled the table was ended at once, as the only one that had said
+/// nothing: its first message was on its way, and its caller saw the connection close.
+#[test]
+fn a_newcomer_that_fills_the_table_gets_a_moment_to_speak() {
+    let mut terms = terms();
+    (terms.when_full, terms.caps) = (WhenFull::Wait, None);
+    let mut world = World::new(terms);
+    let ended = |world: &mut World| {
+        let mut acts = Vec::new();
+        let may = world.admission.may_accept(world.now, &mut acts);
+        let end = |act: &Act| if let Act::End { conn, .. } = act { Some(*conn) } else { None };
+        (may, acts.iter().find_map(end))
+    };
+    let mut last = None;
+    while world.admission.ledger().room(Part::Clients) > 0 {
+        last = world.come(v4(10, 0, 0, 1));
+        assert!(last.is_some(), "there is room");
+        if world.admission.ledger().room(Part::Clients) > 0 {
+            world.serve(last.unwrap());
+        }
+    }
+    let (may, first) = ended(&mut world);
+    assert!(!may && first.is_some() && first != last, "{first:?} of {last:?}");
+    // Of several that say nothing the one that came first goes, at once.
+    let mut world = World::new(Terms { when_full: WhenFull::Wait, caps: None, ..self::terms() });
+    let mut silent = Vec::new();
+    while world.admission.ledger().room(Part::Clients) > 0 {
+        silent.extend(world.come(v4(10, 0, 0, 2)));
+    }
+    assert_eq!(ended(&mut world), (false, silent.first().copied()));
+}
