crates/cluster decides on membership, crates/rig plays faults against it in simulated time

This is the ground of it: decisions without I/O and a rig that breaks what lies between members, with checkers that can fail. Nothing in tulipgapd uses it, so nothing listens or talks to peers.

Change: SWIM with suspicion and local health of the Lifeguard paper, our own beside foca (reasons in docs/design-cluster.md); verdicts on reachability between members; names used twice, restarts, ghosts, halves that meet, versions nobody knows. tulipgap rig simulate plays a file over seeds with three promises asserted all the time and the worst printed beside each bound. Each checker is shown to catch a planted fault.

Found by the rig: a newcomer that asked one seed at a time stayed out of a cut zone (held_dead 12.25 s with a bound of 12, two halves, seed 1): it asks all now, and seeds stand in all zones. A member held dead was not told so when it was tried again, and denied nothing (held_dead 15.25 s of 15, seed 59 of the zone cut): it is told, and of two halves that meet each asks whom the other holds dead first, as suspects.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -20,6 +20,11 @@
         #[command(subcommand)]
         command: TraceCommand,
     },
+    /// Faults played between the members of a cluster
+    Rig {
+        #[command(subcommand)]
+        command: RigCommand,
+    },
     /// The product's own configuration
     Config {
         #[command(subcommand)]
@@ -27,6 +32,26 @@
     },
 }
 
+#[derive(Subcommand)]
+pub enum RigCommand {
+    /// Play a plan in simulated time, once for each seed; ends with 1 where a promise is broken
+    Simulate {
+        file: PathBuf,
+        /// Seeds, such as 0..100 (the last is left out)
+        #[arg(long, default_value = "0..100", value_parser = seeds)]
+        seeds: std::ops::Range<u64>,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
+    let (from, to) = text.split_once("..").ok_or("two numbers with .. between")?;
+    let number = |text: &str| text.parse::<u64>().map_err(|error| error.to_string());
+    let range = number(from)?..number(to)?;
+    if range.is_empty() { Err("it holds no seed".into()) } else { Ok(range) }
+}
+
 #[derive(Subcommand)]
 pub enum ConfigCommand {
     /// Tell every problem of a file with its line and column
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod export;
 mod files;
 mod report;
+mod rig;
 mod times;
 mod trace;
 
@@ -12,13 +13,16 @@
 
 use clap::Parser;
 
-use args::{Args, Command, ConfigCommand};
+use args::{Args, Command, ConfigCommand, RigCommand};
 
 fn main() -> ExitCode {
     // clap ends with 2 on usage that makes no sense, and with 0 for help and version.
     let args = Args::parse();
     let ended = match args.command {
         Command::Trace { command } => trace::run(command),
+        Command::Rig { command: RigCommand::Simulate { file, seeds, json } } => {
+            rig::simulate(&file, seeds, json)
+        }
         Command::Config { command: ConfigCommand::Check { files } } => check_config(&files),
     };
     match ended {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -252,3 +252,24 @@
     assert_eq!(output.status.code(), Some(1), "{}", err(&output));
     assert!(String::from_utf8_lossy(&output.stdout).contains("not sound"), "{}", err(&output));
 }
+
+#[test]
+fn the_rig_ends_by_what_came_of_the_plan() {
+    let place = Place::new();
+    let plan =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../example/zone-cut.hcl")).unwrap();
+    std::fs::write(place.path("plan.hcl"), &plan).unwrap();
+    let report = place.json("rig simulate plan.hcl --seeds 0..2 --json");
+    assert_eq!((&report["runs"], &report["broken"]), (&2.into(), &serde_json::Value::Null));
+    assert!(place.fine("rig simulate plan.hcl --seeds 0..2").contains("held_dead  at the longest"));
+    // A bound that nothing can keep: the seed that shows it is told.
+    std::fs::write(place.path("tight.hcl"), plan.replace("known     = 30", "known     = 1")).unwrap();
+    let output = place.run("rig simulate tight.hcl --seeds 3..9");
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stdout).contains("BROKEN known with seed 3 at "));
+    std::fs::write(place.path("wrong.hcl"), plan.replace("south-2", "east-2")).unwrap();
+    let output = place.run("rig simulate wrong.hcl");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(err(&output).contains("no zone and no member"), "{}", err(&output));
+    assert_eq!(place.run("rig simulate plan.hcl --seeds 5..5").status.code(), Some(2));
+}
--- /dev/null
+++ b/crates/rig/src/simulate.rs
@@ -0,0 +1,405 @@
+//! A run in simulated time: the members' own state machines, a network that does what the plan says, and a checker that
+//! looks on. The same plan and seed give the same run to the last message.
+
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use tulipgap_cluster::{About, Action, Event, Message, State};
+
+use crate::check::{Broken, Checker, Pair, Worst};
+use crate::plan::{Fault, Plan};
+
+/// Between two looks of the checker.
+const LOOK: Duration = Duration::from_millis(250);
+/// How long a message takes where nothing is wrong.
+const LATENCY: (f64, f64) = (0.0002, 0.002);
+
+/// From then on the planted mute member says nothing.
+const MUTE_FROM: Duration = Duration::from_secs(10);
+
+/// Something planted, by which a checker shows that it can fail.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Flaw {
+    /// One member says nothing, though its links are whole.
+    Mute,
+    /// What a crashed member would answer is answered in its place.
+    Ghost,
+    /// Nothing that is said of members is passed on.
+    Untold,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    pub broken: Option<Broken>,
+    pub worst: Worst,
+    pub messages: u64,
+    /// Members that were held dead by another while they lived and could be reached.
+    pub false_deaths: u64,
+    /// From each crash to the first that holds it dead, and to the last; crashes that came back before are left out.
+    pub detected: Vec<(Duration, Duration)>,
+    /// Names the run: equal where all was equal.
+    pub trace: u64,
+}
+
+enum What {
+    Deliver { to: usize, from: usize, message: Message },
+    Alarm { life: u64 },
+    Up,
+    Down,
+    Stop,
+    Wake,
+}
+
+struct Due {
+    at: Duration,
+    order: u64,
+    member: usize,
+    what: What,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+struct Process {
+    address: SocketAddr,
+    decider: Option<tulipgap_cluster::Members>,
+    started: Duration,
+    stopped: bool,
+    /// What came while it was stopped.
+    waiting: Vec<(usize, Message)>,
+    alarm: bool,
+    life: u64,
+    died: Option<Duration>,
+    seen: Option<(Duration, BTreeMap<usize, Duration>)>,
+}
+
+struct World<'a> {
+    plan: &'a Plan,
+    names: Vec<(String, String)>,
+    flaw: Option<Flaw>,
+    rng: fastrand::Rng,
+    now: Duration,
+    order: u64,
+    due: BinaryHeap<Due>,
+    processes: Vec<Process>,
+    at: HashMap<SocketAddr, usize>,
+    messages: u64,
+    false_deaths: u64,
+    detected: Vec<(Duration, Duration)>,
+    trace: u64,
+}
+
+/// Plays a plan once.
+pub fn simulate(plan: &Plan, seed: u64, flaw: Option<Flaw>) -> Outcome {
+    let names = plan.names();
+    let address = |member: usize| {
+        let ip = Ipv4Addr::new(127, 1, (member / 250) as u8, (member % 250) as u8 + 1);
+        SocketAddr::new(IpAddr::V4(ip), 7100)
+    };
+    let process = |member: usize| Process {
+        address: address(member),
+        decider: None,
+        started: Duration::ZERO,
+        stopped: false,
+        waiting: Vec::new(),
+        alarm: false,
+        life: 0,
+        died: None,
+        seen: None,
+    };
+    let mut world = World {
+        at: (0..names.len()).map(|member| (address(member), member)).collect(),
+        processes: (0..names.len()).map(process).collect(),
+        plan,
+        flaw,
+        rng: fastrand::Rng::with_seed(seed),
+        now: Duration::ZERO,
+        order: 0,
+        due: BinaryHeap::new(),
+        messages: 0,
+        false_deaths: 0,
+        detected: Vec::new(),
+        trace: 0xcbf2_9ce4_8422_2325,
+        names,
+    };
+    for member in 0..world.names.len() {
+        let at = Duration::from_secs_f64(world.rng.f64() * 0.2);
+        world.put(at, member, What::Up);
+    }
+    for fault in &plan.faults {
+        let (at, of, back, stops) = match fault {
+            Fault::Crash { at, of, back } => (at, of, back, false),
+            Fault::Stop { at, of, back } => (at, of, back, true),
+            _ => continue,
+        };
+        for member in world.members_of(of) {
+            let (down, up) = if stops { (What::Stop, What::Wake) } else { (What::Down, What::Up) };
+            world.put(Duration::from_secs_f64(*at), member, down);
+            if let Some(back) = back {
+                world.put(Duration::from_secs_f64(*back), member, up);
+            }
+        }
+    }
+    world.play()
+}
+
+impl World<'_> {
+    fn put(&mut self, at: Duration, member: usize, what: What) {
+        self.order += 1;
+        self.due.push(Due { at, order: self.order, member, what });
+    }
+
+    fn is(&self, member: usize, of: &str) -> bool {
+        of.is_empty() || self.names[member].0 == of || self.names[member].1 == of
+    }
+
+    fn members_of(&self, of: &str) -> Vec<usize> {
+        (0..self.names.len()).filter(|&member| self.is(member, of)).collect()
+    }
+
+    fn play(mut self) -> Outcome {
+        let mut checker = Checker::new(self.plan.checks, self.plan.quiet_from());
+        let end = Duration::from_secs_f64(self.plan.length);
+        let mut look_at = LOOK;
+        while let Some(due) = self.due.pop() {
+            while look_at <= due.at.min(end) {
+                self.now = look_at;
+                self.look(&mut checker);
+                look_at += LOOK;
+            }
+            if due.at > end || checker.broken.is_some() {
+                break;
+            }
+            self.now = due.at;
+            self.happen(due, &mut checker);
+        }
+        Outcome {
+            broken: checker.broken,
+            worst: checker.worst,
+            messages: self.messages,
+            false_deaths: self.false_deaths,
+            detected: self.detected,
+            trace: self.trace,
+        }
+    }
+
+    fn happen(&mut self, due: Due, checker: &mut Checker) {
+        let member = due.member;
+        match due.what {
+            What::Up => self.start(member, checker),
+            What::Down => {
+                let process = &mut self.processes[member];
+                if process.decider.take().is_some() {
+                    (process.died, process.seen) = (Some(self.now), Some((self.now, BTreeMap::new())));
+                }
+                (process.stopped, process.alarm) = (false, false);
+                process.waiting.clear();
+            }
+            What::Stop => self.processes[member].stopped = self.processes[member].decider.is_some(),
+            What::Wake => {
+                let process = &mut self.processes[member];
+                if std::mem::replace(&mut process.stopped, false) {
+                    checker.anew(member);
+                    let waiting = std::mem::take(&mut process.waiting);
+                    if std::mem::replace(&mut process.alarm, false) {
+                        self.tell(member, &[Event::Alarm]);
+                    }
+                    for (from, message) in waiting {
+                        self.receive(member, from, message);
+                    }
+                }
+            }
+            What::Alarm { life } => {
+                let process = &mut self.processes[member];
+                if process.life != life || process.decider.is_none() {
+                } else if process.stopped {
+                    process.alarm = true;
+                } else {
+                    self.tell(member, &[Event::Alarm]);
+                }
+            }
+            What::Deliver { to, from, message } => {
+                let process = &mut self.processes[to];
+                if process.decider.is_none() {
+                    self.answer_as_ghost(to, from, &message);
+                } else if process.stopped {
+                    // A socket's buffer, no more.
+                    if process.waiting.len() < 1000 {
+                        process.waiting.push((from, message));
+                    }
+                } else {
+                    self.receive(to, from, message);
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, member: usize, checker: &mut Checker) {
+        checker.anew(member);
+        // One of each zone: a zone that is cut off still finds itself.
+        let first = |&member: &usize| member == 0 || self.names[member].1 != self.names[member - 1].1;
+        let seeds =
+            (0..self.names.len()).filter(first).map(|member| self.processes[member].address).collect();
+        let terms = tulipgap_cluster::Terms { seeds, ..self.plan.terms.clone() };
+        let (name, zone) = self.names[member].clone();
+        let address = self.processes[member].address;
+        let region = self.plan.members.iter().find(|m| m.zone == zone).map_or("", |m| m.region.as_str());
+        let region = if region.is_empty() { &zone } else { region };
+        let about = About {
+            name: name.into(),
+            address,
+            region: region.into(),
+            zone: zone.as_str().into(),
+            version: *tulipgap_cluster::VERSIONS.end(),
+        };
+        let seed = self.rng.u64(..);
+        let decider = tulipgap_cluster::Members::new(terms, about, 0, seed).ok();
+        let process = &mut self.processes[member];
+        (process.decider, process.started, process.died) = (decider, self.now, None);
+        process.life += 1;
+        if let Some((_, seen)) = process.seen.take()
+            && let (Some(first), Some(last)) = (seen.values().min(), seen.values().max())
+        {
+            self.detected.push((*first, *last));
+        }
+        self.tell(member, &[Event::Started]);
+    }
+
+    fn receive(&mut self, member: usize, from: usize, message: Message) {
+        let from = self.processes[from].address;
+        self.tell(member, &[Event::Received { from, message }]);
+    }
+
+    fn tell(&mut self, member: usize, events: &[Event]) {
+        let process = &mut self.processes[member];
+        let (life, since) = (process.life, self.now - process.started);
+        let Some(decider) = &mut process.decider else { return };
+        for action in decider.decide(since, events) {
+            match action {
+                Action::Send { to, message } => self.send(member, to, message),
+                Action::Alarm { at } => {
+                    let at = self.processes[member].started + at;
+                    self.put(at, member, What::Alarm { life });
+                }
+                Action::Changed { name, state, .. } => self.changed(member, &name, state),
+                Action::NameTaken { .. } | Action::Refused { .. } => {}
+            }
+        }
+    }
+
+    fn changed(&mut self, observer: usize, name: &str, state: State) {
+        for value in [observer as u64, state as u64, self.now.as_micros() as u64] {
+            self.trace = (self.trace ^ value).wrapping_mul(0x0100_0000_01b3);
+        }
+        let Some(of) = self.names.iter().position(|(other, _)| other == name) else { return };
+        if state != State::Dead {
+            return;
+        }
+        let process = &mut self.processes[of];
+        if let (Some(_), Some((since, seen))) = (process.died, &mut process.seen) {
+            seen.entry(observer).or_insert(self.now - *since);
+        } else if self.reachable(observer, of) {
+            self.false_deaths += 1;
+        }
+    }
+
+    /// Whether what the one sends gets to the other now, as far as cuts go.
+    fn open(&self, from: usize, to: usize) -> bool {
+        let now = self.now.as_secs_f64();
+        !self.plan.faults.iter().any(|fault| match fault {
+            Fault::Cut { span, a, b, one_way, flap } => {
+                let on = now >= span.from
+                    && now < span.to
+                    && flap.is_none_or(|flap| (((now - span.from) / flap) as u64).is_multiple_of(2));
+                let forth = self.is(from, a) && self.is(to, b);
+                let back = self.is(from, b) && self.is(to, a);
+                on && from != to && (forth || back && !one_way)
+            }
+            _ => false,
+        })
+    }
+
+    fn awake(&self, member: usize) -> bool {
+        self.processes[member].decider.is_some() && !self.processes[member].stopped
+    }
+
+    fn reachable(&self, a: usize, b: usize) -> bool {
+        self.awake(a) && self.awake(b) && self.open(a, b) && self.open(b, a)
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, mut message: Message) {
+        self.messages += 1;
+        let Some(&to) = self.at.get(&to) else { return };
+        match self.flaw {
+            Some(Flaw::Mute) if from == 0 && self.now >= MUTE_FROM => return,
+            Some(Flaw::Untold) => message.updates.retain(|update| update.about.name == message.from),
+            _ => {}
+        }
+        let now = self.now.as_secs_f64();
+        let (mut delay, mut loss, mut twice) = (0.0, 0.0, 0.0);
+        for fault in &self.plan.faults {
+            if let Fault::Links { span, of, loss: l, delay_ms, twice: t } = fault
+                && now >= span.from
+                && now < span.to
+                && (self.is(from, of) || self.is(to, of))
+            {
+                (delay, loss, twice) =
+                    (f64::max(delay, *delay_ms / 1e3), f64::max(loss, *l), f64::max(twice, *t));
+            }
+        }
+        let copies = 1 + usize::from(self.rng.f64() < twice);
+        for _ in 0..copies {
+            // Each takes its own time, so that they overtake each other.
+            let takes = LATENCY.0 + (LATENCY.1 - LATENCY.0) * self.rng.f64() + delay * (0.5 + self.rng.f64());
+            let lost = self.rng.f64() < loss;
+            if !lost && self.open(from, to) {
+                let at = self.now + Duration::from_secs_f64(takes);
+                self.put(at, to, What::Deliver { to, from, message: message.clone() });
+            }
+        }
+    }
+
+    fn answer_as_ghost(&mut self, ghost: usize, from: usize, message: &Message) {
+        if let (Some(Flaw::Ghost), tulipgap_cluster::Body::Ping { number }) = (self.flaw, &message.body) {
+            let body = tulipgap_cluster::Body::Ack { number: *number };
+            let name = self.names[ghost].0.as_str().into();
+            let answer = Message { from: name, to: Some(message.from.clone()), body, updates: Vec::new() };
+            self.send(ghost, self.processes[from].address, answer);
+        }
+    }
+
+    fn look(&mut self, checker: &mut Checker) {
+        for observer in 0..self.names.len() {
+            if !self.awake(observer) {
+                continue;
+            }
+            let Some(decider) = &self.processes[observer].decider else { continue };
+            for of in (0..self.names.len()).filter(|&of| of != observer) {
+                let pair = Pair {
+                    observer,
+                    of,
+                    names: &self.names,
+                    held: decider.state(&self.names[of].0),
+                    reachable: self.reachable(observer, of),
+                    dead: self.processes[of].died.is_some(),
+                };
+                checker.look(self.now, &pair);
+            }
+        }
+    }
+}
