--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -40,11 +40,12 @@
 }
 
 fn sent(actions: &[Action]) -> Vec<(&Body, &[Update])> {
-    let message = |action| match action {
-        Action::Send { message, .. } => Some((&message.body, &message.updates[..])),
-        _ => None,
-    };
-    actions.iter().filter_map(message).collect()
+    (actions.iter())
+        .filter_map(|action| match action {
+            Action::Send { message, .. } => Some((&message.body, &message.updates[..])),
+            _ => None,
+        })
+        .collect()
 }
 
 #[test]
