--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -73,6 +73,8 @@
     numbers: u64,
     /// How badly this process itself does: its times are stretched by one more than this.
     awareness: u32,
+    /// When the next alarm is due that was asked for.
+    alarm_at: Option<Duration>,
     period_at: Duration,
     sync_at: Duration,
     /// It has been told all by another once, and is no newcomer any more.
@@ -123,6 +125,7 @@
             errands: Vec::new(),
             numbers: 0,
             awareness: 0,
+            alarm_at: None,
             period_at: Duration::ZERO,
             sync_at: Duration::ZERO,
             settled: false,
@@ -147,7 +150,7 @@
                     // Not all at once where many are started together.
                     self.period_at = self.now + self.terms.period.mul_f64(self.rng.f64());
                     self.sync_at = self.period_at;
-                    out.push(Action::Alarm { at: self.period_at });
+                    self.wake_at(self.period_at, &mut out);
                 }
                 Event::Received { from, message } => self.received(*from, message, &mut out),
                 Event::Alarm => self.alarm(&mut out),
@@ -298,7 +301,7 @@
                     self.errands.push(errand);
                     let number = self.numbers;
                     self.send(*address, Some(target), Body::Ping { number }, out);
-                    out.push(Action::Alarm { at: self.now + self.terms.timeout });
+                    self.wake_at(self.now + self.terms.timeout, out);
                 }
             }
             Body::Told { number, heard } => self.told(*number, *heard),
@@ -351,6 +354,11 @@
     }
 
     fn alarm(&mut self, out: &mut Vec<Action>) {
+        // One that an earlier one has taken the place of.
+        if self.alarm_at.is_some_and(|at| self.now < at) {
+            return;
+        }
+        self.alarm_at = None;
         let (now, timeout) = (self.now, self.terms.timeout);
         // Errands that came to nothing are told too: silence would count against who asked.
         let (done, left) =
@@ -375,7 +383,16 @@
                 self.exchange(out);
             }
         }
-        out.push(Action::Alarm { at: self.next_at() });
+        self.wake_at(self.next_at(), out);
+    }
+
+    /// Asks for an alarm, unless one is due by then anyway: each is answered by one more, so that a second one would
+    /// go on for ever beside the first.
+    fn wake_at(&mut self, at: Duration, out: &mut Vec<Action>) {
+        if self.alarm_at.is_none_or(|due| at < due) {
+            self.alarm_at = Some(at);
+            out.push(Action::Alarm { at });
+        }
     }
 
     fn next_at(&self) -> Duration {
@@ -526,7 +543,7 @@
         {
             // One more that says so: passed on, as it makes the end come sooner for all.
             self.spread.put(update.clone());
-            out.push(Action::Alarm { at: self.next_at() });
+            self.wake_at(self.next_at(), out);
         }
     }
 
@@ -552,7 +569,7 @@
             out.push(Action::Changed { name, state: update.state, by: update.by.clone() });
         }
         if update.state == State::Suspect {
-            out.push(Action::Alarm { at: self.next_at() });
+            self.wake_at(self.next_at(), out);
         }
     }
 
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -171,3 +171,24 @@
     assert!(matches!(publish(&"k".repeat(65))[..], [Action::Refused { why: Unfit::Fact(_) }]));
     assert_eq!(members.me().facts.len(), FACTS_MOST);
 }
+
+/// Each alarm is answered by the next; one more for each suspicion and each probe on behalf of another went on beside
+/// it for ever, and a run of 100 members with slow links did not end.
+#[test]
+fn alarms_do_not_multiply() {
+    let mut members =
+        settled((2..6).map(|last| update(&format!("m{last}"), last, 0, State::Alive)).collect());
+    let mut pending = vec![Duration::from_millis(500)];
+    let mut count = 0;
+    while let Some(at) = pending.iter().copied().min().filter(|&at| at < Duration::from_secs(60)) {
+        pending.retain(|&other| other != at);
+        let asked = Body::Ask { number: count, target: "m3".into(), address: address(3) };
+        let mut actions = says(&mut members, at.as_millis() as u64, "m2", 2, asked, Vec::new());
+        actions.extend(members.decide(at, &[Event::Alarm]));
+        let alarm = |action: &Action| if let Action::Alarm { at } = action { Some(*at) } else { None };
+        pending.extend(actions.iter().filter_map(alarm));
+        count += 1;
+        assert!(pending.len() <= 4, "{} alarms are due at {at:?}", pending.len());
+    }
+    assert!(count > 100);
+}
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use tulipgap_cluster::Terms;
+use tulipgap_cluster::{About, Terms, VERSIONS};
 
 /// More makes no sense in one run.
 const MEMBERS_MOST: usize = 2000;
@@ -110,6 +110,41 @@
     #[serde(default)]
     stop: Blocks<Process>,
     check: Option<Checks>,
+    #[serde(default)]
+    terms: Changed,
+}
+
+/// Terms that differ from the usual ones.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Changed {
+    period: Option<f64>,
+    timeout: Option<f64>,
+    /// How far a member that does badly stretches its times; 0 is plain SWIM.
+    awareness: Option<u32>,
+    suspicion: Option<f64>,
+    suspicion_most: Option<f64>,
+}
+
+impl Changed {
+    fn terms(self) -> Result<Terms, PlanError> {
+        let usual = Terms::default();
+        let span = |name: &str, value: Option<f64>, usual: Duration| match value {
+            None => Ok(usual),
+            Some(value) => Duration::try_from_secs_f64(value).map_err(|error| PlanError::Meaning {
+                place: format!("terms.{name}"),
+                problem: error.to_string(),
+            }),
+        };
+        Ok(Terms {
+            period: span("period", self.period, usual.period)?,
+            timeout: span("timeout", self.timeout, usual.timeout)?,
+            awareness_most: self.awareness.unwrap_or(usual.awareness_most),
+            suspicion: self.suspicion.unwrap_or(usual.suspicion),
+            suspicion_most: self.suspicion_most.unwrap_or(usual.suspicion_most),
+            ..usual
+        })
+    }
 }
 
 /// The bounds, in seconds; each is asserted.
@@ -201,7 +236,7 @@
             members: file.members.all(),
             faults,
             checks: file.check.unwrap_or_default(),
-            terms: Terms::default(),
+            terms: file.terms.terms()?,
         };
         plan.check()?;
         Ok(plan)
@@ -251,6 +286,16 @@
                 return wrong(place, "a part from 0 to 1, a delay up to a minute, a flap from 0.01 s");
             }
         }
+        let about = About {
+            name: "a".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            region: "a".into(),
+            zone: "a".into(),
+            version: *VERSIONS.end(),
+        };
+        if let Err(unfit) = tulipgap_cluster::Members::new(self.terms.clone(), about, 0, 0) {
+            return wrong("terms".into(), &unfit.to_string());
+        }
         let Checks { held_dead, known, agree } = self.checks;
         match [held_dead, known, agree].iter().all(|bound| bound.is_finite() && *bound > 0.0) {
             true => Ok(()),
--- a/crates/rig/src/simulate.rs
+++ b/crates/rig/src/simulate.rs
@@ -98,6 +98,9 @@
     due: BinaryHeap<Due>,
     processes: Vec<Process>,
     at: HashMap<SocketAddr, usize>,
+    /// What each holds of each, as it said so itself.
+    held: Vec<Vec<Option<State>>>,
+    members: HashMap<String, usize>,
     messages: u64,
     false_deaths: u64,
     detected: Vec<(Duration, Duration)>,
@@ -124,6 +127,8 @@
     };
     let mut world = World {
         at: (0..names.len()).map(|member| (address(member), member)).collect(),
+        held: vec![vec![None; names.len()]; names.len()],
+        members: names.iter().enumerate().map(|(member, (name, _))| (name.clone(), member)).collect(),
         processes: (0..names.len()).map(process).collect(),
         plan,
         flaw,
@@ -251,6 +256,7 @@
 
     fn start(&mut self, member: usize, checker: &mut Checker) {
         checker.anew(member);
+        self.held[member].fill(None);
         // One of each zone: a zone that is cut off still finds itself.
         let first = |&member: &usize| member == 0 || self.names[member].1 != self.names[member - 1].1;
         let seeds =
@@ -306,7 +312,8 @@
         for value in [observer as u64, state as u64, self.now.as_micros() as u64] {
             self.trace = (self.trace ^ value).wrapping_mul(0x0100_0000_01b3);
         }
-        let Some(of) = self.names.iter().position(|(other, _)| other == name) else { return };
+        let Some(&of) = self.members.get(name) else { return };
+        self.held[observer][of] = Some(state);
         if state != State::Dead {
             return;
         }
@@ -384,18 +391,21 @@
     }
 
     fn look(&mut self, checker: &mut Checker) {
+        let now = self.now.as_secs_f64();
+        let on =
+            |fault: &Fault| matches!(fault, Fault::Cut { span, .. } if now >= span.from && now < span.to);
+        let cut = self.plan.faults.iter().any(on);
         for observer in 0..self.names.len() {
             if !self.awake(observer) {
                 continue;
             }
-            let Some(decider) = &self.processes[observer].decider else { continue };
             for of in (0..self.names.len()).filter(|&of| of != observer) {
                 let pair = Pair {
                     observer,
                     of,
                     names: &self.names,
-                    held: decider.state(&self.names[of].0),
-                    reachable: self.reachable(observer, of),
+                    held: self.held[observer][of],
+                    reachable: if cut { self.reachable(observer, of) } else { self.awake(of) },
                     dead: self.processes[of].died.is_some(),
                 };
                 checker.look(self.now, &pair);
