Rig's queue is a map, who lives is asked in one place, an unused bound of membership is gone

Cause: read back.

Change: a BTreeMap, Known::lives, the method and its sentence out. Neither the module nor the server is touched.

--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -30,6 +30,13 @@
     unheard: bool,
 }
 
+impl Known {
+    /// It is not held dead, and has not left.
+    fn lives(&self) -> bool {
+        self.update.state <= State::Suspect
+    }
+}
+
 /// What is held of a member, for who asks.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Held {
@@ -188,24 +195,13 @@
         self.odd
     }
 
-    /// The longest that a crash stays unknown to who probes it next in its round, by the terms and a number of members:
-    /// a round, the stretched periods of a probe and of a suspicion that nobody confirms.
-    pub fn detection_most(terms: &Terms, members: usize) -> Duration {
-        let stretch = 1 + terms.awareness_most;
-        let round = terms.period * members.max(1) as u32 * 2;
-        (round + terms.period) * stretch
-            + suspicion_least(terms, members).mul_f64(terms.suspicion_most) * stretch
-    }
-
     fn reach(&self, known: &Known) -> Reach {
         let others = self.known.values().filter(|k| k.update.state == State::Alive).count() as u32 + 1;
         let lately = |at: Option<Duration>| {
             at.is_some_and(|at| self.now.saturating_sub(at) <= self.terms.period * others * HEARD_ROUNDS)
         };
         match known.unheard {
-            false if known.update.state <= State::Suspect && lately(known.answered.or(known.came)) => {
-                Reach::Heard
-            }
+            false if known.lives() && lately(known.answered.or(known.came)) => Reach::Heard,
             true if lately(known.came) => Reach::OneWay,
             true => Reach::Through,
             false => Reach::Nobody,
@@ -223,7 +219,7 @@
     }
 
     fn alive(&self) -> usize {
-        self.known.values().filter(|known| known.update.state <= State::Suspect).count()
+        self.known.values().filter(|known| known.lives()).count()
     }
 
     fn send(&mut self, to: SocketAddr, name: Option<&Name>, body: Body, out: &mut Vec<Action>) {
@@ -320,8 +316,7 @@
     fn is_taken(&self, message: &Message) -> bool {
         self.known.get(&message.from).is_some_and(|known| {
             let mut own = message.updates.iter().filter(|update| update.about.name == message.from);
-            known.update.state <= State::Suspect
-                && own.any(|update| update.about.address != known.update.about.address)
+            known.lives() && own.any(|update| update.about.address != known.update.about.address)
         })
     }
 
@@ -409,7 +404,7 @@
     fn begin_probe(&mut self, out: &mut Vec<Action>) {
         let target = loop {
             if self.round.is_empty() {
-                let alive = self.known.iter().filter(|(_, known)| known.update.state <= State::Suspect);
+                let alive = self.known.iter().filter(|(_, known)| known.lives());
                 self.round = alive.map(|(name, _)| name.clone()).collect();
                 self.rng.shuffle(&mut self.round);
             }
@@ -464,7 +459,7 @@
         }
         // Those asked who said nothing at all speak against this process and not against the target.
         self.doing_badly(1 + probe.silent as u32);
-        let Some(known) = self.known.get(&probe.target).filter(|k| k.update.state <= State::Suspect) else {
+        let Some(known) = self.known.get(&probe.target).filter(|k| k.lives()) else {
             return;
         };
         let suspect =
@@ -629,15 +624,13 @@
 
     fn forget(&mut self) {
         let (now, remember) = (self.now, self.terms.remember);
-        self.known.retain(|_, known| {
-            known.update.state <= State::Suspect || now.saturating_sub(known.since) < remember
-        });
+        self.known.retain(|_, known| known.lives() || now.saturating_sub(known.since) < remember);
     }
 
     fn leave(&mut self, out: &mut Vec<Action>) {
         self.me.state = State::Left;
         self.spread.put(self.me.clone());
-        let alive = self.known.values().filter(|known| known.update.state <= State::Suspect);
+        let alive = self.known.values().filter(|known| known.lives());
         let all: Vec<(Name, SocketAddr)> =
             alive.map(|known| (known.update.about.name.clone(), known.update.about.address)).collect();
         let name = self.me.about.name.clone();
--- a/crates/rig/src/simulate.rs
+++ b/crates/rig/src/simulate.rs
@@ -1,7 +1,7 @@
 //! A run in simulated time: the members' own state machines, a network that does what the plan says, and a checker that
 //! looks on. The same plan and seed give the same run to the last message.
 
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -51,30 +51,6 @@
     Wake,
 }
 
-struct Due {
-    at: Duration,
-    order: u64,
-    member: usize,
-    what: What,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
 struct Process {
     address: SocketAddr,
     decider: Option<tulipgap_cluster::Members>,
@@ -95,7 +71,8 @@
     rng: fastrand::Rng,
     now: Duration,
     order: u64,
-    due: BinaryHeap<Due>,
+    /// What is to happen, to which member, by its time and by the order in which it was put.
+    due: BTreeMap<(Duration, u64), (usize, What)>,
     processes: Vec<Process>,
     at: HashMap<SocketAddr, usize>,
     /// What each holds of each, as it said so itself.
@@ -135,7 +112,7 @@
         rng: fastrand::Rng::with_seed(seed),
         now: Duration::ZERO,
         order: 0,
-        due: BinaryHeap::new(),
+        due: BTreeMap::new(),
         messages: 0,
         false_deaths: 0,
         detected: Vec::new(),
@@ -166,7 +143,7 @@
 impl World<'_> {
     fn put(&mut self, at: Duration, member: usize, what: What) {
         self.order += 1;
-        self.due.push(Due { at, order: self.order, member, what });
+        self.due.insert((at, self.order), (member, what));
     }
 
     fn is(&self, member: usize, of: &str) -> bool {
@@ -181,17 +158,17 @@
         let mut checker = Checker::new(self.plan.checks, self.plan.quiet_from());
         let end = Duration::from_secs_f64(self.plan.length);
         let mut look_at = LOOK;
-        while let Some(due) = self.due.pop() {
-            while look_at <= due.at.min(end) {
+        while let Some(((at, _), (member, what))) = self.due.pop_first() {
+            while look_at <= at.min(end) {
                 self.now = look_at;
                 self.look(&mut checker);
                 look_at += LOOK;
             }
-            if due.at > end || checker.broken.is_some() {
+            if at > end || checker.broken.is_some() {
                 break;
             }
-            self.now = due.at;
-            self.happen(due, &mut checker);
+            self.now = at;
+            self.happen(member, what, &mut checker);
         }
         Outcome {
             broken: checker.broken,
@@ -203,9 +180,8 @@
         }
     }
 
-    fn happen(&mut self, due: Due, checker: &mut Checker) {
-        let member = due.member;
-        match due.what {
+    fn happen(&mut self, member: usize, what: What, checker: &mut Checker) {
+        match what {
             What::Up => self.start(member, checker),
             What::Down => {
                 let process = &mut self.processes[member];
