--- a/crates/leases/src/holder.rs
+++ b/crates/leases/src/holder.rs
@@ -15,8 +15,11 @@
 const RETRY_MOST: Duration = Duration::from_millis(500);
 /// Who waits keeps its place by asking so often in a term.
 const WAIT_PART: u32 = 4;
+/// Voters that are asked, those before and those after changes.
+const VOTERS_KEPT: usize = 16;
 /// After a hint on who leads.
 const HINT_WAIT: Duration = Duration::from_millis(10);
+const HINTS_MOST: u32 = 2;
 /// How many leases' given-back tokens are kept apart; beyond, one bound serves for all.
 const RELEASED_MOST: usize = 4096;
 
@@ -132,6 +135,8 @@
     /// The latest asks, and when each was sent.
     asks: Vec<(u64, Duration)>,
     next_at: Duration,
+    /// Hints that were followed since the last answer.
+    hints: u32,
     /// Permits that are out.
     acting: u32,
     dropped: bool,
@@ -329,6 +334,7 @@
                     standing: Standing::Asking,
                     asks: Vec::new(),
                     next_at: now,
+                    hints: 0,
                     acting: 0,
                     dropped: false,
                 });
@@ -348,6 +354,7 @@
         let Some((lease, asked_at)) = found else { return };
         if let Some(want) = self.wants.get_mut(&lease) {
             want.asks.retain(|(number, _)| *number > ask);
+            want.hints = 0;
         }
         match answer {
             Answer::Granted { token } => self.granted(&lease, asked_at, token, out),
@@ -425,20 +432,38 @@
     }
 
     fn not_leading(&mut self, ask: u64, leader: Option<&str>, out: &mut Vec<Action>) {
-        let latest = |want: &Want| want.asks.last().is_some_and(|(number, _)| *number == ask);
-        let Some(lease) = self.wants.iter().find(|(_, want)| latest(want)).map(|(lease, _)| lease.clone())
+        let known = |want: &Want| want.asks.iter().any(|(number, _)| *number == ask);
+        let Some(lease) = self.wants.iter().find(|(_, want)| known(want)).map(|(lease, _)| lease.clone())
         else {
             return;
         };
-        let Some(at) = leader.and_then(|leader| self.voters.iter().position(|voter| **voter == *leader))
-        else {
-            return;
-        };
-        if at != self.ask_at {
-            self.ask_at = at;
-            let at = self.later(HINT_WAIT);
-            self.put_off(&lease, at);
-            self.go_on(out);
+        // It was answered: that voter is there, and another is asked for what it says and not for its silence.
+        let mut follows = false;
+        if let Some(want) = self.wants.get_mut(&lease) {
+            want.asks.retain(|(number, _)| *number > ask);
+            // Two that each take the other for the leader would be asked in turn without a rest.
+            want.hints += 1;
+            follows = want.hints <= HINTS_MOST;
+        }
+        // Voters change: one that is not known yet is asked as well from now on.
+        if let Some(leader) = leader
+            && !self.voters.iter().any(|voter| **voter == *leader)
+            && self.voters.len() < VOTERS_KEPT
+        {
+            self.voters.push(leader.into());
+        }
+        let hinted = leader.and_then(|leader| self.voters.iter().position(|voter| **voter == *leader));
+        match hinted {
+            Some(at) if at != self.ask_at => {
+                self.ask_at = at;
+                if follows {
+                    let at = self.later(HINT_WAIT);
+                    self.put_off(&lease, at);
+                    self.go_on(out);
+                }
+            }
+            Some(_) => {}
+            None => self.ask_at = (self.ask_at + 1) % self.voters.len().max(1),
         }
     }
 
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use tulipgap_cluster::{About, Terms, VERSIONS};
 
 /// More makes no sense in one run.
@@ -94,6 +94,61 @@
     of: String,
     /// When it is back; never where nothing is said.
     back: Option<f64>,
+    /// Its folder, when it is back.
+    #[serde(default)]
+    folder: Left,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Clock {
+    of: String,
+    rate: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Disk {
+    at: f64,
+    of: String,
+    back: Option<f64>,
+    what: Trouble,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Replace {
+    at: f64,
+    old: String,
+    new: String,
+}
+
+/// A lease that members want for as long as they live.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wanted {
+    pub name: String,
+    /// Seconds.
+    #[serde(default = "term")]
+    pub term: f64,
+    #[serde(default = "one")]
+    pub places: u32,
+    /// A zone or member that wants it; all where nothing is said.
+    #[serde(default)]
+    pub of: String,
+    /// One act takes so long, seconds.
+    #[serde(default = "step")]
+    pub step: f64,
+}
+
+fn term() -> f64 {
+    2.0
+}
+fn one() -> u32 {
+    1
+}
+fn step() -> f64 {
+    0.05
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -109,6 +164,16 @@
     crash: Blocks<Process>,
     #[serde(default)]
     stop: Blocks<Process>,
+    #[serde(default)]
+    clock: Blocks<Clock>,
+    #[serde(default)]
+    disk: Blocks<Disk>,
+    #[serde(default)]
+    replace: Blocks<Replace>,
+    #[serde(default)]
+    voters: Vec<String>,
+    #[serde(default)]
+    lease: Blocks<Wanted>,
     check: Option<Checks>,
     #[serde(default)]
     terms: Changed,
@@ -157,14 +222,41 @@
     pub known: f64,
     /// After the last fault all views are the same.
     pub agree: f64,
+    /// After the last fault no lease that is wanted lacks a holder for longer, where voters can lead.
+    #[serde(default = "free")]
+    pub free: f64,
+}
+
+fn free() -> f64 {
+    15.0
 }
 
 impl Default for Checks {
     fn default() -> Self {
-        Checks { held_dead: 10.0, known: 30.0, agree: 30.0 }
+        Checks { held_dead: 10.0, known: 30.0, agree: 30.0, free: free() }
     }
 }
 
+/// What a process that was killed finds in its folder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Left {
+    #[default]
+    Kept,
+    Emptied,
+    /// What was in it half a second after the start.
+    Older,
+}
+
+/// What is wrong with a disk.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Trouble {
+    Full,
+    /// One sync fails.
+    Fails,
+}
+
 /// A fault; `a` and `b` name zones or members.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
@@ -187,6 +279,7 @@
         at: f64,
         of: String,
         back: Option<f64>,
+        folder: Left,
     },
     /// Stopped; it wakes with the view it had and all that came meanwhile.
     Stop {
@@ -194,6 +287,23 @@
         of: String,
         back: Option<f64>,
     },
+    /// Its clock runs at another rate, all the time.
+    Clock {
+        of: String,
+        rate: f64,
+    },
+    Disk {
+        at: f64,
+        of: String,
+        back: Option<f64>,
+        what: Trouble,
+    },
+    /// An operator has another vote in its place.
+    Replace {
+        at: f64,
+        old: String,
+        new: String,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -203,6 +313,9 @@
     pub faults: Vec<Fault>,
     pub checks: Checks,
     pub terms: Terms,
+    /// Who votes on leases.
+    pub voters: Vec<String>,
+    pub leases: Vec<Wanted>,
 }
 
 impl Plan {
@@ -220,23 +333,27 @@
             let Worse { of, loss, delay_ms, twice, .. } = links;
             faults.push(Fault::Links { span, of, loss, delay_ms, twice });
         }
-        let process = |p: Process| (p.at, p.of, p.back);
-        faults.extend(file.crash.all().into_iter().map(process).map(|(at, of, back)| Fault::Crash {
-            at,
-            of,
-            back,
-        }));
-        faults.extend(file.stop.all().into_iter().map(process).map(|(at, of, back)| Fault::Stop {
-            at,
-            of,
-            back,
-        }));
+        for Process { at, of, back, folder } in file.crash.all() {
+            faults.push(Fault::Crash { at, of, back, folder });
+        }
+        for Process { at, of, back, .. } in file.stop.all() {
+            faults.push(Fault::Stop { at, of, back });
+        }
+        faults.extend(file.clock.all().into_iter().map(|Clock { of, rate }| Fault::Clock { of, rate }));
+        for Disk { at, of, back, what } in file.disk.all() {
+            faults.push(Fault::Disk { at, of, back, what });
+        }
+        for Replace { at, old, new } in file.replace.all() {
+            faults.push(Fault::Replace { at, old, new });
+        }
         let plan = Plan {
             length: file.length,
             members: file.members.all(),
             faults,
             checks: file.check.unwrap_or_default(),
             terms: file.terms.terms()?,
+            voters: file.voters,
+            leases: file.lease.all(),
         };
         plan.check()?;
         Ok(plan)
@@ -264,9 +381,13 @@
             let (span, names) = match fault {
                 Fault::Cut { span, a, b, .. } => (*span, vec![a, b]),
                 Fault::Links { span, of, .. } => (*span, vec![of]),
-                Fault::Crash { at, of, back } | Fault::Stop { at, of, back } => {
+                Fault::Crash { at, of, back, .. }
+                | Fault::Stop { at, of, back }
+                | Fault::Disk { at, of, back, .. } => {
                     (Span { from: *at, to: back.unwrap_or(self.length) }, vec![of])
                 }
+                Fault::Clock { of, .. } => (Span { from: 0.0, to: self.length }, vec![of]),
+                Fault::Replace { at, old, new } => (Span { from: *at, to: self.length }, vec![old, new]),
             };
             let place = format!("fault {} ({fault:?})", at + 1);
             if !(span.from >= 0.0 && span.from < span.to && span.to <= self.length) {
@@ -279,11 +400,15 @@
                 Fault::Links { loss, delay_ms, twice, .. } => {
                     part(*loss) && part(*twice) && (0.0..=60_000.0).contains(delay_ms)
                 }
+                Fault::Clock { rate, .. } => (0.5..=2.0).contains(rate),
                 Fault::Cut { flap, .. } => flap.is_none_or(|flap| (0.01..=3600.0).contains(&flap)),
                 _ => true,
             };
             if !fine {
-                return wrong(place, "a part from 0 to 1, a delay up to a minute, a flap from 0.01 s");
+                return wrong(
+                    place,
+                    "a part from 0 to 1, a delay up to a minute, a flap from 0.01 s, a rate from 0.5 to 2",
+                );
             }
         }
         let about = About {
@@ -296,13 +421,75 @@
         if let Err(unfit) = tulipgap_cluster::Members::new(self.terms.clone(), about, 0, 0) {
             return wrong("terms".into(), &unfit.to_string());
         }
-        let Checks { held_dead, known, agree } = self.checks;
-        match [held_dead, known, agree].iter().all(|bound| bound.is_finite() && *bound > 0.0) {
+        let mut voters = self.voters.clone();
+        voters.sort();
+        voters.dedup();
+        let members = self.names();
+        let member = |name: &String| members.iter().any(|(member, _)| member == name);
+        if voters.len() != self.voters.len() || voters.len() > 7 || !voters.iter().all(member) {
+            return wrong("voters".into(), "members, each named once, 7 at the most");
+        }
+        if !self.leases.is_empty() && voters.is_empty() {
+            return wrong("lease".into(), "leases need voters");
+        }
+        for (at, lease) in self.leases.iter().enumerate() {
+            let fine = (1..=64).contains(&lease.name.len())
+                && (0.2..=3600.0).contains(&lease.term)
+                && (1..=1000).contains(&lease.places)
+                && lease.step > 0.0
+                && lease.step <= lease.term / 4.0
+                && known(&lease.of);
+            if !fine {
+                let problem = "a name of 1 to 64 bytes, a term from 0.2 s, places from 1, a step up to a quarter of the term";
+                return wrong(format!("lease[{at}]"), problem);
+            }
+        }
+        let Checks { held_dead, known, agree, free } = self.checks;
+        match [held_dead, known, agree, free].iter().all(|bound| bound.is_finite() && *bound > 0.0) {
             true => Ok(()),
             false => wrong("check".into(), "bounds are seconds above 0"),
         }
     }
 
+    /// Whether a member is meant by a name, a zone, or nothing said.
+    pub fn is(member: &(String, String), of: &str) -> bool {
+        of.is_empty() || member.0 == of || member.1 == of
+    }
+
+    /// Whether what the one sends gets to the other at that time, as far as cuts go.
+    pub fn open(&self, now: f64, from: &(String, String), to: &(String, String)) -> bool {
+        !self.faults.iter().any(|fault| match fault {
+            Fault::Cut { span, a, b, one_way, flap } => {
+                let on = now >= span.from
+                    && now < span.to
+                    && flap.is_none_or(|flap| (((now - span.from) / flap) as u64).is_multiple_of(2));
+                let forth = Plan::is(from, a) && Plan::is(to, b);
+                let back = Plan::is(from, b) && Plan::is(to, a);
+                on && from.0 != to.0 && (forth || back && !one_way)
+            }
+            _ => false,
+        })
+    }
+
+    /// Delay in seconds, the parts that are lost and that come twice, of what the one sends to the other.
+    pub fn worse(&self, now: f64, from: &(String, String), to: &(String, String)) -> (f64, f64, f64) {
+        let (mut delay, mut loss, mut twice) = (0.0, 0.0, 0.0);
+        for fault in &self.faults {
+            if let Fault::Links { span, of, loss: l, delay_ms, twice: t } = fault
+                && now >= span.from
+                && now < span.to
+                && (Plan::is(from, of) || Plan::is(to, of))
+            {
+                (delay, loss, twice) =
+                    (f64::max(delay, *delay_ms / 1e3), f64::max(loss, *l), f64::max(twice, *t));
+            }
+        }
+        (delay, loss, twice)
+    }
+
+    /// How long a message takes where nothing is wrong, seconds.
+    pub const LATENCY: (f64, f64) = (0.0002, 0.002);
+
     /// Each member's name and zone.
     pub fn names(&self) -> Vec<(String, String)> {
         let of = |m: &Members| {
@@ -315,7 +502,11 @@
     pub fn quiet_from(&self) -> Duration {
         let end = |fault: &Fault| match fault {
             Fault::Cut { span, .. } | Fault::Links { span, .. } => span.to,
-            Fault::Crash { at, back, .. } | Fault::Stop { at, back, .. } => back.unwrap_or(*at),
+            Fault::Crash { at, back, .. } | Fault::Stop { at, back, .. } | Fault::Disk { at, back, .. } => {
+                back.unwrap_or(*at)
+            }
+            Fault::Replace { at, .. } => *at,
+            Fault::Clock { .. } => 0.0,
         };
         Duration::from_secs_f64(self.faults.iter().map(end).fold(0.0, f64::max))
     }
--- a/crates/rig/src/simulate.rs
+++ b/crates/rig/src/simulate.rs
@@ -12,9 +12,6 @@
 
 /// Between two looks of the checker.
 const LOOK: Duration = Duration::from_millis(250);
-/// How long a message takes where nothing is wrong.
-const LATENCY: (f64, f64) = (0.0002, 0.002);
-
 /// From then on the planted mute member says nothing.
 const MUTE_FROM: Duration = Duration::from_secs(10);
 
@@ -125,7 +122,7 @@
     }
     for fault in &plan.faults {
         let (at, of, back, stops) = match fault {
-            Fault::Crash { at, of, back } => (at, of, back, false),
+            Fault::Crash { at, of, back, .. } => (at, of, back, false),
             Fault::Stop { at, of, back } => (at, of, back, true),
             _ => continue,
         };
@@ -146,12 +143,8 @@
         self.due.insert((at, self.order), (member, what));
     }
 
-    fn is(&self, member: usize, of: &str) -> bool {
-        of.is_empty() || self.names[member].0 == of || self.names[member].1 == of
-    }
-
     fn members_of(&self, of: &str) -> Vec<usize> {
-        (0..self.names.len()).filter(|&member| self.is(member, of)).collect()
+        (0..self.names.len()).filter(|&member| Plan::is(&self.names[member], of)).collect()
     }
 
     fn play(mut self) -> Outcome {
@@ -303,18 +296,7 @@
 
     /// Whether what the one sends gets to the other now, as far as cuts go.
     fn open(&self, from: usize, to: usize) -> bool {
-        let now = self.now.as_secs_f64();
-        !self.plan.faults.iter().any(|fault| match fault {
-            Fault::Cut { span, a, b, one_way, flap } => {
-                let on = now >= span.from
-                    && now < span.to
-                    && flap.is_none_or(|flap| (((now - span.from) / flap) as u64).is_multiple_of(2));
-                let forth = self.is(from, a) && self.is(to, b);
-                let back = self.is(from, b) && self.is(to, a);
-                on && from != to && (forth || back && !one_way)
-            }
-            _ => false,
-        })
+        self.plan.open(self.now.as_secs_f64(), &self.names[from], &self.names[to])
     }
 
     fn awake(&self, member: usize) -> bool {
@@ -334,21 +316,13 @@
             _ => {}
         }
         let now = self.now.as_secs_f64();
-        let (mut delay, mut loss, mut twice) = (0.0, 0.0, 0.0);
-        for fault in &self.plan.faults {
-            if let Fault::Links { span, of, loss: l, delay_ms, twice: t } = fault
-                && now >= span.from
-                && now < span.to
-                && (self.is(from, of) || self.is(to, of))
-            {
-                (delay, loss, twice) =
-                    (f64::max(delay, *delay_ms / 1e3), f64::max(loss, *l), f64::max(twice, *t));
-            }
-        }
+        let (delay, loss, twice) = self.plan.worse(now, &self.names[from], &self.names[to]);
         let copies = 1 + usize::from(self.rng.f64() < twice);
         for _ in 0..copies {
             // Each takes its own time, so that they overtake each other.
-            let takes = LATENCY.0 + (LATENCY.1 - LATENCY.0) * self.rng.f64() + delay * (0.5 + self.rng.f64());
+            let takes = Plan::LATENCY.0
+                + (Plan::LATENCY.1 - Plan::LATENCY.0) * self.rng.f64()
+                + delay * (0.5 + self.rng.f64());
             let lost = self.rng.f64() < loss;
             if !lost && self.open(from, to) {
                 let at = self.now + Duration::from_secs_f64(takes);
