--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -40,6 +40,9 @@
         /// Seeds, such as 0..100 (the last is left out)
         #[arg(long, default_value = "0..100", value_parser = seeds)]
         seeds: std::ops::Range<u64>,
+        /// Beside the plan's faults, draw some from each seed; one that breaks a promise is made as small as it goes and printed
+        #[arg(long)]
+        chaos: bool,
         #[arg(long)]
         json: bool,
     },
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -20,8 +20,8 @@
     let args = Args::parse();
     let ended = match args.command {
         Command::Trace { command } => trace::run(command),
-        Command::Rig { command: RigCommand::Simulate { file, seeds, json } } => {
-            rig::simulate(&file, seeds, json)
+        Command::Rig { command: RigCommand::Simulate { file, seeds, chaos, json } } => {
+            rig::simulate(&file, seeds, chaos, json)
         }
         Command::Config { command: ConfigCommand::Check { files } } => check_config(&files),
     };
--- a/crates/cli/src/rig.rs
+++ b/crates/cli/src/rig.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use tulipgap_rig::{Outcome, Plan, Worst};
+use tulipgap_rig::{LeaseOutcome, Outcome, Plan, Planted, Worst, drawn, shrunk, simulate_leases};
 
 use crate::files::{Failure, Verdict};
 
@@ -54,11 +54,125 @@
     Some(Spread { median: spans[spans.len() / 2].as_secs_f64(), worst })
 }
 
+/// Of plans with leases.
+#[derive(Default, Serialize)]
+struct LeaseReport {
+    runs: u64,
+    members: usize,
+    /// The seed that broke a promise, which, and the faults that are left when those are taken out that it goes without.
+    broken: Option<LeaseBroken>,
+    /// Seconds that a wanted lease had no holder: the worst after the last fault, its bound, the worst of all.
+    free_after: f64,
+    free_bound: f64,
+    free: f64,
+    grants: u64,
+    acts: u64,
+    refused: u64,
+    messages: u64,
+    syncs: u64,
+    written: u64,
+    leaders: u64,
+    voters_ended: u64,
+}
+
+#[derive(Serialize)]
+struct LeaseBroken {
+    seed: u64,
+    promise: &'static str,
+    at: f64,
+    what: String,
+    faults: String,
+}
+
+/// Seeds are spread over the cores; what is told is the same whatever their number, but for how many were played until
+/// one failed.
+fn simulate_all_leases(plan: &Plan, seeds: Range<u64>, chaos: bool, json: bool) -> Verdict {
+    let next = std::sync::atomic::AtomicU64::new(seeds.start);
+    let failed = std::sync::atomic::AtomicU64::new(u64::MAX);
+    let of = |seed: u64| if chaos { drawn(plan, seed) } else { plan.clone() };
+    let work = || {
+        let mut outcomes: Vec<(u64, LeaseOutcome)> = Vec::new();
+        loop {
+            let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            if seed >= seeds.end || seed > failed.load(std::sync::atomic::Ordering::Relaxed) {
+                return outcomes;
+            }
+            let outcome = simulate_leases(&of(seed), seed, Planted::default());
+            if outcome.broken.is_some() {
+                failed.fetch_min(seed, std::sync::atomic::Ordering::Relaxed);
+            }
+            outcomes.push((seed, outcome));
+        }
+    };
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let mut all: Vec<(u64, LeaseOutcome)> = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        workers.into_iter().flat_map(|worker| worker.join().unwrap_or_default()).collect()
+    });
+    all.sort_by_key(|(seed, _)| *seed);
+    let members = plan.names().len();
+    let mut report = LeaseReport { members, free_bound: plan.checks.free, ..LeaseReport::default() };
+    for (seed, outcome) in all {
+        report.runs += 1;
+        report.free_after = report.free_after.max(outcome.free_after.as_secs_f64());
+        report.free = report.free.max(outcome.free.as_secs_f64());
+        report.grants += outcome.grants;
+        report.acts += outcome.acts;
+        report.refused += outcome.refused;
+        report.messages += outcome.messages;
+        report.syncs += outcome.syncs;
+        report.written += outcome.written;
+        report.leaders += outcome.leaders;
+        report.voters_ended += outcome.ended;
+        if let Some(broken) = outcome.broken {
+            let fails = |plan: &Plan| simulate_leases(plan, seed, Planted::default()).broken.is_some();
+            let faults = shrunk(&of(seed), fails).faults_written();
+            let at = broken.at.as_secs_f64();
+            report.broken =
+                Some(LeaseBroken { seed, promise: broken.promise, at, what: broken.what, faults });
+            break;
+        }
+    }
+    if json {
+        println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
+    } else {
+        println!("{} runs of {members} members, {} s each", report.runs, plan.length);
+        println!(
+            "      free  at the longest {:.2} s after the last fault, of {:.2} s; {:.2} s at all",
+            report.free_after, report.free_bound, report.free
+        );
+        println!(
+            "    grants  {}, {} acts, {} of them refused for their token",
+            report.grants, report.acts, report.refused
+        );
+        println!("   leaders  {}; {} voters ended themselves", report.leaders, report.voters_ended);
+        println!(
+            "      cost  {} messages, {} syncs, {} bytes written",
+            report.messages, report.syncs, report.written
+        );
+        if let Some(broken) = &report.broken {
+            println!(
+                "BROKEN {} with seed {} at {:.2} s: {}",
+                broken.promise, broken.seed, broken.at, broken.what
+            );
+            println!("with these faults alone:\n{}", broken.faults);
+        }
+    }
+    if report.broken.is_some() { Verdict::Lacking } else { Verdict::Whole }
+}
+
 /// Plays a plan once for each seed, until one breaks a promise.
-pub fn simulate(file: &Path, seeds: Range<u64>, json: bool) -> Result<Verdict, Failure> {
+pub fn simulate(file: &Path, seeds: Range<u64>, chaos: bool, json: bool) -> Result<Verdict, Failure> {
     let text = std::fs::read_to_string(file)
         .map_err(|error| Failure::Usage(format!("{}: {error}", file.display())))?;
     let plan = Plan::read(&text).map_err(|error| Failure::Usage(format!("{}: {error}", file.display())))?;
+    if !plan.leases.is_empty() {
+        return Ok(simulate_all_leases(&plan, seeds, chaos, json));
+    }
+    if chaos {
+        let problem = "faults are drawn for plans with leases alone, so far";
+        return Err(Failure::Usage(format!("{}: {problem}", file.display())));
+    }
     let (mut runs, mut messages, mut false_deaths) = (0, 0, 0);
     let (mut worst, mut broken) = (Worst::default(), None);
     let (mut first, mut all) = (Vec::new(), Vec::new());
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -451,6 +451,38 @@
         }
     }
 
+    /// The faults as they stand in a file, so that what failed can be played again.
+    pub fn faults_written(&self) -> String {
+        let back = |back: &Option<f64>| back.map_or_else(String::new, |back| format!("  back = {back}\n"));
+        let one = |fault: &Fault| match fault {
+            Fault::Cut { span: Span { from, to }, a, b, one_way, flap } => {
+                let flap = flap.map_or_else(String::new, |flap| format!("  flap = {flap}\n"));
+                format!(
+                    "cut {{\n  from = {from}\n  to = {to}\n  between = [{a:?}, {b:?}]\n  one_way = {one_way}\n{flap}}}\n"
+                )
+            }
+            Fault::Links { span: Span { from, to }, of, loss, delay_ms, twice } => format!(
+                "links {{\n  from = {from}\n  to = {to}\n  of = {of:?}\n  loss = {loss}\n  delay_ms = {delay_ms}\n  twice = {twice}\n}}\n"
+            ),
+            Fault::Crash { at, of, back: to, folder } => {
+                let folder = format!("{folder:?}").to_lowercase();
+                format!("crash {{\n  at = {at}\n  of = {of:?}\n{}  folder = {folder:?}\n}}\n", back(to))
+            }
+            Fault::Stop { at, of, back: to } => {
+                format!("stop {{\n  at = {at}\n  of = {of:?}\n{}}}\n", back(to))
+            }
+            Fault::Clock { of, rate } => format!("clock {{\n  of = {of:?}\n  rate = {rate}\n}}\n"),
+            Fault::Disk { at, of, back: to, what } => {
+                let what = format!("{what:?}").to_lowercase();
+                format!("disk {{\n  at = {at}\n  of = {of:?}\n{}  what = {what:?}\n}}\n", back(to))
+            }
+            Fault::Replace { at, old, new } => {
+                format!("replace {{\n  at = {at}\n  old = {old:?}\n  new = {new:?}\n}}\n")
+            }
+        };
+        self.faults.iter().map(one).collect()
+    }
+
     /// Whether a member is meant by a name, a zone, or nothing said.
     pub fn is(member: &(String, String), of: &str) -> bool {
         of.is_empty() || member.0 == of || member.1 == of
