--- a/crates/cluster/src/interface.rs
+++ b/crates/cluster/src/interface.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 pub type Name = Arc<str>;
 
 /// The longest name, and the most facts of a member, their longest key and value.
@@ -75,7 +77,7 @@
 }
 
 /// Who a member is.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct About {
     pub name: Name,
     pub address: SocketAddr,
@@ -85,7 +87,7 @@
 }
 
 /// In the order in which one overrides another at the same incarnation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum State {
     Alive,
     Suspect,
@@ -94,7 +96,7 @@
 }
 
 /// What is said of a member. Its incarnation is raised by itself alone.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
     pub about: About,
     pub incarnation: u64,
@@ -106,7 +108,7 @@
     pub unheard: Arc<BTreeSet<Name>>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
     Ping {
         number: u64,
@@ -135,7 +137,7 @@
     Taken,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
     pub from: Name,
     /// Whom the sender thinks it speaks to, where it knows.
@@ -187,7 +189,7 @@
 }
 
 /// How this process reaches another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reach {
     /// Its answers come.
     Heard,
--- a/crates/rig/src/leases.rs
+++ b/crates/rig/src/leases.rs
@@ -320,6 +320,10 @@
     }
 
     fn start(&mut self, member: usize, folder: Left) {
+        // Where two crashes of one overlap, it is back already.
+        if self.processes[member].holder.is_some() {
+            return;
+        }
         let seed = self.rng.u64(..);
         let (voters, now) = (self.voters.clone(), self.now);
         let process = &mut self.processes[member];
