tulipgapd takes its place among others: block cluster, peer links, voter, permits, control socket

Off unless the block cluster says so. Change: net/peers.rs (datagrams and streams on threads of their own, each link one way, bounded queues), cluster.rs (events of membership, holder and voter in, actions out; the voter's writes on a thread of its own; a clock that goes on while the machine sleeps), control.rs (operators, over a Unix socket), trial.rs (for the rig: acts told to a witness, a disk that fails on demand). Faults written down play the same run now, whatever their order.

--- a/crates/agree/src/interface.rs
+++ b/crates/agree/src/interface.rs
@@ -98,6 +98,7 @@
     },
     Answer {
         to: Name,
+        life: u64,
         ask: u64,
         answer: Answer,
     },
--- a/crates/agree/src/voter.rs
+++ b/crates/agree/src/voter.rs
@@ -662,7 +662,8 @@
             return;
         }
         if !asked.from.is_empty() {
-            out.push(Action::Answer { to: asked.from.clone(), ask: asked.ask, answer });
+            let life = asked.command.life();
+            out.push(Action::Answer { to: asked.from.clone(), life, ask: asked.ask, answer });
         }
         if !matches!(asked.command, Command::Ask { .. }) {
             for who in self.agreed.table.next(lease) {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,7 @@
 //! The product's own configuration: one HCL file, read whole or not at all. What is wrong with it is told all at
 //! once, each with its line and column; a name that is not known with the nearest one that is.
 
+mod cluster;
 mod schema;
 
 use std::fmt;
@@ -11,6 +12,8 @@
 use garde::Validate;
 use serde::Deserialize;
 
+pub use cluster::{Cluster, Drain, Trial, TrialLease};
+
 /// All that the file may tell. What is left out is off.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Validate)]
 pub struct Product {
@@ -18,6 +21,8 @@
     pub trace: Option<Tracing>,
     #[garde(dive)]
     pub admission: Option<Admitting>,
+    #[garde(dive)]
+    pub cluster: Option<Cluster>,
 }
 
 /// Which connections are let in. What is left out is derived from the descriptors and the number of callers.
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -36,9 +36,13 @@
     Name { name, takes, needed: false }
 }
 
+const fn needed(name: &'static str, takes: Takes) -> Name {
+    Name { name, takes, needed: true }
+}
+
 const TRACE: &[Name] = &[
     name("enabled", Takes::Flag),
-    Name { name: "folder", takes: Takes::Text, needed: true },
+    needed("folder", Takes::Text),
     name("format", Takes::Whole),
     name("queue", Takes::Whole),
     name("block", Takes::Whole),
@@ -60,7 +64,35 @@
     name("network", Takes::Block(CAP)),
     name("wide", Takes::Block(CAP)),
 ];
-const FILE: &[Name] = &[name("trace", Takes::Block(TRACE)), name("admission", Takes::Block(ADMISSION))];
+const DRAIN: &[Name] = &[name("at_once", Takes::Whole)];
+const TRIAL: &[Name] = &[
+    name("witness", Takes::Text),
+    name("leases", Takes::Texts),
+    name("routes", Takes::Texts),
+    name("clock_rate", Takes::Part),
+    name("disk_trouble", Takes::Text),
+];
+const CLUSTER: &[Name] = &[
+    name("enabled", Takes::Flag),
+    needed("name", Takes::Text),
+    name("member", Takes::Text),
+    needed("listen", Takes::Text),
+    needed("region", Takes::Text),
+    needed("zone", Takes::Text),
+    needed("key", Takes::Text),
+    name("seeds", Takes::Texts),
+    name("voters", Takes::Texts),
+    name("folder", Takes::Text),
+    name("control", Takes::Text),
+    name("clock_off", Takes::Part),
+    name("drain", Takes::Block(DRAIN)),
+    name("trial", Takes::Block(TRIAL)),
+];
+const FILE: &[Name] = &[
+    name("trace", Takes::Block(TRACE)),
+    name("admission", Takes::Block(ADMISSION)),
+    name("cluster", Takes::Block(CLUSTER)),
+];
 
 /// How much two names may differ for one to be meant by the other, of 1.
 const NEAR: f64 = 0.7;
--- a/crates/config/src/tests.rs
+++ b/crates/config/src/tests.rs
@@ -88,3 +88,20 @@
     }
     assert_eq!(problems("admission {\n  known = \"x\"\n}\n").len(), 1);
 }
+
+#[test]
+fn the_block_on_the_cluster_is_checked_as_a_whole() {
+    let base = "cluster {\n  name = \"c\"\n  listen = \"127.0.0.1:7100\"\n  region = \"r\"\n  zone = \"z\"\n  key = \"/k\"\n";
+    let cluster = understand(&format!("{base}}}\n")).unwrap().cluster.unwrap();
+    assert_eq!((cluster.enabled, cluster.clock_off, cluster.drain), (true, 0.05, None));
+    let text = format!(
+        "{base}  voters = [\"a\", \"a\"]\n  seeds = [\"here\"]\n  clock_off = 2\n  drain {{\n    at_once = 0\n  }}\n}}\n"
+    );
+    let told = problems(&text);
+    for (place, name) in
+        [("7:3", "voters"), ("8:3", "seeds"), ("9:3", "clock_off"), ("11:5", "drain.at_once")]
+    {
+        assert!(told.iter().any(|p| p.starts_with(&format!("{place}: cluster.{name}"))), "{name}: {told:?}");
+    }
+    assert!(problems("cluster {\n  name = \"c\"\n}\n").len() == 4, "listen, region, zone, key");
+}
--- a/crates/leases/src/holder.rs
+++ b/crates/leases/src/holder.rs
@@ -36,7 +36,9 @@
     Drop {
         lease: Name,
     },
+    /// To what a life of this process asked: what an earlier one did, a later leader may come to carry out only now.
     Answered {
+        life: u64,
         ask: u64,
         answer: Answer,
     },
@@ -219,7 +221,10 @@
                     self.end(&lease, Why::Dropped, &mut out);
                 }
             }
-            Event::Answered { ask, answer } => self.answered(ask, answer, &mut out),
+            Event::Answered { life, ask, answer } if life == self.who.life => {
+                self.answered(ask, answer, &mut out);
+            }
+            Event::Answered { .. } => {}
             Event::NotLeading { ask, leader } => self.not_leading(ask, leader.as_deref(), &mut out),
             Event::Turn { lease } => {
                 if let Some(want) = self.wants.get_mut(&lease)
--- a/crates/leases/src/interface.rs
+++ b/crates/leases/src/interface.rs
@@ -47,6 +47,14 @@
 }
 
 impl Command {
+    /// Of whose life it is, where it is a holder's.
+    pub fn life(&self) -> u64 {
+        match self {
+            Command::Ask { who, .. } | Command::Release { who, .. } => who.life,
+            _ => 0,
+        }
+    }
+
     pub fn lease(&self) -> &Name {
         match self {
             Command::Ask { lease, .. }
--- a/crates/leases/tests/exhaustive.rs
+++ b/crates/leases/tests/exhaustive.rs
@@ -198,7 +198,7 @@
                     }
                     Message::Answer { to, ask, answer } => {
                         let now = self.clock(&world, to);
-                        let actions = world.holders[to].decide(now, Event::Answered { ask, answer });
+                        let actions = world.holders[to].decide(now, Event::Answered { life: 1, ask, answer });
                         self.carry_out(&mut world, to, actions);
                     }
                 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -27,6 +27,7 @@
         command: Command,
     },
     Answer {
+        life: u64,
         ask: u64,
         answer: Answer,
     },
--- a/crates/rig/src/chaos.rs
+++ b/crates/rig/src/chaos.rs
@@ -46,6 +46,8 @@
         }
         plan.faults.push(fault);
     }
+    // As a file has them, so that one written of it plays the very same run.
+    plan.faults.sort_by_key(Fault::rank);
     plan
 }
 
--- a/crates/rig/src/leases.rs
+++ b/crates/rig/src/leases.rs
@@ -66,7 +66,7 @@
 enum Wire {
     Peer(Peer),
     Ask { ask: u64, command: Command },
-    Answer { ask: u64, answer: Answer },
+    Answer { life: u64, ask: u64, answer: Answer },
     NotLeading { ask: u64, leader: Option<Name> },
     Turn { lease: Name },
     List { number: u64, lease: Name },
@@ -403,7 +403,9 @@
         for action in said {
             match action {
                 Said::Send { to, message } => self.send(member, &to, Wire::Peer(message)),
-                Said::Answer { to, ask, answer } => self.send(member, &to, Wire::Answer { ask, answer }),
+                Said::Answer { to, life, ask, answer } => {
+                    self.send(member, &to, Wire::Answer { life, ask, answer });
+                }
                 Said::NotLeading { to, ask, leader } => {
                     self.send(member, &to, Wire::NotLeading { ask, leader })
                 }
@@ -572,7 +574,7 @@
             Wire::List { number, lease } => {
                 self.seat(to, vec![Heard::List { from: name, number, lease: Some(lease) }]);
             }
-            Wire::Answer { ask, answer } => self.holder(to, Event::Answered { ask, answer }),
+            Wire::Answer { life, ask, answer } => self.holder(to, Event::Answered { life, ask, answer }),
             Wire::NotLeading { ask, leader } => self.holder(to, Event::NotLeading { ask, leader }),
             Wire::Turn { lease } => self.holder(to, Event::Turn { lease }),
             Wire::Listing { number, leases } => {
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -306,6 +306,21 @@
     },
 }
 
+impl Fault {
+    /// In this order a file's faults are read, whatever their order in it.
+    pub fn rank(&self) -> u32 {
+        match self {
+            Fault::Cut { .. } => 0,
+            Fault::Links { .. } => 1,
+            Fault::Crash { .. } => 2,
+            Fault::Stop { .. } => 3,
+            Fault::Clock { .. } => 4,
+            Fault::Disk { .. } => 5,
+            Fault::Replace { .. } => 6,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub length: f64,
--- a/crates/rig/tests/leases.rs
+++ b/crates/rig/tests/leases.rs
@@ -216,3 +216,13 @@
         assert_eq!(simulate_leases(&played(seed), seed, Planted::default()).broken, None);
     }
 }
+
+/// What is printed of a failure plays the very same run.
+#[test]
+fn a_plan_written_down_is_the_same_plan() {
+    let drawn = drawn(&plan(""), 11);
+    let read = plan(&drawn.faults_written());
+    assert_eq!(read.faults, drawn.faults);
+    let run = |plan: &Plan| simulate_leases(plan, 11, Planted::default());
+    assert_eq!(run(&read), run(&drawn));
+}
--- /dev/null
+++ b/crates/server/src/cluster.rs
@@ -0,0 +1,633 @@
+//! A process among others: membership, leases and, where it is one of them, a voter. All of it runs on threads of its own;
+//! nothing here is started unless the block `cluster` says so. What is decided is decided in the packages `cluster`, `agree`
+//! and `leases`; here their events come in and their actions are carried out.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tulipgap_agree::{Action as Agreed, Event as Heard, Seat};
+use tulipgap_cluster::{About, Members};
+use tulipgap_durable::{Disk, Folder};
+use tulipgap_leases::{Action, Command, Event, Holder, Name, Permit, Shape, Stale, Standing, Who};
+use tulipgap_peer::{Frames, Said, Word};
+
+use crate::control::{self, Request};
+use crate::net::peers::{Links, Opened, thread};
+use crate::trial::{self, Troubled};
+
+/// What may wait to be taken up.
+const WAITING: usize = 4096;
+/// Taken up in one go: one write of a voter serves them all.
+const AT_ONCE: usize = 256;
+/// Addresses that are remembered.
+const KNOWN_MOST: usize = 4096;
+/// Waits are longer by so much by chance, in thousandths.
+const JITTER: u32 = 250;
+/// An operator's command that nobody who leads has answered by then has failed.
+const OPERATOR_WAIT: Duration = Duration::from_secs(5);
+const OPERATOR_AGAIN: Duration = Duration::from_millis(300);
+const OPERATORS_MOST: usize = 64;
+/// Numbers of what operators ask, apart from those of the holder.
+const OPERATORS: u64 = 1 << 62;
+/// Leave to drain.
+const DRAIN_TERM: Duration = Duration::from_secs(3);
+const DRAIN_STEP: Duration = Duration::from_millis(100);
+
+/// Time since the machine's start, that it slept through included: a term goes on while it sleeps.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Duration,
+    rate: f64,
+}
+
+fn boot_time() -> Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(now.tv_sec.try_into().unwrap_or(0), now.tv_nsec.try_into().unwrap_or(0))
+}
+
+impl Clock {
+    fn new(rate: f64) -> Self {
+        Clock { start: boot_time(), rate }
+    }
+
+    pub fn now(&self) -> Duration {
+        boot_time().saturating_sub(self.start).mul_f64(self.rate)
+    }
+
+    /// How long to wait until that time.
+    fn until(&self, at: Duration) -> Duration {
+        at.saturating_sub(self.now()).div_f64(self.rate) + Duration::from_micros(50)
+    }
+}
+
+pub enum Input {
+    Said(Said),
+    /// What a task's call asks to be carried out.
+    Carry(Vec<Action>),
+    Operator(Request, SyncSender<Value>),
+    Leave(SyncSender<()>),
+}
+
+/// The only way to act under a lease.
+#[derive(Clone)]
+pub struct Leases {
+    holder: Arc<Mutex<Holder>>,
+    clock: Clock,
+    inputs: SyncSender<Input>,
+}
+
+impl Leases {
+    pub fn want(&self, lease: &str, shape: Shape, step: Duration) {
+        let lease = lease.into();
+        let event = Event::Want { lease, shape, step, wait: true };
+        let actions = self.holder.lock().decide(self.clock.now(), event);
+        self.carry(actions);
+    }
+
+    pub fn begin(&self, lease: &str) -> Result<Permit, Stale> {
+        let mut holder = self.holder.lock();
+        holder.begin(self.clock.now(), lease)
+    }
+
+    /// The token for one step that begins now.
+    pub fn step(&self, permit: &Permit) -> Result<u64, Stale> {
+        let mut holder = self.holder.lock();
+        holder.step(self.clock.now(), permit)
+    }
+
+    pub fn done(&self, permit: Permit) {
+        let actions = self.holder.lock().done(self.clock.now(), permit);
+        self.carry(actions);
+    }
+
+    fn carry(&self, actions: Vec<Action>) {
+        let _ = self.inputs.send(Input::Carry(actions));
+    }
+}
+
+pub struct Cluster {
+    inputs: SyncSender<Input>,
+    leases: Leases,
+    /// The lease that says who of the zone drains, and how many may.
+    drain: Option<(String, u32)>,
+    control: Option<PathBuf>,
+}
+
+/// Takes its place among the others. What it is told makes no sense, or its address is taken: that is said at the start.
+pub fn start(told: &tulipgap_config::Cluster, own_name: &str, seed: u64) -> Result<Cluster, String> {
+    let me: Name = told.member.as_deref().unwrap_or(own_name).into();
+    let at = |what: &str, error: &dyn std::fmt::Display| format!("cluster: {what}: {error}");
+    let listen: SocketAddr = told.listen.parse().map_err(|error| at("listen", &error))?;
+    let key = std::fs::read(&told.key).map_err(|error| at(&told.key.display().to_string(), &error))?;
+    let frames = Frames::new(&told.name, &key)
+        .ok_or_else(|| at(&told.key.display().to_string(), &"a key takes 16 bytes or more"))?;
+    let trial = told.trial.clone().unwrap_or_default();
+    let clock = Clock::new(trial.clock_rate);
+    // Another life with each start: nothing may be taken for what an earlier one asked.
+    let life = fastrand::u64(1..);
+    let (inputs, taken) = sync_channel(WAITING);
+    let (said, words) = sync_channel::<Said>(WAITING);
+    let routes: HashMap<_, _> = trial.routes().into_iter().collect();
+    let of = Opened { listen, frames, me: me.clone(), life, routes };
+    let links = Links::open(of, said).map_err(|error| at(&told.listen, &error))?;
+    let about = About {
+        name: me.clone(),
+        address: listen,
+        region: told.region.as_str().into(),
+        zone: told.zone.as_str().into(),
+        version: *tulipgap_cluster::VERSIONS.end(),
+    };
+    let terms = tulipgap_cluster::Terms { seeds: told.seeds(), ..Default::default() };
+    let members = Members::new(terms, about, 0, seed ^ life).map_err(|error| at("member", &error))?;
+    let voters: Vec<Name> = told.voters.iter().map(|voter| voter.as_str().into()).collect();
+    let off = (told.clock_off * 1000.0).round() as u32;
+    let who = Who { name: me.clone(), life };
+    let holder = Arc::new(Mutex::new(Holder::new(who, voters.clone(), off, JITTER, seed ^ life)));
+    let known = Arc::new(Mutex::new(HashMap::from([(me.clone(), listen)])));
+    let post = Post { links, known, me: me.clone(), inputs: inputs.clone() };
+    // A member that has a folder may be asked to vote later on, in another's place.
+    let seat = match &told.folder {
+        Some(folder) if !voters.is_empty() => {
+            let terms = tulipgap_agree::Terms { off_thousandths: off, ..Default::default() };
+            let folder_at = folder.display().to_string();
+            let disk = Folder::open(folder).map_err(|error| at(&folder_at, &error))?;
+            let disk = Troubled::new(disk, trial.disk_trouble.clone());
+            let seat = Seat::take(terms, &me, voters.clone(), disk, seed ^ life);
+            let seat = seat.map_err(|error| at(&folder_at, &error))?;
+            Some(take_seat(seat, clock, post.clone()).map_err(|error| at("threads", &error))?)
+        }
+        None if voters.contains(&me) => return Err(at("folder", &"a voter needs one")),
+        _ => None,
+    };
+    let leases = Leases { holder: holder.clone(), clock, inputs: inputs.clone() };
+    let into = inputs.clone();
+    let forward = move || words.iter().all(|said| into.send(Input::Said(said)).is_ok());
+    thread("cluster-in", move || _ = forward()).map_err(|error| at("threads", &error))?;
+    let core = Core {
+        members,
+        holder,
+        seat,
+        clock,
+        post,
+        voters,
+        members_at: None,
+        holder_at: None,
+        waiting: BTreeMap::new(),
+        numbers: OPERATORS,
+        leases: leases.clone(),
+    };
+    thread("cluster", move || core.run(&taken)).map_err(|error| at("threads", &error))?;
+    if let Some(path) = &told.control {
+        control::listen(path, inputs.clone()).map_err(|error| at(&path.display().to_string(), &error))?;
+    }
+    for lease in trial.leases() {
+        let Some(witness) = trial.witness.as_deref().and_then(|witness| witness.parse().ok()) else {
+            continue;
+        };
+        let (leases, me) = (leases.clone(), me.clone());
+        thread("trial", move || trial::act(&leases, &lease, witness, &me))
+            .map_err(|error| at("threads", &error))?;
+    }
+    log::info!("cluster {}: {me} of {} listens on {listen}", told.name, told.zone);
+    let drain = told.drain.as_ref().map(|drain| (format!("drain/{}", told.zone), drain.at_once));
+    Ok(Cluster { inputs, leases, drain, control: told.control.clone() })
+}
+
+impl Cluster {
+    /// It has notice to leave, and goes whether or not others of its zone do; those that wait for leave see it gone.
+    pub fn drains(&self) {
+        if let Some((lease, at_once)) = &self.drain {
+            self.leases.want(lease, drain_shape(*at_once), DRAIN_STEP);
+        }
+    }
+
+    /// Says good-bye: another is to lead, places are given back, the others need not find out.
+    pub fn leave(self) {
+        let (said, left) = sync_channel(1);
+        if self.inputs.send(Input::Leave(said)).is_ok() {
+            let _ = left.recv_timeout(Duration::from_millis(500));
+        }
+        if let Some(path) = self.control {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
+fn drain_shape(at_once: u32) -> Shape {
+    Shape { term: DRAIN_TERM, places: at_once }
+}
+
+/// Gets words to members by name.
+#[derive(Clone)]
+struct Post {
+    links: Arc<Links>,
+    known: Arc<Mutex<HashMap<Name, SocketAddr>>>,
+    me: Name,
+    inputs: SyncSender<Input>,
+}
+
+impl Post {
+    fn to(&self, name: &Name, word: Word) {
+        let address = self.known.lock().get(name).copied();
+        match address {
+            Some(address) if *name == self.me => {
+                let said = Said { from: name.clone(), address, life: 0, word };
+                // Its own queue: a voter that waited for it here would wait for itself.
+                let _ = self.inputs.try_send(Input::Said(said));
+            }
+            Some(address) => self.links.send(address, word),
+            // Not met yet: as good as lost, and said again.
+            None => {}
+        }
+    }
+
+    fn learn(&self, name: &Name, address: SocketAddr) {
+        let mut known = self.known.lock();
+        if known.len() < KNOWN_MOST || known.contains_key(name) {
+            known.insert(name.clone(), address);
+        }
+    }
+}
+
+/// A voter's thread: its writes wait for the disk and nothing else does.
+struct Voting {
+    events: SyncSender<Heard>,
+    standing: Arc<Mutex<tulipgap_agree::Standing>>,
+}
+
+fn take_seat<D: Disk + Send + 'static>(mut seat: Seat<D>, clock: Clock, post: Post) -> io::Result<Voting> {
+    let (events, heard) = sync_channel(WAITING);
+    let standing = Arc::new(Mutex::new(seat.voter().standing()));
+    let shown = standing.clone();
+    thread("voter", move || {
+        let mut alarm_at = Some(Duration::ZERO);
+        loop {
+            let wait =
+                alarm_at.map_or(Duration::from_secs(1), |at| clock.until(at).min(Duration::from_secs(1)));
+            let mut batch: Vec<Heard> = match heard.recv_timeout(wait) {
+                Ok(first) => vec![first],
+                Err(RecvTimeoutError::Timeout) => Vec::new(),
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            batch.extend(heard.try_iter().take(AT_ONCE));
+            let now = clock.now();
+            if alarm_at.is_some_and(|at| at <= now) {
+                alarm_at = None;
+                batch.push(Heard::Alarm);
+            }
+            if batch.is_empty() {
+                continue;
+            }
+            let (said, done) = seat.decide(now, batch);
+            for action in said {
+                match action {
+                    Agreed::Send { to, message } => post.to(&to, Word::Peer(message)),
+                    Agreed::Answer { to, life, ask, answer } => {
+                        post.to(&to, Word::Answer { life, ask, answer })
+                    }
+                    Agreed::NotLeading { to, ask, leader } => post.to(&to, Word::NotLeading { ask, leader }),
+                    Agreed::Turn { to, lease } => post.to(&to, Word::Turn { lease }),
+                    Agreed::Listing { to, number, leases } => post.to(&to, Word::Listing { number, leases }),
+                    Agreed::Alarm { at } => alarm_at = Some(alarm_at.map_or(at, |asked| asked.min(at))),
+                    Agreed::Notice(notice) => log::info!("voter: {notice}"),
+                    Agreed::Write(_) | Agreed::Whole(_) | Agreed::Identity(_) => {}
+                }
+            }
+            *shown.lock() = seat.voter().standing();
+            if let Err(error) = done {
+                log::error!("voter: {error}; this process votes no more until it is started again");
+                shown.lock().phase = "ended".into();
+                return;
+            }
+        }
+    })?;
+    Ok(Voting { events, standing })
+}
+
+/// What an operator waits for.
+struct Waits {
+    reply: SyncSender<Value>,
+    word: Word,
+    until: Duration,
+    again_at: Duration,
+    voter: usize,
+}
+
+struct Core {
+    members: Members,
+    holder: Arc<Mutex<Holder>>,
+    seat: Option<Voting>,
+    clock: Clock,
+    post: Post,
+    voters: Vec<Name>,
+    members_at: Option<Duration>,
+    holder_at: Option<Duration>,
+    waiting: BTreeMap<u64, Waits>,
+    numbers: u64,
+    leases: Leases,
+}
+
+impl Core {
+    fn run(mut self, inputs: &Receiver<Input>) {
+        let started = self.members.decide(self.clock.now(), &[tulipgap_cluster::Event::Started]);
+        self.member_actions(started);
+        loop {
+            let again = self.waiting.values().map(|waits| waits.again_at).min();
+            let at = [self.members_at, self.holder_at, again].into_iter().flatten().min();
+            let wait =
+                at.map_or(Duration::from_secs(1), |at| self.clock.until(at).min(Duration::from_secs(1)));
+            let first = match inputs.recv_timeout(wait) {
+                Ok(input) => Some(input),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            for input in first.into_iter().chain(inputs.try_iter().take(AT_ONCE)) {
+                match input {
+                    Input::Said(said) => self.said(said),
+                    Input::Carry(actions) => self.carry_out(actions),
+                    Input::Operator(request, reply) => self.operator(request, reply),
+                    Input::Leave(done) => return self.leave(&done),
+                }
+            }
+            self.alarms();
+        }
+    }
+
+    fn alarms(&mut self) {
+        let now = self.clock.now();
+        if self.members_at.is_some_and(|at| at <= now) {
+            self.members_at = None;
+            let actions = self.members.decide(now, &[tulipgap_cluster::Event::Alarm]);
+            self.member_actions(actions);
+        }
+        if self.holder_at.is_some_and(|at| at <= now) {
+            self.holder_at = None;
+            self.holder(Event::Alarm);
+        }
+        let due: Vec<u64> =
+            (self.waiting.iter()).filter(|(_, w)| w.again_at <= now).map(|(n, _)| *n).collect();
+        for number in due {
+            self.ask_again(number, None);
+        }
+    }
+
+    fn holder(&mut self, event: Event) {
+        let actions = self.holder.lock().decide(self.clock.now(), event);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Ask { to, ask, command } => self.post.to(&to, Word::Ask { ask, command }),
+                Action::Alarm { at } => {
+                    self.holder_at = Some(self.holder_at.map_or(at, |asked| asked.min(at)))
+                }
+                Action::Gained { lease, token } => log::info!("lease {lease}: held, token {token}"),
+                Action::Lost { lease, token, why } => {
+                    log::info!("lease {lease}: token {token} lost ({why:?})")
+                }
+                Action::Refused { lease, why } => log::warn!("lease {lease}: {why}"),
+            }
+        }
+    }
+
+    fn member_actions(&mut self, actions: Vec<tulipgap_cluster::Action>) {
+        use tulipgap_cluster::Action as Do;
+        let mut changed = false;
+        for action in actions {
+            match action {
+                Do::Send { to, message } => self.post.links.send(to, Word::Member(message)),
+                Do::Alarm { at } => self.members_at = Some(self.members_at.map_or(at, |asked| asked.min(at))),
+                Do::Changed { name, state, by } => {
+                    changed = true;
+                    let by = by.map_or_else(String::new, |by| format!(", says {by}"));
+                    log::info!("member {name} is {state:?}{by}");
+                }
+                Do::NameTaken { by } => {
+                    log::error!("another process at {by} has this name; this one says no more")
+                }
+                Do::Refused { why } => log::warn!("members: {why}"),
+            }
+        }
+        if changed {
+            for held in self.members.held() {
+                self.post.learn(&held.update.about.name, held.update.about.address);
+            }
+        }
+    }
+
+    fn said(&mut self, said: Said) {
+        let Said { from, address, word, .. } = said;
+        self.post.learn(&from, address);
+        match word {
+            Word::Member(message) if message.from == from => {
+                let event = tulipgap_cluster::Event::Received { from: address, message };
+                let actions = self.members.decide(self.clock.now(), &[event]);
+                self.member_actions(actions);
+            }
+            // Nobody speaks in another's name.
+            Word::Member(_) => {}
+            Word::Peer(message) => self.voter(Heard::Peer { from, message }),
+            Word::Ask { ask, command } => {
+                let own = match &command {
+                    Command::Ask { who, .. } | Command::Release { who, .. } => who.name == from,
+                    Command::Expire { .. } => false,
+                    Command::Revoke { .. } | Command::Transfer { .. } => true,
+                };
+                match (own, self.seat.is_some()) {
+                    (true, true) => self.voter(Heard::Asked { from, ask, command }),
+                    (true, false) => self.post.to(&from, Word::NotLeading { ask, leader: None }),
+                    (false, _) => {}
+                }
+            }
+            Word::List { number, lease } => self.voter(Heard::List { from, number, lease }),
+            Word::Replace { old, new } => self.voter(Heard::Replace { old, new }),
+            Word::Answer { ask, answer, .. } if ask >= OPERATORS => {
+                let told = match answer {
+                    tulipgap_leases::Answer::Refused(why) => json!({ "error": why.to_string() }),
+                    _ => json!({ "done": true }),
+                };
+                self.reply(ask, told);
+            }
+            Word::Answer { life, ask, answer } => self.holder(Event::Answered { life, ask, answer }),
+            Word::NotLeading { ask, leader } if ask >= OPERATORS => {
+                if let Some(leader) = leader {
+                    self.ask_again(ask, Some(&leader));
+                }
+            }
+            Word::NotLeading { ask, leader } => self.holder(Event::NotLeading { ask, leader }),
+            Word::Turn { lease } => self.holder(Event::Turn { lease }),
+            Word::Listing { number, leases } => {
+                let rows: Vec<Value> = leases.iter().map(|(name, lease)| control::row(name, lease)).collect();
+                self.reply(number, json!({ "leases": rows }));
+            }
+        }
+    }
+
+    fn voter(&self, event: Heard) {
+        if let Some(seat) = &self.seat {
+            // A voter whose disk does not answer must not hold up the rest; what it misses is said again.
+            let _ = seat.events.try_send(event);
+        }
+    }
+
+    fn reply(&mut self, number: u64, told: Value) {
+        if let Some(waits) = self.waiting.remove(&number) {
+            let _ = waits.reply.try_send(told);
+        }
+    }
+
+    /// Asks the voter that leads, or each in turn until one does.
+    fn ask_again(&mut self, number: u64, hint: Option<&Name>) {
+        let now = self.clock.now();
+        let Some(waits) = self.waiting.get_mut(&number) else { return };
+        if now >= waits.until {
+            return self.reply(number, json!({ "error": "no voter that leads has answered in 5 s" }));
+        }
+        let to = match hint {
+            Some(hint) => Some(hint.clone()),
+            None => {
+                waits.voter += 1;
+                waits.again_at = now + OPERATOR_AGAIN;
+                self.voters.get(waits.voter % self.voters.len().max(1)).cloned()
+            }
+        };
+        if let Some(to) = to {
+            let word = waits.word.clone();
+            self.post.to(&to, word);
+        }
+    }
+
+    fn ask(&mut self, reply: SyncSender<Value>, word: impl FnOnce(u64) -> Word) {
+        if self.voters.is_empty() || self.waiting.len() >= OPERATORS_MOST {
+            let why =
+                if self.voters.is_empty() { "this cluster has no voters" } else { "too many ask already" };
+            let _ = reply.try_send(json!({ "error": why }));
+            return;
+        }
+        self.numbers += 1;
+        let (number, now) = (self.numbers, self.clock.now());
+        let word = word(number);
+        let waits = Waits { reply, word, until: now + OPERATOR_WAIT, again_at: now, voter: 0 };
+        self.waiting.insert(number, waits);
+        self.ask_again(number, None);
+    }
+
+    fn operator(&mut self, request: Request, reply: SyncSender<Value>) {
+        let told = match request {
+            Request::Members => self.members_told(),
+            Request::Leases { lease } => {
+                let lease = lease.map(Name::from);
+                return self.ask(reply, |number| Word::List { number, lease });
+            }
+            Request::Revoke { lease, token } => {
+                let command = Command::Revoke { lease: lease.into(), token };
+                return self.ask(reply, |ask| Word::Ask { ask, command });
+            }
+            Request::Transfer { lease, token, to } => {
+                let command = Command::Transfer { lease: lease.into(), token, to: to.into() };
+                return self.ask(reply, |ask| Word::Ask { ask, command });
+            }
+            Request::Take { lease, term_ms, places } => {
+                let shape = Shape { term: Duration::from_millis(term_ms), places };
+                let event =
+                    Event::Want { lease: lease.as_str().into(), shape, step: Duration::ZERO, wait: true };
+                let actions = self.holder.lock().decide(self.clock.now(), event);
+                let refused = actions.iter().find_map(|action| match action {
+                    Action::Refused { why, .. } => Some(json!({ "error": why.to_string() })),
+                    _ => None,
+                });
+                self.carry_out(actions);
+                refused.unwrap_or_else(|| json!({ "wanted": true }))
+            }
+            Request::Release { lease } => {
+                self.holder(Event::Drop { lease: lease.as_str().into() });
+                json!({ "done": true })
+            }
+            Request::Own => self.own_told(),
+            Request::Replace { old, new } => {
+                let (old, new): (Name, Name) = (old.into(), new.into());
+                for voter in self.voters.clone() {
+                    self.post.to(&voter, Word::Replace { old: old.clone(), new: new.clone() });
+                }
+                json!({ "asked": true })
+            }
+        };
+        let _ = reply.try_send(told);
+    }
+
+    /// What this process holds or wants, and how its voter stands.
+    fn own_told(&self) -> Value {
+        let holder = self.holder.lock();
+        let wanted: Vec<Value> = (holder.wanted())
+            .map(|(lease, standing)| match standing {
+                Standing::Held { token, told: true, .. } => {
+                    json!({ "lease": &**lease, "held": true, "token": token })
+                }
+                Standing::Queued { ahead } => json!({ "lease": &**lease, "held": false, "ahead": ahead }),
+                _ => json!({ "lease": &**lease, "held": false }),
+            })
+            .collect();
+        let voter = self.seat.as_ref().map(|seat| {
+            let standing = seat.standing.lock().clone();
+            json!({ "phase": standing.phase, "term": standing.term, "leader": standing.leader.as_deref(),
+                "applied": standing.applied, "id": standing.id,
+                "voters": standing.voters.values().map(|name| &**name).collect::<Vec<_>>() })
+        });
+        json!({ "name": &*self.post.me, "wanted": wanted, "voter": voter, "dropped_frames": self.post.links.dropped() })
+    }
+
+    fn members_told(&self) -> Value {
+        let now = self.clock.now();
+        let me = self.members.me();
+        let row = |update: &tulipgap_cluster::Update, extra: Value| {
+            let mut row = json!({ "name": &*update.about.name, "address": update.about.address.to_string(),
+                "region": &*update.about.region, "zone": &*update.about.zone,
+                "state": format!("{:?}", update.state).to_lowercase(), "incarnation": update.incarnation,
+                "by": update.by.as_deref(), "facts": &*update.facts,
+                "unheard": update.unheard.iter().map(|name| &**name).collect::<Vec<_>>() });
+            if let (Some(row), Value::Object(extra)) = (row.as_object_mut(), extra) {
+                row.extend(extra);
+            }
+            row
+        };
+        let mut rows = vec![row(me, json!({ "reach": "itself" }))];
+        rows.extend(self.members.held().map(|held| {
+            let by: Vec<&str> = held.suspected_by.iter().map(|name| &**name).collect();
+            row(
+                &held.update,
+                json!({ "reach": format!("{:?}", held.reach).to_lowercase(), "suspected_by": by,
+                "for_s": now.saturating_sub(held.since).as_secs_f64() }),
+            )
+        }));
+        json!({ "members": rows, "badly": self.members.awareness(), "odd": self.members.odd() })
+    }
+
+    fn leave(mut self, done: &SyncSender<()>) {
+        let names: Vec<Name> = self.holder.lock().wanted().map(|(name, _)| name.clone()).collect();
+        for name in names {
+            // Nothing acts any more: this is the end of the process.
+            self.leases.clone().holder_gives_up(&name, |actions| self.carry_out(actions));
+        }
+        self.voter(Heard::Leave);
+        std::thread::sleep(Duration::from_millis(150));
+        let left = self.members.decide(self.clock.now(), &[tulipgap_cluster::Event::Leave]);
+        self.member_actions(left);
+        let _ = done.try_send(());
+    }
+}
+
+impl Leases {
+    fn holder_gives_up(&self, lease: &Name, mut carry: impl FnMut(Vec<Action>)) {
+        let actions = self.holder.lock().decide(self.clock.now(), Event::Drop { lease: lease.clone() });
+        carry(actions);
+    }
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -3,12 +3,15 @@
 //! it read again where its peers are.
 
 mod clock;
+mod cluster;
 mod config;
+mod control;
 mod gate;
 mod log;
 mod must;
 mod net;
 mod trace;
+mod trial;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -24,6 +27,7 @@
 use tulipgap_admission::{Admission, Part, Terms, WhenFull};
 use tulipgap_config::{Admitting, Cap};
 
+use cluster::Cluster;
 use config::{Told, Where};
 use gate::Gate;
 use net::clients::{Clients, IDLE_MORE, KEPT, MESSAGE_MOST};
@@ -88,7 +92,15 @@
             Err(error) => return refuse(&format!("trace: {error}")),
         },
     };
-    serve(told, path, listener, signals, tracer.clone(), product.admission);
+    // Nothing listens, talks to peers or writes a folder without that block.
+    let cluster = match product.cluster.filter(|told| told.enabled) {
+        None => None,
+        Some(among) => match cluster::start(&among, &told.name, told.seed) {
+            Ok(cluster) => Some(cluster),
+            Err(problem) => return refuse(&problem),
+        },
+    };
+    serve(told, path, listener, signals, tracer.clone(), product.admission, cluster);
     if let Some(tracer) = tracer {
         tracer.finish();
         ::log::info!("{}", tracer.told());
@@ -153,6 +165,7 @@
     mut signals: Signals,
     tracer: Option<Arc<Tracer>>,
     admitting: Option<Admitting>,
+    cluster: Option<Cluster>,
 ) {
     let steering = match told.steering {
         tulipgap_settings::Steering::Advice => "by the value on answers",
@@ -252,6 +265,9 @@
     });
     let notice = noticed.recv().unwrap_or_else(|_| Instant::now());
     ::log::info!("notice to leave; so far {}; {}", gate.counts(), clients.told());
+    if let Some(cluster) = &cluster {
+        cluster.drains();
+    }
     leaving.store(true, Ordering::Release);
     gate.leave(stop);
     // The module goes on taking reqs for a while. Once nothing that comes may be run any more, a connection
@@ -263,5 +279,8 @@
     while !(clients.none() && gate.open() == 0) && notice.elapsed() + STOP_MARGIN < stop {
         std::thread::sleep(Duration::from_millis(5));
     }
+    if let Some(cluster) = cluster {
+        cluster.leave();
+    }
     ::log::info!("left after {} ms; {}; {}", notice.elapsed().as_millis(), gate.counts(), clients.told());
 }
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod kernel;
 pub mod lines;
 pub mod list;
+pub mod peers;
 pub mod ring;
 pub mod store;
 pub mod thrift;
