tulipgap rig run: real processes, every link through a relay, a witness of each act

Change: crates/rig/src/run.rs starts tulipgapd for each member, leads datagrams and streams through relays that cut, delay, lose and double, stops, kills, empties or sets back folders, has disks full or failing and clocks at other rates; acts under leases are told to a witness, which proves that those of two holders never overlap and takes no token older than one it saw.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -46,6 +46,24 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play a plan with leases between real processes; ends with 1 where a promise is broken
+    Run {
+        file: PathBuf,
+        /// The backend's program; where nothing is said, the one beside this
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Of what is drawn with --chaos
+        #[arg(long, default_value_t = 0)]
+        seed: u64,
+        /// Beside the plan's faults, draw some from the seed
+        #[arg(long)]
+        chaos: bool,
+        /// Where configurations, logs and journals go; kept. Where nothing is said, a folder that is removed unless something failed
+        #[arg(long)]
+        folder: Option<PathBuf>,
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -23,6 +23,9 @@
         Command::Rig { command: RigCommand::Simulate { file, seeds, chaos, json } } => {
             rig::simulate(&file, seeds, chaos, json)
         }
+        Command::Rig { command: RigCommand::Run { file, program, seed, chaos, folder, json } } => {
+            rig::run(&file, program, seed, chaos, folder, json)
+        }
         Command::Config { command: ConfigCommand::Check { files } } => check_config(&files),
     };
     match ended {
--- a/crates/cli/src/rig.rs
+++ b/crates/cli/src/rig.rs
@@ -1,7 +1,7 @@
 //! `tulipgap rig`: plans played, and what came of them.
 
 use std::ops::Range;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -237,3 +237,88 @@
     }
     Ok(if report.broken.is_some() { Verdict::Lacking } else { Verdict::Whole })
 }
+
+#[derive(Serialize)]
+struct RunReport {
+    members: usize,
+    broken: Option<(f64, String)>,
+    acts: u64,
+    refused: u64,
+    /// Of processes that were not stopped: their tokens alone kept them from harm.
+    refused_awake: u64,
+    leases: Vec<RunLease>,
+    faults: String,
+}
+
+#[derive(Serialize)]
+struct RunLease {
+    lease: String,
+    tokens: usize,
+    free: f64,
+}
+
+/// Plays a plan once with real processes.
+pub fn run(
+    file: &Path,
+    program: Option<PathBuf>,
+    seed: u64,
+    chaos: bool,
+    folder: Option<PathBuf>,
+    json: bool,
+) -> Result<Verdict, Failure> {
+    let usage = |what: String| Failure::Usage(format!("{}: {what}", file.display()));
+    let text = std::fs::read_to_string(file).map_err(|error| usage(error.to_string()))?;
+    let plan = Plan::read(&text).map_err(|error| usage(error.to_string()))?;
+    if plan.leases.is_empty() {
+        return Err(usage("it has no leases; plans without are played by simulate alone, so far".into()));
+    }
+    let plan = if chaos { drawn(&plan, seed) } else { plan };
+    let beside = || Some(std::env::current_exe().ok()?.with_file_name("tulipgapd"));
+    let program = program.or_else(beside).unwrap_or_else(|| "tulipgapd".into());
+    let (place, kept) = match folder {
+        Some(folder) => (folder, true),
+        None => (std::env::temp_dir().join(format!("tulipgap-rig-{}", std::process::id())), false),
+    };
+    let outcome = tulipgap_rig::run(&plan, &program, &place, |_| false);
+    let outcome = outcome.map_err(|error| usage(error.to_string()))?;
+    let report = RunReport {
+        members: plan.names().len(),
+        acts: outcome.acts,
+        refused: outcome.refused,
+        refused_awake: outcome.refused_awake,
+        leases: (plan.leases.iter())
+            .map(|lease| RunLease {
+                lease: lease.name.clone(),
+                tokens: outcome.tokens.get(&lease.name).copied().unwrap_or_default(),
+                free: outcome.free.get(&lease.name).map_or(0.0, Duration::as_secs_f64),
+            })
+            .collect(),
+        faults: if chaos { plan.faults_written() } else { String::new() },
+        broken: outcome.broken.map(|(at, what)| (at.as_secs_f64(), what)),
+    };
+    let fine = report.broken.is_none();
+    if !kept && fine {
+        let _ = std::fs::remove_dir_all(&place);
+    }
+    if json {
+        println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
+    } else {
+        println!("{} processes, {} s", report.members, plan.length);
+        println!(
+            "      acts  {}; {} refused for their token, {} of them of processes that were not stopped",
+            report.acts, report.refused, report.refused_awake
+        );
+        for lease in &report.leases {
+            let RunLease { lease, tokens, free } = lease;
+            println!("     lease  {lease}: {tokens} tokens, no act for {free:.2} s at the longest");
+        }
+        if let Some((at, what)) = &report.broken {
+            println!(
+                "BROKEN at {at:.2} s: {what}\nlogs and journals are in {}\n{}",
+                place.display(),
+                report.faults
+            );
+        }
+    }
+    Ok(if fine { Verdict::Whole } else { Verdict::Lacking })
+}
--- a/crates/config/src/cluster.rs
+++ b/crates/config/src/cluster.rs
@@ -143,7 +143,7 @@
 }
 
 fn once(names: &[String], _: &()) -> garde::Result {
-    let mut sorted = names.clone();
+    let mut sorted = names.to_vec();
     sorted.sort();
     sorted.dedup();
     if sorted.len() == names.len() { Ok(()) } else { Err(garde::Error::new("a name stands twice")) }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,10 +1,11 @@
-//! Plays faults between the members of a cluster, in simulated time so far, and checks what they promise. The state
+//! Plays faults between the members of a cluster, in simulated time and between real processes, and checks what they promise. The state
 //! machines are the very ones of `tulipgap-cluster`. docs/rig.md has the file and the checks.
 
 mod chaos;
 mod check;
 mod leases;
 mod plan;
+mod run;
 mod simulate;
 mod witness;
 
@@ -12,5 +13,6 @@
 pub use check::{Broken, Worst};
 pub use leases::{LeaseBroken, LeaseOutcome, Planted, simulate_leases};
 pub use plan::{Checks, Fault, Left, Members, Plan, PlanError, Span, Trouble, Wanted};
+pub use run::{RunError, RunOutcome, Seen, run};
 pub use simulate::{Flaw, Outcome, simulate};
 pub use witness::{Refused, Witness};
