Leases between real processes tested; tulipgap cluster and lease; leave to drain

Change: crates/server/tests/program/leases.rs plays stops, cuts, kills of all voters, a lost quorum, disks, clocks and a lost folder between five real processes, each link through a relay; fleet.rs proves that run listens nowhere else and has no thread of a cluster. tulipgap cluster members|voter|drain|replace-voter, tulipgap lease list|show|take|release|transfer|revoke. Found by these tests: without the block trial the clock of leases stood still (its rate was 0 by default) and the thread panicked at its first wait: crates/config/src/cluster.rs, Trial::default.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -7,7 +7,11 @@
 use crate::times::{Moment, Offset};
 
 #[derive(Parser)]
-#[command(name = "tulipgap", version, about = "Tools around tulipgap: recordings and configuration")]
+#[command(
+    name = "tulipgap",
+    version,
+    about = "Tools around tulipgap: recordings, configuration, clusters and the rig that breaks them"
+)]
 pub struct Args {
     #[command(subcommand)]
     pub command: Command,
@@ -25,6 +29,16 @@
         #[command(subcommand)]
         command: RigCommand,
     },
+    /// What a process knows of the others
+    Cluster {
+        #[command(subcommand)]
+        command: ClusterCommand,
+    },
+    /// Who may do what alone
+    Lease {
+        #[command(subcommand)]
+        command: LeaseCommand,
+    },
     /// The product's own configuration
     Config {
         #[command(subcommand)]
@@ -73,6 +87,94 @@
     if range.is_empty() { Err("it holds no seed".into()) } else { Ok(range) }
 }
 
+/// Which process is asked.
+#[derive(clap::Args)]
+pub struct At {
+    /// The Unix socket that its configuration names (cluster.control)
+    #[arg(long)]
+    pub socket: PathBuf,
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Subcommand)]
+pub enum ClusterCommand {
+    /// Each member, its state, how it is reached, and who holds it so
+    Members {
+        #[command(flatten)]
+        at: At,
+    },
+    /// How this process's voter stands
+    Voter {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Wait for leave to drain, so that no more of a zone than may do so at a time; then send it the notice to leave
+    Drain {
+        /// Give up after this
+        #[arg(long, default_value = "5m")]
+        wait: humantime::Duration,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Have one member vote in another's place; the same name where its folder was lost
+    ReplaceVoter {
+        old: String,
+        new: String,
+        #[command(flatten)]
+        at: At,
+    },
+}
+
+#[derive(Subcommand)]
+pub enum LeaseCommand {
+    /// Each lease, who holds it and who waits
+    List {
+        #[command(flatten)]
+        at: At,
+    },
+    /// One lease
+    Show {
+        lease: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Have this process hold a lease until it is released or the process ends
+    Take {
+        lease: String,
+        #[arg(long, default_value = "10s")]
+        term: humantime::Duration,
+        #[arg(long, default_value_t = 1)]
+        places: u32,
+        /// Give up after this
+        #[arg(long, default_value = "10s")]
+        wait: humantime::Duration,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Give it back
+    Release {
+        lease: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Its holder with that token gets no further term, and this member is next
+    Transfer {
+        lease: String,
+        token: u64,
+        to: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Its holder with that token gets no further term
+    Revoke {
+        lease: String,
+        token: u64,
+        #[command(flatten)]
+        at: At,
+    },
+}
+
 #[derive(Subcommand)]
 pub enum ConfigCommand {
     /// Tell every problem of a file with its line and column
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! 2 where the command cannot be carried out.
 
 mod args;
+mod cluster;
 mod export;
 mod files;
 mod report;
@@ -26,6 +27,8 @@
         Command::Rig { command: RigCommand::Run { file, program, seed, chaos, folder, json } } => {
             rig::run(&file, program, seed, chaos, folder, json)
         }
+        Command::Cluster { command } => cluster::cluster(command),
+        Command::Lease { command } => cluster::lease(command),
         Command::Config { command: ConfigCommand::Check { files } } => check_config(&files),
     };
     match ended {
--- a/crates/config/src/cluster.rs
+++ b/crates/config/src/cluster.rs
@@ -65,7 +65,7 @@
 }
 
 /// For the rig alone: faults that only the program itself can play, and acts to watch.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Validate)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Validate)]
 #[garde(context(()))]
 pub struct Trial {
     /// Where acts under leases are told.
@@ -87,6 +87,14 @@
     pub disk_trouble: Option<PathBuf>,
 }
 
+impl Default for Trial {
+    /// No fault; a clock that is right above all.
+    fn default() -> Self {
+        let (leases, routes) = Default::default();
+        Trial { witness: None, leases, routes, clock_rate: right(), disk_trouble: None }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct TrialLease {
     pub name: String,
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -616,7 +616,7 @@
         .collect();
     let path = |name: &str| me.folder.join(name).display().to_string();
     let settings = format!(
-        "cluster {{\n  name = \"rig\"\n  member = {:?}\n  listen = \"{}\"\n  region = {:?}\n  zone = {:?}\n  key = {:?}\n  seeds = [{}]\n  voters = [{}]\n  folder = {:?}\n  control = {:?}\n  trial {{\n    witness = \"{witness}\"\n    leases = [{}]\n    routes = [{}]\n    clock_rate = {}\n    disk_trouble = {:?}\n  }}\n}}\n",
+        "cluster {{\n  name = \"rig\"\n  member = {:?}\n  listen = \"{}\"\n  region = {:?}\n  zone = {:?}\n  key = {:?}\n  seeds = [{}]\n  voters = [{}]\n  folder = {:?}\n  control = {:?}\n  drain {{\n    at_once = 1\n  }}\n  trial {{\n    witness = \"{witness}\"\n    leases = [{}]\n    routes = [{}]\n    clock_rate = {}\n    disk_trouble = {:?}\n  }}\n}}\n",
         me.name,
         me.address,
         me.region,
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -170,6 +170,7 @@
     let into = inputs.clone();
     let forward = move || words.iter().all(|said| into.send(Input::Said(said)).is_ok());
     thread("cluster-in", move || _ = forward()).map_err(|error| at("threads", &error))?;
+    let drain = told.drain.as_ref().map(|drain| (format!("drain/{}", told.zone), drain.at_once));
     let core = Core {
         members,
         holder,
@@ -181,7 +182,7 @@
         holder_at: None,
         waiting: BTreeMap::new(),
         numbers: OPERATORS,
-        leases: leases.clone(),
+        drain: drain.clone(),
     };
     thread("cluster", move || core.run(&taken)).map_err(|error| at("threads", &error))?;
     if let Some(path) = &told.control {
@@ -196,7 +197,6 @@
             .map_err(|error| at("threads", &error))?;
     }
     log::info!("cluster {}: {me} of {} listens on {listen}", told.name, told.zone);
-    let drain = told.drain.as_ref().map(|drain| (format!("drain/{}", told.zone), drain.at_once));
     Ok(Cluster { inputs, leases, drain, control: told.control.clone() })
 }
 
@@ -331,7 +331,8 @@
     holder_at: Option<Duration>,
     waiting: BTreeMap<u64, Waits>,
     numbers: u64,
-    leases: Leases,
+    /// The lease that says who of the zone drains, and how many may.
+    drain: Option<(String, u32)>,
 }
 
 impl Core {
@@ -538,16 +539,12 @@
             }
             Request::Take { lease, term_ms, places } => {
                 let shape = Shape { term: Duration::from_millis(term_ms), places };
-                let event =
-                    Event::Want { lease: lease.as_str().into(), shape, step: Duration::ZERO, wait: true };
-                let actions = self.holder.lock().decide(self.clock.now(), event);
-                let refused = actions.iter().find_map(|action| match action {
-                    Action::Refused { why, .. } => Some(json!({ "error": why.to_string() })),
-                    _ => None,
-                });
-                self.carry_out(actions);
-                refused.unwrap_or_else(|| json!({ "wanted": true }))
+                self.take(&lease, shape, Duration::ZERO)
             }
+            Request::Drain => match self.drain.clone() {
+                None => json!({ "error": "the block cluster has no block drain" }),
+                Some((lease, at_once)) => self.take(&lease, drain_shape(at_once), DRAIN_STEP),
+            },
             Request::Release { lease } => {
                 self.holder(Event::Drop { lease: lease.as_str().into() });
                 json!({ "done": true })
@@ -564,6 +561,17 @@
         let _ = reply.try_send(told);
     }
 
+    fn take(&mut self, lease: &str, shape: Shape, step: Duration) -> Value {
+        let event = Event::Want { lease: lease.into(), shape, step, wait: true };
+        let actions = self.holder.lock().decide(self.clock.now(), event);
+        let refused = actions.iter().find_map(|action| match action {
+            Action::Refused { why, .. } => Some(json!({ "error": why.to_string() })),
+            _ => None,
+        });
+        self.carry_out(actions);
+        refused.unwrap_or_else(|| json!({ "wanted": true, "lease": lease }))
+    }
+
     /// What this process holds or wants, and how its voter stands.
     fn own_told(&self) -> Value {
         let holder = self.holder.lock();
@@ -613,9 +621,9 @@
 
     fn leave(mut self, done: &SyncSender<()>) {
         let names: Vec<Name> = self.holder.lock().wanted().map(|(name, _)| name.clone()).collect();
-        for name in names {
+        for lease in names {
             // Nothing acts any more: this is the end of the process.
-            self.leases.clone().holder_gives_up(&name, |actions| self.carry_out(actions));
+            self.holder(Event::Drop { lease });
         }
         self.voter(Heard::Leave);
         std::thread::sleep(Duration::from_millis(150));
@@ -624,10 +632,3 @@
         let _ = done.try_send(());
     }
 }
-
-impl Leases {
-    fn holder_gives_up(&self, lease: &Name, mut carry: impl FnMut(Vec<Action>)) {
-        let actions = self.holder.lock().decide(self.clock.now(), Event::Drop { lease: lease.clone() });
-        carry(actions);
-    }
-}
--- a/crates/server/src/control.rs
+++ b/crates/server/src/control.rs
@@ -24,6 +24,8 @@
     Members,
     /// What this process wants and holds.
     Own,
+    /// It asks for leave to drain.
+    Drain,
     Leases {
         lease: Option<String>,
     },
--- a/crates/server/tests/program/fleet.rs
+++ b/crates/server/tests/program/fleet.rs
@@ -95,6 +95,26 @@
     let ours = std::fs::read_link("/proc/self/fd/1").unwrap();
     assert!(others.iter().all(|other| *other == ours), "{others:?}");
 
+    // It listens where it was told to and nowhere else, and nothing of a cluster is there: no thread, no datagrams but its
+    // reports.
+    let inodes: BTreeSet<String> = std::fs::read_dir(of("fd"))
+        .unwrap()
+        .filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok()?.to_str().map(str::to_owned))
+        .filter_map(|link| Some(link.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
+        .collect();
+    let own = |table: &str, state: Option<&str>| {
+        let text = std::fs::read_to_string(of(table)).unwrap();
+        let lines = text.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
+        lines.filter(|row| inodes.contains(row[9]) && state.is_none_or(|state| row[3] == state)).count()
+    };
+    assert_eq!(own("net/tcp", Some("0A")) + own("net/tcp6", Some("0A")), 1, "sockets that listen");
+    assert!(own("net/udp", None) + own("net/udp6", None) <= 1, "the reports alone");
+    for thread in std::fs::read_dir(of("task")).unwrap() {
+        let name = std::fs::read_to_string(thread.unwrap().path().join("comm")).unwrap_or_default();
+        let among = ["cluster", "peers", "voter", "control", "trial"];
+        assert!(!among.iter().any(|word| name.starts_with(word)), "{name}");
+    }
+
     stand.signal("TERM");
     drop(edge);
     assert_eq!(stand.ended().code(), Some(0));
--- /dev/null
+++ b/crates/server/tests/program/leases.rs
@@ -0,0 +1,306 @@
+//! Leases between real processes: each link led through a relay, faults on links, processes, clocks and disks, and a witness
+//! that sees each act. Safety is looked at all the time; progress is waited for.
+
+use std::cell::{Cell, RefCell};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpStream, UdpSocket};
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+use serde_json::Value;
+use tulipgap_rig::{Plan, RunOutcome, run};
+
+use crate::stand::*;
+
+fn plan(faults: &str) -> Plan {
+    let text = format!(
+        r#"length = 150
+        voters = ["a-1", "b-1", "c-1"]
+        members {{
+          zone = "a"
+          count = 2
+        }}
+        members {{
+          zone = "b"
+          count = 2
+        }}
+        members {{
+          zone = "c"
+          count = 1
+        }}
+        lease {{
+          name = "one"
+          term = 2
+          step = 0.3
+        }}
+        lease {{
+          name = "two"
+          term = 2
+          places = 2
+          step = 0.3
+        }}
+        {faults}"#
+    );
+    Plan::read(&text).unwrap_or_else(|error| panic!("{error}"))
+}
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_tulipgapd"))
+}
+
+/// Plays it until, after the last fault, both leases have seen acts again; no promise may break on the way.
+fn holds(what: &str, faults: &str) -> RunOutcome {
+    let (plan, folder) = (plan(faults), tempfile::tempdir().unwrap());
+    let (from, met) = (Cell::new(None), Cell::new(false));
+    let enough = |out: &RunOutcome| {
+        let since = from.get().unwrap_or(out.history.len());
+        from.set(Some(since));
+        let acts = |lease: &str| {
+            let fine =
+                |seen: &&tulipgap_rig::Seen| seen.begins && seen.refused.is_none() && seen.lease == lease;
+            out.history[since..].iter().filter(fine).count()
+        };
+        met.set(acts("one") >= 10 && acts("two") >= 10);
+        met.get()
+    };
+    let outcome =
+        run(&plan, program(), folder.path(), enough).unwrap_or_else(|error| panic!("{what}: {error}"));
+    assert_eq!(outcome.broken, None, "{what}");
+    assert!(met.get(), "{what}: no acts after the last fault: {:?}", outcome.tokens);
+    println!("{what}: {} acts, {} refused, no act for {:?}", outcome.acts, outcome.refused, outcome.free);
+    outcome
+}
+
+#[test]
+fn a_holder_stopped_in_mid_act_is_shut_out_when_it_wakes() {
+    let stop = |of: &str, at: u32| format!("stop {{\n at = {at}\n of = \"{of}\"\n back = {}\n}}\n", at + 5);
+    let all: String = ["a-1", "a-2", "b-1", "b-2", "c-1"]
+        .iter()
+        .zip([4, 7, 10, 13, 16])
+        .map(|(of, at)| stop(of, at))
+        .collect();
+    let outcome = holds("stopped", &all);
+    assert!(outcome.tokens["one"] >= 2, "the lease went on to others: {:?}", outcome.tokens);
+}
+
+#[test]
+fn a_holder_and_a_leader_cut_off_and_killed() {
+    let cut = |of: &str, at: u32, one_way: bool| {
+        let to = at + 5;
+        format!("cut {{\n from = {at}\n to = {to}\n between = [\"{of}\", \"\"]\n one_way = {one_way}\n}}\n")
+    };
+    let cuts = cut("a-1", 3, false) + &cut("b-1", 9, true) + &cut("c-1", 15, false);
+    holds(
+        "cut off",
+        &(cuts
+            + "crash {\n at = 12\n of = \"a-2\"\n back = 13\n}\nlinks {\n from = 3\n to = 20\n loss = 0.1\n delay_ms = 20\n twice = 0.1\n}\n"),
+    );
+}
+
+#[test]
+fn all_voters_killed_at_once_then_a_quorum_lost() {
+    let kill =
+        |of: &str, at: u32, back: u32| format!("crash {{\n at = {at}\n of = \"{of}\"\n back = {back}\n}}\n");
+    let all = ["a-1", "b-1", "c-1"].map(|of| kill(of, 4, 5)).concat();
+    holds("killed", &(all + &kill("a-1", 9, 15) + &kill("b-1", 9, 16)));
+}
+
+#[test]
+fn disks_clocks_and_a_folder_that_was_lost() {
+    let text = r#"
+        clock {
+          of = "a-2"
+          rate = 1.05
+        }
+        clock {
+          of = "b-1"
+          rate = 0.95
+        }
+        disk {
+          at = 3
+          of = "a-1"
+          back = 6
+          what = "full"
+        }
+        crash {
+          at = 6.5
+          of = "a-1"
+          back = 7
+        }
+        disk {
+          at = 10
+          of = "b-1"
+          back = 11
+          what = "fails"
+        }
+        crash {
+          at = 13
+          of = "b-1"
+          back = 13.5
+        }
+        crash {
+          at = 16
+          of = "c-1"
+          back = 16.5
+          folder = "emptied"
+        }
+        replace {
+          at = 19
+          old = "c-1"
+          new = "c-1"
+        }
+        crash {
+          at = 23
+          of = "a-1"
+          back = 25
+        }
+    "#;
+    holds("disks and clocks", text);
+}
+
+fn asked(socket: &Path, request: &str) -> Value {
+    let mut stream = UnixStream::connect(socket).unwrap();
+    stream.write_all(format!("{request}\n").as_bytes()).unwrap();
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).unwrap();
+    serde_json::from_str(&line).unwrap()
+}
+
+/// Operators see who holds what and move it; a stale word is refused and changes nothing.
+#[test]
+fn operators_see_move_and_revoke_leases() {
+    let (plan, folder) = (plan(""), tempfile::tempdir().unwrap());
+    let at = |member: &str| folder.path().join(member).join("control");
+    let drains = |member: &str| {
+        let own = asked(&at(member), r#"{"do":"own"}"#);
+        let rows = own["wanted"].as_array().unwrap();
+        rows.iter().any(|row| row["lease"].as_str().unwrap().starts_with("drain/") && row["held"] == true)
+    };
+    let socket = at("a-1");
+    let step = Cell::new(0);
+    let before = RefCell::new(Value::Null);
+    let enough = |out: &RunOutcome| {
+        if out.acts < 5 {
+            return false;
+        }
+        let shown = asked(&socket, r#"{"do":"leases","lease":"one"}"#);
+        let held = shown["leases"][0]["held"][0].clone();
+        match step.get() {
+            0 if held["token"].is_u64() => {
+                let stale = r#"{"do":"revoke","lease":"one","token":999}"#;
+                let refused = asked(&socket, stale);
+                assert!(refused["error"].as_str().unwrap().contains("nobody holds it"), "{refused}");
+                assert!(asked(&socket, r#"{"do":"hop"}"#)["error"].is_string());
+                let to = if held["by"] == "b-2" { "c-1" } else { "b-2" };
+                let token = &held["token"];
+                let moved = asked(
+                    &socket,
+                    &format!(r#"{{"do":"transfer","lease":"one","token":{token},"to":"{to}"}}"#),
+                );
+                assert_eq!(moved["done"], true, "{moved}");
+                *before.borrow_mut() = serde_json::json!([to, token]);
+                step.set(1);
+            }
+            1 if held["by"] == before.borrow()[0] => {
+                assert!(held["token"].as_u64() > before.borrow()[1].as_u64(), "tokens only grow");
+                let taken = asked(&socket, r#"{"do":"take","lease":"mine","term_ms":2000,"places":1}"#);
+                assert_eq!(taken["wanted"], true, "{taken}");
+                step.set(2);
+            }
+            2 => {
+                let own = asked(&socket, r#"{"do":"own"}"#);
+                let mine =
+                    own["wanted"].as_array().unwrap().iter().find(|row| row["lease"] == "mine").cloned();
+                if mine.is_some_and(|mine| mine["held"] == true) {
+                    asked(&socket, r#"{"do":"release","lease":"mine"}"#);
+                    step.set(3);
+                }
+            }
+            3 => {
+                let shown = asked(&socket, r#"{"do":"leases","lease":"mine"}"#);
+                if shown["leases"].as_array().is_some_and(Vec::is_empty) {
+                    let members = asked(&socket, r#"{"do":"members"}"#);
+                    assert_eq!(members["members"].as_array().unwrap().len(), 5, "{members}");
+                    assert_eq!(asked(&socket, r#"{"do":"drain"}"#)["lease"], "drain/a");
+                    step.set(4);
+                }
+            }
+            // One of a zone drains at a time, another zone's do not wait for it, and who waits is next.
+            4 if drains("a-1") => {
+                asked(&at("a-2"), r#"{"do":"drain"}"#);
+                asked(&at("c-1"), r#"{"do":"drain"}"#);
+                step.set(5);
+            }
+            5 if drains("c-1") => {
+                assert!(drains("a-1") && !drains("a-2"));
+                asked(&socket, r#"{"do":"release","lease":"drain/a"}"#);
+                step.set(6);
+            }
+            6 if drains("a-2") => step.set(7),
+            _ => {}
+        }
+        step.get() == 7
+    };
+    let outcome = run(&plan, program(), folder.path(), enough).unwrap();
+    assert_eq!((outcome.broken, step.get()), (None, 7));
+}
+
+/// Garbage, frames of another cluster and a stream that stops in the middle keep nobody out, and a voter without a folder or a
+/// key that is too short is told so at the start.
+#[test]
+fn garbage_at_the_peer_port_stops_nothing() {
+    let host = host();
+    let folder = tempfile::tempdir().unwrap();
+    let at = |name: &str| folder.path().join(name);
+    let settings = |voters: &str| {
+        format!(
+            "cluster {{\n name = \"c\"\n listen = \"{host}:7100\"\n region = \"r\"\n zone = \"z\"\n key = {:?}\n control = {:?}\n{voters}}}\n",
+            at("key").display().to_string(),
+            at("control").display().to_string()
+        )
+    };
+    let file = file(&host, &told(&host));
+    let start = |text: &str| {
+        std::fs::write(at("settings.hcl"), text).unwrap();
+        let mut command = Command::new(program());
+        command.arg("--settings").arg(at("settings.hcl")).env("LB_CONFIG", &file);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap()
+    };
+    let refusal = |text: &str| {
+        let ended = start(text).wait_with_output().unwrap();
+        assert_eq!(ended.status.code(), Some(2));
+        String::from_utf8(ended.stderr).unwrap()
+    };
+    std::fs::write(at("key"), b"short").unwrap();
+    assert!(refusal(&settings("")).contains("a key takes 16 bytes or more"));
+    std::fs::write(at("key"), b"long enough to keep anybody out").unwrap();
+    assert!(refusal(&settings(" voters = [\"n3\"]\n")).contains("a voter needs one"));
+
+    let mut child = start(&settings(""));
+    until("it listens", || UnixStream::connect(at("control")).is_ok());
+    let (udp, peer) = (UdpSocket::bind((&host[..], 0)).unwrap(), format!("{host}:7100"));
+    let mut rng = fastrand::Rng::with_seed(7);
+    let elsewhere = tulipgap_peer::Frames::new("elsewhere", b"long enough to keep anybody out").unwrap();
+    let word = tulipgap_peer::Word::Turn { lease: "x".into() };
+    let said = tulipgap_peer::Said { from: "m".into(), address: peer.parse().unwrap(), life: 1, word };
+    for turn in 0..3000 {
+        let mut bytes = elsewhere.make(&said);
+        if turn % 2 == 0 {
+            bytes = (0..rng.usize(0..1400)).map(|_| rng.u8(..)).collect();
+        }
+        udp.send_to(&bytes, &peer).unwrap();
+        if turn % 30 == 0
+            && let Ok(mut stream) = TcpStream::connect(&peer)
+        {
+            let _ = stream.write_all(&bytes);
+        }
+    }
+    let members = asked(&at("control"), r#"{"do":"members"}"#);
+    assert_eq!(members["members"].as_array().map(Vec::len), Some(1), "{members}");
+    let kill = Command::new("sh").args(["-c", "kill -TERM \"$0\"", &child.id().to_string()]).status();
+    assert!(kill.unwrap().success());
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    assert!(!at("control").exists(), "the socket is gone with it");
+    let _ = std::fs::remove_file(&file);
+}
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -3,6 +3,7 @@
 mod admitting;
 mod cost;
 mod fleet;
+mod leases;
 mod recording;
 mod serving;
 mod stand;
