One of a zone probes a store that is down, all others go by its verdict

Off without the block cluster. Measured: three real processes with reqs served throughout: one verdict seen by all, withdrawn and all calls made again once the store listens.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod interface;
 mod members;
+pub mod probing;
 mod spread;
 
 pub use interface::*;
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tulipgap_agree::{Action as Agreed, Event as Heard, Seat};
+use tulipgap_cluster::probing::{Look, Probing};
 use tulipgap_cluster::{About, Members};
 use tulipgap_durable::{Disk, Folder};
 use tulipgap_leases::{Action, Command, Event, Holder, Name, Permit, Shape, Stale, Standing, Who};
@@ -20,6 +21,7 @@
 
 use crate::control::{self, Request};
 use crate::net::peers::{Links, Opened, thread};
+use crate::net::store::Store;
 use crate::trial::{self, Troubled};
 
 /// What may wait to be taken up.
@@ -40,6 +42,12 @@
 const DRAIN_TERM: Duration = Duration::from_secs(3);
 const DRAIN_STEP: Duration = Duration::from_millis(100);
 
+/// Probing the store.
+const STORE_FACT: &str = "store";
+const PROBE_LOOK: Duration = Duration::from_millis(100);
+const PROBE_SHAPE: Shape = Shape { term: Duration::from_secs(4), places: 1 };
+const PROBE_STEP: Duration = Duration::from_millis(500);
+
 /// Time since the machine's start, that it slept through included: a term goes on while it sleeps.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -72,6 +80,9 @@
     /// What a task's call asks to be carried out.
     Carry(Vec<Action>),
     Operator(Request, SyncSender<Value>),
+    /// What live members of this zone publish under a key, this process left out.
+    Facts(&'static str, SyncSender<Vec<(Name, String)>>),
+    Publish(&'static str, Option<String>),
     Leave(SyncSender<()>),
 }
 
@@ -91,6 +102,11 @@
         self.carry(actions);
     }
 
+    pub fn give_back(&self, lease: &str) {
+        let actions = self.holder.lock().decide(self.clock.now(), Event::Drop { lease: lease.into() });
+        self.carry(actions);
+    }
+
     pub fn begin(&self, lease: &str) -> Result<Permit, Stale> {
         let mut holder = self.holder.lock();
         holder.begin(self.clock.now(), lease)
@@ -117,6 +133,7 @@
     leases: Leases,
     /// The lease that says who of the zone drains, and how many may.
     drain: Option<(String, u32)>,
+    zone: String,
     control: Option<PathBuf>,
 }
 
@@ -197,7 +214,8 @@
             .map_err(|error| at("threads", &error))?;
     }
     log::info!("cluster {}: {me} of {} listens on {listen}", told.name, told.zone);
-    Ok(Cluster { inputs, leases, drain, control: told.control.clone() })
+    let (zone, control) = (told.zone.clone(), told.control.clone());
+    Ok(Cluster { inputs, leases, drain, zone, control })
 }
 
 impl Cluster {
@@ -208,6 +226,15 @@
         }
     }
 
+    /// One of the zone probes the store when it refuses, and all others go by its verdict.
+    pub fn probe_store(&self, store: &Arc<Store>) {
+        let (leases, inputs, store) = (self.leases.clone(), self.inputs.clone(), store.clone());
+        let lease = format!("probe/store/{}", self.zone);
+        if let Err(error) = thread("cluster-probe", move || probe_store(&leases, &inputs, &lease, &store)) {
+            log::error!("cluster: {error}");
+        }
+    }
+
     /// Says good-bye: another is to lead, places are given back, the others need not find out.
     pub fn leave(self) {
         let (said, left) = sync_channel(1);
@@ -224,6 +251,53 @@
     Shape { term: DRAIN_TERM, places: at_once }
 }
 
+fn probe_store(leases: &Leases, inputs: &SyncSender<Input>, lease: &str, store: &Store) {
+    let (mut probing, mut wanted) = (Probing::default(), false);
+    let (mut probed, mut permit) = (None, None);
+    loop {
+        std::thread::sleep(PROBE_LOOK);
+        // Nothing to ask about while it answers.
+        if store.refused() == 0 && !wanted {
+            continue;
+        }
+        let (reply, facts) = sync_channel(1);
+        if inputs.send(Input::Facts(STORE_FACT, reply)).is_err() {
+            return;
+        }
+        let verdicts = facts.recv_timeout(Duration::from_secs(1)).unwrap_or_default();
+        if permit.is_none() && wanted {
+            permit = leases.begin(lease).ok();
+        }
+        let holds = permit.as_ref().is_some_and(|permit| leases.step(permit).is_ok());
+        if !holds && let Some(stale) = permit.take() {
+            leases.done(stale);
+        }
+        let look = Look { refused: store.refused(), holds, probed: probed.take(), verdicts: &verdicts };
+        let course = probing.look(leases.clock.now(), &look);
+        if let Some(verdict) = course.publish {
+            let _ = inputs.send(Input::Publish(STORE_FACT, verdict));
+        }
+        store.hold_down(course.down);
+        if course.wants && !wanted {
+            leases.want(lease, PROBE_SHAPE, PROBE_STEP);
+        } else if !course.wants && wanted {
+            if let Some(permit) = permit.take() {
+                leases.done(permit);
+            }
+            leases.give_back(lease);
+            if holds {
+                store.answers();
+            }
+        }
+        wanted = course.wants;
+        if course.probe
+            && let Some(address) = store.address()
+        {
+            probed = Some(std::net::TcpStream::connect_timeout(&address, PROBE_STEP).is_ok());
+        }
+    }
+}
+
 /// Gets words to members by name.
 #[derive(Clone)]
 struct Post {
@@ -354,6 +428,12 @@
                     Input::Said(said) => self.said(said),
                     Input::Carry(actions) => self.carry_out(actions),
                     Input::Operator(request, reply) => self.operator(request, reply),
+                    Input::Facts(key, reply) => _ = reply.try_send(self.facts(key)),
+                    Input::Publish(key, value) => {
+                        let event = tulipgap_cluster::Event::Publish { key: key.into(), value };
+                        let actions = self.members.decide(self.clock.now(), &[event]);
+                        self.member_actions(actions);
+                    }
                     Input::Leave(done) => return self.leave(&done),
                 }
             }
@@ -473,6 +553,15 @@
         }
     }
 
+    fn facts(&self, key: &str) -> Vec<(Name, String)> {
+        let zone = &self.members.me().about.zone;
+        let lives = |update: &tulipgap_cluster::Update| update.state == tulipgap_cluster::State::Alive;
+        (self.members.held())
+            .filter(|held| held.update.about.zone == *zone && lives(&held.update))
+            .filter_map(|held| Some((held.update.about.name.clone(), held.update.facts.get(key)?.clone())))
+            .collect()
+    }
+
     fn voter(&self, event: Heard) {
         if let Some(seat) = &self.seat {
             // A voter whose disk does not answer must not hold up the rest; what it misses is said again.
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -178,6 +178,9 @@
     let gate = Arc::new(Gate::new(told.given.clone(), told.seed, tracer));
     let kernel = Kernel::new(told.peers.kernel, gate.clone(), told.names.gauges.clone());
     let store = Store::new(told.peers.store, gate.clone(), told.sockets / STORE_PART);
+    if let Some(cluster) = &cluster {
+        cluster.probe_store(&store);
+    }
     let terms = terms(&told, store.most(), admitting.as_ref());
     let refuses = terms.when_full == WhenFull::Refuse;
     let admission = match Admission::new(terms, told.seed) {
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use may::net::TcpStream;
@@ -66,12 +67,18 @@
     gate: Arc<Gate>,
     most: usize,
     pool: Mutex<Pool>,
+    /// Connections that were refused, in a row.
+    refused: AtomicU32,
+    /// The zone's prober says that it is down: no call tries for itself.
+    down: AtomicBool,
 }
 
 impl Store {
     /// A store that is called over so many connections at the most.
     pub fn new(address: Option<SocketAddr>, gate: Arc<Gate>, most: usize) -> Arc<Self> {
-        Arc::new(Store { address: Where::new(address), gate, most, pool: Mutex::default() })
+        let address = Where::new(address);
+        let (refused, down) = (AtomicU32::new(0), AtomicBool::new(false));
+        Arc::new(Store { address, gate, most, pool: Mutex::default(), refused, down })
     }
 
     /// Connections that it takes at the most.
@@ -79,6 +86,30 @@
         self.most
     }
 
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.address.now()
+    }
+
+    /// How many connections in a row were refused.
+    pub fn refused(&self) -> u32 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    /// A probe has found it listening.
+    pub fn answers(&self) {
+        self.refused.store(0, Ordering::Relaxed);
+    }
+
+    /// Whether calls are refused here without being made.
+    pub fn hold_down(&self, down: bool) {
+        if self.down.swap(down, Ordering::AcqRel) != down {
+            log::info!(
+                "store: {}",
+                if down { "held down by the zone's prober" } else { "held down no more" }
+            );
+        }
+    }
+
     /// It listens there from now on: open calls get their replies where they were made, new ones go there.
     pub fn move_to(&self, address: Option<SocketAddr>) {
         if self.address.set(address) {
@@ -88,7 +119,8 @@
 
     /// Makes a req's call of that number; its end is reported to the gate.
     pub fn call(self: &Arc<Self>, id: &Id, number: usize, patience: Duration, body: &Bytes) {
-        let Some(address) = self.address.now() else {
+        let address = self.address.now().filter(|_| !self.down.load(Ordering::Acquire));
+        let Some(address) = address else {
             return self.ended(id, Outcome::Unreachable, Bytes::default());
         };
         let head = line(format_args!("CALL {id} {} {}", patience.as_millis().max(1), body.len()));
@@ -155,7 +187,12 @@
 
     /// A connection, from its opening to its end.
     fn run(self: &Arc<Self>, address: SocketAddr, at: u64) {
-        let end = TcpStream::connect(address).and_then(|stream| self.carry(stream, at));
+        let open = TcpStream::connect(address);
+        match &open {
+            Ok(_) => self.refused.store(0, Ordering::Relaxed),
+            Err(_) => _ = self.refused.fetch_add(1, Ordering::Relaxed),
+        }
+        let end = open.and_then(|stream| self.carry(stream, at));
         let mut pool = self.pool.lock();
         let lost = pool.lanes.remove(&at).and_then(|lane| {
             let call = lane.call?;
--- a/crates/server/tests/program/leases.rs
+++ b/crates/server/tests/program/leases.rs
@@ -304,3 +304,57 @@
     assert!(!at("control").exists(), "the socket is gone with it");
     let _ = std::fs::remove_file(&file);
 }
+
+/// Three backends of a zone whose store refuses: one probes, all go by its verdict, reqs are answered throughout; when the store
+/// is back all make their calls again, and nothing of the verdict is left.
+#[test]
+fn one_of_a_zone_probes_a_store_that_is_down() {
+    let (hosts, away) = ([host(), host(), host()], host());
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("key"), b"long enough to keep anybody out").unwrap();
+    let path = |name: &str| folder.path().join(name).display().to_string();
+    let start = |at: usize| {
+        let (host, name) = (&hosts[at], format!("m{at}"));
+        let settings = format!(
+            "cluster {{\n name = \"c\"\n member = \"{name}\"\n listen = \"{host}:7100\"\n region = \"r\"\n zone = \"z\"\n key = {:?}\n seeds = [\"{}:7100\"]\n voters = [\"m0\", \"m1\", \"m2\"]\n folder = {:?}\n control = {:?}\n}}\n",
+            path("key"),
+            hosts[0],
+            path(&name),
+            path(&format!("{name}.control")),
+        );
+        let settings_file = folder.path().join(format!("{name}.hcl"));
+        std::fs::write(&settings_file, settings).unwrap();
+        let kernel = listen(Shared::default(), host);
+        let told =
+            told(host).replace(&format!("\"store\":\"{host}:7700\""), &format!("\"store\":\"{away}:7700\""));
+        let file = file(host, &told);
+        let child = start_with(&file, Some(&settings_file));
+        let stand = Stand { host: host.clone(), kernel, store: Store::default(), child, file };
+        stand.serves();
+        stand
+    };
+    let stands = [start(0), start(1), start(2)];
+    let control = |at: usize| folder.path().join(format!("m{at}.control"));
+    // Who publishes a verdict, as each sees it.
+    let verdicts = |at: usize| -> Vec<String> {
+        let told = asked(&control(at), r#"{"do":"members"}"#);
+        let rows = told["members"].as_array().unwrap().iter();
+        rows.filter(|row| row["facts"]["store"].is_string()).map(|row| row["name"].to_string()).collect()
+    };
+    let number = Cell::new(0);
+    let calls = |stand: &Stand| {
+        number.set(number.get() + 1);
+        let mut edge = stand.edge();
+        edge.req(1, &format!("{:016x}", 0xc000 + number.get()), b"call");
+        edge.expect(1, Kind::Answer).holds(b"richer")
+    };
+    until("all have the verdict of one", || {
+        assert!(!stands.iter().any(&calls), "nobody answers at the store");
+        (0..3).all(|at| verdicts(at).len() == 1) && (1..3).all(|at| verdicts(at) == verdicts(0))
+    });
+    let _store = store(&away);
+    until("the verdict is withdrawn", || (0..3).all(|at| verdicts(at).is_empty()));
+    for stand in &stands {
+        until("its calls are made again", || calls(stand));
+    }
+}
