--- a/crates/cli/src/rig.rs
+++ b/crates/cli/src/rig.rs
@@ -48,6 +48,10 @@
     worst: f64,
 }
 
+fn beside(worst: Duration, bound: f64) -> Beside {
+    Beside { worst: worst.as_secs_f64(), bound }
+}
+
 fn spread(mut spans: Vec<Duration>) -> Option<Spread> {
     spans.sort();
     let worst = spans.last()?.as_secs_f64();
@@ -161,6 +165,16 @@
     if report.broken.is_some() { Verdict::Lacking } else { Verdict::Whole }
 }
 
+fn promises(held_dead: &Beside, known: &Beside, agree: &Beside) {
+    for (promise, what, beside) in [
+        ("held_dead", "a live member that could be reached was held dead", held_dead),
+        ("known", "a dead member was not known to be dead", known),
+        ("agree", "views differed after the last fault", agree),
+    ] {
+        println!("{promise:>10}  at the longest {:.2} s, of {:.2} s: {what}", beside.worst, beside.bound);
+    }
+}
+
 /// Plays a plan once for each seed, until one breaks a promise.
 pub fn simulate(file: &Path, seeds: Range<u64>, chaos: bool, json: bool) -> Result<Verdict, Failure> {
     let text = std::fs::read_to_string(file)
@@ -197,7 +211,6 @@
         }
     }
     let members = plan.names().len();
-    let beside = |worst: Duration, bound: f64| Beside { worst: worst.as_secs_f64(), bound };
     let report = Report {
         runs,
         members,
@@ -214,13 +227,7 @@
         println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
     } else {
         println!("{} runs of {} members, {} s each", report.runs, members, plan.length);
-        for (promise, what, beside) in [
-            ("held_dead", "a live member that could be reached was held dead", &report.held_dead),
-            ("known", "a dead member was not known to be dead", &report.known),
-            ("agree", "views differed after the last fault", &report.agree),
-        ] {
-            println!("{promise:>10}  at the longest {:.2} s, of {:.2} s: {what}", beside.worst, beside.bound);
-        }
+        promises(&report.held_dead, &report.known, &report.agree);
         for (noticed, what) in [(&report.first_noticed, "first"), (&report.all_noticed, "all")] {
             if let Some(Spread { median, worst }) = noticed {
                 println!("   crashes  noticed by {what}: median {median:.2} s, worst {worst:.2} s");
@@ -247,6 +254,10 @@
     /// Of processes that were not stopped: their tokens alone kept them from harm.
     refused_awake: u64,
     leases: Vec<RunLease>,
+    held_dead: Beside,
+    known: Beside,
+    agree: Beside,
+    false_deaths: u64,
     faults: String,
 }
 
@@ -269,12 +280,9 @@
     let usage = |what: String| Failure::Usage(format!("{}: {what}", file.display()));
     let text = std::fs::read_to_string(file).map_err(|error| usage(error.to_string()))?;
     let plan = Plan::read(&text).map_err(|error| usage(error.to_string()))?;
-    if plan.leases.is_empty() {
-        return Err(usage("it has no leases; plans without are played by simulate alone, so far".into()));
-    }
     let plan = if chaos { drawn(&plan, seed) } else { plan };
-    let beside = || Some(std::env::current_exe().ok()?.with_file_name("tulipgapd"));
-    let program = program.or_else(beside).unwrap_or_else(|| "tulipgapd".into());
+    let neighbour = || Some(std::env::current_exe().ok()?.with_file_name("tulipgapd"));
+    let program = program.or_else(neighbour).unwrap_or_else(|| "tulipgapd".into());
     let (place, kept) = match folder {
         Some(folder) => (folder, true),
         None => (std::env::temp_dir().join(format!("tulipgap-rig-{}", std::process::id())), false),
@@ -293,6 +301,10 @@
                 free: outcome.free.get(&lease.name).map_or(0.0, Duration::as_secs_f64),
             })
             .collect(),
+        held_dead: beside(outcome.worst.held_dead, plan.checks.held_dead),
+        known: beside(outcome.worst.known, plan.checks.known),
+        agree: beside(outcome.worst.agree, plan.checks.agree),
+        false_deaths: outcome.false_deaths,
         faults: if chaos { plan.faults_written() } else { String::new() },
         broken: outcome.broken.map(|(at, what)| (at.as_secs_f64(), what)),
     };
@@ -304,6 +316,8 @@
         println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
     } else {
         println!("{} processes, {} s", report.members, plan.length);
+        promises(&report.held_dead, &report.known, &report.agree);
+        println!("    deaths  {} that were none", report.false_deaths);
         println!(
             "      acts  {}; {} refused for their token, {} of them of processes that were not stopped",
             report.acts, report.refused, report.refused_awake
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -12,11 +12,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use tulipgap_cluster::State;
+
+use crate::check::{Checker, Pair, Worst};
 use crate::plan::{Fault, Left, Plan, Trouble};
 use crate::witness::{Refused, Witness};
 
 /// Between two looks at the processes.
 const LOOK: Duration = Duration::from_millis(20);
+/// Between two looks at what each holds of the others; and how long one that is asked may take.
+const ASK: Duration = Duration::from_millis(500);
+const ASK_WAIT: Duration = Duration::from_millis(400);
 /// A part of a stream that is lost comes after so long.
 const AGAIN: Duration = Duration::from_millis(200);
 /// Waits of relays, so that they see the end.
@@ -56,6 +62,11 @@
     /// By lease: tokens seen, and the longest without an act, between the first and the last.
     pub tokens: BTreeMap<String, usize>,
     pub free: BTreeMap<String, Duration>,
+    /// The worst of the membership's promises, and whether by the last look all views were right.
+    pub worst: Worst,
+    pub agree: bool,
+    /// Changes of what is held of members that lived and could be reached, to dead.
+    pub false_deaths: u64,
     pub history: Vec<Seen>,
 }
 
@@ -336,9 +347,11 @@
     folder: PathBuf,
     rate: f64,
     child: Option<Child>,
+    stopped: bool,
 }
 
-/// Plays a plan once with real processes. `keep` is called now and then with what was seen so far; it may end the run early.
+/// Plays a plan once with real processes. After the last fault `enough` is asked with what was seen so far; it may end the
+/// run before its length.
 pub fn run(
     plan: &Plan,
     program: &Path,
@@ -423,6 +436,7 @@
             folder: folder.join(name),
             rate: rate.unwrap_or(1.0),
             child: None,
+            stopped: false,
         });
     }
     let ops = operations(plan, &net.names);
@@ -431,6 +445,7 @@
         spawn(program, folder, &mut members[member]).map_err(at("processes"))?;
     }
     let mut next = 0;
+    let mut views = Views::new(plan, members.len());
     while net.now() < plan.length {
         std::thread::sleep(LOOK);
         while let Some((_, member, op)) = ops.get(next).filter(|(due, _, _)| *due <= net.now()) {
@@ -444,14 +459,94 @@
                 return Err(RunError::Ended(member.name.clone(), net.now(), status.to_string(), log));
             }
         }
+        views.look(net, members, watch);
         let watch = held(watch);
-        if watch.out.broken.is_some() || next == ops.len() && enough(&watch.out) {
+        let quiet = next == ops.len() && net.start.elapsed() > plan.quiet_from();
+        if watch.out.broken.is_some() || quiet && enough(&watch.out) {
             return Ok(());
         }
     }
     Ok(())
 }
 
+/// What each member holds of the others, as it says when it is asked.
+struct Views {
+    checker: Checker,
+    next: Instant,
+    held: Vec<Vec<Option<State>>>,
+}
+
+impl Views {
+    fn new(plan: &Plan, members: usize) -> Self {
+        let checker = Checker::new(plan.checks, plan.quiet_from());
+        Views { checker, next: Instant::now() + ASK, held: vec![vec![None; members]; members] }
+    }
+
+    fn look(&mut self, net: &Net, members: &[Member], watch: &Shared) {
+        if Instant::now() < self.next {
+            return;
+        }
+        self.next = Instant::now() + ASK;
+        let awake = |member: &Member| member.child.is_some() && !member.stopped;
+        let (mut agree, mut false_deaths) = (true, 0);
+        for (observer, member) in members.iter().enumerate() {
+            if !awake(member) {
+                self.checker.anew(observer);
+                continue;
+            }
+            let now = net.start.elapsed();
+            let Ok(held) = asked(&member.folder.join("control")) else {
+                agree = false;
+                continue;
+            };
+            for (of, other) in members.iter().enumerate().filter(|(of, _)| *of != observer) {
+                let state = held.get(&other.name).copied();
+                let open = net.open(observer, of) && net.open(of, observer);
+                let reachable = awake(other) && open;
+                let (dead, names) = (other.child.is_none(), &net.names[..]);
+                let before = std::mem::replace(&mut self.held[observer][of], state);
+                false_deaths += u64::from(reachable && state == Some(State::Dead) && before != state);
+                agree &= if dead {
+                    matches!(state, Some(State::Dead | State::Left) | None)
+                } else {
+                    state == Some(State::Alive)
+                };
+                self.checker.look(now, &Pair { observer, of, names, held: state, reachable, dead });
+            }
+        }
+        let mut watch = held(watch);
+        watch.out.worst = self.checker.worst;
+        watch.out.agree = agree;
+        watch.out.false_deaths += false_deaths;
+        if let (Some(broken), None) = (&self.checker.broken, &watch.out.broken) {
+            let what =
+                format!("{}: {} of {}, for {:?}", broken.promise, broken.observer, broken.of, broken.span);
+            watch.out.broken = Some((broken.at, what));
+        }
+    }
+}
+
+/// What a process says of the others, by name.
+fn asked(control: &Path) -> io::Result<BTreeMap<String, State>> {
+    let mut stream = std::os::unix::net::UnixStream::connect(control)?;
+    stream.set_read_timeout(Some(ASK_WAIT))?;
+    stream.write_all(b"{\"do\":\"members\"}\n")?;
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line)?;
+    let told: serde_json::Value = serde_json::from_str(&line)?;
+    let rows = told["members"].as_array().into_iter().flatten();
+    let state = |row: &serde_json::Value| {
+        let state = match row["state"].as_str()? {
+            "alive" => State::Alive,
+            "suspect" => State::Suspect,
+            "dead" => State::Dead,
+            _ => State::Left,
+        };
+        Some((row["name"].as_str()?.to_owned(), state))
+    };
+    Ok(rows.filter_map(state).collect())
+}
+
 enum Op {
     Kill,
     Start(Left),
@@ -511,6 +606,7 @@
                 held(watch).asleep.insert(member.name.clone());
                 child.kill()?;
                 child.wait()?;
+                member.stopped = false;
                 held(watch).died(&member.name);
             }
         }
@@ -529,11 +625,13 @@
             if let Some(child) = &member.child {
                 held(watch).asleep.insert(member.name.clone());
                 signal(child, rustix::process::Signal::STOP)?;
+                member.stopped = true;
             }
         }
         Op::Wake => {
             if let Some(child) = &member.child {
                 signal(child, rustix::process::Signal::CONT)?;
+                member.stopped = false;
             }
         }
         Op::Copy => copy(&journal, &older)?,
