--- a/crates/agree/src/voter.rs
+++ b/crates/agree/src/voter.rs
@@ -527,6 +527,7 @@
         while self.raw.as_ref().is_some_and(|raw| raw.has_ready()) {
             let Some(raw) = &mut self.raw else { break };
             let mut ready = raw.ready();
+            let changes = ready.must_sync();
             let snapshot = ready.snapshot().clone();
             let entries = ready.take_entries();
             let hard = ready.hs().cloned();
@@ -544,7 +545,8 @@
             let mut wrong = store.append(entries.clone()).err();
             if fresh {
                 out.push(Action::Whole(store.whole()));
-            } else if hard.is_some() || !entries.is_empty() {
+            } else if changes {
+                // How far the log is agreed on alone is not worth a write: whoever reads the log finds out again.
                 out.push(Action::Write(Store::record(hard.as_ref(), &entries)));
             }
             if fresh {
@@ -581,7 +583,6 @@
             let mut light = raw.advance(ready);
             if let Some(commit) = light.commit_index() {
                 let (term, vote, _) = raw.store().hard();
-                // Not worth a write of its own: whoever reads the log finds out again how far it was agreed on.
                 raw.mut_store().set_hard((term, vote, commit));
             }
             let (messages, committed) = (light.take_messages(), light.take_committed_entries());
