Reqs served while links break and processes die: each answered once, run once

Change: the rig tells where members will serve before it starts them; crates/server/tests/program/load.rs has ten edge nodes send to them. Beside it: the end of the program waits for good-byes never into the stop, a notice to leave hands leadership on and waits for nothing, 64 descriptors are kept for the cluster where it is on, and most voters in one zone are warned of.

--- a/crates/cli/src/rig.rs
+++ b/crates/cli/src/rig.rs
@@ -287,7 +287,7 @@
         Some(folder) => (folder, true),
         None => (std::env::temp_dir().join(format!("tulipgap-rig-{}", std::process::id())), false),
     };
-    let outcome = tulipgap_rig::run(&plan, &program, &place, |_| false);
+    let outcome = tulipgap_rig::run(&plan, &program, &place, |_| {}, |_| false);
     let outcome = outcome.map_err(|error| usage(error.to_string()))?;
     let report = RunReport {
         members: plan.names().len(),
--- a/crates/rig/benches/leases.rs
+++ b/crates/rig/benches/leases.rs
@@ -160,4 +160,6 @@
             measure(voters, askers);
         }
     }
+    // Each its own lease.
+    measure(3, 10_000);
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -13,6 +13,6 @@
 pub use check::{Broken, Worst};
 pub use leases::{LeaseBroken, LeaseOutcome, Planted, simulate_leases};
 pub use plan::{Checks, Fault, Left, Members, Plan, PlanError, Span, Trouble, Wanted};
-pub use run::{RunError, RunOutcome, Seen, run};
+pub use run::{RunError, RunOutcome, Seen, Serving, run};
 pub use simulate::{Flaw, Outcome, simulate};
 pub use witness::{Refused, Witness};
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -23,6 +23,9 @@
 /// Between two looks at what each holds of the others; and how long one that is asked may take.
 const ASK: Duration = Duration::from_millis(500);
 const ASK_WAIT: Duration = Duration::from_millis(400);
+/// Ports of each member, on an address of its own.
+const SERVES: u16 = 6565;
+const KERNEL: u16 = 7300;
 /// A part of a stream that is lost comes after so long.
 const AGAIN: Duration = Duration::from_millis(200);
 /// Waits of relays, so that they see the end.
@@ -339,6 +342,14 @@
     Ok(())
 }
 
+/// Where a member serves reqs, and where it looks for its kernel.
+#[derive(Clone, Debug)]
+pub struct Serving {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub kernel: SocketAddr,
+}
+
 struct Member {
     name: String,
     zone: String,
@@ -351,11 +362,12 @@
 }
 
 /// Plays a plan once with real processes. After the last fault `enough` is asked with what was seen so far; it may end the
-/// run before its length.
+/// run before its length. Before the first process is started `begins` is told where each will serve.
 pub fn run(
     plan: &Plan,
     program: &Path,
     folder: &Path,
+    begins: impl FnOnce(&[Serving]),
     enough: impl Fn(&RunOutcome) -> bool,
 ) -> Result<RunOutcome, RunError> {
     let names = plan.names();
@@ -371,7 +383,7 @@
     }));
     let net = Arc::new(Net { plan: plan.clone(), names: names.clone(), start, over: AtomicBool::new(false) });
     let mut members = Vec::new();
-    let ended = play(plan, program, folder, &net, &watch, &mut members, enough);
+    let ended = play(plan, (program, folder), &net, &watch, &mut members, begins, enough);
     net.over.store(true, Ordering::Relaxed);
     for member in &mut members {
         if let Some(mut child) = member.child.take() {
@@ -397,11 +409,11 @@
 
 fn play(
     plan: &Plan,
-    program: &Path,
-    folder: &Path,
+    (program, folder): (&Path, &Path),
     net: &Arc<Net>,
     watch: &Shared,
     members: &mut Vec<Member>,
+    begins: impl FnOnce(&[Serving]),
     enough: impl Fn(&RunOutcome) -> bool,
 ) -> Result<(), RunError> {
     let at = |what: &str| {
@@ -440,6 +452,12 @@
         });
     }
     let ops = operations(plan, &net.names);
+    let serving = |(member, (name, _)): (usize, &(String, String))| Serving {
+        name: name.clone(),
+        listen: address(member, SERVES),
+        kernel: address(member, KERNEL),
+    };
+    begins(&net.names.iter().enumerate().map(serving).collect::<Vec<_>>());
     for member in 0..members.len() {
         told(plan, members, member, &address, witness, folder).map_err(at("configuration"))?;
         spawn(program, folder, &mut members[member]).map_err(at("processes"))?;
@@ -686,14 +704,16 @@
     fs::create_dir_all(&me.folder)?;
     let config = format!(
         r#"{{"name":{:?},"listen":"{}","kernel":"{}","seed":"1","stop_ms":1000,
-        "limits":{{"memory_mb":64,"sockets":64}},"settings":{{"classes":[{{"name":"page","objective":1000.0,"deadline":2000.0,"worth":1.0,"effect":"pure"}}],
-        "family_info":{{"below":"shared","calls_out":4.0,"share_span":5000.0,"stays_for":200.0,"blowup":4.0,"cores":1,"class_calls":[true],
-        "class_skip_worth":[0.5],"halt":"drop","idle":9000.0,"mem_limit_kb":9000.0,"say":"weight","own_stats":["core_use"]}},
-        "limits":{{"retry_after":true,"max_retry_after":1000.0}},"tenants":[],
-        "rules":{{"cold_from":0.3,"warm_up":1000.0,"drain_grace":100.0,"fall":2000.0,"fall_multiple":4.0,"grace_to_answer":80.0}}}}}}"#,
+        "limits":{{"memory_mb":192,"sockets":256}},"settings":{{
+        "classes":[{{"name":"page","objective":10000.0,"deadline":20000.0,"worth":1.0,"effect":"side_effect"}}],
+        "family_info":{{"below":"shared","calls_out":20.0,"share_span":5000.0,"stays_for":100.0,"blowup":4.0,"cores":4,
+        "class_calls":[false],"class_skip_worth":[0.5],"halt":"drop","idle":9000.0,"mem_limit_kb":9000.0,"say":"weight",
+        "own_stats":["core_use","on_cores","heap_share","links"]}},
+        "limits":{{"max_retry_after":1000.0,"retry_after":true}},"tenants":[{{"name":"acme","allowance_per_s":40.0}}],
+        "rules":{{"cold_from":0.3,"drain_grace":100.0,"fall":2000.0,"fall_multiple":4.0,"grace_to_answer":60.0,"warm_up":1000.0}}}}}}"#,
         me.name,
-        address(member, 6565),
-        address(member, 7300),
+        address(member, SERVES),
+        address(member, KERNEL),
     );
     fs::write(me.folder.join("config.json"), config)?;
     let list =
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -20,6 +20,7 @@
 use tulipgap_peer::{Frames, Said, Word};
 
 use crate::control::{self, Request};
+use crate::net;
 use crate::net::peers::{Links, Opened, thread};
 use crate::net::store::Store;
 use crate::trial::{self, Troubled};
@@ -42,6 +43,11 @@
 const DRAIN_TERM: Duration = Duration::from_secs(3);
 const DRAIN_STEP: Duration = Duration::from_millis(100);
 
+/// The end of the program waits so long for good-byes at the most; to hand leadership on takes a part of it.
+const FAREWELL: Duration = Duration::from_millis(500);
+const HAND_ON: Duration = Duration::from_millis(150);
+/// Descriptors that are kept for all of this: streams each way, datagrams, journal, control.
+pub const DESCRIPTORS: usize = net::peers::STREAMS + 8;
 /// Probing the store.
 const STORE_FACT: &str = "store";
 const PROBE_LOOK: Duration = Duration::from_millis(100);
@@ -83,6 +89,7 @@
     /// What live members of this zone publish under a key, this process left out.
     Facts(&'static str, SyncSender<Vec<(Name, String)>>),
     Publish(&'static str, Option<String>),
+    HandOn,
     Leave(SyncSender<()>),
 }
 
@@ -200,6 +207,7 @@
         waiting: BTreeMap::new(),
         numbers: OPERATORS,
         drain: drain.clone(),
+        zone_told: false,
     };
     thread("cluster", move || core.run(&taken)).map_err(|error| at("threads", &error))?;
     if let Some(path) = &told.control {
@@ -221,8 +229,14 @@
 impl Cluster {
     /// It has notice to leave, and goes whether or not others of its zone do; those that wait for leave see it gone.
     pub fn drains(&self) {
-        if let Some((lease, at_once)) = &self.drain {
-            self.leases.want(lease, drain_shape(*at_once), DRAIN_STEP);
+        // Another is to lead before this one is busy leaving; where nobody takes it over it goes on until its end.
+        let _ = self.inputs.try_send(Input::HandOn);
+        let Some((lease, at_once)) = self.drain.clone() else { return };
+        let leases = self.leases.clone();
+        // Nothing here may hold the notice up, whatever the cluster's thread does.
+        let asks = thread("drain", move || leases.want(&lease, drain_shape(at_once), DRAIN_STEP));
+        if let Err(error) = asks {
+            log::warn!("drain: {error}");
         }
     }
 
@@ -235,11 +249,11 @@
         }
     }
 
-    /// Says good-bye: another is to lead, places are given back, the others need not find out.
-    pub fn leave(self) {
+    /// Says good-bye: another is to lead, places are given back, the others need not find out. It takes no longer than that.
+    pub fn leave(self, most: Duration) {
         let (said, left) = sync_channel(1);
-        if self.inputs.send(Input::Leave(said)).is_ok() {
-            let _ = left.recv_timeout(Duration::from_millis(500));
+        if self.inputs.try_send(Input::Leave(said)).is_ok() {
+            let _ = left.recv_timeout(most.min(FAREWELL));
         }
         if let Some(path) = self.control {
             let _ = std::fs::remove_file(path);
@@ -407,6 +421,7 @@
     numbers: u64,
     /// The lease that says who of the zone drains, and how many may.
     drain: Option<(String, u32)>,
+    zone_told: bool,
 }
 
 impl Core {
@@ -434,6 +449,7 @@
                         let actions = self.members.decide(self.clock.now(), &[event]);
                         self.member_actions(actions);
                     }
+                    Input::HandOn => self.voter(Heard::Leave),
                     Input::Leave(done) => return self.leave(&done),
                 }
             }
@@ -499,12 +515,33 @@
             }
         }
         if changed {
+            self.one_zone();
             for held in self.members.held() {
                 self.post.learn(&held.update.about.name, held.update.about.address);
             }
         }
     }
 
+    /// A zone that has most voters takes all leases with it when it fails.
+    fn one_zone(&mut self) {
+        let voters = &self.voters;
+        let votes = |update: &tulipgap_cluster::Update| voters.contains(&update.about.name);
+        let mut zones: BTreeMap<Name, usize> = BTreeMap::new();
+        let me = self.members.me().clone();
+        for update in self.members.held().map(|held| held.update).chain([me]).filter(votes) {
+            *zones.entry(update.about.zone).or_default() += 1;
+        }
+        let most = zones.iter().find(|(_, count)| voters.len() > 1 && **count > voters.len() / 2);
+        if let Some((zone, count)) = most
+            && !std::mem::replace(&mut self.zone_told, true)
+        {
+            log::warn!(
+                "{count} of {} voters stand in zone {zone}: where it fails no lease is granted",
+                voters.len()
+            );
+        }
+    }
+
     fn said(&mut self, said: Said) {
         let Said { from, address, word, .. } = said;
         self.post.learn(&from, address);
@@ -715,7 +752,7 @@
             self.holder(Event::Drop { lease });
         }
         self.voter(Heard::Leave);
-        std::thread::sleep(Duration::from_millis(150));
+        std::thread::sleep(HAND_ON);
         let left = self.members.decide(self.clock.now(), &[tulipgap_cluster::Event::Leave]);
         self.member_actions(left);
         let _ = done.try_send(());
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -101,7 +101,7 @@
 }
 
 /// The fewest descriptors with which a backend can serve at all.
-const SOCKETS_LEAST: usize = 32;
+pub const SOCKETS_LEAST: usize = 32;
 
 pub fn read(path: Option<&Path>) -> Result<Told, ConfigError> {
     let path = path.ok_or(ConfigError::Unset)?;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -28,7 +28,7 @@
 use tulipgap_config::{Admitting, Cap};
 
 use cluster::Cluster;
-use config::{Told, Where};
+use config::{SOCKETS_LEAST, Told, Where};
 use gate::Gate;
 use net::clients::{Clients, IDLE_MORE, KEPT, MESSAGE_MOST};
 use net::kernel::Kernel;
@@ -69,7 +69,7 @@
     log::start(std::env::var("LB_LOG").ok().as_deref());
     let path = std::env::var_os("LB_CONFIG");
     let path = path.as_deref().map(Path::new);
-    let told = match config::read(path) {
+    let mut told = match config::read(path) {
         Ok(told) => told,
         Err(error) => return refuse(&error.to_string()),
     };
@@ -95,10 +95,21 @@
     // Nothing listens, talks to peers or writes a folder without that block.
     let cluster = match product.cluster.filter(|told| told.enabled) {
         None => None,
-        Some(among) => match cluster::start(&among, &told.name, told.seed) {
-            Ok(cluster) => Some(cluster),
-            Err(problem) => return refuse(&problem),
-        },
+        Some(among) => {
+            let Some(left) =
+                told.sockets.checked_sub(cluster::DESCRIPTORS).filter(|left| *left >= SOCKETS_LEAST)
+            else {
+                return refuse(&format!(
+                    "limits.sockets: {} are too few to be one of a cluster",
+                    told.sockets
+                ));
+            };
+            told.sockets = left;
+            match cluster::start(&among, &told.name, told.seed) {
+                Ok(cluster) => Some(cluster),
+                Err(problem) => return refuse(&problem),
+            }
+        }
     };
     serve(told, path, listener, signals, tracer.clone(), product.admission, cluster);
     if let Some(tracer) = tracer {
@@ -283,7 +294,7 @@
         std::thread::sleep(Duration::from_millis(5));
     }
     if let Some(cluster) = cluster {
-        cluster.leave();
+        cluster.leave(stop.saturating_sub(notice.elapsed() + STOP_MARGIN / 2));
     }
     ::log::info!("left after {} ms; {}; {}", notice.elapsed().as_millis(), gate.counts(), clients.told());
 }
--- a/crates/server/src/net/peers.rs
+++ b/crates/server/src/net/peers.rs
@@ -19,10 +19,11 @@
 /// Frames that wait for one peer; beyond, the newest are dropped.
 const WAITING: usize = 256;
 /// Streams that are open, each way.
-const OUT_MOST: usize = 64;
-const IN_MOST: usize = 128;
-/// A stream without a frame for so long is closed.
-const IDLE: Duration = Duration::from_secs(60);
+const OUT_MOST: usize = 24;
+const IN_MOST: usize = 32;
+pub const STREAMS: usize = OUT_MOST + IN_MOST;
+/// A stream without a frame for so long is closed: those of voters are never, others are opened now and then.
+const IDLE: Duration = Duration::from_secs(10);
 /// A peer that takes or gives nothing in the middle of a frame for so long has stalled.
 const STALL: Duration = Duration::from_secs(2);
 const CONNECT: Duration = Duration::from_millis(500);
--- a/crates/server/tests/program/leases.rs
+++ b/crates/server/tests/program/leases.rs
@@ -64,8 +64,8 @@
         met.set(acts("one") >= 10 && acts("two") >= 10);
         met.get()
     };
-    let outcome =
-        run(&plan, program(), folder.path(), enough).unwrap_or_else(|error| panic!("{what}: {error}"));
+    let outcome = run(&plan, program(), folder.path(), |_| {}, enough)
+        .unwrap_or_else(|error| panic!("{what}: {error}"));
     assert_eq!(outcome.broken, None, "{what}");
     assert!(met.get(), "{what}: no acts after the last fault: {:?}", outcome.tokens);
     println!("{what}: {} acts, {} refused, no act for {:?}", outcome.acts, outcome.refused, outcome.free);
@@ -242,7 +242,7 @@
         }
         step.get() == 7
     };
-    let outcome = run(&plan, program(), folder.path(), enough).unwrap();
+    let outcome = run(&plan, program(), folder.path(), |_| {}, enough).unwrap();
     assert_eq!((outcome.broken, step.get()), (None, 7));
 }
 
@@ -277,6 +277,10 @@
     std::fs::write(at("key"), b"long enough to keep anybody out").unwrap();
     assert!(refusal(&settings(" voters = [\"n3\"]\n")).contains("a voter needs one"));
 
+    std::fs::write(&file, told(&host).replace("\"sockets\":1024", "\"sockets\":64")).unwrap();
+    assert!(refusal(&settings("")).contains("too few to be one of a cluster"));
+    std::fs::write(&file, told(&host)).unwrap();
+
     let mut child = start(&settings(""));
     until("it listens", || UnixStream::connect(at("control")).is_ok());
     let (udp, peer) = (UdpSocket::bind((&host[..], 0)).unwrap(), format!("{host}:7100"));
--- /dev/null
+++ b/crates/server/tests/program/load.rs
@@ -0,0 +1,178 @@
+//! Reqs served by five real processes while what lies between them breaks: the rules hold for every req throughout.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::TcpStream;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use tulipgap_rig::{Plan, RunOutcome, Serving, run};
+
+use crate::stand::*;
+
+/// What became of reqs, over all edge nodes.
+#[derive(Default)]
+struct Load {
+    over: AtomicBool,
+    sent: AtomicU64,
+    answered: AtomicU64,
+    /// Sent on a connection that broke: their process was killed.
+    lost: AtomicU64,
+    /// Connections that broke at a member that was never killed, and answers to what was not asked.
+    wrong: Mutex<Vec<String>>,
+    /// Microseconds of each answer, by member.
+    spans: Mutex<HashMap<String, Vec<u64>>>,
+}
+
+/// One edge node that sends one req after the other to one member, each to be answered once.
+fn edge(load: &Load, member: &Serving, at: usize, killed: bool) {
+    let mut number = 0u64;
+    while !load.over.load(Ordering::Relaxed) {
+        let Ok(stream) = TcpStream::connect(member.listen) else {
+            std::thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let mut edge = Edge { stream };
+        while !load.over.load(Ordering::Relaxed) {
+            number += 1;
+            let (id, sequence) = (format!("{at:04x}{number:012x}"), number as u32);
+            let from = Instant::now();
+            edge.req(sequence, &id, b"run");
+            load.sent.fetch_add(1, Ordering::Relaxed);
+            let answer = match edge.answer() {
+                Some(answer) if answer.kind == Kind::NoMore => edge.answer(),
+                other => other,
+            };
+            match answer {
+                Some(answer) if answer.sequence == sequence => {
+                    load.answered.fetch_add(1, Ordering::Relaxed);
+                    let span = from.elapsed().as_micros() as u64;
+                    load.spans.lock().unwrap().entry(member.name.clone()).or_default().push(span);
+                }
+                Some(answer) => {
+                    let what = format!(
+                        "{}: {:?} to {} in place of {sequence}",
+                        member.name, answer.kind, answer.sequence
+                    );
+                    load.wrong.lock().unwrap().push(what);
+                }
+                None => {
+                    load.lost.fetch_add(1, Ordering::Relaxed);
+                    if !killed && !load.over.load(Ordering::Relaxed) {
+                        load.wrong.lock().unwrap().push(format!("{}: {id} has no answer", member.name));
+                    }
+                    break;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+#[test]
+fn each_req_is_answered_once_and_runs_once_while_links_break_and_processes_die() {
+    let text = r#"length = 150
+        voters = ["a-1", "b-1", "c-1"]
+        members {
+          zone = "a"
+          count = 2
+        }
+        members {
+          zone = "b"
+          count = 2
+        }
+        members {
+          zone = "c"
+          count = 1
+        }
+        lease {
+          name = "one"
+          term = 2
+          step = 0.3
+        }
+        check {
+          held_dead = 60
+          known = 60
+          agree = 100
+        }
+        cut {
+          from = 4
+          to = 9
+          between = ["a", "b"]
+        }
+        links {
+          from = 4
+          to = 14
+          loss = 0.2
+          delay_ms = 100
+          twice = 0.2
+        }
+        crash {
+          at = 6
+          of = "c-1"
+          back = 8
+        }
+        stop {
+          at = 10
+          of = "a-1"
+          back = 14
+        }"#;
+    let plan = Plan::read(text).unwrap_or_else(|error| panic!("{error}"));
+    let (folder, load) = (tempfile::tempdir().unwrap(), Arc::new(Load::default()));
+    let kernels: Mutex<Vec<Shared>> = Mutex::default();
+    let begins = |members: &[Serving]| {
+        for (at, member) in members.iter().enumerate() {
+            kernels.lock().unwrap().push(listen(Shared::default(), &member.kernel.ip().to_string()));
+            for lane in 0..2 {
+                let (load, member) = (load.clone(), member.clone());
+                std::thread::spawn(move || edge(&load, &member, at * 2 + lane, member.name == "c-1"));
+            }
+        }
+    };
+    let met = Cell::new(0);
+    let enough = |out: &RunOutcome| {
+        let so_far = load.answered.load(Ordering::Relaxed);
+        if met.get() == 0 {
+            met.set(so_far);
+        }
+        let done = out.agree && so_far > met.get() + 500;
+        if done {
+            // The processes end with the run: what is open has its answer before.
+            load.over.store(true, Ordering::Relaxed);
+            until("the last are answered", || {
+                let told = |count: &AtomicU64| count.load(Ordering::Relaxed);
+                told(&load.sent) == told(&load.answered) + told(&load.lost)
+            });
+        }
+        done
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_tulipgapd"));
+    let outcome =
+        run(&plan, program, folder.path(), begins, enough).unwrap_or_else(|error| panic!("{error}"));
+    assert_eq!(outcome.broken, None);
+    assert_eq!(*load.wrong.lock().unwrap(), Vec::<String>::new());
+    // Each has effects, so that it must never run twice.
+    for kernel in kernels.lock().unwrap().iter() {
+        let twice: Vec<String> = kernel
+            .lock()
+            .unwrap()
+            .ends
+            .iter()
+            .filter(|(_, ends)| **ends > 1)
+            .map(|(id, _)| id.clone())
+            .collect();
+        assert_eq!(twice, Vec::<String>::new(), "run twice");
+    }
+    let (sent, answered) = (load.sent.load(Ordering::Relaxed), load.answered.load(Ordering::Relaxed));
+    println!(
+        "{sent} sent, {answered} answered, {} lost with their process",
+        load.lost.load(Ordering::Relaxed)
+    );
+    for (member, spans) in load.spans.lock().unwrap().iter_mut() {
+        spans.sort_unstable();
+        println!("{member}: p50 {} us, p99 {} us", spans[spans.len() / 2], spans[spans.len() * 99 / 100]);
+    }
+}
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -4,6 +4,7 @@
 mod cost;
 mod fleet;
 mod leases;
+mod load;
 mod members;
 mod recording;
 mod serving;
--- a/crates/server/tests/program/members.rs
+++ b/crates/server/tests/program/members.rs
@@ -19,7 +19,7 @@
     };
     let program = Path::new(env!("CARGO_BIN_EXE_tulipgapd"));
     let outcome =
-        run(&plan, program, folder.path(), enough).unwrap_or_else(|error| panic!("{what}: {error}"));
+        run(&plan, program, folder.path(), |_| {}, enough).unwrap_or_else(|error| panic!("{what}: {error}"));
     assert_eq!(outcome.broken, None, "{what}");
     assert!(met.get(), "{what}: views still differ");
     println!("{what}: {:?} of {:?}, {} false deaths", outcome.worst, plan.checks, outcome.false_deaths);
