--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -462,9 +462,19 @@
         let Some(known) = self.known.get(&probe.target).filter(|k| k.lives()) else {
             return;
         };
+        let address = known.update.about.address;
         let suspect =
             Update { state: State::Suspect, by: Some(self.me.about.name.clone()), ..known.update.clone() };
         self.heard_of(&suspect, out);
+        // It hears of it at once, and not only with the next probe, which over a slow link leaves too little time.
+        self.tell(probe.target, address, suspect, out);
+    }
+
+    /// One update on its own.
+    fn tell(&self, to_name: Name, to: SocketAddr, update: Update, out: &mut Vec<Action>) {
+        let (from, to_name) = (self.me.about.name.clone(), Some(to_name));
+        let body = Body::Told { number: 0, heard: false };
+        out.push(Action::Send { to, message: Message { from, to: to_name, body, updates: vec![update] } });
     }
 
     fn tell_unheard(&mut self) {
@@ -584,11 +594,26 @@
         if update.state != State::Alive && update.incarnation >= self.me.incarnation {
             self.doing_badly(1);
             self.say_anew(update.incarnation);
+            self.deny(update.by.as_ref(), out);
         } else if update.incarnation > self.me.incarnation {
             self.say_anew(update.incarnation);
         }
     }
 
+    /// Tells who says so, and some others, at once. Who does badly itself probes seldom, so that a denial which only went
+    /// along with its probes came late: members behind slow links were held dead by all the others time and again.
+    fn deny(&mut self, by: Option<&Name>, out: &mut Vec<Action>) {
+        let alive = self.known.iter().filter(|(_, known)| known.update.state == State::Alive);
+        let mut others: Vec<(Name, SocketAddr)> =
+            alive.map(|(name, known)| (name.clone(), known.update.about.address)).collect();
+        self.rng.shuffle(&mut others);
+        others.sort_by_key(|(name, _)| Some(name) != by);
+        others.truncate(self.terms.indirect + 1);
+        for (name, to) in others {
+            self.tell(name, to, self.me.clone(), out);
+        }
+    }
+
     /// All that is known, exchanged with one member; and now and then one that is dead, or a seed, is tried, so that two
     /// halves that were cut apart find each other again.
     fn exchange(&mut self, out: &mut Vec<Action>) {
@@ -633,14 +658,8 @@
         let alive = self.known.values().filter(|known| known.lives());
         let all: Vec<(Name, SocketAddr)> =
             alive.map(|known| (known.update.about.name.clone(), known.update.about.address)).collect();
-        let name = self.me.about.name.clone();
-        for (to_name, to) in all {
-            let body = Body::Told { number: 0, heard: false };
-            let updates = vec![self.me.clone()];
-            out.push(Action::Send {
-                to,
-                message: Message { from: name.clone(), to: Some(to_name), body, updates },
-            });
+        for (name, to) in all {
+            self.tell(name, to, self.me.clone(), out);
         }
         self.over = true;
     }
