--- a/crates/server/tests/program/cost.rs
+++ b/crates/server/tests/program/cost.rs
@@ -1,4 +1,4 @@
-//! What a recording costs, pair by pair: CPU of the process for a req and response times, with it and without. Run by
+//! What a recording or a cluster costs, pair by pair: CPU of the process for a req and response times, with it and without. Run by
 //! hand, in a release build with the cores free:
 //! `TULIPGAP_CORE=0 cargo test --release -p tulipgap-server --test program cost -- --ignored --nocapture`
 
@@ -57,19 +57,17 @@
     [each(used), each(writer), at(0.5), at(0.99)]
 }
 
-#[test]
-#[ignore = "a measurement"]
-fn cost_of_a_recording() {
-    let (_folder, settings) = recorded("5s");
+/// With those settings and without, in turn.
+fn pairs(settings: &std::path::Path, count: usize) {
     let mut pairs = Vec::new();
-    for pair in 0..PAIRS {
+    for pair in 0..count {
         // Which comes first changes, so that neither has the warmer machine.
         let (on, off) = if pair % 2 == 0 {
-            let on = measured(Some(&settings));
+            let on = measured(Some(settings));
             (on, measured(None))
         } else {
             let off = measured(None);
-            (measured(Some(&settings)), off)
+            (measured(Some(settings)), off)
         };
         println!(
             "with {on:.1?}, without {off:.1?} (us of CPU a req, of the writer; median, 99th percentile)"
@@ -82,13 +80,44 @@
         ratios.sort_by(f64::total_cmp);
         more.sort_by(f64::total_cmp);
         println!(
-            "{what}: ratio {:.3}, {:+.2} us, medians of {PAIRS} pairs",
-            ratios[PAIRS / 2],
-            more[PAIRS / 2]
+            "{what}: ratio {:.3}, {:+.2} us, medians of {count} pairs",
+            ratios[count / 2],
+            more[count / 2]
         );
     }
 }
 
+#[test]
+#[ignore = "a measurement"]
+fn cost_of_a_recording() {
+    let (_folder, settings) = recorded("5s");
+    pairs(&settings, PAIRS);
+}
+
+/// As one of five that know one another, three of which vote, against alone.
+#[test]
+#[ignore = "a measurement"]
+fn cost_of_a_cluster() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("key"), b"long enough to keep anybody out").unwrap();
+    let hosts: Vec<String> = (0..5).map(|_| host()).collect();
+    let settings = |at: usize| {
+        let path = |name: &str| folder.path().join(name).display().to_string();
+        let text = format!(
+            "cluster {{\n name = \"c\"\n member = \"m{at}\"\n listen = \"{}:7100\"\n region = \"r\"\n zone = \"z\"\n key = {:?}\n seeds = [\"{}:7100\"]\n voters = [\"m1\", \"m2\", \"m3\"]\n folder = {:?}\n}}\n",
+            hosts[at],
+            path("key"),
+            hosts[1],
+            path(&format!("m{at}")),
+        );
+        let file = folder.path().join(format!("m{at}.hcl"));
+        std::fs::write(&file, text).unwrap();
+        file
+    };
+    let _others: Vec<Stand> = (1..5).map(|at| stand_told(1024, Some(&settings(at)))).collect();
+    pairs(&settings(0), 5);
+}
+
 /// As many reqs as an hour at 190 a second has, as fast as they go, recorded on loopback: each is in the file.
 #[test]
 #[ignore = "a measurement"]
