--- a/crates/rig/src/leases.rs
+++ b/crates/rig/src/leases.rs
@@ -335,11 +335,8 @@
             Left::Older => process.disk.put_back(process.older.clone()),
         }
         let who = Who { name: process.name.clone(), life: process.life };
-        #[allow(unused_mut)]
-        let mut holder = Holder::new(who, voters.clone(), OFF, JITTER, seed);
-        #[cfg(feature = "flaws")]
-        holder.plant(self.planted.lease);
-        process.holder = Some(holder);
+        let holder = Holder::new(who, voters.clone(), OFF, JITTER, seed);
+        process.holder = Some(planted_in(holder, &self.planted));
         let votes = voters.contains(&process.name)
             || self
                 .plan
@@ -659,5 +656,16 @@
     seat.plant(flaw, planted.durable);
 }
 
+#[cfg(feature = "flaws")]
+fn planted_in(mut holder: Holder, planted: &Planted) -> Holder {
+    holder.plant(planted.lease);
+    holder
+}
+
+#[cfg(not(feature = "flaws"))]
+fn planted_in(holder: Holder, _: &Planted) -> Holder {
+    holder
+}
+
 #[cfg(not(feature = "flaws"))]
 fn plant(_: &mut Seat<Faulty>, _: &Planted) {}
--- a/crates/rig/tests/leases.rs
+++ b/crates/rig/tests/leases.rs
@@ -226,3 +226,20 @@
     let run = |plan: &Plan| simulate_leases(plan, 11, Planted::default());
     assert_eq!(run(&read), run(&drawn));
 }
+
+/// The check that real processes are held to sees two that act at once and a token that is old, and excuses who is stopped alone.
+#[test]
+fn the_witness_catches_acts_that_overlap_and_old_tokens() {
+    let mut witness = Witness::new(&plan(""));
+    let none = Default::default();
+    assert_eq!(witness.begin("one", 1, &none), Ok(()));
+    assert_eq!(witness.begin("one", 2, &none), Err(Refused::Overlaps(vec![1, 2])));
+    let mut witness = Witness::new(&plan(""));
+    assert_eq!(witness.begin("one", 1, &none), Ok(()));
+    assert_eq!(witness.begin("one", 2, &[1].into()), Ok(()), "the first is stopped and shut out");
+    assert_eq!(witness.end("one", 1), Err(Refused::Older));
+    assert_eq!(witness.begin("one", 1, &none), Err(Refused::Older));
+    assert_eq!(witness.begin("two", 3, &none), Ok(()));
+    assert_eq!(witness.begin("two", 4, &none), Ok(()));
+    assert_eq!(witness.begin("two", 5, &none), Err(Refused::Overlaps(vec![3, 4, 5])));
+}
