A connect that hangs is left when its peer moves, and after 2 s at the latest

Kernel::run looked at the address before it and only then again once it was connected: a kernel that moved to a place that dropped connects, and on from there, was found after 127 s, and nothing ran until then. The lanes of Store::run that hung so kept their places though their calls were given up (give_up wakes `out`, which a lane gets once it is open), so with an eighth of the descriptors hanging no call was made at the new address either. Ruled out: the look between address and wait in Kernel::carry, as a wake before the wait is kept (io_flag), and move_to sets the address before it wakes. Two neighbours found on the way: Store::hear gave a call that waited to the very lane whose reply had just come, also where the store had moved from there and closes within 1.5 s; and Kernel::resume, run behind the end of its link, would have put that dead link in the place of the one in use, where all commands are swallowed till it breaks. Change: net::connect asks every 50 ms whether it is still wanted, and ends after 2 s; the clock wakes whoever can be woken. A lane that leads elsewhere ends with its reply. A link that is not the one in use is not resumed.

--- a/crates/server/src/clock.rs
+++ b/crates/server/src/clock.rs
@@ -6,13 +6,31 @@
 use std::sync::{Arc, LazyLock, Weak};
 use std::time::{Duration, Instant};
 
+use may::io::WaitIoWaker;
 use may::sync::Blocker;
 use parking_lot::{Condvar, Mutex, MutexGuard};
 
-/// Who is to be woken, by time and then by order. One who was woken before, or is gone, does not mind.
+/// Whoever can be woken. One who was woken before does not mind.
+pub trait Wake: Send + Sync {
+    fn wake(&self);
+}
+
+impl Wake for Blocker {
+    fn wake(&self) {
+        self.unpark();
+    }
+}
+
+impl Wake for WaitIoWaker {
+    fn wake(&self) {
+        self.wakeup();
+    }
+}
+
+/// Who is to be woken, by time and then by order; one who is gone is passed over.
 #[derive(Default)]
 struct Wakes {
-    waiters: BTreeMap<(Instant, u64), Weak<Blocker>>,
+    waiters: BTreeMap<(Instant, u64), Weak<dyn Wake>>,
     /// How many there were so far.
     count: u64,
 }
@@ -42,7 +60,7 @@
                     let due = first.remove().upgrade();
                     MutexGuard::unlocked(&mut wakes, || {
                         if let Some(waiter) = due {
-                            waiter.unpark();
+                            waiter.wake();
                         }
                     });
                 }
@@ -50,21 +68,27 @@
         }
     }
 
-    fn wake(&self, at: Instant, waiter: &Arc<Blocker>) {
+    fn wake(&self, at: Instant, waiter: Weak<dyn Wake>) {
         let mut wakes = self.wakes.lock();
         wakes.count += 1;
         let place = (at, wakes.count);
-        wakes.waiters.insert(place, Arc::downgrade(waiter));
+        wakes.waiters.insert(place, waiter);
         if wakes.waiters.first_key_value().is_some_and(|(first, _)| *first == place) {
             self.sooner.notify_one();
         }
     }
 }
 
+/// Has somebody woken at that time, unless it is gone by then.
+pub fn wake_at<W: Wake + 'static>(at: Instant, waiter: &Arc<W>) {
+    let waiter: Weak<W> = Arc::downgrade(waiter);
+    CLOCK.wake(at, waiter);
+}
+
 /// Blocks a coroutine until it is woken, or until that time; at times it wakes without either.
 pub fn park(waiter: &Arc<Blocker>, by: Option<Instant>) {
     if let Some(by) = by {
-        CLOCK.wake(by, waiter);
+        wake_at(by, waiter);
     }
     // What is waited for, and the clock, tell why it woke.
     let _ = waiter.park(None);
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -7,12 +7,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use may::net::TcpStream;
 use may::sync::Blocker;
 use parking_lot::Mutex;
 
 use super::lines::{Line, line};
-use super::{Added, FULL_PAUSE, LINES_MOST, Link, Out, garbled, spawn};
+use super::{Added, FULL_PAUSE, LINES_MOST, Link, Out, connect, garbled, spawn};
 use crate::clock;
 use crate::config::Where;
 use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report};
@@ -227,7 +226,7 @@
     pub fn run(self: Arc<Self>) {
         loop {
             let address = self.address.now();
-            let end = TcpStream::connect(address)
+            let end = connect(address, || self.address.now() == address)
                 .and_then(|stream| self.carry(&mut Link::new(stream, LINES_MOST, LINES_MOST), address));
             let was_up = {
                 let mut state = self.state.lock();
@@ -244,8 +243,8 @@
                     if let Some(count) = LINKS.pass() {
                         log::warn!("kernel link: {error} ({count} so far)");
                     }
-                    // Cut off while all was well, it can be had again at once.
-                    if !was_up {
+                    // Cut off while all was well, it can be had again at once; so it can where it has moved to.
+                    if !was_up && self.address.now() == address {
                         clock::sleep(RETRY);
                     }
                 }
@@ -412,6 +411,10 @@
         let mut again = Vec::new();
         {
             let mut state = self.state.lock();
+            // A link that broke before this came to its turn: what is said goes to the next, or it would be lost.
+            if !state.link.as_ref().is_some_and(|link| Arc::ptr_eq(link, out)) {
+                return;
+            }
             state.out = Some(out.clone());
             if std::mem::replace(&mut state.missed, false) {
                 let lost = std::mem::take(&mut state.runs);
@@ -481,4 +484,31 @@
         assert_eq!(known(Some((at, busy)), at + GAUGES_KEPT), Gauges::default());
         assert_eq!(known(None, at), Gauges::default());
     }
+
+    /// The answer that a link is caught up with may come to its turn behind the end of that link. Taken for the one in
+    /// use, it would swallow all commands until the next one broke.
+    #[test]
+    fn a_link_that_has_ended_is_not_taken_for_the_one_in_use() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let given = tulipgap_settings::read(
+            r#"{"classes":[{"name":"page","objective":1e3,"deadline":2e3,"worth":1.0,"effect":"pure"}],
+            "family_info":{"below":"silent","blowup":4.0,"cores":2,"halt":"drop","idle":9e3,"mem_limit_kb":9e3,
+            "say":"weight"},"fleet_size":3,"limits":{"max_retry_after":1e3,"retry_after":true},"rules":{"cold_from":0.3,
+            "drain_grace":1e3,"fall":2e3,"fall_multiple":4.0,"grace_to_answer":60.0,"warm_up":9e3}}"#,
+        );
+        let gate = Arc::new(Gate::new(given.unwrap().0, 7, None));
+        let kernel = Kernel::new(address, gate, Vec::new());
+        let link =
+            || Link::new(may::net::TcpStream::connect(address).unwrap(), LINES_MOST, LINES_MOST).out.clone();
+        let (ended, now) = (link(), link());
+        kernel.state.lock().link = Some(now.clone());
+        kernel.resume(&now);
+        kernel.resume(&ended);
+        assert!(kernel.state.lock().out.as_ref().is_some_and(|out| Arc::ptr_eq(out, &now)));
+        kernel.state.lock().link = None;
+        kernel.state.lock().out = None;
+        kernel.resume(&now);
+        assert!(kernel.state.lock().out.is_none());
+    }
 }
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -10,15 +10,17 @@
 pub mod thrift;
 
 use std::io;
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
+use std::os::fd::{FromRawFd, IntoRawFd};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use may::coroutine;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use parking_lot::Mutex;
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::clock;
 use lines::Line;
@@ -30,6 +32,10 @@
 /// How long a coroutine that finds a full ring leaves it to drain.
 pub const FULL_PAUSE: Duration = Duration::from_millis(5);
 
+/// How long a connect may take, and how often it is looked meanwhile whether it is still wanted.
+const CONNECT_MOST: Duration = Duration::from_secs(2);
+const CONNECT_LOOK: Duration = Duration::from_millis(50);
+
 /// How often it is looked whether a peer that is seen off has closed.
 const SEE_OFF_LOOKS: usize = 200;
 /// Reads of up to 4 KB that are dropped meanwhile.
@@ -42,6 +48,45 @@
     drop(unsafe { coroutine::spawn(body) });
 }
 
+/// Takes a socket over from the standard library.
+pub fn adopt(socket: impl IntoRawFd) -> io::Result<TcpStream> {
+    let fd = socket.into_raw_fd();
+    // Safe: the descriptor is owned here alone, and handed on at once. It panics where the system has no memory to
+    // watch one more descriptor, which then is closed: that is an error like any other of a connection.
+    std::panic::catch_unwind(|| unsafe { TcpStream::from_raw_fd(fd) })
+        .map_err(|_| io::ErrorKind::OutOfMemory.into())
+}
+
+/// Connects, within `CONNECT_MOST` and only while that is wanted. The system would go on trying for two minutes: a
+/// peer that moves while a connect to where it was hangs would not be spoken to until then.
+pub fn connect(address: SocketAddr, wanted: impl Fn() -> bool) -> io::Result<TcpStream> {
+    let stream = adopt(Socket::new(Domain::for_address(address), Type::STREAM, None)?)?;
+    let waker = Arc::new(stream.waker());
+    let end = Instant::now() + CONNECT_MOST;
+    loop {
+        match SockRef::from(stream.inner()).connect(&address.into()) {
+            Ok(()) => return Ok(stream),
+            Err(error) if error.raw_os_error() == Some(EISCONN) => return Ok(stream),
+            Err(error) if matches!(error.raw_os_error(), Some(EINPROGRESS | EALREADY | EINTR)) => {}
+            Err(error) => return Err(error),
+        }
+        if !wanted() {
+            return Err(io::Error::other("a connect that is not wanted any more is left"));
+        }
+        if end <= Instant::now() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        clock::wake_at(Instant::now() + CONNECT_LOOK, &waker);
+        stream.wait_io();
+    }
+}
+
+/// What the system says of a connect; the same on all kinds of Linux that are served.
+const EINTR: i32 = 4;
+const EISCONN: i32 = 106;
+const EALREADY: i32 = 114;
+const EINPROGRESS: i32 = 115;
+
 /// The way out of a connection. Any coroutine may add to it; the connection's own one moves the bytes, so what
 /// is added at one time goes out in one call.
 pub struct Out {
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 
 use super::lines::{self, Line, line};
-use super::{Added, Link, Out, garbled, spawn};
+use super::{Added, Link, Out, connect, garbled, spawn};
 use crate::config::Where;
 use crate::gate::{Bytes, Gate, Id, Outcome, Report};
 use crate::log::Bound;
@@ -187,10 +187,16 @@
 
     /// A connection, from its opening to its end.
     fn run(self: &Arc<Self>, address: SocketAddr, at: u64) {
-        let open = TcpStream::connect(address);
+        // Given up, or with the store elsewhere, the call that it is opened for has no use for it.
+        let wanted = || {
+            let lane = self.pool.lock().lanes.get(&at).is_some_and(|lane| !lane.ending);
+            lane && self.address.now() == Some(address)
+        };
+        let open = connect(address, wanted);
         match &open {
             Ok(_) => self.refused.store(0, Ordering::Relaxed),
-            Err(_) => _ = self.refused.fetch_add(1, Ordering::Relaxed),
+            Err(_) if wanted() => _ = self.refused.fetch_add(1, Ordering::Relaxed),
+            Err(_) => {}
         }
         let end = open.and_then(|stream| self.carry(stream, at));
         let mut pool = self.pool.lock();
@@ -269,11 +275,17 @@
         lane.used = Instant::now();
         let Some(call) = lane.call.take() else { return Ok(()) };
         lane.last = Some(call.id.clone());
+        let stays = Some(lane.address) == self.address.now();
+        // It leads where the store is no more: its end opens another for what waits.
+        if !stays {
+            lane.end();
+        }
         pool.open.remove(&call.id);
-        let next = pool.waiting.iter().position(|next| next.id != call.id);
+        let next = pool.waiting.iter().position(|next| next.id != call.id).filter(|_| stays);
         match next.and_then(|place| pool.waiting.remove(place)) {
             Some(next) => pool.give(at, next),
-            None => pool.idle.push(at),
+            None if stays => pool.idle.push(at),
+            None => {}
         }
         drop(pool);
         self.ended(&call.id, outcome, Bytes::from(heard.body));
