A file of another backend, read on SIGHUP, moves no peer

Told::reread took kernel, store and announce service from whatever file made sense, and told of a changed name or address beside that as 'takes a restart': a file of another backend put in the place of ours (two mixed up by a rollout) had this one speak to the other's kernel, whose link that replaces. Change: a file whose name or listening address is not ours is an error in the log, with both named, and nothing of it is taken. A changed setting still warns alone, as a new configuration may bring one.

--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -81,6 +81,12 @@
     /// makes no sense as a whole changes nothing.
     pub fn reread(&self, path: Option<&Path>) -> Result<(Peers, Vec<String>), ConfigError> {
         let told = read(path)?;
+        // Where another backend's peers are is no news of ours: its kernel would be taken for this one's.
+        if (&told.name, told.listen) != (&self.name, self.listen) {
+            let problem = format!("it is of {} on {}, and this is {}", told.name, told.listen, self.name);
+            let path = path.map(|path| path.display().to_string()).unwrap_or_default();
+            return Err(ConfigError::File { path, problem });
+        }
         let mut rest: Vec<String> = (told.entries.keys().chain(self.entries.keys()))
             .filter(|&name| !Peers::NAMES.contains(&&name[..]))
             .filter(|&name| told.entries.get(name) != self.entries.get(name))
