Keys are their tenant's and handler's own, hold for what is read late, and go with a req that goes unrun

Callers choose keys: one that two tenants or two handlers use had the second answered with the first one's result, and never run: one customer's page to another. - The window counts from when a try reaches the machine, and the map forgot by when the next one was read (forget_keys at `now`): what came in the window and lay unread over its end, behind a pause, was taken for new and run a second time. Ruled out: two tries in one batch (the gate decides on one event at a time, under one lock), a repeat as the first ends (settle and joins under the same lock), the joined one's time over first (over() takes it from `joined`). Change: the key is scoped by handler and tenant; an entry stays for a client timeout longer than its window and counts by arrival; let_go asks for Forget whatever ends a held req; without room a repeat is errored.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -41,6 +41,18 @@
     pub traced: Option<Traced>,
 }
 
+impl Incoming {
+    /// Its key as its own tenant's and handler's: callers choose keys, so another's may be the same, and its result is
+    /// no business of this one.
+    fn scoped_key(&self) -> Option<Id> {
+        let key = self.key.as_ref()?;
+        Some(match self.tenant {
+            Some(tenant) => format!("{}/{tenant}/{key}", self.handler).into(),
+            None => format!("{}/-/{key}", self.handler).into(),
+        })
+    }
+}
+
 /// What a req's coroutine is to do next.
 #[derive(Debug, PartialEq)]
 pub enum Order {
@@ -135,13 +147,23 @@
 
 /// What repeats of a uniqued req are answered with.
 struct Key {
+    /// What reaches the machine later is no repeat any more.
     until: Duration,
+    /// When it may go: what reached the machine in time may be read late.
+    lapses: Duration,
     /// The req that holds the key, while it is open.
     first: Option<usize>,
     answer: Option<Answer>,
     joined: Vec<usize>,
 }
 
+impl Key {
+    /// Whether what reached the machine at that time repeats it. While one of its reqs is open, whatever comes does.
+    fn repeated_by(&self, reached: Duration) -> bool {
+        reached < self.until || self.first.is_some() || !self.joined.is_empty()
+    }
+}
+
 /// What became of reqs so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
@@ -174,6 +196,8 @@
     keys: HashMap<Id, Key>,
     /// When keys are to be forgotten, so that not all of them are looked at each time.
     ends: BTreeSet<(Duration, Id)>,
+    /// How late a req may be read that can still be run.
+    read_late: Duration,
     /// Keys whose answer is news to those that joined them.
     settled: Vec<Id>,
     alarms: BTreeSet<Duration>,
@@ -199,6 +223,7 @@
             indices: HashMap::new(),
             keys: HashMap::new(),
             ends: BTreeSet::new(),
+            read_late: given.handlers.iter().map(|h| h.client_timeout).max().unwrap_or_default(),
             settled: Vec::new(),
             alarms: BTreeSet::new(),
             advice: None,
@@ -245,7 +270,8 @@
         }
         state.forget_keys();
         let life = self.life(&incoming);
-        let repeats = incoming.key.as_ref().is_some_and(|key| state.keys.contains_key(key));
+        let key = incoming.scoped_key();
+        let repeats = state.repeats(key.as_ref(), incoming.age);
         let waiter = Arc::new(Blocker::new(true));
         let at = state.slots.insert(Slot {
             id: incoming.id.clone(),
@@ -258,7 +284,7 @@
             left: false,
             call: None,
             calling: false,
-            key: incoming.key,
+            key,
             life,
         });
         state.indices.insert(incoming.id, at);
@@ -278,6 +304,17 @@
         Ok(Ticket { gate: self.clone(), at, waiter })
     }
 
+    /// Whether a try of the same uniqued req is open, or was run: then this one may not be turned away.
+    pub fn repeats(&self, incoming: &Incoming) -> bool {
+        self.state.lock().repeats(incoming.scoped_key().as_ref(), incoming.age)
+    }
+
+    /// After what time a caller that is turned away had better come back, where it can be told and nothing else is
+    /// known.
+    pub fn longest_wait(&self) -> Option<Duration> {
+        self.given.max_wait
+    }
+
     /// Whether there is a recording.
     pub fn tracer(&self) -> Option<&Arc<Tracer>> {
         self.tracer.as_ref()
@@ -395,6 +432,12 @@
         self.running.as_ref().map_or(Duration::ZERO, |running| running.zero.elapsed())
     }
 
+    /// Whether what reached the machine so long ago repeats a uniqued req that is known by that key.
+    fn repeats(&self, key: Option<&Id>, age: Duration) -> bool {
+        let reached = self.now().saturating_sub(age);
+        key.and_then(|key| self.keys.get(key)).is_some_and(|key| key.repeated_by(reached))
+    }
+
     /// The time now, where a recording wants to know.
     fn stamp(&self) -> Option<Instant> {
         self.tracer.as_ref().map(|_| Instant::now())
@@ -507,7 +550,7 @@
         let now = self.now();
         while self.ends.first().is_some_and(|(until, _)| *until <= now) {
             let Some((_, id)) = self.ends.pop_first() else { return };
-            if self.keys.get(&id).is_some_and(|key| key.until <= now && key.joined.is_empty()) {
+            if self.keys.get(&id).is_some_and(|key| key.lapses <= now && key.joined.is_empty()) {
                 self.keys.remove(&id);
             }
         }
@@ -561,9 +604,14 @@
             Action::Remember { req, span } => {
                 if let Some(key) = self.slots[req].key.clone() {
                     let until = now.saturating_add(span);
-                    let fresh = Key { until, first: Some(req), answer: None, joined: Vec::new() };
-                    self.ends.insert((until, key.clone()));
-                    self.keys.insert(key, fresh);
+                    let lapses = until.saturating_add(self.read_late);
+                    let fresh = Key { until, lapses, first: Some(req), answer: None, joined: Vec::new() };
+                    self.ends.insert((lapses, key.clone()));
+                    let before = self.keys.insert(key, fresh);
+                    must!(
+                        before.is_none_or(|key| key.first.is_none() && key.joined.is_empty()),
+                        "no key is remembered anew while a req of it is open"
+                    );
                 }
             }
             Action::Forget { req } => {
@@ -571,7 +619,7 @@
                     && let Some(key) = self.keys.get_mut(&id)
                 {
                     // Never run: those that joined it meanwhile are answered before the key goes.
-                    key.until = Duration::ZERO;
+                    (key.until, key.lapses) = (Duration::ZERO, Duration::ZERO);
                     key.first = None;
                     key.answer = Some(Answer::Errored);
                     self.ends.insert((Duration::ZERO, id.clone()));
@@ -638,7 +686,7 @@
             let Some(key) = self.keys.get_mut(&id) else { continue };
             let Some(answer) = key.answer.clone() else { continue };
             let mut joined = std::mem::take(&mut key.joined);
-            if key.until <= now {
+            if key.lapses <= now {
                 self.keys.remove(&id);
             }
             joined.sort_unstable();
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -499,7 +499,16 @@
                         if let Some(count) = NO_ROOM.pass() {
                             log::warn!("no memory for another req ({count} so far)");
                         }
-                        connection.say(&method, sequence, &Said::Rejected { fields: &[] });
+                        // A repeat of what was run may not be said to be turned away.
+                        let fields = self.come_back();
+                        connection.say(
+                            &method,
+                            sequence,
+                            &match self.gate.repeats(&read.incoming) {
+                                true => Said::Crashed { fields: &[] },
+                                false => Said::Rejected { fields: &fields },
+                            },
+                        );
                         return true;
                     }
                     Ok(read) if !self.recent.lock().is_new(read.number) => {
@@ -547,7 +556,7 @@
         let ticket = match self.gate.enter(incoming) {
             Ok(ticket) => ticket,
             Err(Unfit::Known) => return say(&Said::Exception(&Fault::Malformed("its id is open".into()))),
-            Err(Unfit::NotStarted) => return say(&Said::Rejected { fields: &[] }),
+            Err(Unfit::NotStarted) => return say(&Said::Rejected { fields: &self.come_back() }),
         };
         let mut calls = 0;
         let mut give_up = None;
@@ -584,9 +593,7 @@
                         }
                         Answer::Errored => say(&Said::Crashed { fields: &fields }),
                         Answer::Shed { wait, elsewhere } => {
-                            let wait =
-                                wait.map(|wait| ("holdoff", format!("{:.0}", wait.as_secs_f64() * 1e3)));
-                            fields.extend(wait);
+                            fields.extend(wait.map(holdoff));
                             fields.extend((!elsewhere).then(|| ("nomore", "1".to_owned())));
                             say(&Said::Rejected { fields: &fields });
                         }
@@ -630,6 +637,11 @@
 /// The time since the Unix epoch.
 fn unix_now() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    /// When to come back, for what is turned away before the module has seen it.
+    fn come_back(&self) -> Vec<(&'static str, String)> {
+        self.gate.longest_wait().map(holdoff).into_iter().collect()
+    }
+
 }
 
 /// A descriptor for bad days; without it one more connection is refused later, no more.
@@ -651,6 +663,11 @@
 impl Clients {
     /// What the fields of a req say, where that makes sense; it came over a connection that was opened then.
     fn read_fields(&self, fields: &Fields, opened: Instant) -> Result<Read, Fault> {
+/// The field that tells a caller for how long to stay away.
+fn holdoff(wait: Duration) -> (&'static str, String) {
+    ("holdoff", format!("{:.0}", wait.as_secs_f64() * 1e3))
+}
+
         let names = &self.names;
         let find = |name: &str| fields.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str());
         let wrong = |name: &'static str| Fault::Malformed(format!("{name}: missing or senseless").into());
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -736,7 +736,17 @@
 
     /// Ends a req that owes no answer any more, or what can be ended of it now.
     fn let_go(&mut self, req: Req, out: &mut Vec<Action>) {
-        let state = self.entry(req).state;
+        let (state, key) = (self.entry(req).state, self.entry(req).key);
+        // Never run: a repeat of it is a first one again, whether it was turned away or its caller has gone.
+        if let Some(until) = key
+            && state == State::Held
+        {
+            if let Some(at) = self.keys.iter().position(|&other| other == until) {
+                self.keys.swap_remove(at);
+                self.used_kb -= self.key_kb;
+            }
+            out.push(Action::Forget { req });
+        }
         match state {
             State::Held | State::Joined => self.over(req, out),
             State::OnCore if self.stoppable => out.push(Action::Stop { req }),
@@ -748,7 +758,7 @@
     /// Answers a req that cannot be done any more, at once, and stops its work where that is possible.
     fn give_up(&mut self, req: Req, elsewhere: bool, reason: Reason, out: &mut Vec<Action>) {
         let entry = self.entry(req);
-        let (state, handler, key) = (entry.state, entry.handler, entry.key);
+        let (state, handler) = (entry.state, entry.handler);
         entry.answered = true;
         let unrun = state == State::Held;
         if state != State::Joined && (unrun || self.aims[handler].effect == Effect::Replayable) {
@@ -757,16 +767,6 @@
         } else {
             out.push(Action::Fail { req, reason });
         }
-        // Never run: a repeat of it is a first one again.
-        if let Some(until) = key
-            && unrun
-        {
-            if let Some(at) = self.keys.iter().position(|&other| other == until) {
-                self.keys.swap_remove(at);
-                self.used_kb -= self.key_kb;
-            }
-            out.push(Action::Forget { req });
-        }
         self.let_go(req, out);
     }
 
