The notice to leave is heeded before the start, beside a SIGHUP, and counts from when it came

Told to leave in its first second, a backend took and ran whatever came once its kernel was up, up to the stop. Ruled out: SIGTERM before the listener serves (signals are asked for before anything else and wait in the pipe), twice (the second send finds nobody, and the module leaves once), two SIGHUPs in a row (the last one's read sees what is there by then). Change: the gate keeps the notice and tells the module right behind its start; Event::Leave tells how long ago the notice came; the file is read by a thread of its own, for which one pending read is kept.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -191,6 +191,8 @@
 
 struct State {
     running: Option<Running>,
+    /// When the notice to leave came, and after how long from then the process is stopped.
+    leaving: Option<(Instant, Duration)>,
     slots: Slab<Slot>,
     indices: HashMap<Id, usize>,
     keys: HashMap<Id, Key>,
@@ -219,6 +221,7 @@
     pub fn new(given: Given, seed: u64, tracer: Option<Arc<Tracer>>) -> Self {
         let state = State {
             running: None,
+            leaving: None,
             slots: Slab::new(),
             indices: HashMap::new(),
             keys: HashMap::new(),
@@ -255,6 +258,8 @@
         let zero = Instant::now().checked_sub(since).unwrap_or_else(Instant::now);
         state.running = Some(Running { decider, zero });
         state.decide(Event::Started);
+        // The notice may come before what runs reqs is up: forgotten, what comes long after it would be run.
+        state.tell_of_leaving();
         true
     }
 
@@ -386,9 +391,11 @@
         }
     }
 
-    /// The notice to leave: the process is stopped after `left`.
-    pub fn leave(&self, left: Duration) {
-        self.state.lock().decide(Event::Leave { left });
+    /// The notice to leave, which came at that time; the process is stopped after `stop` from then.
+    pub fn leave(&self, notice: Instant, stop: Duration) {
+        let mut state = self.state.lock();
+        state.leaving = Some((notice, stop));
+        state.tell_of_leaving();
     }
 
     /// Whether what runs reqs was up.
@@ -432,6 +439,15 @@
         self.running.as_ref().map_or(Duration::ZERO, |running| running.zero.elapsed())
     }
 
+    /// Tells the module of the notice to leave, if there was one. What it grants counts from the notice, however
+    /// late this is told.
+    fn tell_of_leaving(&mut self) {
+        if let Some((notice, stop)) = self.leaving {
+            let since = notice.elapsed();
+            self.decide(Event::Leave { since, left: stop.saturating_sub(since) });
+        }
+    }
+
     /// Whether what reached the machine so long ago repeats a uniqued req that is known by that key.
     fn repeats(&self, key: Option<&Id>, age: Duration) -> bool {
         let reached = self.now().saturating_sub(age);
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -17,7 +17,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{channel, sync_channel};
 use std::time::{Duration, Instant};
 
 use clap::Parser;
@@ -253,16 +253,24 @@
         });
     }
     let (notice, noticed) = channel();
+    // One that waits is enough: it reads what is there by then.
+    let (again, reading) = sync_channel(1);
     let (listen, stop) = (told.listen, told.stop);
     let path = path.map(Path::to_owned);
-    // Peers may move while this leaves, too.
+    // Reading takes a while, for ever where the file is one that gives nothing: no notice to leave waits for that.
     std::thread::spawn(move || {
         for signal in &mut signals {
-            if signal != SIGHUP {
+            if signal == SIGHUP {
+                let _ = again.try_send(());
+            } else {
                 // Told once; the second time nobody listens.
                 let _ = notice.send(Instant::now());
-                continue;
             }
+        }
+    });
+    // Peers may move while this leaves, too.
+    std::thread::spawn(move || {
+        for () in &reading {
             match told.reread(path.as_deref()) {
                 Ok((peers, rest)) => {
                     ::log::info!("read again: {peers:?}");
@@ -283,7 +291,7 @@
         cluster.drains();
     }
     leaving.store(true, Ordering::Release);
-    gate.leave(stop);
+    gate.leave(notice, stop);
     // The module goes on taking reqs for a while. Once nothing that comes may be run any more, a connection
     // refused sends a caller elsewhere sooner than an answer could.
     std::thread::sleep(grace.min(stop.saturating_sub(FAREWELL)).saturating_sub(notice.elapsed()));
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -171,7 +171,7 @@
             "ELAPSED" => Some(Event::Alarm { gauges: fields.gauges()? }),
             "SIGTERM" => {
                 let left = fields.time("expires_in", fields.needed("expires_in")?)?;
-                Some(Event::Leave { left })
+                Some(Event::Leave { since: Duration::ZERO, left })
             }
             other => return Err(WireError::at(fields.line, other, "it is no known message")),
         };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -313,7 +313,7 @@
                 Event::AtCall { req } => self.at_call(*req, &mut out),
                 Event::CallEnded { req, outcome } => self.call_ended(*req, *outcome, &mut out),
                 Event::Alarm { gauges } => self.beat(gauges, &mut out),
-                Event::Leave { left } => self.leave(*left, &mut out),
+                Event::Leave { since, left } => self.leave(*since, *left, &mut out),
             }
         }
         self.retry_standing(&mut out);
@@ -783,12 +783,12 @@
         Some(seconds(held * self.pace / self.cap).clamp(self.beat, most))
     }
 
-    fn leave(&mut self, left: Duration, out: &mut Vec<Action>) {
+    fn leave(&mut self, since: Duration, left: Duration, out: &mut Vec<Action>) {
         if self.leaving.is_some() {
             return;
         }
         let answer_by = self.now.saturating_add(left).saturating_sub(LEAVE_MARGIN);
-        let run_until = self.now.saturating_add(self.drain_grace);
+        let run_until = self.now.saturating_add(self.drain_grace).saturating_sub(since);
         // Guards a short fleet: what may still run here is welcome until callers must forget. Harms as one
         // full server.
         let short = self.busy >= LEAVING_BUSY;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -214,8 +214,9 @@
     Alarm {
         gauges: Gauges,
     },
-    /// The notice to leave; the process is stopped after `left`.
+    /// The notice to leave, which came so long ago; the process is stopped after `left` from now.
     Leave {
+        since: Duration,
         left: Duration,
     },
 }
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -426,7 +426,7 @@
     pub fn leave(&mut self, left: Duration) {
         if self.leave.is_none() {
             self.leave = Some((self.now, self.now + left));
-            self.tell(vec![Event::Leave { left }]);
+            self.tell(vec![Event::Leave { since: ms(0), left }]);
         }
     }
 }
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -417,7 +417,7 @@
     small.arrive(0, 0, None, 10, 1);
     assert_eq!(reasons(&small), [Reason::Memory]);
     let mut world = plain();
-    world.tell(vec![Event::Leave { left: ms(3000) }]);
+    world.tell(vec![Event::Leave { since: ms(0), left: ms(3000) }]);
     world.pass(ms(1500));
     world.arrive(0, 0, None, 10, 2);
     assert_eq!(reasons(&world), [Reason::Draining]);
