The program ends once the listener is closed behind all that the machine had accepted

Cause: read, and reproduced. A connection that the machine accepted may hold a whole req. - serve() in main.rs ended as soon as no connection was open and no req was: what stood in the backlog, or was accepted and not yet counted, was cut off by the end of the process. With the process stopped over the end of its grace, all of it was lost. - Clients::close woke the accepting by a connection of its own and Clients::accept returned with it: what came behind that one, up to the closing of the listener, was cut off as well. - close() held the lock `last` while it connected, up to 200 ms with a full backlog, and the accepting waited for that lock on the one worker: nothing was served meanwhile, and the listener then stayed open. Ruled out: answers in the rings at the end (a connection counts until they are written), unread bytes under the last answers (see_off). Change: accepting looks at a flag, woken by the waker of the listener. When it closes, a filter on the listening socket has the system drop what would open a further connection, all that stands there is accepted, and only then is it closed; the program waits for that. Where the system grants no filter, the last look and the closing follow upon each other.

--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -255,7 +255,7 @@
     let (notice, noticed) = channel();
     // One that waits is enough: it reads what is there by then.
     let (again, reading) = sync_channel(1);
-    let (listen, stop) = (told.listen, told.stop);
+    let stop = told.stop;
     let path = path.map(Path::to_owned);
     // Reading takes a while, for ever where the file is one that gives nothing: no notice to leave waits for that.
     std::thread::spawn(move || {
@@ -295,10 +295,8 @@
     // The module goes on taking reqs for a while. Once nothing that comes may be run any more, a connection
     // refused sends a caller elsewhere sooner than an answer could.
     std::thread::sleep(grace.min(stop.saturating_sub(FAREWELL)).saturating_sub(notice.elapsed()));
-    if let Err(error) = clients.close(listen) {
-        ::log::warn!("{listen}: {error}");
-    }
-    while !(clients.none() && gate.open() == 0) && notice.elapsed() + STOP_MARGIN < stop {
+    clients.close();
+    while !(clients.over() && gate.open() == 0) && notice.elapsed() + STOP_MARGIN < stop {
         std::thread::sleep(Duration::from_millis(5));
     }
     if let Some(cluster) = cluster {
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -3,14 +3,16 @@
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use may::io::{WaitIo, WaitIoWaker};
 use may::net::{TcpListener, TcpStream};
 use parking_lot::Mutex;
 use slab::Slab;
+use socket2::{SockFilter, SockRef};
 use tulipgap_admission::{Act, Admission, Cause, Conn, News, Trouble};
 use tulipgap_settings::Names;
 use tulipgap_trace::{Reason, hashed};
@@ -18,7 +20,7 @@
 use super::kernel::Kernel;
 use super::store::Store;
 use super::thrift::{self, Asked, Fault, Fields, Said};
-use super::{Added, Link, Out, spawn};
+use super::{Added, Link, Out, adopt, spawn};
 use crate::gate::{Answer, Bytes, Gate, Id, Incoming, Order, Report, Unfit};
 use crate::log::Bound;
 use crate::trace::Traced;
@@ -58,8 +60,8 @@
 /// What a req's work counts for at the most, as a multiple of the time that its client waits.
 const WORK_MOST: f64 = 2.0;
 const BODY_MOST: usize = 2048;
-/// How long the connection may take that closes the listener.
-const CLOSE_MOST: Duration = Duration::from_millis(200);
+/// How long those have to become whole that were being opened as the listener was shut.
+const OPENING_MOST: Duration = Duration::from_millis(20);
 /// The longest that a deep check waits for its work.
 const CHECK_MOST: Duration = Duration::from_secs(2);
 
@@ -187,8 +189,12 @@
     refuses: bool,
     open_most: usize,
     recent: Mutex<Recent>,
-    /// Where the connection comes from that is to be the last.
-    last: Mutex<Option<SocketAddr>>,
+    /// Nothing is to be accepted any more once all that has come is.
+    closing: AtomicBool,
+    /// The listener is closed, and all that came over it stands in `connections`.
+    closed: AtomicBool,
+    /// Lets the accepting look around.
+    listener: Mutex<Option<WaitIoWaker>>,
 }
 
 impl Clients {
@@ -216,7 +222,9 @@
             refuses,
             open_most,
             recent: Mutex::default(),
-            last: Mutex::new(None),
+            closing: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            listener: Mutex::default(),
         })
     }
 
@@ -266,9 +274,16 @@
         }
     }
 
-    /// Accepts until the listener is to be closed. What came before that is served.
+    /// Accepts until the listener is to be closed. What came before that is served: a connection that the machine has
+    /// accepted may hold a whole req, and a listener that closes on it would lose that.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
+        *self.listener.lock() = Some(listener.waker());
+        let (mut shut, mut settled) = (false, false);
         loop {
+            let closing = self.closing.load(Ordering::Acquire);
+            if closing && !std::mem::replace(&mut shut, true) {
+                settled = !shut_out(&listener);
+            }
             let (may, acted) = self.decide(|admission, now, acts| {
                 let may = admission.may_accept(now, acts);
                 (may, !acts.is_empty())
@@ -277,57 +292,66 @@
                 clock::sleep(if acted { TURN_PAUSE } else { ACCEPT_PAUSE });
                 continue;
             }
-            match listener.accept() {
-                Ok((_, peer)) if Some(peer) == *self.last.lock() => return,
+            let came = listener.inner().accept().and_then(|(stream, peer)| Ok((adopt(stream)?, peer)));
+            match came {
                 Ok((stream, peer)) => self.opened(stream, peer.ip()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => match closing {
+                    false => drop(listener.wait_io()),
+                    true if !std::mem::replace(&mut settled, true) => clock::sleep(OPENING_MOST),
+                    true => break,
+                },
                 Err(error) => {
                     if let Some(count) = ACCEPTS.pass() {
                         log::warn!("accept: {error} ({count} so far)");
                     }
                     let trouble = trouble(&error);
                     self.tell(News::Failed { trouble });
-                    if self.refuses && trouble == Trouble::NoDescriptor && self.turn_one_away(&listener) {
-                        return;
+                    if self.refuses && trouble == Trouble::NoDescriptor {
+                        self.turn_one_away(&listener);
                     }
                     let left = self.paused.lock().saturating_sub(self.zero.elapsed());
                     clock::sleep(left);
                 }
             }
         }
+        drop(listener);
+        self.closed.store(true, Ordering::Release);
     }
 
     /// With no descriptor left, the spare one serves to accept and close a connection, so that its owner can go
-    /// elsewhere at once. Yields whether it was the last one.
-    fn turn_one_away(&self, listener: &TcpListener) -> bool {
+    /// elsewhere at once.
+    fn turn_one_away(&self, listener: &TcpListener) {
         let Some(file) = self.spare.lock().take() else {
             *self.spare.lock() = spare();
-            return false;
+            return;
         };
         drop(file);
         // One stands in the backlog: the accept before failed for want of a descriptor, and not of that.
-        let last = match listener.accept() {
-            Ok((_, peer)) => Some(peer) == *self.last.lock(),
-            Err(_) => false,
-        };
+        drop(listener.inner().accept());
         *self.spare.lock() = spare();
         if let Some(count) = REFUSED.pass() {
             log::warn!("no descriptor is left, a connection is refused ({count} so far)");
         }
-        last
     }
 
-    /// Has the listener closed behind all that came before, and asks all edge nodes to leave. A connection of
-    /// our own is the last to be accepted.
-    pub fn close(&self, listen: SocketAddr) -> io::Result<()> {
+    /// Has the listener closed behind all that came before, and asks all edge nodes to leave.
+    pub fn close(&self) {
         self.tell(News::Leave);
-        let mut last = self.last.lock();
-        let stream = std::net::TcpStream::connect_timeout(&listen, CLOSE_MOST)?;
-        *last = Some(stream.local_addr()?);
-        Ok(())
+        self.closing.store(true, Ordering::Release);
+        // Where it does not accept yet, it sees that once it does.
+        if let Some(listener) = &*self.listener.lock() {
+            listener.wakeup();
+        }
+    }
+
+    /// Whether no connection is open, and none can come any more.
+    pub fn over(&self) -> bool {
+        // In this order: what is accepted stands among the connections before the listener counts as closed.
+        self.closed.load(Ordering::Acquire) && self.none()
     }
 
     /// Whether no connection is open.
-    pub fn none(&self) -> bool {
+    fn none(&self) -> bool {
         self.connections.lock().is_empty()
     }
 
@@ -613,6 +637,11 @@
         self.gate.advice().map(|value| ("signal", format!("{value:.4}")))
     }
 
+    /// When to come back, for what is turned away before the module has seen it.
+    fn come_back(&self) -> Vec<(&'static str, String)> {
+        self.gate.longest_wait().map(holdoff).into_iter().collect()
+    }
+
     /// A health check; a deep one has work done, for a bounded time.
     fn check(&self, connection: &Connection, sequence: i32, deep: bool) {
         let good = self.gate.healthy() && (!deep || self.kernel.works(CHECK_MOST));
@@ -634,14 +663,29 @@
     came: Duration,
 }
 
+/// The field that tells a caller for how long to stay away.
+fn holdoff(wait: Duration) -> (&'static str, String) {
+    ("holdoff", format!("{:.0}", wait.as_secs_f64() * 1e3))
+}
+
 /// The time since the Unix epoch.
 fn unix_now() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-    /// When to come back, for what is turned away before the module has seen it.
-    fn come_back(&self) -> Vec<(&'static str, String)> {
-        self.gate.longest_wait().map(holdoff).into_iter().collect()
-    }
+}
 
+/// Has the system drop what would open a further connection, so that none can come between the last look and the
+/// closing of the listener. Its owner tries again within a second, and is refused by then. Where that can't be had,
+/// the two follow upon each other at once.
+fn shut_out(listener: &TcpListener) -> bool {
+    // Of the TCP header, the byte of flags; of those, SYN without ACK.
+    let filter = [
+        SockFilter::new(0x30, 0, 0, 13),
+        SockFilter::new(0x54, 0, 0, 0x12),
+        SockFilter::new(0x15, 0, 1, 0x02),
+        SockFilter::new(0x06, 0, 0, 0),
+        SockFilter::new(0x06, 0, 0, u32::MAX),
+    ];
+    SockRef::from(listener.inner()).attach_filter(&filter).is_ok()
 }
 
 /// A descriptor for bad days; without it one more connection is refused later, no more.
@@ -663,11 +707,6 @@
 impl Clients {
     /// What the fields of a req say, where that makes sense; it came over a connection that was opened then.
     fn read_fields(&self, fields: &Fields, opened: Instant) -> Result<Read, Fault> {
-/// The field that tells a caller for how long to stay away.
-fn holdoff(wait: Duration) -> (&'static str, String) {
-    ("holdoff", format!("{:.0}", wait.as_secs_f64() * 1e3))
-}
-
         let names = &self.names;
         let find = |name: &str| fields.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str());
         let wrong = |name: &'static str| Fault::Malformed(format!("{name}: missing or senseless").into());
