A known key with another body gets no result; a key of what never ran is free; crossings tested

Followed with a probe in Clients::take: bad clients send fields of a req that came before, its `opkey` among them, under an id of their own and with a body of their own, e.g. seq 821, opkey..., body of 92 bytes, 'repeats true'. Gate::enter went by the key alone, so it joined the first and was answered with its result. Change: what stands for the body (a keyed hash of this process) is kept beside the key; the same key with another body is an exception and is never run. A run of which the kernel says that nothing was started (EINVAL, `nothing`) frees its key: else whoever comes first with a key that is not its own would have all tries of the owner errored for the window.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -37,6 +37,8 @@
     pub retry: bool,
     /// By what a repeat of it is known.
     pub key: Option<Id>,
+    /// What stands for its body: a repeat has the same.
+    pub body: u64,
     /// What a recording tells of it, where there is one.
     pub traced: Option<Traced>,
 }
@@ -110,6 +112,8 @@
 pub enum Unfit {
     /// One of that id is open.
     Known,
+    /// Its key is known, with another body.
+    OtherBody,
     /// What runs reqs was never up.
     NotStarted,
 }
@@ -131,6 +135,7 @@
     call: Option<(u64, Bytes)>,
     calling: bool,
     key: Option<Id>,
+    body: u64,
     /// What is recorded of it, where there is a recording.
     life: Option<Box<Life>>,
 }
@@ -151,6 +156,8 @@
     until: Duration,
     /// When it may go: what reached the machine in time may be read late.
     lapses: Duration,
+    /// What stands for the body of the req that holds the key.
+    body: u64,
     /// The req that holds the key, while it is open.
     first: Option<usize>,
     answer: Option<Answer>,
@@ -276,7 +283,12 @@
         state.forget_keys();
         let life = self.life(&incoming);
         let key = incoming.scoped_key();
-        let repeats = state.repeats(key.as_ref(), incoming.age);
+        let known = state.repeated(key.as_ref(), incoming.age);
+        // A key under which something else is asked is copied, or made up: whoever does that gets no result of another.
+        if known.is_some_and(|known| known.body != incoming.body) {
+            return Err(Unfit::OtherBody);
+        }
+        let repeats = known.is_some();
         let waiter = Arc::new(Blocker::new(true));
         let at = state.slots.insert(Slot {
             id: incoming.id.clone(),
@@ -290,6 +302,7 @@
             call: None,
             calling: false,
             key,
+            body: incoming.body,
             life,
         });
         state.indices.insert(incoming.id, at);
@@ -311,7 +324,7 @@
 
     /// Whether a try of the same uniqued req is open, or was run: then this one may not be turned away.
     pub fn repeats(&self, incoming: &Incoming) -> bool {
-        self.state.lock().repeats(incoming.scoped_key().as_ref(), incoming.age)
+        self.state.lock().repeated(incoming.scoped_key().as_ref(), incoming.age).is_some()
     }
 
     /// After what time a caller that is turned away had better come back, where it can be told and nothing else is
@@ -448,10 +461,10 @@
         }
     }
 
-    /// Whether what reached the machine so long ago repeats a uniqued req that is known by that key.
-    fn repeats(&self, key: Option<&Id>, age: Duration) -> bool {
+    /// What is known of that key, where what reached the machine so long ago repeats it.
+    fn repeated(&self, key: Option<&Id>, age: Duration) -> Option<&Key> {
         let reached = self.now().saturating_sub(age);
-        key.and_then(|key| self.keys.get(key)).is_some_and(|key| key.repeated_by(reached))
+        self.keys.get(key?).filter(|key| key.repeated_by(reached))
     }
 
     /// The time now, where a recording wants to know.
@@ -513,6 +526,10 @@
                     let why = if answer == Answer::Errored { Reason::RUN_ERRORED } else { Reason::NONE };
                     self.answer(at, answer, why);
                 }
+                // Nothing was run: what comes under its key is no repeat of anything.
+                if outcome == Outcome::Void {
+                    self.forget(at);
+                }
                 self.settle(at, answer.unwrap_or(Answer::Errored));
                 Event::Ended { req: at, outcome }
             }
@@ -561,6 +578,15 @@
         }
     }
 
+    /// A req that holds a key has not run, and will not: those that joined it meanwhile are answered before the key goes.
+    fn forget(&mut self, at: usize) {
+        let Some(id) = self.slots[at].key.clone() else { return };
+        if let Some(key) = self.keys.get_mut(&id).filter(|key| key.first == Some(at)) {
+            (key.until, key.lapses) = (Duration::ZERO, Duration::ZERO);
+            self.ends.insert((Duration::ZERO, id));
+        }
+    }
+
     /// Forgets the keys whose time is over; one that others have joined goes once they are answered.
     fn forget_keys(&mut self) {
         let now = self.now();
@@ -621,7 +647,8 @@
                 if let Some(key) = self.slots[req].key.clone() {
                     let until = now.saturating_add(span);
                     let lapses = until.saturating_add(self.read_late);
-                    let fresh = Key { until, lapses, first: Some(req), answer: None, joined: Vec::new() };
+                    let (first, body) = (Some(req), self.slots[req].body);
+                    let fresh = Key { until, lapses, body, first, answer: None, joined: Vec::new() };
                     self.ends.insert((lapses, key.clone()));
                     let before = self.keys.insert(key, fresh);
                     must!(
@@ -631,16 +658,8 @@
                 }
             }
             Action::Forget { req } => {
-                if let Some(id) = self.slots[req].key.clone()
-                    && let Some(key) = self.keys.get_mut(&id)
-                {
-                    // Never run: those that joined it meanwhile are answered before the key goes.
-                    (key.until, key.lapses) = (Duration::ZERO, Duration::ZERO);
-                    key.first = None;
-                    key.answer = Some(Answer::Errored);
-                    self.ends.insert((Duration::ZERO, id.clone()));
-                    self.settled.push(id);
-                }
+                self.forget(req);
+                self.settle(req, Answer::Errored);
             }
             Action::Call { req, patience } => {
                 let now = self.stamp();
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -188,6 +189,8 @@
     spare: Mutex<Option<std::fs::File>>,
     refuses: bool,
     open_most: usize,
+    /// By what a body is known again; nobody can make up another for which it is the same.
+    prints: RandomState,
     recent: Mutex<Recent>,
     /// Nothing is to be accepted any more once all that has come is.
     closing: AtomicBool,
@@ -221,6 +224,7 @@
             spare: Mutex::new(spare()),
             refuses,
             open_most,
+            prints: RandomState::new(),
             recent: Mutex::default(),
             closing: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -575,11 +579,19 @@
         incoming.age = unix_now().saturating_sub(came);
         // It is told as it was when the req came.
         incoming.patience = incoming.patience.map(|patience| patience.saturating_sub(incoming.age));
+        incoming.body = self.prints.hash_one(&body);
         let place = Place { clients: self, connection, sequence, free: Cell::new(false) };
         let say = |said: &Said| place.answer(said);
         let ticket = match self.gate.enter(incoming) {
             Ok(ticket) => ticket,
             Err(Unfit::Known) => return say(&Said::Exception(&Fault::Malformed("its id is open".into()))),
+            Err(Unfit::OtherBody) => {
+                if let Some(count) = GARBLED.pass() {
+                    log::warn!("process: a key that is known, with another body ({count} so far)");
+                }
+                self.tell(News::Fault { conn: connection.conn });
+                return say(&Said::Exception(&Fault::Malformed("its key came with another body".into())));
+            }
             Err(Unfit::NotStarted) => return say(&Said::Rejected { fields: &self.come_back() }),
         };
         let mut calls = 0;
@@ -756,6 +768,7 @@
             held_kb: held_kb.ok_or_else(|| wrong("need"))?,
             retry: find("resent").is_some_and(|value| value == "1"),
             key: find("opkey").filter(|key| !key.is_empty()).map(Id::from),
+            body: 0,
             traced: None,
         };
         let traced = self.gate.tracer().map(|_| Traced {
--- /dev/null
+++ b/crates/server/tests/program/crossings.rs
@@ -0,0 +1,468 @@
+//! Rare moments: what comes just between two steps of the program, each forced by what a stand-in does and has seen.
+//! docs/crossings.md has the whole list.
+
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::os::unix::ffi::OsStrExt;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use socket2::{Domain, Socket, Type};
+
+use crate::stand::*;
+
+impl Stand {
+    /// It moves its peers, as `told` says with these ports elsewhere.
+    fn moves(&self, there: &str, ports: &[u16]) {
+        let mut text = told(&self.host);
+        for port in ports {
+            text = text.replace(&format!("{}:{port}", self.host), &format!("{there}:{port}"));
+        }
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("HUP");
+    }
+}
+
+/// A place where a connect hangs: something listens there, and its backlog is full.
+struct Hanging {
+    _listener: Socket,
+    _waiting: Vec<Socket>,
+}
+
+fn hanging(host: &str, port: u16) -> Hanging {
+    let address: std::net::SocketAddr = format!("{host}:{port}").parse().unwrap();
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.bind(&address.into()).unwrap();
+    listener.listen(0).unwrap();
+    let mut waiting = Vec::new();
+    // Until one hangs itself.
+    loop {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let connected = socket.connect_timeout(&address.into(), std::time::Duration::from_millis(300));
+        waiting.push(socket);
+        if connected.is_err() {
+            return Hanging { _listener: listener, _waiting: waiting };
+        }
+        assert!(waiting.len() < 20, "a connect hangs");
+    }
+}
+
+/// Connections that the machine took while the program stood still, each with a whole req on it, as the grace ended
+/// meanwhile: the program saw no connection open, ended, and lost them all.
+#[test]
+fn what_stands_in_the_backlog_when_the_grace_ends_is_answered() {
+    for round in 0..5u32 {
+        let mut stand = stand();
+        stand.signal("TERM");
+        until("it is told", || {
+            let mut edge = stand.edge();
+            edge.call(1, "probe", b"\0");
+            edge.answer().is_some_and(|answer| answer.bytes.ends_with(b"\x02\0\x03\0\0\0"))
+        });
+        stand.signal("STOP");
+        let mut edges: Vec<Edge> = (0..8).map(|_| stand.edge()).collect();
+        for (at, edge) in (0..).zip(&mut edges) {
+            edge.req(1, &format!("00000000bac{round:01x}{at:04x}"), b"run");
+        }
+        // The grace is over in any case when it goes on: what is forced is the order, and not the time.
+        std::thread::sleep(std::time::Duration::from_millis(1100));
+        stand.signal("CONT");
+        for edge in &mut edges {
+            let answer = edge.answer().expect("an answer to what the machine had taken");
+            let rest = std::iter::from_fn(|| edge.answer()).filter(|more| more.kind != Kind::NoMore).count();
+            let first = answer.kind != Kind::NoMore;
+            assert_eq!(usize::from(first) + rest, 1, "one answer");
+        }
+        assert_eq!(stand.ended().code(), Some(0));
+    }
+}
+
+/// Callers that connect as fast as they can while the listener closes. Whoever gets in is answered; the others are
+/// refused. The program stands still over the end of its grace with a long backlog, so that the closing meets some of
+/// it; which connection meets the very moment is chance: 8 callers, 4 rounds.
+#[test]
+fn whoever_connects_as_the_listener_closes_is_answered_or_refused() {
+    for round in 0..4 {
+        let mut stand = stand();
+        let (address, lost) = (format!("{}:6565", stand.host).parse().unwrap(), Mutex::new(Vec::new()));
+        let answered = std::sync::atomic::AtomicU32::new(0);
+        let ask = |id: &str| {
+            let Ok(stream) = TcpStream::connect_timeout(&address, LONG) else { return false };
+            stream.set_read_timeout(Some(LONG)).unwrap();
+            let mut edge = Edge { stream };
+            let message = edge.message(1, &fields(id, "20.0"), b"run");
+            let written = edge.stream.write_all(&message).is_ok();
+            // It may be asked to leave first.
+            match edge
+                .answer()
+                .and_then(|answer| if answer.kind == Kind::NoMore { edge.answer() } else { Some(answer) })
+            {
+                Some(_) => _ = answered.fetch_add(1, Ordering::AcqRel),
+                None => lost.lock().unwrap().push(format!("{id}, written: {written}")),
+            }
+            true
+        };
+        std::thread::scope(|scope| {
+            let ask = &ask;
+            for caller in 0..8 {
+                scope.spawn(move || {
+                    let mut turns = 0..;
+                    while ask(&format!("0000c{round:01x}{caller:02x}{:08x}", turns.next().unwrap())) {}
+                });
+            }
+            until("they are served", || answered.load(Ordering::Acquire) > 100);
+            stand.signal("TERM");
+            stand.signal("STOP");
+            for waiting in 0..200 {
+                scope.spawn(move || ask(&format!("0000d{round:01x}00{waiting:08x}")));
+            }
+            std::thread::sleep(std::time::Duration::from_millis(1200));
+            stand.signal("CONT");
+        });
+        assert_eq!(lost.into_inner().unwrap(), Vec::<String>::new(), "lost");
+        assert_eq!(stand.ended().code(), Some(0));
+    }
+}
+
+/// The notice comes before the kernel is up: it was forgotten, and what came behind the grace was run.
+#[test]
+fn a_notice_before_the_kernel_is_up_is_heeded_once_it_is() {
+    let host = host();
+    let (kernel, store, file) = (Shared::default(), store(&host), file(&host, &told(&host)));
+    let child = start(&file);
+    let mut stand = Stand { host, kernel, store, child, file };
+    until("it listens", || TcpStream::connect((&stand.host[..], 6565)).is_ok());
+    let mut edge = stand.edge();
+    edge.call(1, "probe", b"\0");
+    assert!(
+        edge.expect(1, Kind::Answer).bytes.ends_with(b"\x02\0\x03\0\0\0"),
+        "well before its kernel is up"
+    );
+    stand.signal("TERM");
+    let host = stand.host.clone();
+    listen(stand.kernel.clone(), &host);
+    until("the link is up", || stand.kernel.lock().unwrap().links == 1);
+    edge.expect(0, Kind::NoMore);
+    // It crosses the wish to send nothing more, behind the grace by more than its stamp is rough.
+    std::thread::sleep(std::time::Duration::from_millis(5));
+    edge.req(2, "00000000000ee002", b"run");
+    // Where the machine is slow, the connection has closed by then.
+    assert!(edge.answer().is_none_or(|answer| answer.kind == Kind::Rejected));
+    assert!(stand.kernel.lock().unwrap().ends.is_empty(), "run behind the grace");
+    assert_eq!(stand.ended().code(), Some(0));
+}
+
+/// One thread read the file and took the signals: a file that gives nothing kept the notice from being seen.
+#[test]
+fn a_notice_is_heeded_while_the_file_is_being_read() {
+    let mut stand = stand();
+    std::fs::remove_file(&stand.file).unwrap();
+    let path = std::ffi::CString::new(stand.file.as_os_str().as_bytes()).unwrap();
+    assert_eq!(unsafe { libc::mkfifo(path.as_ptr(), 0o600) }, 0);
+    stand.signal("HUP");
+    // It is opened for writing once the program has opened it for reading: from then on it waits for what never comes.
+    let writer = std::fs::OpenOptions::new().write(true).open(&stand.file).unwrap();
+    stand.signal("HUP");
+    stand.signal("TERM");
+    stand.signal("TERM");
+    assert_eq!(stand.ended().code(), Some(0));
+    drop(writer);
+}
+
+/// The kernel moves, to where a connect hangs, and on from there while it does: connects had no limit of their own, so
+/// nothing ran for two minutes.
+#[test]
+fn a_kernel_that_moves_on_while_a_connect_hangs_is_found() {
+    let stand = stand();
+    let mut edge = stand.edge();
+    edge.req(1, "0000000000fe0001", b"hang");
+    until("it runs", || !stand.kernel.lock().unwrap().runs.is_empty());
+    let (nowhere, there) = (host(), host());
+    let _hanging = hanging(&nowhere, 7300);
+    stand.moves(&nowhere, &[7300]);
+    // It has left where it was, so the connect hangs by now or is about to.
+    until("it leaves", || {
+        let kernel = stand.kernel.lock().unwrap();
+        let mut one = [0];
+        let link = kernel.link.as_ref().unwrap().try_clone().unwrap();
+        link.set_nonblocking(true).unwrap();
+        let left = matches!(link.peek(&mut one), Ok(0));
+        link.set_nonblocking(false).unwrap();
+        left
+    });
+    listen(stand.kernel.clone(), &there);
+    stand.moves(&there, &[7300]);
+    until("the link moves on", || stand.kernel.lock().unwrap().links == 2);
+    stand.kernel.lock().unwrap().end("0000000000fe0001", "success", b"all the same");
+    assert!(edge.expect(1, Kind::Answer).holds(b"all the same"));
+}
+
+/// Likewise the store: connects that hung where it was kept all places for two minutes, so no call was made where it is.
+#[test]
+fn a_store_that_moves_on_while_connects_hang_is_called() {
+    let stand = stand_with(32);
+    let mut edge = stand.edge();
+    let (nowhere, there) = (host(), host());
+    let _hanging = hanging(&nowhere, 7700);
+    stand.moves(&nowhere, &[7700]);
+    // More than may be open at once; each is given up in time.
+    for sequence in 1..9 {
+        edge.req(sequence, &format!("0000000000fd{sequence:04x}"), b"call");
+    }
+    for _ in 1..9 {
+        assert!(edge.answer().expect("an answer").holds(b"poorer"));
+    }
+    assert_eq!(stand.store.calls.load(Ordering::Acquire), 0);
+    let store = store(&there);
+    stand.moves(&there, &[7700]);
+    until("calls are made there", || {
+        let mut edge = stand.edge();
+        edge.req(1, &format!("0000000000fd{:04x}", store_id(&stand)), b"call");
+        edge.expect(1, Kind::Answer).holds(b"richer")
+    });
+    assert!(store.calls.load(Ordering::Acquire) > 0);
+}
+
+/// A number that no req of this stand has had.
+fn store_id(stand: &Stand) -> u32 {
+    0x1000 + stand.kernel.lock().unwrap().ends.len() as u32
+}
+
+/// A reply comes over a connection to where the store was, with another call waiting for a place: that one was given
+/// to the old connection.
+#[test]
+fn a_connection_to_where_the_store_was_gets_no_further_call() {
+    let stand = stand_with(32);
+    stand.store.plan(&["", "", "", "", "", "", "", ""]);
+    let mut edge = stand.edge();
+    for sequence in 1..5 {
+        edge.req(sequence, &format!("0000000000fc{sequence:04x}"), b"call");
+    }
+    let most = 32 / 8;
+    until("all places are taken", || stand.store.open.lock().unwrap().len() == most);
+    edge.req(5, "0000000000fc0005", b"call");
+    until("it stands at its call", || stand.kernel.lock().unwrap().runs.contains_key("0000000000fc0005"));
+    let there = host();
+    let store = store(&there);
+    stand.moves(&there, &[7700]);
+    // Who asks after it is told of the move: nothing that is idle leads to the old place, so one place must go.
+    std::thread::sleep(std::time::Duration::from_millis(50));
+    let open = std::mem::take(&mut *stand.store.open.lock().unwrap());
+    for (id, mut stream) in open {
+        let _ = stream.write_all(format!("{id} OK 4\r\ngood\r\n").as_bytes());
+    }
+    let mut richer = 0;
+    for _ in 1..6 {
+        richer += u32::from(edge.answer().expect("an answer").holds(b"richer"));
+    }
+    assert!(richer >= 4, "{richer}");
+    assert_eq!(stand.store.calls.load(Ordering::Acquire), 4, "a call more where it was");
+    drop(store);
+}
+
+/// A file of another backend, as when two are mixed up: its kernel was taken for this one's.
+#[test]
+fn a_file_of_another_backend_moves_nobody() {
+    let stand = stand();
+    let there = host();
+    let others = listen(Shared::default(), &there);
+    let other = told(&there).replace("\"n3\"", "\"n4\"");
+    std::fs::write(&stand.file, other).unwrap();
+    stand.signal("HUP");
+    // A file that is gone, then one that is ours again with a setting changed: taken in that order.
+    std::fs::remove_file(&stand.file).unwrap();
+    stand.signal("HUP");
+    std::fs::write(&stand.file, told(&there).replace("\"n3\"", "\"n4\"")).unwrap();
+    stand.signal("HUP");
+    let mut edge = stand.edge();
+    for sequence in 1..40 {
+        edge.req(sequence, &format!("0000000000fb{sequence:04x}"), b"run");
+        assert!(edge.expect(sequence, Kind::Answer).holds(format!("fb{sequence:04x}").as_bytes()));
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+    assert_eq!(others.lock().unwrap().links, 0, "spoken to another's kernel");
+    assert_eq!(stand.kernel.lock().unwrap().links, 1);
+}
+
+/// Killed with reqs read, run, and answered but not sent; back under the same name and address while what its former
+/// life has started still ends.
+#[test]
+fn a_restart_hears_nothing_of_its_former_life() {
+    let mut stand = stand();
+    let mut edge = stand.edge();
+    for (sequence, body) in (1..).zip([&b"hang"[..], b"hang", b"call", b"run"]) {
+        edge.req(sequence, &format!("0000000000fa{sequence:04x}"), body);
+    }
+    until("two run", || stand.kernel.lock().unwrap().runs.len() >= 2);
+    stand.child.kill().unwrap();
+    stand.child.wait().unwrap();
+    let answered: Vec<u32> = std::iter::from_fn(|| edge.answer()).map(|answer| answer.sequence).collect();
+    assert!(answered.iter().all(|sequence| *sequence > 2), "{answered:?}");
+    // Notices count from 1 again; those of the former life come first.
+    {
+        let mut kernel = stand.kernel.lock().unwrap();
+        kernel.link = None;
+        kernel.notices.clear();
+        kernel.end("0000000000fa0001", "success", b"of the former life");
+        kernel.notice("IOREQ", "0000000000fa0002".into(), b"a call of the former life");
+    }
+    stand.child = start(&stand.file);
+    stand.serves();
+    stand
+        .kernel
+        .lock()
+        .unwrap()
+        .say("EINVAL SCHED 0000000000fa0003\r\nEINVAL PREEMPT 0000000000fa0001\r\n".into());
+    let mut edge = stand.edge();
+    edge.req(1, "0000000000fa0009", b"hang");
+    until("it runs", || stand.kernel.lock().unwrap().runs.contains_key("0000000000fa0009"));
+    // The id of one of the former life, whose run ends just now.
+    stand.kernel.lock().unwrap().end("0000000000fa0002", "success", b"of the former life");
+    edge.req(2, "0000000000fa0001", b"run");
+    let answer = edge.expect(2, Kind::Answer);
+    assert!(answer.holds(b"page \0 0000000000fa0001"), "another life's result");
+    stand.kernel.lock().unwrap().end("0000000000fa0009", "success", b"its own");
+    assert!(edge.expect(1, Kind::Answer).holds(b"its own"));
+    drop(edge);
+    stand.signal("TERM");
+    assert_eq!(stand.ended().code(), Some(0));
+}
+
+/// A slow reader at the stop: all that it has been owed lies in the rings and in the sockets, with half a req behind.
+#[test]
+fn a_slow_reader_gets_all_its_answers_at_the_stop() {
+    let mut stand = stand();
+    let mut slow = stand.edge();
+    for sequence in 1..31 {
+        slow.req(sequence, &format!("0000000000f9{sequence:04x}"), b"run");
+    }
+    let half = slow.message(99, &fields("0000000000f90099", "20.0"), b"run");
+    slow.stream.write_all(&half[..half.len() / 2]).unwrap();
+    stand.signal("TERM");
+    stand.signal("HUP");
+    let mut seen = HashMap::new();
+    while let Some(answer) = slow.answer() {
+        if answer.kind != Kind::NoMore {
+            *seen.entry(answer.sequence).or_insert(0) += 1;
+        }
+    }
+    assert!((1..31).all(|sequence| seen.get(&sequence) == Some(&1)), "{seen:?}");
+    assert_eq!(stand.ended().code(), Some(0));
+}
+
+/// Reqs that cross the wish to send nothing more: each is answered, and behind the grace none is run.
+#[test]
+fn a_req_that_crosses_no_more_is_answered_and_not_run() {
+    let mut stand = stand();
+    let mut edges: Vec<Edge> = (0..6).map(|_| stand.edge()).collect();
+    // What is open on it keeps it from closing.
+    for (at, edge) in (0u32..).zip(&mut edges) {
+        edge.req(1, &format!("0000000000f8{at:04x}"), b"hang");
+    }
+    until("they run or are held", || !stand.kernel.lock().unwrap().runs.is_empty());
+    stand.signal("TERM");
+    for (at, edge) in (0x10u32..).zip(&mut edges) {
+        while edge.answer().expect("the wish").kind != Kind::NoMore {}
+        // Behind the grace by more than its stamp is rough.
+        std::thread::sleep(std::time::Duration::from_millis(5));
+        let message = edge.message(2, &fields(&format!("0000000000f8{at:04x}"), "20.0"), b"run");
+        // Whole, or its end only once more was looked at.
+        let cut = if at % 2 == 0 { message.len() } else { message.len() - 1 };
+        edge.stream.write_all(&message[..cut]).unwrap();
+        edge.stream.write_all(&message[cut..]).unwrap();
+    }
+    for (at, edge) in (0u32..).zip(&mut edges) {
+        let id = format!("0000000000f8{at:04x}");
+        let mut kinds = Vec::new();
+        while let Some(answer) = edge.answer() {
+            kinds.push((answer.sequence, answer.kind));
+            let mut kernel = stand.kernel.lock().unwrap();
+            kernel.end(&id, "success", b"in the end");
+        }
+        kinds.sort_by_key(|kind| kind.0);
+        assert_eq!(kinds.len(), 2, "{kinds:?}");
+        assert_eq!((kinds[0].0, &kinds[1]), (1, &(2, Kind::Rejected)));
+    }
+    let ends = stand.kernel.lock().unwrap().ends.clone();
+    assert!(ends.keys().all(|id| !id.starts_with("0000000000f8001")), "run behind the grace: {ends:?}");
+    assert_eq!(stand.ended().code(), Some(0));
+}
+
+/// A store that closes each connection with its reply, just as the next call is given to it. 150 calls.
+#[test]
+fn a_lane_that_closes_as_it_is_given_a_call_costs_that_call_at_most() {
+    let host = host();
+    let listener = std::net::TcpListener::bind((&host[..], 7700)).unwrap();
+    let resets = AtomicBool::new(false);
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut bytes = [0; 512];
+            // One call, its reply, and the end with it: by turns a plain one and one that cuts off.
+            let Ok(read) = stream.read(&mut bytes) else { continue };
+            let text = String::from_utf8_lossy(&bytes[..read]).into_owned();
+            let Some(id) = text.split(' ').nth(1) else { continue };
+            let _ = stream.write_all(format!("{id} OK 3\r\nown\r\n").as_bytes());
+            if resets.fetch_not(Ordering::AcqRel) {
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+            }
+            let _ = stream.shutdown(Shutdown::Write);
+        }
+    });
+    let kernel = listen(Shared::default(), &host);
+    let file = file(&host, &told(&host));
+    let child = start(&file);
+    let stand = Stand { host, kernel, store: Store::default(), child, file };
+    stand.serves();
+    let mut edge = stand.edge();
+    let mut richer = 0;
+    for turn in 0..150u32 {
+        edge.req(turn + 1, &format!("0000000000f7{turn:04x}"), b"call");
+        let answer = edge.expect(turn + 1, Kind::Answer);
+        richer += u32::from(answer.holds(b"richer"));
+        assert!(answer.holds(b"richer") || answer.holds(b"poorer"));
+    }
+    assert!(richer > 50, "{richer} of 150");
+    let kernel = stand.kernel.lock().unwrap();
+    assert!(kernel.replies.iter().all(|reply| reply == b"own"), "a reply of its own");
+    assert!(kernel.ends.values().all(|&ends| ends == 1));
+}
+
+/// The answer meets a caller that is just cutting off: it is lost with its connection, and harms nobody else.
+#[test]
+fn an_answer_that_meets_a_reset_is_lost_alone() {
+    let stand = stand();
+    let mut edge = stand.edge();
+    for turn in 0..60u32 {
+        let mut cut = stand.edge();
+        let id = format!("0000000000f6{turn:04x}");
+        cut.req(1, &id, b"hang");
+        until("it runs", || stand.kernel.lock().unwrap().runs.contains_key(&id));
+        socket2::SockRef::from(&cut.stream).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+        // By turns the end of the run comes first, the reset does, or both at once.
+        match turn % 3 {
+            0 => stand.kernel.lock().unwrap().end(&id, "success", b"to nobody"),
+            1 => drop(std::mem::replace(&mut cut, stand.edge())),
+            _ => {}
+        }
+        drop(cut);
+        if turn % 3 == 2 {
+            stand.kernel.lock().unwrap().end(&id, "success", b"to nobody");
+        }
+        edge.req(turn + 1, &format!("0000000000f5{turn:04x}"), b"run");
+        assert!(edge.expect(turn + 1, Kind::Answer).holds(format!("f5{turn:04x}").as_bytes()));
+    }
+    // Those that were cut off before their run ended were stopped, or end when they are told to.
+    let left: Vec<String> = stand.kernel.lock().unwrap().runs.keys().cloned().collect();
+    for id in left {
+        stand.kernel.lock().unwrap().end(&id, "interrupted", b"");
+    }
+    assert!(stand.kernel.lock().unwrap().ends.values().all(|&ends| ends == 1));
+    assert_eq!(edge.stream.set_nonblocking(true).ok(), Some(()));
+    let mut one = [0];
+    assert_eq!(
+        edge.stream.read(&mut one).unwrap_err().kind(),
+        ErrorKind::WouldBlock,
+        "nothing more than one each"
+    );
+}
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -2,6 +2,7 @@
 
 mod admitting;
 mod cost;
+mod crossings;
 mod fleet;
 mod leases;
 mod load;
--- a/crates/simhost/src/tests.rs
+++ b/crates/simhost/src/tests.rs
@@ -68,3 +68,76 @@
     assert_eq!(cut, Err("line 2: OVER_TO_YOU: the input ends inside a batch".to_owned()));
     assert_eq!(run(&["OVER_TO_YOU"]).1, Err("line 1: OVER_TO_YOU: a batch opens with CLOCK".to_owned()));
 }
+
+/// Two customers in one process: other classes, tenants, effects and figures, the events of one between those of the
+/// other. Each acts to the letter as it does alone: nothing static or remembered holds a figure of one of them.
+#[test]
+fn two_deployments_in_one_process_act_as_each_does_alone() {
+    let one = spawn();
+    let other = spawn().replace("backend_id=3", "backend_id=4").replace("prng=7", "prng=8").replace(
+        r#""name":"page","objective":1800.0,"deadline":4500.0,"worth":1.0,"effect":"pure"}"#,
+        r#""name":"order","objective":300.0,"deadline":900.0,"worth":5.0,"effect":"token","memory_span":2000.0},
+           {"name":"page","objective":700.0,"deadline":1500.0,"worth":2.0,"effect":"side_effect"}"#,
+    );
+    let other = other.replace(r#""say":"weight""#, r#""say":"credit","callers":9"#).replace('\n', " ");
+    let both = other
+        .replace(r#""fleet_size":3"#, r#""tenants":[{"name":"a","allowance_per_s":9.0}],"fleet_size":7"#);
+    assert_ne!(both, other);
+    let (one, other) = (vec![one], vec![both]);
+    // Arrivals of drawn work, ends and alarms over some seconds, more than either can do.
+    let mut rng = 0x9e37_79b9u32;
+    let mut draw = move |most: u32| {
+        rng ^= rng << 13;
+        rng ^= rng >> 17;
+        rng ^= rng << 5;
+        rng % most
+    };
+    let mut days = [one, other];
+    for step in 1..3000u32 {
+        for (at, day) in days.iter_mut().enumerate() {
+            let id = at + 3;
+            let class = if at == 1 && draw(2) == 0 { "order" } else { "page" };
+            let work = 5 + draw(400);
+            let realm = if at == 1 { " realm=a" } else { "" };
+            let original = if class == "order" && step > 9 && draw(3) == 0 {
+                format!(" original=t/{at}x{}", step - 1 - draw(8))
+            } else {
+                String::new()
+            };
+            day.push(match draw(4) {
+                0 => format!("ELAPSED backend_id={id} handle=beat feedback=core_use:0.9,on_cores:{}", draw(6)),
+                1 if step > 20 => {
+                    format!("DONE backend_id={id} tid=t/{at}x{} latency=20.0 reason=success", step - 1 - draw(20))
+                }
+                _ => format!(
+                    "INCOMING backend_id={id} tid=t/{at}x{step} who=1 footprint=10.5 queued_for=2 type={class} work={work}{realm}{original}"
+                ),
+            });
+        }
+    }
+    // Each with batches of its own, then both in the same.
+    let play = |days: &[&Vec<String>]| {
+        let mut lines = Vec::new();
+        for step in 0..days[0].len() {
+            lines.push(format!("CLOCK t={}", 5000 + step * 3));
+            lines.extend(days.iter().map(|day| day[step].clone()));
+            lines.push("OVER_TO_YOU".to_owned());
+        }
+        let (output, result) = run(&lines.iter().map(|line| &line[..]).collect::<Vec<_>>());
+        assert_eq!(result, Ok(()));
+        output
+    };
+    let of = |output: &str, id: usize| {
+        let own = format!(" backend_id={id} ");
+        output.lines().filter(|line| line.contains(&own)).map(str::to_owned).collect::<Vec<_>>()
+    };
+    let together = play(&[&days[0], &days[1]]);
+    for (at, day) in days.iter().enumerate() {
+        let alone = of(&play(&[day]), at + 3);
+        assert!(alone.len() > 500, "{}", alone.len());
+        assert_eq!(alone, of(&together, at + 3), "backend {}", at + 3);
+    }
+    for word in ["EXECUTE", "TURN_AWAY", "KEEP", "JOIN", "ADVERTISE", "REPORT_FAILURE"] {
+        println!("{word}: {}", together.matches(word).count());
+    }
+}
