A caller that gives up is understood, where the settings say that callers tell

In the backends' logs: 'giveUp: MessageType' and 'what came is no message, a connection ends'. thrift::read took every oneway message for a fault, and Clients::carry stops reading a connection after one that can't be answered: it ends with what is open answered, but what the edge node wrote meanwhile is lost. Change: giveUp is read; what is open under that sequence counts as gone (its run is stopped where that may be, no answer is owed). One that crosses the answer is no news. Where the settings don't say that callers tell, it is a fault as before. Test: a_caller_that_gives_up_takes_its_own_req_back_alone (crossings.rs).

--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -559,6 +559,15 @@
                 spawn(move || clients.check(&connection, sequence, deep));
                 return true;
             }
+            // It may cross the answer: then nothing is open there any more.
+            Ok(Asked::GiveUp { sequence }) if self.names.withdrawals => {
+                let id = connection.open.lock().get(&sequence).cloned();
+                if let Some(id) = id {
+                    self.gate.report(&id, Report::Gone);
+                }
+                return true;
+            }
+            Ok(Asked::GiveUp { .. }) => Fault::MessageType,
             Err(fault) => fault,
         };
         if let Some(count) = GARBLED.pass() {
--- a/crates/server/src/net/thrift.rs
+++ b/crates/server/src/net/thrift.rs
@@ -31,8 +31,17 @@
 
 #[derive(Debug, PartialEq)]
 pub enum Asked {
-    Process { fields: Fields, body: Vec<u8> },
-    Probe { deep: bool },
+    Process {
+        fields: Fields,
+        body: Vec<u8>,
+    },
+    Probe {
+        deep: bool,
+    },
+    /// Nobody waits for the answer to that message any more.
+    GiveUp {
+        sequence: i32,
+    },
 }
 
 /// Why a message is answered with an application exception.
@@ -84,6 +93,7 @@
         TMessageType::Reply | TMessageType::Exception => return None,
     };
     let asked = match head.name.as_str() {
+        "giveUp" if oneway => give_up(&mut protocol),
         _ if oneway => Err(Fault::MessageType),
         "process" => process(&mut protocol),
         "probe" => probe(&mut protocol),
@@ -131,6 +141,19 @@
     Ok(Asked::Probe { deep })
 }
 
+fn give_up(protocol: &mut TBinaryInputProtocol<&[u8]>) -> Result<Asked, Fault> {
+    let mut sequence = None;
+    each_field(protocol, |protocol, id, kind| match (id, kind) {
+        (1, TType::I32) => {
+            sequence = Some(protocol.read_i32()?);
+            Ok(true)
+        }
+        _ => Ok(false),
+    })?;
+    let sequence = sequence.ok_or_else(|| Fault::Malformed("no sequence".into()))?;
+    Ok(Asked::GiveUp { sequence })
+}
+
 /// Goes through the fields of a struct; what `take` does not know is skipped.
 fn each_field<'a>(
     protocol: &mut TBinaryInputProtocol<&'a [u8]>,
--- a/crates/server/tests/program/crossings.rs
+++ b/crates/server/tests/program/crossings.rs
@@ -24,6 +24,18 @@
     }
 }
 
+impl Edge {
+    fn give_up_message(&self, sequence: u32) -> Vec<u8> {
+        let head = [&b"\x80\x01\0\x04"[..], &string(b"giveUp"), &0u32.to_be_bytes()].concat();
+        string(&[&head[..], b"\x08\0\x01", &sequence.to_be_bytes(), b"\0"].concat())
+    }
+
+    fn give_up(&mut self, sequence: u32) {
+        let message = self.give_up_message(sequence);
+        self.stream.write_all(&message).unwrap();
+    }
+}
+
 /// A place where a connect hangs: something listens there, and its backlog is full.
 struct Hanging {
     _listener: Socket,
@@ -466,3 +478,73 @@
         "nothing more than one each"
     );
 }
+
+/// Callers say that they give up, where the settings tell so. It was taken for garbage: the connection was left, and the
+/// reqs that came over it meanwhile were lost with it.
+#[test]
+fn a_caller_that_gives_up_takes_its_own_req_back_alone() {
+    let (mut stand, file) = {
+        let host = host();
+        let (kernel, store) = (listen(Shared::default(), &host), store(&host));
+        let file = file(&host, &told(&host).replace(r#""cores":4"#, r#""cores":4,"cancel_seen":true"#));
+        let child = start(&file);
+        (Stand { host, kernel, store, child, file: file.clone() }, file)
+    };
+    stand.serves();
+    let mut edge = stand.edge();
+    edge.req(1, "0000000000f40001", b"hang");
+    edge.req(2, "0000000000f40002", b"hang");
+    until("both run", || stand.kernel.lock().unwrap().runs.len() == 2);
+    edge.give_up(1);
+    // Stopped, which this kernel answers; then nobody is owed an answer to it.
+    until("it is stopped", || stand.kernel.lock().unwrap().ends.contains_key("0000000000f40001"));
+    // Of what is over, was never there, or comes twice.
+    for sequence in [1, 77, 1] {
+        edge.give_up(sequence);
+    }
+    // With its end: whichever comes first, there is one answer or none.
+    for turn in 0..30u32 {
+        let id = format!("0000000000f5{turn:04x}");
+        edge.req(100 + turn, &id, b"hang");
+        until("it runs", || stand.kernel.lock().unwrap().runs.contains_key(&id));
+        if turn % 2 == 0 {
+            stand.kernel.lock().unwrap().end(&id, "success", b"crossing");
+            edge.give_up(100 + turn);
+        } else {
+            edge.give_up(100 + turn);
+            stand.kernel.lock().unwrap().end(&id, "success", b"crossing");
+        }
+    }
+    // In one piece with what is withdrawn.
+    let mut both = edge.message(200, &fields("0000000000f60001", "20.0"), b"hang");
+    both.extend(edge.give_up_message(200));
+    edge.stream.write_all(&both).unwrap();
+    stand.kernel.lock().unwrap().end("0000000000f40002", "success", b"all the same");
+    let mut seen = HashMap::new();
+    loop {
+        let answer = edge.answer().expect("the connection goes on");
+        *seen.entry(answer.sequence).or_insert(0) += 1;
+        if answer.sequence == 2 {
+            assert!(answer.holds(b"all the same"));
+            break;
+        }
+    }
+    edge.req(300, "0000000000f70001", b"run");
+    let last = std::iter::from_fn(|| edge.answer()).find(|answer| answer.sequence == 300);
+    assert!(last.is_some_and(|answer| answer.kind == Kind::Answer));
+    assert!(seen.values().all(|&count| count == 1) && !seen.contains_key(&1), "{seen:?}");
+    // Without that setting it is no message, as before.
+    drop(edge);
+    stand.signal("TERM");
+    let left: Vec<String> = stand.kernel.lock().unwrap().runs.keys().cloned().collect();
+    for id in left {
+        stand.kernel.lock().unwrap().end(&id, "interrupted", b"");
+    }
+    assert_eq!(stand.ended().code(), Some(0));
+    std::fs::write(&file, told(&stand.host)).unwrap();
+    stand.child = start(&file);
+    stand.serves();
+    let mut edge = stand.edge();
+    edge.give_up(1);
+    assert!(edge.answer().is_none(), "closed");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -86,6 +86,9 @@
     /// The list of servers follows the health that a server tells.
     #[serde(default)]
     list_follows: bool,
+    /// Callers say when they give up.
+    #[serde(default)]
+    cancel_seen: bool,
 }
 
 /// What clients do.
@@ -154,6 +157,8 @@
     pub handlers: HashMap<String, usize>,
     pub tenants: HashMap<String, usize>,
     pub gauges: Vec<String>,
+    /// Callers say when nobody waits for an answer any more.
+    pub withdrawals: bool,
 }
 
 /// A time given in milliseconds.
@@ -218,6 +223,7 @@
         handlers: facts.classes.iter().enumerate().map(|(at, class)| (class.name.clone(), at)).collect(),
         tenants: facts.tenants.iter().enumerate().map(|(at, tenant)| (tenant.name.clone(), at)).collect(),
         gauges: info.own_stats.clone(),
+        withdrawals: info.cancel_seen,
     };
     for (name, length) in
         [("class_calls", info.class_calls.len()), ("class_skip_worth", info.class_skip_worth.len())]
