--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -762,7 +762,8 @@
         }
         let held_kb = number_of("need")?.filter(|&kb| kb > 0.0 && kb < NEED_LIMIT);
         // Rough, and at times far more than anybody waits for: turned away for it, but not as senseless.
-        let most = self.gate.client_timeout(handler).mul_f64(WORK_MOST);
+        let timeout = self.gate.client_timeout(handler);
+        let most = timeout.mul_f64(WORK_MOST);
         let work = span("ms")?.map(|work| work.min(most));
         if number_of("level")?.is_some_and(|level| level >= 1.0) {
             return Err(wrong("level"));
@@ -772,7 +773,8 @@
             handler,
             tenant,
             age: Duration::ZERO,
-            patience: span("timeout")?,
+            // None waits longer than its handler's clients do: taken at its word, it would be owed an answer for ever.
+            patience: span("timeout")?.map(|patience| patience.min(timeout)),
             work,
             held_kb: held_kb.ok_or_else(|| wrong("need"))?,
             retry: find("resent").is_some_and(|value| value == "1"),
