A repeat without room and a repeat shed after a run are tested; the gate's model asks for more

Cause: a mutation that shed what had joined (give_up, `state != State::Joined` dropped) passed every_order_of_tries_ends_and_losses_around_a_key: the model of the gate's tests asked only that a try that ran itself is not shed, where the rule holds for any try of what was run in the window. Change: the model asks that too; the bound on memory is forced over loopback with a keyed handler and 1 MB.

--- a/crates/server/src/gate/tests.rs
+++ b/crates/server/src/gate/tests.rs
@@ -198,6 +198,15 @@
                 assert_eq!(seen.answer, None, "answered once");
                 let shed = matches!(answer, Answer::Shed { .. });
                 assert!(!shed || seen.runs == 0 || seen.effect == Effect::Replayable, "shed after a run");
+                // Nor is any other try of what was run in the window.
+                if let Some(key) = seen.key.as_ref().filter(|_| shed) {
+                    let ran =
+                        self.ran.get(key).filter(|(_, id)| !self.unrun.contains(&(key.clone(), id.clone())));
+                    assert!(
+                        ran.is_none_or(|ran| seen.entered >= ran.0 + ms(WINDOW)),
+                        "a repeat is shed after a run"
+                    );
+                }
                 seen.answer = Some(answer);
             }
             Order::Call { body, .. } => assert_eq!(body, bytes("body")),
--- a/crates/server/tests/program/crossings.rs
+++ b/crates/server/tests/program/crossings.rs
@@ -610,3 +610,46 @@
     edge.give_up(1);
     assert!(edge.answer().is_none(), "closed");
 }
+
+/// Without memory for another req, a new one is turned away and told when to come back; a repeat of one that was run
+/// is errored, as nobody may be told that it was not.
+#[test]
+fn a_repeat_of_what_was_run_is_not_turned_away_without_room() {
+    let host = host();
+    let (kernel, store) = (listen(Shared::default(), &host), store(&host));
+    let keyed = told(&host)
+        .replace(r#""effect":"pure""#, r#""effect":"token","memory_span":9000.0"#)
+        .replace(r#""memory_mb":192"#, r#""memory_mb":1"#);
+    let file = file(&host, &keyed);
+    let child = start(&file);
+    let stand = Stand { host, kernel, store, child, file };
+    stand.serves();
+    let of = |id: &str, key: &str| {
+        let mut fields = fields(id, "20.0");
+        fields.push(("opkey", key.to_owned()));
+        fields
+    };
+    let mut edge = stand.edge();
+    edge.process(1, &of("0000000000e10001", "first"), b"run");
+    let first = edge.expect(1, Kind::Answer);
+    assert!(first.holds(b"page \0 0000000000e10001"));
+    // A repeat with the same body has its result; one with another body, or for nobody's tenant, has not.
+    edge.process(2, &of("0000000000e10002", "first"), b"run");
+    assert!(edge.expect(2, Kind::Answer).holds(b"page \0 0000000000e10001"));
+    edge.process(3, &of("0000000000e10003", "first"), b"runs");
+    edge.expect(3, Kind::Exception);
+    // As many as there is memory for, and none more.
+    let most = (0.45 * 1024.0 / 24.0) as u32;
+    for at in 0..most {
+        edge.process(10 + at, &of(&format!("0000000000e2{at:04x}"), &format!("k{at}")), b"hang");
+    }
+    let mut other = stand.edge();
+    until("there is no room", || {
+        let mut probing = stand.edge();
+        let id = format!("{:016x}", 0xe300_0000u32 + stand.kernel.lock().unwrap().notices.len() as u32);
+        probing.process(1, &of(&id, &id), b"run");
+        probing.answer().is_some_and(|answer| answer.kind == Kind::Rejected && answer.holds(b"holdoff"))
+    });
+    other.process(1, &of("0000000000e10004", "first"), b"run");
+    other.expect(1, Kind::Crashed);
+}
