A start whose arrival is unknown is not said twice where its run may not run twice

The notices read by then show what had ended before, but not a run that ends just then: behind them, and before the second start arrives. PROTOCOL says of a run that still goes on that nothing happens, and nothing of one that is over: the stand-in runs it a second time. Rule 2. - The same function gave all it was to say again its places among the commands before it was in the ring. What waited for room there was overtaken by a question; its answer showed the waiting commands as arrived, and had the link broken then they were never said. - Store::run took a waiting call off the queue before it looked whether there is a store; without one it was dropped, and the others stood until their time was over. Change: a start that may have arrived counts as broken where its handler is keyed or non-replayable; what is said again has its place once it is in the ring, under one lock; calls that wait as the store is taken away are reported as never made.

--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -11,7 +11,7 @@
 use may::sync::Blocker;
 use parking_lot::Mutex;
 use slab::Slab;
-use tulipgap::{Action, Arrival, Decider, Event, Given};
+use tulipgap::{Action, Arrival, Decider, Effect, Event, Given};
 pub use tulipgap::{Gauges, Outcome};
 use tulipgap_trace::Reason;
 
@@ -431,6 +431,11 @@
         self.given.handlers.get(handler).map_or(Duration::MAX, |handler| handler.client_timeout)
     }
 
+    /// Whether reqs of a handler may not run again.
+    pub fn runs_once(&self, handler: usize) -> bool {
+        self.given.handlers.get(handler).is_none_or(|handler| handler.effect != Effect::Replayable)
+    }
+
     /// What health checks are told.
     pub fn healthy(&self) -> bool {
         self.state.lock().healthy
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -584,6 +584,7 @@
     fn live(&self, connection: &Connection, sequence: i32, read: Read, body: Bytes) {
         let (id, class, came) = (read.incoming.id.clone(), read.class, read.came);
         let mut incoming = read.incoming;
+        let once = self.gate.runs_once(incoming.handler);
         // A clock that was set back makes it now.
         incoming.age = unix_now().saturating_sub(came);
         // It is told as it was when the req came.
@@ -614,7 +615,7 @@
                 continue;
             };
             match order {
-                Order::Run => self.kernel.start(&id, &class, &body),
+                Order::Run => self.kernel.start(&id, &class, &body, once),
                 Order::Stop => self.kernel.stop(&id),
                 Order::Call { patience, body } => {
                     calls += 1;
@@ -820,8 +821,56 @@
 
 #[cfg(test)]
 mod tests {
+    use tulipgap_admission::{Terms, WhenFull};
+
     use super::*;
 
+    /// A fault of ours ends the coroutine of one req, with a lock in its hands: its caller is answered all the same, what
+    /// was locked is free again, and the connection goes on.
+    #[test]
+    fn a_req_whose_coroutine_fails_is_answered() {
+        let (given, names) = crate::net::told();
+        let terms = Terms {
+            descriptors: 64,
+            reserves: Vec::new(),
+            caps: None,
+            when_full: WhenFull::Wait,
+            listed: Vec::new(),
+            half_life: Duration::from_secs(600),
+            message: MESSAGE_MOST,
+            idle: IDLE_MORE,
+            cold_part: 1.0,
+            warm_up: Duration::ZERO,
+        };
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let gate = Arc::new(Gate::new(given, 7, None));
+        let kernel = Kernel::new(address, gate.clone(), Vec::new());
+        let store = Store::new(None, gate.clone(), 4);
+        let admission = Admission::new(terms, 7).unwrap();
+        let clients = Clients::new(gate, kernel, store, names, admission, false, 48.0);
+        clients.opened(TcpStream::connect(address).unwrap(), address.ip());
+        let connection = clients.connections.lock().iter().next().unwrap().1.clone();
+        let mut edge = listener.accept().unwrap().0;
+        edge.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+        for sequence in 1..4 {
+            connection.open.lock().insert(sequence, format!("{sequence:016x}").into());
+            clients.tell(News::Opened { conn: connection.conn });
+            let failed = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+                let (connection, free) = (&*connection, Cell::new(false));
+                let _place = Place { clients: &clients, connection, sequence, free };
+                let _locked = (clients.recent.lock(), clients.admission.lock(), connection.open.lock());
+                panic!("a fault, as this test plays it");
+            }));
+            assert!(failed.is_err());
+            assert_eq!(connection.busy(), 0, "its place is free");
+            let answer = thrift::answer("process", sequence, &Said::Crashed { fields: &[] });
+            let mut came = vec![0; answer.len()];
+            io::Read::read_exact(&mut edge, &mut came).unwrap();
+            assert_eq!(came, answer);
+        }
+    }
+
     /// A req was open no more before its answer was there to send; a connection that was to end looked done in
     /// between and closed without it, once in six runs of a suite. Whoever looks must see one or the other.
     #[test]
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -68,6 +68,8 @@
 struct Run {
     class: Id,
     body: Bytes,
+    /// It may not run again, so its start is never said twice.
+    once: bool,
     said: Said,
     /// The place among all commands of what was said last; 0 once a notice shows that it arrived, none while it
     /// was not said.
@@ -128,10 +130,11 @@
         }
     }
 
-    /// Runs a req.
-    pub fn start(&self, id: &Id, class: &Id, body: &Bytes) {
+    /// Runs a req, which may run `once` or again.
+    pub fn start(&self, id: &Id, class: &Id, body: &Bytes, once: bool) {
         self.say(id, &Command::Start { class, body }, |state, place| {
-            let run = Run { class: class.clone(), body: body.clone(), said: Said::Start, place, call: 0 };
+            let (class, body) = (class.clone(), body.clone());
+            let run = Run { class, body, once, said: Said::Start, place, call: 0 };
             state.runs.insert(id.clone(), run);
         });
     }
@@ -408,52 +411,81 @@
     /// call of its run: the call is skipped instead, which does nothing where the reply has arrived. Where
     /// notices are missing, as the kernel keeps only so many, a run that was not heard of may have ended, and
     /// nothing of it is said again.
+    ///
+    /// A run may also end just now, behind the notices that were read and before what is said arrives: started again,
+    /// it would run a second time. One that may not counts as broken instead, where its start has left here.
     fn resume(&self, out: &Arc<Out>) {
-        let mut again = Vec::new();
-        {
+        let (lost, again) = {
             let mut state = self.state.lock();
             // A link that broke before this came to its turn: what is said goes to the next, or it would be lost.
             if !state.link.as_ref().is_some_and(|link| Arc::ptr_eq(link, out)) {
                 return;
             }
             state.out = Some(out.clone());
-            if std::mem::replace(&mut state.missed, false) {
-                let lost = std::mem::take(&mut state.runs);
-                drop(state);
-                log::warn!("kernel link: notices are missing, {} runs count as broken", lost.len());
-                for id in lost.keys() {
-                    self.gate.report(
-                        id,
-                        Report::Ended { outcome: Outcome::Broken, result: Bytes::default(), work: None },
-                    );
+            let (missed, arrived) = (std::mem::replace(&mut state.missed, false), state.arrived);
+            let (mut lost, mut again) = (Vec::new(), Vec::new());
+            state.runs.retain(|id, run| {
+                let unsure = run.place.is_some_and(|place| arrived < place);
+                let stays = !(missed || unsure && run.once && matches!(run.said, Said::Start));
+                if !stays {
+                    lost.push(id.clone());
+                } else if unsure || run.place.is_none() {
+                    // Not said over this link: no answer that comes over it shows that it has arrived.
+                    run.place = None;
+                    again.push(id.clone());
                 }
+                stays
+            });
+            (lost, again)
+        };
+        if !lost.is_empty() {
+            log::warn!("kernel link: {} runs may have ended unheard and count as broken", lost.len());
+        }
+        for id in sorted(lost) {
+            let broken = Report::Ended { outcome: Outcome::Broken, result: Bytes::default(), work: None };
+            self.gate.report(&id, broken);
+        }
+        for id in sorted(again) {
+            if !self.say_again(&id, out) {
                 return;
             }
-            let arrived = state.arrived;
-            let mut ids: Vec<Id> = state.runs.keys().cloned().collect();
-            ids.sort_unstable();
-            for id in ids {
-                let place = state.commands + 1;
-                let Some(run) = state.runs.get_mut(&id) else { continue };
-                if run.place.is_some_and(|place| place <= arrived) {
-                    continue;
+        }
+    }
+
+    /// Says once more what was said last of a run, unless that was done meanwhile; false where the link has ended.
+    fn say_again(&self, id: &Id, out: &Out) -> bool {
+        loop {
+            // Under the lock, so that commands arrive in the order of their places: one that waits for room has none
+            // yet, or the answer to a question that overtook it would show it as arrived.
+            let mut state = self.state.lock();
+            let place = state.commands + 1;
+            let Some(run) = state.runs.get_mut(id).filter(|run| run.place.is_none()) else { return true };
+            let (command, said) = match &run.said {
+                Said::Start => (Command::Start { class: &run.class, body: &run.body }, Said::Start),
+                Said::Skip | Said::Reply => (Command::Skip(run.call), Said::Skip),
+                Said::Unsent(reply) => (Command::Reply(reply), Said::Reply),
+            };
+            match out.add(&[&command.bytes(id)]) {
+                Added::Full => {}
+                Added::Ended => return false,
+                Added::Yes => {
+                    (run.said, run.place) = (said, Some(place));
+                    state.commands = place;
+                    return true;
                 }
-                let (command, said) = match &run.said {
-                    Said::Start => (Command::Start { class: &run.class, body: &run.body }, Said::Start),
-                    Said::Skip | Said::Reply => (Command::Skip(run.call), Said::Skip),
-                    Said::Unsent(reply) => (Command::Reply(reply), Said::Reply),
-                };
-                again.push(command.bytes(&id));
-                (run.said, run.place) = (said, Some(place));
-                state.commands = place;
             }
-        }
-        for bytes in again {
-            out.push(&[&bytes]);
+            drop(state);
+            clock::sleep(FULL_PAUSE);
         }
     }
 }
 
+/// In an order that is no map's.
+fn sorted(mut ids: Vec<Id>) -> Vec<Id> {
+    ids.sort_unstable();
+    ids
+}
+
 /// What is known from the gauges heard last. Cores are not idle because a link broke.
 fn known(gauged: Option<(Instant, Gauges)>, now: Instant) -> Gauges {
     let fresh = gauged.filter(|(at, _)| now.saturating_duration_since(*at) < GAUGES_KEPT);
@@ -486,20 +518,17 @@
         assert_eq!(known(None, at), Gauges::default());
     }
 
+    fn kernel(address: SocketAddr) -> Arc<Kernel> {
+        Kernel::new(address, Arc::new(Gate::new(crate::net::told().0, 7, None)), Vec::new())
+    }
+
     /// The answer that a link is caught up with may come to its turn behind the end of that link. Taken for the one in
     /// use, it would swallow all commands until the next one broke.
     #[test]
     fn a_link_that_has_ended_is_not_taken_for_the_one_in_use() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let given = tulipgap_settings::read(
-            r#"{"classes":[{"name":"page","objective":1e3,"deadline":2e3,"worth":1.0,"effect":"pure"}],
-            "family_info":{"below":"silent","blowup":4.0,"cores":2,"halt":"drop","idle":9e3,"mem_limit_kb":9e3,
-            "say":"weight"},"fleet_size":3,"limits":{"max_retry_after":1e3,"retry_after":true},"rules":{"cold_from":0.3,
-            "drain_grace":1e3,"fall":2e3,"fall_multiple":4.0,"grace_to_answer":60.0,"warm_up":9e3}}"#,
-        );
-        let gate = Arc::new(Gate::new(given.unwrap().0, 7, None));
-        let kernel = Kernel::new(address, gate, Vec::new());
+        let kernel = kernel(address);
         let link =
             || Link::new(may::net::TcpStream::connect(address).unwrap(), LINES_MOST, LINES_MOST).out.clone();
         let (ended, now) = (link(), link());
@@ -512,4 +541,51 @@
         kernel.resume(&now);
         assert!(kernel.state.lock().out.is_none());
     }
+
+    /// Commands that wait for room as a link is taken up had their places already: the answer to a question that
+    /// overtook them showed them as arrived, and they were never said again. A start that may have arrived is said again
+    /// where it may run again, and counts as broken where it may not.
+    #[test]
+    fn what_waits_for_room_has_no_place_and_what_may_run_once_is_not_started_again() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let kernel = kernel(listener.local_addr().unwrap());
+        let id = |at: u32| Id::from(format!("{at:016x}"));
+        let start = |once, place| {
+            let (class, body) = (Id::from("page"), Bytes::from(&b"run"[..]));
+            Run { class, body, once, said: Said::Start, place, call: 0 }
+        };
+        let one = Command::Start { class: "page", body: b"run" }.bytes(&id(0)).len();
+        let stream = may::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let link = Link::new(stream, LINES_MOST, one);
+        {
+            let mut state = kernel.state.lock();
+            (state.link, state.commands, state.arrived) = (Some(link.out.clone()), 7, 2);
+            // Known to have arrived, maybe arrived, and never said.
+            let runs = [(false, Some(2)), (false, Some(3)), (true, Some(4)), (true, None), (true, Some(0))];
+            state.runs = (0..).zip(runs).map(|(at, (once, place))| (id(at), start(once, place))).collect();
+        }
+        let mut said = Vec::new();
+        std::thread::scope(|scope| {
+            scope.spawn(|| kernel.resume(&link.out));
+            let start = Instant::now();
+            while said.len() < 2 && start.elapsed() < Duration::from_secs(30) {
+                let state = kernel.state.lock();
+                let mut ring = link.out.ring.lock();
+                if ring.len() > 0 {
+                    said.push((state.commands, String::from_utf8(ring.whole().to_vec()).unwrap()));
+                    ring.consume(one);
+                }
+            }
+            // Whatever still waits for room then does not wait for ever.
+            link.out.ended.store(true, std::sync::atomic::Ordering::Release);
+        });
+        let places: Vec<u64> = said.iter().map(|said| said.0).collect();
+        assert_eq!(places, [8, 9], "a place for what was not said");
+        assert!(said[0].1.contains(&*id(1)) && said[1].1.contains(&*id(3)), "{said:?}");
+        let state = kernel.state.lock();
+        assert!(!state.runs.contains_key(&id(2)), "it counts as broken");
+        let places = [0, 1, 3, 4].map(|at| state.runs[&id(at)].place);
+        assert_eq!(places, [Some(2), Some(8), Some(9), Some(0)]);
+        assert_eq!(link.out.len(), 0, "nothing more is said");
+    }
 }
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -115,6 +115,13 @@
         if self.address.set(address) {
             self.sweep();
         }
+        // There is none any more: what waits for a place is not called.
+        if address.is_none() {
+            let waiting = std::mem::take(&mut self.pool.lock().waiting);
+            for call in waiting {
+                self.ended(&call.id, Outcome::Unreachable, Bytes::default());
+            }
+        }
     }
 
     /// Makes a req's call of that number; its end is reported to the gate.
@@ -210,7 +217,9 @@
             pool.open.remove(id);
         }
         // Its place is another's.
-        if let (Some(address), Some(call)) = (self.address.now(), pool.waiting.pop_front()) {
+        if let Some(address) = self.address.now()
+            && let Some(call) = pool.waiting.pop_front()
+        {
             self.open(&mut pool, address, call);
         }
         drop(pool);
--- a/crates/server/tests/program/crossings.rs
+++ b/crates/server/tests/program/crossings.rs
@@ -242,6 +242,40 @@
     assert!(stand.kernel.lock().unwrap().ends.values().all(|&ends| ends == 1), "run again");
 }
 
+/// A link breaks as a run starts that may not run twice, and the run ends as the next link is taken up: behind the
+/// notices that were read there, and before anything said over it arrives. Its start was said again, and it ran twice.
+#[test]
+fn a_run_that_ends_as_its_link_is_taken_up_is_not_run_again() {
+    for effect in [r#""effect":"side_effect""#, r#""effect":"token","memory_span":9000.0"#] {
+        let host = host();
+        let (kernel, store) = (listen(Shared::default(), &host), store(&host));
+        let file = file(&host, &told(&host).replace(r#""effect":"pure""#, effect));
+        let child = start(&file);
+        let stand = Stand { host, kernel, store, child, file };
+        stand.serves();
+        let id = "0000000000ef0001";
+        stand.kernel.lock().unwrap().cutting = true;
+        let mut edge = stand.edge();
+        let mut keyed = fields(id, "20.0");
+        keyed.push(("opkey", "ef".to_owned()));
+        edge.process(1, &keyed, b"hang");
+        let first = edge.answer().expect("an answer");
+        assert!(first.kind == Kind::Crashed || first.holds(b"unheard"), "{:?}", first.kind);
+        // What was said before is heard by the time that this has run.
+        edge.req(2, "0000000000ef0002", b"run");
+        edge.expect(2, Kind::Answer);
+        // A repeat gets no run either.
+        let mut again = fields("0000000000ef0003", "20.0");
+        again.push(("opkey", "ef".to_owned()));
+        if effect.contains("token") {
+            edge.process(3, &again, b"hang");
+            edge.expect(3, first.kind);
+        }
+        let kernel = stand.kernel.lock().unwrap();
+        assert_eq!((kernel.ends.get(id), kernel.runs.len()), (Some(&1), 0), "run again");
+    }
+}
+
 /// The announce service is down at the start, and heard of it once it listens; of its leaving too, whether or not the
 /// kernel is up by then.
 #[test]
@@ -335,6 +369,37 @@
     drop(store);
 }
 
+/// The store is taken away with a call waiting for a place: the call was dropped, and its req stood until it was due.
+#[test]
+fn a_call_that_waits_as_the_store_goes_is_left_out_at_once() {
+    let stand = stand_with(32);
+    stand.store.plan(&["", "", "", ""]);
+    let mut edge = stand.edge();
+    for sequence in 1..5 {
+        edge.req(sequence, &format!("0000000000ee{sequence:04x}"), b"call");
+    }
+    until("all places are taken", || stand.store.open.lock().unwrap().len() == 32 / 8);
+    edge.req(5, "0000000000ee0005", b"call");
+    until("it stands at its call", || stand.kernel.lock().unwrap().runs.contains_key("0000000000ee0005"));
+    // Its wish to call is heard before the end of what runs behind it.
+    edge.req(6, "0000000000ee0006", b"run");
+    edge.expect(6, Kind::Answer);
+    let text = told(&stand.host).replace("1024", "32");
+    let store = format!(r#""store":"{}:7700","#, stand.host);
+    assert!(text.contains(&store));
+    std::fs::write(&stand.file, text.replace(&store, "")).unwrap();
+    stand.signal("HUP");
+    // The four others still wait for their replies then.
+    assert!(edge.expect(5, Kind::Answer).holds(b"poorer"));
+    assert_eq!(stand.store.left.load(Ordering::Acquire), 0);
+    for (id, mut stream) in std::mem::take(&mut *stand.store.open.lock().unwrap()) {
+        let _ = stream.write_all(format!("{id} OK 4\r\ngood\r\n").as_bytes());
+    }
+    for _ in 1..5 {
+        assert!(edge.answer().expect("an answer").holds(b"richer"));
+    }
+}
+
 /// A file of another backend, as when two are mixed up: its kernel was taken for this one's.
 #[test]
 fn a_file_of_another_backend_moves_nobody() {
--- a/crates/server/tests/program/stand.rs
+++ b/crates/server/tests/program/stand.rs
@@ -49,6 +49,11 @@
     pub links: u32,
     /// The next reply to a call is lost with the link that it came over.
     pub losing: bool,
+    /// The link breaks as the next run starts; the run ends behind the gauges that are told first over the next link,
+    /// and its notice stays on its way until more is heard there.
+    pub cutting: bool,
+    pub ending: Option<String>,
+    pub late: Vec<u8>,
     pub replies: Vec<Vec<u8>>,
 }
 
@@ -78,6 +83,9 @@
     }
 
     pub fn hear(&mut self, words: &[&str], body: Vec<u8>) {
+        if let Some(link) = &mut self.link {
+            let _ = link.write_all(&std::mem::take(&mut self.late));
+        }
         match words {
             ["SCHED", id, "page", _] if body == b"unknown" => self.say(format!("EINVAL SCHED {id}\r\n")),
             ["SCHED", id, "page", _] => {
@@ -87,6 +95,10 @@
                 match &body[..] {
                     b"run" => self.end(&id, "success", format!("page \0 {id}").as_bytes()),
                     b"call" if *starts == 1 => self.notice("IOREQ", id, b"what is called"),
+                    _ if std::mem::take(&mut self.cutting) => {
+                        let _ = self.link.take().unwrap().shutdown(Shutdown::Both);
+                        self.ending = Some(id);
+                    }
                     _ => {}
                 }
             }
@@ -99,7 +111,16 @@
                 self.replies.push(body);
                 self.end(id, "success", b"richer");
             }
-            ["SYSINFO", tag] => self.say(format!("INFO {tag} 0.1 0 0 1\r\n")),
+            ["SYSINFO", tag] => {
+                self.say(format!("INFO {tag} 0.1 0 0 1\r\n"));
+                if self.link.is_some()
+                    && let Some(id) = self.ending.take()
+                {
+                    let link = self.link.take();
+                    self.end(&id, "success", b"unheard");
+                    (self.link, self.late) = (link, self.notices.last().unwrap().clone());
+                }
+            }
             ["POST", tag] => self.say(format!("POSTED {tag} success\r\n")),
             other => panic!("no command: {other:?}"),
         }
