--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -287,6 +287,11 @@
             let closing = self.closing.load(Ordering::Acquire);
             if closing && !std::mem::replace(&mut shut, true) {
                 settled = !shut_out(&listener);
+                if settled {
+                    log::info!(
+                        "the listener closes without a filter: a connection may come just then, and be reset"
+                    );
+                }
             }
             let (may, acted) = self.decide(|admission, now, acts| {
                 let may = admission.may_accept(now, acts);
