A req given up in the read that brought it is turned away unrun, not run for nobody

Cause: the one crossing of docs/crossings.md that cost work and stood open. Clients::take hears giveUp at once, while the req before it in the same read enters the gate only with its own coroutine (live): Gate::report knew no such id, and the req was run for nobody. Ruled out: leaving it out of the gate, as the module would not see how long it lay unread, by which it tells a buried server. Change: what is open on a connection tells whether it was given up; such a req enters with no patience left, so the module turns it away. Test: a_caller_that_gives_up_takes_its_own_req_back_alone asserts that it never reaches the kernel; it fails without the patience line.

--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -79,11 +79,18 @@
 static CROWDS: Bound = Bound::new();
 static REFUSED: Bound = Bound::new();
 
+/// A req that is open on a connection.
+struct Open {
+    id: Id,
+    /// Its caller has given it up.
+    withdrawn: bool,
+}
+
 /// One connection, as others than its own coroutine see it.
 struct Connection {
     out: Arc<Out>,
-    /// Ids of its open reqs, by the sequence of their message.
-    open: Mutex<HashMap<i32, Id>>,
+    /// Its open reqs, by the sequence of their message.
+    open: Mutex<HashMap<i32, Open>>,
     /// Checks under way.
     checks: AtomicUsize,
     opened: Instant,
@@ -125,7 +132,7 @@
         method: &str,
         sequence: i32,
         said: &Said,
-        conclude: impl FnOnce(&mut HashMap<i32, Id>),
+        conclude: impl FnOnce(&mut HashMap<i32, Open>),
     ) {
         let answer = thrift::answer(method, sequence, said);
         let mut open = self.open.lock();
@@ -437,7 +444,7 @@
         // Cut off: nobody waits for what was open here.
         if let Err(error) = end {
             log::debug!("a connection broke: {error}");
-            let open: Vec<Id> = connection.open.lock().values().cloned().collect();
+            let open: Vec<Id> = connection.open.lock().values().map(|open| open.id.clone()).collect();
             for id in open {
                 self.gate.report(&id, Report::Gone);
             }
@@ -548,7 +555,8 @@
                         Fault::Malformed("its id came before".into())
                     }
                     Ok(read) => {
-                        connection.open.lock().insert(sequence, read.incoming.id.clone());
+                        let open = Open { id: read.incoming.id.clone(), withdrawn: false };
+                        connection.open.lock().insert(sequence, open);
                         self.tell(News::Opened { conn: connection.conn });
                         let (clients, connection) = (self.clone(), connection.clone());
                         spawn(move || clients.live(&connection, sequence, read, body.into()));
@@ -566,7 +574,10 @@
             }
             // It may cross the answer: then nothing is open there any more.
             Ok(Asked::GiveUp { sequence }) if self.names.withdrawals => {
-                let id = connection.open.lock().get(&sequence).cloned();
+                let id = connection.open.lock().get_mut(&sequence).map(|open| {
+                    open.withdrawn = true;
+                    open.id.clone()
+                });
                 if let Some(id) = id {
                     self.gate.report(&id, Report::Gone);
                 }
@@ -594,6 +605,10 @@
         incoming.age = unix_now().saturating_sub(came);
         // It is told as it was when the req came.
         incoming.patience = incoming.patience.map(|patience| patience.saturating_sub(incoming.age));
+        // Given up in the very read that brought it, as where much lies unread: it would be run for nobody.
+        if connection.open.lock().get(&sequence).is_some_and(|open| open.withdrawn) {
+            incoming.patience = Some(Duration::ZERO);
+        }
         incoming.body = self.prints.hash_one(&body);
         let place = Place { clients: self, connection, sequence, free: Cell::new(false) };
         let say = |said: &Said| place.answer(said);
@@ -859,7 +874,8 @@
         let mut edge = listener.accept().unwrap().0;
         edge.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
         for sequence in 1..4 {
-            connection.open.lock().insert(sequence, format!("{sequence:016x}").into());
+            let open = Open { id: format!("{sequence:016x}").into(), withdrawn: false };
+            connection.open.lock().insert(sequence, open);
             clients.tell(News::Opened { conn: connection.conn });
             let failed = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
                 let (connection, free) = (&*connection, Cell::new(false));
@@ -897,7 +913,8 @@
         std::thread::scope(|scope| {
             scope.spawn(|| {
                 for _ in 0..20_000 {
-                    connection.open.lock().insert(1, "00000000000000c1".into());
+                    let open = Open { id: "00000000000000c1".into(), withdrawn: false };
+                    connection.open.lock().insert(1, open);
                     step.fetch_add(1, Ordering::AcqRel);
                     connection.conclude("process", 1, &Said::Crashed { fields: &[] }, |open| {
                         open.remove(&1);
--- a/crates/server/tests/program/crossings.rs
+++ b/crates/server/tests/program/crossings.rs
@@ -642,7 +642,7 @@
             stand.kernel.lock().unwrap().end(&id, "success", b"crossing");
         }
     }
-    // In one piece with what is withdrawn.
+    // In one piece with what is withdrawn: that is not run for nobody.
     let mut both = edge.message(200, &fields("0000000000f60001", "20.0"), b"hang");
     both.extend(edge.give_up_message(200));
     edge.stream.write_all(&both).unwrap();
@@ -659,6 +659,11 @@
     edge.req(300, "0000000000f70001", b"run");
     let last = std::iter::from_fn(|| edge.answer()).find(|answer| answer.sequence == 300);
     assert!(last.is_some_and(|answer| answer.kind == Kind::Answer));
+    {
+        let kernel = stand.kernel.lock().unwrap();
+        let ran = |id: &str| kernel.runs.contains_key(id) || kernel.ends.contains_key(id);
+        assert!(ran("0000000000f70001") && !ran("0000000000f60001"), "run for nobody");
+    }
     assert!(seen.values().all(|&count| count == 1) && !seen.contains_key(&1), "{seen:?}");
     // Without that setting it is no message, as before.
     drop(edge);
