No filter before the listener closes: whoever connected then hung for a second

Since, Clients::close has all edge nodes asked to leave and then a filter on the listener (shut_out) drop SYNs for the last 20 ms; just then they connect anew, their SYNs are dropped, and the system sends the next one after 1 s, when the program is gone and its stop near. Change: no filter, no 20 ms; accepting ends with the first look that finds nothing, and the listener closes right behind it.

--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -13,7 +13,6 @@
 use may::net::{TcpListener, TcpStream};
 use parking_lot::Mutex;
 use slab::Slab;
-use socket2::{SockFilter, SockRef};
 use tulipgap_admission::{Act, Admission, Cause, Conn, News, Trouble};
 use tulipgap_settings::Names;
 use tulipgap_trace::{Reason, hashed};
@@ -61,8 +60,6 @@
 /// What a req's work counts for at the most, as a multiple of the time that its client waits.
 const WORK_MOST: f64 = 2.0;
 const BODY_MOST: usize = 2048;
-/// How long those have to become whole that were being opened as the listener was shut.
-const OPENING_MOST: Duration = Duration::from_millis(20);
 /// The longest that a deep check waits for its work.
 const CHECK_MOST: Duration = Duration::from_secs(2);
 
@@ -289,17 +286,8 @@
     /// accepted may hold a whole req, and a listener that closes on it would lose that.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
         *self.listener.lock() = Some(listener.waker());
-        let (mut shut, mut settled) = (false, false);
         loop {
             let closing = self.closing.load(Ordering::Acquire);
-            if closing && !std::mem::replace(&mut shut, true) {
-                settled = !shut_out(&listener);
-                if settled {
-                    log::info!(
-                        "the listener closes without a filter: a connection may come just then, and be reset"
-                    );
-                }
-            }
             let (may, acted) = self.decide(|admission, now, acts| {
                 let may = admission.may_accept(now, acts);
                 (may, !acts.is_empty())
@@ -311,11 +299,10 @@
             let came = listener.inner().accept().and_then(|(stream, peer)| Ok((adopt(stream)?, peer)));
             match came {
                 Ok((stream, peer)) => self.opened(stream, peer.ip()),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => match closing {
-                    false => drop(listener.wait_io()),
-                    true if !std::mem::replace(&mut settled, true) => clock::sleep(OPENING_MOST),
-                    true => break,
-                },
+                // The last look and the closing follow upon each other: newcomers may not be kept out before by anything
+                // that leaves them without an answer, as they would hang for a second and more in place of being refused.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock && closing => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => _ = listener.wait_io(),
                 Err(error) => {
                     if let Some(count) = ACCEPTS.pass() {
                         log::warn!("accept: {error} ({count} so far)");
@@ -715,21 +702,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
-/// Has the system drop what would open a further connection, so that none can come between the last look and the
-/// closing of the listener. Its owner tries again within a second, and is refused by then. Where that can't be had,
-/// the two follow upon each other at once.
-fn shut_out(listener: &TcpListener) -> bool {
-    // Of the TCP header, the byte of flags; of those, SYN without ACK.
-    let filter = [
-        SockFilter::new(0x30, 0, 0, 13),
-        SockFilter::new(0x54, 0, 0, 0x12),
-        SockFilter::new(0x15, 0, 1, 0x02),
-        SockFilter::new(0x06, 0, 0, 0),
-        SockFilter::new(0x06, 0, 0, u32::MAX),
-    ];
-    SockRef::from(listener.inner()).attach_filter(&filter).is_ok()
-}
-
 /// A descriptor for bad days; without it one more connection is refused later, no more.
 fn spare() -> Option<std::fs::File> {
     std::fs::File::open("/dev/null").ok()
--- a/crates/server/tests/program/crossings.rs
+++ b/crates/server/tests/program/crossings.rs
@@ -98,17 +98,16 @@
     }
 }
 
-/// Callers that connect as fast as they can while the listener closes. Whoever gets in is answered; the others are
-/// refused. The program stands still over the end of its grace with a long backlog, so that the closing meets some of
-/// it; which connection meets the very moment is chance: 8 callers, 4 rounds.
+/// Callers that connect as fast as they can until the program stands still over the end of its grace, with a long
+/// backlog behind it: the closing of the listener meets all of it, and each is answered.
 #[test]
-fn whoever_connects_as_the_listener_closes_is_answered_or_refused() {
+fn whoever_connects_before_the_listener_closes_is_answered() {
     for round in 0..4 {
         let mut stand = stand();
         let (address, lost) = (format!("{}:6565", stand.host).parse().unwrap(), Mutex::new(Vec::new()));
-        let answered = std::sync::atomic::AtomicU32::new(0);
+        let (answered, enough) = (std::sync::atomic::AtomicU32::new(0), AtomicBool::new(false));
         let ask = |id: &str| {
-            let Ok(stream) = TcpStream::connect_timeout(&address, LONG) else { return false };
+            let stream = TcpStream::connect_timeout(&address, LONG).unwrap();
             stream.set_read_timeout(Some(LONG)).unwrap();
             let mut edge = Edge { stream };
             let message = edge.message(1, &fields(id, "20.0"), b"run");
@@ -121,30 +120,73 @@
                 Some(_) => _ = answered.fetch_add(1, Ordering::AcqRel),
                 None => lost.lock().unwrap().push(format!("{id}, written: {written}")),
             }
-            true
         };
         std::thread::scope(|scope| {
             let ask = &ask;
             for caller in 0..8 {
+                let enough = &enough;
                 scope.spawn(move || {
-                    let mut turns = 0..;
-                    while ask(&format!("0000c{round:01x}{caller:02x}{:08x}", turns.next().unwrap())) {}
+                    for turn in 0..u32::MAX {
+                        if enough.load(Ordering::Acquire) {
+                            break;
+                        }
+                        ask(&format!("0000c{round:01x}{caller:02x}{turn:08x}"));
+                    }
                 });
             }
             until("they are served", || answered.load(Ordering::Acquire) > 100);
             stand.signal("TERM");
             stand.signal("STOP");
-            for waiting in 0..200 {
-                scope.spawn(move || ask(&format!("0000d{round:01x}00{waiting:08x}")));
-            }
+            // Those that wait now are the last of their callers.
+            enough.store(true, Ordering::Release);
+            let waiting: Vec<_> = (0..100u32)
+                .map(|waiting| scope.spawn(move || ask(&format!("0000d{round:01x}00{waiting:08x}"))))
+                .collect();
             std::thread::sleep(std::time::Duration::from_millis(1200));
             stand.signal("CONT");
+            drop(waiting);
         });
         assert_eq!(lost.into_inner().unwrap(), Vec::<String>::new(), "lost");
         assert_eq!(stand.ended().code(), Some(0));
     }
 }
 
+/// Whoever is asked to send nothing more connects anew at once, just as the listener closes: it gets in or is refused. With
+/// newcomers shut out beforehand by a filter their first packet was dropped, and they hung until the system sent another
+/// after a second. What a connect meets is the system alone, however slow the program is.
+#[test]
+fn whoever_connects_as_the_listener_closes_does_not_hang() {
+    for round in 0..3u32 {
+        let mut stand = stand();
+        let address = format!("{}:6565", stand.host).parse().unwrap();
+        let mut edges: Vec<Edge> = (0..6).map(|_| stand.edge()).collect();
+        // What is open on it keeps it from closing.
+        for (at, edge) in (0u32..).zip(&mut edges) {
+            edge.req(1, &format!("0000000000ed{round:02x}{at:02x}"), b"hang");
+        }
+        until("they run or are held", || !stand.kernel.lock().unwrap().runs.is_empty());
+        stand.signal("TERM");
+        let within = std::time::Duration::from_millis(800);
+        std::thread::scope(|scope| {
+            for edge in &mut edges {
+                scope.spawn(move || {
+                    while edge.answer().expect("the wish").kind != Kind::NoMore {}
+                    // Again and again, until the listener is closed.
+                    until("refused", || match TcpStream::connect_timeout(&address, within) {
+                        Ok(_) => false,
+                        Err(error) => {
+                            assert_eq!(error.kind(), ErrorKind::ConnectionRefused, "neither in nor refused");
+                            true
+                        }
+                    });
+                });
+            }
+        });
+        drop(edges);
+        assert_eq!(stand.ended().code(), Some(0));
+    }
+}
+
 /// The notice comes before the kernel is up: it was forgotten, and what came behind the grace was run.
 #[test]
 fn a_notice_before_the_kernel_is_up_is_heeded_once_it_is() {
