--- a/crates/server/tests/program/crossings.rs
+++ b/crates/server/tests/program/crossings.rs
@@ -139,12 +139,11 @@
             stand.signal("STOP");
             // Those that wait now are the last of their callers.
             enough.store(true, Ordering::Release);
-            let waiting: Vec<_> = (0..100u32)
-                .map(|waiting| scope.spawn(move || ask(&format!("0000d{round:01x}00{waiting:08x}"))))
-                .collect();
+            for waiting in 0..100 {
+                scope.spawn(move || ask(&format!("0000d{round:01x}00{waiting:08x}")));
+            }
             std::thread::sleep(std::time::Duration::from_millis(1200));
             stand.signal("CONT");
-            drop(waiting);
         });
         assert_eq!(lost.into_inner().unwrap(), Vec::<String>::new(), "lost");
         assert_eq!(stand.ended().code(), Some(0));
