--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Map, Value};
-use tulipgap::Given;
+use tulipgap::Config;
 use tulipgap_settings::{Facts, Names, Steering, millis, steering, understand};
 
 #[derive(Deserialize)]
@@ -68,7 +68,7 @@
     pub stop: Duration,
     pub memory_mb: f64,
     pub sockets: usize,
-    pub given: Given,
+    pub given: Config,
     pub names: Names,
     /// How callers are asked to send less, as the settings say.
     pub steering: Steering,
@@ -126,7 +126,7 @@
         })?;
     let entries = serde_json::from_str(text).map_err(|error| error.to_string())?;
     let (given, names) = understand(&file.settings).map_err(|problem| format!("settings: {problem}"))?;
-    given.check().map_err(|problem| format!("settings: {problem}"))?;
+    given.validate().map_err(|problem| format!("settings: {problem}"))?;
     let steering = steering(&file.settings).map_err(|problem| format!("settings: {problem}"))?;
     let seed =
         u64::from_str_radix(&file.seed, 16).map_err(|_| format!("seed: '{}' is no hex number", file.seed))?;
--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -11,7 +11,7 @@
 use may::sync::Blocker;
 use parking_lot::Mutex;
 use slab::Slab;
-use tulipgap::{Action, Arrival, Decider, Effect, Event, Given};
+use tulipgap::{Action, Arrival, Config, Controller, Event, Idempotency};
 pub use tulipgap::{Gauges, Outcome};
 use tulipgap_trace::Reason;
 
@@ -191,7 +191,7 @@
 }
 
 struct Running {
-    decider: Decider,
+    controller: Controller,
     /// When the module's clock stood at zero.
     zero: Instant,
 }
@@ -218,14 +218,14 @@
 }
 
 pub struct Gate {
-    given: Given,
+    config: Config,
     seed: u64,
     state: Mutex<State>,
     tracer: Option<Arc<Tracer>>,
 }
 
 impl Gate {
-    pub fn new(given: Given, seed: u64, tracer: Option<Arc<Tracer>>) -> Self {
+    pub fn new(config: Config, seed: u64, tracer: Option<Arc<Tracer>>) -> Self {
         let state = State {
             running: None,
             leaving: None,
@@ -233,16 +233,16 @@
             indices: HashMap::new(),
             keys: HashMap::new(),
             ends: BTreeSet::new(),
-            read_late: given.handlers.iter().map(|h| h.client_timeout).max().unwrap_or_default(),
+            read_late: config.handlers.iter().map(|h| h.client_timeout).max().unwrap_or_default(),
             settled: Vec::new(),
             alarms: BTreeSet::new(),
             advice: None,
-            idle: given.idle_link,
+            idle: config.idle_timeout,
             healthy: false,
             counts: Counts::default(),
             tracer: tracer.clone(),
         };
-        Gate { given, seed, state: Mutex::new(state), tracer }
+        Gate { config, seed, state: Mutex::new(state), tracer }
     }
 
     /// What runs reqs is up, cold or not, since that long. Only the first time counts. The module's clock starts
@@ -253,9 +253,9 @@
         if state.running.is_some() {
             return false;
         }
-        let given = Given { cold, ..self.given.clone() };
-        let decider = match Decider::new(&given, self.seed) {
-            Ok(decider) => decider,
+        let config = Config { starts_cold: cold, ..self.config.clone() };
+        let controller = match Controller::new(&config, self.seed) {
+            Ok(controller) => controller,
             Err(error) => {
                 log::error!("the settings were checked, but now: {error}");
                 return false;
@@ -263,7 +263,7 @@
         };
         let since = if cold { since } else { Duration::ZERO };
         let zero = Instant::now().checked_sub(since).unwrap_or_else(Instant::now);
-        state.running = Some(Running { decider, zero });
+        state.running = Some(Running { controller, zero });
         state.decide(Event::Started);
         // The notice may come before what runs reqs is up: forgotten, what comes long after it would be run.
         state.tell_of_leaving();
@@ -308,15 +308,15 @@
         state.indices.insert(incoming.id, at);
         state.counts.read += 1;
         state.decide(Event::Arrived(Arrival {
-            req: at,
+            request: at,
             handler: incoming.handler,
             tenant: incoming.tenant,
             age: incoming.age,
-            patience: incoming.patience,
-            work: incoming.work,
-            held_kb: incoming.held_kb,
-            retry: incoming.retry,
-            repeats,
+            client_wait: incoming.patience,
+            estimated_work: incoming.work,
+            queued_kb: incoming.held_kb,
+            is_retry: incoming.retry,
+            is_duplicate: repeats,
         }));
         state.admitted(at);
         Ok(Ticket { gate: self.clone(), at, waiter })
@@ -330,7 +330,7 @@
     /// After what time a caller that is turned away had better come back, where it can be told and nothing else is
     /// known.
     pub fn longest_wait(&self) -> Option<Duration> {
-        self.given.max_wait
+        self.config.max_retry_after
     }
 
     /// Whether there is a recording.
@@ -400,7 +400,7 @@
         let now = state.now();
         if state.alarms.first().is_some_and(|&at| at <= now) {
             state.alarms.retain(|&at| at > now);
-            state.decide(Event::Alarm { gauges });
+            state.decide(Event::TimerFired { gauges });
         }
     }
 
@@ -428,12 +428,12 @@
 
     /// How long the clients of a handler wait.
     pub fn client_timeout(&self, handler: usize) -> Duration {
-        self.given.handlers.get(handler).map_or(Duration::MAX, |handler| handler.client_timeout)
+        self.config.handlers.get(handler).map_or(Duration::MAX, |handler| handler.client_timeout)
     }
 
     /// Whether reqs of a handler may not run again.
     pub fn runs_once(&self, handler: usize) -> bool {
-        self.given.handlers.get(handler).is_none_or(|handler| handler.effect != Effect::Replayable)
+        self.config.handlers.get(handler).is_none_or(|handler| handler.idempotency != Idempotency::Idempotent)
     }
 
     /// What health checks are told.
@@ -462,7 +462,7 @@
     fn tell_of_leaving(&mut self) {
         if let Some((notice, stop)) = self.leaving {
             let since = notice.elapsed();
-            self.decide(Event::Leave { since, left: stop.saturating_sub(since) });
+            self.decide(Event::ShutdownNotice { since, left: stop.saturating_sub(since) });
         }
     }
 
@@ -498,33 +498,33 @@
         let event = match report {
             Report::Gone => {
                 slot.gone = true;
-                Event::Gone { req: at }
+                Event::CallerGone { request: at }
             }
             // It stands at one call at a time.
             Report::AtCall { .. } if slot.call.is_some() => return,
             Report::AtCall { call, body } => {
                 slot.call = Some((call, body));
                 slot.calling = false;
-                Event::AtCall { req: at }
+                Event::ReachedCall { request: at }
             }
             Report::CallEnded { outcome, reply } => {
                 // A reply that crosses the end of its call is no news.
                 if !std::mem::replace(&mut slot.calling, false) {
                     return;
                 }
-                if outcome == Outcome::Done {
+                if outcome == Outcome::Succeeded {
                     slot.call = None;
                     slot.order(Order::GoOn { reply });
                 }
-                Event::CallEnded { req: at, outcome }
+                Event::CallFinished { request: at, outcome }
             }
             Report::Ended { outcome, result, work } => {
                 if let Some(life) = &mut slot.life {
                     life.work = work;
                 }
                 let answer = match outcome {
-                    Outcome::Done => Some(Answer::Done(result)),
-                    Outcome::Errored => Some(Answer::Errored),
+                    Outcome::Succeeded => Some(Answer::Done(result)),
+                    Outcome::Failed => Some(Answer::Errored),
                     _ => None,
                 };
                 if let Some(answer) = answer.clone() {
@@ -532,11 +532,11 @@
                     self.answer(at, answer, why);
                 }
                 // Nothing was run: what comes under its key is no repeat of anything.
-                if outcome == Outcome::Void {
+                if outcome == Outcome::NotStarted {
                     self.forget(at);
                 }
                 self.settle(at, answer.unwrap_or(Answer::Errored));
-                Event::Ended { req: at, outcome }
+                Event::Finished { request: at, outcome }
             }
         };
         self.decide(event);
@@ -611,7 +611,7 @@
             let Some(running) = self.running.as_mut() else {
                 return;
             };
-            let actions = running.decider.decide(now, &std::mem::take(&mut events));
+            let actions = running.controller.handle_events(now, &std::mem::take(&mut events));
             for action in actions {
                 self.apply(action, now);
             }
@@ -621,38 +621,42 @@
 
     fn apply(&mut self, action: Action, now: Duration) {
         match action {
-            Action::Run { req } => {
+            Action::Start { request } => {
                 let now = self.stamp();
-                let slot = &mut self.slots[req];
+                let slot = &mut self.slots[request];
                 slot.running = true;
                 if let Some(life) = &mut slot.life {
                     life.run = life.run.or(now);
                 }
                 slot.order(Order::Run);
             }
-            Action::Shed { req, wait, elsewhere, reason: why } => {
-                must!(!self.slots[req].answered, "a req is answered once");
-                self.answer(req, Answer::Shed { wait, elsewhere }, reason(why));
+            Action::Reject { request, retry_after, retry_elsewhere, reason: why } => {
+                must!(!self.slots[request].answered, "a req is answered once");
+                self.answer(
+                    request,
+                    Answer::Shed { wait: retry_after, elsewhere: retry_elsewhere },
+                    reason(why),
+                );
             }
-            Action::Fail { req, reason: why } => {
-                must!(!self.slots[req].answered, "a req is answered once");
-                self.answer(req, Answer::Errored, reason(why));
+            Action::Fail { request, reason: why } => {
+                must!(!self.slots[request].answered, "a req is answered once");
+                self.answer(request, Answer::Errored, reason(why));
             }
-            Action::Stop { req } => self.slots[req].order(Order::Stop),
-            Action::Join { req } => {
-                let id = self.slots[req].key.clone().unwrap_or_default();
+            Action::Cancel { request } => self.slots[request].order(Order::Stop),
+            Action::Coalesce { request } => {
+                let id = self.slots[request].key.clone().unwrap_or_default();
                 let key = self.keys.get_mut(&id);
                 must!(key.is_some(), "what is joined has a key that is known");
                 if let Some(key) = key {
-                    key.joined.push(req);
+                    key.joined.push(request);
                     self.settled.push(id);
                 }
             }
-            Action::Remember { req, span } => {
-                if let Some(key) = self.slots[req].key.clone() {
-                    let until = now.saturating_add(span);
+            Action::RememberKey { request, retention } => {
+                if let Some(key) = self.slots[request].key.clone() {
+                    let until = now.saturating_add(retention);
                     let lapses = until.saturating_add(self.read_late);
-                    let (first, body) = (Some(req), self.slots[req].body);
+                    let (first, body) = (Some(request), self.slots[request].body);
                     let fresh = Key { until, lapses, body, first, answer: None, joined: Vec::new() };
                     self.ends.insert((lapses, key.clone()));
                     let before = self.keys.insert(key, fresh);
@@ -662,24 +666,24 @@
                     );
                 }
             }
-            Action::Forget { req } => {
-                self.forget(req);
-                self.settle(req, Answer::Errored);
+            Action::ForgetKey { request } => {
+                self.forget(request);
+                self.settle(request, Answer::Errored);
             }
-            Action::Call { req, patience } => {
+            Action::StartCall { request, timeout } => {
                 let now = self.stamp();
-                let slot = &mut self.slots[req];
+                let slot = &mut self.slots[request];
                 if let Some(life) = &mut slot.life {
                     life.called = life.called.or(now);
                     life.calls += 1;
                 }
                 if let Some((_, body)) = slot.call.clone() {
                     slot.calling = true;
-                    slot.order(Order::Call { patience, body });
+                    slot.order(Order::Call { patience: timeout, body });
                 }
             }
-            Action::SkipCall { req } => {
-                let slot = &mut self.slots[req];
+            Action::SkipCall { request } => {
+                let slot = &mut self.slots[request];
                 if let Some(life) = &mut slot.life {
                     life.skipped += 1;
                 }
@@ -687,13 +691,13 @@
                     slot.order(Order::Skip { call });
                 }
             }
-            Action::Advise { value } => self.advice = Some(value),
-            Action::CloseIdle { after } => self.idle = after,
-            Action::Health { good } => self.healthy = good,
-            Action::Alarm { at } => {
+            Action::SetFeedback { value } => self.advice = Some(value),
+            Action::SetIdleTimeout { timeout } => self.idle = timeout,
+            Action::SetHealth { healthy } => self.healthy = healthy,
+            Action::SetTimer { at } => {
                 self.alarms.insert(at);
             }
-            Action::Over { req } => self.over(req),
+            Action::Release { request } => self.over(request),
         }
     }
 
@@ -734,10 +738,10 @@
                 let open = self.slots.get(at).is_some_and(|slot| !slot.over);
                 if open {
                     let done = matches!(answer, Answer::Done(_));
-                    let outcome = if done { Outcome::Done } else { Outcome::Errored };
+                    let outcome = if done { Outcome::Succeeded } else { Outcome::Failed };
                     let why = if done { Reason::JOINED } else { Reason::FIRST_ERRORED };
                     self.answer(at, if done { answer.clone() } else { Answer::Errored }, why);
-                    events.push(Event::Ended { req: at, outcome });
+                    events.push(Event::Finished { request: at, outcome });
                 }
             }
         }
--- a/crates/server/src/gate/tests.rs
+++ b/crates/server/src/gate/tests.rs
@@ -4,21 +4,21 @@
 use std::collections::HashMap;
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use tulipgap::Effect;
+use tulipgap::Idempotency;
 
 use super::*;
 
 #[path = "../../../../tests/decisions/common.rs"]
 #[allow(dead_code)]
 mod common;
-use common::{given, ms};
+use common::{config, ms};
 
-const EFFECTS: [Effect; 3] = [Effect::Replayable, Effect::Uniqued, Effect::NonReplayable];
+const EFFECTS: [Idempotency; 3] = [Idempotency::Idempotent, Idempotency::Keyed, Idempotency::NonIdempotent];
 const WINDOW: u64 = 2000;
 const TIMEOUT: u64 = 3000;
 
 fn gate() -> Arc<Gate> {
-    let gate = Arc::new(Gate::new(given(), 7, None));
+    let gate = Arc::new(Gate::new(config(), 7, None));
     assert!(gate.start(false, Duration::ZERO));
     gate
 }
@@ -96,7 +96,7 @@
 struct Seen {
     ticket: Ticket,
     id: String,
-    effect: Effect,
+    effect: Idempotency,
     key: Option<String>,
     entered: Duration,
     answer: Option<Answer>,
@@ -119,7 +119,7 @@
 impl Model {
     fn enter(&mut self, gate: &Arc<Gate>, handler: usize, key: usize) {
         let id = format!("r{}", self.seen.len());
-        let key = (EFFECTS[handler] == Effect::Uniqued).then(|| format!("k{key}"));
+        let key = (EFFECTS[handler] == Idempotency::Keyed).then(|| format!("k{key}"));
         let ticket = gate.enter(incoming(&id, handler, key.as_deref())).expect("its id is new");
         self.seen.push(Seen {
             ticket,
@@ -137,14 +137,14 @@
 
     fn report(&mut self, gate: &Gate, of: usize, what: usize) {
         const OUTCOMES: [Outcome; 8] = [
-            Outcome::Done,
-            Outcome::Errored,
-            Outcome::Full,
+            Outcome::Succeeded,
+            Outcome::Failed,
+            Outcome::Rejected,
             Outcome::TimedOut,
             Outcome::Unreachable,
-            Outcome::Broken,
-            Outcome::Stopped,
-            Outcome::Void,
+            Outcome::ConnectionLost,
+            Outcome::Cancelled,
+            Outcome::NotStarted,
         ];
         let count = self.seen.len();
         let Some(seen) = self.seen.get_mut(of % count.max(1)) else {
@@ -162,7 +162,7 @@
         // What proves that nothing was started takes its run back, if it is still heard.
         let state = gate.state.lock();
         let slot = state.indices.get(seen.id.as_str()).and_then(|&at| state.slots.get(at));
-        let unrun = matches!(report, Report::Ended { outcome: Outcome::Void, .. })
+        let unrun = matches!(report, Report::Ended { outcome: Outcome::NotStarted, .. })
             && slot.is_some_and(|slot| slot.running && !slot.over);
         drop(state);
         if let Some(key) = seen.key.as_ref().filter(|_| unrun) {
@@ -199,7 +199,10 @@
             Order::Answer(answer) => {
                 assert_eq!(seen.answer, None, "answered once");
                 let shed = matches!(answer, Answer::Shed { .. });
-                assert!(!shed || seen.runs == 0 || seen.effect == Effect::Replayable, "shed after a run");
+                assert!(
+                    !shed || seen.runs == 0 || seen.effect == Idempotency::Idempotent,
+                    "shed after a run"
+                );
                 // Nor is any other try of what was run in the window.
                 if let Some(key) = seen.key.as_ref().filter(|_| shed) {
                     let proven = |id: &String| self.unrun.contains(&(key.clone(), id.clone()));
@@ -215,7 +218,7 @@
             }
             Order::Call { body, .. } => assert_eq!(body, bytes("body")),
             Order::Skip { call } => {
-                assert!(seen.effect == Effect::Replayable && call <= seen.calls);
+                assert!(seen.effect == Idempotency::Idempotent && call <= seen.calls);
                 seen.call = None;
             }
             Order::GoOn { reply } => assert_eq!(reply, bytes("reply")),
@@ -270,7 +273,7 @@
         assert!(model.seen.iter().all(|seen| seen.answer.is_some()), "lost");
         // And nothing stays once what runs has ended.
         for seen in &model.seen {
-            gate.report(&seen.id, Report::Ended { outcome: Outcome::Stopped, result: bytes(""), work: None });
+            gate.report(&seen.id, Report::Ended { outcome: Outcome::Cancelled, result: bytes(""), work: None });
         }
         model.pick_all();
         assert!(model.seen.iter().all(|seen| seen.over), "held for ever");
@@ -288,15 +291,15 @@
     assert_eq!(gate.enter(incoming("a", 0, None)).err(), Some(Unfit::Known));
     gate.report("a", Report::AtCall { call: 4, body: bytes("body") });
     assert!(matches!(now(&ticket), Some(Order::Call { body, .. }) if body == bytes("body")));
-    gate.report("a", Report::CallEnded { outcome: Outcome::Done, reply: bytes("reply") });
+    gate.report("a", Report::CallEnded { outcome: Outcome::Succeeded, reply: bytes("reply") });
     assert_eq!(now(&ticket), Some(Order::GoOn { reply: bytes("reply") }));
     // A second reply to the same call is no news.
-    gate.report("a", Report::CallEnded { outcome: Outcome::Errored, reply: bytes("") });
+    gate.report("a", Report::CallEnded { outcome: Outcome::Failed, reply: bytes("") });
     gate.report("a", Report::AtCall { call: 5, body: bytes("body") });
     assert!(matches!(now(&ticket), Some(Order::Call { .. })));
-    gate.report("a", Report::CallEnded { outcome: Outcome::Full, reply: bytes("") });
+    gate.report("a", Report::CallEnded { outcome: Outcome::Rejected, reply: bytes("") });
     assert_eq!(now(&ticket), Some(Order::Skip { call: 5 }));
-    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page"), work: None });
+    gate.report("a", Report::Ended { outcome: Outcome::Succeeded, result: bytes("page"), work: None });
     assert_eq!(now(&ticket), Some(Order::Answer(Answer::Done(bytes("page")))));
     assert_eq!(now(&ticket), Some(Order::Over));
     drop(ticket);
@@ -310,7 +313,7 @@
     assert_eq!(now(&first), Some(Order::Run));
     let second = gate.enter(incoming("b", 1, Some("k"))).unwrap();
     assert_eq!(now(&second), None);
-    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page"), work: None });
+    gate.report("a", Report::Ended { outcome: Outcome::Succeeded, result: bytes("page"), work: None });
     assert_eq!(now(&second), Some(Order::Answer(Answer::Done(bytes("page")))));
     // One that comes when the first is over gets its result too, until the window has passed.
     gate.pass(ms(WINDOW - 100));
@@ -324,7 +327,7 @@
 #[test]
 fn a_warm_start_begins_the_clock_and_a_cold_one_takes_its_age() {
     for (cold, age) in [(false, Duration::ZERO), (true, ms(4000))] {
-        let gate = Gate::new(given(), 7, None);
+        let gate = Gate::new(config(), 7, None);
         assert!(!gate.started() && !gate.healthy());
         assert!(gate.start(cold, ms(4000)));
         assert!(!gate.start(cold, ms(9000)), "only once");
@@ -341,7 +344,7 @@
     assert_eq!(now(&ticket), Some(Order::Run));
     drop(ticket);
     assert_eq!(gate.open(), 1, "its run goes on");
-    gate.report("a", Report::Ended { outcome: Outcome::Stopped, result: bytes(""), work: None });
+    gate.report("a", Report::Ended { outcome: Outcome::Cancelled, result: bytes(""), work: None });
     assert_eq!(gate.open(), 0);
 }
 
@@ -372,7 +375,10 @@
     drop(second);
     let third = gate.enter(incoming("c", 0, None)).unwrap();
     assert_eq!(now(&third), Some(Order::Run));
-    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("another's page"), work: None });
+    gate.report(
+        "a",
+        Report::Ended { outcome: Outcome::Succeeded, result: bytes("another's page"), work: None },
+    );
     assert_eq!(now(&third), None, "it joined nothing");
 }
 
@@ -383,7 +389,7 @@
         let ticket = gate.enter(incoming(&format!("r{at}"), 1, Some(&format!("k{at}")))).unwrap();
         gate.report(
             &format!("r{at}"),
-            Report::Ended { outcome: Outcome::Done, result: bytes("page"), work: None },
+            Report::Ended { outcome: Outcome::Succeeded, result: bytes("page"), work: None },
         );
         drop(ticket);
     }
@@ -402,16 +408,16 @@
 /// answered with a result that was none of its business, and was never run.
 #[test]
 fn a_key_is_its_tenants_and_its_handlers_own() {
-    let mut given = given();
-    given.handlers[0].effect = Effect::Uniqued;
-    given.handlers[0].repeat_window = ms(WINDOW);
-    let gate = Arc::new(Gate::new(given, 7, None));
+    let mut config = config();
+    config.handlers[0].idempotency = Idempotency::Keyed;
+    config.handlers[0].key_retention = ms(WINDOW);
+    let gate = Arc::new(Gate::new(config, 7, None));
     assert!(gate.start(false, Duration::ZERO));
     let of = |id: &str, handler, tenant| Incoming { tenant, ..incoming(id, handler, Some("k")) };
     for (id, handler, tenant) in [("a", 1, Some(0)), ("b", 1, Some(1)), ("c", 0, Some(0)), ("d", 1, None)] {
         let ticket = gate.enter(of(id, handler, tenant)).unwrap();
         assert_eq!(now(&ticket), Some(Order::Run), "{id} is its own");
-        gate.report(id, Report::Ended { outcome: Outcome::Done, result: bytes(id), work: None });
+        gate.report(id, Report::Ended { outcome: Outcome::Succeeded, result: bytes(id), work: None });
         assert_eq!(now(&ticket), Some(Order::Answer(Answer::Done(bytes(id)))));
         let repeat = format!("{id}2");
         let ticket = gate.enter(of(&repeat, handler, tenant)).unwrap();
@@ -426,7 +432,7 @@
     let gate = gate();
     let first = gate.enter(incoming("a", 1, Some("k"))).unwrap();
     assert_eq!(now(&first), Some(Order::Run));
-    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page"), work: None });
+    gate.report("a", Report::Ended { outcome: Outcome::Succeeded, result: bytes("page"), work: None });
     gate.pass(ms(WINDOW + 1000));
     let late = gate.enter(Incoming { age: ms(1500), ..incoming("b", 1, Some("k")) }).unwrap();
     assert_eq!(now(&late), Some(Order::Answer(Answer::Done(bytes("page")))));
@@ -439,7 +445,7 @@
 /// Gates with every core taken, so that what comes next is held.
 fn full() -> (Arc<Gate>, Vec<Ticket>) {
     let gate = gate();
-    let taken = (0..given().cores)
+    let taken = (0..config().cores)
         .map(|at| {
             let ticket = gate.enter(incoming(&format!("full{at}"), 0, None)).unwrap();
             assert_eq!(now(&ticket), Some(Order::Run));
@@ -461,7 +467,7 @@
     assert_eq!(now(&again), None, "held in its place");
     for at in 0..taken.len() {
         let id = format!("full{at}");
-        gate.report(&id, Report::Ended { outcome: Outcome::Done, result: bytes("page"), work: None });
+        gate.report(&id, Report::Ended { outcome: Outcome::Succeeded, result: bytes("page"), work: None });
     }
     assert_eq!(now(&again), Some(Order::Run));
 }
@@ -470,13 +476,13 @@
 /// up to the stop.
 #[test]
 fn a_notice_that_comes_before_the_start_is_heeded_after_it() {
-    let gate = Arc::new(Gate::new(given(), 7, None));
+    let gate = Arc::new(Gate::new(config(), 7, None));
     gate.leave(Instant::now(), ms(9000));
     assert!(gate.start(false, Duration::ZERO));
     assert!(!gate.healthy());
     let ticket = gate.enter(incoming("a", 0, None)).unwrap();
     assert_eq!(now(&ticket), Some(Order::Run), "within the grace");
-    gate.pass(given().drain_grace + ms(50));
+    gate.pass(config().drain_grace + ms(50));
     let ticket = gate.enter(incoming("b", 0, None)).unwrap();
     assert!(matches!(now(&ticket), Some(Order::Answer(Answer::Shed { .. }))), "behind it");
 }
@@ -485,7 +491,7 @@
 #[test]
 fn the_grace_counts_from_the_notice_however_late_that_is_told() {
     let gate = gate();
-    let grace = given().drain_grace;
+    let grace = config().drain_grace;
     gate.pass(grace * 4);
     let Some(notice) = Instant::now().checked_sub(grace) else { return };
     let early = gate.enter(incoming("a", 0, None)).unwrap();
@@ -517,8 +523,8 @@
                 let end = |outcome| Report::Ended { outcome, result: bytes("page"), work: None };
                 match (event, oldest, newest) {
                     (0 | 1, ..) => model.enter(&gate, 1, 0),
-                    (2, Some(id), _) => gate.report(&id, end(Outcome::Done)),
-                    (3, Some(id), _) => gate.report(&id, end(Outcome::Stopped)),
+                    (2, Some(id), _) => gate.report(&id, end(Outcome::Succeeded)),
+                    (3, Some(id), _) => gate.report(&id, end(Outcome::Cancelled)),
                     (4, _, Some(id)) => (gone.push(id.clone()), gate.report(&id, Report::Gone)).1,
                     (5, ..) if count > 0 => {
                         let id = model.seen[0].id.clone();
@@ -535,7 +541,10 @@
             }
             for at in 0..taken.len() {
                 let id = format!("full{at}");
-                gate.report(&id, Report::Ended { outcome: Outcome::Done, result: bytes(""), work: None });
+                gate.report(
+                    &id,
+                    Report::Ended { outcome: Outcome::Succeeded, result: bytes(""), work: None },
+                );
             }
             model.pick_all();
             for _ in 0..TIMEOUT / 100 + 2 {
@@ -563,7 +572,7 @@
     let first = gate.enter(incoming("a", 1, Some("k"))).unwrap();
     let other = |id: &str| Incoming { body: 1, ..incoming(id, 1, Some("k")) };
     assert_eq!(gate.enter(other("b")).err(), Some(Unfit::OtherBody), "while it runs");
-    gate.report("a", Report::Ended { outcome: Outcome::Done, result: bytes("page"), work: None });
+    gate.report("a", Report::Ended { outcome: Outcome::Succeeded, result: bytes("page"), work: None });
     assert_eq!(gate.enter(other("b")).err(), Some(Unfit::OtherBody), "and when it is over");
     drop(first);
     let repeat = gate.enter(incoming("c", 1, Some("k"))).unwrap();
@@ -577,7 +586,7 @@
     let gate = gate();
     let made_up = gate.enter(Incoming { body: 1, ..incoming("a", 1, Some("k")) }).unwrap();
     assert_eq!(now(&made_up), Some(Order::Run));
-    gate.report("a", Report::Ended { outcome: Outcome::Void, result: bytes(""), work: None });
+    gate.report("a", Report::Ended { outcome: Outcome::NotStarted, result: bytes(""), work: None });
     assert_eq!(now(&made_up), Some(Order::Answer(Answer::Errored)));
     let own = gate.enter(incoming("b", 1, Some("k"))).unwrap();
     assert_eq!(now(&own), Some(Order::Run));
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -132,7 +132,7 @@
         listed: Vec::new(),
         half_life: Duration::from_secs(600),
         message: MESSAGE_MOST,
-        idle: told.given.idle_link.saturating_add(IDLE_MORE),
+        idle: told.given.idle_timeout.saturating_add(IDLE_MORE),
         cold_part: 1.0,
         warm_up: Duration::ZERO,
     };
@@ -159,7 +159,7 @@
         listed: admitting.known.iter().filter_map(|network| network.parse().ok()).collect(),
         half_life: admitting.half_life,
         cold_part: admitting.cold_part,
-        warm_up: if told.given.cold { told.given.warm_up } else { Duration::ZERO },
+        warm_up: if told.given.starts_cold { told.given.warm_up } else { Duration::ZERO },
         ..plain
     }
 }
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -318,12 +318,12 @@
             ["REAP", notice, id, end, took, _] => {
                 if self.fresh(number(notice)?) {
                     let outcome = match end {
-                        "success" => Outcome::Done,
-                        "failure" => Outcome::Errored,
-                        "interrupted" => Outcome::Stopped,
-                        "nothing" => Outcome::Void,
+                        "success" => Outcome::Succeeded,
+                        "failure" => Outcome::Failed,
+                        "interrupted" => Outcome::Cancelled,
+                        "nothing" => Outcome::NotStarted,
                         // It is over, in a way that is not known here.
-                        _ => Outcome::Broken,
+                        _ => Outcome::ConnectionLost,
                     };
                     self.state.lock().runs.remove(id);
                     let took = took.parse().ok().map(|ms: f64| ms / 1e3);
@@ -367,7 +367,11 @@
                         self.state.lock().runs.remove(*id);
                         self.gate.report(
                             id,
-                            Report::Ended { outcome: Outcome::Void, result: Bytes::default(), work: None },
+                            Report::Ended {
+                                outcome: Outcome::NotStarted,
+                                result: Bytes::default(),
+                                work: None,
+                            },
                         );
                     }
                     // The run stands where it stood, and nothing else can be said to it.
@@ -442,7 +446,8 @@
             log::warn!("kernel link: {} runs may have ended unheard and count as broken", lost.len());
         }
         for id in sorted(lost) {
-            let broken = Report::Ended { outcome: Outcome::Broken, result: Bytes::default(), work: None };
+            let broken =
+                Report::Ended { outcome: Outcome::ConnectionLost, result: Bytes::default(), work: None };
             self.gate.report(&id, broken);
         }
         for id in sorted(again) {
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -251,7 +251,7 @@
 
 /// What tests of one piece alone are told.
 #[cfg(test)]
-pub fn told() -> (tulipgap::Given, tulipgap_settings::Names) {
+pub fn told() -> (tulipgap::Config, tulipgap_settings::Names) {
     let settings = r#"{"classes":[{"name":"page","objective":1e3,"deadline":2e3,"worth":1.0,"effect":"pure"}],
         "family_info":{"below":"silent","blowup":4.0,"cores":2,"halt":"drop","idle":9e3,"mem_limit_kb":9e3,
         "say":"weight"},"fleet_size":3,"limits":{"max_retry_after":1e3,"retry_after":true},"rules":{"cold_from":0.3,
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -211,7 +211,7 @@
             let call = lane.call?;
             // What had not begun to leave has not run.
             let unsent = lane.out.is_none_or(|out| out.len() >= call.bytes.len());
-            Some((call.id, if unsent { Outcome::Unreachable } else { Outcome::Broken }))
+            Some((call.id, if unsent { Outcome::Unreachable } else { Outcome::ConnectionLost }))
         });
         if let Some((id, _)) = &lost {
             pool.open.remove(id);
@@ -263,9 +263,9 @@
 
     fn hear(&self, heard: &Line, at: u64, strays: &mut usize) -> io::Result<()> {
         let (id, outcome) = match heard.words[..] {
-            [id, "OK", _] => (id, Outcome::Done),
-            [id, "BUSY" | "VOID"] => (id, Outcome::Full),
-            [id, "ERR"] => (id, Outcome::Errored),
+            [id, "OK", _] => (id, Outcome::Succeeded),
+            [id, "BUSY" | "VOID"] => (id, Outcome::Rejected),
+            [id, "ERR"] => (id, Outcome::Failed),
             [id, "LATE"] => (id, Outcome::TimedOut),
             _ => return Err(garbled(format!("no reply: {:?}", heard.words))),
         };
--- a/crates/server/src/trace.rs
+++ b/crates/server/src/trace.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use tulipgap::{Given, Reason as Why};
+use tulipgap::{Config, Reason as Why};
 use tulipgap_config::Tracing;
 use tulipgap_settings::Names;
 use tulipgap_trace::{
@@ -59,17 +59,17 @@
 /// The name in a recording of a reason of the module.
 pub fn reason(why: Why) -> Reason {
     match why {
-        Why::Memory => Reason::MEMORY,
-        Why::Failing => Reason::FAILING,
-        Why::Share => Reason::SHARE,
-        Why::Late => Reason::LATE,
+        Why::MemoryLimit => Reason::MEMORY,
+        Why::HighFailureRate => Reason::FAILING,
+        Why::AdmissionControl => Reason::SHARE,
+        Why::PredictedLate => Reason::LATE,
         Why::Overtaken => Reason::OVERTAKEN,
-        Why::Missed => Reason::MISSED,
-        Why::Due => Reason::DUE,
+        Why::ObjectiveMissed => Reason::MISSED,
+        Why::DeadlineNear => Reason::DUE,
         Why::Draining => Reason::DRAINING,
-        Why::Stopping => Reason::STOPPING,
+        Why::Terminating => Reason::STOPPING,
         Why::CallFailed => Reason::CALL_FAILED,
-        Why::Stopped => Reason::STOPPED,
+        Why::Cancelled => Reason::STOPPED,
     }
 }
 
@@ -79,7 +79,7 @@
 
 impl Tracer {
     /// Begins a recording in that folder, for a server of that name.
-    pub fn start(told: &Tracing, server: &str, given: &Given, names: &Names) -> std::io::Result<Tracer> {
+    pub fn start(told: &Tracing, server: &str, given: &Config, names: &Names) -> std::io::Result<Tracer> {
         let recording = Recording {
             version: told.format,
             server: server.to_owned(),
@@ -161,17 +161,17 @@
 }
 
 /// Handlers and tenants with what a summary needs of them, in the order of their indices.
-fn dictionary(given: &Given, names: &Names) -> Dictionary {
+fn dictionary(given: &Config, names: &Names) -> Dictionary {
     let named = |all: &std::collections::HashMap<String, usize>, at: usize| {
         all.iter().find(|(_, place)| **place == at).map_or_else(String::new, |(name, _)| name.clone())
     };
     let handlers = given.handlers.iter().enumerate().map(|(at, handler)| HandlerName {
         name: named(&names.handlers, at),
-        response_target: micros(handler.response_target),
-        target_stretch: handler.target_stretch,
+        response_target: micros(handler.latency_objective),
+        target_stretch: handler.objective_stretch,
         client_timeout: micros(handler.client_timeout),
-        value: handler.value,
-        skip_value: handler.skip_value,
+        value: handler.priority_weight,
+        skip_value: handler.degraded_weight,
     });
     let tenants = (0..given.tenants.len()).map(|at| TenantName { name: named(&names.tenants, at) });
     Dictionary { servers: Vec::new(), handlers: handlers.collect(), tenants: tenants.collect() }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use tulipgap::{Advice, Below, Effect, Gauges, Given, Halting, Handler, Tenant};
+use tulipgap::{
+    CallerFeedback, Cancellation, Config, Dependency, Gauges, HandlerConfig, Idempotency, TenantConfig,
+};
 
 #[derive(Deserialize)]
 struct Class {
@@ -175,8 +177,8 @@
 pub fn gauge<'a>(gauges: &'a mut Gauges, name: &str) -> Option<&'a mut Option<f64>> {
     match name {
         "core_use" => Some(&mut gauges.cores_busy),
-        "on_cores" => Some(&mut gauges.on_cores),
-        "links" => Some(&mut gauges.links),
+        "on_cores" => Some(&mut gauges.runnable),
+        "links" => Some(&mut gauges.open_connections),
         _ => None,
     }
 }
@@ -212,12 +214,12 @@
 }
 
 /// Reads the JSON text of the settings; says what is wrong with it otherwise.
-pub fn read(text: &str) -> Result<(Given, Names), String> {
+pub fn read(text: &str) -> Result<(Config, Names), String> {
     understand(&serde_json::from_str(text).map_err(|error| error.to_string())?)
 }
 
 /// Turns the settings into what the module is given.
-pub fn understand(facts: &Facts) -> Result<(Given, Names), String> {
+pub fn understand(facts: &Facts) -> Result<(Config, Names), String> {
     let info = &facts.family_info;
     let names = Names {
         handlers: facts.classes.iter().enumerate().map(|(at, class)| (class.name.clone(), at)).collect(),
@@ -241,67 +243,71 @@
         .enumerate()
         .map(|(at, class)| handler(at, class, info))
         .collect::<Result<_, _>>()?;
-    let given = Given {
+    let config = Config {
         handlers,
-        tenants: facts.tenants.iter().map(|t| Tenant { allowance_per_s: t.allowance_per_s }).collect(),
-        over_share_value: share("over_share_worth", facts.over_share_worth.unwrap_or(1.0))?,
+        tenants: facts.tenants.iter().map(|t| TenantConfig { rate_quota_per_s: t.allowance_per_s }).collect(),
+        over_quota_weight: share("over_share_worth", facts.over_share_worth.unwrap_or(1.0))?,
         cores: info.cores,
         memory_kb: info.mem_limit_kb,
-        run_factor: info.blowup,
+        running_memory_factor: info.blowup,
         key_kb: info.entry_kb,
-        cold: info.cold,
+        starts_cold: info.cold,
         cold_speed: facts.rules.cold_from,
         warm_up: millis("rules.warm_up", facts.rules.warm_up)?,
-        crowd_limit: facts.rules.fall_multiple,
-        crowd_span: millis("rules.fall", facts.rules.fall)?,
-        answer_slack: millis("rules.grace_to_answer", facts.rules.grace_to_answer)?,
+        max_concurrency_per_core: facts.rules.fall_multiple,
+        concurrency_window: millis("rules.fall", facts.rules.fall)?,
+        response_slack: millis("rules.grace_to_answer", facts.rules.grace_to_answer)?,
         drain_grace: millis("rules.drain_grace", facts.rules.drain_grace)?,
-        below: match info.below {
-            WireBelow::Silent => Below::Nothing,
-            WireBelow::Tier => Below::Tier,
-            WireBelow::Shared => Below::Shared {
+        dependency: match info.below {
+            WireBelow::Silent => Dependency::None,
+            WireBelow::Tier => Dependency::Tier,
+            WireBelow::Shared => Dependency::Shared {
                 share: info.calls_out,
-                span: millis("family_info.share_span", info.share_span)?,
+                window: millis("family_info.share_span", info.share_span)?,
                 linger: millis("family_info.stays_for", info.stays_for)?,
             },
         },
-        halting: match info.halt {
-            WireHalt::Silent => Halting::Never,
-            WireHalt::Drop => Halting::Drops,
-            WireHalt::Pause => Halting::Pauses,
+        cancellation: match info.halt {
+            WireHalt::Silent => Cancellation::Unsupported,
+            WireHalt::Drop => Cancellation::DiscardsProgress,
+            WireHalt::Pause => Cancellation::KeepsProgress,
         },
-        advice: match info.say {
-            WireSay::Level => Advice::Level,
-            WireSay::Credit => Advice::Credit,
-            WireSay::Weight => Advice::Weight,
-            WireSay::Silent => Advice::Nothing,
+        feedback: match info.say {
+            WireSay::Level => CallerFeedback::PriorityThreshold,
+            WireSay::Credit => CallerFeedback::ConcurrencyCredit,
+            WireSay::Weight => CallerFeedback::TrafficWeight,
+            WireSay::Silent => CallerFeedback::None,
         },
-        max_wait: match facts.limits.retry_after {
+        max_retry_after: match facts.limits.retry_after {
             true => Some(millis("limits.max_retry_after", facts.limits.max_retry_after)?),
             false => None,
         },
         servers: facts.fleet_size,
         callers: info.callers,
         marks_retries: facts.clients.marks_retry,
-        idle_link: millis("family_info.idle", info.idle)?,
+        idle_timeout: millis("family_info.idle", info.idle)?,
     };
-    Ok((given, names))
+    Ok((config, names))
 }
 
-fn handler(at: usize, class: &Class, info: &FamilyInfo) -> Result<Handler, String> {
-    Ok(Handler {
-        response_target: millis("classes.objective", class.objective)?,
-        target_stretch: class.aim_stretch,
+fn handler(at: usize, class: &Class, info: &FamilyInfo) -> Result<HandlerConfig, String> {
+    Ok(HandlerConfig {
+        latency_objective: millis("classes.objective", class.objective)?,
+        objective_stretch: class.aim_stretch,
         client_timeout: millis("classes.deadline", class.deadline)?,
-        value: class.worth,
-        effect: match class.effect {
-            WireEffect::Pure => Effect::Replayable,
-            WireEffect::Token => Effect::Uniqued,
-            WireEffect::SideEffect => Effect::NonReplayable,
+        priority_weight: class.worth,
+        idempotency: match class.effect {
+            WireEffect::Pure => Idempotency::Idempotent,
+            WireEffect::Token => Idempotency::Keyed,
+            WireEffect::SideEffect => Idempotency::NonIdempotent,
         },
-        repeat_window: millis("classes.memory_span", class.memory_span)?,
-        calls_below: info.class_calls.get(at).copied().unwrap_or(!matches!(info.below, WireBelow::Silent)),
-        skip_value: info.class_skip_worth.get(at).copied().unwrap_or(0.0),
+        key_retention: millis("classes.memory_span", class.memory_span)?,
+        calls_dependency: info
+            .class_calls
+            .get(at)
+            .copied()
+            .unwrap_or(!matches!(info.below, WireBelow::Silent)),
+        degraded_weight: info.class_skip_worth.get(at).copied().unwrap_or(0.0),
     })
 }
 
@@ -328,13 +334,13 @@
         assert_eq!(steering(&old), Ok(Steering::Advice));
         let new = facts(r#","say":"silent","list_follows":true"#, r#","effect":"side_effect","write":true"#);
         assert_eq!(steering(&new), Ok(Steering::List));
-        let (given, _) = understand(&new).unwrap();
-        assert_eq!(given.advice, Advice::Nothing);
+        let (config, _) = understand(&new).unwrap();
+        assert_eq!(config.feedback, CallerFeedback::None);
         assert_eq!(
-            (given.handlers[0].effect, given.handlers[1].effect),
-            (Effect::Uniqued, Effect::NonReplayable)
+            (config.handlers[0].idempotency, config.handlers[1].idempotency),
+            (Idempotency::Keyed, Idempotency::NonIdempotent)
         );
-        assert_eq!(given.handlers[0].repeat_window, Duration::from_millis(16_743));
+        assert_eq!(config.handlers[0].key_retention, Duration::from_millis(16_743));
     }
 
     #[test]
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use slab::Slab;
-use tulipgap::{Action, Arrival, Decider, Event, Gauges, Outcome};
+use tulipgap::{Action, Arrival, Controller, Event, Gauges, Outcome};
 use tulipgap_settings::{self as settings, Names, millis};
 
 /// Input that cannot be read.
@@ -99,14 +99,14 @@
 
     fn outcome(&self) -> Result<Outcome, WireError> {
         Ok(match self.text("reason")? {
-            "success" => Outcome::Done,
-            "failure" => Outcome::Errored,
-            "overloaded" => Outcome::Full,
+            "success" => Outcome::Succeeded,
+            "failure" => Outcome::Failed,
+            "overloaded" => Outcome::Rejected,
             "timed_out" => Outcome::TimedOut,
             "unreachable" => Outcome::Unreachable,
-            "broken" => Outcome::Broken,
-            "withdrawn" => Outcome::Stopped,
-            "void" => Outcome::Void,
+            "broken" => Outcome::ConnectionLost,
+            "withdrawn" => Outcome::Cancelled,
+            "void" => Outcome::NotStarted,
             other => return Err(self.error("reason", format!("'{other}' is no outcome"))),
         })
     }
@@ -132,7 +132,7 @@
 /// One backend: its module, and the ids of the reqs that the module knows by index.
 struct Backend {
     started: f64,
-    decider: Decider,
+    controller: Controller,
     names: Names,
     ids: Slab<String>,
     indices: HashMap<String, usize>,
@@ -144,34 +144,34 @@
         let seed = fields.whole("prng")?;
         let text = fields.text("facts")?;
         let (given, names) = settings::read(text).map_err(|problem| fields.error("facts", problem))?;
-        let decider =
-            Decider::new(&given, seed).map_err(|problem| fields.error("facts", problem.to_string()))?;
+        let controller =
+            Controller::new(&given, seed).map_err(|problem| fields.error("facts", problem.to_string()))?;
         let (ids, indices) = (Slab::new(), HashMap::new());
-        Ok(Backend { started: now, decider, names, ids, indices, events: vec![Event::Started] })
+        Ok(Backend { started: now, controller, names, ids, indices, events: vec![Event::Started] })
     }
 
-    /// The index of a req that the module has not ended yet.
-    fn req(&self, fields: &Fields) -> Result<Option<usize>, WireError> {
+    /// The index of a request that the module has not ended yet.
+    fn request(&self, fields: &Fields) -> Result<Option<usize>, WireError> {
         Ok(self.indices.get(fields.text("tid")?).copied())
     }
 
     fn take_in(&mut self, kind: &str, fields: &Fields) -> Result<(), WireError> {
         let event = match kind {
             "INCOMING" => Some(self.arrival(fields)?),
-            "GONE" => self.req(fields)?.map(|req| Event::Gone { req }),
-            "AT_CALL" => self.req(fields)?.map(|req| Event::AtCall { req }),
+            "GONE" => self.request(fields)?.map(|request| Event::CallerGone { request }),
+            "AT_CALL" => self.request(fields)?.map(|request| Event::ReachedCall { request }),
             "DONE" => {
                 let outcome = fields.outcome()?;
-                self.req(fields)?.map(|req| Event::Ended { req, outcome })
+                self.request(fields)?.map(|request| Event::Finished { request, outcome })
             }
             "CAME_BACK" => {
                 let outcome = fields.outcome()?;
-                self.req(fields)?.map(|req| Event::CallEnded { req, outcome })
+                self.request(fields)?.map(|request| Event::CallFinished { request, outcome })
             }
-            "ELAPSED" => Some(Event::Alarm { gauges: fields.gauges()? }),
+            "ELAPSED" => Some(Event::TimerFired { gauges: fields.gauges()? }),
             "SIGTERM" => {
                 let left = fields.time("expires_in", fields.needed("expires_in")?)?;
-                Some(Event::Leave { since: Duration::ZERO, left })
+                Some(Event::ShutdownNotice { since: Duration::ZERO, left })
             }
             other => return Err(WireError::at(fields.line, other, "it is no known message")),
         };
@@ -203,62 +203,73 @@
                 .transpose()
         };
         let age = fields.time("queued_for", fields.number("queued_for")?.unwrap_or(0.0))?;
-        let (patience, work) = (positive("expires_in")?, positive("work")?);
-        let held_kb = fields.needed("footprint")?;
-        let (retry, repeats) = (fields.flag("again_by_client")?, fields.optional("original").is_some());
-        let req = self.ids.insert(id.to_owned());
-        self.indices.insert(id.to_owned(), req);
-        Ok(Event::Arrived(Arrival { req, handler, tenant, age, patience, work, held_kb, retry, repeats }))
+        let (client_wait, estimated_work) = (positive("expires_in")?, positive("work")?);
+        let queued_kb = fields.needed("footprint")?;
+        let (is_retry, is_duplicate) =
+            (fields.flag("again_by_client")?, fields.optional("original").is_some());
+        let request = self.ids.insert(id.to_owned());
+        self.indices.insert(id.to_owned(), request);
+        Ok(Event::Arrived(Arrival {
+            request,
+            handler,
+            tenant,
+            age,
+            client_wait,
+            estimated_work,
+            queued_kb,
+            is_retry,
+            is_duplicate,
+        }))
     }
 
     /// Lets the module decide on the batch's events, and writes down what it wants done.
     fn answer(&mut self, number: u64, now: f64, reply: &mut String) {
         let since_start = Duration::from_secs_f64((now - self.started).max(0.0) / 1e3);
-        for action in self.decider.decide(since_start, &self.events) {
+        for action in self.controller.handle_events(since_start, &self.events) {
             self.write(number, &action, reply);
         }
         self.events.clear();
     }
 
     fn write(&mut self, number: u64, action: &Action, reply: &mut String) {
-        let mut line = |word: &str, req: Option<usize>, rest: std::fmt::Arguments| {
+        let mut line = |word: &str, request: Option<usize>, rest: std::fmt::Arguments| {
             let _ = write!(reply, "{word} backend_id={number}");
-            if let Some(req) = req {
-                let _ = write!(reply, " tid={}", self.ids[req]);
+            if let Some(request) = request {
+                let _ = write!(reply, " tid={}", self.ids[request]);
             }
             let _ = reply.write_fmt(rest);
             reply.push('\n');
         };
         match *action {
-            Action::Run { req } => line("EXECUTE", Some(req), format_args!("")),
-            Action::Shed { req, wait, elsewhere, .. } => {
-                let (wait, last) = (as_millis(wait.unwrap_or_default()), u8::from(!elsewhere));
-                line("TURN_AWAY", Some(req), format_args!(" wait={wait:.3} terminal={last}"));
+            Action::Start { request } => line("EXECUTE", Some(request), format_args!("")),
+            Action::Reject { request, retry_after, retry_elsewhere, .. } => {
+                let (wait, last) = (as_millis(retry_after.unwrap_or_default()), u8::from(!retry_elsewhere));
+                line("TURN_AWAY", Some(request), format_args!(" wait={wait:.3} terminal={last}"));
             }
-            Action::Fail { req, .. } => line("REPORT_FAILURE", Some(req), format_args!("")),
-            Action::Stop { req } => line("YANK", Some(req), format_args!("")),
-            Action::Join { req } => line("JOIN", Some(req), format_args!("")),
-            Action::Remember { req, span } => {
-                line("KEEP", Some(req), format_args!(" lifetime={:.3}", as_millis(span)));
+            Action::Fail { request, .. } => line("REPORT_FAILURE", Some(request), format_args!("")),
+            Action::Cancel { request } => line("YANK", Some(request), format_args!("")),
+            Action::Coalesce { request } => line("JOIN", Some(request), format_args!("")),
+            Action::RememberKey { request, retention } => {
+                line("KEEP", Some(request), format_args!(" lifetime={:.3}", as_millis(retention)));
             }
-            Action::Forget { req } => line("EVICT", Some(req), format_args!("")),
-            Action::Call { req, patience } => {
-                line("DIAL", Some(req), format_args!(" patience={:.3}", as_millis(patience)));
+            Action::ForgetKey { request } => line("EVICT", Some(request), format_args!("")),
+            Action::StartCall { request, timeout } => {
+                line("DIAL", Some(request), format_args!(" patience={:.3}", as_millis(timeout)));
             }
-            Action::SkipCall { req } => line("OMIT", Some(req), format_args!("")),
-            Action::Advise { value } => line("SAY", None, format_args!(" amount={value:.4}")),
-            Action::CloseIdle { after } => {
-                line("CLOSE_IDLE", None, format_args!(" lifetime={:.3}", as_millis(after)));
+            Action::SkipCall { request } => line("OMIT", Some(request), format_args!("")),
+            Action::SetFeedback { value } => line("SAY", None, format_args!(" amount={value:.4}")),
+            Action::SetIdleTimeout { timeout } => {
+                line("CLOSE_IDLE", None, format_args!(" lifetime={:.3}", as_millis(timeout)));
             }
-            Action::Health { good } => {
-                line("SET_HEALTH", None, format_args!(" enable={} light=1", u8::from(good)));
+            Action::SetHealth { healthy } => {
+                line("SET_HEALTH", None, format_args!(" enable={} light=1", u8::from(healthy)));
             }
-            Action::Alarm { at } => {
+            Action::SetTimer { at } => {
                 let at = self.started + as_millis(at);
                 line("TIMER", None, format_args!(" handle=beat alarm_time={at:.3}"));
             }
-            Action::Over { req } => {
-                let id = self.ids.remove(req);
+            Action::Release { request } => {
+                let id = self.ids.remove(request);
                 self.indices.remove(&id);
             }
         }
--- /dev/null
+++ b/src/action.rs
@@ -0,0 +1,119 @@
+//! Output actions of the controller. No decision is taken here.
+
+use std::time::Duration;
+
+use crate::event::RequestIndex;
+
+/// Why a request was rejected or failed by the controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// No memory is left to queue it.
+    MemoryLimit,
+    /// Runs on this server fail so often that other servers are likely to do better.
+    HighFailureRate,
+    /// The admitted fraction was cut, and the request was not drawn.
+    AdmissionControl,
+    /// It was not expected to meet its latency objective.
+    PredictedLate,
+    /// As `PredictedLate`, but after it had been queued: requests of higher priority came before it.
+    Overtaken,
+    /// Its latency objective passed while it was queued or running.
+    ObjectiveMissed,
+    /// Its client is about to stop waiting.
+    DeadlineNear,
+    /// It arrived too late after the shutdown notice.
+    Draining,
+    /// The process is about to be terminated.
+    Terminating,
+    /// Its mandatory dependency call failed.
+    CallFailed,
+    /// Its run was cancelled with nothing for its caller.
+    Cancelled,
+}
+
+/// Something that the host has to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start a queued request.
+    Start {
+        /// The request to start.
+        request: RequestIndex,
+    },
+    /// Final answer: the request is rejected.
+    Reject {
+        /// The rejected request.
+        request: RequestIndex,
+        /// When the caller may come back to this server, where callers can be told.
+        retry_after: Option<Duration>,
+        /// Whether the caller should try another server.
+        retry_elsewhere: bool,
+        /// Why it was rejected.
+        reason: Reason,
+    },
+    /// Final answer: an error.
+    Fail {
+        /// The failed request.
+        request: RequestIndex,
+        /// Why it failed.
+        reason: Reason,
+    },
+    /// Cancel a run.
+    Cancel {
+        /// The request whose run is cancelled.
+        request: RequestIndex,
+    },
+    /// Answer it with the result of the request that it duplicates.
+    Coalesce {
+        /// The duplicate.
+        request: RequestIndex,
+    },
+    /// Remember its idempotency key, so that duplicates are recognised.
+    RememberKey {
+        /// The request that carries the key.
+        request: RequestIndex,
+        /// How long the key is kept.
+        retention: Duration,
+    },
+    /// Forget its idempotency key before its time.
+    ForgetKey {
+        /// The request that carries the key.
+        request: RequestIndex,
+    },
+    /// Make the dependency call that it waits for.
+    StartCall {
+        /// The request that makes the call.
+        request: RequestIndex,
+        /// The time limit of the call.
+        timeout: Duration,
+    },
+    /// Continue without the call.
+    SkipCall {
+        /// The request that skips its call.
+        request: RequestIndex,
+    },
+    /// The feedback value that answers carry from now on; see [`CallerFeedback`](crate::CallerFeedback).
+    SetFeedback {
+        /// The value, in the unit of the feedback in use.
+        value: f64,
+    },
+    /// Close connections that have been idle for this long, from now on.
+    SetIdleTimeout {
+        /// The time without a message.
+        timeout: Duration,
+    },
+    /// The health that health checks report from now on.
+    SetHealth {
+        /// Whether the server is healthy.
+        healthy: bool,
+    },
+    /// Send [`Event::TimerFired`](crate::Event::TimerFired) at this time.
+    SetTimer {
+        /// The time since the start.
+        at: Duration,
+    },
+    /// The controller no longer refers to this request; the host may reuse its index.
+    Release {
+        /// The released index.
+        request: RequestIndex,
+    },
+}
--- /dev/null
+++ b/src/controller/admission.rs
@@ -0,0 +1,164 @@
+//! Admission: the way of a request from its arrival to the queue.
+
+use std::time::Duration;
+
+use super::Controller;
+use super::tuning::{
+    ADMISSION_OBJECTIVE_FRACTION, BUCKET_WIDTH, LONG_LEARNT_WORK_FACTOR, MAX_QUEUED_MEMORY_FRACTION,
+    MEASUREMENT_WINDOW, QUOTA_BURST, QUOTA_WINDOW,
+};
+use crate::action::{Action, Reason};
+use crate::config::Idempotency;
+use crate::event::{Arrival, RequestIndex, TenantIndex};
+use crate::request::{Request, Stage};
+use crate::sliding_window::Metric;
+use crate::state::seconds;
+
+impl Controller {
+    /// The ordinary path of a request.
+    pub(super) fn request_arrived(&mut self, arrival: &Arrival, out: &mut Vec<Action>) {
+        let index = arrival.request;
+        let Some(request) = self.describe(arrival) else { return };
+        if self.requests.get(index).is_some() {
+            return;
+        }
+        self.record_arrival(arrival, &request);
+        self.memory.add_queued(request.queued_kb);
+        self.requests.insert(index, request);
+        let idempotency = self.handlers[arrival.handler].idempotency;
+
+        // No effect twice: a duplicate of a keyed request is neither run nor rejected, as the first may have run.
+        if arrival.is_duplicate && idempotency != Idempotency::Idempotent {
+            return self.coalesce(index, out);
+        }
+        if self.arrived_too_late_to_run(index) {
+            return self.finish_early(index, true, Reason::Draining, out);
+        }
+        if let Some(reason) = self.rejection_reason(index) {
+            self.window.add(Metric::Rejected, 1.0);
+            let retry_elsewhere = self.should_retry_elsewhere(index);
+            return self.finish_early(index, retry_elsewhere, reason, out);
+        }
+        self.charge_quota(arrival.tenant);
+        if idempotency == Idempotency::Keyed {
+            self.remember_key(index, out);
+        }
+        self.enqueue(index);
+    }
+
+    /// What the controller keeps of an arrival; `None` for a handler that does not exist.
+    fn describe(&self, arrival: &Arrival) -> Option<Request> {
+        let now = self.clock.now;
+        let profile = self.handlers.get(arrival.handler)?;
+        // Where requests state no work, it is learnt from their handler's runs; otherwise all would look alike.
+        let work_is_learnt = arrival.estimated_work.is_none();
+        let work = arrival.estimated_work.map_or(profile.learnt_work, |work| work.as_secs_f64());
+        let arrived_at = now.saturating_sub(arrival.age);
+        let deadline = match arrival.client_wait {
+            Some(wait) => now.saturating_add(wait),
+            None => arrived_at.saturating_add(profile.client_timeout),
+        };
+        let objective = profile.latency_objective;
+        let stretch = seconds(profile.objective_stretch * work);
+        let objective_at = arrived_at.saturating_add(objective).saturating_add(stretch).min(deadline);
+        // What a tenant sends beyond its quota ranks below everything within one.
+        let bucket = arrival.tenant.and_then(|tenant| self.quotas.buckets.get(tenant));
+        let is_over_quota = bucket.is_some_and(|bucket| bucket.tokens < self.quota_threshold());
+        // A learnt estimate describes a handler, not a request: only one far above the mean counts as long.
+        let long_from = self.mean_work() * if work_is_learnt { LONG_LEARNT_WORK_FACTOR } else { 1.0 };
+        Some(Request {
+            handler: arrival.handler,
+            level: if is_over_quota { profile.over_quota_level } else { profile.level },
+            queued_kb: arrival.queued_kb.max(0.0).min(self.memory.limit_kb * 2.0),
+            work,
+            work_is_learnt,
+            is_long: work > long_from,
+            is_over_quota,
+            is_retry: arrival.is_retry,
+            arrived_at,
+            objective_at,
+            deadline,
+            stalled_before: self.clock.stalled - self.clock.stalled_since(arrived_at),
+            ..Request::default()
+        })
+    }
+
+    fn coalesce(&mut self, request: RequestIndex, out: &mut Vec<Action>) {
+        self.requests[request].stage = Stage::Coalesced;
+        if self.is_terminating() {
+            self.finish_early(request, false, Reason::Terminating, out);
+        } else if self.memory.used_kb > self.memory.limit_kb {
+            self.finish_early(request, false, Reason::MemoryLimit, out);
+        } else {
+            out.push(Action::Coalesce { request });
+        }
+    }
+
+    fn rejection_reason(&mut self, index: RequestIndex) -> Option<Reason> {
+        let failing = self.high_failure_fraction();
+        let drawn_for_failures = failing > 0.0 && self.rng.f64() < failing;
+        let level = self.requests[index].level;
+        if !self.has_memory_for(index) {
+            Some(Reason::MemoryLimit)
+        } else if drawn_for_failures {
+            Some(Reason::HighFailureRate)
+        } else if !self.passes_admission_control(level) {
+            Some(Reason::AdmissionControl)
+        } else {
+            let work_ahead = self.work_ahead_of(index);
+            let is_in_time = self.meets_objective(index, work_ahead, ADMISSION_OBJECTIVE_FRACTION);
+            (!is_in_time).then_some(Reason::PredictedLate)
+        }
+    }
+
+    /// Whether the queue and the memory have room for a request that already counts, and for its key.
+    fn has_memory_for(&self, request: RequestIndex) -> bool {
+        let memory = &self.memory;
+        let is_keyed = self.handlers[self.requests[request].handler].idempotency == Idempotency::Keyed;
+        let key_kb = if is_keyed { memory.key_kb } else { 0.0 };
+        let queue_has_room = memory.queued_kb <= memory.limit_kb * MAX_QUEUED_MEMORY_FRACTION;
+        queue_has_room && memory.used_kb + key_kb <= memory.limit_kb
+    }
+
+    /// Spends the admitted fraction on the highest levels first; a draw decides only within the marginal one.
+    fn passes_admission_control(&mut self, level: usize) -> bool {
+        if self.brownout.admitted_fraction >= 1.0 {
+            return true;
+        }
+        let count = |level: usize| self.window.sum(Metric::ArrivedAtLevel(level), MEASUREMENT_WINDOW);
+        let above: f64 = (level + 1..self.priority_levels).map(count).sum();
+        let all: f64 = (0..self.priority_levels).map(count).sum();
+        let draw = self.rng.f64();
+        draw * count(level) < self.brownout.admitted_fraction * all - above
+    }
+
+    /// The tokens under which a tenant is over its quota. While arrivals stay within what all tenants may send
+    /// to one server, none is: buckets walk at random, and a low rank would reject what there is room for.
+    /// Beyond that, as large a part is over quota as there is excess. Harms where one tenant floods a fleet
+    /// that the others leave idle.
+    fn quota_threshold(&self) -> f64 {
+        let Some(quota) = self.quotas.rate_per_s else { return 1.0 };
+        let span = QUOTA_WINDOW.min(self.clock.now).max(Duration::from_secs(1));
+        let arrived = self.window.sum(Metric::Arrived, QUOTA_WINDOW);
+        let first_attempts = arrived - self.window.sum(Metric::Retries, QUOTA_WINDOW);
+        let rate = first_attempts / span.as_secs_f64();
+        QUOTA_BURST * (1.0 - 2.0 * quota / rate.max(quota))
+    }
+
+    fn charge_quota(&mut self, sender: Option<TenantIndex>) {
+        for (tenant, bucket) in self.quotas.buckets.iter_mut().enumerate() {
+            let spent = f64::from(u8::from(sender == Some(tenant)));
+            bucket.tokens = (bucket.tokens + bucket.fraction - spent).clamp(-QUOTA_BURST, QUOTA_BURST);
+        }
+    }
+
+    fn remember_key(&mut self, request: RequestIndex, out: &mut Vec<Action>) {
+        let now = self.clock.now;
+        let entry = &mut self.requests[request];
+        let retention = self.handlers[entry.handler].key_retention;
+        let expires_at = entry.arrived_at.saturating_add(retention).saturating_add(BUCKET_WIDTH);
+        entry.key_expires_at = Some(expires_at.max(now));
+        self.memory.remember_key(expires_at.max(now));
+        out.push(Action::RememberKey { request, retention: expires_at.saturating_sub(now) });
+    }
+}
--- /dev/null
+++ b/src/controller/events.rs
@@ -0,0 +1,72 @@
+//! The order of decisions: on each event, on each tick and on each control step.
+
+use std::time::Duration;
+
+use super::Controller;
+use super::tuning::{CONTROL_INTERVAL, STALL_TICKS};
+use crate::action::Action;
+use crate::event::{Event, Gauges};
+use crate::sliding_window::Metric;
+
+impl Controller {
+    /// Takes what happened, in order, and returns what is to be done, in order. `now` is the time since the
+    /// start of the process.
+    pub fn handle_events(&mut self, now: Duration, events: &[Event]) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.advance_clock(now);
+        for event in events {
+            match event {
+                Event::Started => {
+                    out.push(Action::SetHealth { healthy: true });
+                    out.push(Action::SetTimer { at: self.schedule.next_tick });
+                }
+                Event::Arrived(arrival) => self.request_arrived(arrival, &mut out),
+                Event::Finished { request, outcome } => self.run_finished(*request, *outcome, &mut out),
+                Event::CallerGone { request } => self.caller_gone(*request, &mut out),
+                Event::ReachedCall { request } => self.call_reached(*request, &mut out),
+                Event::CallFinished { request, outcome } => self.call_finished(*request, *outcome, &mut out),
+                Event::TimerFired { gauges } => self.tick(gauges, &mut out),
+                Event::ShutdownNotice { since, left } => self.start_drain(*since, *left, &mut out),
+            }
+        }
+        self.retry_waiting_calls(&mut out);
+        self.start_queued(&mut out);
+        out
+    }
+
+    fn advance_clock(&mut self, now: Duration) {
+        let now = now.max(self.clock.now);
+        let passed = (now - self.clock.now).as_secs_f64();
+        let before = self.clock.now;
+        self.calls.lingering.retain(|&end| end > before);
+        self.window.advance(now);
+        let in_flight = (self.requests.calling + self.calls.lingering.len()) as f64;
+        self.window.add(Metric::CallsInFlight, in_flight * passed);
+        self.clock.now = now;
+        // A tick that comes far too late shows that the process stood still.
+        if now > self.schedule.next_tick + self.schedule.tick_interval * STALL_TICKS {
+            self.clock.stall_length = (now - self.schedule.next_tick).as_secs_f64().min(passed);
+            self.clock.stall_end = now;
+            self.clock.stalled += self.clock.stall_length;
+        }
+    }
+
+    /// Everything that goes by the clock.
+    fn tick(&mut self, gauges: &Gauges, out: &mut Vec<Action>) {
+        let now = self.clock.now;
+        self.schedule.next_tick = now + self.schedule.tick_interval;
+        out.push(Action::SetTimer { at: self.schedule.next_tick });
+        self.memory.expire_keys(now);
+        self.read_gauges(gauges);
+        self.expire_requests(out);
+        self.update_pace();
+        if now >= self.schedule.next_control_step {
+            self.schedule.next_control_step = now + CONTROL_INTERVAL;
+            self.adjust_running_limit();
+            self.update_brownout();
+            self.update_wanted_traffic();
+            self.adjust_idle_timeout(gauges.open_connections.unwrap_or(0.0), out);
+        }
+        self.send_feedback(out);
+    }
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,90 @@
+//! The controller's state and its construction. No decision is taken here: `events.rs` hands each event to the
+//! file that decides on it, and `tuning.rs` holds every tuned constant.
+
+mod admission;
+mod bookkeeping;
+mod brownout;
+mod caller_feedback;
+mod connections;
+mod dependency_calls;
+mod dispatch;
+mod drain;
+mod events;
+mod health;
+mod lifecycle;
+mod queueing;
+mod tuning;
+
+use std::time::Duration;
+
+use crate::config::{Cancellation, Config, ConfigError};
+use crate::request::{HandlerProfile, handler_profiles};
+use crate::request_table::RequestTable;
+use crate::sliding_window::SlidingWindow;
+use crate::state::{
+    Brownout, Capacity, Clock, Connections, DependencyCalls, Drain, Feedback, Memory, Pace, Quotas, Schedule,
+};
+use caller_feedback::max_wasted_fraction;
+use tuning::{
+    BUCKET_WIDTH, CONTROL_INTERVAL, DEFAULT_WORK_SECONDS, INITIAL_SLOPE, MAX_TICK_INTERVAL,
+    MIN_TICK_INTERVAL, SAFETY_FRACTION, SETPOINT_FRACTION, WORK_WINDOW,
+};
+
+/// Decides for one server. It owns all state.
+pub struct Controller {
+    handlers: Vec<HandlerProfile>,
+    priority_levels: usize,
+    quotas: Quotas,
+    capacity: Capacity,
+    memory: Memory,
+    calls: DependencyCalls,
+    brownout: Brownout,
+    pace: Pace,
+    feedback: Feedback,
+    connections: Connections,
+    drain_grace: Duration,
+    drain: Option<Drain>,
+    can_cancel: bool,
+    clock: Clock,
+    schedule: Schedule,
+    window: SlidingWindow,
+    requests: RequestTable,
+    rng: fastrand::Rng,
+}
+
+impl Controller {
+    /// Creates the controller of a server that starts now.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ConfigError`] that names the field which is out of range.
+    pub fn new(config: &Config, seed: u64) -> Result<Self, ConfigError> {
+        config.validate()?;
+        let (handlers, priority_levels) = handler_profiles(config, DEFAULT_WORK_SECONDS);
+        let objectives: f64 = handlers.iter().map(|h| h.latency_objective.as_secs_f64()).sum();
+        let setpoint = SETPOINT_FRACTION * objectives / handlers.len() as f64;
+        let tick_interval = (config.response_slack / 2).clamp(MIN_TICK_INTERVAL, MAX_TICK_INTERVAL);
+        let calls = DependencyCalls::new(config, &handlers, SAFETY_FRACTION);
+        let window = SlidingWindow::new(BUCKET_WIDTH, calls.window.max(WORK_WINDOW), priority_levels);
+        Ok(Controller {
+            priority_levels,
+            quotas: Quotas::new(config),
+            capacity: Capacity::new(config),
+            memory: Memory::new(config, SAFETY_FRACTION),
+            brownout: Brownout::new(setpoint, INITIAL_SLOPE),
+            pace: Pace::new(config),
+            feedback: Feedback::new(config, max_wasted_fraction(config.feedback)),
+            connections: Connections::new(config.idle_timeout),
+            drain_grace: config.drain_grace,
+            drain: None,
+            can_cancel: config.cancellation != Cancellation::Unsupported,
+            clock: Clock::default(),
+            schedule: Schedule::new(tick_interval, CONTROL_INTERVAL),
+            requests: RequestTable::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            handlers,
+            calls,
+            window,
+        })
+    }
+}
--- /dev/null
+++ b/src/sliding_window.rs
@@ -0,0 +1,123 @@
+//! Sums of measurements over the recent past. No decision is taken here.
+
+use std::time::Duration;
+
+/// What is measured. Each metric is a sum over a bucket of the window.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Metric {
+    /// Requests that succeeded in time for their caller.
+    Completed,
+    /// Their response times, in seconds; time in which the process stood still is left out.
+    ResponseTime,
+    /// Seconds on a core of runs that succeeded.
+    CoreTime,
+    /// Their work.
+    Work,
+    /// Runs that failed.
+    Failed,
+    /// Dependency calls that ended with an answer or a timeout.
+    Calls,
+    /// Their durations, in seconds.
+    CallTime,
+    /// Seconds of calls that were in flight at the dependency.
+    CallsInFlight,
+    /// Requests that arrived.
+    Arrived,
+    /// Their work.
+    ArrivedWork,
+    /// Arrivals that are marked as retries.
+    Retries,
+    /// Seconds that arrivals stood unread.
+    UnreadTime,
+    /// Cores wanted by anything but runs, one reading a tick.
+    ReadingCores,
+    /// Arrivals that were rejected at once.
+    Rejected,
+    /// Dependency calls without an answer in time.
+    CallsTimedOut,
+    /// The fraction of the cores that was busy, one reading a tick.
+    CoresBusy,
+    /// Requests that arrived at one priority level.
+    ArrivedAtLevel(usize),
+}
+
+impl Metric {
+    /// The number of metrics beside those of the priority levels.
+    const FIXED: usize = 16;
+
+    fn column(self) -> usize {
+        match self {
+            Metric::Completed => 0,
+            Metric::ResponseTime => 1,
+            Metric::CoreTime => 2,
+            Metric::Work => 3,
+            Metric::Failed => 4,
+            Metric::Calls => 5,
+            Metric::CallTime => 6,
+            Metric::CallsInFlight => 7,
+            Metric::Arrived => 8,
+            Metric::ArrivedWork => 9,
+            Metric::Retries => 10,
+            Metric::UnreadTime => 11,
+            Metric::ReadingCores => 12,
+            Metric::Rejected => 13,
+            Metric::CallsTimedOut => 14,
+            Metric::CoresBusy => 15,
+            Metric::ArrivedAtLevel(level) => Metric::FIXED + level,
+        }
+    }
+}
+
+/// Measurements in buckets of a fixed width, reused as a ring. It owns the only copy of every metric.
+pub(crate) struct SlidingWindow {
+    bucket_width: Duration,
+    /// The number of the present bucket, counted from the start.
+    current: u64,
+    buckets: Vec<Vec<f64>>,
+}
+
+impl SlidingWindow {
+    /// A window over `span`, with one metric more for each priority level.
+    pub(crate) fn new(bucket_width: Duration, span: Duration, priority_levels: usize) -> Self {
+        let buckets = span.as_millis().div_ceil(bucket_width.as_millis()) as usize + 1;
+        let columns = Metric::FIXED + priority_levels;
+        SlidingWindow { bucket_width, current: 0, buckets: vec![vec![0.0; columns]; buckets] }
+    }
+
+    /// Moves to the bucket of `now` and clears the buckets that are reused.
+    pub(crate) fn advance(&mut self, now: Duration) {
+        let target = (now.as_millis() / self.bucket_width.as_millis()) as u64;
+        let length = self.buckets.len() as u64;
+        for bucket in (self.current + 1..=target).rev().take(self.buckets.len()) {
+            self.buckets[(bucket % length) as usize].fill(0.0);
+        }
+        self.current = self.current.max(target);
+    }
+
+    /// Adds to the present bucket.
+    pub(crate) fn add(&mut self, metric: Metric, amount: f64) {
+        let bucket = self.current as usize % self.buckets.len();
+        self.buckets[bucket][metric.column()] += amount;
+    }
+
+    /// The sum over the last `span`, the present bucket included.
+    pub(crate) fn sum(&self, metric: Metric, span: Duration) -> f64 {
+        let length = self.buckets.len() as u64;
+        let wanted = span.as_millis().div_ceil(self.bucket_width.as_millis()) as u64 + 1;
+        let column = metric.column();
+        (0..wanted.min(length))
+            .map(|back| self.buckets[((self.current + length - back) % length) as usize][column])
+            .sum()
+    }
+
+    /// One metric divided by another over the last `span`; `None` where the divisor is 0.
+    pub(crate) fn ratio(&self, dividend: Metric, divisor: Metric, span: Duration) -> Option<f64> {
+        let divisor = self.sum(divisor, span);
+        (divisor > 0.0).then(|| self.sum(dividend, span) / divisor)
+    }
+
+    /// A metric per request that arrived in the last `span`.
+    pub(crate) fn per_arrival(&self, metric: Metric, span: Duration) -> f64 {
+        self.sum(metric, span) / self.sum(Metric::Arrived, span).max(1.0)
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,129 +1,310 @@
-//! What the decision module keeps of reqs, handlers and tenants, and the names of its measures. No decision
-//! is taken here.
+//! The parts of the controller's state, each with one owner among the files of `controller/`. No decision is
+//! taken here.
 
 use std::time::Duration;
 
-use crate::interface::*;
-
-/// What the ring of measures counts in each bucket; the arrivals of each level follow.
-pub const DONE: usize = 0;
-pub const RESPONSE: usize = 1;
-pub const ON_CORE: usize = 2;
-pub const WORK: usize = 3;
-pub const ERRORED: usize = 4;
-pub const CALLS: usize = 5;
-pub const CALL_TIME: usize = 6;
-pub const CALLS_IN_HAND: usize = 7;
-pub const ARRIVED: usize = 8;
-pub const ARRIVED_WORK: usize = 9;
-pub const RETRIES: usize = 10;
-pub const UNREAD: usize = 11;
-pub const READING: usize = 12;
-pub const SHED: usize = 13;
-pub const CALLS_LATE: usize = 14;
-pub const BUSY: usize = 15;
-pub const LEVELS: usize = 16;
-
-/// What decisions need of a handler.
-pub struct Aims {
-    pub target: Duration,
-    pub stretch: f64,
-    pub timeout: Duration,
-    pub effect: Effect,
-    pub repeat_window: Duration,
-    pub skippable: bool,
-    pub calls: bool,
-    /// Rank of its value among all values, within and beyond a tenant's share.
-    pub level: usize,
-    pub over_level: usize,
-    /// The work that a req without a hint is thought to bring, learnt from what was done.
-    pub work: f64,
-    /// Calls that a run of its makes, learnt from what was done.
-    pub calls_each: f64,
-}
-
-impl Aims {
-    /// Of a handler that calls or not, at those levels, with that work until it is learnt.
-    pub fn of(handler: &Handler, calls: bool, level: usize, over_level: usize, work: f64) -> Self {
-        Aims {
-            target: handler.response_target,
-            stretch: handler.target_stretch,
-            timeout: handler.client_timeout,
-            effect: handler.effect,
-            repeat_window: handler.repeat_window,
-            skippable: handler.skip_value > 0.0,
-            calls,
-            level,
-            over_level,
-            work,
-            calls_each: 1.0,
+use crate::config::{CallerFeedback, Config, Dependency};
+use crate::request::{HandlerProfile, TokenBucket};
+
+/// The time, and how much of it the process stood still. Owner: `controller/mod.rs`.
+#[derive(Default)]
+pub(crate) struct Clock {
+    pub(crate) now: Duration,
+    /// Seconds that the process stood still in all.
+    pub(crate) stalled: f64,
+    /// The end and the length in seconds of the last stall.
+    pub(crate) stall_end: Duration,
+    pub(crate) stall_length: f64,
+}
+
+impl Clock {
+    /// Seconds that the process was awake.
+    pub(crate) fn awake(&self) -> f64 {
+        self.now.as_secs_f64() - self.stalled
+    }
+
+    /// Seconds since `arrived_at` in which the process stood still in its last stall.
+    pub(crate) fn stalled_since(&self, arrived_at: Duration) -> f64 {
+        self.stall_end.saturating_sub(arrived_at).as_secs_f64().min(self.stall_length)
+    }
+}
+
+/// When timers are due. Owner: `controller/mod.rs`.
+pub(crate) struct Schedule {
+    pub(crate) tick_interval: Duration,
+    pub(crate) next_tick: Duration,
+    pub(crate) next_control_step: Duration,
+}
+
+impl Schedule {
+    pub(crate) fn new(tick_interval: Duration, control_interval: Duration) -> Self {
+        Schedule { tick_interval, next_tick: tick_interval, next_control_step: control_interval }
+    }
+}
+
+/// The cores and what wants them. Owner: `controller/dispatch.rs`.
+pub(crate) struct Capacity {
+    pub(crate) cores: f64,
+    /// Concurrent requests that a server survives when warm, and at its coldest.
+    pub(crate) warm_concurrency: f64,
+    pub(crate) cold_concurrency: f64,
+    /// The age in seconds at which the server is warm.
+    pub(crate) warm_at: f64,
+    /// The running limit.
+    pub(crate) running_limit: f64,
+    /// The fraction of the cores that is busy.
+    pub(crate) busy: f64,
+    /// Cores wanted by anything but runs, above all by reading.
+    pub(crate) reading: f64,
+}
+
+impl Capacity {
+    pub(crate) fn new(config: &Config) -> Self {
+        let cores = f64::from(config.cores);
+        let concurrency = |speed: f64| cores * (1.0 + (config.max_concurrency_per_core - 1.0) * speed);
+        Capacity {
+            cores,
+            warm_concurrency: concurrency(1.0),
+            cold_concurrency: concurrency(config.cold_speed),
+            warm_at: if config.starts_cold { config.warm_up.as_secs_f64() } else { 0.0 },
+            running_limit: cores,
+            busy: 0.0,
+            reading: 0.0,
+        }
+    }
+
+    /// The concurrency that the server survives at this age: lower while it is cold.
+    pub(crate) fn survivable_concurrency(&self, age: Duration) -> f64 {
+        let age = age.as_secs_f64();
+        if age >= self.warm_at {
+            return self.warm_concurrency;
         }
+        self.cold_concurrency + (self.warm_concurrency - self.cold_concurrency) * age / self.warm_at
     }
 }
 
-/// A tenant's claim on this server: filled by its part of each req taken from anyone, emptied by its own.
-/// Parts of what is taken here, and not a rate, as one server may see far more of a tenant than others do.
-pub struct Purse {
-    pub part: f64,
-    pub left: f64,
+/// The memory that requests and keys take, in kilobytes. Owner: `controller/admission.rs`.
+pub(crate) struct Memory {
+    pub(crate) limit_kb: f64,
+    pub(crate) used_kb: f64,
+    pub(crate) queued_kb: f64,
+    pub(crate) running_factor: f64,
+    pub(crate) key_kb: f64,
+    /// When each remembered key is forgotten.
+    pub(crate) key_expiries: Vec<Duration>,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum State {
-    #[default]
-    Held,
-    Joined,
-    OnCore,
-    /// Stands at a call that is not made yet.
-    AtCall,
-    Calling,
+impl Memory {
+    /// An empty memory of which `usable_fraction` is used.
+    pub(crate) fn new(config: &Config, usable_fraction: f64) -> Self {
+        Memory {
+            limit_kb: config.memory_kb * usable_fraction,
+            used_kb: 0.0,
+            queued_kb: 0.0,
+            running_factor: config.running_memory_factor,
+            key_kb: config.key_kb,
+            key_expiries: Vec::new(),
+        }
+    }
+
+    pub(crate) fn add_queued(&mut self, queued_kb: f64) {
+        self.used_kb += queued_kb;
+        self.queued_kb += queued_kb;
+    }
+
+    pub(crate) fn remove_queued(&mut self, queued_kb: f64) {
+        self.queued_kb -= queued_kb;
+        self.used_kb -= queued_kb;
+    }
+
+    /// What a request takes when it runs beyond what it took while queued.
+    pub(crate) fn running_extra_kb(&self, queued_kb: f64) -> f64 {
+        queued_kb * (self.running_factor - 1.0)
+    }
+
+    pub(crate) fn start_running(&mut self, queued_kb: f64) {
+        self.used_kb += self.running_extra_kb(queued_kb);
+        self.queued_kb -= queued_kb;
+    }
+
+    pub(crate) fn remove_running(&mut self, queued_kb: f64) {
+        self.used_kb -= queued_kb * self.running_factor;
+    }
+
+    pub(crate) fn remember_key(&mut self, expires_at: Duration) {
+        self.key_expiries.push(expires_at);
+        self.used_kb += self.key_kb;
+    }
+
+    pub(crate) fn forget_key(&mut self, expires_at: Duration) {
+        if let Some(at) = self.key_expiries.iter().position(|&other| other == expires_at) {
+            self.key_expiries.swap_remove(at);
+            self.used_kb -= self.key_kb;
+        }
+    }
+
+    pub(crate) fn expire_keys(&mut self, now: Duration) {
+        let before = self.key_expiries.len();
+        self.key_expiries.retain(|&expires_at| expires_at > now);
+        self.used_kb -= (before - self.key_expiries.len()) as f64 * self.key_kb;
+    }
 }
 
-#[derive(Default)]
-pub struct Entry {
-    pub handler: usize,
-    pub level: usize,
-    pub held_kb: f64,
-    pub work: f64,
-    pub long: bool,
-    /// Beyond its tenant's share.
-    pub over: bool,
-    pub retry: bool,
-    pub reached: Duration,
-    pub target: Duration,
-    pub due: Duration,
-    /// How long the process had stood still when it reached the server.
-    pub stalled: f64,
-    pub state: State,
-    /// Time on a core in earlier stretches, and the start (awake time) of the present one.
-    pub on_core: f64,
-    pub since: f64,
-    /// When its call began and will be given up.
-    pub called: Duration,
-    pub call_until: Duration,
-    pub call_tries: u32,
-    /// All calls made for it so far.
-    pub calls_made: u32,
-    /// The call before may be made once more, though it may be left out.
-    pub call_again: bool,
-    /// The draw against the dimmer, once made.
-    pub calls: Option<bool>,
-    pub answered: bool,
-    /// Until when its key is remembered.
-    pub key: Option<Duration>,
-    /// Its work was not told but guessed from its handler's.
-    pub guessed: bool,
-}
-
-pub struct Leaving {
+/// The quotas of tenants. Owner: `controller/admission.rs`.
+pub(crate) struct Quotas {
+    pub(crate) buckets: Vec<TokenBucket>,
+    /// Requests per second that all tenants together may send to one server, where that is known.
+    pub(crate) rate_per_s: Option<f64>,
+}
+
+impl Quotas {
+    pub(crate) fn new(config: &Config) -> Self {
+        let rates: f64 = config.tenants.iter().map(|tenant| tenant.rate_quota_per_s).sum();
+        let bucket = |rate: f64| TokenBucket { fraction: rate / rates.max(f64::MIN_POSITIVE), tokens: 1.0 };
+        Quotas {
+            buckets: config.tenants.iter().map(|tenant| bucket(tenant.rate_quota_per_s)).collect(),
+            rate_per_s: (config.servers > 0 && rates > 0.0).then(|| rates / f64::from(config.servers)),
+        }
+    }
+}
+
+/// The two control loops on the mean response time. Owner: `controller/brownout.rs`.
+pub(crate) struct Brownout {
+    /// The mean response time to reach, in seconds.
+    pub(crate) setpoint: f64,
+    /// The probability that a request makes its optional calls, and its present upper bound.
+    pub(crate) dimmer: f64,
+    pub(crate) ceiling: f64,
+    /// The estimated slope of the response time over the dimmer.
+    pub(crate) slope: f64,
+    pub(crate) previous_error: f64,
+    pub(crate) admitted_fraction: f64,
+}
+
+impl Brownout {
+    /// Both loops at rest: everything is admitted, and makes its optional calls.
+    pub(crate) fn new(setpoint: f64, initial_slope: f64) -> Self {
+        Brownout {
+            setpoint,
+            dimmer: 1.0,
+            ceiling: 1.0,
+            slope: initial_slope,
+            previous_error: 0.0,
+            admitted_fraction: 1.0,
+        }
+    }
+}
+
+/// The slowest start that is believed, as a fraction of the warm speed.
+const MIN_COLD_SPEED: f64 = 0.05;
+
+/// Seconds on a core for a unit of work, measured and usual. Owner: `controller/health.rs`.
+pub(crate) struct Pace {
+    pub(crate) measured: f64,
+    pub(crate) usual: f64,
+}
+
+impl Pace {
+    /// The pace of a server that starts now, warm or cold.
+    pub(crate) fn new(config: &Config) -> Self {
+        let measured = if config.starts_cold { 1.0 / config.cold_speed.max(MIN_COLD_SPEED) } else { 1.0 };
+        Pace { measured, usual: 1.0 }
+    }
+}
+
+/// Calls to the dependency. Owner: `controller/dependency_calls.rs`.
+pub(crate) struct DependencyCalls {
+    /// Seconds of calls in flight that the dependency grants over `window`, where it states them.
+    pub(crate) budget: Option<f64>,
+    pub(crate) window: Duration,
+    pub(crate) linger: Duration,
+    /// When calls that were given up leave the dependency.
+    pub(crate) lingering: Vec<Duration>,
+    /// Some requests make calls that may not be skipped.
+    pub(crate) has_mandatory: bool,
+    /// Seconds that a call usually takes, and from how many calls that is known.
+    pub(crate) usual_time: f64,
+    pub(crate) observed: f64,
+}
+
+impl DependencyCalls {
+    /// No calls yet; `usable_fraction` of what the dependency grants is used.
+    pub(crate) fn new(config: &Config, handlers: &[HandlerProfile], usable_fraction: f64) -> Self {
+        let (budget, window, linger) = match config.dependency {
+            Dependency::Shared { share, window, linger } => {
+                (Some(share * window.as_secs_f64() * usable_fraction), window, linger)
+            }
+            Dependency::None | Dependency::Tier => (None, Duration::ZERO, Duration::ZERO),
+        };
+        DependencyCalls {
+            budget,
+            window,
+            linger,
+            lingering: Vec::new(),
+            has_mandatory: handlers.iter().any(|handler| handler.makes_calls && !handler.calls_are_optional),
+            usual_time: 0.0,
+            observed: 0.0,
+        }
+    }
+}
+
+/// A feedback value that no caller is ever sent, so that the first one always is.
+const NO_VALUE: f64 = -1.0;
+
+/// What callers are told. Owner: `controller/caller_feedback.rs`.
+pub(crate) struct Feedback {
+    pub(crate) kind: CallerFeedback,
+    /// The fraction of the usual traffic that is wanted.
+    pub(crate) wanted_traffic: f64,
+    /// The value that callers have now.
+    pub(crate) last_value: f64,
+    pub(crate) callers: f64,
+    /// The fraction of the cores that may go into reading what is rejected.
+    pub(crate) max_wasted_fraction: f64,
+    pub(crate) max_retry_after: Option<Duration>,
+    /// Retries are marked as such.
+    pub(crate) retries_are_marked: bool,
+}
+
+impl Feedback {
+    pub(crate) fn new(config: &Config, max_wasted_fraction: f64) -> Self {
+        Feedback {
+            kind: config.feedback,
+            wanted_traffic: 1.0,
+            last_value: NO_VALUE,
+            callers: f64::from(config.callers.max(1)),
+            max_wasted_fraction,
+            max_retry_after: config.max_retry_after,
+            retries_are_marked: config.marks_retries,
+        }
+    }
+}
+
+/// The connection table. Owner: `controller/connections.rs`.
+pub(crate) struct Connections {
+    pub(crate) idle_timeout: Duration,
+    /// When callers close an idle connection by themselves.
+    pub(crate) max_idle_timeout: Duration,
+    /// The table is left to fill.
+    pub(crate) is_left_to_fill: bool,
+}
+
+impl Connections {
+    pub(crate) fn new(idle_timeout: Duration) -> Self {
+        Connections { idle_timeout, max_idle_timeout: idle_timeout, is_left_to_fill: false }
+    }
+}
+
+/// A graceful shutdown in progress. Owner: `controller/drain.rs`.
+pub(crate) struct Drain {
     /// What reached the machine later is not run.
-    pub run_until: Duration,
-    pub answer_by: Duration,
+    pub(crate) run_until: Duration,
+    pub(crate) answer_by: Duration,
     /// Until then callers are not asked to stay away.
-    pub welcome_until: Duration,
+    pub(crate) welcome_until: Duration,
 }
 
-/// A span of that many seconds, or the longest there is.
-pub fn seconds(span: f64) -> Duration {
+/// A span of this many seconds, or the longest that there is.
+pub(crate) fn seconds(span: f64) -> Duration {
     Duration::try_from_secs_f64(span).unwrap_or(Duration::MAX)
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,4 +1,4 @@
-//! The module alone: against a plain model of the rules, and on each failure found.
+//! The controller alone: on generated days against the four rules, and on each failure that was found.
 
 mod common;
 mod failures;
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -1,8 +1,8 @@
-//! The module against the plain model of the rules, on generated settings and events.
+//! The controller against the four rules, on generated configurations and events.
 
-use crate::common::{Place, World, given, ms};
+use crate::common::{SimulatedHost, Stage, config, ms};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use tulipgap::*;
+use tulipgap::{CallerFeedback, Cancellation, Config, Dependency, Event, Outcome};
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -11,20 +11,20 @@
         age: u64,
         patience: Option<u64>,
         work: u64,
-        mark: u64,
+        key: u64,
     },
     Pass(u64),
     Finish(usize, bool),
     ReachCall(usize),
-    EndCall(usize, u8),
-    Gone(usize),
+    FinishCall(usize, u8),
+    CallerGone(usize),
     /// The whole process stands still.
     Stall(u64),
-    /// Events that do not fit: for ended reqs, or for what a req is not doing.
-    Odd(usize),
-    Leave(u64),
+    /// Events that do not fit: for ended requests, or for what a request is not doing.
+    Unexpected(usize),
+    ShutdownNotice(u64),
     /// The process dies, and another starts cold.
-    Die,
+    Restart,
 }
 
 impl Arbitrary for Step {
@@ -36,18 +36,18 @@
                 age: up_to(10).pow(2) * up_to(20),
                 patience: (up_to(2) == 0).then_some(up_to(2500)),
                 work: up_to(900),
-                mark: up_to(30),
+                key: up_to(30),
             },
             13..=19 => Step::Pass(up_to(400)),
             20..=25 => Step::Finish(up_to(9) as usize, up_to(6) == 0),
             26..=30 => Step::ReachCall(up_to(9) as usize),
-            31..=35 => Step::EndCall(up_to(9) as usize, up_to(6) as u8),
-            36 => Step::Gone(up_to(9) as usize),
+            31..=35 => Step::FinishCall(up_to(9) as usize, up_to(6) as u8),
+            36 => Step::CallerGone(up_to(9) as usize),
             37 => Step::Stall(up_to(40)),
-            38 => Step::Odd(up_to(9) as usize),
+            38 => Step::Unexpected(up_to(9) as usize),
             _ => match up_to(8) {
-                0 => Step::Leave(2000 + up_to(4000)),
-                1 => Step::Die,
+                0 => Step::ShutdownNotice(2000 + up_to(4000)),
+                1 => Step::Restart,
                 _ => Step::Pass(up_to(1500)),
             },
         }
@@ -64,13 +64,13 @@
 #[derive(Clone, Debug)]
 struct Day {
     seed: u64,
-    cold: bool,
-    halting: u8,
-    below: u8,
-    advice: u8,
+    starts_cold: bool,
+    cancellation: u8,
+    dependency: u8,
+    feedback: u8,
     memory_kb: f64,
     callers: u32,
-    links: f64,
+    open_connections: f64,
     steps: Vec<Step>,
 }
 
@@ -78,13 +78,13 @@
     fn arbitrary(g: &mut Gen) -> Self {
         Day {
             seed: u64::arbitrary(g),
-            cold: bool::arbitrary(g),
-            halting: u8::arbitrary(g) % 3,
-            below: u8::arbitrary(g) % 5,
-            advice: u8::arbitrary(g) % 4,
+            starts_cold: bool::arbitrary(g),
+            cancellation: u8::arbitrary(g) % 3,
+            dependency: u8::arbitrary(g) % 5,
+            feedback: u8::arbitrary(g) % 4,
             memory_kb: *g.choose(&[300.0, 1000.0, 4000.0]).unwrap(),
             callers: *g.choose(&[3, 40, 1000]).unwrap(),
-            links: *g.choose(&[2.0, 30.0, 70.0]).unwrap(),
+            open_connections: *g.choose(&[2.0, 30.0, 70.0]).unwrap(),
             steps: Vec::arbitrary(g),
         }
     }
@@ -95,89 +95,105 @@
     }
 }
 
-fn world(day: &Day) -> World {
-    let shared = |share| Below::Shared { share, span: ms(5000), linger: ms(200) };
-    let given = Given {
-        cold: day.cold,
-        halting: [Halting::Never, Halting::Drops, Halting::Pauses][day.halting as usize],
-        below: [Below::Nothing, Below::Tier, shared(0.4), shared(2.0), shared(0.05)][day.below as usize],
-        advice: [Advice::Nothing, Advice::Level, Advice::Credit, Advice::Weight][day.advice as usize],
+fn host(day: &Day) -> SimulatedHost {
+    let shared = |share| Dependency::Shared { share, window: ms(5000), linger: ms(200) };
+    let config = Config {
+        starts_cold: day.starts_cold,
+        cancellation: [
+            Cancellation::Unsupported,
+            Cancellation::DiscardsProgress,
+            Cancellation::KeepsProgress,
+        ][day.cancellation as usize],
+        dependency: [Dependency::None, Dependency::Tier, shared(0.4), shared(2.0), shared(0.05)]
+            [day.dependency as usize],
+        feedback: [
+            CallerFeedback::None,
+            CallerFeedback::PriorityThreshold,
+            CallerFeedback::ConcurrencyCredit,
+            CallerFeedback::TrafficWeight,
+        ][day.feedback as usize],
         memory_kb: day.memory_kb,
         callers: day.callers,
-        ..given()
+        ..config()
     };
-    let mut world = World::new(given, day.seed);
-    world.links = day.links;
-    world
+    let mut host = SimulatedHost::new(config, day.seed);
+    host.open_connections = day.open_connections;
+    host
 }
 
 fn play(day: Day) -> bool {
-    let mut world = world(&day);
+    let mut host = host(&day);
     for step in &day.steps {
         match *step {
-            Step::Arrive { handler, age, patience, work, mark } => {
-                world.arrive(handler, age, patience, work, mark);
+            Step::Arrive { handler, age, patience, work, key } => {
+                host.arrive(handler, age, patience, work, key);
             }
-            Step::Pass(span) => world.pass(ms(span)),
+            Step::Pass(span) => host.pass(ms(span)),
             Step::Finish(nth, errored) => {
-                let outcome = if errored { Outcome::Errored } else { Outcome::Done };
-                let joined = world.nth(Place::Joined, nth).filter(|_| nth == 0);
-                if let Some(req) = joined.or(world.nth(Place::OnCore, nth)) {
-                    world.finish(req, outcome);
+                let outcome = if errored { Outcome::Failed } else { Outcome::Succeeded };
+                let joined = host.nth(Stage::Coalesced, nth).filter(|_| nth == 0);
+                if let Some(request) = joined.or(host.nth(Stage::Running, nth)) {
+                    host.finish(request, outcome);
                 }
             }
             Step::ReachCall(nth) => {
-                if let Some(req) = world.nth(Place::OnCore, nth).filter(|_| day.below > 0) {
-                    world.reach_call(req);
+                if let Some(request) = host.nth(Stage::Running, nth).filter(|_| day.dependency > 0) {
+                    host.reach_call(request);
                 }
             }
-            Step::EndCall(nth, outcome) => {
-                use Outcome::*;
-                let outcome = [Done, Errored, Full, TimedOut, Unreachable, Broken][outcome as usize];
-                if let Some(req) = world.nth(Place::Calling, nth) {
-                    world.end_call(req, outcome);
+            Step::FinishCall(nth, outcome) => {
+                let outcome = [
+                    Outcome::Succeeded,
+                    Outcome::Failed,
+                    Outcome::Rejected,
+                    Outcome::TimedOut,
+                    Outcome::Unreachable,
+                    Outcome::ConnectionLost,
+                ][outcome as usize];
+                if let Some(request) = host.nth(Stage::Calling, nth) {
+                    host.finish_call(request, outcome);
                 }
             }
-            Step::Gone(nth) => {
-                let places = [Place::Held, Place::OnCore, Place::Calling];
-                if let Some(req) = places.iter().find_map(|&place| world.nth(place, nth))
-                    && !world.reqs[&req].gone
-                    && !world.reqs[&req].answered
+            Step::CallerGone(nth) => {
+                let places = [Stage::Queued, Stage::Running, Stage::Calling];
+                if let Some(request) = places.iter().find_map(|&stage| host.nth(stage, nth))
+                    && !host.requests[&request].gone
+                    && !host.requests[&request].answered
                 {
-                    world.go(req);
+                    host.caller_goes(request);
                 }
             }
             Step::Stall(span) => {
-                world.now += ms(span);
-                world.pass(ms(1));
+                host.now += ms(span);
+                host.pass(ms(1));
             }
-            Step::Odd(nth) => {
-                let free = (0..).find(|req| !world.reqs.contains_key(req)).unwrap();
-                let mut events = vec![Event::Ended { req: free + 50, outcome: Outcome::Done }];
-                events.push(Event::Gone { req: free });
-                events.push(Event::Ended { req: free, outcome: Outcome::Void });
-                if let Some(req) = world.nth(Place::OnCore, nth) {
-                    events.push(Event::CallEnded { req, outcome: Outcome::Done });
+            Step::Unexpected(nth) => {
+                let free = (0..).find(|request| !host.requests.contains_key(request)).unwrap();
+                let mut events = vec![Event::Finished { request: free + 50, outcome: Outcome::Succeeded }];
+                events.push(Event::CallerGone { request: free });
+                events.push(Event::Finished { request: free, outcome: Outcome::NotStarted });
+                if let Some(request) = host.nth(Stage::Running, nth) {
+                    events.push(Event::CallFinished { request, outcome: Outcome::Succeeded });
                 }
-                if let Some(req) = world.nth(Place::Held, nth) {
-                    events.push(Event::AtCall { req });
+                if let Some(request) = host.nth(Stage::Queued, nth) {
+                    events.push(Event::ReachedCall { request });
                 }
-                world.tell(events);
+                host.send(events);
             }
-            Step::Leave(left) => world.leave(ms(left)),
-            Step::Die => {
-                let next = Day { cold: true, seed: day.seed.wrapping_add(1), ..day.clone() };
-                world = self::world(&next);
+            Step::ShutdownNotice(left) => host.shutdown_notice(ms(left)),
+            Step::Restart => {
+                let next = Day { starts_cold: true, seed: day.seed.wrapping_add(1), ..day.clone() };
+                host = self::host(&next);
             }
         }
     }
-    world.pass(ms(6000));
+    host.pass(ms(6000));
     true
 }
 
 /// One seed, so that every run plays the same days; shrinking is quickcheck's.
 #[test]
-fn keeps_the_four_rules() {
+fn the_four_rules_hold_on_generated_days() {
     let days = Gen::from_size_and_seed(150, 0x7011b);
     QuickCheck::new().rng(days).tests(1500).quickcheck(play as fn(Day) -> bool);
 }
