--- /dev/null
+++ b/crates/server/src/invariant.rs
@@ -0,0 +1,28 @@
+//! Invariants: asserted in debug builds; counted, and logged at a bounded rate, in release builds.
+
+use crate::log::Bound;
+
+static VIOLATIONS: Bound = Bound::new();
+
+/// Checks that a condition holds, and reports a violation otherwise.
+#[macro_export]
+macro_rules! invariant {
+    ($condition:expr, $what:literal) => {
+        if !$condition {
+            $crate::invariant::violated($what);
+        }
+    };
+}
+
+#[cold]
+pub(crate) fn violated(what: &str) {
+    debug_assert!(false, "invariant violated: {what}");
+    if VIOLATIONS.pass().is_some() {
+        log::error!("invariant violated: {what}");
+    }
+}
+
+/// The number of violations so far.
+pub(crate) fn violations() -> u64 {
+    VIOLATIONS.count()
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -6,10 +6,10 @@
 mod cluster;
 mod config;
 mod control;
-mod gate;
+mod invariant;
 mod log;
-mod must;
 mod net;
+mod requests;
 mod trace;
 mod trial;
 
@@ -29,12 +29,12 @@
 
 use cluster::Cluster;
 use config::{SOCKETS_LEAST, Told, Where};
-use gate::Gate;
 use net::clients::{Clients, IDLE_MORE, KEPT, MESSAGE_MOST};
 use net::kernel::Kernel;
 use net::list;
 use net::spawn;
 use net::store::Store;
+use requests::RequestRegistry;
 use trace::Tracer;
 
 /// A coroutine's stack in words; only what is touched takes memory.
@@ -114,7 +114,7 @@
     serve(told, path, listener, signals, tracer.clone(), product.admission, cluster);
     if let Some(tracer) = tracer {
         tracer.finish();
-        ::log::info!("{}", tracer.told());
+        ::log::info!("{}", tracer.summary());
     }
     ::log::logger().flush();
     ExitCode::SUCCESS
@@ -186,9 +186,9 @@
     };
     ::log::info!("{} listens on {}; callers are steered {steering}", told.name, told.listen);
     let grace = told.given.drain_grace;
-    let gate = Arc::new(Gate::new(told.given.clone(), told.seed, tracer));
-    let kernel = Kernel::new(told.peers.kernel, gate.clone(), told.names.gauges.clone());
-    let store = Store::new(told.peers.store, gate.clone(), told.sockets / STORE_PART);
+    let registry = Arc::new(RequestRegistry::new(told.given.clone(), told.seed, tracer));
+    let kernel = Kernel::new(told.peers.kernel, registry.clone(), told.names.gauges.clone());
+    let store = Store::new(told.peers.store, registry.clone(), told.sockets / STORE_PART);
     if let Some(cluster) = &cluster {
         cluster.probe_store(&store);
     }
@@ -200,7 +200,7 @@
     };
     let announce = Arc::new(Where::new(told.peers.announce));
     let clients = Clients::new(
-        gate.clone(),
+        registry.clone(),
         kernel.clone(),
         store.clone(),
         told.names.clone(),
@@ -218,36 +218,36 @@
         spawn(move || clients.accept(listener));
     }
     {
-        let (gate, kernel) = (gate.clone(), kernel.clone());
+        let (registry, kernel) = (registry.clone(), kernel.clone());
         spawn(move || {
             loop {
-                gate.tick(|| kernel.gauges());
+                registry.tick(|| kernel.gauges());
             }
         });
     }
     {
-        let (gate, clients, store) = (gate.clone(), clients.clone(), store.clone());
+        let (registry, clients, store) = (registry.clone(), clients.clone(), store.clone());
         spawn(move || {
             for sweep in 1u32.. {
                 clock::sleep(SWEEP);
                 clients.sweep();
                 store.sweep();
                 if sweep.is_multiple_of(SUMMARY) {
-                    ::log::info!("so far {}; {}", gate.counts(), clients.told());
-                    if let Some(tracer) = gate.tracer() {
-                        ::log::info!("{}", tracer.told());
+                    ::log::info!("so far {}; {}", registry.counts(), clients.told());
+                    if let Some(tracer) = registry.tracer() {
+                        ::log::info!("{}", tracer.summary());
                     }
                 }
             }
         });
     }
     {
-        let (gate, leaving, announce) = (gate.clone(), leaving.clone(), announce.clone());
+        let (registry, leaving, announce) = (registry.clone(), leaving.clone(), announce.clone());
         let name = told.name.clone();
         spawn(move || {
             list::run(&announce, &name, || match () {
                 () if leaving.load(Ordering::Acquire) => list::State::Leaving,
-                () if gate.started() => list::State::Serving,
+                () if registry.is_started() => list::State::Serving,
                 () => list::State::Coming,
             });
         });
@@ -286,21 +286,21 @@
         }
     });
     let notice = noticed.recv().unwrap_or_else(|_| Instant::now());
-    ::log::info!("notice to leave; so far {}; {}", gate.counts(), clients.told());
+    ::log::info!("notice to leave; so far {}; {}", registry.counts(), clients.told());
     if let Some(cluster) = &cluster {
         cluster.drains();
     }
     leaving.store(true, Ordering::Release);
-    gate.leave(notice, stop);
+    registry.shutdown_notice(notice, stop);
     // The module goes on taking reqs for a while. Once nothing that comes may be run any more, a connection
     // refused sends a caller elsewhere sooner than an answer could.
     std::thread::sleep(grace.min(stop.saturating_sub(FAREWELL)).saturating_sub(notice.elapsed()));
     clients.close();
-    while !(clients.over() && gate.open() == 0) && notice.elapsed() + STOP_MARGIN < stop {
+    while !(clients.over() && registry.open() == 0) && notice.elapsed() + STOP_MARGIN < stop {
         std::thread::sleep(Duration::from_millis(5));
     }
     if let Some(cluster) = cluster {
         cluster.leave(stop.saturating_sub(notice.elapsed() + STOP_MARGIN / 2));
     }
-    ::log::info!("left after {} ms; {}; {}", notice.elapsed().as_millis(), gate.counts(), clients.told());
+    ::log::info!("left after {} ms; {}; {}", notice.elapsed().as_millis(), registry.counts(), clients.told());
 }
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -21,10 +21,12 @@
 use super::store::Store;
 use super::thrift::{self, Asked, Fault, Fields, Said};
 use super::{Added, Link, Out, adopt, spawn};
-use crate::gate::{Answer, Bytes, Gate, Id, Incoming, Order, Report, Unfit};
 use crate::log::Bound;
-use crate::trace::Traced;
-use crate::{clock, must};
+use crate::requests::{
+    Bytes, Command, IncomingRequest, RegisterError, RequestEvent, RequestId, RequestRegistry, Response,
+};
+use crate::trace::TraceContext;
+use crate::{clock, invariant};
 
 /// Open reqs that one connection carries by the protocol.
 const OPEN_MOST: usize = 32;
@@ -78,7 +80,7 @@
 
 /// A req that is open on a connection.
 struct Open {
-    id: Id,
+    id: RequestId,
     /// Its caller has given it up.
     withdrawn: bool,
 }
@@ -153,7 +155,7 @@
 
 impl Place<'_> {
     fn answer(&self, said: &Said) {
-        must!(!self.free.replace(true), "a req is answered in its place");
+        invariant!(!self.free.replace(true), "a req is answered in its place");
         self.connection.conclude("process", self.sequence, said, |open| {
             open.remove(&self.sequence);
         });
@@ -177,7 +179,7 @@
 }
 
 pub struct Clients {
-    gate: Arc<Gate>,
+    registry: Arc<RequestRegistry>,
     kernel: Arc<Kernel>,
     store: Arc<Store>,
     names: Names,
@@ -206,7 +208,7 @@
 
 impl Clients {
     pub fn new(
-        gate: Arc<Gate>,
+        registry: Arc<RequestRegistry>,
         kernel: Arc<Kernel>,
         store: Arc<Store>,
         names: Names,
@@ -216,7 +218,7 @@
     ) -> Arc<Self> {
         let open_most = (memory_mb * MEMORY_PART * 1024.0 / REQ_KB) as usize;
         Arc::new(Clients {
-            gate,
+            registry,
             kernel,
             store,
             names,
@@ -363,14 +365,14 @@
         let connections = self.connections.lock().len();
         let (garbled, no_room) = (GARBLED.count(), NO_ROOM.count());
         format!(
-            "{connections} connections, {garbled} messages garbled, {no_room} without room, {} musts broken",
-            must::count()
+            "{connections} connections, {garbled} messages garbled, {no_room} without room, {} invariants violated",
+            invariant::violations()
         )
     }
 
     /// Lets time pass for connections: what stands idle is asked to end, what takes too long is ended.
     pub fn sweep(&self) {
-        let idle = self.gate.idle().saturating_add(IDLE_MORE);
+        let idle = self.registry.idle_timeout().saturating_add(IDLE_MORE);
         if std::mem::replace(&mut *self.idle.lock(), idle) != idle {
             self.tell(News::Idle { after: idle });
         }
@@ -431,9 +433,9 @@
         // Cut off: nobody waits for what was open here.
         if let Err(error) = end {
             log::debug!("a connection broke: {error}");
-            let open: Vec<Id> = connection.open.lock().values().map(|open| open.id.clone()).collect();
+            let open: Vec<RequestId> = connection.open.lock().values().map(|open| open.id.clone()).collect();
             for id in open {
-                self.gate.report(&id, Report::Gone);
+                self.registry.report(&id, RequestEvent::CallerGone);
             }
         }
     }
@@ -521,8 +523,8 @@
                 match self.read_fields(&fields, connection.opened) {
                     Ok(_) if !free => Fault::Malformed("a sequence that is open".into()),
                     Ok(_) if body.len() > BODY_MOST => Fault::Malformed("a body too long".into()),
-                    Ok(read) if self.gate.open() >= self.open_most => {
-                        self.gate.unseen(&read.incoming, Reason::NO_ROOM);
+                    Ok(read) if self.registry.open() >= self.open_most => {
+                        self.registry.record_unregistered(&read.incoming, Reason::NO_ROOM);
                         if let Some(count) = NO_ROOM.pass() {
                             log::warn!("no memory for another req ({count} so far)");
                         }
@@ -531,7 +533,7 @@
                         connection.say(
                             &method,
                             sequence,
-                            &match self.gate.repeats(&read.incoming) {
+                            &match self.registry.is_duplicate(&read.incoming) {
                                 true => Said::Crashed { fields: &[] },
                                 false => Said::Rejected { fields: &fields },
                             },
@@ -566,7 +568,7 @@
                     open.id.clone()
                 });
                 if let Some(id) = id {
-                    self.gate.report(&id, Report::Gone);
+                    self.registry.report(&id, RequestEvent::CallerGone);
                 }
                 return true;
             }
@@ -583,76 +585,78 @@
         false
     }
 
-    /// The life of a req: from its reading, through what the gate orders, to its answer and the end of its run.
+    /// The life of a req: from its reading, through what the registry orders, to its answer and the end of its run.
     fn live(&self, connection: &Connection, sequence: i32, read: Read, body: Bytes) {
         let (id, class, came) = (read.incoming.id.clone(), read.class, read.came);
         let mut incoming = read.incoming;
-        let once = self.gate.runs_once(incoming.handler);
+        let once = self.registry.runs_at_most_once(incoming.handler);
         // A clock that was set back makes it now.
         incoming.age = unix_now().saturating_sub(came);
         // It is told as it was when the req came.
-        incoming.patience = incoming.patience.map(|patience| patience.saturating_sub(incoming.age));
+        incoming.client_wait = incoming.client_wait.map(|wait| wait.saturating_sub(incoming.age));
         // Given up in the very read that brought it, as where much lies unread: it would be run for nobody.
         if connection.open.lock().get(&sequence).is_some_and(|open| open.withdrawn) {
-            incoming.patience = Some(Duration::ZERO);
+            incoming.client_wait = Some(Duration::ZERO);
         }
-        incoming.body = self.prints.hash_one(&body);
+        incoming.body_hash = self.prints.hash_one(&body);
         let place = Place { clients: self, connection, sequence, free: Cell::new(false) };
         let say = |said: &Said| place.answer(said);
-        let ticket = match self.gate.enter(incoming) {
+        let ticket = match self.registry.register(incoming) {
             Ok(ticket) => ticket,
-            Err(Unfit::Known) => return say(&Said::Exception(&Fault::Malformed("its id is open".into()))),
-            Err(Unfit::OtherBody) => {
+            Err(RegisterError::DuplicateId) => {
+                return say(&Said::Exception(&Fault::Malformed("its id is open".into())));
+            }
+            Err(RegisterError::KeyReused) => {
                 if let Some(count) = GARBLED.pass() {
                     log::warn!("process: a key that is known, with another body ({count} so far)");
                 }
                 self.tell(News::Fault { conn: connection.conn });
                 return say(&Said::Exception(&Fault::Malformed("its key came with another body".into())));
             }
-            Err(Unfit::NotStarted) => return say(&Said::Rejected { fields: &self.come_back() }),
+            Err(RegisterError::NotStarted) => return say(&Said::Rejected { fields: &self.come_back() }),
         };
         let mut calls = 0;
         let mut give_up = None;
         loop {
-            let Some(order) = ticket.pick(give_up) else {
+            let Some(command) = ticket.next_command(give_up) else {
                 // The call had its time; it may still have had its effect, unless it never left here.
                 give_up = None;
                 let outcome = self.store.give_up(&id, calls);
-                self.gate.report(&id, Report::CallEnded { outcome, reply: Bytes::default() });
+                self.registry.report(&id, RequestEvent::CallFinished { outcome, reply: Bytes::default() });
                 continue;
             };
-            match order {
-                Order::Run => self.kernel.start(&id, &class, &body, once),
-                Order::Stop => self.kernel.stop(&id),
-                Order::Call { patience, body } => {
+            match command {
+                Command::Start => self.kernel.start(&id, &class, &body, once),
+                Command::Cancel => self.kernel.stop(&id),
+                Command::StartCall { timeout, body } => {
                     calls += 1;
-                    give_up = Instant::now().checked_add(patience);
-                    self.store.call(&id, calls, patience, &body);
+                    give_up = Instant::now().checked_add(timeout);
+                    self.store.call(&id, calls, timeout, &body);
                 }
-                Order::GoOn { reply } => {
+                Command::Resume { reply } => {
                     give_up = None;
                     self.kernel.reply(&id, &reply);
                 }
-                Order::Skip { call } => {
+                Command::SkipCall { call } => {
                     give_up = None;
                     self.kernel.skip(&id, call);
                 }
-                Order::Answer(answer) => {
+                Command::Respond(response) => {
                     let mut fields = Vec::with_capacity(3);
                     fields.extend(self.signal());
-                    match &answer {
-                        Answer::Done(result) => {
+                    match &response {
+                        Response::Completed(result) => {
                             say(&Said::Answer { body: result, fields: &fields, good: true })
                         }
-                        Answer::Errored => say(&Said::Crashed { fields: &fields }),
-                        Answer::Shed { wait, elsewhere } => {
-                            fields.extend(wait.map(holdoff));
-                            fields.extend((!elsewhere).then(|| ("nomore", "1".to_owned())));
+                        Response::Failed => say(&Said::Crashed { fields: &fields }),
+                        Response::Rejected { retry_after, retry_elsewhere } => {
+                            fields.extend(retry_after.map(holdoff));
+                            fields.extend((!retry_elsewhere).then(|| ("nomore", "1".to_owned())));
                             say(&Said::Rejected { fields: &fields });
                         }
                     }
                 }
-                Order::Over => break,
+                Command::Finish => break,
             }
         }
         // A run that ended while its call was out.
@@ -663,17 +667,17 @@
 
     /// The field by which callers are advised with every answer.
     fn signal(&self) -> Option<(&'static str, String)> {
-        self.gate.advice().map(|value| ("signal", format!("{value:.4}")))
+        self.registry.feedback().map(|value| ("signal", format!("{value:.4}")))
     }
 
     /// When to come back, for what is turned away before the module has seen it.
     fn come_back(&self) -> Vec<(&'static str, String)> {
-        self.gate.longest_wait().map(holdoff).into_iter().collect()
+        self.registry.max_retry_after().map(holdoff).into_iter().collect()
     }
 
     /// A health check; a deep one has work done, for a bounded time.
     fn check(&self, connection: &Connection, sequence: i32, deep: bool) {
-        let good = self.gate.healthy() && (!deep || self.kernel.works(CHECK_MOST));
+        let good = self.registry.is_healthy() && (!deep || self.kernel.works(CHECK_MOST));
         let fields: Vec<_> = self.signal().into_iter().collect();
         connection.conclude("probe", sequence, &Said::Answer { body: &[], fields: &fields, good }, |_| {
             connection.checks.fetch_sub(1, Ordering::AcqRel);
@@ -684,8 +688,8 @@
 
 /// What the fields of a req say.
 struct Read {
-    incoming: Incoming,
-    class: Id,
+    incoming: IncomingRequest,
+    class: RequestId,
     /// Its id as a number.
     number: u64,
     /// When it came to the machine, since the Unix epoch.
@@ -755,35 +759,35 @@
         }
         let held_kb = number_of("need")?.filter(|&kb| kb > 0.0 && kb < NEED_LIMIT);
         // Rough, and at times far more than anybody waits for: turned away for it, but not as senseless.
-        let timeout = self.gate.client_timeout(handler);
+        let timeout = self.registry.client_timeout(handler);
         let most = timeout.mul_f64(WORK_MOST);
         let work = span("ms")?.map(|work| work.min(most));
         if number_of("level")?.is_some_and(|level| level >= 1.0) {
             return Err(wrong("level"));
         }
-        let incoming = Incoming {
+        let incoming = IncomingRequest {
             id: id.into(),
             handler,
             tenant,
             age: Duration::ZERO,
             // None waits longer than its handler's clients do: taken at its word, it would be owed an answer for ever.
-            patience: span("timeout")?.map(|patience| patience.min(timeout)),
-            work,
-            held_kb: held_kb.ok_or_else(|| wrong("need"))?,
-            retry: find("resent").is_some_and(|value| value == "1"),
-            key: find("opkey").filter(|key| !key.is_empty()).map(Id::from),
-            body: 0,
-            traced: None,
+            client_wait: span("timeout")?.map(|wait| wait.min(timeout)),
+            estimated_work: work,
+            queued_kb: held_kb.ok_or_else(|| wrong("need"))?,
+            is_retry: find("resent").is_some_and(|value| value == "1"),
+            idempotency_key: find("opkey").filter(|key| !key.is_empty()).map(RequestId::from),
+            body_hash: 0,
+            trace: None,
         };
-        let traced = self.gate.tracer().map(|_| Traced {
+        let trace = self.registry.tracer().map(|_| TraceContext {
             number,
-            key: incoming.key.as_deref().map(hashed),
+            key: incoming.idempotency_key.as_deref().map(hashed),
             subject: find("subject")
                 .map(|subject| u64::from_str_radix(subject, 16).unwrap_or_else(|_| hashed(subject))),
             caller: find("via").map(|via| via.parse().unwrap_or_else(|_| hashed(via))),
             read: Instant::now(),
         });
-        let incoming = Incoming { traced, ..incoming };
+        let incoming = IncomingRequest { trace, ..incoming };
         Ok(Read { incoming, class: class.into(), number, came })
     }
 }
@@ -836,11 +840,11 @@
         };
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let gate = Arc::new(Gate::new(given, 7, None));
-        let kernel = Kernel::new(address, gate.clone(), Vec::new());
-        let store = Store::new(None, gate.clone(), 4);
+        let registry = Arc::new(RequestRegistry::new(given, 7, None));
+        let kernel = Kernel::new(address, registry.clone(), Vec::new());
+        let store = Store::new(None, registry.clone(), 4);
         let admission = Admission::new(terms, 7).unwrap();
-        let clients = Clients::new(gate, kernel, store, names, admission, false, 48.0);
+        let clients = Clients::new(registry, kernel, store, names, admission, false, 48.0);
         clients.opened(TcpStream::connect(address).unwrap(), address.ip());
         let connection = clients.connections.lock().iter().next().unwrap().1.clone();
         let mut edge = listener.accept().unwrap().0;
--- a/crates/server/src/net/kernel.rs
+++ b/crates/server/src/net/kernel.rs
@@ -14,8 +14,8 @@
 use super::{Added, FULL_PAUSE, LINES_MOST, Link, Out, connect, garbled, spawn};
 use crate::clock;
 use crate::config::Where;
-use crate::gate::{Bytes, Gate, Gauges, Id, Outcome, Report};
 use crate::log::Bound;
+use crate::requests::{Bytes, Gauges, Outcome, RequestEvent, RequestId, RequestRegistry};
 
 /// Between two tries to reach it.
 const RETRY: Duration = Duration::from_millis(50);
@@ -66,7 +66,7 @@
 }
 
 struct Run {
-    class: Id,
+    class: RequestId,
     body: Bytes,
     /// It may not run again, so its start is never said twice.
     once: bool,
@@ -99,7 +99,7 @@
     last_notice: u64,
     /// Notices are missing, so what was not heard of may have ended.
     missed: bool,
-    runs: HashMap<Id, Run>,
+    runs: HashMap<RequestId, Run>,
     asks: HashMap<u64, Ask>,
     tags: u64,
     commands: u64,
@@ -111,14 +111,19 @@
 
 pub struct Kernel {
     address: Where<SocketAddr>,
-    gate: Arc<Gate>,
+    registry: Arc<RequestRegistry>,
     gauges: Vec<String>,
     state: Mutex<State>,
 }
 
 impl Kernel {
-    pub fn new(address: SocketAddr, gate: Arc<Gate>, gauges: Vec<String>) -> Arc<Self> {
-        Arc::new(Kernel { address: Where::new(address), gate, gauges, state: Mutex::new(State::default()) })
+    pub fn new(address: SocketAddr, registry: Arc<RequestRegistry>, gauges: Vec<String>) -> Arc<Self> {
+        Arc::new(Kernel {
+            address: Where::new(address),
+            registry,
+            gauges,
+            state: Mutex::new(State::default()),
+        })
     }
 
     /// It listens there from now on.
@@ -131,7 +136,7 @@
     }
 
     /// Runs a req, which may run `once` or again.
-    pub fn start(&self, id: &Id, class: &Id, body: &Bytes, once: bool) {
+    pub fn start(&self, id: &RequestId, class: &RequestId, body: &Bytes, once: bool) {
         self.say(id, &Command::Start { class, body }, |state, place| {
             let (class, body) = (class.clone(), body.clone());
             let run = Run { class, body, once, said: Said::Start, place, call: 0 };
@@ -140,12 +145,12 @@
     }
 
     /// Stops a run. The module says so again until it has ended, so a stop that is lost does no harm.
-    pub fn stop(&self, id: &Id) {
+    pub fn stop(&self, id: &RequestId) {
         self.say(id, &Command::Stop, |_, _| ());
     }
 
     /// Hands a run the reply to its call.
-    pub fn reply(&self, id: &Id, reply: &Bytes) {
+    pub fn reply(&self, id: &RequestId, reply: &Bytes) {
         self.say(id, &Command::Reply(reply), |state, place| {
             if let Some(run) = state.runs.get_mut(id) {
                 run.said = if place.is_some() { Said::Reply } else { Said::Unsent(reply.clone()) };
@@ -155,7 +160,7 @@
     }
 
     /// Lets a run go on without the call of that notice.
-    pub fn skip(&self, id: &Id, notice: u64) {
+    pub fn skip(&self, id: &RequestId, notice: u64) {
         self.say(id, &Command::Skip(notice), |state, place| {
             if let Some(run) = state.runs.get_mut(id) {
                 (run.said, run.place) = (Said::Skip, place);
@@ -309,7 +314,7 @@
             ["BOOTED", state, since] => {
                 let since = since.parse().ok().and_then(|ms: f64| Duration::try_from_secs_f64(ms / 1e3).ok());
                 let since = since.ok_or_else(wrong)?;
-                if self.gate.start(state == "booting", since) {
+                if self.registry.start(state == "booting", since) {
                     log::info!("kernel up: {state} since {} ms", since.as_millis());
                 }
                 // Its answer comes behind all missed notices.
@@ -328,7 +333,7 @@
                     self.state.lock().runs.remove(id);
                     let took = took.parse().ok().map(|ms: f64| ms / 1e3);
                     let work = took.and_then(|took| Duration::try_from_secs_f64(took).ok());
-                    self.gate.report(id, Report::Ended { outcome, result: body(), work });
+                    self.registry.report(id, RequestEvent::RunFinished { outcome, result: body(), work });
                 }
             }
             ["IOREQ", notice, id, _] => {
@@ -337,7 +342,7 @@
                     if let Some(run) = self.state.lock().runs.get_mut(id) {
                         (run.place, run.call) = (Some(0), call);
                     }
-                    self.gate.report(id, Report::AtCall { call, body: body() });
+                    self.registry.report(id, RequestEvent::CallReached { call, body: body() });
                 }
             }
             ["INFO", tag, ref values @ ..] => {
@@ -365,9 +370,9 @@
                     // Nothing was run, so this says nothing of how runs do here.
                     ("SCHED", [id, ..]) => {
                         self.state.lock().runs.remove(*id);
-                        self.gate.report(
+                        self.registry.report(
                             id,
-                            Report::Ended {
+                            RequestEvent::RunFinished {
                                 outcome: Outcome::NotStarted,
                                 result: Bytes::default(),
                                 work: None,
@@ -446,9 +451,12 @@
             log::warn!("kernel link: {} runs may have ended unheard and count as broken", lost.len());
         }
         for id in sorted(lost) {
-            let broken =
-                Report::Ended { outcome: Outcome::ConnectionLost, result: Bytes::default(), work: None };
-            self.gate.report(&id, broken);
+            let broken = RequestEvent::RunFinished {
+                outcome: Outcome::ConnectionLost,
+                result: Bytes::default(),
+                work: None,
+            };
+            self.registry.report(&id, broken);
         }
         for id in sorted(again) {
             if !self.say_again(&id, out) {
@@ -458,7 +466,7 @@
     }
 
     /// Says once more what was said last of a run, unless that was done meanwhile; false where the link has ended.
-    fn say_again(&self, id: &Id, out: &Out) -> bool {
+    fn say_again(&self, id: &RequestId, out: &Out) -> bool {
         loop {
             // Under the lock, so that commands arrive in the order of their places: one that waits for room has none
             // yet, or the answer to a question that overtook it would show it as arrived.
@@ -486,7 +494,7 @@
 }
 
 /// In an order that is no map's.
-fn sorted(mut ids: Vec<Id>) -> Vec<Id> {
+fn sorted(mut ids: Vec<RequestId>) -> Vec<RequestId> {
     ids.sort_unstable();
     ids
 }
@@ -524,7 +532,7 @@
     }
 
     fn kernel(address: SocketAddr) -> Arc<Kernel> {
-        Kernel::new(address, Arc::new(Gate::new(crate::net::told().0, 7, None)), Vec::new())
+        Kernel::new(address, Arc::new(RequestRegistry::new(crate::net::told().0, 7, None)), Vec::new())
     }
 
     /// The answer that a link is caught up with may come to its turn behind the end of that link. Taken for the one in
@@ -554,9 +562,9 @@
     fn what_waits_for_room_has_no_place_and_what_may_run_once_is_not_started_again() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let kernel = kernel(listener.local_addr().unwrap());
-        let id = |at: u32| Id::from(format!("{at:016x}"));
+        let id = |at: u32| RequestId::from(format!("{at:016x}"));
         let start = |once, place| {
-            let (class, body) = (Id::from("page"), Bytes::from(&b"run"[..]));
+            let (class, body) = (RequestId::from("page"), Bytes::from(&b"run"[..]));
             Run { class, body, once, said: Said::Start, place, call: 0 }
         };
         let one = Command::Start { class: "page", body: b"run" }.bytes(&id(0)).len();
--- a/crates/server/src/net/store.rs
+++ b/crates/server/src/net/store.rs
@@ -15,8 +15,8 @@
 use super::lines::{self, Line, line};
 use super::{Added, Link, Out, connect, garbled, spawn};
 use crate::config::Where;
-use crate::gate::{Bytes, Gate, Id, Outcome, Report};
 use crate::log::Bound;
+use crate::requests::{Bytes, Outcome, RequestEvent, RequestId, RequestRegistry};
 
 /// The store closes what stands idle for 10 s, or sooner; a connection is left before, so that few calls meet
 /// that.
@@ -32,7 +32,7 @@
 
 /// A req's call of that number, which is also its place among all calls of that req.
 struct Call {
-    id: Id,
+    id: RequestId,
     number: usize,
     bytes: Vec<u8>,
 }
@@ -44,7 +44,7 @@
     address: SocketAddr,
     call: Option<Call>,
     /// For whom it called last: a second copy of that reply must not pass for a new one.
-    last: Option<Id>,
+    last: Option<RequestId>,
     used: Instant,
     /// It is to close: its call was given up, or it stood idle.
     ending: bool,
@@ -56,7 +56,7 @@
     /// Those without a call, the one used last behind.
     idle: Vec<u64>,
     /// On which lane a req's call is out.
-    open: HashMap<Id, u64>,
+    open: HashMap<RequestId, u64>,
     /// Calls for which no lane was free.
     waiting: VecDeque<Call>,
     numbers: u64,
@@ -64,7 +64,7 @@
 
 pub struct Store {
     address: Where<Option<SocketAddr>>,
-    gate: Arc<Gate>,
+    registry: Arc<RequestRegistry>,
     most: usize,
     pool: Mutex<Pool>,
     /// Connections that were refused, in a row.
@@ -75,10 +75,10 @@
 
 impl Store {
     /// A store that is called over so many connections at the most.
-    pub fn new(address: Option<SocketAddr>, gate: Arc<Gate>, most: usize) -> Arc<Self> {
+    pub fn new(address: Option<SocketAddr>, registry: Arc<RequestRegistry>, most: usize) -> Arc<Self> {
         let address = Where::new(address);
         let (refused, down) = (AtomicU32::new(0), AtomicBool::new(false));
-        Arc::new(Store { address, gate, most, pool: Mutex::default(), refused, down })
+        Arc::new(Store { address, registry, most, pool: Mutex::default(), refused, down })
     }
 
     /// Connections that it takes at the most.
@@ -124,8 +124,8 @@
         }
     }
 
-    /// Makes a req's call of that number; its end is reported to the gate.
-    pub fn call(self: &Arc<Self>, id: &Id, number: usize, patience: Duration, body: &Bytes) {
+    /// Makes a req's call of that number; its end is reported to the registry.
+    pub fn call(self: &Arc<Self>, id: &RequestId, number: usize, patience: Duration, body: &Bytes) {
         let address = self.address.now().filter(|_| !self.down.load(Ordering::Acquire));
         let Some(address) = address else {
             return self.ended(id, Outcome::Unreachable, Bytes::default());
@@ -157,7 +157,7 @@
 
     /// Gives a req's call of that number up, and tells what is known of it then. Its connection is left: that
     /// gives the call up there, and nothing that still comes can be taken for another's reply.
-    pub fn give_up(&self, id: &Id, number: usize) -> Outcome {
+    pub fn give_up(&self, id: &RequestId, number: usize) -> Outcome {
         let mut pool = self.pool.lock();
         if let Some(place) = pool.waiting.iter().position(|call| call.id == *id && call.number == number) {
             pool.waiting.remove(place);
@@ -189,7 +189,7 @@
     }
 
     fn ended(&self, id: &str, outcome: Outcome, reply: Bytes) {
-        self.gate.report(id, Report::CallEnded { outcome, reply });
+        self.registry.report(id, RequestEvent::CallFinished { outcome, reply });
     }
 
     /// A connection, from its opening to its end.
--- a/crates/server/src/net/thrift.rs
+++ b/crates/server/src/net/thrift.rs
@@ -229,7 +229,7 @@
     let written = protocol
         .write_message_begin(&TMessageIdentifier::new(method, kind, sequence))
         .and_then(|()| write(&mut protocol));
-    crate::must!(written.is_ok(), "a message can be written to memory");
+    crate::invariant!(written.is_ok(), "a message can be written to memory");
     let length = (bytes.len() - 4) as u32;
     bytes[..4].copy_from_slice(&length.to_be_bytes());
     bytes
--- /dev/null
+++ b/crates/server/src/requests/registry.rs
@@ -0,0 +1,187 @@
+//! The registry as connections, the executor link, the store client and the clock see it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use may::sync::Blocker;
+use parking_lot::Mutex;
+use tulipgap::{Arrival, Config, Controller, Event, Gauges, HandlerIndex, Idempotency};
+use tulipgap_trace::Reason;
+
+use super::messages::{IncomingRequest, RegisterError, RequestEvent};
+use super::metrics::RequestCounts;
+use super::state::{OpenRequest, RegistryState};
+use super::ticket::Ticket;
+use crate::clock;
+use crate::trace::{RequestTrace, Tracer};
+
+/// The pause between two looks whether the controller has started.
+const NOT_STARTED_PAUSE: Duration = Duration::from_millis(20);
+
+/// Owner of all open requests and of the controller, behind one lock.
+pub(crate) struct RequestRegistry {
+    config: Config,
+    seed: u64,
+    pub(super) state: Mutex<RegistryState>,
+    tracer: Option<Arc<Tracer>>,
+}
+
+impl RequestRegistry {
+    pub(crate) fn new(config: Config, seed: u64, tracer: Option<Arc<Tracer>>) -> Self {
+        let state = RegistryState::new(&config, tracer.clone());
+        RequestRegistry { config, seed, state: Mutex::new(state), tracer }
+    }
+
+    /// The executor is up, cold or not, since `uptime`. Only the first call has an effect, and returns true. The
+    /// controller's clock starts with a cold executor, to know how warm it is; with a warm one it starts now, because
+    /// the controller then learns in its first seconds how fast the machine is.
+    pub(crate) fn start(&self, starts_cold: bool, uptime: Duration) -> bool {
+        let mut state = self.state.lock();
+        if state.is_started() {
+            return false;
+        }
+        let config = Config { starts_cold, ..self.config.clone() };
+        let controller = match Controller::new(&config, self.seed) {
+            Ok(controller) => controller,
+            Err(error) => {
+                log::error!("controller not started error=\"{error}\"");
+                return false;
+            }
+        };
+        let uptime = if starts_cold { uptime } else { Duration::ZERO };
+        let started_at = Instant::now().checked_sub(uptime).unwrap_or_else(Instant::now);
+        state.start(controller, started_at);
+        true
+    }
+
+    /// Registers a request that was read. Its ticket yields its commands, the final response among them.
+    pub(crate) fn register(self: &Arc<Self>, incoming: IncomingRequest) -> Result<Ticket, RegisterError> {
+        let mut state = self.state.lock();
+        if !state.is_started() {
+            self.record_unregistered(&incoming, Reason::NOT_STARTED);
+            return Err(RegisterError::NotStarted);
+        }
+        if state.is_open(&incoming.id) {
+            return Err(RegisterError::DuplicateId);
+        }
+        let key = incoming.scoped_key();
+        state.expire_keys();
+        let duplicated_body = state.duplicated_body(key.as_ref(), incoming.age);
+        // A key with another body is copied or made up: whoever sends it gets no other caller's result.
+        if duplicated_body.is_some_and(|body_hash| body_hash != incoming.body_hash) {
+            return Err(RegisterError::KeyReused);
+        }
+        let waiter = Arc::new(Blocker::new(true));
+        let trace = self.trace_of(&incoming);
+        let index = state.insert(OpenRequest::new(&incoming, key, waiter.clone(), trace));
+        state.decide(Event::Arrived(Arrival {
+            request: index,
+            handler: incoming.handler,
+            tenant: incoming.tenant,
+            age: incoming.age,
+            client_wait: incoming.client_wait,
+            estimated_work: incoming.estimated_work,
+            queued_kb: incoming.queued_kb,
+            is_retry: incoming.is_retry,
+            is_duplicate: duplicated_body.is_some(),
+        }));
+        state.record_admission(index);
+        Ok(Ticket { registry: self.clone(), index, waiter })
+    }
+
+    /// Whether an attempt of the same keyed request is open or has run: then this one may not be rejected.
+    pub(crate) fn is_duplicate(&self, incoming: &IncomingRequest) -> bool {
+        self.state.lock().duplicated_body(incoming.scoped_key().as_ref(), incoming.age).is_some()
+    }
+
+    /// Reports what became of a request's run or call. Events for a request that is not open are ignored.
+    pub(crate) fn report(&self, id: &str, event: RequestEvent) {
+        let mut state = self.state.lock();
+        if let Some(index) = state.index_of(id) {
+            state.handle_event(index, event);
+        }
+    }
+
+    /// Blocks until the next timer is due, and fires it with the gauges of that moment.
+    pub(crate) fn tick(&self, gauges: impl FnOnce() -> Gauges) {
+        let left = self.state.lock().until_next_timer().unwrap_or(NOT_STARTED_PAUSE);
+        if left.is_zero() {
+            self.fire_timers(gauges());
+        } else {
+            clock::sleep(left);
+        }
+    }
+
+    pub(super) fn fire_timers(&self, gauges: Gauges) {
+        self.state.lock().fire_timers(gauges);
+    }
+
+    /// Passes on the shutdown notice that came at `notice`; the process is terminated `termination` after it.
+    pub(crate) fn shutdown_notice(&self, notice: Instant, termination: Duration) {
+        self.state.lock().shutdown_notice(notice, termination);
+    }
+
+    /// Whether the executor was up.
+    pub(crate) fn is_started(&self) -> bool {
+        self.state.lock().is_started()
+    }
+
+    /// The feedback value that every answer carries.
+    pub(crate) fn feedback(&self) -> Option<f64> {
+        self.state.lock().feedback()
+    }
+
+    /// The time after which unused connections are closed.
+    pub(crate) fn idle_timeout(&self) -> Duration {
+        self.state.lock().idle_timeout()
+    }
+
+    /// What health checks report.
+    pub(crate) fn is_healthy(&self) -> bool {
+        self.state.lock().is_healthy()
+    }
+
+    /// The number of open requests.
+    pub(crate) fn open(&self) -> usize {
+        self.state.lock().open()
+    }
+
+    pub(crate) fn counts(&self) -> RequestCounts {
+        self.state.lock().counts()
+    }
+
+    /// The longest time after which a rejected caller should come back, where callers can be told.
+    pub(crate) fn max_retry_after(&self) -> Option<Duration> {
+        self.config.max_retry_after
+    }
+
+    /// How long the clients of a handler wait.
+    pub(crate) fn client_timeout(&self, handler: HandlerIndex) -> Duration {
+        self.config.handlers.get(handler).map_or(Duration::MAX, |handler| handler.client_timeout)
+    }
+
+    /// Whether requests of a handler may run at most once.
+    pub(crate) fn runs_at_most_once(&self, handler: HandlerIndex) -> bool {
+        let handler = self.config.handlers.get(handler);
+        handler.is_none_or(|handler| handler.idempotency != Idempotency::Idempotent)
+    }
+
+    /// The recording, where there is one.
+    pub(crate) fn tracer(&self) -> Option<&Arc<Tracer>> {
+        self.tracer.as_ref()
+    }
+
+    /// Records a request that was rejected before it was registered.
+    pub(crate) fn record_unregistered(&self, incoming: &IncomingRequest, reason: Reason) {
+        if let (Some(mut trace), Some(tracer)) = (self.trace_of(incoming), &self.tracer) {
+            let now = Instant::now();
+            trace.rejected(reason, now);
+            tracer.record(&trace, now);
+        }
+    }
+
+    fn trace_of(&self, incoming: &IncomingRequest) -> Option<Box<RequestTrace>> {
+        let context = incoming.trace.filter(|_| self.tracer.is_some())?;
+        Some(Box::new(RequestTrace::new(context, incoming)))
+    }
+}
--- /dev/null
+++ b/crates/server/src/requests/state.rs
@@ -0,0 +1,464 @@
+//! The state behind the registry's lock: open requests, and the controller whose actions are applied to them.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use may::sync::Blocker;
+use slab::Slab;
+use tulipgap::{Action, Config, Controller, Event, Gauges, Outcome};
+use tulipgap_trace::Reason;
+
+use super::idempotency::IdempotencyKeys;
+use super::messages::{Bytes, Command, IncomingRequest, RequestEvent, RequestId, Response};
+use super::metrics::RequestCounts;
+use super::timers::Timers;
+use crate::invariant;
+use crate::trace::{RequestTrace, Tracer, recorded_reason};
+
+/// A request between its registration and its release.
+pub(super) struct OpenRequest {
+    id: RequestId,
+    commands: VecDeque<Command>,
+    waiter: Arc<Blocker>,
+    /// Its final response is among its commands, or was.
+    is_answered: bool,
+    is_caller_gone: bool,
+    /// A run of it was started.
+    pub(super) is_started: bool,
+    /// The controller has released it.
+    pub(super) is_released: bool,
+    /// Its coroutine has ended before it was released.
+    is_detached: bool,
+    /// The call that it waits for, with its number within the run.
+    call: Option<(u64, Bytes)>,
+    is_calling: bool,
+    /// Its idempotency key within its tenant and handler.
+    key: Option<RequestId>,
+    body_hash: u64,
+    trace: Option<Box<RequestTrace>>,
+}
+
+impl OpenRequest {
+    pub(super) fn new(
+        incoming: &IncomingRequest,
+        key: Option<RequestId>,
+        waiter: Arc<Blocker>,
+        trace: Option<Box<RequestTrace>>,
+    ) -> Self {
+        OpenRequest {
+            id: incoming.id.clone(),
+            commands: VecDeque::new(),
+            waiter,
+            is_answered: false,
+            is_caller_gone: false,
+            is_started: false,
+            is_released: false,
+            is_detached: false,
+            call: None,
+            is_calling: false,
+            key,
+            body_hash: incoming.body_hash,
+            trace,
+        }
+    }
+
+    fn send(&mut self, command: Command) {
+        // The controller repeats a cancellation until the run has ended.
+        if command != Command::Cancel || !self.commands.contains(&command) {
+            self.commands.push_back(command);
+            self.waiter.unpark();
+        }
+    }
+}
+
+/// The controller, from the moment that the executor is up.
+struct RunningController {
+    controller: Controller,
+    /// When the controller's clock stood at zero.
+    pub(super) started_at: Instant,
+}
+
+/// A shutdown notice: when it came, and how long after it the process is terminated.
+#[derive(Clone, Copy)]
+struct ShutdownNotice {
+    received_at: Instant,
+    termination: Duration,
+}
+
+/// Everything that concerns open requests; whoever holds the lock sees it whole.
+pub(super) struct RegistryState {
+    running: Option<RunningController>,
+    shutdown: Option<ShutdownNotice>,
+    requests: Slab<OpenRequest>,
+    indices: HashMap<RequestId, usize>,
+    keys: IdempotencyKeys,
+    timers: Timers,
+    feedback: Option<f64>,
+    idle_timeout: Duration,
+    is_healthy: bool,
+    counts: RequestCounts,
+    tracer: Option<Arc<Tracer>>,
+}
+
+impl RegistryState {
+    pub(super) fn new(config: &Config, tracer: Option<Arc<Tracer>>) -> Self {
+        let client_timeouts = config.handlers.iter().map(|handler| handler.client_timeout);
+        RegistryState {
+            running: None,
+            shutdown: None,
+            requests: Slab::new(),
+            indices: HashMap::new(),
+            keys: IdempotencyKeys::new(client_timeouts.max().unwrap_or_default()),
+            timers: Timers::default(),
+            feedback: None,
+            idle_timeout: config.idle_timeout,
+            is_healthy: false,
+            counts: RequestCounts::default(),
+            tracer,
+        }
+    }
+
+    pub(super) fn start(&mut self, controller: Controller, started_at: Instant) {
+        self.running = Some(RunningController { controller, started_at });
+        self.decide(Event::Started);
+        // The notice may come before the executor is up: dropped, what arrives long after it would be run.
+        self.pass_on_shutdown_notice();
+    }
+
+    pub(super) fn is_started(&self) -> bool {
+        self.running.is_some()
+    }
+
+    pub(super) fn is_open(&self, id: &RequestId) -> bool {
+        self.indices.contains_key(id)
+    }
+
+    pub(super) fn index_of(&self, id: &str) -> Option<usize> {
+        self.indices.get(id).copied()
+    }
+
+    pub(super) fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub(super) fn counts(&self) -> RequestCounts {
+        RequestCounts { open: self.requests.len(), ..self.counts }
+    }
+
+    pub(super) fn feedback(&self) -> Option<f64> {
+        self.feedback
+    }
+
+    pub(super) fn idle_timeout(&self) -> Duration {
+        self.idle_timeout
+    }
+
+    pub(super) fn is_healthy(&self) -> bool {
+        self.is_healthy
+    }
+
+    /// The time on the controller's clock.
+    pub(super) fn now(&self) -> Duration {
+        self.running.as_ref().map_or(Duration::ZERO, |running| running.started_at.elapsed())
+    }
+
+    /// The time now, where a recording needs it.
+    fn trace_time(&self) -> Option<Instant> {
+        self.tracer.as_ref().map(|_| Instant::now())
+    }
+
+    pub(super) fn insert(&mut self, request: OpenRequest) -> usize {
+        let id = request.id.clone();
+        let index = self.requests.insert(request);
+        self.indices.insert(id, index);
+        self.counts.received += 1;
+        index
+    }
+
+    /// The controller has decided on an arrival: it was admitted unless it is answered.
+    pub(super) fn record_admission(&mut self, index: usize) {
+        let now = self.trace_time();
+        if let Some(request) = self.requests.get_mut(index).filter(|request| !request.is_answered)
+            && let Some(trace) = &mut request.trace
+        {
+            trace.admitted = now;
+        }
+    }
+
+    pub(super) fn expire_keys(&mut self) {
+        self.keys.expire(self.now());
+    }
+
+    /// The body hash of the remembered request that a request of this key and age duplicates, if it does.
+    pub(super) fn duplicated_body(&self, key: Option<&RequestId>, age: Duration) -> Option<u64> {
+        self.keys.duplicated_body(key, self.now().saturating_sub(age))
+    }
+
+    pub(super) fn next_command(&mut self, index: usize) -> Option<Command> {
+        self.requests[index].commands.pop_front()
+    }
+
+    /// The coroutine of a request has ended. Returns false where the request is still open.
+    pub(super) fn detach(&mut self, index: usize) -> bool {
+        let request = &mut self.requests[index];
+        request.is_detached = true;
+        let is_released = request.is_released;
+        if is_released {
+            self.requests.remove(index);
+        }
+        is_released
+    }
+
+    pub(super) fn until_next_timer(&self) -> Option<Duration> {
+        self.timers.until_next(self.now())
+    }
+
+    pub(super) fn fire_timers(&mut self, gauges: Gauges) {
+        let now = self.now();
+        if self.timers.take_due(now) {
+            self.decide(Event::TimerFired { gauges });
+        }
+    }
+
+    pub(super) fn shutdown_notice(&mut self, received_at: Instant, termination: Duration) {
+        self.shutdown = Some(ShutdownNotice { received_at, termination });
+        self.pass_on_shutdown_notice();
+    }
+
+    /// The grace counts from the notice, however late the controller learns of it.
+    fn pass_on_shutdown_notice(&mut self) {
+        if let Some(ShutdownNotice { received_at, termination }) = self.shutdown {
+            let since = received_at.elapsed();
+            self.decide(Event::ShutdownNotice { since, left: termination.saturating_sub(since) });
+        }
+    }
+
+    pub(super) fn handle_event(&mut self, index: usize, event: RequestEvent) {
+        let Some(request) = self.requests.get_mut(index).filter(|request| !request.is_released) else {
+            return;
+        };
+        // Nothing can become of a run that was never started.
+        if !request.is_started && !matches!(event, RequestEvent::CallerGone) {
+            return;
+        }
+        match event {
+            RequestEvent::CallerGone => {
+                request.is_caller_gone = true;
+                self.decide(Event::CallerGone { request: index });
+            }
+            // A run waits for one call at a time.
+            RequestEvent::CallReached { .. } if request.call.is_some() => {}
+            RequestEvent::CallReached { call, body } => {
+                request.call = Some((call, body));
+                request.is_calling = false;
+                self.decide(Event::ReachedCall { request: index });
+            }
+            // A reply that crosses the end of its call is ignored.
+            RequestEvent::CallFinished { .. } if !request.is_calling => {}
+            RequestEvent::CallFinished { outcome, reply } => {
+                request.is_calling = false;
+                if outcome == Outcome::Succeeded {
+                    request.call = None;
+                    request.send(Command::Resume { reply });
+                }
+                self.decide(Event::CallFinished { request: index, outcome });
+            }
+            RequestEvent::RunFinished { outcome, result, work } => {
+                if let Some(trace) = &mut request.trace {
+                    trace.work = work;
+                }
+                self.run_finished(index, outcome, result);
+            }
+        }
+    }
+
+    fn run_finished(&mut self, index: usize, outcome: Outcome, result: Bytes) {
+        let response = match outcome {
+            Outcome::Succeeded => Response::Completed(result),
+            _ => Response::Failed,
+        };
+        match outcome {
+            Outcome::Succeeded => self.respond(index, response.clone(), Reason::NONE),
+            Outcome::Failed => self.respond(index, response.clone(), Reason::RUN_ERRORED),
+            // Nothing ran, so a request with its key is no duplicate.
+            Outcome::NotStarted => self.forget_key(index),
+            _ => {}
+        }
+        self.settle_key(index, response);
+        self.decide(Event::Finished { request: index, outcome });
+    }
+
+    /// Sends a final response, unless the request has one.
+    fn respond(&mut self, index: usize, response: Response, reason: Reason) {
+        let (now, feedback) = (self.trace_time(), self.feedback);
+        let request = &mut self.requests[index];
+        if std::mem::replace(&mut request.is_answered, true) {
+            return;
+        }
+        if let Some(trace) = &mut request.trace {
+            trace.answered(&response, request.is_caller_gone, reason, feedback, now);
+        }
+        if request.is_caller_gone {
+            self.counts.abandoned += 1;
+            return;
+        }
+        match response {
+            Response::Completed(_) => self.counts.completed += 1,
+            Response::Rejected { .. } => self.counts.rejected += 1,
+            Response::Failed => self.counts.failed += 1,
+        }
+        request.send(Command::Respond(response));
+    }
+
+    fn settle_key(&mut self, index: usize, response: Response) {
+        if let Some(key) = &self.requests[index].key {
+            self.keys.settle(key, index, response);
+        }
+    }
+
+    fn forget_key(&mut self, index: usize) {
+        if let Some(key) = &self.requests[index].key {
+            self.keys.forget(key, index);
+        }
+    }
+
+    /// Lets the controller decide on what happened, and on what its actions bring about in turn.
+    pub(super) fn decide(&mut self, event: Event) {
+        let mut events = vec![event];
+        while !events.is_empty() {
+            let now = self.now();
+            let Some(running) = self.running.as_mut() else { return };
+            let actions = running.controller.handle_events(now, &std::mem::take(&mut events));
+            for action in actions {
+                self.apply(action, now);
+            }
+            events = self.answer_coalesced();
+        }
+    }
+
+    fn apply(&mut self, action: Action, now: Duration) {
+        match action {
+            Action::Start { request } => self.start_run(request),
+            Action::Reject { request, retry_after, retry_elsewhere, reason } => {
+                invariant!(!self.requests[request].is_answered, "a request is answered once");
+                let response = Response::Rejected { retry_after, retry_elsewhere };
+                self.respond(request, response, recorded_reason(reason));
+            }
+            Action::Fail { request, reason } => {
+                invariant!(!self.requests[request].is_answered, "a request is answered once");
+                self.respond(request, Response::Failed, recorded_reason(reason));
+            }
+            Action::Cancel { request } => self.requests[request].send(Command::Cancel),
+            Action::Coalesce { request } => {
+                let key = self.requests[request].key.clone().unwrap_or_default();
+                self.keys.coalesce(key, request);
+            }
+            Action::RememberKey { request, retention } => {
+                let OpenRequest { key, body_hash, .. } = &self.requests[request];
+                if let Some(key) = key.clone() {
+                    self.keys.remember(key, request, *body_hash, now, retention);
+                }
+            }
+            Action::ForgetKey { request } => {
+                self.forget_key(request);
+                self.settle_key(request, Response::Failed);
+            }
+            Action::StartCall { request, timeout } => self.start_call(request, timeout),
+            Action::SkipCall { request } => self.skip_call(request),
+            Action::SetFeedback { value } => self.feedback = Some(value),
+            Action::SetIdleTimeout { timeout } => self.idle_timeout = timeout,
+            Action::SetHealth { healthy } => self.is_healthy = healthy,
+            Action::SetTimer { at } => self.timers.set(at),
+            Action::Release { request } => self.release(request),
+        }
+    }
+
+    fn start_run(&mut self, index: usize) {
+        let now = self.trace_time();
+        let request = &mut self.requests[index];
+        request.is_started = true;
+        if let Some(trace) = &mut request.trace {
+            trace.started = trace.started.or(now);
+        }
+        request.send(Command::Start);
+    }
+
+    fn start_call(&mut self, index: usize, timeout: Duration) {
+        let now = self.trace_time();
+        let request = &mut self.requests[index];
+        if let Some(trace) = &mut request.trace {
+            trace.called = trace.called.or(now);
+            trace.calls += 1;
+        }
+        if let Some((_, body)) = request.call.clone() {
+            request.is_calling = true;
+            request.send(Command::StartCall { timeout, body });
+        }
+    }
+
+    fn skip_call(&mut self, index: usize) {
+        let request = &mut self.requests[index];
+        if let Some(trace) = &mut request.trace {
+            trace.skipped_calls += 1;
+        }
+        if let Some((call, _)) = request.call.take() {
+            request.send(Command::SkipCall { call });
+        }
+    }
+
+    fn release(&mut self, index: usize) {
+        // A run that ended with nothing for its caller, and that the controller left unanswered.
+        self.respond(index, Response::Failed, Reason::STOPPED);
+        if let (Some(trace), Some(tracer)) = (self.requests[index].trace.take(), &self.tracer) {
+            tracer.record(&trace, Instant::now());
+        }
+        self.settle_key(index, Response::Failed);
+        if let Some(key) = &self.requests[index].key {
+            self.keys.leave(key, index);
+        }
+        let request = &mut self.requests[index];
+        request.is_released = true;
+        request.send(Command::Finish);
+        self.indices.remove(&request.id);
+        if request.is_detached {
+            self.requests.remove(index);
+        }
+    }
+
+    /// Answers coalesced requests whose first attempt has ended, and returns the events of their ends.
+    fn answer_coalesced(&mut self) -> Vec<Event> {
+        let now = self.now();
+        let mut events = Vec::new();
+        for (index, response) in self.keys.take_answered(now) {
+            if self.requests.get(index).is_none_or(|request| request.is_released) {
+                continue;
+            }
+            let (response, outcome, reason) = match response {
+                Response::Completed(_) => (response, Outcome::Succeeded, Reason::JOINED),
+                _ => (Response::Failed, Outcome::Failed, Reason::FIRST_ERRORED),
+            };
+            self.respond(index, response, reason);
+            events.push(Event::Finished { request: index, outcome });
+        }
+        events
+    }
+
+    /// Moves the controller's clock on, without waiting.
+    #[cfg(test)]
+    pub(super) fn skip_time(&mut self, span: Duration) {
+        let running = self.running.as_mut().expect("the controller has started");
+        let earlier = running.started_at.checked_sub(span);
+        running.started_at = earlier.expect("the machine is up for long enough");
+    }
+
+    #[cfg(test)]
+    pub(super) fn request(&self, id: &str) -> Option<&OpenRequest> {
+        self.requests.get(self.index_of(id)?)
+    }
+
+    #[cfg(test)]
+    pub(super) fn key_sizes(&self) -> (usize, usize, usize) {
+        self.keys.sizes()
+    }
+}
--- a/crates/server/src/trace.rs
+++ b/crates/server/src/trace.rs
@@ -1,10 +1,10 @@
-//! The recording of what happens to each req, where it is configured: from what the gate saw of it to a record. What
-//! the recorder cannot write is dropped and counted; serving never waits for it.
+//! The recording of what happens to each request, where one is configured: from what the registry saw of a request
+//! to a record. What the recorder cannot write is dropped and counted; serving never waits for it.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use tulipgap::{Config, Reason as Why};
+use tulipgap::{Config, Reason as ControllerReason};
 use tulipgap_config::Tracing;
 use tulipgap_settings::Names;
 use tulipgap_trace::{
@@ -13,111 +13,172 @@
 };
 
 use crate::log::Bound;
+use crate::requests::{IncomingRequest, Response};
 
 /// How long the end of the program waits for the last records.
-const LAST: Duration = Duration::from_millis(500);
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
-static TROUBLE: Bound = Bound::new();
+static DISK_FAILURES: Bound = Bound::new();
 
-/// What a door knows of a req beside what is decided by.
+/// What a connection knows of a request beside what is decided by.
 #[derive(Clone, Copy, Debug)]
-pub struct Traced {
-    pub number: u64,
-    pub key: Option<u64>,
-    pub subject: Option<u64>,
-    pub caller: Option<u64>,
+pub(crate) struct TraceContext {
+    pub(crate) number: u64,
+    pub(crate) key: Option<u64>,
+    pub(crate) subject: Option<u64>,
+    pub(crate) caller: Option<u64>,
     /// When it was read.
-    pub read: Instant,
+    pub(crate) read: Instant,
 }
 
-/// What the gate saw of a req so far.
+/// What the registry saw of a request so far.
 #[derive(Debug)]
-pub struct Life {
-    pub traced: Traced,
-    pub handler: usize,
-    pub tenant: Option<usize>,
-    pub retry: bool,
-    pub patience: Option<Duration>,
-    pub hint: Option<Duration>,
-    /// When it entered, and how long before that it had reached the machine.
-    pub entered: Instant,
-    pub age: Duration,
-    pub admitted: Option<Instant>,
-    pub run: Option<Instant>,
-    pub called: Option<Instant>,
-    pub answered: Option<Instant>,
-    pub work: Option<Duration>,
-    pub outcome: Outcome,
-    pub reason: Reason,
-    pub no_more: bool,
-    pub wait: Option<Duration>,
-    pub calls: u32,
-    pub skipped: u32,
-    pub advice: Option<f64>,
+pub(crate) struct RequestTrace {
+    context: TraceContext,
+    handler: usize,
+    tenant: Option<usize>,
+    is_retry: bool,
+    client_wait: Option<Duration>,
+    estimated_work: Option<Duration>,
+    /// When it was registered, and how long before that it had reached the machine.
+    registered: Instant,
+    age: Duration,
+    pub(crate) admitted: Option<Instant>,
+    pub(crate) started: Option<Instant>,
+    pub(crate) called: Option<Instant>,
+    answered: Option<Instant>,
+    pub(crate) work: Option<Duration>,
+    outcome: Outcome,
+    reason: Reason,
+    no_more: bool,
+    retry_after: Option<Duration>,
+    pub(crate) calls: u32,
+    pub(crate) skipped_calls: u32,
+    feedback: Option<f64>,
 }
 
-/// The name in a recording of a reason of the module.
-pub fn reason(why: Why) -> Reason {
-    match why {
-        Why::MemoryLimit => Reason::MEMORY,
-        Why::HighFailureRate => Reason::FAILING,
-        Why::AdmissionControl => Reason::SHARE,
-        Why::PredictedLate => Reason::LATE,
-        Why::Overtaken => Reason::OVERTAKEN,
-        Why::ObjectiveMissed => Reason::MISSED,
-        Why::DeadlineNear => Reason::DUE,
-        Why::Draining => Reason::DRAINING,
-        Why::Terminating => Reason::STOPPING,
-        Why::CallFailed => Reason::CALL_FAILED,
-        Why::Cancelled => Reason::STOPPED,
+impl RequestTrace {
+    /// The trace of a request that is registered now.
+    pub(crate) fn new(context: TraceContext, incoming: &IncomingRequest) -> Self {
+        RequestTrace {
+            context,
+            handler: incoming.handler,
+            tenant: incoming.tenant,
+            is_retry: incoming.is_retry,
+            client_wait: incoming.client_wait,
+            estimated_work: incoming.estimated_work,
+            registered: Instant::now(),
+            age: incoming.age,
+            admitted: None,
+            started: None,
+            called: None,
+            answered: None,
+            work: None,
+            outcome: Outcome::Errored,
+            reason: Reason::NONE,
+            no_more: false,
+            retry_after: None,
+            calls: 0,
+            skipped_calls: 0,
+            feedback: None,
+        }
+    }
+
+    /// It was rejected before the controller could see it.
+    pub(crate) fn rejected(&mut self, reason: Reason, now: Instant) {
+        (self.outcome, self.reason, self.answered) = (Outcome::Shed, reason, Some(now));
+    }
+
+    /// It has its final response, or would have had it but for a caller that is gone.
+    pub(crate) fn answered(
+        &mut self,
+        response: &Response,
+        is_caller_gone: bool,
+        reason: Reason,
+        feedback: Option<f64>,
+        now: Option<Instant>,
+    ) {
+        (self.answered, self.reason, self.feedback) = (now, reason, feedback);
+        self.outcome = match response {
+            _ if is_caller_gone => Outcome::Gone,
+            Response::Completed(_) => Outcome::Done,
+            Response::Rejected { .. } => Outcome::Shed,
+            Response::Failed => Outcome::Errored,
+        };
+        if let Response::Rejected { retry_after, retry_elsewhere } = *response {
+            (self.retry_after, self.no_more) = (retry_after, !retry_elsewhere);
+        }
+    }
+}
+
+/// The reason of a recording for a reason of the controller.
+pub(crate) fn recorded_reason(reason: ControllerReason) -> Reason {
+    match reason {
+        ControllerReason::MemoryLimit => Reason::MEMORY,
+        ControllerReason::HighFailureRate => Reason::FAILING,
+        ControllerReason::AdmissionControl => Reason::SHARE,
+        ControllerReason::PredictedLate => Reason::LATE,
+        ControllerReason::Overtaken => Reason::OVERTAKEN,
+        ControllerReason::ObjectiveMissed => Reason::MISSED,
+        ControllerReason::DeadlineNear => Reason::DUE,
+        ControllerReason::Draining => Reason::DRAINING,
+        ControllerReason::Terminating => Reason::STOPPING,
+        ControllerReason::CallFailed => Reason::CALL_FAILED,
+        ControllerReason::Cancelled => Reason::STOPPED,
     }
 }
 
-pub struct Tracer {
+/// The recorder of this process.
+pub(crate) struct Tracer {
     recorder: Recorder,
 }
 
 impl Tracer {
     /// Begins a recording in that folder, for a server of that name.
-    pub fn start(told: &Tracing, server: &str, given: &Config, names: &Names) -> std::io::Result<Tracer> {
+    pub(crate) fn start(
+        tracing: &Tracing,
+        server: &str,
+        config: &Config,
+        names: &Names,
+    ) -> std::io::Result<Tracer> {
         let recording = Recording {
-            version: told.format,
+            version: tracing.format,
             server: server.to_owned(),
-            names: dictionary(given, names),
+            names: dictionary(config, names),
             terms: Terms {
-                records: told.block as usize,
-                seal_after: told.seal_after,
-                rotate_bytes: told.rotate_size.0,
-                rotate_after: told.rotate_after,
-                keep_bytes: told.keep_size.0,
+                records: tracing.block as usize,
+                seal_after: tracing.seal_after,
+                rotate_bytes: tracing.rotate_size.0,
+                rotate_after: tracing.rotate_after,
+                keep_bytes: tracing.keep_size.0,
             },
-            queue: told.queue as usize,
+            queue: tracing.queue as usize,
         };
-        let disk = Disk::new(Path::new(&told.folder), server, told.sync);
-        let recorder = Recorder::start(disk, recording, |trouble| {
-            if let Some(count) = TROUBLE.pass() {
-                log::warn!("trace: {trouble} ({count} so far)");
+        let disk = Disk::new(Path::new(&tracing.folder), server, tracing.sync);
+        let recorder = Recorder::start(disk, recording, |failure| {
+            if let Some(count) = DISK_FAILURES.pass() {
+                log::warn!("trace: {failure} ({count} so far)");
             }
         })?;
         Ok(Tracer { recorder })
     }
 
     /// Records missing so far, and failures of the disk, for the log.
-    pub fn told(&self) -> String {
+    pub(crate) fn summary(&self) -> String {
         let (missing, failures) = self.recorder.dropped();
         format!("trace: {missing} records missing, {failures} failures of the disk")
     }
 
     /// Ends the recording.
-    pub fn finish(&self) {
-        if !self.recorder.finish(LAST) {
+    pub(crate) fn finish(&self) {
+        if !self.recorder.finish(FLUSH_TIMEOUT) {
             log::warn!("trace: the disk does not let it end");
         }
     }
 
-    /// Records a req that is over now.
-    pub fn record(&self, life: &Life, over: Instant) {
-        self.recorder.record(record(life, over, |at| self.recorder.unix(at)));
+    /// Records a request that is released now.
+    pub(crate) fn record(&self, trace: &RequestTrace, released: Instant) {
+        self.recorder.record(record(trace, released, |at| self.recorder.unix(at)));
     }
 }
 
@@ -125,47 +186,47 @@
     Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX)
 }
 
-fn record(life: &Life, over: Instant, unix: impl Fn(Instant) -> Micros) -> Record {
-    let age = micros(life.age);
-    let since = |at: Instant| match at.checked_duration_since(life.entered) {
+fn record(trace: &RequestTrace, released: Instant, unix: impl Fn(Instant) -> Micros) -> Record {
+    let age = micros(trace.age);
+    let since = |at: Instant| match at.checked_duration_since(trace.registered) {
         Some(after) => age.saturating_add(micros(after)),
-        None => age.saturating_sub(micros(life.entered.saturating_duration_since(at))),
+        None => age.saturating_sub(micros(trace.registered.saturating_duration_since(at))),
     };
     Record {
         server: 0,
-        handler: life.handler as u32,
-        tenant: life.tenant.map(|tenant| tenant as u32),
-        id: life.traced.number,
-        key: life.traced.key,
-        subject: life.traced.subject,
-        caller: life.traced.caller,
-        retry: life.retry,
-        reached: unix(life.entered).saturating_sub(age),
-        read: Some(since(life.traced.read)),
-        admitted: life.admitted.map(since),
-        run: life.run.map(since),
-        called: life.called.map(since),
-        answered: life.answered.map(since),
-        over: Some(since(over)),
-        patience: life.patience.map(micros),
-        hint: life.hint.map(micros),
-        work: life.work.map(micros),
-        outcome: life.outcome,
-        reason: life.reason,
-        no_more: life.no_more,
-        wait: life.wait.map(micros),
-        calls: life.calls,
-        skipped: life.skipped,
-        advice: life.advice,
+        handler: trace.handler as u32,
+        tenant: trace.tenant.map(|tenant| tenant as u32),
+        id: trace.context.number,
+        key: trace.context.key,
+        subject: trace.context.subject,
+        caller: trace.context.caller,
+        retry: trace.is_retry,
+        reached: unix(trace.registered).saturating_sub(age),
+        read: Some(since(trace.context.read)),
+        admitted: trace.admitted.map(since),
+        run: trace.started.map(since),
+        called: trace.called.map(since),
+        answered: trace.answered.map(since),
+        over: Some(since(released)),
+        patience: trace.client_wait.map(micros),
+        hint: trace.estimated_work.map(micros),
+        work: trace.work.map(micros),
+        outcome: trace.outcome,
+        reason: trace.reason,
+        no_more: trace.no_more,
+        wait: trace.retry_after.map(micros),
+        calls: trace.calls,
+        skipped: trace.skipped_calls,
+        advice: trace.feedback,
     }
 }
 
 /// Handlers and tenants with what a summary needs of them, in the order of their indices.
-fn dictionary(given: &Config, names: &Names) -> Dictionary {
+fn dictionary(config: &Config, names: &Names) -> Dictionary {
     let named = |all: &std::collections::HashMap<String, usize>, at: usize| {
         all.iter().find(|(_, place)| **place == at).map_or_else(String::new, |(name, _)| name.clone())
     };
-    let handlers = given.handlers.iter().enumerate().map(|(at, handler)| HandlerName {
+    let handlers = config.handlers.iter().enumerate().map(|(at, handler)| HandlerName {
         name: named(&names.handlers, at),
         response_target: micros(handler.latency_objective),
         target_stretch: handler.objective_stretch,
@@ -173,6 +234,6 @@
         value: handler.priority_weight,
         skip_value: handler.degraded_weight,
     });
-    let tenants = (0..given.tenants.len()).map(|at| TenantName { name: named(&names.tenants, at) });
+    let tenants = (0..config.tenants.len()).map(|at| TenantName { name: named(&names.tenants, at) });
     Dictionary { servers: Vec::new(), handlers: handlers.collect(), tenants: tenants.collect() }
 }
