The executor link: protocol, queries, resync and gauges each a file; delivery is an enum

Old reading: net/kernel.rs, 591 lines, mixed the words of the protocol, the link's life, what may have been lost and the gauges; a command's place was None, Some(0) or Some(n).

Delivery says NotSent, Sent(position) or Confirmed. Tests are in tests.rs.

--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -30,7 +30,7 @@
 use cluster::Cluster;
 use config::{SOCKETS_LEAST, Told, Where};
 use net::clients::{Clients, IDLE_MORE, KEPT, MESSAGE_MOST};
-use net::kernel::Kernel;
+use net::executor::ExecutorClient;
 use net::list;
 use net::spawn;
 use net::store::Store;
@@ -187,7 +187,7 @@
     ::log::info!("{} listens on {}; callers are steered {steering}", told.name, told.listen);
     let grace = told.given.drain_grace;
     let registry = Arc::new(RequestRegistry::new(told.given.clone(), told.seed, tracer));
-    let kernel = Kernel::new(told.peers.kernel, registry.clone(), told.names.gauges.clone());
+    let executor = ExecutorClient::new(told.peers.kernel, registry.clone(), told.names.gauges.clone());
     let store = Store::new(told.peers.store, registry.clone(), told.sockets / STORE_PART);
     if let Some(cluster) = &cluster {
         cluster.probe_store(&store);
@@ -201,7 +201,7 @@
     let announce = Arc::new(Where::new(told.peers.announce));
     let clients = Clients::new(
         registry.clone(),
-        kernel.clone(),
+        executor.clone(),
         store.clone(),
         told.names.clone(),
         admission,
@@ -210,18 +210,18 @@
     );
     let leaving = Arc::new(AtomicBool::new(false));
     {
-        let kernel = kernel.clone();
-        spawn(move || kernel.run());
+        let executor = executor.clone();
+        spawn(move || executor.run());
     }
     {
         let clients = clients.clone();
         spawn(move || clients.accept(listener));
     }
     {
-        let (registry, kernel) = (registry.clone(), kernel.clone());
+        let (registry, executor) = (registry.clone(), executor.clone());
         spawn(move || {
             loop {
-                registry.tick(|| kernel.gauges());
+                registry.tick(|| executor.gauges());
             }
         });
     }
@@ -277,7 +277,7 @@
                     if !rest.is_empty() {
                         ::log::warn!("read again: a change of {} takes a restart", rest.join(", "));
                     }
-                    kernel.move_to(peers.kernel);
+                    executor.move_to(peers.kernel);
                     store.move_to(peers.store);
                     announce.set(peers.announce);
                 }
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -17,7 +17,7 @@
 use tulipgap_settings::Names;
 use tulipgap_trace::{Reason, hashed};
 
-use super::kernel::Kernel;
+use super::executor::ExecutorClient;
 use super::store::Store;
 use super::thrift::{self, Asked, Fault, Fields, Said};
 use super::{Added, Link, Out, adopt, spawn};
@@ -180,7 +180,7 @@
 
 pub struct Clients {
     registry: Arc<RequestRegistry>,
-    kernel: Arc<Kernel>,
+    executor: Arc<ExecutorClient>,
     store: Arc<Store>,
     names: Names,
     /// All that were accepted and have not closed.
@@ -209,7 +209,7 @@
 impl Clients {
     pub fn new(
         registry: Arc<RequestRegistry>,
-        kernel: Arc<Kernel>,
+        executor: Arc<ExecutorClient>,
         store: Arc<Store>,
         names: Names,
         admission: Admission,
@@ -219,7 +219,7 @@
         let open_most = (memory_mb * MEMORY_PART * 1024.0 / REQ_KB) as usize;
         Arc::new(Clients {
             registry,
-            kernel,
+            executor,
             store,
             names,
             connections: Mutex::new(Slab::new()),
@@ -626,8 +626,8 @@
                 continue;
             };
             match command {
-                Command::Start => self.kernel.start(&id, &class, &body, once),
-                Command::Cancel => self.kernel.stop(&id),
+                Command::Start => self.executor.start(&id, &class, &body, once),
+                Command::Cancel => self.executor.cancel(&id),
                 Command::StartCall { timeout, body } => {
                     calls += 1;
                     give_up = Instant::now().checked_add(timeout);
@@ -635,11 +635,11 @@
                 }
                 Command::Resume { reply } => {
                     give_up = None;
-                    self.kernel.reply(&id, &reply);
+                    self.executor.reply(&id, &reply);
                 }
                 Command::SkipCall { call } => {
                     give_up = None;
-                    self.kernel.skip(&id, call);
+                    self.executor.skip_call(&id, call);
                 }
                 Command::Respond(response) => {
                     let mut fields = Vec::with_capacity(3);
@@ -677,7 +677,7 @@
 
     /// A health check; a deep one has work done, for a bounded time.
     fn check(&self, connection: &Connection, sequence: i32, deep: bool) {
-        let good = self.registry.is_healthy() && (!deep || self.kernel.works(CHECK_MOST));
+        let good = self.registry.is_healthy() && (!deep || self.executor.does_work(CHECK_MOST));
         let fields: Vec<_> = self.signal().into_iter().collect();
         connection.conclude("probe", sequence, &Said::Answer { body: &[], fields: &fields, good }, |_| {
             connection.checks.fetch_sub(1, Ordering::AcqRel);
@@ -841,10 +841,10 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let registry = Arc::new(RequestRegistry::new(given, 7, None));
-        let kernel = Kernel::new(address, registry.clone(), Vec::new());
+        let executor = ExecutorClient::new(address, registry.clone(), Vec::new());
         let store = Store::new(None, registry.clone(), 4);
         let admission = Admission::new(terms, 7).unwrap();
-        let clients = Clients::new(registry, kernel, store, names, admission, false, 48.0);
+        let clients = Clients::new(registry, executor, store, names, admission, false, 48.0);
         clients.opened(TcpStream::connect(address).unwrap(), address.ip());
         let connection = clients.connections.lock().iter().next().unwrap().1.clone();
         let mut edge = listener.accept().unwrap().0;
--- /dev/null
+++ b/crates/server/src/net/executor/gauges.rs
@@ -0,0 +1,33 @@
+//! The executor's last reading of its gauges, for timers whose own reading does not come in time.
+
+use std::time::{Duration, Instant};
+
+use crate::requests::Gauges;
+
+/// How long a reading stands in for one that does not come.
+pub(super) const MAX_GAUGES_AGE: Duration = Duration::from_millis(500);
+
+/// The last reading and when it came.
+#[derive(Default)]
+pub(super) struct LastGauges(Option<(Instant, Gauges)>);
+
+impl LastGauges {
+    pub(super) fn set(&mut self, gauges: Gauges) {
+        self.0 = Some((Instant::now(), gauges));
+    }
+
+    pub(super) fn get(&self) -> Gauges {
+        self.at(Instant::now())
+    }
+
+    /// The reading that counts at `now`: none where the last one is old. Cores are not idle because a link broke.
+    pub(super) fn at(&self, now: Instant) -> Gauges {
+        let recent = self.0.filter(|(taken, _)| now.saturating_duration_since(*taken) < MAX_GAUGES_AGE);
+        recent.map_or_else(Gauges::default, |(_, gauges)| gauges)
+    }
+
+    #[cfg(test)]
+    pub(super) fn taken_at(taken: Instant, gauges: Gauges) -> Self {
+        LastGauges(Some((taken, gauges)))
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/executor/link.rs
@@ -0,0 +1,201 @@
+//! One link to the executor after the other: opening, reading, and leaving one when the executor moves.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use may::sync::Blocker;
+
+use super::protocol::{Command, Message, RefusedCommand, has_body, open, query};
+use super::queries::Reply;
+use super::resync::Delivery;
+use super::{ExecutorClient, LinkState};
+use crate::clock;
+use crate::log::Bound;
+use crate::net::lines::Line;
+use crate::net::{LINES_MOST, Link, Out, connect, garbled, spawn};
+use crate::requests::{Bytes, Gauges, Outcome, RequestEvent};
+
+/// The pause between two attempts to reach the executor.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a link that is left may take to show that everything sent over it has arrived.
+const FAREWELL_TIMEOUT: Duration = Duration::from_millis(100);
+
+static REMARKS: Bound = Bound::new();
+static REFUSALS: Bound = Bound::new();
+static LINK_FAILURES: Bound = Bound::new();
+
+impl ExecutorClient {
+    /// Keeps a link open for good.
+    pub(crate) fn run(self: Arc<Self>) {
+        loop {
+            let address = self.address.now();
+            let end = connect(address, || self.address.now() == address)
+                .and_then(|stream| self.serve(&mut Link::new(stream, LINES_MOST, LINES_MOST), address));
+            let was_up = {
+                let mut state = self.state.lock();
+                state.link = None;
+                state.queries.abandon_all();
+                state.output.take().is_some()
+            };
+            match end {
+                Ok(()) => log::info!("kernel link: moves to {}", self.address.now()),
+                Err(error) => {
+                    if let Some(count) = LINK_FAILURES.pass() {
+                        log::warn!("kernel link: {error} ({count} so far)");
+                    }
+                    // One that was up can be had again at once; so can one where the executor has moved to.
+                    if !was_up && self.address.now() == address {
+                        clock::sleep(RECONNECT_PAUSE);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Serves a link from its opening to its end; ends without an error where the executor has moved.
+    fn serve(self: &Arc<Self>, link: &mut Link, address: SocketAddr) -> io::Result<()> {
+        let output = link.out.clone();
+        let (last_notice, barrier) = {
+            let mut state = self.state.lock();
+            state.link = Some(output.clone());
+            // Commands on the link before may have been lost with it: this reply shows nothing of them.
+            (state.last_notice, state.queries.open(Arc::new(Blocker::new(true)), 0))
+        };
+        output.push(&[open(last_notice).as_bytes()]);
+        let mut farewell = None;
+        loop {
+            link.take_lines(has_body, |line| self.handle_line(line, barrier, &output))?;
+            // Once its farewell is said, it is left even where the executor has moved back meanwhile: nothing is sent
+            // over it any more.
+            if farewell.is_some() || self.address.now() != address {
+                let tag = *farewell.get_or_insert_with(|| self.say_farewell(&output));
+                if tag.is_none_or(|tag| self.state.lock().queries.is_over(tag)) {
+                    return Ok(());
+                }
+            }
+            link.wait();
+        }
+    }
+
+    /// Nothing more is sent over this link: commands wait for the next one. Asks once more for the gauges, because the
+    /// reply shows that everything before has arrived and nothing counts as lost; where it does not come soon, the
+    /// link is left all the same. Returns the tag of that question.
+    fn say_farewell(self: &Arc<Self>, output: &Arc<Out>) -> Option<u64> {
+        let mut state = self.state.lock();
+        state.output.take()?;
+        let commands_before = state.commands_sent;
+        let tag = state.queries.open(Arc::new(Blocker::new(true)), commands_before);
+        drop(state);
+        output.add(&[query("SYSINFO", tag).as_bytes()]);
+        let (client, output) = (self.clone(), output.clone());
+        spawn(move || {
+            clock::sleep(FAREWELL_TIMEOUT);
+            client.state.lock().queries.close(tag);
+            output.wake();
+        });
+        Some(tag)
+    }
+
+    fn handle_line(self: &Arc<Self>, line: &Line, barrier: u64, output: &Arc<Out>) -> io::Result<()> {
+        match Message::decode(line).map_err(garbled)? {
+            Message::Booted { is_cold, state, uptime } => {
+                if self.registry.start(is_cold, uptime) {
+                    log::info!("kernel up: {state} since {} ms", uptime.as_millis());
+                }
+                // Its reply comes behind all missed notices.
+                output.push(&[query("SYSINFO", barrier).as_bytes()]);
+            }
+            Message::RunFinished { notice, id, outcome, work, result } => {
+                if self.is_new(notice) {
+                    self.run_finished(id, RequestEvent::RunFinished { outcome, result, work });
+                }
+            }
+            Message::CallReached { notice, id, body } => {
+                if self.is_new(notice) {
+                    if let Some(run) = self.state.lock().runs.get_mut(id) {
+                        (run.delivery, run.call) = (Delivery::Confirmed, notice);
+                    }
+                    self.registry.report(id, RequestEvent::CallReached { call: notice, body });
+                }
+            }
+            Message::Gauges { tag, values } => {
+                self.answered(tag, Reply::Gauges(self.read_gauges(values)));
+                if tag == barrier {
+                    self.state.lock().queries.close(tag);
+                    // In a coroutine of its own, as this one must drain what it adds.
+                    let (client, output) = (self.clone(), output.clone());
+                    spawn(move || client.resync(&output));
+                }
+            }
+            Message::Worked { tag, succeeded } => self.answered(tag, Reply::Worked(succeeded)),
+            Message::CommandRefused { command, id, word, arguments } => {
+                if let Some(count) = REFUSALS.pass() {
+                    let arguments = arguments.join(" ");
+                    log::warn!("the kernel did not carry out {word} {arguments} ({count} so far)");
+                }
+                if let Some(id) = id {
+                    self.command_refused(&command, id, output);
+                }
+            }
+            Message::Remark { notice, words } => {
+                if self.is_new(notice)
+                    && let Some(count) = REMARKS.pass()
+                {
+                    log::info!("the kernel remarks: {} ({count} so far)", words.join(" "));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a notice was not read before.
+    fn is_new(&self, notice: u64) -> bool {
+        self.state.lock().is_new(notice)
+    }
+
+    fn run_finished(&self, id: &str, event: RequestEvent) {
+        self.state.lock().runs.remove(id);
+        self.registry.report(id, event);
+    }
+
+    fn command_refused(&self, command: &RefusedCommand, id: &str, output: &Out) {
+        match command {
+            // Nothing was run, so this shows nothing of how runs do here.
+            RefusedCommand::Start => {
+                let (outcome, result) = (Outcome::NotStarted, Bytes::default());
+                self.run_finished(id, RequestEvent::RunFinished { outcome, result, work: None });
+            }
+            // The run waits where it waited, and nothing else can be sent to it.
+            RefusedCommand::Resume => drop(output.add(&[&Command::Cancel.encode(id)])),
+            RefusedCommand::Other => {}
+        }
+    }
+
+    fn read_gauges(&self, values: &[&str]) -> Gauges {
+        let mut gauges = Gauges::default();
+        for (name, value) in self.gauge_names.iter().zip(values) {
+            if let Some(gauge) = tulipgap_settings::gauge(&mut gauges, name) {
+                *gauge = value.parse().ok().filter(|value: &f64| value.is_finite());
+            }
+        }
+        gauges
+    }
+
+    fn answered(&self, tag: u64, reply: Reply) {
+        let mut state = self.state.lock();
+        if let Some(commands) = state.queries.answer(tag, reply) {
+            state.commands_arrived = state.commands_arrived.max(commands);
+        }
+    }
+}
+
+impl LinkState {
+    fn is_new(&mut self, notice: u64) -> bool {
+        let is_new = notice > self.last_notice;
+        self.notices_are_missing |= notice > self.last_notice + 1;
+        self.last_notice = self.last_notice.max(notice);
+        is_new
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/executor/protocol.rs
@@ -0,0 +1,129 @@
+//! The executor's protocol: commands as they are written, notices as they are read. The words of the protocol page
+//! appear here alone. A codec, no I/O.
+
+use std::time::Duration;
+
+use crate::net::lines::{Line, line};
+use crate::requests::{Bytes, Outcome};
+
+/// A command for a run.
+pub(super) enum Command<'a> {
+    Start { class: &'a str, body: &'a [u8] },
+    Cancel,
+    Reply(&'a [u8]),
+    SkipCall { notice: u64 },
+}
+
+impl Command<'_> {
+    pub(super) fn encode(&self, id: &str) -> Vec<u8> {
+        let (head, body) = match *self {
+            Command::Start { class, body } => {
+                (line(format_args!("SCHED {id} {class} {}", body.len())), Some(body))
+            }
+            Command::Cancel => (line(format_args!("PREEMPT {id}")), None),
+            Command::Reply(reply) => (line(format_args!("IODONE {id} {}", reply.len())), Some(reply)),
+            Command::SkipCall { notice } => (line(format_args!("NOIO {id} {notice}")), None),
+        };
+        match body {
+            Some(body) => [head.as_bytes(), body, b"\r\n"].concat(),
+            None => head.into_bytes(),
+        }
+    }
+}
+
+/// The line that opens a link: notices after `last_notice` are sent again.
+pub(super) fn open(last_notice: u64) -> String {
+    line(format_args!("OPEN {last_notice}"))
+}
+
+/// A question by its word, `SYSINFO` or `POST`, and its tag.
+pub(super) fn query(word: &str, tag: u64) -> String {
+    line(format_args!("{word} {tag}"))
+}
+
+/// Whether a body follows the line of these words.
+pub(super) fn has_body(words: &[&str]) -> bool {
+    matches!(words[0], "REAP" | "IOREQ")
+}
+
+/// What the executor says. Notices are numbered; the other lines answer the link's own.
+pub(super) enum Message<'a> {
+    Booted { is_cold: bool, state: &'a str, uptime: Duration },
+    RunFinished { notice: u64, id: &'a str, outcome: Outcome, work: Option<Duration>, result: Bytes },
+    CallReached { notice: u64, id: &'a str, body: Bytes },
+    Gauges { tag: u64, values: &'a [&'a str] },
+    Worked { tag: u64, succeeded: bool },
+    CommandRefused { command: RefusedCommand, id: Option<&'a str>, word: &'a str, arguments: &'a [&'a str] },
+    Remark { notice: u64, words: &'a [&'a str] },
+}
+
+/// Which command was not carried out, as far as that makes a difference.
+pub(super) enum RefusedCommand {
+    Start,
+    /// A reply, or a skipped call.
+    Resume,
+    Other,
+}
+
+/// A line that is not of the protocol.
+#[derive(Debug, thiserror::Error)]
+#[error("no notice: {0:?}")]
+pub(super) struct NotANotice(Vec<String>);
+
+impl<'a> Message<'a> {
+    pub(super) fn decode(line: &'a Line<'a>) -> Result<Self, NotANotice> {
+        Message::of(line).ok_or_else(|| NotANotice(line.words.iter().map(|&word| word.to_owned()).collect()))
+    }
+
+    fn of(line: &'a Line<'a>) -> Option<Self> {
+        let body = || Bytes::from(line.body);
+        let message = match line.words[..] {
+            ["BOOTED", state, uptime] => {
+                let uptime = milliseconds(uptime)?;
+                Message::Booted { is_cold: state == "booting", state, uptime }
+            }
+            ["REAP", notice, id, end, took, _] => Message::RunFinished {
+                notice: notice.parse().ok()?,
+                id,
+                outcome: outcome(end),
+                work: milliseconds(took),
+                result: body(),
+            },
+            ["IOREQ", notice, id, _] => {
+                Message::CallReached { notice: notice.parse().ok()?, id, body: body() }
+            }
+            ["INFO", tag, ..] => Message::Gauges { tag: tag.parse().ok()?, values: &line.words[2..] },
+            ["POSTED", tag, end] => Message::Worked { tag: tag.parse().ok()?, succeeded: end == "success" },
+            ["EINVAL", word, ..] => {
+                let arguments = &line.words[2..];
+                let command = match word {
+                    "SCHED" => RefusedCommand::Start,
+                    "NOIO" | "IODONE" => RefusedCommand::Resume,
+                    _ => RefusedCommand::Other,
+                };
+                Message::CommandRefused { command, id: arguments.first().copied(), word, arguments }
+            }
+            ["DMESG", notice, ..] => {
+                Message::Remark { notice: notice.parse().ok()?, words: &line.words[2..] }
+            }
+            _ => return None,
+        };
+        Some(message)
+    }
+}
+
+fn outcome(end: &str) -> Outcome {
+    match end {
+        "success" => Outcome::Succeeded,
+        "failure" => Outcome::Failed,
+        "interrupted" => Outcome::Cancelled,
+        "nothing" => Outcome::NotStarted,
+        // It has ended in a way that is not known here.
+        _ => Outcome::ConnectionLost,
+    }
+}
+
+fn milliseconds(word: &str) -> Option<Duration> {
+    let milliseconds: f64 = word.parse().ok()?;
+    Duration::try_from_secs_f64(milliseconds / 1e3).ok()
+}
--- /dev/null
+++ b/crates/server/src/net/executor/queries.rs
@@ -0,0 +1,64 @@
+//! Questions to the executor that it answers by their tag. A reply also shows that every command sent before its
+//! question has arrived.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use may::sync::Blocker;
+
+use crate::requests::Gauges;
+
+/// What the executor replied.
+pub(super) enum Reply {
+    Gauges(Gauges),
+    /// Whether a piece of work got done.
+    Worked(bool),
+}
+
+struct Query {
+    waiter: Arc<Blocker>,
+    /// Commands sent before it.
+    commands_before: u64,
+    reply: Option<Reply>,
+}
+
+/// The open questions of one link. Each is closed by whoever waits for it, or with its link.
+#[derive(Default)]
+pub(super) struct Queries {
+    open: HashMap<u64, Query>,
+    last_tag: u64,
+}
+
+impl Queries {
+    /// Opens a question and returns its tag.
+    pub(super) fn open(&mut self, waiter: Arc<Blocker>, commands_before: u64) -> u64 {
+        self.last_tag += 1;
+        self.open.insert(self.last_tag, Query { waiter, commands_before, reply: None });
+        self.last_tag
+    }
+
+    /// Closes a question and returns its reply, if one came.
+    pub(super) fn close(&mut self, tag: u64) -> Option<Reply> {
+        self.open.remove(&tag).and_then(|query| query.reply)
+    }
+
+    /// Stores a reply. Returns how many commands it shows to have arrived, unless its question is closed.
+    pub(super) fn answer(&mut self, tag: u64, reply: Reply) -> Option<u64> {
+        let query = self.open.get_mut(&tag)?;
+        query.reply = Some(reply);
+        query.waiter.unpark();
+        Some(query.commands_before)
+    }
+
+    /// Whether a question is answered, or will not be.
+    pub(super) fn is_over(&self, tag: u64) -> bool {
+        self.open.get(&tag).is_none_or(|query| query.reply.is_some())
+    }
+
+    /// The link has ended: nothing that was asked over it is answered any more.
+    pub(super) fn abandon_all(&mut self) {
+        for query in std::mem::take(&mut self.open).into_values() {
+            query.waiter.unpark();
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/executor/tests.rs
@@ -0,0 +1,97 @@
+//! The link's bookkeeping against links that break, without an executor.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::ExecutorClient;
+use super::gauges::{LastGauges, MAX_GAUGES_AGE};
+use super::protocol::Command;
+use super::resync::{Delivery, LastCommand, Run};
+use crate::net::{LINES_MOST, Link};
+use crate::requests::{Bytes, Gauges, RequestId, RequestRegistry};
+
+#[test]
+fn cores_are_not_idle_because_a_link_broke() {
+    let (at, busy) = (Instant::now(), Gauges { cores_busy: Some(0.9), ..Gauges::default() });
+    assert_eq!(LastGauges::taken_at(at, busy).at(at + MAX_GAUGES_AGE / 2), busy);
+    assert_eq!(LastGauges::taken_at(at, busy).at(at + MAX_GAUGES_AGE), Gauges::default());
+    assert_eq!(LastGauges::default().at(at), Gauges::default());
+}
+
+fn client(address: SocketAddr) -> Arc<ExecutorClient> {
+    ExecutorClient::new(address, Arc::new(RequestRegistry::new(crate::net::told().0, 7, None)), Vec::new())
+}
+
+/// The answer that a link is caught up with may come to its turn behind the end of that link. Taken for the one in
+/// use, it would swallow all commands until the next one broke.
+#[test]
+fn a_link_that_has_ended_is_not_taken_up() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = client(address);
+    let link =
+        || Link::new(may::net::TcpStream::connect(address).unwrap(), LINES_MOST, LINES_MOST).out.clone();
+    let (ended, now) = (link(), link());
+    client.state.lock().link = Some(now.clone());
+    client.resync(&now);
+    client.resync(&ended);
+    assert!(client.state.lock().output.as_ref().is_some_and(|out| Arc::ptr_eq(out, &now)));
+    client.state.lock().link = None;
+    client.state.lock().output = None;
+    client.resync(&now);
+    assert!(client.state.lock().output.is_none());
+}
+
+/// Commands that wait for room as a link is taken up had their places already: the answer to a question that
+/// overtook them showed them as arrived, and they were never said again. A start that may have arrived is said again
+/// where it may run again, and counts as broken where it may not.
+#[test]
+fn a_command_that_waits_for_room_has_no_position_and_an_at_most_once_start_is_not_resent() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = client(listener.local_addr().unwrap());
+    let id = |at: u32| RequestId::from(format!("{at:016x}"));
+    let start = |at_most_once, delivery| {
+        let (class, body) = (RequestId::from("page"), Bytes::from(&b"run"[..]));
+        Run { class, body, at_most_once, last_command: LastCommand::Start, delivery, call: 0 }
+    };
+    let one = Command::Start { class: "page", body: b"run" }.encode(&id(0)).len();
+    let stream = may::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let link = Link::new(stream, LINES_MOST, one);
+    {
+        let mut state = client.state.lock();
+        (state.link, state.commands_sent, state.commands_arrived) = (Some(link.out.clone()), 7, 2);
+        // Known to have arrived, maybe arrived, and never said.
+        let runs = [
+            (false, Delivery::Sent(2)),
+            (false, Delivery::Sent(3)),
+            (true, Delivery::Sent(4)),
+            (true, Delivery::NotSent),
+            (true, Delivery::Confirmed),
+        ];
+        state.runs = (0..).zip(runs).map(|(at, (once, delivery))| (id(at), start(once, delivery))).collect();
+    }
+    let mut said = Vec::new();
+    std::thread::scope(|scope| {
+        scope.spawn(|| client.resync(&link.out));
+        let start = Instant::now();
+        while said.len() < 2 && start.elapsed() < Duration::from_secs(30) {
+            let state = client.state.lock();
+            let mut ring = link.out.ring.lock();
+            if ring.len() > 0 {
+                said.push((state.commands_sent, String::from_utf8(ring.whole().to_vec()).unwrap()));
+                ring.consume(one);
+            }
+        }
+        // Whatever still waits for room then does not wait for ever.
+        link.out.ended.store(true, std::sync::atomic::Ordering::Release);
+    });
+    let places: Vec<u64> = said.iter().map(|said| said.0).collect();
+    assert_eq!(places, [8, 9], "a place for what was not said");
+    assert!(said[0].1.contains(&*id(1)) && said[1].1.contains(&*id(3)), "{said:?}");
+    let state = client.state.lock();
+    assert!(!state.runs.contains_key(&id(2)), "it counts as broken");
+    let deliveries = [0, 1, 3, 4].map(|at| state.runs[&id(at)].delivery);
+    assert_eq!(deliveries, [Delivery::Sent(2), Delivery::Sent(8), Delivery::Sent(9), Delivery::Confirmed]);
+    assert_eq!(link.out.len(), 0, "nothing more is said");
+}
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -1,7 +1,7 @@
 //! What is spoken on sockets, by peer. Here: a connection with its two ring buffers, as all peers use it.
 
 pub mod clients;
-pub mod kernel;
+pub mod executor;
 pub mod lines;
 pub mod list;
 pub mod peers;
