The store client: pool, connection and protocol each a file; what was given up is an enum

Old reading: net/store.rs kept lanes, a pool, the protocol's words and each connection's life together; the pool was changed from three places.

Now: net/store/ has pool (all bookkeeping, one owner), connection (a connection's life) and protocol (codec). Names are StoreClient, PooledConnection, Call, GivenUp, Received.

--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -22,7 +22,7 @@
 use crate::control::{self, Request};
 use crate::net;
 use crate::net::peers::{Links, Opened, thread};
-use crate::net::store::Store;
+use crate::net::store::StoreClient;
 use crate::trial::{self, Troubled};
 
 /// What may wait to be taken up.
@@ -241,7 +241,7 @@
     }
 
     /// One of the zone probes the store when it refuses, and all others go by its verdict.
-    pub fn probe_store(&self, store: &Arc<Store>) {
+    pub fn probe_store(&self, store: &Arc<StoreClient>) {
         let (leases, inputs, store) = (self.leases.clone(), self.inputs.clone(), store.clone());
         let lease = format!("probe/store/{}", self.zone);
         if let Err(error) = thread("cluster-probe", move || probe_store(&leases, &inputs, &lease, &store)) {
@@ -265,13 +265,13 @@
     Shape { term: DRAIN_TERM, places: at_once }
 }
 
-fn probe_store(leases: &Leases, inputs: &SyncSender<Input>, lease: &str, store: &Store) {
+fn probe_store(leases: &Leases, inputs: &SyncSender<Input>, lease: &str, store: &StoreClient) {
     let (mut probing, mut wanted) = (Probing::default(), false);
     let (mut probed, mut permit) = (None, None);
     loop {
         std::thread::sleep(PROBE_LOOK);
         // Nothing to ask about while it answers.
-        if store.refused() == 0 && !wanted {
+        if store.refused_in_a_row() == 0 && !wanted {
             continue;
         }
         let (reply, facts) = sync_channel(1);
@@ -286,7 +286,8 @@
         if !holds && let Some(stale) = permit.take() {
             leases.done(stale);
         }
-        let look = Look { refused: store.refused(), holds, probed: probed.take(), verdicts: &verdicts };
+        let look =
+            Look { refused: store.refused_in_a_row(), holds, probed: probed.take(), verdicts: &verdicts };
         let course = probing.look(leases.clock.now(), &look);
         if let Some(verdict) = course.publish {
             let _ = inputs.send(Input::Publish(STORE_FACT, verdict));
@@ -300,7 +301,7 @@
             }
             leases.give_back(lease);
             if holds {
-                store.answers();
+                store.health_check_succeeded();
             }
         }
         wanted = course.wants;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -33,7 +33,7 @@
 use net::executor::ExecutorClient;
 use net::list;
 use net::spawn;
-use net::store::Store;
+use net::store::StoreClient;
 use requests::RequestRegistry;
 use trace::Tracer;
 
@@ -188,11 +188,11 @@
     let grace = told.given.drain_grace;
     let registry = Arc::new(RequestRegistry::new(told.given.clone(), told.seed, tracer));
     let executor = ExecutorClient::new(told.peers.kernel, registry.clone(), told.names.gauges.clone());
-    let store = Store::new(told.peers.store, registry.clone(), told.sockets / STORE_PART);
+    let store = StoreClient::new(told.peers.store, registry.clone(), told.sockets / STORE_PART);
     if let Some(cluster) = &cluster {
         cluster.probe_store(&store);
     }
-    let terms = terms(&told, store.most(), admitting.as_ref());
+    let terms = terms(&told, store.max_connections(), admitting.as_ref());
     let refuses = terms.when_full == WhenFull::Refuse;
     let admission = match Admission::new(terms, told.seed) {
         Ok(admission) => admission,
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -18,7 +18,7 @@
 use tulipgap_trace::{Reason, hashed};
 
 use super::executor::ExecutorClient;
-use super::store::Store;
+use super::store::StoreClient;
 use super::thrift::{self, Asked, Fault, Fields, Said};
 use super::{Added, Link, Out, adopt, spawn};
 use crate::log::Bound;
@@ -181,7 +181,7 @@
 pub struct Clients {
     registry: Arc<RequestRegistry>,
     executor: Arc<ExecutorClient>,
-    store: Arc<Store>,
+    store: Arc<StoreClient>,
     names: Names,
     /// All that were accepted and have not closed.
     connections: Mutex<Slab<Arc<Connection>>>,
@@ -210,7 +210,7 @@
     pub fn new(
         registry: Arc<RequestRegistry>,
         executor: Arc<ExecutorClient>,
-        store: Arc<Store>,
+        store: Arc<StoreClient>,
         names: Names,
         admission: Admission,
         refuses: bool,
@@ -842,7 +842,7 @@
         let address = listener.local_addr().unwrap();
         let registry = Arc::new(RequestRegistry::new(given, 7, None));
         let executor = ExecutorClient::new(address, registry.clone(), Vec::new());
-        let store = Store::new(None, registry.clone(), 4);
+        let store = StoreClient::new(None, registry.clone(), 4);
         let admission = Admission::new(terms, 7).unwrap();
         let clients = Clients::new(registry, executor, store, names, admission, false, 48.0);
         clients.opened(TcpStream::connect(address).unwrap(), address.ip());
--- /dev/null
+++ b/crates/server/src/net/store/connection.rs
@@ -0,0 +1,99 @@
+//! One connection to the store, from its opening to its end.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use may::net::TcpStream;
+
+use super::StoreClient;
+use super::pool::{ConnectionId, Received};
+use super::protocol::{self, has_body};
+use crate::log::Bound;
+use crate::net::lines::{BODY_MOST, LINE_MOST, Line};
+use crate::net::{Link, connect, garbled};
+use crate::requests::Bytes;
+
+/// What a connection buffers at most, each way: one call, and one reply with what comes beside it.
+const MAX_BUFFER_BYTES: usize = 2 * (LINE_MOST + BODY_MOST);
+/// Stray replies that are ignored while the right one is awaited.
+const MAX_STRAY_REPLIES: usize = 8;
+
+static CONNECTION_FAILURES: Bound = Bound::new();
+static STRAY_REPLIES: Bound = Bound::new();
+
+impl StoreClient {
+    pub(super) fn run(self: &Arc<Self>, address: SocketAddr, id: ConnectionId) {
+        // With its call given up, or the store elsewhere, it is not wanted any more.
+        let is_wanted = || self.pool.lock().is_wanted(id) && self.address.now() == Some(address);
+        let stream = connect(address, is_wanted);
+        match &stream {
+            Ok(_) => self.health_check_succeeded(),
+            Err(_) if is_wanted() => _ = self.refused_in_a_row.fetch_add(1, Ordering::Relaxed),
+            Err(_) => {}
+        }
+        let end = stream.and_then(|stream| self.serve(stream, id));
+        let lost = {
+            let mut pool = self.pool.lock();
+            let lost = pool.remove(id);
+            // Its place in the pool is free for a call that waits.
+            if let Some(address) = self.address.now()
+                && let Some(call) = pool.next_waiting()
+            {
+                self.open(&mut pool, address, call);
+            }
+            lost
+        };
+        if let Some((request, outcome)) = lost {
+            self.report(&request, outcome, Bytes::default());
+        }
+        if let Err(error) = end
+            && let Some(count) = CONNECTION_FAILURES.pass()
+        {
+            log::warn!("store: {error} ({count} so far)");
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, id: ConnectionId) -> io::Result<()> {
+        let mut link = Link::new(stream, MAX_BUFFER_BYTES, MAX_BUFFER_BYTES);
+        if !self.pool.lock().opened(id, &link.out) {
+            return Ok(());
+        }
+        let mut stray_replies = 0;
+        loop {
+            let end = link.take_lines(has_body, |line| self.handle_reply(line, id, &mut stray_replies));
+            let mut pool = self.pool.lock();
+            if !pool.is_wanted(id) {
+                return Ok(());
+            }
+            if let Err(error) = end {
+                return if pool.failed(id) { Ok(()) } else { Err(error) };
+            }
+            drop(pool);
+            link.wait();
+        }
+    }
+
+    fn handle_reply(&self, line: &Line, id: ConnectionId, stray_replies: &mut usize) -> io::Result<()> {
+        let (request, outcome) = protocol::reply(line).map_err(garbled)?;
+        let received = self.pool.lock().received(id, request, self.address.now());
+        match received {
+            Received::Reply(request) => {
+                *stray_replies = 0;
+                self.report(&request, outcome, Bytes::from(line.body));
+            }
+            Received::Stray => {
+                *stray_replies += 1;
+                if let Some(count) = STRAY_REPLIES.pass() {
+                    log::warn!("store: a reply to no call ({count} so far)");
+                }
+                if *stray_replies > MAX_STRAY_REPLIES {
+                    return Err(garbled("too many replies to no call"));
+                }
+            }
+            Received::Closed => {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/store/mod.rs
@@ -0,0 +1,138 @@
+//! The store, the dependency that runs call: a bounded pool of connections, each with one open call at a time, so
+//! that a spoilt reply costs its own call only. The connection used last is taken first, and idle ones are closed
+//! before the store closes them.
+
+mod connection;
+mod pool;
+mod protocol;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use self::pool::{Call, ConnectionPool};
+use super::spawn;
+use crate::config::Where;
+use crate::log::Bound;
+use crate::requests::{Bytes, Outcome, RequestEvent, RequestId, RequestRegistry};
+
+static CALL_TIMEOUTS: Bound = Bound::new();
+
+/// The client side of the store. It owns the connection pool; the end of each call is reported to the registry.
+pub(crate) struct StoreClient {
+    address: Where<Option<SocketAddr>>,
+    registry: Arc<RequestRegistry>,
+    max_connections: usize,
+    pool: Mutex<ConnectionPool>,
+    /// Connections refused in a row.
+    refused_in_a_row: AtomicU32,
+    /// The zone's prober reports that the store is down: no call is attempted.
+    is_held_down: AtomicBool,
+}
+
+impl StoreClient {
+    /// A client with at most so many connections.
+    pub(crate) fn new(
+        address: Option<SocketAddr>,
+        registry: Arc<RequestRegistry>,
+        max_connections: usize,
+    ) -> Arc<Self> {
+        Arc::new(StoreClient {
+            address: Where::new(address),
+            registry,
+            max_connections,
+            pool: Mutex::default(),
+            refused_in_a_row: AtomicU32::new(0),
+            is_held_down: AtomicBool::new(false),
+        })
+    }
+
+    pub(crate) fn max_connections(&self) -> usize {
+        self.max_connections
+    }
+
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        self.address.now()
+    }
+
+    /// The number of connections that were refused in a row.
+    pub(crate) fn refused_in_a_row(&self) -> u32 {
+        self.refused_in_a_row.load(Ordering::Relaxed)
+    }
+
+    /// A health check has found the store listening.
+    pub(crate) fn health_check_succeeded(&self) {
+        self.refused_in_a_row.store(0, Ordering::Relaxed);
+    }
+
+    /// Whether calls fail here without being attempted.
+    pub(crate) fn hold_down(&self, is_down: bool) {
+        if self.is_held_down.swap(is_down, Ordering::AcqRel) != is_down {
+            let state = if is_down { "held down by the zone's prober" } else { "held down no more" };
+            log::info!("store: {state}");
+        }
+    }
+
+    /// The store listens there from now on: open calls get their replies where they were made, new ones go there.
+    pub(crate) fn move_to(&self, address: Option<SocketAddr>) {
+        if self.address.set(address) {
+            self.sweep();
+        }
+        // There is no store any more: calls that wait for a connection are not made.
+        if address.is_none() {
+            let waiting = self.pool.lock().take_waiting();
+            for call in waiting {
+                self.report(&call.request, Outcome::Unreachable, Bytes::default());
+            }
+        }
+    }
+
+    /// Makes the call of this number of a request.
+    pub(crate) fn call(self: &Arc<Self>, id: &RequestId, number: usize, timeout: Duration, body: &Bytes) {
+        let address = self.address.now().filter(|_| !self.is_held_down.load(Ordering::Acquire));
+        let Some(address) = address else {
+            return self.report(id, Outcome::Unreachable, Bytes::default());
+        };
+        let call = Call { request: id.clone(), number, bytes: protocol::call(id, timeout, body) };
+        let mut pool = self.pool.lock();
+        pool.close_idle(Some(address));
+        if let Some(connection) = pool.take_idle(id) {
+            pool.assign(connection, call);
+        } else if pool.len() < self.max_connections {
+            self.open(&mut pool, address, call);
+        } else {
+            pool.wait(call);
+        }
+    }
+
+    fn open(self: &Arc<Self>, pool: &mut ConnectionPool, address: SocketAddr, call: Call) {
+        let connection = pool.insert(address, call);
+        let client = self.clone();
+        spawn(move || client.run(address, connection));
+    }
+
+    /// Gives up the call of this number of a request, and returns what is known of it then. Its connection is closed:
+    /// that gives the call up at the store, and nothing that still comes can be taken for the reply to another.
+    pub(crate) fn give_up(&self, id: &RequestId, number: usize) -> Outcome {
+        let outcome = self.pool.lock().give_up(id, number);
+        if outcome == pool::GivenUp::Unanswered
+            && let Some(count) = CALL_TIMEOUTS.pass()
+        {
+            log::warn!("store: no reply in time ({count} so far)");
+        }
+        outcome.into()
+    }
+
+    /// Closes connections that are idle for long, or that lead to where the store is no more.
+    pub(crate) fn sweep(&self) {
+        let address = self.address.now();
+        self.pool.lock().close_idle(address);
+    }
+
+    fn report(&self, id: &str, outcome: Outcome, reply: Bytes) {
+        self.registry.report(id, RequestEvent::CallFinished { outcome, reply });
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/store/pool.rs
@@ -0,0 +1,233 @@
+//! The pool's bookkeeping: which connections are open, idle or busy with which call, and which calls wait.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::net::{Added, Out};
+use crate::requests::{Outcome, RequestId};
+
+/// The store closes connections that are idle for 10 s, or sooner; they are closed before, so that few calls meet that.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The number of a connection; numbers are not reused.
+pub(super) type ConnectionId = u64;
+
+/// A call of a request. Its number is its position among all calls of that request.
+pub(super) struct Call {
+    pub(super) request: RequestId,
+    pub(super) number: usize,
+    pub(super) bytes: Vec<u8>,
+}
+
+/// One connection, as others than its own coroutine see it.
+struct PooledConnection {
+    /// Its output, once it is open.
+    output: Option<Arc<Out>>,
+    address: SocketAddr,
+    call: Option<Call>,
+    /// The request of its last call: a duplicate of that reply must not pass for a new one.
+    last_request: Option<RequestId>,
+    last_used: Instant,
+    /// It is to close: its call was given up, or it was idle.
+    is_closing: bool,
+}
+
+impl PooledConnection {
+    fn close(&mut self) {
+        self.is_closing = true;
+        if let Some(output) = &self.output {
+            output.wake();
+        }
+    }
+}
+
+/// What a call was like when it was given up.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum GivenUp {
+    /// It had not left this process.
+    NotSent,
+    /// It was sent and not answered.
+    Unanswered,
+    /// It was over.
+    Over,
+}
+
+impl From<GivenUp> for Outcome {
+    fn from(given_up: GivenUp) -> Self {
+        match given_up {
+            GivenUp::NotSent => Outcome::Unreachable,
+            GivenUp::Unanswered | GivenUp::Over => Outcome::TimedOut,
+        }
+    }
+}
+
+/// A reply as the pool sees it.
+pub(super) enum Received {
+    /// It ends the open call of its connection.
+    Reply(RequestId),
+    /// A duplicate, or a reply to nobody.
+    Stray,
+    /// Its connection is closed.
+    Closed,
+}
+
+#[derive(Default)]
+pub(super) struct ConnectionPool {
+    connections: HashMap<ConnectionId, PooledConnection>,
+    /// Connections without a call, the one used last at the end.
+    idle: Vec<ConnectionId>,
+    /// The connection on which a request's call is open.
+    open_calls: HashMap<RequestId, ConnectionId>,
+    /// Calls for which no connection was free. Its bound is that of open requests: each has one call at a time.
+    waiting: VecDeque<Call>,
+    last_id: ConnectionId,
+}
+
+impl ConnectionPool {
+    pub(super) fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Adds a connection that is about to be opened for this call.
+    pub(super) fn insert(&mut self, address: SocketAddr, call: Call) -> ConnectionId {
+        self.last_id += 1;
+        self.open_calls.insert(call.request.clone(), self.last_id);
+        let connection = PooledConnection {
+            output: None,
+            address,
+            call: Some(call),
+            last_request: None,
+            last_used: Instant::now(),
+            is_closing: false,
+        };
+        self.connections.insert(self.last_id, connection);
+        self.last_id
+    }
+
+    /// Takes the idle connection that was used last, but for other requests than this one.
+    pub(super) fn take_idle(&mut self, request: &RequestId) -> Option<ConnectionId> {
+        let is_other = |id: &ConnectionId| self.connections[id].last_request.as_ref() != Some(request);
+        let position = self.idle.iter().rposition(is_other)?;
+        Some(self.idle.remove(position))
+    }
+
+    /// Gives an open connection without a call its next call.
+    pub(super) fn assign(&mut self, id: ConnectionId, call: Call) {
+        self.open_calls.insert(call.request.clone(), id);
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let added = connection.output.as_ref().map(|output| output.add(&[&call.bytes]));
+        connection.call = Some(call);
+        // It has ended, or holds what it should not; its end reports the call.
+        if added != Some(Added::Yes) {
+            connection.close();
+        }
+    }
+
+    /// Lets a call wait for a connection.
+    pub(super) fn wait(&mut self, call: Call) {
+        self.waiting.push_back(call);
+    }
+
+    pub(super) fn next_waiting(&mut self) -> Option<Call> {
+        self.waiting.pop_front()
+    }
+
+    pub(super) fn take_waiting(&mut self) -> VecDeque<Call> {
+        std::mem::take(&mut self.waiting)
+    }
+
+    pub(super) fn give_up(&mut self, request: &RequestId, number: usize) -> GivenUp {
+        let is_it = |call: &Call| call.request == *request && call.number == number;
+        if let Some(position) = self.waiting.iter().position(is_it) {
+            self.waiting.remove(position);
+            return GivenUp::NotSent;
+        }
+        let id = self.open_calls.get(request).copied();
+        let connection = id.and_then(|id| self.connections.get_mut(&id));
+        let Some(connection) = connection.filter(|connection| connection.call.as_ref().is_some_and(is_it))
+        else {
+            return GivenUp::Over;
+        };
+        connection.call = None;
+        connection.close();
+        let was_sent = connection.output.is_some();
+        self.open_calls.remove(request);
+        if was_sent { GivenUp::Unanswered } else { GivenUp::NotSent }
+    }
+
+    /// Closes connections that were idle for long, or that lead elsewhere than to this address.
+    pub(super) fn close_idle(&mut self, address: Option<SocketAddr>) {
+        let ConnectionPool { connections, idle, .. } = self;
+        idle.retain(|id| {
+            let Some(connection) = connections.get_mut(id) else { return false };
+            let stays = Some(connection.address) == address && connection.last_used.elapsed() < IDLE_TIMEOUT;
+            if !stays {
+                connection.close();
+            }
+            stays
+        });
+    }
+
+    /// Whether a connection is still wanted.
+    pub(super) fn is_wanted(&self, id: ConnectionId) -> bool {
+        self.connections.get(&id).is_some_and(|connection| !connection.is_closing)
+    }
+
+    /// A connection is open: its first call is sent. False where it is not in the pool any more.
+    pub(super) fn opened(&mut self, id: ConnectionId, output: &Arc<Out>) -> bool {
+        let Some(connection) = self.connections.get_mut(&id) else { return false };
+        connection.output = Some(output.clone());
+        if let Some(call) = &connection.call {
+            output.add(&[&call.bytes]);
+        }
+        true
+    }
+
+    /// The link of a connection has failed: nothing is given to it any more. Returns whether it was idle; an idle one
+    /// may be closed by the store at any time.
+    pub(super) fn failed(&mut self, id: ConnectionId) -> bool {
+        self.idle.retain(|&other| other != id);
+        self.connections.get(&id).is_none_or(|connection| connection.call.is_none())
+    }
+
+    /// Takes a reply for a request on a connection, and gives the connection its next call. `current` is where the
+    /// store is now.
+    pub(super) fn received(
+        &mut self,
+        id: ConnectionId,
+        request: &str,
+        current: Option<SocketAddr>,
+    ) -> Received {
+        let Some(connection) = self.connections.get_mut(&id) else { return Received::Closed };
+        let Some(call) = connection.call.take_if(|call| *call.request == *request) else {
+            return Received::Stray;
+        };
+        connection.last_used = Instant::now();
+        connection.last_request = Some(call.request.clone());
+        let stays = Some(connection.address) == current;
+        // It leads to where the store is no more: its end opens another one for what waits.
+        if !stays {
+            connection.close();
+        }
+        self.open_calls.remove(&call.request);
+        let next = self.waiting.iter().position(|next| next.request != call.request).filter(|_| stays);
+        match next.and_then(|position| self.waiting.remove(position)) {
+            Some(next) => self.assign(id, next),
+            None if stays => self.idle.push(id),
+            None => {}
+        }
+        Received::Reply(call.request)
+    }
+
+    /// Removes a connection that has ended. Returns the request whose call is lost with it, and its outcome.
+    pub(super) fn remove(&mut self, id: ConnectionId) -> Option<(RequestId, Outcome)> {
+        let connection = self.connections.remove(&id)?;
+        let call = connection.call?;
+        // What had not begun to leave has not run.
+        let is_unsent = connection.output.is_none_or(|output| output.len() >= call.bytes.len());
+        self.open_calls.remove(&call.request);
+        Some((call.request, if is_unsent { Outcome::Unreachable } else { Outcome::ConnectionLost }))
+    }
+}
