--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -1,15 +1,19 @@
-//! What `LB_CONFIG` tells: who this backend is, where its peers are, its limits and the settings; and what of it
-//! may change while it runs.
+//! The file that `LB_CONFIG` names: who this backend is, where its peers are, its limits and its settings; and what
+//! of it may change while the backend runs.
 
+use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use tulipgap::Config;
-use tulipgap_settings::{Facts, Names, Steering, millis, steering, understand};
+use tulipgap_settings::{Names, Settings, SettingsError, Steering, milliseconds};
+
+/// The fewest descriptors with which a backend can serve at all.
+pub(crate) const MIN_SOCKETS: usize = 32;
 
 #[derive(Deserialize)]
 struct Limits {
@@ -18,138 +22,187 @@
 }
 
 #[derive(Deserialize)]
-struct File {
+struct ConfigFile {
     name: String,
     listen: SocketAddr,
     #[serde(flatten)]
-    peers: Peers,
+    peers: PeerAddresses,
     seed: String,
     stop_ms: f64,
     limits: Limits,
-    settings: Facts,
+    settings: Settings,
 }
 
-/// Where its peers are. They may move while it runs.
+/// Where the peers are. They may move while the backend runs.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
-pub struct Peers {
-    pub kernel: SocketAddr,
-    pub announce: Option<SocketAddr>,
-    pub store: Option<SocketAddr>,
+pub(crate) struct PeerAddresses {
+    /// The executor.
+    #[serde(rename = "kernel")]
+    pub(crate) executor: SocketAddr,
+    /// The service registry.
+    #[serde(rename = "announce")]
+    pub(crate) registry: Option<SocketAddr>,
+    pub(crate) store: Option<SocketAddr>,
+}
+
+impl fmt::Display for PeerAddresses {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let or_none = |address: Option<SocketAddr>| address.map_or("none".to_owned(), |a| a.to_string());
+        let (registry, store) = (or_none(self.registry), or_none(self.store));
+        write!(f, "kernel={} announce={registry} store={store}", self.executor)
+    }
 }
 
-impl Peers {
-    const NAMES: [&str; 3] = ["kernel", "announce", "store"];
+impl PeerAddresses {
+    const KEYS: [&str; 3] = ["kernel", "announce", "store"];
 }
 
-/// Where a peer is now.
-pub struct Where<T>(Mutex<T>);
+/// Where a peer is now. Its owner is whoever talks to that peer; reloading the file sets it.
+pub(crate) struct CurrentAddress<T>(Mutex<T>);
 
-impl<T: Copy + PartialEq> Where<T> {
-    pub fn new(at: T) -> Self {
-        Where(Mutex::new(at))
+impl<T: Copy + PartialEq> CurrentAddress<T> {
+    pub(crate) fn new(address: T) -> Self {
+        CurrentAddress(Mutex::new(address))
     }
 
-    pub fn now(&self) -> T {
+    pub(crate) fn get(&self) -> T {
         *self.0.lock()
     }
 
-    /// Whether that is news.
-    pub fn set(&self, at: T) -> bool {
-        std::mem::replace(&mut *self.0.lock(), at) != at
+    /// Sets the address, and returns whether it has changed.
+    pub(crate) fn set(&self, address: T) -> bool {
+        std::mem::replace(&mut *self.0.lock(), address) != address
     }
 }
 
-/// All that this backend is told, checked.
-pub struct Told {
-    pub name: String,
-    pub listen: SocketAddr,
-    pub peers: Peers,
-    pub seed: u64,
-    pub stop: Duration,
-    pub memory_mb: f64,
-    pub sockets: usize,
-    pub given: Config,
-    pub names: Names,
-    /// How callers are asked to send less, as the settings say.
-    pub steering: Steering,
-    /// The file as it was, to tell later what of it has changed.
+/// The configuration of this backend, checked.
+pub(crate) struct ServerConfig {
+    pub(crate) name: String,
+    pub(crate) listen: SocketAddr,
+    pub(crate) peers: PeerAddresses,
+    pub(crate) seed: u64,
+    /// How long after a shutdown notice the process is terminated.
+    pub(crate) termination: Duration,
+    pub(crate) memory_mb: f64,
+    pub(crate) sockets: usize,
+    pub(crate) controller: Config,
+    pub(crate) names: Names,
+    pub(crate) steering: Steering,
+    /// The file as it was, to find out later what of it has changed.
     entries: Map<String, Value>,
 }
 
-impl Told {
-    /// Reads the file again: where the peers are now, and what else has changed, which takes a restart. What
-    /// makes no sense as a whole changes nothing.
-    pub fn reread(&self, path: Option<&Path>) -> Result<(Peers, Vec<String>), ConfigError> {
-        let told = read(path)?;
-        // Where another backend's peers are is no news of ours: its kernel would be taken for this one's.
-        if (&told.name, told.listen) != (&self.name, self.listen) {
-            let problem = format!("it is of {} on {}, and this is {}", told.name, told.listen, self.name);
-            let path = path.map(|path| path.display().to_string()).unwrap_or_default();
-            return Err(ConfigError::File { path, problem });
-        }
-        let mut rest: Vec<String> = (told.entries.keys().chain(self.entries.keys()))
-            .filter(|&name| !Peers::NAMES.contains(&&name[..]))
-            .filter(|&name| told.entries.get(name) != self.entries.get(name))
-            .cloned()
-            .collect();
-        rest.sort();
-        rest.dedup();
-        Ok((told.peers, rest))
-    }
+/// What a reload of the file brings.
+pub(crate) struct Reloaded {
+    pub(crate) peers: PeerAddresses,
+    /// Other keys that have changed; they take effect at a restart.
+    pub(crate) needs_restart: Vec<String>,
 }
 
+/// Why the file cannot be used.
 #[derive(Debug, thiserror::Error)]
-pub enum ConfigError {
+pub(crate) enum ConfigError {
     #[error("LB_CONFIG is not set")]
-    Unset,
-    #[error("{path}: {problem}")]
-    File { path: String, problem: String },
+    NotSet,
+    #[error("{}: {source}", path.display())]
+    Read { path: PathBuf, source: std::io::Error },
+    #[error("{}: {source}", path.display())]
+    Invalid { path: PathBuf, source: InvalidConfig },
 }
 
-/// The fewest descriptors with which a backend can serve at all.
-pub const SOCKETS_LEAST: usize = 32;
-
-pub fn read(path: Option<&Path>) -> Result<Told, ConfigError> {
-    let path = path.ok_or(ConfigError::Unset)?;
-    let problem = |problem: String| ConfigError::File { path: path.display().to_string(), problem };
-    let text = std::fs::read_to_string(path).map_err(|error| problem(error.to_string()))?;
-    understood(&text).map_err(problem)
+/// What is wrong with the text of the file, with the key at fault.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum InvalidConfig {
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    #[error("{key}: {source}")]
+    Key { key: String, source: serde_json::Error },
+    #[error("settings: {0}")]
+    Settings(SettingsError),
+    #[error("{0}")]
+    Time(SettingsError),
+    #[error("seed: '{0}' is no hex number")]
+    Seed(String),
+    #[error("limits.sockets: {0} are too few to serve")]
+    TooFewSockets(usize),
+    #[error("limits.memory_mb: {0} is out of range")]
+    Memory(f64),
+    #[error("name: '{0}' is no word")]
+    Name(String),
+    #[error("it is of {name} on {listen}, and this is {own_name}")]
+    OtherBackend { name: String, listen: SocketAddr, own_name: String },
 }
 
-fn understood(text: &str) -> Result<Told, String> {
-    // A wrong word or figure is told by its key as well as its line: "at line 12" alone leaves the reader to
-    // count braces.
-    let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))
-        .map_err(|error| match error.path().to_string() {
-            path if path == "." => error.inner().to_string(),
-            path => format!("{path}: {}", error.inner()),
-        })?;
-    let entries = serde_json::from_str(text).map_err(|error| error.to_string())?;
-    let (given, names) = understand(&file.settings).map_err(|problem| format!("settings: {problem}"))?;
-    given.validate().map_err(|problem| format!("settings: {problem}"))?;
-    let steering = steering(&file.settings).map_err(|problem| format!("settings: {problem}"))?;
-    let seed =
-        u64::from_str_radix(&file.seed, 16).map_err(|_| format!("seed: '{}' is no hex number", file.seed))?;
-    if file.limits.sockets < SOCKETS_LEAST {
-        return Err(format!("limits.sockets: {} are too few to serve", file.limits.sockets));
+impl ServerConfig {
+    /// Reads the file at `path`.
+    pub(crate) fn read(path: Option<&Path>) -> Result<Self, ConfigError> {
+        let path = path.ok_or(ConfigError::NotSet)?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ConfigError::Read { path: path.to_owned(), source })?;
+        Self::parse(&text).map_err(|source| ConfigError::Invalid { path: path.to_owned(), source })
     }
-    if !(file.limits.memory_mb.is_finite() && file.limits.memory_mb > 0.0) {
-        return Err(format!("limits.memory_mb: {} is out of range", file.limits.memory_mb));
+
+    fn parse(text: &str) -> Result<Self, InvalidConfig> {
+        let file = parse_file(text)?;
+        let entries = serde_json::from_str(text)?;
+        let controller = file.settings.controller_config().map_err(InvalidConfig::Settings)?;
+        controller.validate().map_err(|error| InvalidConfig::Settings(error.into()))?;
+        let steering = file.settings.steering().map_err(InvalidConfig::Settings)?;
+        let Ok(seed) = u64::from_str_radix(&file.seed, 16) else {
+            return Err(InvalidConfig::Seed(file.seed));
+        };
+        let Limits { memory_mb, sockets } = file.limits;
+        if sockets < MIN_SOCKETS {
+            return Err(InvalidConfig::TooFewSockets(sockets));
+        }
+        if !(memory_mb.is_finite() && memory_mb > 0.0) {
+            return Err(InvalidConfig::Memory(memory_mb));
+        }
+        if file.name.is_empty() || file.name.contains(char::is_whitespace) {
+            return Err(InvalidConfig::Name(file.name));
+        }
+        Ok(ServerConfig {
+            name: file.name,
+            listen: file.listen,
+            peers: file.peers,
+            seed,
+            termination: milliseconds("stop_ms", file.stop_ms).map_err(InvalidConfig::Time)?,
+            memory_mb,
+            sockets,
+            controller,
+            names: file.settings.names(),
+            steering,
+            entries,
+        })
     }
-    if file.name.is_empty() || file.name.contains(char::is_whitespace) {
-        return Err(format!("name: '{}' is no word", file.name));
+
+    /// Reads the file again. A file that is invalid as a whole, or that is of another backend, changes nothing: that
+    /// backend's executor would be taken for this one's.
+    pub(crate) fn reload(&self, path: Option<&Path>) -> Result<Reloaded, ConfigError> {
+        let new = Self::read(path)?;
+        if (&new.name, new.listen) != (&self.name, self.listen) {
+            let own_name = self.name.clone();
+            let source = InvalidConfig::OtherBackend { name: new.name, listen: new.listen, own_name };
+            return Err(ConfigError::Invalid { path: path.unwrap_or(Path::new("")).to_owned(), source });
+        }
+        let keys = new.entries.keys().chain(self.entries.keys());
+        let mut needs_restart: Vec<String> = keys
+            .filter(|&key| !PeerAddresses::KEYS.contains(&&key[..]))
+            .filter(|&key| new.entries.get(key) != self.entries.get(key))
+            .cloned()
+            .collect();
+        needs_restart.sort();
+        needs_restart.dedup();
+        Ok(Reloaded { peers: new.peers, needs_restart })
     }
-    Ok(Told {
-        name: file.name,
-        listen: file.listen,
-        peers: file.peers,
-        seed,
-        stop: millis("stop_ms", file.stop_ms)?,
-        memory_mb: file.limits.memory_mb,
-        sockets: file.limits.sockets,
-        given,
-        names,
-        steering,
-        entries,
+}
+
+/// Parses the file. An error names the key at fault as well as its line: "at line 12" alone leaves the reader to count
+/// braces.
+fn parse_file(text: &str) -> Result<ConfigFile, InvalidConfig> {
+    let parsed = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text));
+    parsed.map_err(|error| match error.path().to_string() {
+        key if key == "." => InvalidConfig::Json(error.into_inner()),
+        key => InvalidConfig::Key { key, source: error.into_inner() },
     })
 }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,58 +1,41 @@
-//! `tulipgapd`: one real backend. It reads what `LB_CONFIG` tells, serves until SIGTERM, answers all that it
-//! has read, and ends with 0. What it cannot work with ends it with one line on standard error and 2. SIGHUP has
-//! it read again where its peers are.
+//! `tulipgapd`: one backend. It reads the file that `LB_CONFIG` names, serves until SIGTERM, answers everything that it
+//! has read, and exits with 0. What it cannot start with is one line on standard error and exit code 2. SIGHUP has it
+//! read again where its peers are.
 
 mod clock;
 mod cluster;
 mod config;
+mod connection_limits;
 mod control;
 mod invariant;
 mod log;
 mod net;
 mod requests;
+mod server;
+mod signals;
 mod trace;
 mod trial;
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{channel, sync_channel};
-use std::time::{Duration, Instant};
 
 use clap::Parser;
 use may::net::TcpListener;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
-use tulipgap_admission::{Admission, Part, Terms, WhenFull};
-use tulipgap_config::{Admitting, Cap};
 
 use cluster::Cluster;
-use config::{SOCKETS_LEAST, Told, Where};
-use net::clients::{Clients, IDLE_MORE, KEPT, MESSAGE_MOST};
-use net::executor::ExecutorClient;
-use net::list;
-use net::spawn;
-use net::store::StoreClient;
-use requests::RequestRegistry;
+use config::{ConfigError, MIN_SOCKETS, ServerConfig};
+use server::Server;
+use signals::Signals;
 use trace::Tracer;
 
 /// A coroutine's stack in words; only what is touched takes memory.
 const STACK_WORDS: usize = 8 * 1024;
-/// Stacks kept for reuse.
-const STACKS_KEPT: usize = 256;
-/// Of the descriptors, one in so many may go to the store.
-const STORE_PART: usize = 8;
-/// Between two looks at idle connections.
-const SWEEP: Duration = Duration::from_millis(100);
-/// Looks between two summaries in the log.
-const SUMMARY: u32 = 300;
-/// The time before the stop that edge nodes get to close their connections, at the least.
-const FAREWELL: Duration = Duration::from_secs(1);
-/// Before the stop all is to be over.
-const STOP_MARGIN: Duration = Duration::from_millis(100);
+/// Stacks that are kept for reuse.
+const MAX_POOLED_STACKS: usize = 256;
 
-/// One real backend. LB_CONFIG names the JSON file that tells it who it is, where its peers are, its limits and the
+/// One backend. LB_CONFIG names the JSON file that tells it who it is, where its peers are, its limits and the
 /// settings; LB_LOG sets the level of the log (error, warn, info, debug).
 #[derive(Parser)]
 #[command(name = "tulipgapd", version)]
@@ -62,245 +45,95 @@
     settings: Option<PathBuf>,
 }
 
+/// Why the program cannot start.
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error("{0}")]
+    Product(#[from] tulipgap_config::ConfigError),
+    #[error("signals: {0}")]
+    Signals(std::io::Error),
+    #[error("{address}: {source}")]
+    Listen { address: SocketAddr, source: std::io::Error },
+    #[error("trace: {0}")]
+    Trace(std::io::Error),
+    #[error("limits.sockets: {0} are too few to be one of a cluster")]
+    TooFewSockets(usize),
+    #[error("{0}")]
+    Cluster(String),
+}
+
 fn main() -> ExitCode {
     let args = Args::parse();
     // Before anything else: a signal that nobody has asked for ends the program.
-    let signals = Signals::new([SIGHUP, SIGTERM, SIGINT]);
+    let signals = Signals::register();
     log::start(std::env::var("LB_LOG").ok().as_deref());
-    let path = std::env::var_os("LB_CONFIG");
-    let path = path.as_deref().map(Path::new);
-    let mut told = match config::read(path) {
-        Ok(told) => told,
-        Err(error) => return refuse(&error.to_string()),
-    };
-    let product = match args.settings.as_deref().map(tulipgap_config::read).transpose() {
-        Ok(product) => product.unwrap_or_default(),
-        Err(error) => return refuse(&error.to_string()),
-    };
+    match run(&args, signals) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tulipgapd: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(args: &Args, signals: std::io::Result<Signals>) -> Result<(), StartError> {
+    let path = std::env::var_os("LB_CONFIG").map(PathBuf::from);
+    let mut config = ServerConfig::read(path.as_deref())?;
+    let product = args.settings.as_deref().map(tulipgap_config::read).transpose()?.unwrap_or_default();
     // One core is shared with others: one worker, which sleeps while there is nothing to do.
-    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(STACKS_KEPT);
+    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(MAX_POOLED_STACKS);
     may::config().set_worker_pin(false);
-    let (signals, listener) = match (signals, TcpListener::bind(told.listen)) {
-        (Ok(signals), Ok(listener)) => (signals, listener),
-        (Err(error), _) => return refuse(&format!("signals: {error}")),
-        (_, Err(error)) => return refuse(&format!("{}: {error}", told.listen)),
-    };
-    let tracer = match product.trace.filter(|told| told.enabled) {
-        None => None,
-        Some(trace) => match Tracer::start(&trace, &told.name, &told.given, &told.names) {
-            Ok(tracer) => Some(Arc::new(tracer)),
-            Err(error) => return refuse(&format!("trace: {error}")),
-        },
-    };
-    // Nothing listens, talks to peers or writes a folder without that block.
-    let cluster = match product.cluster.filter(|told| told.enabled) {
-        None => None,
-        Some(among) => {
-            let Some(left) =
-                told.sockets.checked_sub(cluster::DESCRIPTORS).filter(|left| *left >= SOCKETS_LEAST)
-            else {
-                return refuse(&format!(
-                    "limits.sockets: {} are too few to be one of a cluster",
-                    told.sockets
-                ));
-            };
-            told.sockets = left;
-            match cluster::start(&among, &told.name, told.seed) {
-                Ok(cluster) => Some(cluster),
-                Err(problem) => return refuse(&problem),
-            }
-        }
-    };
-    serve(told, path, listener, signals, tracer.clone(), product.admission, cluster);
+    let signals = signals.map_err(StartError::Signals)?;
+    let listener = TcpListener::bind(config.listen)
+        .map_err(|source| StartError::Listen { address: config.listen, source })?;
+    let tracer = start_tracer(product.trace.as_ref(), &config)?;
+    let cluster = start_cluster(product.cluster.as_ref(), &mut config)?;
+    serve(config, path.as_deref(), listener, signals, tracer.clone(), product.admission.as_ref(), cluster);
     if let Some(tracer) = tracer {
         tracer.finish();
         ::log::info!("{}", tracer.summary());
     }
     ::log::logger().flush();
-    ExitCode::SUCCESS
+    Ok(())
 }
 
-/// What is decided on connections by. As far as nothing is configured, newcomers wait in the backlog for a place and
-/// nothing goes by address; what a configuration leaves out is derived from the places and the number of callers.
-fn terms(told: &Told, store: usize, admitting: Option<&Admitting>) -> Terms {
-    let store = store.min(told.sockets.saturating_sub(KEPT + 1));
-    let plain = Terms {
-        descriptors: told.sockets,
-        reserves: vec![(Part::Own, KEPT), (Part::Store, store)],
-        caps: None,
-        when_full: WhenFull::Wait,
-        listed: Vec::new(),
-        half_life: Duration::from_secs(600),
-        message: MESSAGE_MOST,
-        idle: told.given.idle_timeout.saturating_add(IDLE_MORE),
-        cold_part: 1.0,
-        warm_up: Duration::ZERO,
-    };
-    let Some(admitting) = admitting.filter(|admitting| admitting.enabled) else { return plain };
-    let places = told.sockets - KEPT - store;
-    // As many as all callers could have each, with room for twice that; never all of it.
-    let each = (2 * places / told.given.callers.max(4) as usize).clamp(4, places.max(5) - 1) as u32;
-    let cap = |cap: &Cap, open: u32| {
-        let open = cap.open.unwrap_or(open);
-        tulipgap_admission::Cap { open, rate: cap.rate.unwrap_or(open.max(8)) }
-    };
-    let most = places as u32;
-    let mut reserves = plain.reserves;
-    reserves.push((Part::KnownClients, (places as f64 * admitting.known_part) as usize));
-    Terms {
-        reserves,
-        caps: Some([
-            cap(&admitting.address, each),
-            cap(&admitting.network, most.max(1)),
-            cap(&admitting.wide, most.max(1)),
-        ]),
-        when_full: if admitting.when_full == "wait" { WhenFull::Wait } else { WhenFull::Refuse },
-        // They were checked when the file was read.
-        listed: admitting.known.iter().filter_map(|network| network.parse().ok()).collect(),
-        half_life: admitting.half_life,
-        cold_part: admitting.cold_part,
-        warm_up: if told.given.starts_cold { told.given.warm_up } else { Duration::ZERO },
-        ..plain
-    }
+fn start_tracer(
+    tracing: Option<&tulipgap_config::Tracing>,
+    config: &ServerConfig,
+) -> Result<Option<Arc<Tracer>>, StartError> {
+    let Some(tracing) = tracing.filter(|tracing| tracing.enabled) else { return Ok(None) };
+    let tracer = Tracer::start(tracing, &config.name, &config.controller, &config.names);
+    Ok(Some(Arc::new(tracer.map_err(StartError::Trace)?)))
 }
 
-fn refuse(problem: &str) -> ExitCode {
-    eprintln!("tulipgapd: {problem}");
-    ExitCode::from(2)
+/// Joins the cluster, where the block `cluster` enables it. Nothing listens, talks to peers or writes a folder without
+/// that block. The descriptors of a cluster member are taken from those of the server.
+fn start_cluster(
+    block: Option<&tulipgap_config::Cluster>,
+    config: &mut ServerConfig,
+) -> Result<Option<Cluster>, StartError> {
+    let Some(block) = block.filter(|block| block.enabled) else { return Ok(None) };
+    let left = config.sockets.checked_sub(cluster::DESCRIPTORS).filter(|left| *left >= MIN_SOCKETS);
+    config.sockets = left.ok_or(StartError::TooFewSockets(config.sockets))?;
+    cluster::start(block, &config.name, config.seed).map(Some).map_err(StartError::Cluster)
 }
 
+/// Serves until a shutdown notice, and drains.
 fn serve(
-    told: Told,
+    config: ServerConfig,
     path: Option<&Path>,
     listener: TcpListener,
-    mut signals: Signals,
+    signals: Signals,
     tracer: Option<Arc<Tracer>>,
-    admitting: Option<Admitting>,
+    admission: Option<&tulipgap_config::Admitting>,
     cluster: Option<Cluster>,
 ) {
-    let steering = match told.steering {
-        tulipgap_settings::Steering::Advice => "by the value on answers",
-        tulipgap_settings::Steering::List => "by health, which the list follows",
-        tulipgap_settings::Steering::Both => "by the value on answers and by health, which the list follows",
-        tulipgap_settings::Steering::Waits => "by the wait on what is turned away alone",
-    };
-    ::log::info!("{} listens on {}; callers are steered {steering}", told.name, told.listen);
-    let grace = told.given.drain_grace;
-    let registry = Arc::new(RequestRegistry::new(told.given.clone(), told.seed, tracer));
-    let executor = ExecutorClient::new(told.peers.kernel, registry.clone(), told.names.gauges.clone());
-    let store = StoreClient::new(told.peers.store, registry.clone(), told.sockets / STORE_PART);
-    if let Some(cluster) = &cluster {
-        cluster.probe_store(&store);
-    }
-    let terms = terms(&told, store.max_connections(), admitting.as_ref());
-    let refuses = terms.when_full == WhenFull::Refuse;
-    let admission = match Admission::new(terms, told.seed) {
-        Ok(admission) => admission,
+    let server = match Server::start(&config, listener, tracer, admission, cluster.as_ref()) {
+        Ok(server) => server,
         Err(error) => return ::log::error!("{error}"),
     };
-    let announce = Arc::new(Where::new(told.peers.announce));
-    let clients = Clients::new(
-        registry.clone(),
-        executor.clone(),
-        store.clone(),
-        told.names.clone(),
-        admission,
-        refuses,
-        told.memory_mb,
-    );
-    let leaving = Arc::new(AtomicBool::new(false));
-    {
-        let executor = executor.clone();
-        spawn(move || executor.run());
-    }
-    {
-        let clients = clients.clone();
-        spawn(move || clients.accept(listener));
-    }
-    {
-        let (registry, executor) = (registry.clone(), executor.clone());
-        spawn(move || {
-            loop {
-                registry.tick(|| executor.gauges());
-            }
-        });
-    }
-    {
-        let (registry, clients, store) = (registry.clone(), clients.clone(), store.clone());
-        spawn(move || {
-            for sweep in 1u32.. {
-                clock::sleep(SWEEP);
-                clients.sweep();
-                store.sweep();
-                if sweep.is_multiple_of(SUMMARY) {
-                    ::log::info!("so far {}; {}", registry.counts(), clients.told());
-                    if let Some(tracer) = registry.tracer() {
-                        ::log::info!("{}", tracer.summary());
-                    }
-                }
-            }
-        });
-    }
-    {
-        let (registry, leaving, announce) = (registry.clone(), leaving.clone(), announce.clone());
-        let name = told.name.clone();
-        spawn(move || {
-            list::run(&announce, &name, || match () {
-                () if leaving.load(Ordering::Acquire) => list::State::Leaving,
-                () if registry.is_started() => list::State::Serving,
-                () => list::State::Coming,
-            });
-        });
-    }
-    let (notice, noticed) = channel();
-    // One that waits is enough: it reads what is there by then.
-    let (again, reading) = sync_channel(1);
-    let stop = told.stop;
-    let path = path.map(Path::to_owned);
-    // Reading takes a while, for ever where the file is one that gives nothing: no notice to leave waits for that.
-    std::thread::spawn(move || {
-        for signal in &mut signals {
-            if signal == SIGHUP {
-                let _ = again.try_send(());
-            } else {
-                // Told once; the second time nobody listens.
-                let _ = notice.send(Instant::now());
-            }
-        }
-    });
-    // Peers may move while this leaves, too.
-    std::thread::spawn(move || {
-        for () in &reading {
-            match told.reread(path.as_deref()) {
-                Ok((peers, rest)) => {
-                    ::log::info!("read again: {peers:?}");
-                    if !rest.is_empty() {
-                        ::log::warn!("read again: a change of {} takes a restart", rest.join(", "));
-                    }
-                    executor.move_to(peers.kernel);
-                    store.move_to(peers.store);
-                    announce.set(peers.announce);
-                }
-                Err(error) => ::log::error!("read again, nothing taken: {error}"),
-            }
-        }
-    });
-    let notice = noticed.recv().unwrap_or_else(|_| Instant::now());
-    ::log::info!("notice to leave; so far {}; {}", registry.counts(), clients.told());
-    if let Some(cluster) = &cluster {
-        cluster.drains();
-    }
-    leaving.store(true, Ordering::Release);
-    registry.shutdown_notice(notice, stop);
-    // The module goes on taking reqs for a while. Once nothing that comes may be run any more, a connection
-    // refused sends a caller elsewhere sooner than an answer could.
-    std::thread::sleep(grace.min(stop.saturating_sub(FAREWELL)).saturating_sub(notice.elapsed()));
-    clients.close();
-    while !(clients.over() && registry.open() == 0) && notice.elapsed() + STOP_MARGIN < stop {
-        std::thread::sleep(Duration::from_millis(5));
-    }
-    if let Some(cluster) = cluster {
-        cluster.leave(stop.saturating_sub(notice.elapsed() + STOP_MARGIN / 2));
-    }
-    ::log::info!("left after {} ms; {}; {}", notice.elapsed().as_millis(), registry.counts(), clients.told());
+    let notice = signals.wait_for_shutdown(config, path, &server);
+    server.drain(notice, cluster);
 }
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -562,7 +562,7 @@
                 return true;
             }
             // It may cross the answer: then nothing is open there any more.
-            Ok(Asked::GiveUp { sequence }) if self.names.withdrawals => {
+            Ok(Asked::GiveUp { sequence }) if self.names.callers_cancel => {
                 let id = connection.open.lock().get_mut(&sequence).map(|open| {
                     open.withdrawn = true;
                     open.id.clone()
--- a/crates/server/src/net/executor/link.rs
+++ b/crates/server/src/net/executor/link.rs
@@ -30,8 +30,8 @@
     /// Keeps a link open for good.
     pub(crate) fn run(self: Arc<Self>) {
         loop {
-            let address = self.address.now();
-            let end = connect(address, || self.address.now() == address)
+            let address = self.address.get();
+            let end = connect(address, || self.address.get() == address)
                 .and_then(|stream| self.serve(&mut Link::new(stream, LINES_MOST, LINES_MOST), address));
             let was_up = {
                 let mut state = self.state.lock();
@@ -40,13 +40,13 @@
                 state.output.take().is_some()
             };
             match end {
-                Ok(()) => log::info!("kernel link: moves to {}", self.address.now()),
+                Ok(()) => log::info!("kernel link: moves to {}", self.address.get()),
                 Err(error) => {
                     if let Some(count) = LINK_FAILURES.pass() {
                         log::warn!("kernel link: {error} ({count} so far)");
                     }
                     // One that was up can be had again at once; so can one where the executor has moved to.
-                    if !was_up && self.address.now() == address {
+                    if !was_up && self.address.get() == address {
                         clock::sleep(RECONNECT_PAUSE);
                     }
                 }
@@ -69,7 +69,7 @@
             link.take_lines(has_body, |line| self.handle_line(line, barrier, &output))?;
             // Once its farewell is said, it is left even where the executor has moved back meanwhile: nothing is sent
             // over it any more.
-            if farewell.is_some() || self.address.now() != address {
+            if farewell.is_some() || self.address.get() != address {
                 let tag = *farewell.get_or_insert_with(|| self.say_farewell(&output));
                 if tag.is_none_or(|tag| self.state.lock().queries.is_over(tag)) {
                     return Ok(());
@@ -176,7 +176,7 @@
     fn read_gauges(&self, values: &[&str]) -> Gauges {
         let mut gauges = Gauges::default();
         for (name, value) in self.gauge_names.iter().zip(values) {
-            if let Some(gauge) = tulipgap_settings::gauge(&mut gauges, name) {
+            if let Some(gauge) = tulipgap_settings::gauge_mut(&mut gauges, name) {
                 *gauge = value.parse().ok().filter(|value: &f64| value.is_finite());
             }
         }
--- a/crates/server/src/net/executor/mod.rs
+++ b/crates/server/src/net/executor/mod.rs
@@ -25,7 +25,7 @@
 use self::resync::{Delivery, LastCommand, Run};
 use super::{Added, FULL_PAUSE, Out};
 use crate::clock;
-use crate::config::Where;
+use crate::config::CurrentAddress;
 use crate::requests::{Bytes, Gauges, RequestId, RequestRegistry};
 
 /// The longest that a timer waits for its gauges. While the machine stands still none come, and the controller learns
@@ -34,7 +34,7 @@
 
 /// The client side of the link to the executor. It owns what was sent to the executor about each run.
 pub(crate) struct ExecutorClient {
-    address: Where<SocketAddr>,
+    address: CurrentAddress<SocketAddr>,
     registry: Arc<RequestRegistry>,
     /// The names of the gauges, in the order in which the executor reports them.
     gauge_names: Vec<String>,
@@ -66,7 +66,7 @@
         gauge_names: Vec<String>,
     ) -> Arc<Self> {
         let state = Mutex::new(LinkState::default());
-        Arc::new(ExecutorClient { address: Where::new(address), registry, gauge_names, state })
+        Arc::new(ExecutorClient { address: CurrentAddress::new(address), registry, gauge_names, state })
     }
 
     /// The executor listens there from now on.
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -3,8 +3,8 @@
 pub mod clients;
 pub mod executor;
 pub mod lines;
-pub mod list;
 pub mod peers;
+pub mod registration;
 pub mod ring;
 pub mod store;
 pub mod thrift;
@@ -256,5 +256,6 @@
         "family_info":{"below":"silent","blowup":4.0,"cores":2,"halt":"drop","idle":9e3,"mem_limit_kb":9e3,
         "say":"weight"},"fleet_size":3,"limits":{"max_retry_after":1e3,"retry_after":true},"rules":{"cold_from":0.3,
         "drain_grace":1e3,"fall":2e3,"fall_multiple":4.0,"grace_to_answer":60.0,"warm_up":9e3}}"#;
-    tulipgap_settings::read(settings).unwrap()
+    let settings: tulipgap_settings::Settings = settings.parse().unwrap();
+    (settings.controller_config().unwrap(), settings.names())
 }
--- a/crates/server/src/net/store/connection.rs
+++ b/crates/server/src/net/store/connection.rs
@@ -26,7 +26,7 @@
 impl StoreClient {
     pub(super) fn run(self: &Arc<Self>, address: SocketAddr, id: ConnectionId) {
         // With its call given up, or the store elsewhere, it is not wanted any more.
-        let is_wanted = || self.pool.lock().is_wanted(id) && self.address.now() == Some(address);
+        let is_wanted = || self.pool.lock().is_wanted(id) && self.address.get() == Some(address);
         let stream = connect(address, is_wanted);
         match &stream {
             Ok(_) => self.health_check_succeeded(),
@@ -38,7 +38,7 @@
             let mut pool = self.pool.lock();
             let lost = pool.remove(id);
             // Its place in the pool is free for a call that waits.
-            if let Some(address) = self.address.now()
+            if let Some(address) = self.address.get()
                 && let Some(call) = pool.next_waiting()
             {
                 self.open(&mut pool, address, call);
@@ -77,7 +77,7 @@
 
     fn handle_reply(&self, line: &Line, id: ConnectionId, stray_replies: &mut usize) -> io::Result<()> {
         let (request, outcome) = protocol::reply(line).map_err(garbled)?;
-        let received = self.pool.lock().received(id, request, self.address.now());
+        let received = self.pool.lock().received(id, request, self.address.get());
         match received {
             Received::Reply(request) => {
                 *stray_replies = 0;
--- a/crates/server/src/net/store/mod.rs
+++ b/crates/server/src/net/store/mod.rs
@@ -15,7 +15,7 @@
 
 use self::pool::{Call, ConnectionPool};
 use super::spawn;
-use crate::config::Where;
+use crate::config::CurrentAddress;
 use crate::log::Bound;
 use crate::requests::{Bytes, Outcome, RequestEvent, RequestId, RequestRegistry};
 
@@ -23,7 +23,7 @@
 
 /// The client side of the store. It owns the connection pool; the end of each call is reported to the registry.
 pub(crate) struct StoreClient {
-    address: Where<Option<SocketAddr>>,
+    address: CurrentAddress<Option<SocketAddr>>,
     registry: Arc<RequestRegistry>,
     max_connections: usize,
     pool: Mutex<ConnectionPool>,
@@ -41,7 +41,7 @@
         max_connections: usize,
     ) -> Arc<Self> {
         Arc::new(StoreClient {
-            address: Where::new(address),
+            address: CurrentAddress::new(address),
             registry,
             max_connections,
             pool: Mutex::default(),
@@ -55,7 +55,7 @@
     }
 
     pub(crate) fn address(&self) -> Option<SocketAddr> {
-        self.address.now()
+        self.address.get()
     }
 
     /// The number of connections that were refused in a row.
@@ -92,7 +92,7 @@
 
     /// Makes the call of this number of a request.
     pub(crate) fn call(self: &Arc<Self>, id: &RequestId, number: usize, timeout: Duration, body: &Bytes) {
-        let address = self.address.now().filter(|_| !self.is_held_down.load(Ordering::Acquire));
+        let address = self.address.get().filter(|_| !self.is_held_down.load(Ordering::Acquire));
         let Some(address) = address else {
             return self.report(id, Outcome::Unreachable, Bytes::default());
         };
@@ -128,7 +128,7 @@
 
     /// Closes connections that are idle for long, or that lead to where the store is no more.
     pub(crate) fn sweep(&self) {
-        let address = self.address.now();
+        let address = self.address.get();
         self.pool.lock().close_idle(address);
     }
 
--- /dev/null
+++ b/crates/server/src/server.rs
@@ -0,0 +1,175 @@
+//! The running server: its parts, the coroutines that drive them, and its graceful shutdown.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use may::net::TcpListener;
+use tulipgap_admission::Admission;
+use tulipgap_config::Admitting;
+use tulipgap_settings::Steering;
+
+use crate::clock;
+use crate::cluster::Cluster;
+use crate::config::{CurrentAddress, PeerAddresses, ServerConfig};
+use crate::connection_limits;
+use crate::net::clients::Clients;
+use crate::net::executor::ExecutorClient;
+use crate::net::registration::{self, Registration};
+use crate::net::spawn;
+use crate::net::store::StoreClient;
+use crate::requests::RequestRegistry;
+use crate::trace::Tracer;
+
+/// One in so many descriptors may go to the store.
+const STORE_DESCRIPTOR_DIVISOR: usize = 8;
+/// The interval between two looks at idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Sweeps between two summaries in the log.
+const SWEEPS_PER_SUMMARY: u32 = 300;
+/// The time before termination that edge nodes get at least to close their connections.
+const MIN_CLOSE_TIME: Duration = Duration::from_secs(1);
+/// The time before termination by which everything is to be over.
+const TERMINATION_MARGIN: Duration = Duration::from_millis(100);
+/// The pause between two looks whether everything is over.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The parts of a running server. Each owns its own state; this owns them, and whether the server drains.
+pub(crate) struct Server {
+    registry: Arc<RequestRegistry>,
+    executor: Arc<ExecutorClient>,
+    store: Arc<StoreClient>,
+    clients: Arc<Clients>,
+    service_registry: Arc<CurrentAddress<Option<std::net::SocketAddr>>>,
+    is_draining: Arc<AtomicBool>,
+    drain_grace: Duration,
+    termination: Duration,
+}
+
+impl Server {
+    /// Starts all parts and their coroutines.
+    pub(crate) fn start(
+        config: &ServerConfig,
+        listener: TcpListener,
+        tracer: Option<Arc<Tracer>>,
+        admission: Option<&Admitting>,
+        cluster: Option<&Cluster>,
+    ) -> Result<Arc<Self>, Box<dyn std::error::Error>> {
+        let steering = describe_steering(config.steering);
+        ::log::info!("{} listens on {}; callers are steered {steering}", config.name, config.listen);
+        let registry = Arc::new(RequestRegistry::new(config.controller.clone(), config.seed, tracer));
+        let gauge_names = config.names.gauges.clone();
+        let executor = ExecutorClient::new(config.peers.executor, registry.clone(), gauge_names);
+        let store_connections = config.sockets / STORE_DESCRIPTOR_DIVISOR;
+        let store = StoreClient::new(config.peers.store, registry.clone(), store_connections);
+        if let Some(cluster) = cluster {
+            cluster.probe_store(&store);
+        }
+        let terms = connection_limits::terms(config, store.max_connections(), admission);
+        let refuses = connection_limits::refuses(&terms);
+        let clients = Clients::new(
+            registry.clone(),
+            executor.clone(),
+            store.clone(),
+            config.names.clone(),
+            Admission::new(terms, config.seed)?,
+            refuses,
+            config.memory_mb,
+        );
+        let server = Arc::new(Server {
+            registry,
+            executor,
+            store,
+            clients,
+            service_registry: Arc::new(CurrentAddress::new(config.peers.registry)),
+            is_draining: Arc::new(AtomicBool::new(false)),
+            drain_grace: config.controller.drain_grace,
+            termination: config.termination,
+        });
+        server.spawn_coroutines(listener, config.name.clone());
+        Ok(server)
+    }
+
+    fn spawn_coroutines(self: &Arc<Self>, listener: TcpListener, name: String) {
+        let executor = self.executor.clone();
+        spawn(move || executor.run());
+        let clients = self.clients.clone();
+        spawn(move || clients.accept(listener));
+        let server = self.clone();
+        spawn(move || {
+            loop {
+                server.registry.tick(|| server.executor.gauges());
+            }
+        });
+        let server = self.clone();
+        spawn(move || server.sweep());
+        let server = self.clone();
+        spawn(move || registration::run(&server.service_registry, &name, || server.registration()));
+    }
+
+    fn sweep(&self) {
+        for sweep in 1u32.. {
+            clock::sleep(SWEEP_INTERVAL);
+            self.clients.sweep();
+            self.store.sweep();
+            if sweep.is_multiple_of(SWEEPS_PER_SUMMARY) {
+                ::log::info!("so far {}; {}", self.registry.counts(), self.clients.told());
+                if let Some(tracer) = self.registry.tracer() {
+                    ::log::info!("{}", tracer.summary());
+                }
+            }
+        }
+    }
+
+    fn registration(&self) -> Registration {
+        if self.is_draining.load(Ordering::Acquire) {
+            Registration::Deregister
+        } else if self.registry.is_started() {
+            Registration::Serving
+        } else {
+            Registration::NotYet
+        }
+    }
+
+    /// The peers are there from now on.
+    pub(crate) fn move_peers(&self, peers: PeerAddresses) {
+        self.executor.move_to(peers.executor);
+        self.store.move_to(peers.store);
+        self.service_registry.set(peers.registry);
+    }
+
+    /// Drains after the notice that came at `notice`, and returns once everything is answered and closed, or shortly
+    /// before the termination.
+    pub(crate) fn drain(&self, notice: Instant, cluster: Option<Cluster>) {
+        let counts = self.registry.counts();
+        ::log::info!("notice to leave; so far {counts}; {}", self.clients.told());
+        if let Some(cluster) = &cluster {
+            cluster.drains();
+        }
+        self.is_draining.store(true, Ordering::Release);
+        self.registry.shutdown_notice(notice, self.termination);
+        // The controller goes on admitting for a while. Once nothing that arrives may be run any more, a refused
+        // connection sends a caller elsewhere sooner than an answer could.
+        let open_until = self.drain_grace.min(self.termination.saturating_sub(MIN_CLOSE_TIME));
+        std::thread::sleep(open_until.saturating_sub(notice.elapsed()));
+        self.clients.close();
+        let is_over = || self.clients.over() && self.registry.open() == 0;
+        while !is_over() && notice.elapsed() + TERMINATION_MARGIN < self.termination {
+            std::thread::sleep(DRAIN_POLL_INTERVAL);
+        }
+        if let Some(cluster) = cluster {
+            cluster.leave(self.termination.saturating_sub(notice.elapsed() + TERMINATION_MARGIN / 2));
+        }
+        let took = notice.elapsed().as_millis();
+        ::log::info!("left after {took} ms; {}; {}", self.registry.counts(), self.clients.told());
+    }
+}
+
+fn describe_steering(steering: Steering) -> &'static str {
+    match steering {
+        Steering::FeedbackValue => "by the value on answers",
+        Steering::EndpointList => "by health, which the list follows",
+        Steering::Both => "by the value on answers and by health, which the list follows",
+        Steering::RetryAfterOnly => "by the wait on what is turned away alone",
+    }
+}
--- /dev/null
+++ b/crates/server/src/signals.rs
@@ -0,0 +1,68 @@
+//! Signals: SIGTERM and SIGINT are the shutdown notice, SIGHUP reloads the configuration.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, channel, sync_channel};
+use std::time::Instant;
+
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+
+use crate::config::{Reloaded, ServerConfig};
+use crate::server::Server;
+
+/// The signals that this process has asked for; they wait until somebody takes them.
+pub(crate) struct Signals(signal_hook::iterator::Signals);
+
+impl Signals {
+    pub(crate) fn register() -> std::io::Result<Self> {
+        signal_hook::iterator::Signals::new([SIGHUP, SIGTERM, SIGINT]).map(Signals)
+    }
+
+    /// Blocks until the shutdown notice, and returns when it came. Reloads the configuration meanwhile, and during the
+    /// drain too, because peers may move while this server leaves.
+    pub(crate) fn wait_for_shutdown(
+        mut self,
+        config: ServerConfig,
+        path: Option<&Path>,
+        server: &Arc<Server>,
+    ) -> Instant {
+        let (notices, first_notice) = channel();
+        // One that waits is enough: it reads what is there by then.
+        let (reload_requests, requested) = sync_channel(1);
+        std::thread::spawn(move || {
+            for signal in &mut self.0 {
+                if signal == SIGHUP {
+                    let _ = reload_requests.try_send(());
+                } else {
+                    // The first one counts; at a second nobody listens.
+                    let _ = notices.send(Instant::now());
+                }
+            }
+        });
+        // Reading the file takes a while, for ever where it is a pipe that gives nothing: no shutdown notice waits for
+        // that.
+        let (path, server) = (path.map(Path::to_owned), server.clone());
+        std::thread::spawn(move || reload_on_request(&requested, &config, path, &server));
+        first_notice.recv().unwrap_or_else(|_| Instant::now())
+    }
+}
+
+fn reload_on_request(
+    requested: &Receiver<()>,
+    config: &ServerConfig,
+    path: Option<PathBuf>,
+    server: &Server,
+) {
+    for () in requested {
+        match config.reload(path.as_deref()) {
+            Ok(Reloaded { peers, needs_restart }) => {
+                ::log::info!("configuration reloaded: {peers}");
+                if !needs_restart.is_empty() {
+                    ::log::warn!("configuration reloaded: needs_restart={}", needs_restart.join(","));
+                }
+                server.move_peers(peers);
+            }
+            Err(error) => ::log::error!("configuration not reloaded: {error}"),
+        }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,180 +1,118 @@
-//! The settings that a server is told at its start, as JSON, and what the module calls them. Both hosts read
-//! them here.
+//! The settings that a server receives at its start, as JSON, and the controller's configuration that follows from
+//! them. Both hosts of the controller read their settings here.
+//!
+//! ```
+//! let text = r#"{"classes":[{"name":"page","objective":1e3,"deadline":2e3,"worth":1.0,"effect":"pure"}],
+//!     "family_info":{"below":"silent","blowup":4.0,"cores":2,"halt":"drop","idle":9e3,"mem_limit_kb":9e3,
+//!     "say":"weight"},"limits":{},"rules":{"cold_from":0.3,"drain_grace":1e3,"fall":2e3,
+//!     "fall_multiple":4.0,"grace_to_answer":60.0,"warm_up":9e3}}"#;
+//! let settings: tulipgap_settings::Settings = text.parse()?;
+//! assert_eq!(settings.controller_config()?.cores, 2);
+//! assert_eq!(settings.names().handlers["page"], 0);
+//! # Ok::<(), tulipgap_settings::SettingsError>(())
+//! ```
+
+mod schema;
+
+#[cfg(test)]
+mod tests;
 
 use std::collections::HashMap;
+use std::str::FromStr;
 use std::time::Duration;
 
-use serde::Deserialize;
 use tulipgap::{
-    CallerFeedback, Cancellation, Config, Dependency, Gauges, HandlerConfig, Idempotency, TenantConfig,
+    CallerFeedback, Cancellation, Config, ConfigError, Dependency, Gauges, HandlerConfig, HandlerIndex,
+    Idempotency, TenantConfig, TenantIndex,
 };
 
-#[derive(Deserialize)]
-struct Class {
-    name: String,
-    objective: f64,
-    #[serde(default)]
-    aim_stretch: f64,
-    deadline: f64,
-    worth: f64,
-    effect: WireEffect,
-    #[serde(default)]
-    memory_span: f64,
-    /// Its reqs write: they have an effect, so that they may never be pure.
-    #[serde(default)]
-    write: bool,
-}
-
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireEffect {
-    Pure,
-    Token,
-    SideEffect,
-}
-
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireBelow {
-    Shared,
-    Tier,
-    Silent,
-}
+pub use schema::Settings;
+use schema::{Below, Class, Effect, Halt, Say};
 
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireHalt {
-    Silent,
-    Drop,
-    Pause,
+/// Why settings cannot be used, with the key at fault.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The text is no JSON, or a key is missing or of another type.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// A time in milliseconds is out of range.
+    #[error("{key}: {value} is no time")]
+    Time {
+        /// The key with the value.
+        key: String,
+        /// The value as it was written.
+        value: f64,
+    },
+    /// A fraction is out of range.
+    #[error("{key}: {value} is not from 0 to 1")]
+    Fraction {
+        /// The key with the value.
+        key: &'static str,
+        /// The value as it was written.
+        value: f64,
+    },
+    /// A list that goes by class has another length than the list of classes.
+    #[error("family_info.{key} has {length} entries for {classes} classes")]
+    Length {
+        /// The key of the list.
+        key: &'static str,
+        /// Its length.
+        length: usize,
+        /// The number of classes.
+        classes: usize,
+    },
+    /// A class writes and is pure at once.
+    #[error("classes[{class}].write: a write has an effect, so it may not be \"pure\"")]
+    PureWrite {
+        /// The position of the class.
+        class: usize,
+    },
+    /// A value is out of the controller's range.
+    #[error(transparent)]
+    Controller(#[from] ConfigError),
 }
 
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireSay {
-    Level,
-    Credit,
-    Weight,
-    Silent,
-}
-
-#[derive(Deserialize)]
-struct FamilyInfo {
-    below: WireBelow,
-    blowup: f64,
-    #[serde(default)]
-    callers: u32,
-    #[serde(default)]
-    calls_out: f64,
-    #[serde(default)]
-    class_calls: Vec<bool>,
-    #[serde(default)]
-    class_skip_worth: Vec<f64>,
-    #[serde(default)]
-    cold: bool,
-    cores: u32,
-    #[serde(default)]
-    entry_kb: f64,
-    halt: WireHalt,
-    idle: f64,
-    mem_limit_kb: f64,
-    say: WireSay,
-    #[serde(default)]
-    own_stats: Vec<String>,
-    #[serde(default)]
-    share_span: f64,
-    #[serde(default)]
-    stays_for: f64,
-    /// The list of servers follows the health that a server tells.
-    #[serde(default)]
-    list_follows: bool,
-    /// Callers say when they give up.
-    #[serde(default)]
-    cancel_seen: bool,
-}
-
-/// What clients do.
-#[derive(Deserialize)]
-struct Clients {
-    #[serde(default = "marked")]
-    marks_retry: bool,
-}
-
-impl Default for Clients {
-    fn default() -> Self {
-        Clients { marks_retry: marked() }
-    }
-}
-
-/// Settings that do not tell are taken for those of a deployment that marks retries, as before they were read.
-fn marked() -> bool {
-    true
-}
-
-#[derive(Deserialize)]
-struct Limits {
-    #[serde(default)]
-    max_retry_after: f64,
-    #[serde(default)]
-    retry_after: bool,
-}
-
-#[derive(Deserialize)]
-struct Rules {
-    cold_from: f64,
-    drain_grace: f64,
-    fall: f64,
-    fall_multiple: f64,
-    grace_to_answer: f64,
-    warm_up: f64,
-}
-
-#[derive(Deserialize)]
-struct WireTenant {
-    name: String,
-    allowance_per_s: f64,
-}
-
-/// The settings as they are written.
-#[derive(Deserialize)]
-pub struct Facts {
-    classes: Vec<Class>,
-    #[serde(default)]
-    clients: Clients,
-    family_info: FamilyInfo,
-    /// Backends of this tier on the list when this one started.
-    #[serde(default)]
-    fleet_size: u32,
-    limits: Limits,
-    #[serde(default)]
-    over_share_worth: Option<f64>,
-    rules: Rules,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
-}
-
-/// The names of handlers and tenants, to their indices, and those of the gauges in their order.
+/// The names that the settings give to handlers, tenants and gauges, and their positions.
 #[derive(Clone, Default)]
 pub struct Names {
-    pub handlers: HashMap<String, usize>,
-    pub tenants: HashMap<String, usize>,
+    /// The positions of handlers by name.
+    pub handlers: HashMap<String, HandlerIndex>,
+    /// The positions of tenants by name.
+    pub tenants: HashMap<String, TenantIndex>,
+    /// The names of gauges, in the order in which they are reported.
     pub gauges: Vec<String>,
-    /// Callers say when nobody waits for an answer any more.
-    pub withdrawals: bool,
+    /// Whether callers say when they no longer wait for an answer.
+    pub callers_cancel: bool,
 }
 
-/// A time given in milliseconds.
-pub fn millis(name: &str, value: f64) -> Result<Duration, String> {
-    Duration::try_from_secs_f64(value / 1e3).map_err(|_| format!("{name}: {value} is no time"))
+/// How callers learn to send less to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Steering {
+    /// By the feedback value on its answers.
+    FeedbackValue,
+    /// By its health, which the endpoint list follows.
+    EndpointList,
+    /// By either, as at recife-matching.
+    Both,
+    /// By neither: only the retry-after of rejections is left, as at verhaegen-remote and zh-pipeline-fleet.
+    RetryAfterOnly,
 }
 
-/// A figure from 0 to 1.
-fn share(name: &str, value: f64) -> Result<f64, String> {
-    if (0.0..=1.0).contains(&value) { Ok(value) } else { Err(format!("{name}: {value} is not from 0 to 1")) }
+/// A time that is written in milliseconds under `key`.
+///
+/// # Errors
+///
+/// Returns [`SettingsError::Time`] for a value that is negative, not finite or too long.
+pub fn milliseconds(key: &str, value: f64) -> Result<Duration, SettingsError> {
+    Duration::try_from_secs_f64(value / 1e3).map_err(|_| SettingsError::Time { key: key.to_owned(), value })
 }
 
-/// The gauge of that name, if the module reads it.
-pub fn gauge<'a>(gauges: &'a mut Gauges, name: &str) -> Option<&'a mut Option<f64>> {
+fn fraction(key: &'static str, value: f64) -> Result<f64, SettingsError> {
+    if (0.0..=1.0).contains(&value) { Ok(value) } else { Err(SettingsError::Fraction { key, value }) }
+}
+
+/// The gauge of that name, if the controller reads it.
+pub fn gauge_mut<'a>(gauges: &'a mut Gauges, name: &str) -> Option<&'a mut Option<f64>> {
     match name {
         "core_use" => Some(&mut gauges.cores_busy),
         "on_cores" => Some(&mut gauges.runnable),
@@ -183,185 +121,136 @@
     }
 }
 
-/// How callers learn to send less to a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Steering {
-    /// By the free value on its answers.
-    Advice,
-    /// By its health, which the list follows.
-    List,
-    /// By either, as at recife-matching.
-    Both,
-    /// By neither: only the wait on what is turned away is left, as at verhaegen-remote and zh-pipeline-fleet.
-    Waits,
-}
+impl FromStr for Settings {
+    type Err = SettingsError;
 
-/// Which ways of steering the settings ask for. A write that may run again is refused by the key at fault, so
-/// that half a move is not taken for a whole one.
-pub fn steering(facts: &Facts) -> Result<Steering, String> {
-    let info = &facts.family_info;
-    let pure_write =
-        facts.classes.iter().position(|class| class.write && matches!(class.effect, WireEffect::Pure));
-    if let Some(at) = pure_write {
-        return Err(format!("classes[{at}].write: a write has an effect, so it may not be \"pure\""));
+    fn from_str(text: &str) -> Result<Self, SettingsError> {
+        Ok(serde_json::from_str(text)?)
     }
-    Ok(match (info.list_follows, info.say) {
-        (true, WireSay::Silent) => Steering::List,
-        (true, _) => Steering::Both,
-        (false, WireSay::Silent) => Steering::Waits,
-        (false, _) => Steering::Advice,
-    })
 }
 
-/// Reads the JSON text of the settings; says what is wrong with it otherwise.
-pub fn read(text: &str) -> Result<(Config, Names), String> {
-    understand(&serde_json::from_str(text).map_err(|error| error.to_string())?)
-}
-
-/// Turns the settings into what the module is given.
-pub fn understand(facts: &Facts) -> Result<(Config, Names), String> {
-    let info = &facts.family_info;
-    let names = Names {
-        handlers: facts.classes.iter().enumerate().map(|(at, class)| (class.name.clone(), at)).collect(),
-        tenants: facts.tenants.iter().enumerate().map(|(at, tenant)| (tenant.name.clone(), at)).collect(),
-        gauges: info.own_stats.clone(),
-        withdrawals: info.cancel_seen,
-    };
-    for (name, length) in
-        [("class_calls", info.class_calls.len()), ("class_skip_worth", info.class_skip_worth.len())]
-    {
-        if length != 0 && length != facts.classes.len() {
-            return Err(format!(
-                "family_info.{name} has {length} entries for {} classes",
-                facts.classes.len()
-            ));
+impl Settings {
+    /// How the settings ask for callers to be steered.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError::PureWrite`] for a write that may run again, so that half a migration to settings with
+    /// writes is not taken for a whole one.
+    pub fn steering(&self) -> Result<Steering, SettingsError> {
+        let is_pure_write = |class: &Class| class.write && class.effect == Effect::None;
+        if let Some(class) = self.classes.iter().position(is_pure_write) {
+            return Err(SettingsError::PureWrite { class });
         }
+        Ok(match (self.family_info.list_follows, self.family_info.say) {
+            (true, Say::Silent) => Steering::EndpointList,
+            (true, _) => Steering::Both,
+            (false, Say::Silent) => Steering::RetryAfterOnly,
+            (false, _) => Steering::FeedbackValue,
+        })
     }
-    let handlers = facts
-        .classes
-        .iter()
-        .enumerate()
-        .map(|(at, class)| handler(at, class, info))
-        .collect::<Result<_, _>>()?;
-    let config = Config {
-        handlers,
-        tenants: facts.tenants.iter().map(|t| TenantConfig { rate_quota_per_s: t.allowance_per_s }).collect(),
-        over_quota_weight: share("over_share_worth", facts.over_share_worth.unwrap_or(1.0))?,
-        cores: info.cores,
-        memory_kb: info.mem_limit_kb,
-        running_memory_factor: info.blowup,
-        key_kb: info.entry_kb,
-        starts_cold: info.cold,
-        cold_speed: facts.rules.cold_from,
-        warm_up: millis("rules.warm_up", facts.rules.warm_up)?,
-        max_concurrency_per_core: facts.rules.fall_multiple,
-        concurrency_window: millis("rules.fall", facts.rules.fall)?,
-        response_slack: millis("rules.grace_to_answer", facts.rules.grace_to_answer)?,
-        drain_grace: millis("rules.drain_grace", facts.rules.drain_grace)?,
-        dependency: match info.below {
-            WireBelow::Silent => Dependency::None,
-            WireBelow::Tier => Dependency::Tier,
-            WireBelow::Shared => Dependency::Shared {
-                share: info.calls_out,
-                window: millis("family_info.share_span", info.share_span)?,
-                linger: millis("family_info.stays_for", info.stays_for)?,
-            },
-        },
-        cancellation: match info.halt {
-            WireHalt::Silent => Cancellation::Unsupported,
-            WireHalt::Drop => Cancellation::DiscardsProgress,
-            WireHalt::Pause => Cancellation::KeepsProgress,
-        },
-        feedback: match info.say {
-            WireSay::Level => CallerFeedback::PriorityThreshold,
-            WireSay::Credit => CallerFeedback::ConcurrencyCredit,
-            WireSay::Weight => CallerFeedback::TrafficWeight,
-            WireSay::Silent => CallerFeedback::None,
-        },
-        max_retry_after: match facts.limits.retry_after {
-            true => Some(millis("limits.max_retry_after", facts.limits.max_retry_after)?),
-            false => None,
-        },
-        servers: facts.fleet_size,
-        callers: info.callers,
-        marks_retries: facts.clients.marks_retry,
-        idle_timeout: millis("family_info.idle", info.idle)?,
-    };
-    Ok((config, names))
-}
-
-fn handler(at: usize, class: &Class, info: &FamilyInfo) -> Result<HandlerConfig, String> {
-    Ok(HandlerConfig {
-        latency_objective: millis("classes.objective", class.objective)?,
-        objective_stretch: class.aim_stretch,
-        client_timeout: millis("classes.deadline", class.deadline)?,
-        priority_weight: class.worth,
-        idempotency: match class.effect {
-            WireEffect::Pure => Idempotency::Idempotent,
-            WireEffect::Token => Idempotency::Keyed,
-            WireEffect::SideEffect => Idempotency::NonIdempotent,
-        },
-        key_retention: millis("classes.memory_span", class.memory_span)?,
-        calls_dependency: info
-            .class_calls
-            .get(at)
-            .copied()
-            .unwrap_or(!matches!(info.below, WireBelow::Silent)),
-        degraded_weight: info.class_skip_worth.get(at).copied().unwrap_or(0.0),
-    })
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+    /// The names that the settings use.
+    pub fn names(&self) -> Names {
+        let handlers = self.classes.iter().enumerate().map(|(index, class)| (class.name.clone(), index));
+        let tenants = self.tenants.iter().enumerate().map(|(index, tenant)| (tenant.name.clone(), index));
+        Names {
+            handlers: handlers.collect(),
+            tenants: tenants.collect(),
+            gauges: self.family_info.own_stats.clone(),
+            callers_cancel: self.family_info.cancel_seen,
+        }
+    }
 
-    /// Settings in the shape of regina-main or nairobi-calc, with what is asked for spliced in.
-    fn facts(info: &str, class: &str) -> Facts {
-        let text = format!(
-            r#"{{"classes":[{{"name":"save","objective":2200.0,"deadline":5600.0,"worth":5.0,"effect":"token",
-            "memory_span":16743.0,"write":true}},{{"name":"page","objective":1300.0,"deadline":3200.0,"worth":1.0{class}}}],
-            "family_info":{{"below":"tier","blowup":8.0,"cores":2,"halt":"pause","idle":30000.0,
-            "mem_limit_kb":9000.0{info}}},"limits":{{"retry_after":true,"max_retry_after":1000.0}},
-            "rules":{{"cold_from":0.22,"drain_grace":2500.0,"fall":2000.0,"fall_multiple":8.0,
-            "grace_to_answer":80.0,"warm_up":16000.0}}}}"#
-        );
-        serde_json::from_str(&text).expect("settings of the right form")
+    /// The controller's configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first key whose value is out of range. The ranges of the controller itself are checked by
+    /// [`Config::validate`].
+    pub fn controller_config(&self) -> Result<Config, SettingsError> {
+        let info = &self.family_info;
+        self.check_length("class_calls", info.class_calls.len())?;
+        self.check_length("class_skip_worth", info.class_skip_worth.len())?;
+        let classes = self.classes.iter().enumerate();
+        let tenants = self.tenants.iter();
+        Ok(Config {
+            handlers: classes.map(|(index, class)| self.handler(index, class)).collect::<Result<_, _>>()?,
+            tenants: tenants
+                .map(|tenant| TenantConfig { rate_quota_per_s: tenant.allowance_per_s })
+                .collect(),
+            over_quota_weight: fraction("over_share_worth", self.over_share_worth.unwrap_or(1.0))?,
+            cores: info.cores,
+            memory_kb: info.mem_limit_kb,
+            running_memory_factor: info.blowup,
+            key_kb: info.entry_kb,
+            starts_cold: info.cold,
+            cold_speed: self.rules.cold_from,
+            warm_up: milliseconds("rules.warm_up", self.rules.warm_up)?,
+            max_concurrency_per_core: self.rules.fall_multiple,
+            concurrency_window: milliseconds("rules.fall", self.rules.fall)?,
+            response_slack: milliseconds("rules.grace_to_answer", self.rules.grace_to_answer)?,
+            drain_grace: milliseconds("rules.drain_grace", self.rules.drain_grace)?,
+            dependency: self.dependency()?,
+            cancellation: match info.halt {
+                Halt::Silent => Cancellation::Unsupported,
+                Halt::Drop => Cancellation::DiscardsProgress,
+                Halt::Pause => Cancellation::KeepsProgress,
+            },
+            feedback: match info.say {
+                Say::Level => CallerFeedback::PriorityThreshold,
+                Say::Credit => CallerFeedback::ConcurrencyCredit,
+                Say::Weight => CallerFeedback::TrafficWeight,
+                Say::Silent => CallerFeedback::None,
+            },
+            max_retry_after: match self.limits.retry_after {
+                true => Some(milliseconds("limits.max_retry_after", self.limits.max_retry_after)?),
+                false => None,
+            },
+            servers: self.fleet_size,
+            callers: info.callers,
+            marks_retries: self.clients.marks_retry,
+            idle_timeout: milliseconds("family_info.idle", info.idle)?,
+        })
     }
 
-    #[test]
-    fn the_shape_in_force_follows_from_the_settings_alone() {
-        let old = facts(r#","say":"weight""#, r#","effect":"pure""#);
-        assert_eq!(steering(&old), Ok(Steering::Advice));
-        let new = facts(r#","say":"silent","list_follows":true"#, r#","effect":"side_effect","write":true"#);
-        assert_eq!(steering(&new), Ok(Steering::List));
-        let (config, _) = understand(&new).unwrap();
-        assert_eq!(config.feedback, CallerFeedback::None);
-        assert_eq!(
-            (config.handlers[0].idempotency, config.handlers[1].idempotency),
-            (Idempotency::Keyed, Idempotency::NonIdempotent)
-        );
-        assert_eq!(config.handlers[0].key_retention, Duration::from_millis(16_743));
+    /// A list that goes by class is empty or has an entry for each.
+    fn check_length(&self, key: &'static str, length: usize) -> Result<(), SettingsError> {
+        let classes = self.classes.len();
+        if length == 0 || length == classes {
+            return Ok(());
+        }
+        Err(SettingsError::Length { key, length, classes })
     }
 
-    #[test]
-    fn retries_count_as_marked_unless_the_settings_say_otherwise() {
-        let mut told = facts(r#","say":"silent""#, r#","effect":"pure""#);
-        assert!(understand(&told).unwrap().0.marks_retries);
-        told.clients = serde_json::from_str(r#"{"marks_retry":false}"#).unwrap();
-        assert!(!understand(&told).unwrap().0.marks_retries);
-        assert_eq!(understand(&told).unwrap().0.servers, 0, "how many there are is not told");
-        told.fleet_size = 350;
-        assert_eq!(understand(&told).unwrap().0.servers, 350);
+    fn dependency(&self) -> Result<Dependency, SettingsError> {
+        let info = &self.family_info;
+        Ok(match info.below {
+            Below::Silent => Dependency::None,
+            Below::Tier => Dependency::Tier,
+            Below::Shared => Dependency::Shared {
+                share: info.calls_out,
+                window: milliseconds("family_info.share_span", info.share_span)?,
+                linger: milliseconds("family_info.stays_for", info.stays_for)?,
+            },
+        })
     }
 
-    /// A value beside a list that follows health was refused at start as half a move, and recife-matching has both.
-    #[test]
-    fn the_ways_of_steering_are_told_apart_and_a_write_that_may_run_again_refused() {
-        let both = facts(r#","say":"weight","list_follows":true"#, r#","effect":"pure""#);
-        assert_eq!(steering(&both), Ok(Steering::Both));
-        let neither = facts(r#","say":"silent""#, r#","effect":"pure""#);
-        assert_eq!(steering(&neither), Ok(Steering::Waits));
-        let pure_write = facts(r#","say":"silent""#, r#","effect":"pure","write":true"#);
-        assert!(steering(&pure_write).is_err_and(|problem| problem.starts_with("classes[1].write: ")));
+    fn handler(&self, index: HandlerIndex, class: &Class) -> Result<HandlerConfig, SettingsError> {
+        let info = &self.family_info;
+        let calls_dependency = info.class_calls.get(index).copied();
+        Ok(HandlerConfig {
+            latency_objective: milliseconds("classes.objective", class.objective)?,
+            objective_stretch: class.aim_stretch,
+            client_timeout: milliseconds("classes.deadline", class.deadline)?,
+            priority_weight: class.worth,
+            idempotency: match class.effect {
+                Effect::None => Idempotency::Idempotent,
+                Effect::Keyed => Idempotency::Keyed,
+                Effect::Unkeyed => Idempotency::NonIdempotent,
+            },
+            key_retention: milliseconds("classes.memory_span", class.memory_span)?,
+            calls_dependency: calls_dependency.unwrap_or(info.below != Below::Silent),
+            degraded_weight: info.class_skip_worth.get(index).copied().unwrap_or(0.0),
+        })
     }
 }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -6,7 +6,7 @@
 
 use slab::Slab;
 use tulipgap::{Action, Arrival, Controller, Event, Gauges, Outcome};
-use tulipgap_settings::{self as settings, Names, millis};
+use tulipgap_settings::{Names, Settings, gauge_mut, milliseconds};
 
 /// Input that cannot be read.
 #[derive(Debug, thiserror::Error)]
@@ -81,7 +81,7 @@
     }
 
     fn time(&self, name: &str, value: f64) -> Result<Duration, WireError> {
-        millis(name, value).map_err(|problem| self.error(name, problem))
+        milliseconds(name, value).map_err(|error| self.error(name, error.to_string()))
     }
 
     fn flag(&self, name: &str) -> Result<bool, WireError> {
@@ -117,7 +117,7 @@
             let Some((name, value)) = pair.split_once(':') else {
                 return Err(self.error("feedback", format!("'{pair}' is no name:value pair")));
             };
-            let Some(slot) = settings::gauge(&mut gauges, name) else {
+            let Some(slot) = gauge_mut(&mut gauges, name) else {
                 continue;
             };
             match value.parse::<f64>() {
@@ -143,10 +143,12 @@
     fn spawn(fields: &Fields, now: f64) -> Result<Self, WireError> {
         let seed = fields.whole("prng")?;
         let text = fields.text("facts")?;
-        let (given, names) = settings::read(text).map_err(|problem| fields.error("facts", problem))?;
-        let controller =
-            Controller::new(&given, seed).map_err(|problem| fields.error("facts", problem.to_string()))?;
+        let invalid = |error: &dyn std::error::Error| fields.error("facts", error.to_string());
+        let settings: Settings = text.parse().map_err(|error| invalid(&error))?;
+        let config = settings.controller_config().map_err(|error| invalid(&error))?;
+        let controller = Controller::new(&config, seed).map_err(|error| invalid(&error))?;
         let (ids, indices) = (Slab::new(), HashMap::new());
+        let names = settings.names();
         Ok(Backend { started: now, controller, names, ids, indices, events: vec![Event::Started] })
     }
 
