--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -10,3 +10,4 @@
 mod recording;
 mod serving;
 mod stand;
+mod standing;
--- a/crates/server/tests/program/stand.rs
+++ b/crates/server/tests/program/stand.rs
@@ -35,7 +35,7 @@
     }
 }
 
-/// A kernel that does what a req's body says: "run" ends at once, "hang" when it is told to or stopped, "call"
+/// A kernel that does what a req's body says: "run" ends at once, "large" too with a result of almost 4 KiB, "hang" when it is told to or stopped, "call"
 /// once its call is over.
 #[derive(Default)]
 pub struct Kernel {
@@ -57,6 +57,11 @@
     pub replies: Vec<Vec<u8>>,
 }
 
+/// The result of a run whose body says "large".
+pub fn large_result(id: &str) -> Vec<u8> {
+    id.bytes().cycle().take(4000).collect()
+}
+
 pub type Shared = Arc<Mutex<Kernel>>;
 
 impl Kernel {
@@ -94,6 +99,7 @@
                 *starts += 1;
                 match &body[..] {
                     b"run" => self.end(&id, "success", format!("page \0 {id}").as_bytes()),
+                    b"large" => self.end(&id, "success", &large_result(&id)),
                     b"call" if *starts == 1 => self.notice("IOREQ", id, b"what is called"),
                     _ if std::mem::take(&mut self.cutting) => {
                         let _ = self.link.take().unwrap().shutdown(Shutdown::Both);
