The listener refuses new connections before it closes: those between accept and close were reset

Lines at fault: Clients::accept, between the accept that finds nothing and drop(listener).

Now: the listener is bound to an interface index that does not exist (SO_BINDTOIFINDEX, no rights needed). No new handshake finds it, so the system refuses; backlog and handshakes under way stay, and are accepted for 20 ms more.

--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -5,6 +5,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::net::IpAddr;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -13,6 +14,7 @@
 use may::net::{TcpListener, TcpStream};
 use parking_lot::Mutex;
 use slab::Slab;
+use socket2::SockRef;
 use tulipgap_admission::{Act, Admission, Cause, Conn, News, Trouble};
 use tulipgap_settings::Names;
 use tulipgap_trace::{Reason, hashed};
@@ -53,6 +55,10 @@
 const MEMORY_PART: f64 = 0.45;
 /// How long an accept waits when no descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long handshakes under way get to complete once the listener refuses new connections.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(20);
+/// An interface index that the system does not give to any interface.
+const NO_INTERFACE: Option<NonZeroU32> = NonZeroU32::new(i32::MAX as u32);
 /// By how much the stamp of a req may lie before the opening of its connection here, or after now.
 const STAMP_SLACK: Duration = Duration::from_secs(1);
 /// The memory that a req may ask for, in KB, is below this.
@@ -286,8 +292,15 @@
     /// accepted may hold a whole req, and a listener that closes on it would lose that.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
         *self.listener.lock() = Some(listener.waker());
+        // Once this closes: until when handshakes under way may complete.
+        let mut handshakes_until = None;
         loop {
-            let closing = self.closing.load(Ordering::Acquire);
+            if handshakes_until.is_none() && self.closing.load(Ordering::Acquire) {
+                handshakes_until = Some(refuse_new_connections(&listener));
+            }
+            // Looked at before the accept, so that an empty backlog behind it stays empty.
+            let closing = handshakes_until.is_some();
+            let backlog_is_final = handshakes_until.is_some_and(|until| until <= Instant::now());
             let (may, acted) = self.decide(|admission, now, acts| {
                 let may = admission.may_accept(now, acts);
                 (may, !acts.is_empty())
@@ -299,9 +312,10 @@
             let came = listener.inner().accept().and_then(|(stream, peer)| Ok((adopt(stream)?, peer)));
             match came {
                 Ok((stream, peer)) => self.opened(stream, peer.ip()),
-                // The last look and the closing follow upon each other: newcomers may not be kept out before by anything
-                // that leaves them without an answer, as they would hang for a second and more in place of being refused.
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock && closing => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock && backlog_is_final => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock && closing => {
+                    clock::sleep(TURN_PAUSE)
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => _ = listener.wait_io(),
                 Err(error) => {
                     if let Some(count) = ACCEPTS.pass() {
@@ -702,6 +716,24 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
+/// Has the system refuse new connections while those in the backlog and handshakes under way stay with the listener;
+/// yields until when these handshakes may complete.
+///
+/// The listener is bound to a network interface that does not exist, so no new handshake finds it, and the system answers
+/// as for a port without a listener. A filter would drop the first packet instead, and its caller would hang until it
+/// is sent again. Where the system does not know the option, connections that come between the last accept and the
+/// close are reset.
+fn refuse_new_connections(listener: &TcpListener) -> Instant {
+    let socket = SockRef::from(listener.inner());
+    match socket.bind_device_by_index_v4(NO_INTERFACE) {
+        Ok(()) => Instant::now() + HANDSHAKE_TIMEOUT,
+        Err(error) => {
+            log::warn!("new connections cannot be refused before the listener closes: {error}");
+            Instant::now()
+        }
+    }
+}
+
 /// A descriptor for bad days; without it one more connection is refused later, no more.
 fn spare() -> Option<std::fs::File> {
     std::fs::File::open("/dev/null").ok()
--- a/crates/server/tests/program/stand.rs
+++ b/crates/server/tests/program/stand.rs
@@ -449,6 +449,11 @@
         self.stream.write_all(&call(sequence, method, arguments)).unwrap();
     }
 
+    /// A health check as it is written.
+    pub fn health_check(&self, sequence: u32) -> Vec<u8> {
+        call(sequence, "probe", b"\0")
+    }
+
     pub fn oneway(&mut self, sequence: u32, method: &str) {
         let head = [&b"\x80\x01\0\x04"[..], &string(method.as_bytes()), &sequence.to_be_bytes()].concat();
         self.stream.write_all(&string(&[&head[..], b"\0"].concat())).unwrap();
--- a/crates/server/tests/program/standing.rs
+++ b/crates/server/tests/program/standing.rs
@@ -6,8 +6,8 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::{AsRawFd, FromRawFd, OwnedFd};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use socket2::{Domain, SockRef, Socket, Type};
@@ -228,6 +228,63 @@
     });
 }
 
+/// A connection that is established as the listener closes is answered: none is reset before a byte was read from it.
+#[test]
+fn no_established_connection_is_reset_as_the_listener_closes() {
+    const THREADS: usize = 6;
+    const STARTS_PER_THREAD: usize = 10;
+    const CALLERS: usize = 6;
+    let lost = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                let mut stand = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":50.0"#)]);
+                for _ in 0..STARTS_PER_THREAD {
+                    lost.lock().unwrap().extend(resets_at_shutdown(&mut stand, CALLERS));
+                    stand.child = start(&stand.file);
+                    stand.serves();
+                }
+            });
+        }
+    });
+    assert_eq!(lost.into_inner().unwrap(), Vec::<String>::new(), "reset");
+}
+
+/// Ends the backend while so many callers connect, and yields what became of connections that were reset.
+fn resets_at_shutdown(stand: &mut Stand, callers: usize) -> Vec<String> {
+    let address: SocketAddr = format!("{}:6565", stand.host).parse().unwrap();
+    stand.signal("TERM");
+    let resets = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..callers).map(|_| scope.spawn(|| connect_until_refused(address))).collect();
+        callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+    });
+    assert_eq!(stand.ended().code(), Some(0));
+    resets
+}
+
+/// Connects again and again with a health check on each connection; yields what became of those that were reset before
+/// anything came from the backend.
+fn connect_until_refused(address: SocketAddr) -> Vec<String> {
+    let mut resets = Vec::new();
+    loop {
+        let stream = match TcpStream::connect_timeout(&address, LONG) {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return resets,
+            Err(error) => {
+                resets.push(format!("connect: {error}"));
+                continue;
+            }
+        };
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let mut edge = Edge { stream };
+        // The write fails where the connection was reset before; the read then tells the same.
+        let _ = edge.stream.write_all(&edge.health_check(1));
+        if let Err(error) = edge.stream.read(&mut [0]) {
+            resets.push(format!("read: {error}"));
+        }
+    }
+}
+
 /// A call's reply and the reset behind it stand in the buffer before the backend reads either: the reply counts.
 #[test]
 fn a_store_reply_that_stands_before_a_reset_is_used() {
