A close waits for answers on their way: a request that crossed it reset the connection

The ring was empty and nothing was open, so the connection closed at the shutdown with the answers still in the socket's send buffer; a request that arrived behind the close made the system reset the connection and drop them.

Lines at fault: Clients::carry, the return for a connection that is to end. The return for what is no message sees the peer off; this one did not.

Ruled out: unread bytes before the close (they are read first; a test forces it); answers in the ring (the connection stays until it is empty). Seeing off every connection would hold each place of a silent peer for up to 1 s when places are short, so that is not done.

Now: where the system reports unacknowledged output (TIOCOUTQ) the connection is shut for writing, and what still comes is read and dropped for up to 1 s.

--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -520,6 +520,10 @@
             }
             // What has come is read first.
             if done && link.input.len() == 0 && ending {
+                // What still crosses the close would reset the connection, and answers on their way with it.
+                if link.has_unacknowledged_output() {
+                    link.see_off();
+                }
                 return Ok(());
             }
             if turn < TURN_MOST { link.wait() } else { clock::sleep(TURN_PAUSE) }
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -11,7 +11,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr};
-use std::os::fd::{FromRawFd, IntoRawFd};
+use std::os::fd::{AsRawFd, FromRawFd, IntoRawFd};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -207,6 +207,15 @@
         if self.at_end { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
     }
 
+    /// Whether the peer's system has not acknowledged all that was written: a reset would drop the rest. False where the
+    /// system does not tell.
+    pub fn has_unacknowledged_output(&self) -> bool {
+        let mut bytes: libc::c_int = 0;
+        // Safe: the descriptor is open as long as the stream is, and the call writes that one integer.
+        let result = unsafe { libc::ioctl(self.stream.as_raw_fd(), libc::TIOCOUTQ, &mut bytes) };
+        result == 0 && bytes > 0
+    }
+
     /// Lets the peer read all that was written before this closes: what it still sends is read and dropped, for
     /// a socket closed with bytes unread would cut off the answers on their way.
     pub fn see_off(&mut self) {
--- a/crates/server/tests/program/standing.rs
+++ b/crates/server/tests/program/standing.rs
@@ -228,6 +228,35 @@
     });
 }
 
+/// The answers to a slow reader wait in the send buffer as the backend closes the connection, and a request crosses the
+/// close: its bytes arrive behind the close, so the system reset the connection and dropped all answers.
+#[test]
+fn a_request_that_crosses_the_close_does_not_reset_answers_on_their_way() {
+    const REQUESTS: u32 = 16;
+    let mut stand = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":100.0"#)]);
+    let mut edge = slow_reader(&stand);
+    for sequence in 1..=REQUESTS {
+        edge.req(sequence, &format!("000000000a09{sequence:04x}"), b"large");
+    }
+    until("all are answered", || {
+        let mut probe = stand.edge();
+        probe.call(1, "probe", b"\0");
+        probe.answer();
+        stand.kernel.lock().unwrap().ends.len() as u32 == REQUESTS
+    });
+    stand.signal("TERM");
+    // Behind the grace and the 60 ms that a connection then has.
+    std::thread::sleep(Duration::from_millis(500));
+    let late = edge.message(99, &fields("000000000a0a0001", "20.0"), b"run");
+    let _ = edge.stream.write_all(&late);
+    std::thread::sleep(Duration::from_millis(50));
+    let answers = answers_until_close(&mut edge);
+    let answered = (1..=REQUESTS).filter(|sequence| answers.get(sequence) == Some(&1)).count();
+    assert_eq!(answered as u32, REQUESTS, "answers lost: {answers:?}");
+    assert!(!was_run(&stand, "000000000a0a0001"), "run behind the close");
+    assert_eq!(stand.ended().code(), Some(0));
+}
+
 /// A connection that is established as the listener closes is answered: none is reset before a byte was read from it.
 #[test]
 fn no_established_connection_is_reset_as_the_listener_closes() {
