crates/cluster becomes crates/membership: SWIM's and Lifeguard's terms, one job a file

Old reading: members.rs held failure detector, suspicion, dissemination, anti-entropy and reachability in one file of 693 lines under words of its own (facts, spread, held, heard of, tell, errand, odd), its errors were one enum for three uses, a probe was two flags and a count, and the messages were Ask, Told, Members, Taken.

Now: Membership dispatches events and owns the state; failure_detector.rs, suspicion.rs, dissemination.rs, anti_entropy.rs, reachability.rs, local_health.rs, broadcast_queue.rs, member_table.rs, metadata.rs have one part each. Inputs are Event, outputs Action, parameters Config with memberlist's names. ConfigError and MetadataError have a variant a cause and say what is expected; an empty key of the metadata is a cause of its own. Incarnation and SequenceNumber are newtypes; the phase of a probe, the outcome of a relayed probe and a change of a verdict are enums. probing.rs is dependency_probe.rs: Input, Output, DependencyProber. Every public item is documented, missing_docs is a lint of the workspace for packages that ask for it, and the crate's page has an example that runs.

The bytes of messages are the same (tests/wire_format.rs, golden frames). The control socket keeps its words: the server maps Reachability to heard, oneway, through and nobody in one place. Callers changed by their use of the names alone.

--- /dev/null
+++ b/crates/membership/src/config.rs
@@ -0,0 +1,141 @@
+//! The parameters of the membership protocol, named as memberlist names them, and their check.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use crate::node::{MAX_NAME_BYTES, Node, is_valid_name};
+
+/// No interval and no time limit is this long.
+const MAX_INTERVAL: Duration = Duration::from_secs(3600);
+const MULTIPLIERS: RangeInclusive<f64> = 1.0..=100.0;
+const UPDATES_PER_MESSAGE: RangeInclusive<usize> = 1..=1000;
+const MEMBERS: RangeInclusive<usize> = 1..=100_000;
+
+/// The parameters of the protocol. All members of a cluster should have the same.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The protocol period: the time between two probes. Over zero, under an hour.
+    pub probe_interval: Duration,
+    /// How long a direct probe waits for its answer before others are asked; less than half of the probe interval.
+    pub probe_timeout: Duration,
+    /// The number of members that are asked to probe a member that did not answer (SWIM's `k`).
+    pub indirect_checks: usize,
+    /// The shortest time that a suspicion stands, in probe intervals times the decimal logarithm of the number of
+    /// members (at least 1). From 1 to 100.
+    pub suspicion_mult: f64,
+    /// The longest time that a suspicion stands, where nobody else confirms it, in multiples of the shortest. From 1 to
+    /// 100.
+    pub suspicion_max_timeout_mult: f64,
+    /// The worst score of the local health: a node with this score stretches its intervals and time limits by a factor of
+    /// one more. With 0 the protocol is plain SWIM.
+    pub max_awareness: u32,
+    /// How often an update is sent, in multiples of the binary logarithm of the number of members. From 1 to 100.
+    pub retransmit_mult: f64,
+    /// The most updates that a message of the failure detector carries. From 1 to 1,000.
+    pub max_updates_per_message: usize,
+    /// The most other members that are recorded, dead ones included. From 1 to 100,000.
+    pub max_members: usize,
+    /// The time between two exchanges of the complete state, on average. Over zero, under an hour.
+    pub push_pull_interval: Duration,
+    /// How long a member that is dead or has left stays recorded. Longer than the probe interval.
+    pub dead_member_retention: Duration,
+    /// Addresses at which other members may be found.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            probe_interval: Duration::from_millis(500),
+            probe_timeout: Duration::from_millis(150),
+            indirect_checks: 3,
+            suspicion_mult: 4.0,
+            suspicion_max_timeout_mult: 6.0,
+            max_awareness: 8,
+            retransmit_mult: 4.0,
+            max_updates_per_message: 12,
+            max_members: 2000,
+            push_pull_interval: Duration::from_secs(5),
+            dead_member_retention: Duration::from_secs(600),
+            seeds: Vec::new(),
+        }
+    }
+}
+
+/// Why a configuration or the identity of a node was rejected.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum ConfigError {
+    /// A parameter of [`Config`] is out of range.
+    #[error("{parameter} is out of range: it must be {expected}")]
+    OutOfRange {
+        /// The field of [`Config`].
+        parameter: &'static str,
+        /// The range.
+        expected: &'static str,
+    },
+    /// A name of the node is empty or too long.
+    #[error("the {field} of the node has {length} bytes: it must have 1 to {MAX_NAME_BYTES}")]
+    NameLength {
+        /// The field of [`Node`].
+        field: &'static str,
+        /// Its length in bytes.
+        length: usize,
+    },
+}
+
+impl Config {
+    /// Checks each parameter.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError::OutOfRange`] with the first parameter that is out of range.
+    pub(crate) fn validate(&self) -> Result<(), ConfigError> {
+        const INTERVAL: &str = "over zero and under an hour";
+        const MULTIPLIER: &str = "from 1 to 100";
+        let is_interval = |span: Duration| span > Duration::ZERO && span < MAX_INTERVAL;
+        let is_timeout = is_interval(self.probe_timeout) && self.probe_timeout * 2 < self.probe_interval;
+        let checks = [
+            ("probe_interval", is_interval(self.probe_interval), INTERVAL),
+            ("probe_timeout", is_timeout, "over zero and under half of probe_interval"),
+            ("suspicion_mult", MULTIPLIERS.contains(&self.suspicion_mult), MULTIPLIER),
+            (
+                "suspicion_max_timeout_mult",
+                MULTIPLIERS.contains(&self.suspicion_max_timeout_mult),
+                MULTIPLIER,
+            ),
+            ("retransmit_mult", MULTIPLIERS.contains(&self.retransmit_mult), MULTIPLIER),
+            (
+                "max_updates_per_message",
+                UPDATES_PER_MESSAGE.contains(&self.max_updates_per_message),
+                "from 1 to 1,000",
+            ),
+            ("max_members", MEMBERS.contains(&self.max_members), "from 1 to 100,000"),
+            ("push_pull_interval", is_interval(self.push_pull_interval), INTERVAL),
+            (
+                "dead_member_retention",
+                self.dead_member_retention > self.probe_interval,
+                "longer than probe_interval",
+            ),
+        ];
+        match checks.into_iter().find(|(_, is_valid, _)| !is_valid) {
+            Some((parameter, _, expected)) => Err(ConfigError::OutOfRange { parameter, expected }),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Node {
+    /// Checks the length of each name.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError::NameLength`] with the first name whose length is out of bounds.
+    pub(crate) fn validate(&self) -> Result<(), ConfigError> {
+        let names = [("name", &self.name), ("region", &self.region), ("zone", &self.zone)];
+        match names.into_iter().find(|(_, name)| !is_valid_name(name)) {
+            Some((field, name)) => Err(ConfigError::NameLength { field, length: name.len() }),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,70 @@
+//! Cluster membership: which processes belong to a cluster, which of them are alive, and which of them can reach which.
+//!
+//! The crate is a state machine without I/O and without a clock. The host hands in [`Event`]s together with the time
+//! that has passed since it started, and carries out the [`Action`]s that come back: send a message, set a timer, note
+//! that the state of a member has changed. All random choices come from the seed, so that a run can be repeated.
+//!
+//! What it decides:
+//!
+//! - **Failure detection**: [`Membership`] probes one member in each protocol period, directly and then through others,
+//!   and declares a member dead when nobody gets an answer from it and it does not refute the suspicion in time.
+//! - **Dissemination**: updates about members ride on the messages of the failure detector, and the complete state is
+//!   exchanged with a random member at a longer interval (push-pull).
+//! - **Reachability**: the answers of other members tell a crashed member from a cut link between two live ones
+//!   ([`Reachability`]).
+//! - **Dependency probing**: [`dependency_probe`] decides which process of a zone probes a dependency that is down.
+//!
+//! The protocol is SWIM (Das, Gupta, Motivala: "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+//! Protocol", 2002) with the three extensions of Lifeguard (Dadgar, Phillips, Currey: "Lifeguard: Local Health Awareness
+//! for More Accurate Failure Detection", 2017). `docs/design-cluster.md` has the alternatives and the measurements.
+//!
+//! ```
+//! use std::time::Duration;
+//! use tulipgap_membership::{Action, Config, Event, Incarnation, Membership, Node, SUPPORTED_VERSIONS};
+//!
+//! let node = Node {
+//!     name: "north-1".into(),
+//!     address: ([127, 0, 0, 1], 7100).into(),
+//!     region: "coast".into(),
+//!     zone: "north".into(),
+//!     version: *SUPPORTED_VERSIONS.end(),
+//! };
+//! let seeds = vec![([127, 0, 0, 2], 7100).into()];
+//! let config = Config { seeds: seeds.clone(), ..Config::default() };
+//! let mut membership = Membership::new(config, node, Incarnation::default(), 42)?;
+//!
+//! // The first action is a timer; when it expires, the node asks the seed to let it join.
+//! let actions = membership.handle_events(Duration::ZERO, &[Event::Started]);
+//! let [Action::SetTimer { at }] = actions[..] else { panic!("{actions:?}") };
+//! let actions = membership.handle_events(at, &[Event::TimerExpired]);
+//! assert!(matches!(&actions[0], Action::Send { to, .. } if *to == seeds[0]));
+//! # Ok::<(), tulipgap_membership::ConfigError>(())
+//! ```
+#![warn(missing_docs)]
+
+mod anti_entropy;
+mod broadcast_queue;
+mod config;
+pub mod dependency_probe;
+mod dissemination;
+mod event;
+mod failure_detector;
+mod local_health;
+mod member_table;
+mod membership;
+mod message;
+mod metadata;
+mod node;
+mod reachability;
+mod suspicion;
+
+pub use config::{Config, ConfigError};
+pub use event::{Action, Event};
+pub use member_table::MemberRecord;
+pub use membership::Membership;
+pub use message::{
+    Incarnation, MemberState, MemberUpdate, Message, MessageBody, RelayedProbeOutcome, SequenceNumber,
+};
+pub use metadata::{MAX_METADATA_ENTRIES, MAX_METADATA_TEXT_BYTES, Metadata, MetadataError};
+pub use node::{MAX_NAME_BYTES, Node, NodeName, SUPPORTED_VERSIONS};
+pub use reachability::{MAX_UNREACHABLE_PEERS, Reachability};
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -20,7 +20,7 @@
 /// One thing that is said.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Word {
-    Member(tulipgap_cluster::Message),
+    Member(tulipgap_membership::Message),
     Peer(Peer),
     Ask {
         ask: u64,
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -28,26 +28,26 @@
         held: vec![Held { who: who.clone(), token: 5, beat: 9, ends: false }],
         queue: vec![Waiting { who, beat: 10 }],
     };
-    let about = tulipgap_cluster::About {
+    let node = tulipgap_membership::Node {
         name: "north-1".into(),
         address: ([127, 0, 0, 1], 7100).into(),
         region: "coast".into(),
         zone: "north".into(),
         version: 1,
     };
-    let update = tulipgap_cluster::Update {
-        about,
-        incarnation: 3,
-        state: tulipgap_cluster::State::Suspect,
-        by: Some("west-1".into()),
-        facts: Default::default(),
-        unheard: Default::default(),
+    let update = tulipgap_membership::MemberUpdate {
+        node,
+        incarnation: tulipgap_membership::Incarnation(3),
+        state: tulipgap_membership::MemberState::Suspect,
+        reported_by: Some("west-1".into()),
+        metadata: Default::default(),
+        unreachable_peers: Default::default(),
     };
-    let message = tulipgap_cluster::Message {
+    let message = tulipgap_membership::Message {
         from: "north-1".into(),
         to: Some("west-1".into()),
-        body: tulipgap_cluster::Body::Ask {
-            number: 4,
+        body: tulipgap_membership::MessageBody::IndirectPing {
+            sequence_number: tulipgap_membership::SequenceNumber(4),
             target: "south-1".into(),
             address: ([127, 0, 0, 3], 7100).into(),
         },
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use tulipgap_cluster::State;
+use tulipgap_membership::MemberState;
 
 use crate::plan::Checks;
 
@@ -41,7 +41,7 @@
     pub observer: usize,
     pub of: usize,
     pub names: &'a [(String, String)],
-    pub held: Option<State>,
+    pub held: Option<MemberState>,
     /// Both live and awake, and messages go through between them both ways.
     pub reachable: bool,
     /// The other is dead.
@@ -71,15 +71,16 @@
 
     /// Looks at one pair; the observer lives and is awake.
     pub fn look(&mut self, now: Duration, pair: &Pair) {
-        let held_dead = pair.reachable && pair.held == Some(State::Dead);
+        let held_dead = pair.reachable && pair.held == Some(MemberState::Dead);
         let span = since(&mut self.held_dead, now, pair, held_dead);
         self.worst.held_dead = self.worst.held_dead.max(span);
         self.against("held_dead", self.bounds.held_dead, now, span, pair);
-        let unknown = pair.dead && matches!(pair.held, Some(State::Alive | State::Suspect));
+        let unknown = pair.dead && matches!(pair.held, Some(MemberState::Alive | MemberState::Suspect));
         let span = since(&mut self.unknown, now, pair, unknown);
         self.worst.known = self.worst.known.max(span);
         self.against("known", self.bounds.known, now, span, pair);
-        let differs = if pair.dead { unknown } else { pair.reachable && pair.held != Some(State::Alive) };
+        let differs =
+            if pair.dead { unknown } else { pair.reachable && pair.held != Some(MemberState::Alive) };
         if differs && now > self.quiet_from {
             let span = now - self.quiet_from;
             self.worst.agree = self.worst.agree.max(span);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,5 +1,5 @@
 //! Plays faults between the members of a cluster, in simulated time and between real processes, and checks what they promise. The state
-//! machines are the very ones of `tulipgap-cluster`. docs/rig.md has the file and the checks.
+//! machines are the very ones of `tulipgap-membership`. docs/rig.md has the file and the checks.
 
 mod chaos;
 mod check;
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tulipgap_cluster::{About, Terms, VERSIONS};
+use tulipgap_membership::{Config, Incarnation, Membership, Node, SUPPORTED_VERSIONS};
 
 /// More makes no sense in one run.
 const MEMBERS_MOST: usize = 2000;
@@ -192,8 +192,8 @@
 }
 
 impl Changed {
-    fn terms(self) -> Result<Terms, PlanError> {
-        let usual = Terms::default();
+    fn terms(self) -> Result<Config, PlanError> {
+        let usual = Config::default();
         let span = |name: &str, value: Option<f64>, usual: Duration| match value {
             None => Ok(usual),
             Some(value) => Duration::try_from_secs_f64(value).map_err(|error| PlanError::Meaning {
@@ -201,12 +201,12 @@
                 problem: error.to_string(),
             }),
         };
-        Ok(Terms {
-            period: span("period", self.period, usual.period)?,
-            timeout: span("timeout", self.timeout, usual.timeout)?,
-            awareness_most: self.awareness.unwrap_or(usual.awareness_most),
-            suspicion: self.suspicion.unwrap_or(usual.suspicion),
-            suspicion_most: self.suspicion_most.unwrap_or(usual.suspicion_most),
+        Ok(Config {
+            probe_interval: span("period", self.period, usual.probe_interval)?,
+            probe_timeout: span("timeout", self.timeout, usual.probe_timeout)?,
+            max_awareness: self.awareness.unwrap_or(usual.max_awareness),
+            suspicion_mult: self.suspicion.unwrap_or(usual.suspicion_mult),
+            suspicion_max_timeout_mult: self.suspicion_most.unwrap_or(usual.suspicion_max_timeout_mult),
             ..usual
         })
     }
@@ -327,7 +327,7 @@
     pub members: Vec<Members>,
     pub faults: Vec<Fault>,
     pub checks: Checks,
-    pub terms: Terms,
+    pub terms: Config,
     /// Who votes on leases.
     pub voters: Vec<String>,
     pub leases: Vec<Wanted>,
@@ -426,15 +426,15 @@
                 );
             }
         }
-        let about = About {
+        let node = Node {
             name: "a".into(),
             address: ([127, 0, 0, 1], 1).into(),
             region: "a".into(),
             zone: "a".into(),
-            version: *VERSIONS.end(),
+            version: *SUPPORTED_VERSIONS.end(),
         };
-        if let Err(unfit) = tulipgap_cluster::Members::new(self.terms.clone(), about, 0, 0) {
-            return wrong("terms".into(), &unfit.to_string());
+        if let Err(error) = Membership::new(self.terms.clone(), node, Incarnation::default(), 0) {
+            return wrong("terms".into(), &error.to_string());
         }
         let mut voters = self.voters.clone();
         voters.sort();
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use tulipgap_cluster::State;
+use tulipgap_membership::MemberState;
 
 use crate::check::{Checker, Pair, Worst};
 use crate::plan::{Fault, Left, Plan, Trouble, Wanted};
@@ -493,7 +493,7 @@
 struct Views {
     checker: Checker,
     next: Instant,
-    held: Vec<Vec<Option<State>>>,
+    held: Vec<Vec<Option<MemberState>>>,
 }
 
 impl Views {
@@ -525,11 +525,11 @@
                 let reachable = awake(other) && open;
                 let (dead, names) = (other.child.is_none(), &net.names[..]);
                 let before = std::mem::replace(&mut self.held[observer][of], state);
-                false_deaths += u64::from(reachable && state == Some(State::Dead) && before != state);
+                false_deaths += u64::from(reachable && state == Some(MemberState::Dead) && before != state);
                 agree &= if dead {
-                    matches!(state, Some(State::Dead | State::Left) | None)
+                    matches!(state, Some(MemberState::Dead | MemberState::Left) | None)
                 } else {
-                    state == Some(State::Alive)
+                    state == Some(MemberState::Alive)
                 };
                 self.checker.look(now, &Pair { observer, of, names, held: state, reachable, dead });
             }
@@ -547,7 +547,7 @@
 }
 
 /// What a process says of the others, by name.
-fn asked(control: &Path) -> io::Result<BTreeMap<String, State>> {
+fn asked(control: &Path) -> io::Result<BTreeMap<String, MemberState>> {
     let mut stream = std::os::unix::net::UnixStream::connect(control)?;
     stream.set_read_timeout(Some(ASK_WAIT))?;
     stream.write_all(b"{\"do\":\"members\"}\n")?;
@@ -557,10 +557,10 @@
     let rows = told["members"].as_array().into_iter().flatten();
     let state = |row: &serde_json::Value| {
         let state = match row["state"].as_str()? {
-            "alive" => State::Alive,
-            "suspect" => State::Suspect,
-            "dead" => State::Dead,
-            _ => State::Left,
+            "alive" => MemberState::Alive,
+            "suspect" => MemberState::Suspect,
+            "dead" => MemberState::Dead,
+            _ => MemberState::Left,
         };
         Some((row["name"].as_str()?.to_owned(), state))
     };
--- a/crates/rig/src/simulate.rs
+++ b/crates/rig/src/simulate.rs
@@ -5,7 +5,10 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use tulipgap_cluster::{About, Action, Event, Message, State};
+use tulipgap_membership::{
+    Action, Config, Event, Incarnation, MemberState, Membership, Message, MessageBody, Node,
+    SUPPORTED_VERSIONS,
+};
 
 use crate::check::{Broken, Checker, Pair, Worst};
 use crate::plan::{Fault, Plan};
@@ -50,7 +53,7 @@
 
 struct Process {
     address: SocketAddr,
-    decider: Option<tulipgap_cluster::Members>,
+    decider: Option<Membership>,
     started: Duration,
     stopped: bool,
     /// What came while it was stopped.
@@ -73,7 +76,7 @@
     processes: Vec<Process>,
     at: HashMap<SocketAddr, usize>,
     /// What each holds of each, as it said so itself.
-    held: Vec<Vec<Option<State>>>,
+    held: Vec<Vec<Option<MemberState>>>,
     members: HashMap<String, usize>,
     messages: u64,
     false_deaths: u64,
@@ -191,7 +194,7 @@
                     checker.anew(member);
                     let waiting = std::mem::take(&mut process.waiting);
                     if std::mem::replace(&mut process.alarm, false) {
-                        self.tell(member, &[Event::Alarm]);
+                        self.tell(member, &[Event::TimerExpired]);
                     }
                     for (from, message) in waiting {
                         self.receive(member, from, message);
@@ -204,7 +207,7 @@
                 } else if process.stopped {
                     process.alarm = true;
                 } else {
-                    self.tell(member, &[Event::Alarm]);
+                    self.tell(member, &[Event::TimerExpired]);
                 }
             }
             What::Deliver { to, from, message } => {
@@ -230,20 +233,20 @@
         let first = |&member: &usize| member == 0 || self.names[member].1 != self.names[member - 1].1;
         let seeds =
             (0..self.names.len()).filter(first).map(|member| self.processes[member].address).collect();
-        let terms = tulipgap_cluster::Terms { seeds, ..self.plan.terms.clone() };
+        let config = Config { seeds, ..self.plan.terms.clone() };
         let (name, zone) = self.names[member].clone();
         let address = self.processes[member].address;
         let region = self.plan.members.iter().find(|m| m.zone == zone).map_or("", |m| m.region.as_str());
         let region = if region.is_empty() { &zone } else { region };
-        let about = About {
+        let node = Node {
             name: name.into(),
             address,
             region: region.into(),
             zone: zone.as_str().into(),
-            version: *tulipgap_cluster::VERSIONS.end(),
+            version: *SUPPORTED_VERSIONS.end(),
         };
         let seed = self.rng.u64(..);
-        let decider = tulipgap_cluster::Members::new(terms, about, 0, seed).ok();
+        let decider = Membership::new(config, node, Incarnation::default(), seed).ok();
         let process = &mut self.processes[member];
         (process.decider, process.started, process.died) = (decider, self.now, None);
         process.life += 1;
@@ -264,26 +267,26 @@
         let process = &mut self.processes[member];
         let (life, since) = (process.life, self.now - process.started);
         let Some(decider) = &mut process.decider else { return };
-        for action in decider.decide(since, events) {
+        for action in decider.handle_events(since, events) {
             match action {
                 Action::Send { to, message } => self.send(member, to, message),
-                Action::Alarm { at } => {
+                Action::SetTimer { at } => {
                     let at = self.processes[member].started + at;
                     self.put(at, member, What::Alarm { life });
                 }
-                Action::Changed { name, state, .. } => self.changed(member, &name, state),
-                Action::NameTaken { .. } | Action::Refused { .. } => {}
+                Action::StateChanged { name, state, .. } => self.changed(member, &name, state),
+                Action::NameConflict { .. } | Action::MetadataRejected { .. } => {}
             }
         }
     }
 
-    fn changed(&mut self, observer: usize, name: &str, state: State) {
+    fn changed(&mut self, observer: usize, name: &str, state: MemberState) {
         for value in [observer as u64, state as u64, self.now.as_micros() as u64] {
             self.trace = (self.trace ^ value).wrapping_mul(0x0100_0000_01b3);
         }
         let Some(&of) = self.members.get(name) else { return };
         self.held[observer][of] = Some(state);
-        if state != State::Dead {
+        if state != MemberState::Dead {
             return;
         }
         let process = &mut self.processes[of];
@@ -312,7 +315,7 @@
         let Some(&to) = self.at.get(&to) else { return };
         match self.flaw {
             Some(Flaw::Mute) if from == 0 && self.now >= MUTE_FROM => return,
-            Some(Flaw::Untold) => message.updates.retain(|update| update.about.name == message.from),
+            Some(Flaw::Untold) => message.updates.retain(|update| update.node.name == message.from),
             _ => {}
         }
         let now = self.now.as_secs_f64();
@@ -332,8 +335,8 @@
     }
 
     fn answer_as_ghost(&mut self, ghost: usize, from: usize, message: &Message) {
-        if let (Some(Flaw::Ghost), tulipgap_cluster::Body::Ping { number }) = (self.flaw, &message.body) {
-            let body = tulipgap_cluster::Body::Ack { number: *number };
+        if let (Some(Flaw::Ghost), MessageBody::Ping { sequence_number }) = (self.flaw, &message.body) {
+            let body = MessageBody::Ack { sequence_number: *sequence_number };
             let name = self.names[ghost].0.as_str().into();
             let answer = Message { from: name, to: Some(message.from.clone()), body, updates: Vec::new() };
             self.send(ghost, self.processes[from].address, answer);
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -1,5 +1,5 @@
 //! A process among others: membership, leases and, where it is one of them, a voter. All of it runs on threads of its own;
-//! nothing here is started unless the block `cluster` says so. What is decided is decided in the packages `cluster`, `agree`
+//! nothing here is started unless the block `cluster` says so. What is decided is decided in the packages `membership`, `agree`
 //! and `leases`; here their events come in and their actions are carried out.
 
 use std::collections::{BTreeMap, HashMap};
@@ -13,10 +13,12 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tulipgap_agree::{Action as Agreed, Event as Heard, Seat};
-use tulipgap_cluster::probing::{Look, Probing};
-use tulipgap_cluster::{About, Members};
 use tulipgap_durable::{Disk, Folder};
 use tulipgap_leases::{Action, Command, Event, Holder, Name, Permit, Shape, Stale, Standing, Who};
+use tulipgap_membership::dependency_probe::{
+    DependencyProber, Input as ProbeInput, ProbeOutcome, Verdict, VerdictChange,
+};
+use tulipgap_membership::{Incarnation, MemberState, MemberUpdate, Membership, Node, Reachability};
 use tulipgap_peer::{Frames, Said, Word};
 
 use crate::control::{self, Request};
@@ -161,15 +163,16 @@
     let routes: HashMap<_, _> = trial.routes().into_iter().collect();
     let of = Opened { listen, frames, me: me.clone(), life, routes };
     let links = Links::open(of, said).map_err(|error| at(&told.listen, &error))?;
-    let about = About {
+    let node = Node {
         name: me.clone(),
         address: listen,
         region: told.region.as_str().into(),
         zone: told.zone.as_str().into(),
-        version: *tulipgap_cluster::VERSIONS.end(),
+        version: *tulipgap_membership::SUPPORTED_VERSIONS.end(),
     };
-    let terms = tulipgap_cluster::Terms { seeds: told.seeds(), ..Default::default() };
-    let members = Members::new(terms, about, 0, seed ^ life).map_err(|error| at("member", &error))?;
+    let config = tulipgap_membership::Config { seeds: told.seeds(), ..Default::default() };
+    let members = Membership::new(config, node, Incarnation::default(), seed ^ life)
+        .map_err(|error| at("member", &error))?;
     let voters: Vec<Name> = told.voters.iter().map(|voter| voter.as_str().into()).collect();
     let off = (told.clock_off * 1000.0).round() as u32;
     let who = Who { name: me.clone(), life };
@@ -266,7 +269,7 @@
 }
 
 fn probe_store(leases: &Leases, inputs: &SyncSender<Input>, lease: &str, store: &Store) {
-    let (mut probing, mut wanted) = (Probing::default(), false);
+    let (mut probing, mut wanted) = (DependencyProber::default(), false);
     let (mut probed, mut permit) = (None, None);
     loop {
         std::thread::sleep(PROBE_LOOK);
@@ -278,7 +281,9 @@
         if inputs.send(Input::Facts(STORE_FACT, reply)).is_err() {
             return;
         }
-        let verdicts = facts.recv_timeout(Duration::from_secs(1)).unwrap_or_default();
+        let facts = facts.recv_timeout(Duration::from_secs(1)).unwrap_or_default();
+        let verdicts: Vec<Verdict> =
+            facts.into_iter().map(|(member, text)| Verdict { member, text }).collect();
         if permit.is_none() && wanted {
             permit = leases.begin(lease).ok();
         }
@@ -286,15 +291,24 @@
         if !holds && let Some(stale) = permit.take() {
             leases.done(stale);
         }
-        let look = Look { refused: store.refused(), holds, probed: probed.take(), verdicts: &verdicts };
-        let course = probing.look(leases.clock.now(), &look);
-        if let Some(verdict) = course.publish {
+        let input = ProbeInput {
+            consecutive_refusals: store.refused(),
+            has_lease: holds,
+            probe_outcome: probed.take(),
+            verdicts: &verdicts,
+        };
+        let output = probing.update(leases.clock.now(), &input);
+        if let Some(change) = output.verdict_change {
+            let verdict = match change {
+                VerdictChange::Publish(text) => Some(text),
+                VerdictChange::Withdraw => None,
+            };
             let _ = inputs.send(Input::Publish(STORE_FACT, verdict));
         }
-        store.hold_down(course.down);
-        if course.wants && !wanted {
+        store.hold_down(output.is_down);
+        if output.should_have_lease && !wanted {
             leases.want(lease, PROBE_SHAPE, PROBE_STEP);
-        } else if !course.wants && wanted {
+        } else if !output.should_have_lease && wanted {
             if let Some(permit) = permit.take() {
                 leases.done(permit);
             }
@@ -303,11 +317,12 @@
                 store.answers();
             }
         }
-        wanted = course.wants;
-        if course.probe
+        wanted = output.should_have_lease;
+        if output.should_probe
             && let Some(address) = store.address()
         {
-            probed = Some(std::net::TcpStream::connect_timeout(&address, PROBE_STEP).is_ok());
+            let connected = std::net::TcpStream::connect_timeout(&address, PROBE_STEP);
+            probed = Some(if connected.is_ok() { ProbeOutcome::Succeeded } else { ProbeOutcome::Failed });
         }
     }
 }
@@ -409,7 +424,7 @@
 }
 
 struct Core {
-    members: Members,
+    members: Membership,
     holder: Arc<Mutex<Holder>>,
     seat: Option<Voting>,
     clock: Clock,
@@ -426,7 +441,7 @@
 
 impl Core {
     fn run(mut self, inputs: &Receiver<Input>) {
-        let started = self.members.decide(self.clock.now(), &[tulipgap_cluster::Event::Started]);
+        let started = self.members.handle_events(self.clock.now(), &[tulipgap_membership::Event::Started]);
         self.member_actions(started);
         loop {
             let again = self.waiting.values().map(|waits| waits.again_at).min();
@@ -445,8 +460,8 @@
                     Input::Operator(request, reply) => self.operator(request, reply),
                     Input::Facts(key, reply) => _ = reply.try_send(self.facts(key)),
                     Input::Publish(key, value) => {
-                        let event = tulipgap_cluster::Event::Publish { key: key.into(), value };
-                        let actions = self.members.decide(self.clock.now(), &[event]);
+                        let event = tulipgap_membership::Event::SetMetadata { key: key.into(), value };
+                        let actions = self.members.handle_events(self.clock.now(), &[event]);
                         self.member_actions(actions);
                     }
                     Input::HandOn => self.voter(Heard::Leave),
@@ -461,7 +476,7 @@
         let now = self.clock.now();
         if self.members_at.is_some_and(|at| at <= now) {
             self.members_at = None;
-            let actions = self.members.decide(now, &[tulipgap_cluster::Event::Alarm]);
+            let actions = self.members.handle_events(now, &[tulipgap_membership::Event::TimerExpired]);
             self.member_actions(actions);
         }
         if self.holder_at.is_some_and(|at| at <= now) {
@@ -496,28 +511,30 @@
         }
     }
 
-    fn member_actions(&mut self, actions: Vec<tulipgap_cluster::Action>) {
-        use tulipgap_cluster::Action as Do;
+    fn member_actions(&mut self, actions: Vec<tulipgap_membership::Action>) {
+        use tulipgap_membership::Action as Do;
         let mut changed = false;
         for action in actions {
             match action {
                 Do::Send { to, message } => self.post.links.send(to, Word::Member(message)),
-                Do::Alarm { at } => self.members_at = Some(self.members_at.map_or(at, |asked| asked.min(at))),
-                Do::Changed { name, state, by } => {
+                Do::SetTimer { at } => {
+                    self.members_at = Some(self.members_at.map_or(at, |asked| asked.min(at)))
+                }
+                Do::StateChanged { name, state, reported_by } => {
                     changed = true;
-                    let by = by.map_or_else(String::new, |by| format!(", says {by}"));
+                    let by = reported_by.map_or_else(String::new, |by| format!(", says {by}"));
                     log::info!("member {name} is {state:?}{by}");
                 }
-                Do::NameTaken { by } => {
-                    log::error!("another process at {by} has this name; this one says no more")
+                Do::NameConflict { address } => {
+                    log::error!("another process at {address} has this name; this one says no more")
                 }
-                Do::Refused { why } => log::warn!("members: {why}"),
+                Do::MetadataRejected { error } => log::warn!("members: {error}"),
             }
         }
         if changed {
             self.one_zone();
-            for held in self.members.held() {
-                self.post.learn(&held.update.about.name, held.update.about.address);
+            for member in self.members.members() {
+                self.post.learn(&member.update.node.name, member.update.node.address);
             }
         }
     }
@@ -525,11 +542,11 @@
     /// A zone that has most voters takes all leases with it when it fails.
     fn one_zone(&mut self) {
         let voters = &self.voters;
-        let votes = |update: &tulipgap_cluster::Update| voters.contains(&update.about.name);
+        let votes = |update: &MemberUpdate| voters.contains(&update.node.name);
         let mut zones: BTreeMap<Name, usize> = BTreeMap::new();
-        let me = self.members.me().clone();
-        for update in self.members.held().map(|held| held.update).chain([me]).filter(votes) {
-            *zones.entry(update.about.zone).or_default() += 1;
+        let me = self.members.local().clone();
+        for update in self.members.members().map(|member| member.update).chain([me]).filter(votes) {
+            *zones.entry(update.node.zone).or_default() += 1;
         }
         let most = zones.iter().find(|(_, count)| voters.len() > 1 && **count > voters.len() / 2);
         if let Some((zone, count)) = most
@@ -547,8 +564,8 @@
         self.post.learn(&from, address);
         match word {
             Word::Member(message) if message.from == from => {
-                let event = tulipgap_cluster::Event::Received { from: address, message };
-                let actions = self.members.decide(self.clock.now(), &[event]);
+                let event = tulipgap_membership::Event::Received { from: address, message };
+                let actions = self.members.handle_events(self.clock.now(), &[event]);
                 self.member_actions(actions);
             }
             // Nobody speaks in another's name.
@@ -591,11 +608,14 @@
     }
 
     fn facts(&self, key: &str) -> Vec<(Name, String)> {
-        let zone = &self.members.me().about.zone;
-        let lives = |update: &tulipgap_cluster::Update| update.state == tulipgap_cluster::State::Alive;
-        (self.members.held())
-            .filter(|held| held.update.about.zone == *zone && lives(&held.update))
-            .filter_map(|held| Some((held.update.about.name.clone(), held.update.facts.get(key)?.clone())))
+        let zone = &self.members.local().node.zone;
+        let lives = |update: &MemberUpdate| update.state == MemberState::Alive;
+        (self.members.members())
+            .filter(|member| member.update.node.zone == *zone && lives(&member.update))
+            .filter_map(|member| {
+                let verdict = member.update.metadata.get(key)?.clone();
+                Some((member.update.node.name.clone(), verdict))
+            })
             .collect()
     }
 
@@ -721,28 +741,28 @@
 
     fn members_told(&self) -> Value {
         let now = self.clock.now();
-        let me = self.members.me();
-        let row = |update: &tulipgap_cluster::Update, extra: Value| {
-            let mut row = json!({ "name": &*update.about.name, "address": update.about.address.to_string(),
-                "region": &*update.about.region, "zone": &*update.about.zone,
+        let me = self.members.local();
+        let row = |update: &MemberUpdate, extra: Value| {
+            let mut row = json!({ "name": &*update.node.name, "address": update.node.address.to_string(),
+                "region": &*update.node.region, "zone": &*update.node.zone,
                 "state": format!("{:?}", update.state).to_lowercase(), "incarnation": update.incarnation,
-                "by": update.by.as_deref(), "facts": &*update.facts,
-                "unheard": update.unheard.iter().map(|name| &**name).collect::<Vec<_>>() });
+                "by": update.reported_by.as_deref(), "facts": &*update.metadata,
+                "unheard": update.unreachable_peers.iter().map(|name| &**name).collect::<Vec<_>>() });
             if let (Some(row), Value::Object(extra)) = (row.as_object_mut(), extra) {
                 row.extend(extra);
             }
             row
         };
         let mut rows = vec![row(me, json!({ "reach": "itself" }))];
-        rows.extend(self.members.held().map(|held| {
-            let by: Vec<&str> = held.suspected_by.iter().map(|name| &**name).collect();
+        rows.extend(self.members.members().map(|member| {
+            let by: Vec<&str> = member.suspected_by.iter().map(|name| &**name).collect();
             row(
-                &held.update,
-                json!({ "reach": format!("{:?}", held.reach).to_lowercase(), "suspected_by": by,
-                "for_s": now.saturating_sub(held.since).as_secs_f64() }),
+                &member.update,
+                json!({ "reach": reach_word(member.reachability), "suspected_by": by,
+                "for_s": now.saturating_sub(member.state_since).as_secs_f64() }),
             )
         }));
-        json!({ "members": rows, "badly": self.members.awareness(), "odd": self.members.odd() })
+        json!({ "members": rows, "badly": self.members.awareness(), "odd": self.members.anomalies() })
     }
 
     fn leave(mut self, done: &SyncSender<()>) {
@@ -753,8 +773,18 @@
         }
         self.voter(Heard::Leave);
         std::thread::sleep(HAND_ON);
-        let left = self.members.decide(self.clock.now(), &[tulipgap_cluster::Event::Leave]);
+        let left = self.members.handle_events(self.clock.now(), &[tulipgap_membership::Event::Leave]);
         self.member_actions(left);
         let _ = done.try_send(());
     }
 }
+
+/// The words of the control socket, which stay as they are, for the reachability of a member.
+fn reach_word(reachability: Reachability) -> &'static str {
+    match reachability {
+        Reachability::Reachable => "heard",
+        Reachability::AsymmetricPartition => "oneway",
+        Reachability::IndirectOnly => "through",
+        Reachability::Unreachable => "nobody",
+    }
+}
