--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -24,9 +24,9 @@
     /// The address at which the node receives membership messages.
     pub address: SocketAddr,
     /// The region, for the operator's view.
-    pub region: NodeName,
+    pub region: Arc<str>,
     /// The availability zone.
-    pub zone: NodeName,
+    pub zone: Arc<str>,
     /// The version of the membership protocol that the node speaks.
     pub version: u16,
 }
