crates/admission becomes crates/connection-limits: Limiter, Config, Event, Action, one job a file

Old reading: decide.rs held admission, eviction, timeouts and the life of a connection in one file of 489 lines; inputs and outputs were News and Act, a connection was a One on a Part of a Ledger, and one enum of causes served rejections and closings. Errors of a network's text were strings.

Now: limiter.rs dispatches events and owns the state; admission.rs, eviction.rs and timeouts.rs have one decision each; descriptor_budget.rs, known_clients.rs, network_counts.rs, network_prefix.rs, rate_sketch.rs, linked_queues.rs and timer_wheel.rs the structures, with the publications of their algorithms. RejectReason and CloseReason are apart, ConnectionId is a newtype, the class and the urgency of an eviction are enums in place of numbers and pairs of booleans, NetworkLimits and Reservation are structs in place of arrays and tuples, ParsePrefixError and ConfigError have a variant a cause. Gone, as nothing used them: the counts of decisions, two owners of descriptors, and accessors. The group macro of the benchmarks gave way to a main function, as the function it makes has no doc comment.

The HCL block admission and its keys stay. The log line of a rejected connection keeps its form; the causes in it have the new names, which docs/admission.md lists.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -159,7 +159,7 @@
 }
 
 fn one_network(text: &str, _: &()) -> garde::Result {
-    text.parse::<tulipgap_admission::Prefix>().map(|_| ()).map_err(garde::Error::new)
+    text.parse::<tulipgap_connection_limits::NetworkPrefix>().map(|_| ()).map_err(garde::Error::new)
 }
 
 /// What a file needs beside its blocks: one that was begun, names, the index.
--- /dev/null
+++ b/crates/connection-limits/src/config.rs
@@ -0,0 +1,84 @@
+//! The parameters of the limiter.
+
+use std::time::Duration;
+
+use crate::descriptor_budget::DescriptorOwner;
+use crate::network_prefix::NetworkPrefix;
+
+/// The limits of one size of network.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ConnectionLimit {
+    /// The most connections that are open at a time.
+    pub max_connections: u32,
+    /// The most connections that are opened in a second, on average over three seconds: a burst of three seconds' worth is
+    /// accepted at once.
+    pub max_rate: u32,
+}
+
+/// The limits of an address and of the networks around it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NetworkLimits {
+    /// The limit of one address.
+    pub address: ConnectionLimit,
+    /// The limit of its network: /24 of IPv4, /64 of IPv6.
+    pub network: ConnectionLimit,
+    /// The limit of its wider network: /16 of IPv4, /48 of IPv6.
+    pub wide_network: ConnectionLimit,
+}
+
+/// What happens to a new connection when all descriptors are taken by connections that may not be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FullPolicy {
+    /// It waits in the backlog of the listener.
+    Wait,
+    /// It is accepted and closed at once, so that the client can retry on another server.
+    Reject,
+}
+
+/// Descriptors that are kept for one owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reservation {
+    /// The owner.
+    pub owner: DescriptorOwner,
+    /// The number of descriptors.
+    pub descriptors: usize,
+}
+
+/// The parameters of a [`Limiter`](crate::Limiter).
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The most descriptors that the process may have.
+    pub max_descriptors: usize,
+    /// What of them is reserved. Several reservations of one owner add up.
+    pub reservations: Vec<Reservation>,
+    /// The limits by network; without them there are none.
+    pub network_limits: Option<NetworkLimits>,
+    /// What happens when all descriptors are taken.
+    pub full_policy: FullPolicy,
+    /// Networks whose clients are known from the start.
+    pub trusted_networks: Vec<NetworkPrefix>,
+    /// The time in which the reputation of a client halves.
+    pub reputation_half_life: Duration,
+    /// The time limit for the first message of a connection, and for a message from its first byte to its last.
+    pub message_timeout: Duration,
+    /// The time without use after which a client is asked to close a connection.
+    pub idle_timeout: Duration,
+    /// The fraction of the capacity that a cold server accepts at its start, from 0 to 1. It rises to 1 during the
+    /// warm-up.
+    pub cold_start_fraction: f64,
+    /// How long the server warms up; zero for a warm one.
+    pub warm_up: Duration,
+}
+
+/// Why a configuration was rejected.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigError {
+    /// More descriptors are reserved than there are.
+    #[error("{reserved} descriptors are reserved, but the limit is {limit}")]
+    ReservationsExceedLimit {
+        /// The sum of the reservations.
+        reserved: usize,
+        /// [`Config::max_descriptors`].
+        limit: usize,
+    },
+}
--- /dev/null
+++ b/crates/connection-limits/src/connection.rs
@@ -0,0 +1,69 @@
+//! The record of an open connection.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use crate::descriptor_budget::DescriptorOwner;
+use crate::eviction::EvictionClass;
+
+/// An open connection. Owned by the limiter.
+pub(crate) struct Connection {
+    pub(crate) address: IpAddr,
+    /// The owner of its descriptor: whether the client was known when it connected.
+    pub(crate) owner: DescriptorOwner,
+    pub(crate) accepted_at: Duration,
+    pub(crate) last_used_at: Duration,
+    /// When the client was asked to close it.
+    pub(crate) close_requested_at: Option<Duration>,
+    /// Since when a complete message is awaited: the first one, or one that has started.
+    pub(crate) message_awaited_since: Option<Duration>,
+    /// When a message started that is not complete.
+    pub(crate) partial_message_since: Option<Duration>,
+    pub(crate) has_sent_message: bool,
+    /// Requests and health checks in flight.
+    pub(crate) open_requests: u32,
+    /// A message timed out while a request was in flight: the connection is closed once that has finished.
+    pub(crate) is_message_overdue: bool,
+    /// The host was told to close it.
+    pub(crate) is_closing: bool,
+}
+
+impl Connection {
+    pub(crate) fn new(address: IpAddr, owner: DescriptorOwner, now: Duration) -> Self {
+        Connection {
+            address,
+            owner,
+            accepted_at: now,
+            last_used_at: now,
+            close_requested_at: None,
+            message_awaited_since: Some(now),
+            partial_message_since: None,
+            has_sent_message: false,
+            open_requests: 0,
+            is_message_overdue: false,
+            is_closing: false,
+        }
+    }
+
+    /// Whether no request is in flight and no message is awaited.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.open_requests == 0 && self.message_awaited_since.is_none()
+    }
+
+    /// The class in which the connection may be evicted; none while a request is in flight.
+    pub(crate) fn eviction_class(&self) -> Option<EvictionClass> {
+        if self.open_requests > 0 || self.is_closing {
+            None
+        } else if self.partial_message_since.is_some() {
+            Some(EvictionClass::PartialMessage)
+        } else if self.close_requested_at.is_some() {
+            Some(EvictionClass::CloseRequested)
+        } else if !self.has_sent_message {
+            Some(EvictionClass::Silent)
+        } else if self.owner == DescriptorOwner::KnownClients {
+            Some(EvictionClass::IdleKnownClient)
+        } else {
+            Some(EvictionClass::IdleNewClient)
+        }
+    }
+}
--- /dev/null
+++ b/crates/connection-limits/src/descriptor_budget.rs
@@ -0,0 +1,89 @@
+//! The budget of file descriptors.
+
+use crate::config::{ConfigError, Reservation};
+
+/// Who needs descriptors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum DescriptorOwner {
+    /// The process itself: listener, log, runtime, and a spare one to accept and close a connection when no other is left.
+    Process,
+    /// The connections to the store.
+    Store,
+    /// Connections of clients that are not known.
+    NewClients,
+    /// Connections of known clients. Their reservation is on top of what all clients share.
+    KnownClients,
+}
+
+impl DescriptorOwner {
+    /// All owners.
+    pub const ALL: [DescriptorOwner; 4] = [
+        DescriptorOwner::Process,
+        DescriptorOwner::Store,
+        DescriptorOwner::NewClients,
+        DescriptorOwner::KnownClients,
+    ];
+}
+
+/// Counts the descriptors of each owner. An owner may take what is reserved for it and what is reserved for nobody; the sum
+/// of what is in use or reserved never exceeds the limit.
+#[derive(Clone, Debug)]
+pub struct DescriptorBudget {
+    limit: usize,
+    reserved: [usize; DescriptorOwner::ALL.len()],
+    in_use: [usize; DescriptorOwner::ALL.len()],
+}
+
+impl DescriptorBudget {
+    /// Creates a budget of which nothing is in use.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError::ReservationsExceedLimit`] where the reservations add up to more than the limit.
+    pub fn new(limit: usize, reservations: &[Reservation]) -> Result<Self, ConfigError> {
+        let mut reserved = [0; DescriptorOwner::ALL.len()];
+        for reservation in reservations {
+            reserved[reservation.owner as usize] += reservation.descriptors;
+        }
+        let total: usize = reserved.iter().sum();
+        if total > limit {
+            return Err(ConfigError::ReservationsExceedLimit { reserved: total, limit });
+        }
+        Ok(DescriptorBudget { limit, reserved, in_use: [0; DescriptorOwner::ALL.len()] })
+    }
+
+    /// The descriptors that are in use, or reserved and not in use.
+    fn committed(&self) -> usize {
+        self.in_use.iter().zip(&self.reserved).map(|(&in_use, &reserved)| in_use.max(reserved)).sum()
+    }
+
+    /// How many more descriptors the owner may take.
+    pub fn available(&self, owner: DescriptorOwner) -> usize {
+        let own = self.reserved[owner as usize].saturating_sub(self.in_use[owner as usize]);
+        own + self.limit.saturating_sub(self.committed())
+    }
+
+    /// Takes a descriptor, where one is available. Returns whether it was.
+    pub fn try_acquire(&mut self, owner: DescriptorOwner) -> bool {
+        let is_available = self.available(owner) > 0;
+        self.in_use[owner as usize] += usize::from(is_available);
+        debug_assert!(self.committed() <= self.limit, "invariant: the budget never exceeds its limit");
+        is_available
+    }
+
+    /// Gives a descriptor back.
+    pub fn release(&mut self, owner: DescriptorOwner) {
+        debug_assert!(self.in_use[owner as usize] > 0, "invariant: a released descriptor was acquired");
+        self.in_use[owner as usize] = self.in_use[owner as usize].saturating_sub(1);
+    }
+
+    /// The descriptors that the owner has.
+    pub fn in_use(&self, owner: DescriptorOwner) -> usize {
+        self.in_use[owner as usize]
+    }
+
+    /// The descriptors that all owners have.
+    pub fn total_in_use(&self) -> usize {
+        self.in_use.iter().sum()
+    }
+}
--- /dev/null
+++ b/crates/connection-limits/src/lib.rs
@@ -0,0 +1,70 @@
+//! Limits on client connections: which are accepted, which are rejected at once, and which are closed when descriptors
+//! are short.
+//!
+//! The crate is a state machine without I/O and without a clock. The host tells a [`Limiter`] what happens to its
+//! connections as [`Event`]s, together with the time since its start, and carries out the [`Action`]s that come back. The
+//! same events, in the same order and with the same seed, give the same actions. The cost of an event does not grow with
+//! the number of open connections.
+//!
+//! What it decides:
+//!
+//! - **Admission** of a new connection: limits on the connections and the connection rate of an address and the networks
+//!   around it, the slow start of a cold server, and descriptors reserved for clients that are known to behave well.
+//! - **Eviction**: which connection is closed to make room. Never one with an open request.
+//! - **Timeouts**: connections that are idle, that do not complete a message, or that do not close when they are asked to.
+//!
+//! `docs/design-admission.md` has the alternatives and the measurements.
+//!
+//! ```
+//! use std::time::Duration;
+//! use tulipgap_connection_limits::{Action, Config, ConnectionId, Event, FullPolicy, Limiter, RejectReason};
+//!
+//! let config = Config {
+//!     max_descriptors: 1,
+//!     reservations: Vec::new(),
+//!     network_limits: None,
+//!     full_policy: FullPolicy::Reject,
+//!     trusted_networks: Vec::new(),
+//!     reputation_half_life: Duration::from_secs(600),
+//!     message_timeout: Duration::from_secs(2),
+//!     idle_timeout: Duration::from_secs(60),
+//!     cold_start_fraction: 1.0,
+//!     warm_up: Duration::ZERO,
+//! };
+//! let mut limiter = Limiter::new(config, 42)?;
+//! let mut actions = Vec::new();
+//! for index in 0..2 {
+//!     let event = Event::Accepted { connection: ConnectionId(index), address: [10, 0, 0, 1].into() };
+//!     limiter.handle_event(Duration::ZERO, event, &mut actions);
+//! }
+//! assert!(actions.contains(&Action::Serve { connection: ConnectionId(0) }));
+//! let rejected = Action::Reject { connection: ConnectionId(1), reason: RejectReason::Full };
+//! assert!(actions.contains(&rejected));
+//! # Ok::<(), tulipgap_connection_limits::ConfigError>(())
+//! ```
+#![warn(missing_docs)]
+
+mod admission;
+mod config;
+mod connection;
+mod descriptor_budget;
+mod event;
+mod eviction;
+mod known_clients;
+mod limiter;
+mod linked_queues;
+mod network_counts;
+mod network_prefix;
+mod rate_sketch;
+mod timeouts;
+mod timer_wheel;
+
+pub use config::{Config, ConfigError, ConnectionLimit, FullPolicy, NetworkLimits, Reservation};
+pub use descriptor_budget::{DescriptorBudget, DescriptorOwner};
+pub use event::{AcceptError, Action, CloseReason, ConnectionId, Event, RejectReason};
+pub use limiter::Limiter;
+pub use linked_queues::LinkedQueues;
+pub use network_counts::NetworkCounts;
+pub use network_prefix::{NetworkPrefix, ParsePrefixError};
+pub use rate_sketch::RateSketch;
+pub use timer_wheel::TimerWheel;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -24,8 +24,10 @@
 use may::net::TcpListener;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use tulipgap_admission::{Admission, Part, Terms, WhenFull};
 use tulipgap_config::{Admitting, Cap};
+use tulipgap_connection_limits::{
+    Config, ConnectionLimit, DescriptorOwner, FullPolicy, Limiter, NetworkLimits, Reservation,
+};
 
 use cluster::Cluster;
 use config::{SOCKETS_LEAST, Told, Where};
@@ -120,45 +122,49 @@
     ExitCode::SUCCESS
 }
 
-/// What is decided on connections by. As far as nothing is configured, newcomers wait in the backlog for a place and
+/// The configuration of the limits on connections. As far as nothing is configured, newcomers wait in the backlog for a place and
 /// nothing goes by address; what a configuration leaves out is derived from the places and the number of callers.
-fn terms(told: &Told, store: usize, admitting: Option<&Admitting>) -> Terms {
+fn limits(told: &Told, store: usize, admitting: Option<&Admitting>) -> Config {
     let store = store.min(told.sockets.saturating_sub(KEPT + 1));
-    let plain = Terms {
-        descriptors: told.sockets,
-        reserves: vec![(Part::Own, KEPT), (Part::Store, store)],
-        caps: None,
-        when_full: WhenFull::Wait,
-        listed: Vec::new(),
-        half_life: Duration::from_secs(600),
-        message: MESSAGE_MOST,
-        idle: told.given.idle_link.saturating_add(IDLE_MORE),
-        cold_part: 1.0,
+    let plain = Config {
+        max_descriptors: told.sockets,
+        reservations: vec![
+            Reservation { owner: DescriptorOwner::Process, descriptors: KEPT },
+            Reservation { owner: DescriptorOwner::Store, descriptors: store },
+        ],
+        network_limits: None,
+        full_policy: FullPolicy::Wait,
+        trusted_networks: Vec::new(),
+        reputation_half_life: Duration::from_secs(600),
+        message_timeout: MESSAGE_MOST,
+        idle_timeout: told.given.idle_link.saturating_add(IDLE_MORE),
+        cold_start_fraction: 1.0,
         warm_up: Duration::ZERO,
     };
     let Some(admitting) = admitting.filter(|admitting| admitting.enabled) else { return plain };
     let places = told.sockets - KEPT - store;
     // As many as all callers could have each, with room for twice that; never all of it.
     let each = (2 * places / told.given.callers.max(4) as usize).clamp(4, places.max(5) - 1) as u32;
-    let cap = |cap: &Cap, open: u32| {
-        let open = cap.open.unwrap_or(open);
-        tulipgap_admission::Cap { open, rate: cap.rate.unwrap_or(open.max(8)) }
+    let limit = |cap: &Cap, open: u32| {
+        let max_connections = cap.open.unwrap_or(open);
+        ConnectionLimit { max_connections, max_rate: cap.rate.unwrap_or(max_connections.max(8)) }
     };
     let most = places as u32;
-    let mut reserves = plain.reserves;
-    reserves.push((Part::KnownClients, (places as f64 * admitting.known_part) as usize));
-    Terms {
-        reserves,
-        caps: Some([
-            cap(&admitting.address, each),
-            cap(&admitting.network, most.max(1)),
-            cap(&admitting.wide, most.max(1)),
-        ]),
-        when_full: if admitting.when_full == "wait" { WhenFull::Wait } else { WhenFull::Refuse },
+    let mut reservations = plain.reservations;
+    let for_known_clients = (places as f64 * admitting.known_part) as usize;
+    reservations.push(Reservation { owner: DescriptorOwner::KnownClients, descriptors: for_known_clients });
+    Config {
+        reservations,
+        network_limits: Some(NetworkLimits {
+            address: limit(&admitting.address, each),
+            network: limit(&admitting.network, most.max(1)),
+            wide_network: limit(&admitting.wide, most.max(1)),
+        }),
+        full_policy: if admitting.when_full == "wait" { FullPolicy::Wait } else { FullPolicy::Reject },
         // They were checked when the file was read.
-        listed: admitting.known.iter().filter_map(|network| network.parse().ok()).collect(),
-        half_life: admitting.half_life,
-        cold_part: admitting.cold_part,
+        trusted_networks: admitting.known.iter().filter_map(|network| network.parse().ok()).collect(),
+        reputation_half_life: admitting.half_life,
+        cold_start_fraction: admitting.cold_part,
         warm_up: if told.given.cold { told.given.warm_up } else { Duration::ZERO },
         ..plain
     }
@@ -192,10 +198,10 @@
     if let Some(cluster) = &cluster {
         cluster.probe_store(&store);
     }
-    let terms = terms(&told, store.most(), admitting.as_ref());
-    let refuses = terms.when_full == WhenFull::Refuse;
-    let admission = match Admission::new(terms, told.seed) {
-        Ok(admission) => admission,
+    let limits = limits(&told, store.most(), admitting.as_ref());
+    let refuses = limits.full_policy == FullPolicy::Reject;
+    let limiter = match Limiter::new(limits, told.seed) {
+        Ok(limiter) => limiter,
         Err(error) => return ::log::error!("{error}"),
     };
     let announce = Arc::new(Where::new(told.peers.announce));
@@ -204,7 +210,7 @@
         kernel.clone(),
         store.clone(),
         told.names.clone(),
-        admission,
+        limiter,
         refuses,
         told.memory_mb,
     );
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -13,7 +13,7 @@
 use may::net::{TcpListener, TcpStream};
 use parking_lot::Mutex;
 use slab::Slab;
-use tulipgap_admission::{Act, Admission, Cause, Conn, News, Trouble};
+use tulipgap_connection_limits::{AcceptError, Action, CloseReason, ConnectionId, Event, Limiter};
 use tulipgap_settings::Names;
 use tulipgap_trace::{Reason, hashed};
 
@@ -92,7 +92,7 @@
     checks: AtomicUsize,
     opened: Instant,
     /// By what it is known where it is decided on.
-    conn: Conn,
+    conn: ConnectionId,
     /// It is to be asked to send nothing more here.
     asked: AtomicBool,
     ending: AtomicBool,
@@ -159,7 +159,7 @@
         });
         // Its standing grows with what was served, and not with what was turned away.
         let whole = matches!(said, Said::Answer { .. });
-        self.clients.tell(News::Answered { conn: self.connection.conn, whole });
+        self.clients.tell(Event::RequestFinished { connection: self.connection.conn, is_answered: whole });
     }
 }
 
@@ -170,7 +170,8 @@
             self.answer(&Said::Crashed { fields: &[] });
         } else if !self.free.replace(true) {
             self.connection.open.lock().remove(&self.sequence);
-            self.clients.tell(News::Answered { conn: self.connection.conn, whole: false });
+            self.clients
+                .tell(Event::RequestFinished { connection: self.connection.conn, is_answered: false });
             self.connection.out.wake();
         }
     }
@@ -183,8 +184,8 @@
     names: Names,
     /// All that were accepted and have not closed.
     connections: Mutex<Slab<Arc<Connection>>>,
-    admission: Mutex<Admission>,
-    /// When the clock of `admission` stood at zero, and before which time of that clock nothing is accepted.
+    limiter: Mutex<Limiter>,
+    /// When the clock of `limiter` stood at zero, and before which time of that clock nothing is accepted.
     zero: Instant,
     paused: Mutex<Duration>,
     /// After what time without use connections are asked to close, as was told last.
@@ -210,7 +211,7 @@
         kernel: Arc<Kernel>,
         store: Arc<Store>,
         names: Names,
-        admission: Admission,
+        limiter: Limiter,
         refuses: bool,
         memory_mb: f64,
     ) -> Arc<Self> {
@@ -221,7 +222,7 @@
             store,
             names,
             connections: Mutex::new(Slab::new()),
-            admission: Mutex::new(admission),
+            limiter: Mutex::new(limiter),
             zero: Instant::now(),
             paused: Mutex::default(),
             idle: Mutex::default(),
@@ -236,48 +237,48 @@
         })
     }
 
-    /// Has something decided, and carries it out under the same lock, so that no act meets another connection of the
+    /// Has something decided, and carries it out under the same lock, so that no action meets another connection of the
     /// same index.
-    fn decide<T>(&self, ask: impl FnOnce(&mut Admission, Duration, &mut Vec<Act>) -> T) -> T {
-        let mut admission = self.admission.lock();
-        let mut acts = Vec::new();
-        let told = ask(&mut admission, self.zero.elapsed(), &mut acts);
-        if !acts.is_empty() {
-            self.carry_out(&acts);
+    fn decide<T>(&self, ask: impl FnOnce(&mut Limiter, Duration, &mut Vec<Action>) -> T) -> T {
+        let mut limiter = self.limiter.lock();
+        let mut actions = Vec::new();
+        let told = ask(&mut limiter, self.zero.elapsed(), &mut actions);
+        if !actions.is_empty() {
+            self.carry_out(&actions);
         }
         told
     }
 
     /// Tells of what happened to connections.
-    fn tell(&self, news: News) {
-        self.decide(|admission, now, acts| admission.on(now, news, acts));
+    fn tell(&self, event: Event) {
+        self.decide(|limiter, now, actions| limiter.handle_event(now, event, actions));
     }
 
-    fn carry_out(&self, acts: &[Act]) {
+    fn carry_out(&self, actions: &[Action]) {
         let connections = self.connections.lock();
-        for act in acts {
-            match *act {
-                Act::Ask { conn } => {
-                    if let Some(connection) = connections.get(conn) {
+        for action in actions {
+            match *action {
+                Action::RequestClose { connection } => {
+                    if let Some(connection) = connections.get(connection.0) {
                         connection.leave();
                     }
                 }
-                Act::End { conn, cause } => {
-                    if let Some(connection) = connections.get(conn) {
-                        if cause == Cause::Slow {
+                Action::Close { connection, reason } => {
+                    if let Some(connection) = connections.get(connection.0) {
+                        if reason == CloseReason::MessageTimeout {
                             connection.slow.store(true, Ordering::Release);
                         }
                         connection.end();
                     }
-                    if cause == Cause::Room
+                    if reason == CloseReason::Evicted
                         && let Some(count) = CROWDS.pass()
                     {
                         log::warn!("connections are short, an idle one goes ({count} so far)");
                     }
                 }
-                Act::Pause { until } => *self.paused.lock() = until,
+                Action::PauseAccepting { until } => *self.paused.lock() = until,
                 // What comes is let in or refused where it came; alarms come by the sweep.
-                Act::Let { .. } | Act::Refuse { .. } | Act::Alarm { .. } => {}
+                Action::Serve { .. } | Action::Reject { .. } | Action::SetTimer { .. } => {}
             }
         }
     }
@@ -288,9 +289,9 @@
         *self.listener.lock() = Some(listener.waker());
         loop {
             let closing = self.closing.load(Ordering::Acquire);
-            let (may, acted) = self.decide(|admission, now, acts| {
-                let may = admission.may_accept(now, acts);
-                (may, !acts.is_empty())
+            let (may, acted) = self.decide(|limiter, now, actions| {
+                let may = limiter.may_accept(now, actions);
+                (may, !actions.is_empty())
             });
             if !may {
                 clock::sleep(if acted { TURN_PAUSE } else { ACCEPT_PAUSE });
@@ -307,9 +308,9 @@
                     if let Some(count) = ACCEPTS.pass() {
                         log::warn!("accept: {error} ({count} so far)");
                     }
-                    let trouble = trouble(&error);
-                    self.tell(News::Failed { trouble });
-                    if self.refuses && trouble == Trouble::NoDescriptor {
+                    let error = accept_error(&error);
+                    self.tell(Event::AcceptFailed { error });
+                    if self.refuses && error == AcceptError::ProcessDescriptorLimit {
                         self.turn_one_away(&listener);
                     }
                     let left = self.paused.lock().saturating_sub(self.zero.elapsed());
@@ -339,7 +340,7 @@
 
     /// Has the listener closed behind all that came before, and asks all edge nodes to leave.
     pub fn close(&self) {
-        self.tell(News::Leave);
+        self.tell(Event::Drain);
         self.closing.store(true, Ordering::Release);
         // Where it does not accept yet, it sees that once it does.
         if let Some(listener) = &*self.listener.lock() {
@@ -372,23 +373,23 @@
     pub fn sweep(&self) {
         let idle = self.gate.idle().saturating_add(IDLE_MORE);
         if std::mem::replace(&mut *self.idle.lock(), idle) != idle {
-            self.tell(News::Idle { after: idle });
+            self.tell(Event::SetIdleTimeout { timeout: idle });
         }
-        self.tell(News::Alarm);
+        self.tell(Event::TimerExpired);
     }
 
     /// A connection was accepted: from now on it is counted, and served by a coroutine of its own.
     fn opened(self: &Arc<Self>, stream: TcpStream, address: IpAddr) {
-        let let_in = self.decide(|admission, now, acts| {
+        let let_in = self.decide(|limiter, now, actions| {
             let mut connections = self.connections.lock();
-            let conn = connections.vacant_key();
-            admission.on(now, News::Came { conn, address }, acts);
-            let refused = acts.iter().find_map(|act| match act {
-                Act::Refuse { cause, .. } => Some(*cause),
+            let conn = ConnectionId(connections.vacant_key());
+            limiter.handle_event(now, Event::Accepted { connection: conn, address }, actions);
+            let rejected = actions.iter().find_map(|action| match action {
+                Action::Reject { reason, .. } => Some(*reason),
                 _ => None,
             });
-            if let Some(cause) = refused {
-                return Err((cause, stream));
+            if let Some(reason) = rejected {
+                return Err((reason, stream));
             }
             let link = Link::new(stream, IN_MOST, OUT_MOST);
             let connection = Arc::new(Connection {
@@ -409,11 +410,11 @@
                 let clients = self.clone();
                 spawn(move || clients.serve(link, &connection));
             }
-            Err((cause, stream)) => {
+            Err((reason, stream)) => {
                 // Unread, at once: its owner sees the end of the connection and can go elsewhere.
                 drop(stream);
                 if let Some(count) = REFUSED.pass() {
-                    log::warn!("a connection of {address} is refused: {cause:?} ({count} so far)");
+                    log::warn!("a connection of {address} is refused: {reason:?} ({count} so far)");
                 }
             }
         }
@@ -424,9 +425,9 @@
         let end = self.carry(&mut link, connection);
         // Closed before its place is another's.
         drop(link);
-        self.decide(|admission, now, acts| {
-            admission.on(now, News::Closed { conn: connection.conn }, acts);
-            self.connections.lock().remove(connection.conn);
+        self.decide(|limiter, now, actions| {
+            limiter.handle_event(now, Event::Closed { connection: connection.conn }, actions);
+            self.connections.lock().remove(connection.conn.0);
         });
         // Cut off: nobody waits for what was open here.
         if let Err(error) = end {
@@ -467,7 +468,7 @@
                     link.input.consume(4 + length);
                     turn += 1;
                     begun = false;
-                    self.tell(News::Message { conn: connection.conn });
+                    self.tell(Event::MessageCompleted { connection: connection.conn });
                     readable = match message {
                         None => false,
                         Some(message) => {
@@ -481,7 +482,7 @@
             }
             let half = readable && turn < TURN_MOST && link.input.len() > 0 && room(link);
             if half && !std::mem::replace(&mut begun, true) {
-                self.tell(News::Began { conn: connection.conn });
+                self.tell(Event::MessageStarted { connection: connection.conn });
             }
             let ending = connection.ending.load(Ordering::Acquire);
             if readable
@@ -544,7 +545,7 @@
                     Ok(read) => {
                         let open = Open { id: read.incoming.id.clone(), withdrawn: false };
                         connection.open.lock().insert(sequence, open);
-                        self.tell(News::Opened { conn: connection.conn });
+                        self.tell(Event::RequestStarted { connection: connection.conn });
                         let (clients, connection) = (self.clone(), connection.clone());
                         spawn(move || clients.live(&connection, sequence, read, body.into()));
                         return true;
@@ -554,7 +555,7 @@
             }
             Ok(Asked::Probe { deep }) => {
                 connection.checks.fetch_add(1, Ordering::AcqRel);
-                self.tell(News::Opened { conn: connection.conn });
+                self.tell(Event::RequestStarted { connection: connection.conn });
                 let (clients, connection) = (self.clone(), connection.clone());
                 spawn(move || clients.check(&connection, sequence, deep));
                 return true;
@@ -576,7 +577,7 @@
         if let Some(count) = GARBLED.pass() {
             log::warn!("{method}: {fault:?} ({count} so far)");
         }
-        self.tell(News::Fault { conn: connection.conn });
+        self.tell(Event::ProtocolViolation { connection: connection.conn });
         if !message.oneway {
             connection.say(&method, sequence, &Said::Exception(&fault));
         }
@@ -606,7 +607,7 @@
                 if let Some(count) = GARBLED.pass() {
                     log::warn!("process: a key that is known, with another body ({count} so far)");
                 }
-                self.tell(News::Fault { conn: connection.conn });
+                self.tell(Event::ProtocolViolation { connection: connection.conn });
                 return say(&Said::Exception(&Fault::Malformed("its key came with another body".into())));
             }
             Err(Unfit::NotStarted) => return say(&Said::Rejected { fields: &self.come_back() }),
@@ -678,7 +679,7 @@
         connection.conclude("probe", sequence, &Said::Answer { body: &[], fields: &fields, good }, |_| {
             connection.checks.fetch_sub(1, Ordering::AcqRel);
         });
-        self.tell(News::Answered { conn: connection.conn, whole: false });
+        self.tell(Event::RequestFinished { connection: connection.conn, is_answered: false });
     }
 }
 
@@ -707,14 +708,14 @@
     std::fs::File::open("/dev/null").ok()
 }
 
-/// What an accept that failed tells.
-fn trouble(error: &io::Error) -> Trouble {
+/// The cause for which an accept failed.
+fn accept_error(error: &io::Error) -> AcceptError {
     match error.raw_os_error() {
-        Some(EMFILE) => Trouble::NoDescriptor,
-        Some(ENFILE) => Trouble::MachineFull,
-        Some(ENOBUFS | ENOMEM) => Trouble::NoMemory,
-        _ if error.kind() == io::ErrorKind::ConnectionAborted => Trouble::Aborted,
-        _ => Trouble::NoDescriptor,
+        Some(EMFILE) => AcceptError::ProcessDescriptorLimit,
+        Some(ENFILE) => AcceptError::SystemDescriptorLimit,
+        Some(ENOBUFS | ENOMEM) => AcceptError::OutOfMemory,
+        _ if error.kind() == io::ErrorKind::ConnectionAborted => AcceptError::ConnectionAborted,
+        _ => AcceptError::ProcessDescriptorLimit,
     }
 }
 
@@ -813,7 +814,7 @@
 
 #[cfg(test)]
 mod tests {
-    use tulipgap_admission::{Terms, WhenFull};
+    use tulipgap_connection_limits::{Config, FullPolicy};
 
     use super::*;
 
@@ -822,16 +823,16 @@
     #[test]
     fn a_req_whose_coroutine_fails_is_answered() {
         let (given, names) = crate::net::told();
-        let terms = Terms {
-            descriptors: 64,
-            reserves: Vec::new(),
-            caps: None,
-            when_full: WhenFull::Wait,
-            listed: Vec::new(),
-            half_life: Duration::from_secs(600),
-            message: MESSAGE_MOST,
-            idle: IDLE_MORE,
-            cold_part: 1.0,
+        let config = Config {
+            max_descriptors: 64,
+            reservations: Vec::new(),
+            network_limits: None,
+            full_policy: FullPolicy::Wait,
+            trusted_networks: Vec::new(),
+            reputation_half_life: Duration::from_secs(600),
+            message_timeout: MESSAGE_MOST,
+            idle_timeout: IDLE_MORE,
+            cold_start_fraction: 1.0,
             warm_up: Duration::ZERO,
         };
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -839,8 +840,8 @@
         let gate = Arc::new(Gate::new(given, 7, None));
         let kernel = Kernel::new(address, gate.clone(), Vec::new());
         let store = Store::new(None, gate.clone(), 4);
-        let admission = Admission::new(terms, 7).unwrap();
-        let clients = Clients::new(gate, kernel, store, names, admission, false, 48.0);
+        let limiter = Limiter::new(config, 7).unwrap();
+        let clients = Clients::new(gate, kernel, store, names, limiter, false, 48.0);
         clients.opened(TcpStream::connect(address).unwrap(), address.ip());
         let connection = clients.connections.lock().iter().next().unwrap().1.clone();
         let mut edge = listener.accept().unwrap().0;
@@ -848,11 +849,11 @@
         for sequence in 1..4 {
             let open = Open { id: format!("{sequence:016x}").into(), withdrawn: false };
             connection.open.lock().insert(sequence, open);
-            clients.tell(News::Opened { conn: connection.conn });
+            clients.tell(Event::RequestStarted { connection: connection.conn });
             let failed = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
                 let (connection, free) = (&*connection, Cell::new(false));
                 let _place = Place { clients: &clients, connection, sequence, free };
-                let _locked = (clients.recent.lock(), clients.admission.lock(), connection.open.lock());
+                let _locked = (clients.recent.lock(), clients.limiter.lock(), connection.open.lock());
                 panic!("a fault, as this test plays it");
             }));
             assert!(failed.is_err());
@@ -875,7 +876,7 @@
             open: Mutex::new(HashMap::new()),
             checks: AtomicUsize::new(0),
             opened: Instant::now(),
-            conn: 0,
+            conn: ConnectionId(0),
             asked: AtomicBool::new(false),
             ending: AtomicBool::new(false),
             slow: AtomicBool::new(false),
