--- a/crates/connection-limits/src/admission.rs
+++ b/crates/connection-limits/src/admission.rs
@@ -150,8 +150,8 @@
         let cold_start_fraction = self.config.cold_start_fraction;
         let fraction = cold_start_fraction + (1.0 - cold_start_fraction) * progress;
         let capacity = (self.capacity as f64 * fraction).max(1.0);
-        // Each address has an equal share, so that one that connects first does not take all. The number of addresses is
-        // estimated by that of networks, of which each has three at the most.
+        // Each address has an equal share, so that one that connects first does not take all. The number of
+        // addresses is estimated by that of networks, of which each has three at the most.
         let addresses =
             (self.network_counts.network_count() as f64 / EnclosingNetworks::COUNT as f64).max(1.0);
         let fair_share = (capacity / addresses).max(1.0);
--- a/crates/connection-limits/src/descriptor_budget.rs
+++ b/crates/connection-limits/src/descriptor_budget.rs
@@ -5,7 +5,8 @@
 /// Who needs descriptors.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum DescriptorOwner {
-    /// The process itself: listener, log, runtime, and a spare one to accept and close a connection when no other is left.
+    /// The process itself: listener, log, runtime, and a spare one to accept and close a connection when no
+    /// other is left.
     Process,
     /// The connections to the store.
     Store,
@@ -25,8 +26,8 @@
     ];
 }
 
-/// Counts the descriptors of each owner. An owner may take what is reserved for it and what is reserved for nobody; the sum
-/// of what is in use or reserved never exceeds the limit.
+/// Counts the descriptors of each owner. An owner may take what is reserved for it and what is reserved for
+/// nobody; the sum of what is in use or reserved never exceeds the limit.
 #[derive(Clone, Debug)]
 pub struct DescriptorBudget {
     limit: usize,
--- a/crates/connection-limits/src/event.rs
+++ b/crates/connection-limits/src/event.rs
@@ -23,7 +23,8 @@
 /// What has happened. Handed to [`Limiter::handle_event`](crate::Limiter::handle_event).
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Event {
-    /// A connection was accepted. The actions of this event contain either [`Action::Serve`] or [`Action::Reject`].
+    /// A connection was accepted. The actions of this event contain either [`Action::Serve`] or
+    /// [`Action::Reject`].
     Accepted {
         /// The connection.
         connection: ConnectionId,
--- a/crates/connection-limits/src/timeouts.rs
+++ b/crates/connection-limits/src/timeouts.rs
@@ -30,7 +30,8 @@
         }
     }
 
-    /// Asks for idle connections to be closed. Their deadlines are too late where the idle timeout has become shorter.
+    /// Asks for idle connections to be closed. Their deadlines are too late where the idle timeout has become
+    /// shorter.
     fn close_idle_connections(&mut self, now: Duration, actions: &mut Vec<Action>) {
         for class in EvictionClass::IDLE {
             while let Some(id) = self.first_in(class)
--- a/crates/connection-limits/src/timer_wheel.rs
+++ b/crates/connection-limits/src/timer_wheel.rs
@@ -1,5 +1,5 @@
-//! A hierarchical timing wheel (Varghese, Lauck, "Hashed and Hierarchical Timing Wheels", 1987) for one deadline of each
-//! small index.
+//! A hierarchical timing wheel (Varghese, Lauck, "Hashed and Hierarchical Timing Wheels", 1987) for one
+//! deadline of each small index.
 
 use std::time::Duration;
 
@@ -19,9 +19,10 @@
     next: u32,
 }
 
-/// Deadlines of indices, one each. Setting, moving and cancelling a deadline takes constant time, and the passing of time
-/// costs one step for each deadline that expires and for each level that it descends. The lists of the slots are linked
-/// through an array, so nothing is allocated once that has grown to the greatest index.
+/// Deadlines of indices, one each. Setting, moving and cancelling a deadline takes constant time, and the
+/// passing of time costs one step for each deadline that expires and for each level that it descends. The
+/// lists of the slots are linked through an array, so nothing is allocated once that has grown to the
+/// greatest index.
 pub struct TimerWheel {
     tick: Duration,
     /// The current tick.
@@ -57,7 +58,8 @@
         u64::try_from(at.as_nanos().div_ceil(self.tick.as_nanos())).unwrap_or(u64::MAX)
     }
 
-    /// Sets the deadline of an index, in place of the one that it had. A deadline in the past expires with the next tick.
+    /// Sets the deadline of an index, in place of the one that it had. A deadline in the past expires with
+    /// the next tick.
     pub fn set(&mut self, index: usize, deadline: Duration) {
         self.cancel(index);
         if self.entries.len() <= index {
@@ -129,7 +131,8 @@
         }
     }
 
-    /// Expires the entries of the slot of a level that begins with the current tick, or moves them to a lower level.
+    /// Expires the entries of the slot of a level that begins with the current tick, or moves them to a lower
+    /// level.
     fn empty_current_slot(&mut self, level: usize, expired: &mut Vec<usize>) {
         let shift = LEVEL_BITS * level as u32;
         let lower_bits = (1u64 << shift) - 1;
--- a/crates/connection-limits/tests/limiter.rs
+++ b/crates/connection-limits/tests/limiter.rs
@@ -1,5 +1,6 @@
-//! The limiter against a plain model: whatever the events and their order, the budget of descriptors and its reservations
-//! hold, no connection with an open request is closed, and each connection is open or was rejected or closed for a reason.
+//! The limiter against a plain model: whatever the events and their order, the budget of descriptors and its
+//! reservations hold, no connection with an open request is closed, and each connection is open or was
+//! rejected or closed for a reason.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
@@ -92,9 +93,7 @@
                     assert!(self.open.insert(connection, model).is_none());
                 }
                 Action::Reject { connection, reason } => {
-                    assert!(
-                        matches!(event, Event::Accepted { connection: accepted, .. } if accepted == connection)
-                    );
+                    assert!(matches!(event, Event::Accepted { connection: c, .. } if c == connection));
                     assert!(!std::mem::replace(&mut is_decided, true));
                     self.free.insert(connection);
                     self.rejected.push(reason);
@@ -486,7 +485,9 @@
                                 assert_eq!(model.open_requests, 0);
                                 assert!(!std::mem::replace(&mut model.is_closing, true));
                             }
-                            Action::RequestClose { connection } => server.model(connection).is_close_requested = true,
+                            Action::RequestClose { connection } => {
+                                server.model(connection).is_close_requested = true;
+                            }
                             _ => {}
                         }
                     }
@@ -503,9 +504,14 @@
                 (8, Some(connection)) if server.open[&connection].open_requests > 0 => {
                     server.finish_request(connection, selector % 2 == 0);
                 }
-                (9, Some(connection)) if server.open[&connection].open_requests == 0 => server.close(connection),
+                (9, Some(connection)) if server.open[&connection].open_requests == 0 => {
+                    server.close(connection);
+                }
                 (10, _) => server.advance(ms(u64::from(span) / 16)),
-                (11, _) if selector < 16 => server.handle(Event::AcceptFailed { error: AcceptError::ProcessDescriptorLimit }),
+                (11, _) if selector < 16 => {
+                    let error = AcceptError::ProcessDescriptorLimit;
+                    server.handle(Event::AcceptFailed { error });
+                }
                 (11, Some(connection)) => server.handle(Event::ProtocolViolation { connection }),
                 _ => {}
             }
@@ -537,8 +543,8 @@
     assert_eq!(server.limiter.open_connections(), 0);
 }
 
-/// Where new connections wait in the backlog, the one that filled the capacity was closed at once, as the only silent one:
-/// its first message was in transit, and its client saw the connection close.
+/// Where new connections wait in the backlog, the one that filled the capacity was closed at once, as the
+/// only silent one: its first message was in transit, and its client saw the connection close.
 #[test]
 fn new_connection_that_fills_the_capacity_is_spared_while_its_first_message_is_in_transit() {
     let mut config = config();
--- a/crates/membership/src/anti_entropy.rs
+++ b/crates/membership/src/anti_entropy.rs
@@ -1,5 +1,6 @@
-//! Anti-entropy: now and then two members exchange their complete state (memberlist's push-pull), which repairs what the
-//! dissemination of single updates has missed and joins the halves of a cluster again after a partition.
+//! Anti-entropy: now and then two members exchange their complete state (memberlist's push-pull), which
+//! repairs what the dissemination of single updates has missed and joins the halves of a cluster again after
+//! a partition.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -9,19 +10,20 @@
 use crate::message::{MemberState, MessageBody};
 
 impl Membership {
-    /// Exchanges the complete state with one live member, and tries one member that is dead or a seed that is no member,
-    /// so that the halves of a cluster find each other after a partition. A node that has not joined yet tries all of
-    /// those: one that answers is enough.
+    /// Exchanges the complete state with one live member, and tries one member that is dead or a seed that is
+    /// no member, so that the halves of a cluster find each other after a partition. A node that has not
+    /// joined yet tries all of those: one that answers is enough.
     pub(crate) fn exchange_state(&mut self) {
         let live: Vec<Recipient> = self.members.live().map(|member| member.recipient()).collect();
-        let lost = self.lost_contacts(&live);
+        let rejoin = self.rejoin_contacts(&live);
         if let Some(recipient) = self.pick(live) {
             self.send(&recipient, MessageBody::PushPull { reply_requested: true });
         }
-        let contacts = if self.has_joined { self.pick(lost).into_iter().collect() } else { lost };
+        let contacts = if self.has_joined { self.pick(rejoin).into_iter().collect() } else { rejoin };
         for contact in contacts {
             self.broadcasts.push(self.local.clone());
-            // A dead member gets to know from the state that it is declared dead, and refutes that if it lives.
+            // A dead member gets to know from the state that it is declared dead, and refutes that if it
+            // lives.
             let body = match contact.name {
                 Some(_) => MessageBody::PushPull { reply_requested: true },
                 None => MessageBody::Join,
@@ -31,7 +33,7 @@
     }
 
     /// The dead members, and the seeds at which no live member is known.
-    fn lost_contacts(&self, live: &[Recipient]) -> Vec<Recipient> {
+    fn rejoin_contacts(&self, live: &[Recipient]) -> Vec<Recipient> {
         let live_addresses: BTreeSet<SocketAddr> = live.iter().map(|recipient| recipient.address).collect();
         let dead = self.members.iter().filter(|member| member.update.state == MemberState::Dead);
         let seeds = self.config.seeds.iter().copied();
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -42,8 +42,8 @@
         /// The message.
         message: Message,
     },
-    /// Hand in [`Event::TimerExpired`] at this time, on the clock of the events. An earlier timer takes the place of a
-    /// later one; an event for a timer that was replaced is ignored.
+    /// Hand in [`Event::TimerExpired`] at this time, on the clock of the events. An earlier timer takes the
+    /// place of a later one; an event for a timer that was replaced is ignored.
     SetTimer {
         /// The time.
         at: Duration,
@@ -57,7 +57,8 @@
         /// The node that declared it suspect or dead.
         reported_by: Option<NodeName>,
     },
-    /// Another live process has this node's name. This node sends nothing more, and later events have no effect.
+    /// Another live process has this node's name. This node sends nothing more, and later events have no
+    /// effect.
     NameConflict {
         /// The address of the other process, or of the member that reported it.
         address: SocketAddr,
--- a/crates/membership/src/failure_detector.rs
+++ b/crates/membership/src/failure_detector.rs
@@ -63,7 +63,8 @@
         Some(self.relayed_probes.swap_remove(index))
     }
 
-    /// Takes the probe that this message answers. Another node that has the address of the target now is no answer.
+    /// Takes the probe that this message answers. Another node that has the address of the target now is no
+    /// answer.
     fn take_probe(&mut self, from: &NodeName, sequence_number: SequenceNumber) -> Option<Probe> {
         self.probe.take_if(|probe| probe.sequence_number == sequence_number && probe.target == *from)
     }
@@ -78,13 +79,14 @@
 }
 
 impl Membership {
-    /// Pings the next member of the round. A new round is drawn when the old one is through: every member is probed once
-    /// in each, so that the time until a crash is noticed has a bound (SWIM, section 4.3).
+    /// Pings the next member of the round. A new round is drawn when the old one is through: every member is
+    /// probed once in each, so that the time until a crash is noticed has a bound (SWIM, section 4.3).
     pub(crate) fn start_probe(&mut self) {
         let Some(target) = self.next_probe_target() else { return };
         let Some(member) = self.members.get(&target) else { return };
         let recipient = member.recipient();
-        // A suspect gets to know it with the probe, so that it can refute it, however often the update was sent.
+        // A suspect gets to know it with the probe, so that it can refute it, however often the update was
+        // sent.
         if member.update.state == MemberState::Suspect {
             self.broadcasts.push(member.update.clone());
         }
@@ -139,8 +141,8 @@
         }
     }
 
-    /// Ends the probe of the last period, where it got no direct answer. The reports of the relays tell a cut link from a
-    /// crash.
+    /// Ends the probe of the last period, where it got no direct answer. The reports of the relays tell a cut
+    /// link from a crash.
     pub(crate) fn finish_probe(&mut self) {
         let Some(probe) = self.detector.probe.take() else { return };
         let missing_reports = match probe.phase {
@@ -160,7 +162,8 @@
         };
         let recipient = member.recipient();
         self.apply_update(&suspect);
-        // The target gets to know it at once: over a slow link the next probe would leave too little time to refute it.
+        // The target gets to know it at once: over a slow link the next probe would leave too little time to
+        // refute it.
         self.send_update(&recipient, suspect);
     }
 
@@ -195,7 +198,8 @@
         target: Recipient,
     ) {
         let sequence_number = self.detector.next_sequence_number();
-        // A requester has one probe in each period, so there are about as many of these as members at the most.
+        // A requester has one probe in each period, so there are about as many of these as members at the
+        // most.
         if self.detector.relayed_probes.len() > self.config.max_members {
             return;
         }
@@ -219,7 +223,8 @@
         }
     }
 
-    /// Reports the relayed probes that got no answer: silence would count against the health of the requester.
+    /// Reports the relayed probes that got no answer: silence would count against the health of the
+    /// requester.
     pub(crate) fn expire_relayed_probes(&mut self) {
         for relayed in self.detector.take_expired_relayed_probes(self.now) {
             self.report_relayed_probe(&relayed, RelayedProbeOutcome::Nack);
--- a/crates/membership/src/metadata.rs
+++ b/crates/membership/src/metadata.rs
@@ -38,7 +38,8 @@
 }
 
 impl Membership {
-    /// Sets an entry, or removes it where there is no value, and announces the change under a new incarnation.
+    /// Sets an entry, or removes it where there is no value, and announces the change under a new
+    /// incarnation.
     pub(crate) fn set_metadata(&mut self, key: &str, value: Option<&str>) {
         match changed_metadata(&self.local.metadata, key, value) {
             Err(error) => self.actions.push(Action::MetadataRejected { error }),
--- a/crates/membership/src/reachability.rs
+++ b/crates/membership/src/reachability.rs
@@ -1,4 +1,5 @@
-//! Reachability: the outcome of direct and relayed probes tells a crashed member from a cut between two live ones.
+//! Reachability: the outcome of direct and relayed probes tells a crashed member from a cut between two live
+//! ones.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -11,7 +12,8 @@
 /// The most members that a node publishes as unreachable: it bounds the matrix of which node reaches which.
 pub const MAX_UNREACHABLE_PEERS: usize = 16;
 
-/// How long an answer or a message counts as recent, in rounds; a round is one protocol period for each member.
+/// How long an answer or a message counts as recent, in rounds; a round is one protocol period for each
+/// member.
 const RECENT_ROUNDS: u32 = 2;
 
 /// How this node reaches another.
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -82,10 +82,11 @@
     };
     let (refutation, answer) = (sent[0], sent[1]);
     let no_probe = SequenceNumber(0);
-    assert!(
-        matches!(refutation.body, MessageBody::IndirectPingResult { sequence_number, .. } if sequence_number == no_probe),
-        "{sent:?}"
-    );
+    let is_refutation = |body: &MessageBody| match body {
+        MessageBody::IndirectPingResult { sequence_number, .. } => *sequence_number == no_probe,
+        _ => false,
+    };
+    assert!(is_refutation(&refutation.body), "{sent:?}");
     assert!(refutes(refutation), "{sent:?}");
     assert!(
         matches!(answer.body, MessageBody::Ack { sequence_number: SequenceNumber(9) }) && refutes(answer),
@@ -220,8 +221,8 @@
     assert_eq!(membership.local().metadata.len(), MAX_METADATA_ENTRIES);
 }
 
-/// Every timer that expires sets the next one. When each suspicion and each relayed probe set one more, those went on for
-/// ever beside it, and a simulation of 100 members with slow links did not end.
+/// Every timer that expires sets the next one. When each suspicion and each relayed probe set one more, those
+/// went on for ever beside it, and a simulation of 100 members with slow links did not end.
 #[test]
 fn timers_do_not_multiply() {
     let updates = (2..6).map(|last| update(&format!("m{last}"), last, 0, MemberState::Alive)).collect();
