--- a/crates/server/src/connection_limits.rs
+++ b/crates/server/src/connection_limits.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use tulipgap_admission::{Part, Terms, WhenFull};
 use tulipgap_config::{Admitting, Cap};
+use tulipgap_connection_limits::{
+    Config, ConnectionLimit, DescriptorOwner, FullPolicy, NetworkLimits, Reservation,
+};
 
 use crate::config::ServerConfig;
 use crate::net::clients::{IDLE_MORE, KEPT, MESSAGE_MOST};
@@ -19,60 +21,64 @@
 
 /// The limits of this server. Without the block `admission`, new connections wait in the backlog for a place and none
 /// is limited by its address. What the block leaves out follows from the places and the number of callers.
-pub(crate) fn terms(config: &ServerConfig, store_connections: usize, admission: Option<&Admitting>) -> Terms {
+pub(crate) fn limiter_config(
+    config: &ServerConfig,
+    store_connections: usize,
+    admission: Option<&Admitting>,
+) -> Config {
     let store_connections = store_connections.min(config.sockets.saturating_sub(KEPT + 1));
-    let default = Terms {
-        descriptors: config.sockets,
-        reserves: vec![(Part::Own, KEPT), (Part::Store, store_connections)],
-        caps: None,
-        when_full: WhenFull::Wait,
-        listed: Vec::new(),
-        half_life: DEFAULT_HALF_LIFE,
-        message: MESSAGE_MOST,
-        idle: config.controller.idle_timeout.saturating_add(IDLE_MORE),
-        cold_part: 1.0,
+    let default = Config {
+        max_descriptors: config.sockets,
+        reservations: vec![
+            Reservation { owner: DescriptorOwner::Process, descriptors: KEPT },
+            Reservation { owner: DescriptorOwner::Store, descriptors: store_connections },
+        ],
+        network_limits: None,
+        full_policy: FullPolicy::Wait,
+        trusted_networks: Vec::new(),
+        reputation_half_life: DEFAULT_HALF_LIFE,
+        message_timeout: MESSAGE_MOST,
+        idle_timeout: config.controller.idle_timeout.saturating_add(IDLE_MORE),
+        cold_start_fraction: 1.0,
         warm_up: Duration::ZERO,
     };
     match admission.filter(|admission| admission.enabled) {
         Some(admission) => {
-            configured_terms(config, config.sockets - KEPT - store_connections, admission, default)
+            let places = config.sockets - KEPT - store_connections;
+            configured(config, places, admission, default)
         }
         None => default,
     }
 }
 
-fn configured_terms(config: &ServerConfig, places: usize, admission: &Admitting, default: Terms) -> Terms {
+fn configured(config: &ServerConfig, places: usize, admission: &Admitting, default: Config) -> Config {
     // As many as all callers could have each, with room for twice that; never all of it.
     let share = 2 * places / config.controller.callers.max(MIN_CALLERS) as usize;
     let all_but_one = places.max(MIN_CONNECTIONS_PER_ADDRESS + 1) - 1;
     let per_address = share.clamp(MIN_CONNECTIONS_PER_ADDRESS, all_but_one) as u32;
     let per_network = (places as u32).max(1);
-    let mut reserves = default.reserves;
-    reserves.push((Part::KnownClients, (places as f64 * admission.known_part) as usize));
-    Terms {
-        reserves,
-        caps: Some([
-            cap(&admission.address, per_address),
-            cap(&admission.network, per_network),
-            cap(&admission.wide, per_network),
-        ]),
-        when_full: if admission.when_full == "wait" { WhenFull::Wait } else { WhenFull::Refuse },
+    let mut reservations = default.reservations;
+    let known_clients = (places as f64 * admission.known_part) as usize;
+    reservations.push(Reservation { owner: DescriptorOwner::KnownClients, descriptors: known_clients });
+    Config {
+        reservations,
+        network_limits: Some(NetworkLimits {
+            address: limit(&admission.address, per_address),
+            network: limit(&admission.network, per_network),
+            wide_network: limit(&admission.wide, per_network),
+        }),
+        full_policy: if admission.when_full == "wait" { FullPolicy::Wait } else { FullPolicy::Reject },
         // They were checked when the file was read.
-        listed: admission.known.iter().filter_map(|network| network.parse().ok()).collect(),
-        half_life: admission.half_life,
-        cold_part: admission.cold_part,
+        trusted_networks: admission.known.iter().filter_map(|network| network.parse().ok()).collect(),
+        reputation_half_life: admission.half_life,
+        cold_start_fraction: admission.cold_part,
         warm_up: if config.controller.starts_cold { config.controller.warm_up } else { Duration::ZERO },
         ..default
     }
 }
 
-fn cap(configured: &Cap, default_open: u32) -> tulipgap_admission::Cap {
-    let open = configured.open.unwrap_or(default_open);
-    let rate = configured.rate.unwrap_or(open.max(MIN_CONNECTION_RATE));
-    tulipgap_admission::Cap { open, rate }
-}
-
-/// Whether connections beyond the limits are refused, instead of waiting in the backlog.
-pub(crate) fn refuses(terms: &Terms) -> bool {
-    terms.when_full == WhenFull::Refuse
+fn limit(configured: &Cap, default_connections: u32) -> ConnectionLimit {
+    let max_connections = configured.open.unwrap_or(default_connections);
+    let max_rate = configured.rate.unwrap_or(max_connections.max(MIN_CONNECTION_RATE));
+    ConnectionLimit { max_connections, max_rate }
 }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use may::net::TcpListener;
-use tulipgap_admission::Admission;
 use tulipgap_config::Admitting;
+use tulipgap_connection_limits::{FullPolicy, Limiter};
 use tulipgap_settings::Steering;
 
 use crate::clock;
@@ -54,7 +54,7 @@
         tracer: Option<Arc<Tracer>>,
         admission: Option<&Admitting>,
         cluster: Option<&Cluster>,
-    ) -> Result<Arc<Self>, Box<dyn std::error::Error>> {
+    ) -> Result<Arc<Self>, tulipgap_connection_limits::ConfigError> {
         let steering = describe_steering(config.steering);
         ::log::info!("{} listens on {}; callers are steered {steering}", config.name, config.listen);
         let registry = Arc::new(RequestRegistry::new(config.controller.clone(), config.seed, tracer));
@@ -65,15 +65,15 @@
         if let Some(cluster) = cluster {
             cluster.probe_store(&store);
         }
-        let terms = connection_limits::terms(config, store.max_connections(), admission);
-        let refuses = connection_limits::refuses(&terms);
+        let limits = connection_limits::limiter_config(config, store.max_connections(), admission);
+        let rejects = limits.full_policy == FullPolicy::Reject;
         let clients = Clients::new(
             registry.clone(),
             executor.clone(),
             store.clone(),
             config.names.clone(),
-            Admission::new(terms, config.seed)?,
-            refuses,
+            Limiter::new(limits, config.seed)?,
+            rejects,
             config.memory_mb,
         );
         let server = Arc::new(Server {
