--- /dev/null
+++ b/crates/agree/tests/stored_format.rs
@@ -0,0 +1,264 @@
+//! What a voter keeps on disk is readable by later versions: folders written by an earlier version are opened, and the
+//! same run writes the same bytes. `tests/golden/journal` holds one folder for each state a folder can be in, and in
+//! `*-final` every kind of record: identity, snapshot, hard state, commands of each kind, changes of voters.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use tulipgap_agree::{Action, Event, Seat, Terms};
+use tulipgap_durable::{Disk, Faulty, Journal};
+use tulipgap_leases::{Command, Name, Who};
+
+type Files = BTreeMap<String, Vec<u8>>;
+
+const TICK: Duration = Duration::from_millis(100);
+const BOOTSTRAP_VOTERS: [&str; 3] = ["a", "b", "c"];
+
+fn terms() -> Terms {
+    // More than the 200 entries that stay behind a snapshot, so that older ones are removed from the log.
+    Terms { whole_after: 250, ..Terms::default() }
+}
+
+/// Voters over disks in memory, with messages that arrive at once and in order.
+struct Group {
+    seats: BTreeMap<Name, Seat<Faulty>>,
+    disks: BTreeMap<Name, Faulty>,
+    now: Duration,
+    next_request: u64,
+    /// Folders as they were on the way, by the name of their fixture.
+    captured: BTreeMap<&'static str, Files>,
+}
+
+impl Group {
+    fn new(folders: BTreeMap<Name, Files>) -> Self {
+        let (mut seats, mut disks) = (BTreeMap::new(), BTreeMap::new());
+        for (at, (name, files)) in folders.into_iter().enumerate() {
+            let disk = Faulty::default();
+            disk.put_back(files);
+            seats.insert(name.clone(), seat(&name, &disk, at as u64 + 1));
+            disks.insert(name, disk);
+        }
+        Group { seats, disks, now: Duration::ZERO, next_request: 0, captured: BTreeMap::new() }
+    }
+
+    fn deliver(&mut self, to: &Name, event: Event) {
+        let mut queue = VecDeque::from([(to.clone(), event)]);
+        while let Some((to, event)) = queue.pop_front() {
+            let Some(seat) = self.seats.get_mut(&to) else { continue };
+            let (actions, written) = seat.decide(self.now, vec![event]);
+            written.unwrap();
+            self.capture();
+            for action in actions {
+                if let Action::Send { to: next, message } = action {
+                    queue.push_back((next, Event::Peer { from: to.clone(), message }));
+                }
+            }
+        }
+    }
+
+    fn capture(&mut self) {
+        for disk in self.disks.values() {
+            let files = disk.copy();
+            if files.len() == 1 && files.contains_key("identity") {
+                let promised = self.captured.get("a-new").is_some_and(|new| *new != files);
+                let fixture = if promised { "b-promised" } else { "a-new" };
+                self.captured.entry(fixture).or_insert(files);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        for name in self.seats.keys().cloned().collect::<Vec<_>>() {
+            self.deliver(&name, Event::Alarm);
+        }
+    }
+
+    fn tick_until(&mut self, what: &str, mut reached: impl FnMut(&Self) -> bool) {
+        for _ in 0..600 {
+            if reached(self) {
+                return;
+            }
+            self.tick();
+        }
+        panic!("not reached within a minute: {what}");
+    }
+
+    fn leader(&self) -> Option<Name> {
+        self.seats.iter().find(|(_, seat)| seat.voter().leads()).map(|(name, _)| name.clone())
+    }
+
+    fn propose(&mut self, command: Command) {
+        let leader = self.leader().unwrap();
+        self.next_request += 1;
+        let (from, ask) = ("client".into(), self.next_request);
+        self.deliver(&leader, Event::Asked { from, ask, command });
+    }
+
+    fn voter_names(&self, of: &str) -> Vec<Name> {
+        self.seats[of].voter().standing().voters.into_values().collect()
+    }
+}
+
+fn seat(name: &Name, disk: &Faulty, seed: u64) -> Seat<Faulty> {
+    Seat::take(terms(), name, BOOTSTRAP_VOTERS.map(Name::from).to_vec(), disk.clone(), seed).unwrap()
+}
+
+fn owner(name: &str) -> Who {
+    Who { name: name.into(), life: 7 }
+}
+
+fn ask(lease: &str, who: &str, term: Duration, places: u32) -> Command {
+    Command::Ask { lease: lease.into(), who: owner(who), term, places, wait: true }
+}
+
+/// Bootstrap, a command of each kind, more entries than a snapshot covers, and one voter replaced by a newcomer that
+/// begins with a snapshot.
+fn written_folders() -> BTreeMap<&'static str, Files> {
+    let (hour, second) = (Duration::from_secs(3600), Duration::from_secs(1));
+    let mut group = Group::new(BOOTSTRAP_VOTERS.map(|name| (name.into(), Files::new())).into());
+    group.capture();
+    group.tick_until("a leader", |group| group.leader().is_some());
+    let fill_log = |group: &mut Group| {
+        for turn in 0..260 {
+            group.propose(ask(&format!("lease-{}", turn % 5), &format!("m{}", turn % 7), hour, 2));
+        }
+    };
+    fill_log(&mut group);
+    let leader = group.leader().unwrap();
+    let voters = group.seats[&leader].voter().standing().voters;
+    // Leadership goes to the follower with the highest id: the other one is replaced.
+    let replaced = voters.values().find(|name| **name != leader).unwrap().clone();
+    group.disks.insert("d".into(), Faulty::default());
+    let newcomer = seat(&"d".into(), &group.disks["d"], 9);
+    group.seats.insert("d".into(), newcomer);
+    let is_outside = |group: &Group| group.seats["d"].voter().standing().phase == "outside";
+    group.tick_until("the newcomer has met the voters", is_outside);
+    group.deliver(&leader, Event::Replace { old: replaced.clone(), new: "d".into() });
+    // The consensus restores no snapshot that was taken before the newcomer was added as a learner, and its leader waits
+    // for that one: the next leader sends one that it took later.
+    fill_log(&mut group);
+    group.deliver(&leader, Event::Leave);
+    group.tick_until("another leader", |group| group.leader().is_some_and(|next| next != leader));
+    let leader = group.leader().unwrap();
+    group.tick_until("the newcomer votes", |group| {
+        let voters = group.voter_names("d");
+        voters.len() == 3 && voters.contains(&"d".into()) && !voters.contains(&replaced)
+    });
+    group.seats.remove(&replaced);
+    group.propose(ask("short", "m1", second, 1));
+    for _ in 0..15 {
+        group.tick();
+    }
+    let token = group.seats[&leader].voter().agreed().0.lease("lease-0").unwrap().held[0].token;
+    group.propose(Command::Transfer { lease: "lease-0".into(), token, to: "m9".into() });
+    let held = group.seats[&leader].voter().agreed().0.lease("lease-1").unwrap().held.clone();
+    group.propose(Command::Revoke { lease: "lease-1".into(), token: held[0].token });
+    let (lease, who, token) = ("lease-1".into(), held[1].who.clone(), Some(held[1].token));
+    group.propose(Command::Release { lease, who, token });
+    let waiting = group.seats[&leader].voter().agreed().0.lease("lease-2").unwrap().queue[0].clone();
+    group.propose(Command::Release { lease: "lease-2".into(), who: waiting.who, token: None });
+    let held = group.seats[&leader].voter().agreed().0.lease("lease-3").unwrap().held[0].clone();
+    group.propose(Command::Expire { lease: "lease-3".into(), who: held.who, beat: held.beat });
+    group.tick();
+    for (name, disk) in &group.disks {
+        let fixture = match &**name {
+            "a" => "a-final",
+            "b" => "b-final",
+            "c" => "c-final",
+            _ => "d-final",
+        };
+        group.captured.insert(fixture, disk.copy());
+    }
+    group.captured
+}
+
+fn golden(fixture: &str) -> PathBuf {
+    [env!("CARGO_MANIFEST_DIR"), "tests/golden/journal", fixture].iter().collect()
+}
+
+fn golden_files(fixture: &str) -> Files {
+    let entries = std::fs::read_dir(golden(fixture)).unwrap().map(Result::unwrap);
+    entries
+        .map(|entry| (entry.file_name().into_string().unwrap(), std::fs::read(entry.path()).unwrap()))
+        .collect()
+}
+
+/// What a voter holds, in words of this test alone.
+fn described(seat: &Seat<Faulty>) -> String {
+    let standing = seat.voter().standing();
+    let (table, applied) = seat.voter().agreed();
+    let mut text = String::new();
+    writeln!(text, "id={} applied={applied} phase={}", standing.id, standing.phase).unwrap();
+    for (id, name) in &standing.voters {
+        writeln!(text, "voter {name} id={id}").unwrap();
+    }
+    writeln!(text, "last token={}", table.tokens()).unwrap();
+    for (name, lease) in table.leases() {
+        writeln!(text, "lease {name} ttl={:?} capacity={}", lease.shape.term, lease.shape.places).unwrap();
+        for held in &lease.held {
+            let (owner, incarnation) = (&held.who.name, held.who.life);
+            let (token, renewal, revoked) = (held.token, held.beat, held.ends);
+            writeln!(
+                text,
+                "  held by {owner} {incarnation} token={token} renewal={renewal} revoked={revoked}"
+            )
+            .unwrap();
+        }
+        for waiting in &lease.queue {
+            let (owner, incarnation) = (&waiting.who.name, waiting.who.life);
+            writeln!(text, "  queued {owner} {incarnation} renewal={}", waiting.beat).unwrap();
+        }
+    }
+    text
+}
+
+#[test]
+fn a_voter_writes_the_same_bytes_as_before() {
+    let folders = written_folders();
+    if std::env::var_os("GOLDEN_WRITE").is_some() {
+        for (fixture, files) in &folders {
+            std::fs::create_dir_all(golden(fixture)).unwrap();
+            for (name, bytes) in files {
+                std::fs::write(golden(fixture).join(name), bytes).unwrap();
+            }
+        }
+    }
+    assert_eq!(folders.len(), 6, "{:?}", folders.keys());
+    for (fixture, files) in folders {
+        assert!(files == golden_files(fixture), "the files of {fixture} have changed");
+    }
+}
+
+/// The folders of the last voters, opened again, agree on all that was agreed on when they were written.
+#[test]
+fn folders_written_by_an_earlier_version_are_read_with_the_same_values() {
+    let mut text = String::new();
+    for fixture in ["a-new", "b-promised", "a-final", "b-final", "c-final", "d-final"] {
+        let disk = Faulty::default();
+        disk.put_back(golden_files(fixture));
+        let name = fixture[..1].into();
+        let (journal, found) = Journal::open(disk.clone()).unwrap();
+        let files = journal.disk().names().unwrap();
+        let state = found.state.map_or(0, |state| state.len());
+        let records: Vec<usize> = found.records.iter().map(Vec::len).collect();
+        writeln!(text, "== {fixture}: {files:?}\nstate={state} records={records:?}").unwrap();
+        text += &described(&seat(&name, &disk, 1));
+    }
+    let remaining =
+        ["a-final", "b-final", "c-final", "d-final"].map(|fixture| (fixture[..1].into(), fixture));
+    let folders = remaining.map(|(name, fixture)| (name, golden_files(fixture)));
+    let mut group = Group::new(folders.into());
+    group.tick_until("a leader", |group| group.leader().is_some());
+    let leader = group.leader().unwrap();
+    let term = group.seats[&leader].voter().standing().term;
+    writeln!(text, "== reopened: {leader} leads in term {term}").unwrap();
+    text += &described(&group.seats[&leader]);
+    let file = golden("values.txt");
+    if std::env::var_os("GOLDEN_WRITE").is_some() {
+        std::fs::write(&file, &text).unwrap();
+    }
+    assert_eq!(text, std::fs::read_to_string(file).unwrap());
+}
--- /dev/null
+++ b/crates/peer/tests/every_kind.rs
@@ -0,0 +1,136 @@
+//! One frame of every kind of message, with every variant of what it carries, as an earlier version wrote them.
+
+use std::time::Duration;
+
+use tulipgap_agree::{Peer, Stage};
+use tulipgap_cluster::{About, Body, Message, State, Update};
+use tulipgap_leases::{Answer, Command, Held, Lease, Name, Refusal, Shape, Waiting, Who};
+use tulipgap_peer::{Frames, HEAD, Said, Word};
+
+fn frames() -> Frames {
+    Frames::new("penhoat", b"a key of twenty bytes").unwrap()
+}
+
+fn member_messages() -> Vec<Message> {
+    let address = |host| ([127, 0, 0, host], 7100).into();
+    let about = |name: &str| About {
+        name: name.into(),
+        address: address(2),
+        region: "coast".into(),
+        zone: "west".into(),
+        version: 1,
+    };
+    let states = [State::Alive, State::Suspect, State::Dead, State::Left];
+    let update = |(at, state): (usize, State)| Update {
+        about: about("west-1"),
+        incarnation: 3 + at as u64,
+        state,
+        by: (at > 0).then(|| "south-1".into()),
+        facts: std::sync::Arc::new([("store".to_owned(), "down".to_owned())].into()),
+        unheard: std::sync::Arc::new(["south-2".into()].into()),
+    };
+    let updates: Vec<Update> = states.into_iter().enumerate().map(update).collect();
+    let bodies = [
+        Body::Ping { number: 300 },
+        Body::Ack { number: 300 },
+        Body::Ask { number: 301, target: "south-1".into(), address: address(3) },
+        Body::Told { number: 301, heard: true },
+        Body::Told { number: 302, heard: false },
+        Body::Join,
+        Body::Members { answer: true },
+        Body::Members { answer: false },
+        Body::Taken,
+    ];
+    let message =
+        |body| Message { from: "north-1".into(), to: Some("west-1".into()), body, updates: updates.clone() };
+    let unknown = Message { from: "north-1".into(), to: None, body: Body::Join, updates: Vec::new() };
+    bodies.into_iter().map(message).chain([unknown]).collect()
+}
+
+fn commands() -> Vec<Command> {
+    let (lease, who): (Name, Who) = ("prober".into(), Who { name: "north-1".into(), life: 700 });
+    let term = Duration::from_millis(2500);
+    vec![
+        Command::Ask { lease: lease.clone(), who: who.clone(), term, places: 3, wait: true },
+        Command::Ask { lease: lease.clone(), who: who.clone(), term, places: 3, wait: false },
+        Command::Release { lease: lease.clone(), who: who.clone(), token: Some(500) },
+        Command::Release { lease: lease.clone(), who: who.clone(), token: None },
+        Command::Expire { lease: lease.clone(), who, beat: 900 },
+        Command::Revoke { lease: lease.clone(), token: 500 },
+        Command::Transfer { lease, token: 500, to: "west-1".into() },
+    ]
+}
+
+fn answers() -> Vec<Answer> {
+    let refusals = [
+        Refusal::Full,
+        Refusal::QueueFull,
+        Refusal::TooMany,
+        Refusal::OtherShape { term: Duration::from_secs(2), places: 4 },
+        Refusal::Senseless,
+        Refusal::Revoked,
+        Refusal::Stale,
+        Refusal::TooManyWanted,
+    ];
+    let others = [Answer::Granted { token: 500 }, Answer::Queued { ahead: 2 }, Answer::Done];
+    others.into_iter().chain(refusals.map(Answer::Refused)).collect()
+}
+
+fn voter_messages() -> Vec<Peer> {
+    let hello = |asks, stage| Peer::Hello {
+        asks,
+        id: u64::MAX,
+        founders: [("north-1".into(), 11), ("west-1".into(), 1200)].into(),
+        stage,
+        heard: (2, 300),
+    };
+    vec![
+        hello(true, Stage::Knows),
+        hello(false, Stage::Promises),
+        hello(false, Stage::Founded),
+        Peer::Raft(vec![1, 2, 3]),
+    ]
+}
+
+fn every_kind() -> Vec<Said> {
+    let who = Who { name: "north-1".into(), life: 7 };
+    let lease = Lease {
+        shape: Shape { term: Duration::from_nanos(2_000_000_001), places: 2 },
+        held: vec![Held { who: who.clone(), token: 500, beat: 900, ends: true }],
+        queue: vec![Waiting { who, beat: 1000 }],
+    };
+    let mut words: Vec<Word> = member_messages().into_iter().map(Word::Member).collect();
+    words.extend(voter_messages().into_iter().map(Word::Peer));
+    words.extend(commands().into_iter().zip(1..).map(|(command, ask)| Word::Ask { ask, command }));
+    words.extend(answers().into_iter().zip(1..).map(|(answer, ask)| Word::Answer { life: 700, ask, answer }));
+    words.extend([
+        Word::NotLeading { ask: 300, leader: Some("west-1".into()) },
+        Word::NotLeading { ask: 301, leader: None },
+        Word::Turn { lease: "prober".into() },
+        Word::List { number: 400, lease: None },
+        Word::List { number: 401, lease: Some("prober".into()) },
+        Word::Listing { number: 401, leases: vec![("prober".into(), lease)] },
+        Word::Replace { old: "a".into(), new: "b".into() },
+    ]);
+    let addresses = [([127, 0, 0, 1], 7100).into(), "[2001:db8::7]:7100".parse().unwrap()];
+    let said = |(at, word)| Said { from: "north-1".into(), address: addresses[at % 2], life: 700, word };
+    words.into_iter().enumerate().map(said).collect()
+}
+
+#[test]
+fn frames_of_every_kind_are_written_and_read_as_before() {
+    let file = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden/every-kind.bin");
+    let bytes: Vec<u8> = every_kind().iter().flat_map(|said| frames().make(said)).collect();
+    if std::env::var_os("GOLDEN_WRITE").is_some() {
+        std::fs::write(&file, &bytes).unwrap();
+    }
+    let golden = std::fs::read(file).unwrap();
+    assert!(bytes == golden, "the bytes of a frame have changed");
+    let mut rest = &golden[..];
+    for said in every_kind() {
+        let length = HEAD + frames().body(rest.first_chunk().unwrap()).unwrap();
+        assert_eq!(frames().open_whole(&rest[..length]), Ok(said));
+        rest = &rest[length..];
+    }
+    assert!(rest.is_empty());
+}
