--- a/crates/agree/src/seat.rs
+++ b/crates/agree/src/seat.rs
@@ -4,8 +4,8 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
-use tulipgap_durable::{Broken, Disk, Journal};
 use tulipgap_leases::Name;
+use tulipgap_write_ahead_log::{Disk, LogError, WriteAheadLog};
 
 use crate::interface::*;
 use crate::voter::Voter;
@@ -17,7 +17,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Lost {
     #[error(transparent)]
-    Journal(#[from] Broken),
+    Journal(#[from] LogError),
     #[error(transparent)]
     Unread(#[from] Unread),
     #[error("the consensus met what it holds to be impossible, and this voter is no more")]
@@ -26,13 +26,13 @@
 
 pub struct Seat<D: Disk> {
     voter: Voter,
-    journal: Journal<D>,
+    journal: WriteAheadLog<D>,
 }
 
 impl<D: Disk> Seat<D> {
     /// Takes what is on the disk up, or makes a new folder of it.
     pub fn take(terms: Terms, name: &Name, names: Vec<Name>, disk: D, seed: u64) -> Result<Self, Lost> {
-        let (journal, found) = Journal::open(disk)?;
+        let (journal, found) = WriteAheadLog::open(disk)?;
         Self::of(terms, name, names, journal, found, seed)
     }
 
@@ -40,38 +40,38 @@
         terms: Terms,
         name: &Name,
         names: Vec<Name>,
-        mut journal: Journal<D>,
-        found: tulipgap_durable::Recovered,
+        mut journal: WriteAheadLog<D>,
+        found: tulipgap_write_ahead_log::Recovered,
         seed: u64,
     ) -> Result<Self, Lost> {
-        let identity = match journal.kept(IDENTITY)? {
+        let identity = match journal.read_file(IDENTITY)? {
             Some(identity) => identity,
-            None if found.state.is_some() || !found.records.is_empty() => {
+            None if found.snapshot.is_some() || !found.records.is_empty() => {
                 let what = "a log without it is no new folder".to_owned();
                 return Err(Unread::Bytes("the identity", what).into());
             }
             None => {
                 let fresh = Voter::identity(name.clone(), fastrand::Rng::with_seed(seed).u64(1..));
-                journal.keep(IDENTITY, &fresh)?;
+                journal.write_file(IDENTITY, &fresh)?;
                 fresh
             }
         };
-        let (state, records) = (found.state.as_deref(), &found.records[..]);
+        let (state, records) = (found.snapshot.as_deref(), &found.records[..]);
         let voter = Voter::new(terms, name, names, &identity, state, records, seed)?;
         Ok(Seat { voter, journal })
     }
 
     #[cfg(feature = "flaws")]
-    pub fn plant(&mut self, flaw: Option<Flaw>, durable: Option<tulipgap_durable::Flaw>) {
+    pub fn plant(&mut self, flaw: Option<Flaw>, durable: Option<tulipgap_write_ahead_log::InjectedBug>) {
         self.voter.plant(flaw);
-        self.journal.plant(durable);
+        self.journal.inject_bug(durable);
     }
 
     pub fn voter(&self) -> &Voter {
         &self.voter
     }
 
-    pub fn journal(&self) -> &Journal<D> {
+    pub fn journal(&self) -> &WriteAheadLog<D> {
         &self.journal
     }
 
@@ -85,9 +85,9 @@
         };
         for action in actions {
             let written = match &action {
-                Action::Write(bytes) => self.journal.write(bytes),
-                Action::Whole(bytes) => self.journal.checkpoint(bytes),
-                Action::Identity(bytes) => self.journal.keep(IDENTITY, bytes),
+                Action::Write(bytes) => self.journal.append(bytes),
+                Action::Whole(bytes) => self.journal.write_snapshot(bytes),
+                Action::Identity(bytes) => self.journal.write_file(IDENTITY, bytes),
                 _ => {
                     said.push(action);
                     continue;
--- a/crates/agree/tests/stored_format.rs
+++ b/crates/agree/tests/stored_format.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use tulipgap_agree::{Action, Event, Seat, Terms};
-use tulipgap_durable::{Disk, Faulty, Journal};
 use tulipgap_leases::{Command, Name, Who};
+use tulipgap_write_ahead_log::{Disk, FaultyDisk, WriteAheadLog};
 
 type Files = BTreeMap<String, Vec<u8>>;
 
@@ -23,8 +23,8 @@
 
 /// Voters over disks in memory, with messages that arrive at once and in order.
 struct Group {
-    seats: BTreeMap<Name, Seat<Faulty>>,
-    disks: BTreeMap<Name, Faulty>,
+    seats: BTreeMap<Name, Seat<FaultyDisk>>,
+    disks: BTreeMap<Name, FaultyDisk>,
     now: Duration,
     next_request: u64,
     /// Folders as they were on the way, by the name of their fixture.
@@ -35,8 +35,8 @@
     fn new(folders: BTreeMap<Name, Files>) -> Self {
         let (mut seats, mut disks) = (BTreeMap::new(), BTreeMap::new());
         for (at, (name, files)) in folders.into_iter().enumerate() {
-            let disk = Faulty::default();
-            disk.put_back(files);
+            let disk = FaultyDisk::default();
+            disk.restore_files(files);
             seats.insert(name.clone(), seat(&name, &disk, at as u64 + 1));
             disks.insert(name, disk);
         }
@@ -60,7 +60,7 @@
 
     fn capture(&mut self) {
         for disk in self.disks.values() {
-            let files = disk.copy();
+            let files = disk.copy_files();
             if files.len() == 1 && files.contains_key("identity") {
                 let promised = self.captured.get("a-new").is_some_and(|new| *new != files);
                 let fixture = if promised { "b-promised" } else { "a-new" };
@@ -102,7 +102,7 @@
     }
 }
 
-fn seat(name: &Name, disk: &Faulty, seed: u64) -> Seat<Faulty> {
+fn seat(name: &Name, disk: &FaultyDisk, seed: u64) -> Seat<FaultyDisk> {
     Seat::take(terms(), name, BOOTSTRAP_VOTERS.map(Name::from).to_vec(), disk.clone(), seed).unwrap()
 }
 
@@ -131,7 +131,7 @@
     let voters = group.seats[&leader].voter().standing().voters;
     // Leadership goes to the follower with the highest id: the other one is replaced.
     let replaced = voters.values().find(|name| **name != leader).unwrap().clone();
-    group.disks.insert("d".into(), Faulty::default());
+    group.disks.insert("d".into(), FaultyDisk::default());
     let newcomer = seat(&"d".into(), &group.disks["d"], 9);
     group.seats.insert("d".into(), newcomer);
     let is_outside = |group: &Group| group.seats["d"].voter().standing().phase == "outside";
@@ -170,7 +170,7 @@
             "c" => "c-final",
             _ => "d-final",
         };
-        group.captured.insert(fixture, disk.copy());
+        group.captured.insert(fixture, disk.copy_files());
     }
     group.captured
 }
@@ -187,7 +187,7 @@
 }
 
 /// What a voter holds, in words of this test alone.
-fn described(seat: &Seat<Faulty>) -> String {
+fn described(seat: &Seat<FaultyDisk>) -> String {
     let standing = seat.voter().standing();
     let (table, applied) = seat.voter().agreed();
     let mut text = String::new();
@@ -237,13 +237,13 @@
 fn folders_written_by_an_earlier_version_are_read_with_the_same_values() {
     let mut text = String::new();
     for fixture in ["a-new", "b-promised", "a-final", "b-final", "c-final", "d-final"] {
-        let disk = Faulty::default();
-        disk.put_back(golden_files(fixture));
+        let disk = FaultyDisk::default();
+        disk.restore_files(golden_files(fixture));
         let name = fixture[..1].into();
-        let (journal, found) = Journal::open(disk.clone()).unwrap();
-        let files = journal.disk().names().unwrap();
-        let state = found.state.map_or(0, |state| state.len());
-        let records: Vec<usize> = found.records.iter().map(Vec::len).collect();
+        let (log, recovered) = WriteAheadLog::open(disk.clone()).unwrap();
+        let files = log.disk().list().unwrap();
+        let state = recovered.snapshot.map_or(0, |state| state.len());
+        let records: Vec<usize> = recovered.records.iter().map(Vec::len).collect();
         writeln!(text, "== {fixture}: {files:?}\nstate={state} records={records:?}").unwrap();
         text += &described(&seat(&name, &disk, 1));
     }
--- a/crates/rig/benches/leases.rs
+++ b/crates/rig/benches/leases.rs
@@ -9,21 +9,21 @@
 
 use hdrhistogram::Histogram;
 use tulipgap_agree::{Action, Event, Seat, Terms};
-use tulipgap_durable::{Disk, Folder};
 use tulipgap_leases::{Answer, Command, Name, Who};
+use tulipgap_write_ahead_log::{Directory, Disk};
 
 const RUN: Duration = Duration::from_secs(4);
 
 /// Counts syncs and bytes.
 struct Counted {
-    disk: Folder,
+    disk: Directory,
     syncs: Arc<AtomicU64>,
     bytes: Arc<AtomicU64>,
 }
 
 impl Disk for Counted {
-    fn names(&self) -> std::io::Result<Vec<String>> {
-        self.disk.names()
+    fn list(&self) -> std::io::Result<Vec<String>> {
+        self.disk.list()
     }
     fn read(&self, name: &str) -> std::io::Result<Vec<u8>> {
         self.disk.read(name)
@@ -39,8 +39,8 @@
     fn replace(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
         self.disk.replace(name, bytes)
     }
-    fn cut(&mut self, name: &str, length: u64) -> std::io::Result<()> {
-        self.disk.cut(name, length)
+    fn truncate(&mut self, name: &str, length: u64) -> std::io::Result<()> {
+        self.disk.truncate(name, length)
     }
     fn remove(&mut self, name: &str) -> std::io::Result<()> {
         self.disk.remove(name)
@@ -104,7 +104,7 @@
     let (notes, told) = channel();
     let leader = Arc::new(Mutex::new(None));
     for (at, events) in receivers.into_iter().enumerate() {
-        let disk = Folder::open(&folder.path().join(&*names[at])).unwrap();
+        let disk = Directory::open(&folder.path().join(&*names[at])).unwrap();
         let disk = Counted { disk, syncs: syncs.clone(), bytes: bytes.clone() };
         let taken = Seat::take(Terms::default(), &names[at], names.clone(), disk, at as u64 + 1).unwrap();
         let (me, others, notes, leader, over) =
--- a/crates/rig/src/leases.rs
+++ b/crates/rig/src/leases.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use tulipgap_agree::{Action as Said, Event as Heard, Notice, Peer, Seat, Terms};
-use tulipgap_durable::{Faults, Faulty};
 use tulipgap_leases::{Action, Answer, Command, Event, Holder, Lease, Name, Permit, Shape, Who};
+use tulipgap_write_ahead_log::{DiskFaults, DiskUsage, FaultyDisk};
 
 use crate::plan::{Fault, Left, Plan, Trouble};
 use crate::witness::{Refused, Witness};
@@ -30,7 +30,7 @@
     #[cfg(feature = "flaws")]
     pub lease: Option<tulipgap_leases::Flaw>,
     #[cfg(feature = "flaws")]
-    pub durable: Option<tulipgap_durable::Flaw>,
+    pub durable: Option<tulipgap_write_ahead_log::InjectedBug>,
     #[cfg(feature = "flaws")]
     pub stale_read: bool,
 }
@@ -83,7 +83,7 @@
     Holder { life: u64 },
     Act { life: u64, lease: Name },
     Copy,
-    Disk(Faults),
+    Disk(DiskFaults),
     Replace { old: Name, new: Name },
     List,
 }
@@ -92,8 +92,8 @@
     name: Name,
     rate: f64,
     base: Duration,
-    disk: Faulty,
-    seat: Option<Seat<Faulty>>,
+    disk: FaultyDisk,
+    seat: Option<Seat<FaultyDisk>>,
     holder: Option<Holder>,
     life: u64,
     stopped: bool,
@@ -141,7 +141,7 @@
         name: member.0.as_str().into(),
         rate: rate(member),
         base: Duration::ZERO,
-        disk: Faulty::default(),
+        disk: FaultyDisk::default(),
         seat: None,
         holder: None,
         life: 0,
@@ -212,12 +212,12 @@
             }
             Fault::Disk { at, of: who, back, what } => {
                 let faults = match what {
-                    Trouble::Full => Faults { full: true, ..Faults::default() },
-                    Trouble::Fails => Faults { sync_fails: true, ..Faults::default() },
+                    Trouble::Full => DiskFaults { is_full: true, ..DiskFaults::default() },
+                    Trouble::Fails => DiskFaults { next_sync_fails: true, ..DiskFaults::default() },
                 };
                 for member in of(who) {
                     self.put(secs(*at), member, What::Disk(faults));
-                    self.put(secs(back.unwrap_or(*at + 5.0)), member, What::Disk(Faults::default()));
+                    self.put(secs(back.unwrap_or(*at + 5.0)), member, What::Disk(DiskFaults::default()));
                 }
             }
             Fault::Replace { at, old, new } => {
@@ -246,7 +246,7 @@
             self.happen(member, what);
         }
         for process in &self.processes {
-            let (syncs, written) = process.disk.worked();
+            let DiskUsage { syncs, written_bytes: written } = process.disk.usage();
             (self.out.syncs, self.out.written) = (self.out.syncs + syncs, self.out.written + written);
         }
         self.out
@@ -290,8 +290,8 @@
                 }
                 return;
             }
-            What::Copy => return self.processes[member].older = self.processes[member].disk.copy(),
-            What::Disk(faults) => return self.processes[member].disk.set(faults),
+            What::Copy => return self.processes[member].older = self.processes[member].disk.copy_files(),
+            What::Disk(faults) => return self.processes[member].disk.set_faults(faults),
             What::Replace { old, new } => {
                 for at in 0..self.names.len() {
                     if self.processes[at].seat.as_ref().is_some_and(|seat| seat.voter().leads()) {
@@ -331,8 +331,8 @@
         process.base = now;
         match folder {
             Left::Kept => {}
-            Left::Emptied => process.disk.put_back(BTreeMap::new()),
-            Left::Older => process.disk.put_back(process.older.clone()),
+            Left::Emptied => process.disk.restore_files(BTreeMap::new()),
+            Left::Older => process.disk.restore_files(process.older.clone()),
         }
         let who = Who { name: process.name.clone(), life: process.life };
         let holder = Holder::new(who, voters.clone(), OFF, JITTER, seed);
@@ -648,7 +648,7 @@
 }
 
 #[cfg(feature = "flaws")]
-fn plant(seat: &mut Seat<Faulty>, planted: &Planted) {
+fn plant(seat: &mut Seat<FaultyDisk>, planted: &Planted) {
     let flaw = match planted.stale_read {
         true => Some(tulipgap_agree::Flaw::StaleRead),
         false => planted.lease.map(tulipgap_agree::Flaw::Leases),
@@ -668,4 +668,4 @@
 }
 
 #[cfg(not(feature = "flaws"))]
-fn plant(_: &mut Seat<Faulty>, _: &Planted) {}
+fn plant(_: &mut Seat<FaultyDisk>, _: &Planted) {}
--- a/crates/rig/tests/leases.rs
+++ b/crates/rig/tests/leases.rs
@@ -1,8 +1,8 @@
 //! Leases over many seeds, each hard case in simulated time, faults drawn, and each check seen to catch a planted fault.
 
-use tulipgap_durable::Flaw as DiskFlaw;
 use tulipgap_leases::Flaw;
 use tulipgap_rig::*;
+use tulipgap_write_ahead_log::InjectedBug as DiskBug;
 
 /// Of each hard case; many more are played by the command.
 const SEEDS: u64 = 6;
@@ -196,7 +196,7 @@
     let clocks = "clock {\n of = \"north-2\"\n rate = 0.95\n}\nclock {\n of = \"\"\n rate = 1.05\n}\n\
                   cut {\n from = 6\n to = 40\n between = [\"north-2\", \"\"]\n flap = 3.1\n}\n";
     let lease = |flaw| Planted { lease: Some(flaw), ..Planted::default() };
-    let quick = Planted { durable: Some(DiskFlaw::NotSynced), ..Planted::default() };
+    let quick = Planted { durable: Some(DiskBug::SkipSync), ..Planted::default() };
     let read = Planted { stale_read: true, ..Planted::default() };
     for (planted, faults, seeds, draws) in [
         (lease(Flaw::NoMargin), clocks, 0..20, false),
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -15,9 +15,9 @@
 use tulipgap_agree::{Action as Agreed, Event as Heard, Seat};
 use tulipgap_cluster::probing::{Look, Probing};
 use tulipgap_cluster::{About, Members};
-use tulipgap_durable::{Disk, Folder};
 use tulipgap_leases::{Action, Command, Event, Holder, Name, Permit, Shape, Stale, Standing, Who};
 use tulipgap_peer::{Frames, Said, Word};
+use tulipgap_write_ahead_log::{Directory, Disk};
 
 use crate::control::{self, Request};
 use crate::net;
@@ -181,7 +181,7 @@
         Some(folder) if !voters.is_empty() => {
             let terms = tulipgap_agree::Terms { off_thousandths: off, ..Default::default() };
             let folder_at = folder.display().to_string();
-            let disk = Folder::open(folder).map_err(|error| at(&folder_at, &error))?;
+            let disk = Directory::open(folder).map_err(|error| at(&folder_at, &error))?;
             let disk = Troubled::new(disk, trial.disk_trouble.clone());
             let seat = Seat::take(terms, &me, voters.clone(), disk, seed ^ life);
             let seat = seat.map_err(|error| at(&folder_at, &error))?;
--- a/crates/server/src/trial.rs
+++ b/crates/server/src/trial.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use tulipgap_config::TrialLease;
-use tulipgap_durable::Disk;
 use tulipgap_leases::{Name, Shape};
+use tulipgap_write_ahead_log::Disk;
 
 use crate::cluster::Leases;
 
@@ -88,8 +88,8 @@
 }
 
 impl<D: Disk> Disk for Troubled<D> {
-    fn names(&self) -> io::Result<Vec<String>> {
-        self.disk.names()
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.disk.list()
     }
 
     fn read(&self, name: &str) -> io::Result<Vec<u8>> {
@@ -112,8 +112,8 @@
         self.disk.replace(name, bytes)
     }
 
-    fn cut(&mut self, name: &str, length: u64) -> io::Result<()> {
-        self.disk.cut(name, length)
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.disk.truncate(name, length)
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
--- /dev/null
+++ b/crates/write-ahead-log/src/disk.rs
@@ -0,0 +1,121 @@
+//! What the log needs of a disk, and the real one: a directory.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// Named files in one place. Nothing is durable before it is synced, but for [`replace`](Disk::replace),
+/// [`truncate`](Disk::truncate) and [`remove`](Disk::remove), which sync themselves.
+///
+/// All methods fail with the error of the device or file system.
+pub trait Disk {
+    /// The names of all files.
+    fn list(&self) -> io::Result<Vec<String>>;
+    /// The content of a file; `NotFound` where there is none.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// Appends to a file, which is created where there is none.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Makes a file's content durable.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+    /// Replaces a file's content atomically and durably: after a crash it is the old or the new one.
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Truncates a file to that length in bytes, durably.
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
+    /// Removes a file, durably.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+}
+
+/// A directory that one process uses at a time. It owns the directory's lock file until it is dropped.
+pub struct Directory {
+    path: PathBuf,
+    /// Holds the lock until the process ends.
+    _lock: File,
+    /// The file that is appended to, kept open.
+    open_file: Option<(String, File)>,
+}
+
+const LOCK_FILE: &str = "lock";
+/// A file that is being replaced, before it gets its name.
+const TEMPORARY_FILE: &str = "half";
+
+impl Directory {
+    /// Opens a directory, or creates it.
+    ///
+    /// # Errors
+    /// The file system's error, or `WouldBlock` where another process uses it.
+    pub fn open(path: &Path) -> io::Result<Self> {
+        fs::create_dir_all(path)?;
+        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join(LOCK_FILE))?;
+        rustix::fs::flock(&lock, rustix::fs::FlockOperation::NonBlockingLockExclusive)
+            .map_err(|error| io::Error::new(error.kind(), "another process uses this folder"))?;
+        Ok(Directory { path: path.to_owned(), _lock: lock, open_file: None })
+    }
+
+    /// Makes the names of the files durable.
+    fn sync_directory(&self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+
+    fn open_for_append(&mut self, name: &str) -> io::Result<&mut File> {
+        if self.open_file.as_ref().is_none_or(|(open, _)| open != name) {
+            let path = self.path.join(name);
+            let is_new = !path.exists();
+            let file = OpenOptions::new().create(true).append(true).open(path)?;
+            if is_new {
+                self.sync_directory()?;
+            }
+            self.open_file = Some((name.to_owned(), file));
+        }
+        self.open_file.as_mut().map(|(_, file)| file).ok_or_else(|| io::Error::other("no file is open"))
+    }
+}
+
+impl Disk for Directory {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            if let Ok(name) = entry?.file_name().into_string()
+                && name != LOCK_FILE
+                && name != TEMPORARY_FILE
+            {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.open_for_append(name)?.write_all(bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.open_for_append(name)?.sync_data()
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let temporary = self.path.join(TEMPORARY_FILE);
+        let mut file = File::create(&temporary)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&temporary, self.path.join(name))?;
+        self.sync_directory()
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.open_file = None;
+        let file = OpenOptions::new().write(true).open(self.path.join(name))?;
+        file.set_len(length)?;
+        file.sync_all()
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open_file = None;
+        fs::remove_file(self.path.join(name))?;
+        self.sync_directory()
+    }
+}
--- /dev/null
+++ b/crates/write-ahead-log/src/error.rs
@@ -0,0 +1,67 @@
+//! Why a log can't be opened or written.
+
+use std::io;
+
+use crate::record::MAX_RECORD_BYTES;
+
+/// An error of [`crate::WriteAheadLog`]. After any of them but [`LogError::RecordTooLong`] the log is of no use.
+#[derive(Debug, thiserror::Error)]
+pub enum LogError {
+    /// The directory could not be listed.
+    #[error("the folder: {0}")]
+    List(#[source] io::Error),
+    /// A file could not be read or written.
+    #[error("{file}: {source}")]
+    Io {
+        /// The file's name within the directory.
+        file: String,
+        /// What the disk reported.
+        source: io::Error,
+    },
+    /// A record that was acknowledged is not what was written.
+    #[error("{file} is damaged at byte {offset}: {corruption}; it was acknowledged, so it can't be skipped")]
+    Corrupt {
+        /// The file's name within the directory.
+        file: String,
+        /// Where the damaged record begins, in bytes from the start of the file.
+        offset: usize,
+        /// What is wrong with it.
+        corruption: Corruption,
+    },
+    /// An earlier write or sync failed, so what is on the disk is unknown. The log must be opened again.
+    #[error("an earlier write or sync failed ({cause}); what is on the disk is unknown")]
+    Poisoned {
+        /// The earlier failure.
+        cause: String,
+    },
+    /// The payload is longer than a record may be.
+    #[error("a record of {0} bytes (at most {MAX_RECORD_BYTES} are allowed)")]
+    RecordTooLong(usize),
+}
+
+impl LogError {
+    pub(crate) fn io(file: &str) -> impl FnOnce(io::Error) -> Self {
+        let file = file.to_owned();
+        move |source| LogError::Io { file, source }
+    }
+}
+
+/// How a file differs from what was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Corruption {
+    /// The header's checksum does not match.
+    #[error("the header of a record is not what was written")]
+    Header,
+    /// The payload's checksum or the end marker does not match.
+    #[error("a record is not what was written")]
+    Payload,
+    /// The sequence numbers have a gap.
+    #[error("a record is missing before it")]
+    MissingRecord,
+    /// A file that is not the last one ends within a record.
+    #[error("it ends in the middle of a record, and another file follows")]
+    TruncatedFile,
+    /// A file of a single record, such as a snapshot, holds something else.
+    #[error("it is not the single record that was written")]
+    SingleRecord,
+}
--- /dev/null
+++ b/crates/write-ahead-log/src/lib.rs
@@ -0,0 +1,38 @@
+//! A write-ahead log: records in order, each durable before it is acknowledged, and a snapshot that replaces all records
+//! before it.
+//!
+//! The crate decides what a damaged file means. A last record that a crash cut short was never acknowledged and is
+//! dropped. Any other damage affects what was acknowledged, so [`WriteAheadLog::open`] fails and names the file and the
+//! byte. After a failed write or sync the log refuses every further write: a second sync may succeed although the data
+//! of the first is lost.
+//!
+//! Input: payloads to append, snapshots, and small named files. Output: [`Recovered`] at the start, and a [`LogError`]
+//! where durability can't be promised. All I/O goes through [`Disk`]: [`Directory`] is the real one, [`FaultyDisk`]
+//! fails on demand. `docs/design-leases.md` lists each kind of damage and its answer.
+//!
+//! ```
+//! use tulipgap_write_ahead_log::{FaultyDisk, WriteAheadLog};
+//!
+//! # fn main() -> Result<(), tulipgap_write_ahead_log::LogError> {
+//! let disk = FaultyDisk::default();
+//! let (mut log, recovered) = WriteAheadLog::open(disk.clone())?;
+//! assert!(recovered.records.is_empty());
+//! log.append(b"acknowledged once this returns")?;
+//!
+//! disk.crash(|unsynced_bytes| unsynced_bytes / 2);
+//! let (_, recovered) = WriteAheadLog::open(disk)?;
+//! assert_eq!(recovered.records, [b"acknowledged once this returns"]);
+//! # Ok(())
+//! # }
+//! ```
+
+mod disk;
+mod error;
+mod fault_injection;
+mod log;
+mod record;
+
+pub use disk::{Directory, Disk};
+pub use error::{Corruption, LogError};
+pub use fault_injection::{DiskFaults, DiskUsage, FaultyDisk};
+pub use log::{InjectedBug, Recovered, WriteAheadLog};
