--- a/crates/agree/src/interface.rs
+++ b/crates/agree/src/interface.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tulipgap_leases::{Answer, Command, Lease, Name};
+use tulipgap_leases::{Command, Incarnation, Lease, Name, RequestId, Response};
 
 /// More voters would only be slower.
 pub const VOTERS_MOST: usize = 7;
@@ -66,7 +66,7 @@
     },
     Asked {
         from: Name,
-        ask: u64,
+        ask: RequestId,
         command: Command,
     },
     /// Who holds what is asked for; `lease` alone, where one is named.
@@ -98,13 +98,13 @@
     },
     Answer {
         to: Name,
-        life: u64,
-        ask: u64,
-        answer: Answer,
+        life: Incarnation,
+        ask: RequestId,
+        answer: Response,
     },
     NotLeading {
         to: Name,
-        ask: u64,
+        ask: RequestId,
         leader: Option<Name>,
     },
     Turn {
@@ -160,7 +160,7 @@
 pub enum Flaw {
     /// A leader tells who holds what without asking whether it still leads.
     StaleRead,
-    Leases(tulipgap_leases::Flaw),
+    Leases(tulipgap_leases::InjectedBug),
 }
 
 /// How a voter stands, for who asks.
--- a/crates/agree/src/store.rs
+++ b/crates/agree/src/store.rs
@@ -6,14 +6,14 @@
 use raft::prelude::{ConfState, Entry, HardState, Snapshot};
 use raft::{GetEntriesContext, RaftState, Storage, StorageError};
 use serde::{Deserialize, Serialize};
-use tulipgap_leases::{Name, Table};
+use tulipgap_leases::{LeaseStateMachine, Name};
 
 use crate::interface::Unread;
 
 /// What is agreed on.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Agreed {
-    pub table: Table,
+    pub table: LeaseStateMachine,
     /// Who votes, by its number, and its name.
     pub voters: BTreeMap<u64, Name>,
     /// Who is to take whose place, and learns what there is until then.
--- a/crates/agree/src/voter.rs
+++ b/crates/agree/src/voter.rs
@@ -10,7 +10,7 @@
 };
 use raft::{RawNode, ReadOnlyOption, StateRole};
 use serde::{Deserialize, Serialize};
-use tulipgap_leases::{Command, Granter, Name};
+use tulipgap_leases::{Command, ExpiryTracker, Name, RequestId};
 
 use crate::founding::{Came, Founding, Identity};
 use crate::interface::*;
@@ -43,7 +43,7 @@
 #[derive(Serialize, Deserialize)]
 struct Asked {
     from: Name,
-    ask: u64,
+    ask: RequestId,
     command: Command,
 }
 
@@ -65,7 +65,7 @@
     raw: Option<RawNode<Store>>,
     agreed: Agreed,
     applied: u64,
-    granter: Granter,
+    granter: ExpiryTracker,
     /// The term in which it counts the terms of leases, and the role and term when its wait was drawn last.
     granting: Option<u64>,
     drawn: (u64, StateRole),
@@ -114,7 +114,7 @@
         let store = Store::read(whole, records)?;
         let mut voter = Voter {
             founding: Founding::new(names.clone()),
-            granter: Granter::new(terms.off_thousandths),
+            granter: ExpiryTracker::new(terms.off_thousandths),
             rng: fastrand::Rng::with_seed(seed),
             terms,
             me,
@@ -150,7 +150,7 @@
     pub fn plant(&mut self, flaw: Option<Flaw>) {
         self.flaw = flaw;
         if let Some(Flaw::Leases(flaw)) = flaw {
-            self.granter.plant(Some(flaw));
+            self.granter.inject_bug(Some(flaw));
         }
     }
 
@@ -219,7 +219,7 @@
     }
 
     /// What was agreed on so far, as this one has carried it out.
-    pub fn agreed(&self) -> (&tulipgap_leases::Table, u64) {
+    pub fn agreed(&self) -> (&tulipgap_leases::LeaseStateMachine, u64) {
         (&self.agreed.table, self.applied)
     }
 
@@ -285,9 +285,12 @@
                 Phase::SetBack => {}
             }
         }
-        let over = self.granter.due(self.now);
+        let over = self.granter.due_expirations(self.now);
         let none: Name = "".into();
-        let asked = over.into_iter().map(|command| Asked { from: none.clone(), ask: 0, command }).collect();
+        let asked = over
+            .into_iter()
+            .map(|command| Asked { from: none.clone(), ask: RequestId(0), command })
+            .collect();
         self.propose(asked, out);
     }
 
@@ -381,7 +384,7 @@
             self.raw.as_ref().map_or((0, 0), |raw| (raw.raft.term, raw.raft.raft_log.last_index()));
         self.phase = Phase::SetBack;
         self.raw = None;
-        self.granter.rest();
+        self.granter.stop_leading();
         out.push(Action::Notice(Notice::SetBack { had, held, heard }));
     }
 
@@ -452,7 +455,7 @@
             return self.listed(&listing, out);
         }
         let leader = self.leader();
-        let (to, ask) = (listing.from.clone(), listing.number);
+        let (to, ask) = (listing.from.clone(), RequestId(listing.number));
         match &mut self.raw {
             Some(raw) if raw.raft.state == StateRole::Leader && self.lists.len() < LISTS_MOST => {
                 // Answered once a majority says that it still leads, and all agreed on by now was carried out.
@@ -602,7 +605,7 @@
             }
         }
         self.keep_whole(out);
-        let at = self.granter.next().map_or(self.tick_at, |at| at.min(self.tick_at)).max(self.now);
+        let at = self.granter.next_check_at().map_or(self.tick_at, |at| at.min(self.tick_at)).max(self.now);
         if self.phase != Phase::SetBack && self.alarm_at.is_none_or(|asked| at < asked) {
             self.alarm_at = Some(at);
             out.push(Action::Alarm { at });
@@ -658,16 +661,16 @@
     fn command(&mut self, asked: Asked, out: &mut Vec<Action>) {
         let answer = self.agreed.table.apply(&asked.command);
         let lease = asked.command.lease();
-        self.granter.applied(self.now, lease, &self.agreed.table);
+        self.granter.command_applied(self.now, lease, &self.agreed.table);
         if !self.leads() {
             return;
         }
         if !asked.from.is_empty() {
-            let life = asked.command.life();
+            let life = asked.command.incarnation();
             out.push(Action::Answer { to: asked.from.clone(), life, ask: asked.ask, answer });
         }
-        if !matches!(asked.command, Command::Ask { .. }) {
-            for who in self.agreed.table.next(lease) {
+        if !matches!(asked.command, Command::Acquire { .. }) {
+            for who in self.agreed.table.next_owners(lease) {
                 out.push(Action::Turn { to: who.name.clone(), lease: lease.clone() });
             }
         }
@@ -705,12 +708,12 @@
         let sure = raw.raft.state == StateRole::Leader && raw.raft.apply_to_current_term();
         if sure && self.granting != Some(term) {
             self.granting = Some(term);
-            self.agreed.table.forget_tokens();
-            self.granter.lead(self.now, &self.agreed.table);
+            self.agreed.table.leader_changed();
+            self.granter.start_leading(self.now, &self.agreed.table);
             out.push(Action::Notice(Notice::Leads(term)));
         } else if !sure && self.granting.is_some() {
             self.granting = None;
-            self.granter.rest();
+            self.granter.stop_leading();
             self.lists.clear();
             out.push(Action::Notice(Notice::LedBefore));
         }
--- a/crates/agree/tests/stored_format.rs
+++ b/crates/agree/tests/stored_format.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use tulipgap_agree::{Action, Event, Seat, Terms};
-use tulipgap_leases::{Command, Name, Who};
+use tulipgap_leases::{Command, Incarnation, Name, Owner, RequestId};
 use tulipgap_write_ahead_log::{Disk, FaultyDisk, WriteAheadLog};
 
 type Files = BTreeMap<String, Vec<u8>>;
@@ -26,7 +26,7 @@
     seats: BTreeMap<Name, Seat<FaultyDisk>>,
     disks: BTreeMap<Name, FaultyDisk>,
     now: Duration,
-    next_request: u64,
+    next_request: RequestId,
     /// Folders as they were on the way, by the name of their fixture.
     captured: BTreeMap<&'static str, Files>,
 }
@@ -40,7 +40,7 @@
             seats.insert(name.clone(), seat(&name, &disk, at as u64 + 1));
             disks.insert(name, disk);
         }
-        Group { seats, disks, now: Duration::ZERO, next_request: 0, captured: BTreeMap::new() }
+        Group { seats, disks, now: Duration::ZERO, next_request: RequestId(0), captured: BTreeMap::new() }
     }
 
     fn deliver(&mut self, to: &Name, event: Event) {
@@ -92,7 +92,7 @@
 
     fn propose(&mut self, command: Command) {
         let leader = self.leader().unwrap();
-        self.next_request += 1;
+        self.next_request.0 += 1;
         let (from, ask) = ("client".into(), self.next_request);
         self.deliver(&leader, Event::Asked { from, ask, command });
     }
@@ -106,12 +106,12 @@
     Seat::take(terms(), name, BOOTSTRAP_VOTERS.map(Name::from).to_vec(), disk.clone(), seed).unwrap()
 }
 
-fn owner(name: &str) -> Who {
-    Who { name: name.into(), life: 7 }
+fn owner(name: &str) -> Owner {
+    Owner { name: name.into(), incarnation: Incarnation(7) }
 }
 
-fn ask(lease: &str, who: &str, term: Duration, places: u32) -> Command {
-    Command::Ask { lease: lease.into(), who: owner(who), term, places, wait: true }
+fn acquire(lease: &str, who: &str, ttl: Duration, capacity: u32) -> Command {
+    Command::Acquire { lease: lease.into(), owner: owner(who), ttl, capacity, wait: true }
 }
 
 /// Bootstrap, a command of each kind, more entries than a snapshot covers, and one voter replaced by a newcomer that
@@ -123,7 +123,7 @@
     group.tick_until("a leader", |group| group.leader().is_some());
     let fill_log = |group: &mut Group| {
         for turn in 0..260 {
-            group.propose(ask(&format!("lease-{}", turn % 5), &format!("m{}", turn % 7), hour, 2));
+            group.propose(acquire(&format!("lease-{}", turn % 5), &format!("m{}", turn % 7), hour, 2));
         }
     };
     fill_log(&mut group);
@@ -148,20 +148,20 @@
         voters.len() == 3 && voters.contains(&"d".into()) && !voters.contains(&replaced)
     });
     group.seats.remove(&replaced);
-    group.propose(ask("short", "m1", second, 1));
+    group.propose(acquire("short", "m1", second, 1));
     for _ in 0..15 {
         group.tick();
     }
-    let token = group.seats[&leader].voter().agreed().0.lease("lease-0").unwrap().held[0].token;
+    let token = group.seats[&leader].voter().agreed().0.lease("lease-0").unwrap().holders[0].token;
     group.propose(Command::Transfer { lease: "lease-0".into(), token, to: "m9".into() });
-    let held = group.seats[&leader].voter().agreed().0.lease("lease-1").unwrap().held.clone();
+    let held = group.seats[&leader].voter().agreed().0.lease("lease-1").unwrap().holders.clone();
     group.propose(Command::Revoke { lease: "lease-1".into(), token: held[0].token });
-    let (lease, who, token) = ("lease-1".into(), held[1].who.clone(), Some(held[1].token));
-    group.propose(Command::Release { lease, who, token });
+    let (lease, owner, token) = ("lease-1".into(), held[1].owner.clone(), Some(held[1].token));
+    group.propose(Command::Release { lease, owner, token });
     let waiting = group.seats[&leader].voter().agreed().0.lease("lease-2").unwrap().queue[0].clone();
-    group.propose(Command::Release { lease: "lease-2".into(), who: waiting.who, token: None });
-    let held = group.seats[&leader].voter().agreed().0.lease("lease-3").unwrap().held[0].clone();
-    group.propose(Command::Expire { lease: "lease-3".into(), who: held.who, beat: held.beat });
+    group.propose(Command::Release { lease: "lease-2".into(), owner: waiting.owner, token: None });
+    let held = group.seats[&leader].voter().agreed().0.lease("lease-3").unwrap().holders[0].clone();
+    group.propose(Command::Expire { lease: "lease-3".into(), owner: held.owner, renewal: held.renewal });
     group.tick();
     for (name, disk) in &group.disks {
         let fixture = match &**name {
@@ -195,12 +195,12 @@
     for (id, name) in &standing.voters {
         writeln!(text, "voter {name} id={id}").unwrap();
     }
-    writeln!(text, "last token={}", table.tokens()).unwrap();
+    writeln!(text, "last token={}", table.last_token()).unwrap();
     for (name, lease) in table.leases() {
-        writeln!(text, "lease {name} ttl={:?} capacity={}", lease.shape.term, lease.shape.places).unwrap();
-        for held in &lease.held {
-            let (owner, incarnation) = (&held.who.name, held.who.life);
-            let (token, renewal, revoked) = (held.token, held.beat, held.ends);
+        writeln!(text, "lease {name} ttl={:?} capacity={}", lease.spec.ttl, lease.spec.capacity).unwrap();
+        for held in &lease.holders {
+            let (owner, incarnation) = (&held.owner.name, held.owner.incarnation.0);
+            let (token, renewal, revoked) = (held.token, held.renewal.0, held.revoked);
             writeln!(
                 text,
                 "  held by {owner} {incarnation} token={token} renewal={renewal} revoked={revoked}"
@@ -208,8 +208,8 @@
             .unwrap();
         }
         for waiting in &lease.queue {
-            let (owner, incarnation) = (&waiting.who.name, waiting.who.life);
-            writeln!(text, "  queued {owner} {incarnation} renewal={}", waiting.beat).unwrap();
+            let (owner, incarnation) = (&waiting.owner.name, waiting.owner.incarnation.0);
+            writeln!(text, "  queued {owner} {incarnation} renewal={}", waiting.renewal.0).unwrap();
         }
     }
     text
--- /dev/null
+++ b/crates/leases/src/client.rs
@@ -0,0 +1,364 @@
+//! The client of one process: it requests leases from the voters, renews them in time, and issues guards.
+//!
+//! A TTL is counted from before its request was sent, by this process's own clock, and shorter by as much as that clock may
+//! be slow. So a lease ends here before anybody else is granted its slot.
+
+mod event;
+mod guard;
+mod leader_hint;
+mod released_tokens;
+mod renewal;
+mod wanted_lease;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub use event::{Action, Config, Event, LossReason};
+pub use guard::{LeaseGuard, StaleGuard};
+pub use wanted_lease::LeaseStatus;
+
+use crate::injected_bug::{BugSwitch, InjectedBug};
+use crate::protocol::{
+    Command, FencingToken, LeaseSpec, MAX_WANTED_LEASES, Name, Owner, RejectReason, RequestId, Response,
+    is_valid_name,
+};
+use leader_hint::LeaderHint;
+use released_tokens::ReleasedTokens;
+use renewal::RenewalSchedule;
+use wanted_lease::{PendingRequest, WantedLease};
+
+/// After a hint who leads, the request goes there so soon.
+const FOLLOW_HINT_DELAY: Duration = Duration::from_millis(10);
+/// Hints in a row that are followed at once. Two voters that name each other would be asked in turn without a pause.
+const MAX_FOLLOWED_HINTS: u32 = 2;
+
+/// The leases that one process requests or holds. It owns their state: hosts learn of changes by its actions.
+///
+/// Invariants: a guard is valid only between the request that was granted and the end of its TTL, both by this process's
+/// clock; a token that was released is never accepted again; a lease is released only once no guard is out.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct LeaseClient {
+    owner: Owner,
+    now: Duration,
+    schedule: RenewalSchedule,
+    leader_hint: LeaderHint,
+    last_request: RequestId,
+    leases: BTreeMap<Name, WantedLease>,
+    released: ReleasedTokens,
+    /// The timer that the host was last asked for and that has not elapsed yet.
+    timer_at: Option<Duration>,
+    bug: BugSwitch,
+}
+
+impl LeaseClient {
+    /// The client of `owner`, which asks `voters` in turn until one knows the leader. Pauses are drawn from `seed`.
+    pub fn new(owner: Owner, voters: Vec<Name>, config: Config, seed: u64) -> Self {
+        LeaseClient {
+            owner,
+            now: Duration::ZERO,
+            schedule: RenewalSchedule::new(config, seed),
+            leader_hint: LeaderHint::new(voters),
+            last_request: RequestId::default(),
+            leases: BTreeMap::new(),
+            released: ReleasedTokens::default(),
+            timer_at: None,
+            bug: BugSwitch::default(),
+        }
+    }
+
+    /// Makes the client behave as though it had that bug.
+    #[cfg(feature = "injected-bugs")]
+    pub fn inject_bug(&mut self, bug: Option<InjectedBug>) {
+        self.bug = BugSwitch::new(bug);
+        self.schedule.inject_bug(bug);
+    }
+
+    /// The process whose leases these are.
+    pub fn owner(&self) -> &Owner {
+        &self.owner
+    }
+
+    /// Each lease that is wanted, and its status.
+    pub fn leases(&self) -> impl Iterator<Item = (&Name, LeaseStatus)> {
+        self.leases.iter().map(|(name, wanted)| (name, wanted.status))
+    }
+
+    /// Handles an event. `now` is this process's clock; where it goes backwards, every lease is lost.
+    pub fn handle_event(&mut self, now: Duration, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.read_clock(now, &mut actions);
+        match event {
+            Event::Acquire { lease, spec, max_step, wait } => {
+                self.want(lease, spec, max_step, wait, &mut actions);
+            }
+            Event::Release { lease } => {
+                if let Some(wanted) = self.leases.get_mut(&lease) {
+                    wanted.is_released = true;
+                    self.stop(&lease, LossReason::Released, &mut actions);
+                }
+            }
+            Event::Response { incarnation, request, response } => {
+                // A later leader may apply what an earlier run of this process requested, under an id of this run.
+                if incarnation == self.owner.incarnation {
+                    self.handle_response(request, response, &mut actions);
+                }
+            }
+            Event::NotLeader { request, leader } => self.handle_not_leader(request, leader.as_deref()),
+            Event::SlotAvailable { lease } => {
+                if let Some(wanted) = self.leases.get_mut(&lease)
+                    && matches!(wanted.status, LeaseStatus::Queued { .. })
+                {
+                    wanted.next_request_at = self.now;
+                }
+            }
+            Event::TimerElapsed => self.timer_at = self.timer_at.filter(|&at| at > self.now),
+        }
+        self.run_due(&mut actions);
+        actions
+    }
+
+    /// A clock that went backwards can't measure a TTL: whatever was counted by it ends.
+    fn read_clock(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if now < self.now {
+            self.timer_at = None;
+            for (lease, wanted) in &mut self.leases {
+                wanted.pending.clear();
+                wanted.next_request_at = now;
+                if let LeaseStatus::Active { token, announced, .. } = wanted.status {
+                    wanted.status = LeaseStatus::Requested;
+                    if announced {
+                        let reason = LossReason::ClockWentBackwards;
+                        actions.push(Action::Lost { lease: lease.clone(), token, reason });
+                    }
+                }
+            }
+        }
+        self.now = now;
+    }
+
+    fn want(
+        &mut self,
+        lease: Name,
+        spec: LeaseSpec,
+        max_step: Duration,
+        wait: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Err(reason) = self.check_wanted(&lease, spec, max_step) {
+            actions.push(Action::Rejected { lease, reason });
+            return;
+        }
+        let now = self.now;
+        let wanted = self.leases.entry(lease).or_insert_with(|| WantedLease::new(spec, max_step, wait, now));
+        wanted.is_released = false;
+    }
+
+    fn check_wanted(&self, lease: &Name, spec: LeaseSpec, max_step: Duration) -> Result<(), RejectReason> {
+        if !is_valid_name(lease) || !spec.is_valid() || !self.schedule.allows_step(spec.ttl, max_step) {
+            return Err(RejectReason::Invalid);
+        }
+        if self.leases.len() >= MAX_WANTED_LEASES && !self.leases.contains_key(lease) {
+            return Err(RejectReason::TooManyWanted);
+        }
+        Ok(())
+    }
+
+    fn handle_response(&mut self, request: RequestId, response: Response, actions: &mut Vec<Action>) {
+        // A response to a request that is no longer known is ignored: when it was sent isn't known either.
+        let Some((lease, sent_at)) = self.pending_request(request) else { return };
+        let Some(wanted) = self.leases.get_mut(&lease) else { return };
+        wanted.forget_requests_up_to(request);
+        wanted.followed_hints = 0;
+        let is_undecided = matches!(wanted.status, LeaseStatus::Requested | LeaseStatus::Queued { .. });
+        match response {
+            Response::Granted { token } => self.handle_grant(&lease, sent_at, token, actions),
+            Response::Queued { ahead } if is_undecided => {
+                wanted.status = LeaseStatus::Queued { ahead };
+                self.poll_later(&lease);
+            }
+            Response::Rejected(RejectReason::Revoked) if wanted.status == LeaseStatus::Requested => {
+                self.poll_later(&lease);
+            }
+            Response::Rejected(RejectReason::Revoked) => self.stop(&lease, LossReason::Revoked, actions),
+            Response::Rejected(reason) if is_undecided => {
+                actions.push(Action::Rejected { lease: lease.clone(), reason });
+                self.poll_later(&lease);
+            }
+            Response::Queued { .. } | Response::Rejected(_) | Response::Done => {}
+        }
+    }
+
+    fn pending_request(&self, request: RequestId) -> Option<(Name, Duration)> {
+        self.leases.iter().find_map(|(lease, wanted)| {
+            let pending = wanted.pending.iter().find(|pending| pending.id == request)?;
+            Some((lease.clone(), pending.sent_at))
+        })
+    }
+
+    fn handle_grant(
+        &mut self,
+        lease: &Name,
+        sent_at: Duration,
+        token: FencingToken,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(wanted) = self.leases.get_mut(lease) else { return };
+        let counted_from = if self.bug.is_on(InjectedBug::TtlFromResponse) { self.now } else { sent_at };
+        let usable_ttl = self.schedule.usable_ttl(wanted.spec.ttl);
+        let valid_until = counted_from + usable_ttl.saturating_sub(wanted.max_step);
+        match &mut wanted.status {
+            LeaseStatus::Active { token: current, valid_until: until, .. } if *current == token => {
+                *until = valid_until.max(*until);
+            }
+            LeaseStatus::Active { token: current, .. } if *current > token => return,
+            LeaseStatus::Releasing { .. } => return,
+            status => {
+                // Its release may still be on the way, and would free the slot of whoever accepted the token again.
+                let was_released = token <= self.released.latest(lease);
+                if was_released && !self.bug.is_on(InjectedBug::ReusedReleasedToken) {
+                    return self.release(lease, token, actions);
+                }
+                if let LeaseStatus::Active { token: lost, announced: true, .. } = *status {
+                    let reason = LossReason::Expired;
+                    actions.push(Action::Lost { lease: lease.clone(), token: lost, reason });
+                }
+                *status = LeaseStatus::Active { token, valid_until, since: self.now, announced: false };
+            }
+        }
+        if let LeaseStatus::Active { announced, .. } = &mut wanted.status
+            && self.now < valid_until
+            && !std::mem::replace(announced, true)
+        {
+            actions.push(Action::Acquired { lease: lease.clone(), token });
+        }
+        let renew_at = self.schedule.renew_at(counted_from, wanted.spec.ttl).max(self.now);
+        wanted.next_request_at = renew_at + self.schedule.renewal_jitter(wanted.spec.ttl);
+    }
+
+    fn handle_not_leader(&mut self, request: RequestId, leader: Option<&str>) {
+        let Some((lease, _)) = self.pending_request(request) else { return };
+        let Some(wanted) = self.leases.get_mut(&lease) else { return };
+        // The voter responded: the next one is asked for the hint and not because this one was silent.
+        wanted.forget_requests_up_to(request);
+        wanted.followed_hints += 1;
+        let follows_at_once = wanted.followed_hints <= MAX_FOLLOWED_HINTS;
+        if self.leader_hint.redirect(leader) && follows_at_once {
+            wanted.next_request_at = self.now + self.schedule.with_jitter(FOLLOW_HINT_DELAY);
+        }
+    }
+
+    /// No guard is issued or valid any more. The slot is released once no guard is out.
+    fn stop(&mut self, lease: &Name, reason: LossReason, actions: &mut Vec<Action>) {
+        let Some(wanted) = self.leases.get_mut(lease) else { return };
+        match wanted.status {
+            LeaseStatus::Active { token, announced, .. } => {
+                wanted.status = LeaseStatus::Releasing { token };
+                if announced {
+                    actions.push(Action::Lost { lease: lease.clone(), token, reason });
+                }
+            }
+            LeaseStatus::Queued { .. } if wanted.is_released => {
+                self.leases.remove(lease);
+                self.send_release(lease, None, actions);
+            }
+            LeaseStatus::Requested if wanted.is_released => _ = self.leases.remove(lease),
+            LeaseStatus::Releasing { .. } | LeaseStatus::Requested | LeaseStatus::Queued { .. } => {}
+        }
+    }
+
+    fn release(&mut self, lease: &Name, token: FencingToken, actions: &mut Vec<Action>) {
+        self.released.insert(lease, token);
+        self.send_release(lease, Some(token), actions);
+    }
+
+    fn send_release(&mut self, lease: &Name, token: Option<FencingToken>, actions: &mut Vec<Action>) {
+        let command = Command::Release { lease: lease.clone(), owner: self.owner.clone(), token };
+        self.send(command, actions);
+    }
+
+    /// Sends a command to the voter that is taken for the leader.
+    fn send(&mut self, command: Command, actions: &mut Vec<Action>) -> RequestId {
+        self.last_request.0 += 1;
+        let request = self.last_request;
+        if let Some(to) = self.leader_hint.target().cloned() {
+            actions.push(Action::Send { to, request, command });
+        }
+        request
+    }
+
+    /// Ends what has expired, releases what no guard keeps, and sends the requests that are due.
+    fn run_due(&mut self, actions: &mut Vec<Action>) {
+        let names: Vec<Name> = self.leases.keys().cloned().collect();
+        for lease in &names {
+            self.expire_if_due(lease, actions);
+            let Some(wanted) = self.leases.get(lease) else { continue };
+            match wanted.status {
+                LeaseStatus::Releasing { token } if wanted.guards == 0 => {
+                    self.finish_release(lease, token, actions);
+                }
+                LeaseStatus::Releasing { .. } => {}
+                LeaseStatus::Requested if wanted.is_released => _ = self.leases.remove(lease),
+                _ if wanted.next_request_at <= self.now => self.request(lease, actions),
+                _ => {}
+            }
+        }
+        self.set_timer(actions);
+    }
+
+    /// A lease that was not renewed in time ends. The voters are asked whether it is still held there.
+    fn expire_if_due(&mut self, lease: &Name, actions: &mut Vec<Action>) {
+        let Some(wanted) = self.leases.get_mut(lease) else { return };
+        if let LeaseStatus::Active { token, valid_until, announced, .. } = wanted.status
+            && self.now >= valid_until
+        {
+            wanted.status = LeaseStatus::Requested;
+            if announced {
+                let reason = LossReason::Expired;
+                actions.push(Action::Lost { lease: lease.clone(), token, reason });
+            }
+        }
+    }
+
+    /// Releases the slot. A lease that was revoked and is still wanted goes to the end of the queue.
+    fn finish_release(&mut self, lease: &Name, token: FencingToken, actions: &mut Vec<Action>) {
+        let Some(wanted) = self.leases.remove(lease) else { return };
+        self.release(lease, token, actions);
+        if !wanted.is_released {
+            self.want(lease.clone(), wanted.spec, wanted.max_step, wanted.wait, actions);
+            self.poll_later(lease);
+        }
+    }
+
+    /// Requests a lease again after a part of its TTL.
+    fn poll_later(&mut self, lease: &Name) {
+        if let Some(wanted) = self.leases.get_mut(lease) {
+            wanted.next_request_at = self.now + self.schedule.queue_poll_interval(wanted.spec.ttl);
+        }
+    }
+
+    /// Requests a lease or its renewal.
+    fn request(&mut self, lease: &Name, actions: &mut Vec<Action>) {
+        let Some(wanted) = self.leases.get(lease) else { return };
+        // The earlier request got no response in time: another voter is asked.
+        if !wanted.pending.is_empty() {
+            self.leader_hint.try_next();
+        }
+        let (spec, wait) = (wanted.spec, wanted.wait);
+        let LeaseSpec { ttl, capacity } = spec;
+        let owner = self.owner.clone();
+        let id = self.send(Command::Acquire { lease: lease.clone(), owner, ttl, capacity, wait }, actions);
+        let retry_at = self.now + self.schedule.retry_interval(ttl);
+        let Some(wanted) = self.leases.get_mut(lease) else { return };
+        wanted.add_pending(PendingRequest { id, sent_at: self.now });
+        wanted.next_request_at = retry_at;
+    }
+
+    /// Asks for a timer where something is due before the one that was asked for.
+    fn set_timer(&mut self, actions: &mut Vec<Action>) {
+        let soonest = self.leases.values().filter_map(WantedLease::due_at).min();
+        if let Some(at) = soonest.filter(|&at| self.timer_at.is_none_or(|timer_at| at < timer_at)) {
+            self.timer_at = Some(at);
+            actions.push(Action::SetTimer { at });
+        }
+    }
+}
--- /dev/null
+++ b/crates/leases/src/client/renewal.rs
@@ -0,0 +1,80 @@
+//! When a client requests, renews and retries, as parts of the TTL, with jitter.
+
+use std::time::Duration;
+
+use super::Config;
+use crate::injected_bug::{BugSwitch, InjectedBug};
+
+/// A lease is renewed after a third of its TTL and retried after each sixth, so three requests may fail.
+const RENEWALS_PER_TTL: u32 = 3;
+const RETRIES_PER_TTL: u32 = 6;
+const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// A queued client keeps its place by so many requests in a TTL.
+const QUEUE_POLLS_PER_TTL: u32 = 4;
+
+/// Computes a client's times. It owns the random source of the jitter.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct RenewalSchedule {
+    config: Config,
+    seed: u64,
+    bug: BugSwitch,
+}
+
+impl RenewalSchedule {
+    pub(super) fn new(config: Config, seed: u64) -> Self {
+        RenewalSchedule { config, seed, bug: BugSwitch::default() }
+    }
+
+    #[cfg(feature = "injected-bugs")]
+    pub(super) fn inject_bug(&mut self, bug: Option<InjectedBug>) {
+        self.bug = BugSwitch::new(bug);
+    }
+
+    /// The part of a TTL that has certainly not passed on any other clock before it has on this one.
+    pub(super) fn usable_ttl(&self, ttl: Duration) -> Duration {
+        if self.bug.is_on(InjectedBug::NoClockMargin) {
+            return ttl;
+        }
+        ttl * (1000 - self.config.max_clock_drift_permille) / 1000
+    }
+
+    /// Whether a step may take so long: a renewal must come before the guard is stale.
+    pub(super) fn allows_step(&self, ttl: Duration, max_step: Duration) -> bool {
+        max_step <= self.usable_ttl(ttl) / RENEWALS_PER_TTL
+    }
+
+    /// When to renew a TTL that is counted from then.
+    pub(super) fn renew_at(&self, counted_from: Duration, ttl: Duration) -> Duration {
+        counted_from + self.usable_ttl(ttl) / RENEWALS_PER_TTL
+    }
+
+    /// Spreads the renewals of many clients.
+    pub(super) fn renewal_jitter(&mut self, ttl: Duration) -> Duration {
+        let pause = self.usable_ttl(ttl) / RETRIES_PER_TTL;
+        self.jitter(pause)
+    }
+
+    /// How long to wait for a response before the next voter is asked.
+    pub(super) fn retry_interval(&mut self, ttl: Duration) -> Duration {
+        self.with_jitter((ttl / RETRIES_PER_TTL).min(MAX_RETRY_INTERVAL))
+    }
+
+    /// How long a client that waits for a slot does so before it requests again.
+    pub(super) fn queue_poll_interval(&mut self, ttl: Duration) -> Duration {
+        self.with_jitter(ttl / QUEUE_POLLS_PER_TTL)
+    }
+
+    pub(super) fn with_jitter(&mut self, pause: Duration) -> Duration {
+        pause + self.jitter(pause)
+    }
+
+    fn jitter(&mut self, pause: Duration) -> Duration {
+        if self.config.jitter_permille == 0 {
+            return Duration::ZERO;
+        }
+        let mut random = fastrand::Rng::with_seed(self.seed);
+        let permille = random.u32(0..=self.config.jitter_permille);
+        self.seed = random.get_seed();
+        pause * permille / 1000
+    }
+}
--- /dev/null
+++ b/crates/leases/src/expiry.rs
@@ -0,0 +1,162 @@
+//! Expiry of TTLs by the consensus leader. Nothing of it is replicated or stored: a new leader counts every TTL anew and in
+//! full, which can only make it wait longer.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::injected_bug::{BugSwitch, InjectedBug};
+use crate::protocol::{Command, Incarnation, Name, Owner, RenewalNumber};
+use crate::state_machine::LeaseStateMachine;
+
+/// Between two readings of the clock no more than this counts: a clock that jumps ahead must not expire anybody, and time
+/// for which the leader was paused is not counted.
+const MAX_COUNTED_STEP: Duration = Duration::from_millis(500);
+/// An expiry that was not applied is proposed again after this.
+const EXPIRE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// An owner of a lease or of a place in its queue.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct OwnedLease {
+    lease: Name,
+    owner: Owner,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Deadline {
+    renewal: RenewalNumber,
+    at: Duration,
+}
+
+/// Counts the TTLs of all owners while its voter leads, and proposes to expire those that did not renew. It owns all
+/// deadlines; the state machine is only read.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ExpiryTracker {
+    max_clock_drift_permille: u32,
+    is_leading: bool,
+    /// The clock when it was last read.
+    clock: Duration,
+    /// The time counted so far. Deadlines are in this time.
+    counted: Duration,
+    deadlines: BTreeMap<OwnedLease, Deadline>,
+    /// The same deadlines, the soonest first.
+    by_time: BTreeSet<(Duration, OwnedLease)>,
+    bug: BugSwitch,
+}
+
+impl ExpiryTracker {
+    /// Of a voter that does not lead yet. Clocks may be off in rate by so many thousandths.
+    pub fn new(max_clock_drift_permille: u32) -> Self {
+        ExpiryTracker {
+            max_clock_drift_permille,
+            is_leading: false,
+            clock: Duration::ZERO,
+            counted: Duration::ZERO,
+            deadlines: BTreeMap::new(),
+            by_time: BTreeSet::new(),
+            bug: BugSwitch::default(),
+        }
+    }
+
+    /// Makes the tracker behave as though it had that bug.
+    #[cfg(feature = "injected-bugs")]
+    pub fn inject_bug(&mut self, bug: Option<InjectedBug>) {
+        self.bug = BugSwitch::new(bug);
+    }
+
+    /// Its voter leads from now on: any owner may have renewed just before, so every TTL begins now.
+    pub fn start_leading(&mut self, now: Duration, state: &LeaseStateMachine) {
+        self.stop_leading();
+        self.clock = now;
+        self.is_leading = true;
+        for (lease, _) in state.leases() {
+            self.track(lease, state);
+        }
+    }
+
+    /// Its voter leads no more.
+    pub fn stop_leading(&mut self) {
+        self.is_leading = false;
+        self.deadlines.clear();
+        self.by_time.clear();
+    }
+
+    /// A command about that lease was applied.
+    pub fn command_applied(&mut self, now: Duration, lease: &Name, state: &LeaseStateMachine) {
+        if self.is_leading {
+            self.read_clock(now);
+            self.track(lease, state);
+        }
+    }
+
+    /// The owners whose TTL is over, each as a command to propose. One that is not applied is returned again later.
+    pub fn due_expirations(&mut self, now: Duration) -> Vec<Command> {
+        if !self.is_leading {
+            return Vec::new();
+        }
+        self.read_clock(now);
+        let mut commands = Vec::new();
+        while let Some((at, owned)) = self.by_time.first().cloned().filter(|(at, _)| *at <= self.counted) {
+            self.by_time.remove(&(at, owned.clone()));
+            let retry_at = self.counted + EXPIRE_RETRY_INTERVAL;
+            if let Some(deadline) = self.deadlines.get_mut(&owned) {
+                deadline.at = retry_at;
+                let (lease, owner) = (owned.lease.clone(), owned.owner.clone());
+                commands.push(Command::Expire { lease, owner, renewal: deadline.renewal });
+                self.by_time.insert((retry_at, owned));
+            }
+        }
+        commands
+    }
+
+    /// When [`due_expirations`](Self::due_expirations) should be called next, by the voter's clock. It is read at least
+    /// twice in each step that counts.
+    pub fn next_check_at(&self) -> Option<Duration> {
+        let (deadline, _) = self.by_time.first()?;
+        Some(self.clock + deadline.saturating_sub(self.counted).min(MAX_COUNTED_STEP / 2))
+    }
+
+    /// How long a TTL lasts on this clock at least by any other: the owner's clock may be slow and this one fast.
+    fn longest_ttl(&self, ttl: Duration) -> Duration {
+        if self.bug.is_on(InjectedBug::NoClockMargin) {
+            return ttl;
+        }
+        ttl * (1000 + self.max_clock_drift_permille) / 1000
+    }
+
+    fn read_clock(&mut self, now: Duration) {
+        self.counted += now.saturating_sub(self.clock).min(MAX_COUNTED_STEP);
+        self.clock = now;
+    }
+
+    /// Brings the deadlines of one lease up to date.
+    fn track(&mut self, lease: &Name, state: &LeaseStateMachine) {
+        self.remove_former_owners(lease, state);
+        for (owner, renewal, ttl) in state.running_ttls(lease) {
+            let owned = OwnedLease { lease: lease.clone(), owner: owner.clone() };
+            match self.deadlines.get(&owned) {
+                Some(deadline) if deadline.renewal == renewal => continue,
+                Some(deadline) => _ = self.by_time.remove(&(deadline.at, owned.clone())),
+                None => {}
+            }
+            let at = self.counted + self.longest_ttl(ttl);
+            self.deadlines.insert(owned.clone(), Deadline { renewal, at });
+            self.by_time.insert((at, owned));
+        }
+    }
+
+    fn remove_former_owners(&mut self, lease: &Name, state: &LeaseStateMachine) {
+        let no_owner = Owner { name: "".into(), incarnation: Incarnation::default() };
+        let first = OwnedLease { lease: lease.clone(), owner: no_owner };
+        let tracked = self.deadlines.range(first..).map(|(owned, _)| owned);
+        let former: Vec<OwnedLease> = tracked
+            .take_while(|owned| owned.lease == *lease)
+            .filter(|owned| !state.running_ttls(lease).any(|(owner, _, _)| *owner == owned.owner))
+            .cloned()
+            .collect();
+        for owned in former {
+            if let Some(deadline) = self.deadlines.remove(&owned) {
+                self.by_time.remove(&(deadline.at, owned));
+            }
+        }
+    }
+}
--- a/crates/leases/tests/exhaustive.rs
+++ b/crates/leases/tests/exhaustive.rs
@@ -1,169 +1,227 @@
-//! Every state that holders, a granter and what voters agree on can reach within a depth, with messages lost, late, twice
-//! and out of order, leaders that change with and without what was not yet agreed on, alarms that come late (a process
-//! that was stopped), and clocks at their bounds. The very state machines are played, over a log that is abstract.
+//! Model checking: every state that clients, an expiry tracker and the replicated state can reach within a depth, with
+//! messages lost, delayed, duplicated and reordered, leader changes that keep or drop what was not committed, timers that
+//! come late (a paused process), and clocks at their bounds. The state machines are the real ones, over an abstract log.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use stateright::{Checker, HasDiscoveries, Model, Property};
-use tulipgap_leases::*;
+use tulipgap_leases::{
+    Action, Command, Config, Event, ExpiryTracker, FencingToken, Incarnation, InjectedBug, LeaseClient,
+    LeaseSpec, LeaseStateMachine, Owner, RequestId, Response,
+};
 
-/// Clocks are off by a quarter at the most here: 100 ms pass as 75 on a slow one and as 125 on a fast one.
-/// A term is over by true time after two ticks, on any clock.
-const OFF: u32 = 250;
-const TERM: Duration = Duration::from_millis(200);
-const SLOW: Duration = Duration::from_millis(75);
-const FAST: Duration = Duration::from_millis(125);
+/// Clocks are off by a quarter at most here: 100 ms pass as 75 on a slow one and as 125 on a fast one.
+/// A TTL is over by true time after two ticks, on any clock.
+const MAX_CLOCK_DRIFT_PERMILLE: u32 = 250;
+const TTL: Duration = Duration::from_millis(200);
+const SPEC: LeaseSpec = LeaseSpec { ttl: TTL, capacity: 1 };
+const SLOW_TICK: Duration = Duration::from_millis(75);
+const FAST_TICK: Duration = Duration::from_millis(125);
+const INCARNATION: Incarnation = Incarnation(1);
+/// Commands that are proposed and not committed.
+const MAX_PROPOSED: usize = 2;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Message {
-    Ask { from: usize, ask: u64, command: Command },
-    Answer { to: usize, ask: u64, answer: Answer },
+    Request { from: usize, request: RequestId, command: Command },
+    Response { to: usize, request: RequestId, response: Response },
 }
 
+/// A command that is proposed, and the client and request to respond to.
+type Proposal = (Command, Option<(usize, RequestId)>);
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
     ticks: u32,
-    holders: Vec<Holder>,
-    /// When each wants to be woken.
-    alarms: Vec<Option<Duration>>,
-    granter: Granter,
-    table: Table,
-    /// Proposed and not agreed on yet, and who is to be answered.
-    pending: Vec<(Command, Option<(usize, u64)>)>,
-    net: BTreeSet<Message>,
-    changes: u32,
-    drops: u32,
+    clients: Vec<LeaseClient>,
+    /// When each client's timer elapses.
+    timers: Vec<Option<Duration>>,
+    expiry: ExpiryTracker,
+    state: LeaseStateMachine,
+    proposed: Vec<Proposal>,
+    network: BTreeSet<Message>,
+    leader_changes: u32,
+    releases: u32,
     /// Messages that were delivered and stay.
-    again: u32,
-    /// Of each lease the newest token that was told to a holder, and whether one was not above those before.
-    told: Vec<(&'static str, u64, usize)>,
-    shrunk: bool,
+    duplicates: u32,
+    /// Of each lease the newest token that a client acquired, and the client.
+    newest_tokens: Vec<(&'static str, FencingToken, usize)>,
+    /// A token was not above those before it.
+    has_token_regression: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Step {
     Tick,
-    Alarm(usize),
-    Deliver { message: Message, again: bool },
-    Agree,
-    Leader { keeps: bool },
-    Drop(usize),
+    TimerElapses(usize),
+    Deliver { message: Message, stays: bool },
+    Commit,
+    ChangeLeader { keeps_proposed: bool },
+    ReleaseAndAcquire(usize),
 }
 
-struct Leases {
+struct LeaseModel {
     /// Each member's lease and whether its clock is slow.
     members: Vec<(&'static str, bool)>,
-    ticks: u32,
-    in_flight: usize,
-    changes: u32,
-    drops: u32,
-    again: u32,
-    flaw: Option<Flaw>,
+    max_ticks: u32,
+    max_in_flight: usize,
+    max_leader_changes: u32,
+    max_releases: u32,
+    max_duplicates: u32,
+    bug: Option<InjectedBug>,
+}
+
+fn acquire(lease: &str) -> Event {
+    Event::Acquire { lease: Arc::from(lease), spec: SPEC, max_step: Duration::ZERO, wait: false }
 }
 
-impl Leases {
+impl LeaseModel {
     fn clock(&self, world: &World, member: usize) -> Duration {
-        (if self.members[member].1 { SLOW } else { FAST }) * world.ticks
+        (if self.members[member].1 { SLOW_TICK } else { FAST_TICK }) * world.ticks
     }
 
-    /// The leader's clock is the fast one: its terms end as soon as they can.
+    /// The leader's clock is the fast one: its TTLs end as soon as they can.
     fn leader_clock(&self, world: &World) -> Duration {
-        FAST * world.ticks
+        FAST_TICK * world.ticks
     }
 
-    fn carry_out(&self, world: &mut World, member: usize, actions: Vec<Action>) {
+    fn perform(&self, world: &mut World, member: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
                 // More than fit are lost, as any may be.
-                Action::Ask { ask, command, .. } if world.net.len() < self.in_flight => {
-                    world.net.insert(Message::Ask { from: member, ask, command });
+                Action::Send { request, command, .. } if world.network.len() < self.max_in_flight => {
+                    world.network.insert(Message::Request { from: member, request, command });
                 }
-                Action::Gained { token, .. } => {
+                Action::Acquired { token, .. } => {
                     let lease = self.members[member].0;
-                    let newest = world.told.iter().rev().find(|told| told.0 == lease);
-                    world.shrunk |=
+                    let newest = world.newest_tokens.iter().rev().find(|newest| newest.0 == lease);
+                    world.has_token_regression |=
                         newest.is_some_and(|&(_, at, by)| token < at || token == at && member != by);
-                    world.told.retain(|told| told.0 != lease);
-                    world.told.push((lease, token, member));
+                    world.newest_tokens.retain(|newest| newest.0 != lease);
+                    world.newest_tokens.push((lease, token, member));
                 }
-                Action::Alarm { at } => world.alarms[member] = Some(at),
+                Action::SetTimer { at } => world.timers[member] = Some(at),
                 _ => {}
             }
         }
     }
 
+    fn handle_event(&self, world: &mut World, member: usize, event: Event) {
+        let now = self.clock(world, member);
+        let actions = world.clients[member].handle_event(now, event);
+        self.perform(world, member, actions);
+    }
+
     /// How many may act under a lease now, by what each would be told if it asked.
-    fn acting(&self, world: &World, lease: &str) -> usize {
-        let may = |member: &usize| {
-            let mut holder = world.holders[*member].clone();
-            holder.begin(self.clock(world, *member), lease).is_ok()
+    fn active_members(&self, world: &World, lease: &str) -> usize {
+        let may_act = |member: &usize| {
+            let mut client = world.clients[*member].clone();
+            client.acquire_guard(self.clock(world, *member), lease).is_ok()
         };
-        (0..self.members.len()).filter(may).count()
+        (0..self.members.len()).filter(may_act).count()
+    }
+
+    /// Delivers a message; `None` where the leader takes no further proposal.
+    fn deliver(&self, world: &mut World, message: Message) -> Option<()> {
+        match message {
+            Message::Request { from, request, command } => {
+                if world.proposed.len() >= MAX_PROPOSED {
+                    return None;
+                }
+                world.proposed.push((command, Some((from, request))));
+            }
+            Message::Response { to, request, response } => {
+                self.handle_event(world, to, Event::Response { incarnation: INCARNATION, request, response });
+            }
+        }
+        Some(())
+    }
+
+    fn commit(&self, world: &mut World) {
+        let (command, requested) = world.proposed.remove(0);
+        let now = self.leader_clock(world);
+        let response = world.state.apply(&command);
+        world.expiry.command_applied(now, command.lease(), &world.state);
+        if let Some((to, request)) = requested
+            && world.network.len() < self.max_in_flight
+        {
+            world.network.insert(Message::Response { to, request, response });
+        }
+    }
+
+    fn change_leader(&self, world: &mut World, keeps_proposed: bool) {
+        world.leader_changes += 1;
+        match keeps_proposed {
+            true => world.proposed.iter_mut().for_each(|(_, requested)| *requested = None),
+            false => world.proposed.clear(),
+        }
+        world.state.leader_changed();
+        let now = self.leader_clock(world);
+        world.expiry.start_leading(now, &world.state);
     }
 }
 
-impl Model for Leases {
+impl Model for LeaseModel {
     type State = World;
     type Action = Step;
 
     fn init_states(&self) -> Vec<World> {
-        let (mut granter, table) = (Granter::new(OFF), Table::planted(self.flaw));
-        granter.plant(self.flaw);
-        granter.lead(Duration::ZERO, &table);
+        let mut expiry = ExpiryTracker::new(MAX_CLOCK_DRIFT_PERMILLE);
+        let state = LeaseStateMachine::with_injected_bug(self.bug);
+        expiry.inject_bug(self.bug);
+        expiry.start_leading(Duration::ZERO, &state);
         let mut world = World {
             ticks: 0,
-            holders: Vec::new(),
-            alarms: vec![None; self.members.len()],
-            granter,
-            table,
-            pending: Vec::new(),
-            net: BTreeSet::new(),
-            changes: 0,
-            drops: 0,
-            again: 0,
-            told: Vec::new(),
-            shrunk: false,
+            clients: Vec::new(),
+            timers: vec![None; self.members.len()],
+            expiry,
+            state,
+            proposed: Vec::new(),
+            network: BTreeSet::new(),
+            leader_changes: 0,
+            releases: 0,
+            duplicates: 0,
+            newest_tokens: Vec::new(),
+            has_token_regression: false,
         };
+        let config = Config { max_clock_drift_permille: MAX_CLOCK_DRIFT_PERMILLE, jitter_permille: 0 };
         for (member, (lease, _)) in self.members.iter().enumerate() {
-            let who = Who { name: format!("m{member}").into(), life: 1 };
-            let mut holder = Holder::new(who, vec!["v".into()], OFF, 0, 0);
-            holder.plant(self.flaw);
-            let shape = Shape { term: TERM, places: 1 };
-            let want = Event::Want { lease: Arc::from(*lease), shape, step: Duration::ZERO, wait: false };
-            let actions = holder.decide(Duration::ZERO, want);
-            world.holders.push(holder);
-            self.carry_out(&mut world, member, actions);
+            let owner = Owner { name: format!("m{member}").into(), incarnation: INCARNATION };
+            let mut client = LeaseClient::new(owner, vec!["v".into()], config, 0);
+            client.inject_bug(self.bug);
+            world.clients.push(client);
+            self.handle_event(&mut world, member, acquire(lease));
         }
         vec![world]
     }
 
     fn actions(&self, world: &World, steps: &mut Vec<Step>) {
-        if world.ticks < self.ticks {
+        if world.ticks < self.max_ticks {
             steps.push(Step::Tick);
         }
         for member in 0..self.members.len() {
-            if world.alarms[member].is_some_and(|at| at <= self.clock(world, member)) {
-                steps.push(Step::Alarm(member));
+            if world.timers[member].is_some_and(|at| at <= self.clock(world, member)) {
+                steps.push(Step::TimerElapses(member));
             }
-            if world.drops < self.drops {
-                steps.push(Step::Drop(member));
+            if world.releases < self.max_releases {
+                steps.push(Step::ReleaseAndAcquire(member));
             }
         }
-        for message in &world.net {
-            steps.push(Step::Deliver { message: message.clone(), again: false });
-            if world.again < self.again {
-                steps.push(Step::Deliver { message: message.clone(), again: true });
+        for message in &world.network {
+            steps.push(Step::Deliver { message: message.clone(), stays: false });
+            if world.duplicates < self.max_duplicates {
+                steps.push(Step::Deliver { message: message.clone(), stays: true });
             }
         }
-        if !world.pending.is_empty() {
-            steps.push(Step::Agree);
+        if !world.proposed.is_empty() {
+            steps.push(Step::Commit);
         }
-        if world.changes < self.changes {
-            steps.push(Step::Leader { keeps: true });
-            if !world.pending.is_empty() {
-                steps.push(Step::Leader { keeps: false });
+        if world.leader_changes < self.max_leader_changes {
+            steps.push(Step::ChangeLeader { keeps_proposed: true });
+            if !world.proposed.is_empty() {
+                steps.push(Step::ChangeLeader { keeps_proposed: false });
             }
         }
     }
@@ -174,65 +232,28 @@
             Step::Tick => {
                 world.ticks += 1;
                 let now = self.leader_clock(&world);
-                for command in world.granter.due(now) {
-                    world.pending.push((command, None));
-                }
-            }
-            Step::Alarm(member) => {
-                world.alarms[member] = None;
-                let now = self.clock(&world, member);
-                let actions = world.holders[member].decide(now, Event::Alarm);
-                self.carry_out(&mut world, member, actions);
-            }
-            Step::Deliver { message, again } => {
-                match again {
-                    true => world.again += 1,
-                    false => _ = world.net.remove(&message),
-                }
-                match message {
-                    Message::Ask { from, ask, command } => {
-                        if world.pending.len() >= 2 {
-                            return None;
-                        }
-                        world.pending.push((command, Some((from, ask))));
-                    }
-                    Message::Answer { to, ask, answer } => {
-                        let now = self.clock(&world, to);
-                        let actions = world.holders[to].decide(now, Event::Answered { life: 1, ask, answer });
-                        self.carry_out(&mut world, to, actions);
-                    }
+                for command in world.expiry.due_expirations(now) {
+                    world.proposed.push((command, None));
                 }
             }
-            Step::Agree => {
-                let (command, asked) = world.pending.remove(0);
-                let now = self.leader_clock(&world);
-                let answer = world.table.apply(&command);
-                world.granter.applied(now, command.lease(), &world.table);
-                if let Some((to, ask)) = asked
-                    && world.net.len() < self.in_flight
-                {
-                    world.net.insert(Message::Answer { to, ask, answer });
-                }
+            Step::TimerElapses(member) => {
+                world.timers[member] = None;
+                self.handle_event(&mut world, member, Event::TimerElapsed);
             }
-            Step::Leader { keeps } => {
-                world.changes += 1;
-                match keeps {
-                    true => world.pending.iter_mut().for_each(|(_, asked)| *asked = None),
-                    false => world.pending.clear(),
+            Step::Deliver { message, stays } => {
+                match stays {
+                    true => world.duplicates += 1,
+                    false => _ = world.network.remove(&message),
                 }
-                world.table.forget_tokens();
-                let now = self.leader_clock(&world);
-                world.granter.lead(now, &world.table);
+                self.deliver(&mut world, message)?;
             }
-            Step::Drop(member) => {
-                world.drops += 1;
-                let (now, lease) = (self.clock(&world, member), Arc::from(self.members[member].0));
-                let dropped = world.holders[member].decide(now, Event::Drop { lease: Arc::clone(&lease) });
-                self.carry_out(&mut world, member, dropped);
-                let shape = Shape { term: TERM, places: 1 };
-                let want = Event::Want { lease, shape, step: Duration::ZERO, wait: false };
-                let wanted = world.holders[member].decide(now, want);
-                self.carry_out(&mut world, member, wanted);
+            Step::Commit => self.commit(&mut world),
+            Step::ChangeLeader { keeps_proposed } => self.change_leader(&mut world, keeps_proposed),
+            Step::ReleaseAndAcquire(member) => {
+                world.releases += 1;
+                let lease = self.members[member].0;
+                self.handle_event(&mut world, member, Event::Release { lease: Arc::from(lease) });
+                self.handle_event(&mut world, member, acquire(lease));
             }
         }
         (world != *before).then_some(world)
@@ -240,83 +261,107 @@
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always("at most one acts at any instant", |model: &Leases, world: &World| {
-                model.members.iter().all(|(lease, _)| model.acting(world, lease) <= 1)
-            }),
-            Property::always("tokens only grow", |_, world: &World| !world.shrunk),
-            Property::sometimes(
-                "the first holder's place goes to another",
-                |model: &Leases, world: &World| {
-                    world.table.tokens() >= 2 && model.acting(world, model.members[0].0) == 1
+            Property::always(
+                "at most one member acts at any instant",
+                |model: &LeaseModel, world: &World| {
+                    model.members.iter().all(|(lease, _)| model.active_members(world, lease) <= 1)
                 },
             ),
+            Property::always("tokens only grow", |_, world: &World| !world.has_token_regression),
+            Property::sometimes(CHANGES_OWNER, |model: &LeaseModel, world: &World| {
+                let is_granted_again = world.state.last_token() >= FencingToken(2);
+                is_granted_again && model.active_members(world, model.members[0].0) == 1
+            }),
         ]
     }
 }
 
-/// All states within the depth; the broken properties by name.
-fn broken(model: Leases, depth: usize) -> Vec<&'static str> {
+/// Explores all states within the depth. Returns the names of the properties with an example: a counterexample of an
+/// `always` property, and [`CHANGES_OWNER`] where it was reached.
+fn explore(model: LeaseModel, depth: usize) -> Vec<&'static str> {
     // One at a time: each takes up to 3 GB.
-    static ONE: Mutex<()> = Mutex::new(());
-    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+    let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let start = Instant::now();
-    let (members, flaw) = (model.members.len(), model.flaw);
+    let (members, bug) = (model.members.len(), model.bug);
     let checker = model.checker().threads(3).target_max_depth(depth).finish_when(HasDiscoveries::AnyFailures);
     let checker = checker.spawn_bfs().join();
-    let found: Vec<&str> = checker.discoveries().into_keys().collect();
+    let discoveries: Vec<&str> = checker.discoveries().into_keys().collect();
     println!(
-        "{members} members, depth {depth}, {flaw:?}: {} states, {:?}: {found:?}",
+        "{members} members, depth {depth}, {bug:?}: {} states, {:?}: {discoveries:?}",
         checker.unique_state_count(),
         start.elapsed()
     );
-    found
+    discoveries
 }
 
-const MOVES_ON: &str = "the first holder's place goes to another";
+const CHANGES_OWNER: &str = "the first owner's slot is granted to another";
 
-fn two(flaw: Option<Flaw>) -> Leases {
-    let members = vec![("x", true), ("x", false)];
-    Leases { members, ticks: 4, in_flight: 2, changes: 1, drops: 0, again: 1, flaw }
+fn two_members(bug: Option<InjectedBug>) -> LeaseModel {
+    LeaseModel {
+        members: vec![("x", true), ("x", false)],
+        max_ticks: 4,
+        max_in_flight: 2,
+        max_leader_changes: 1,
+        max_releases: 0,
+        max_duplicates: 1,
+        bug,
+    }
 }
 
-/// One deeper than the suite goes: LEASES_DEEPER=1 cargo test -p tulipgap-leases.
-fn deeper() -> usize {
+/// Explores deeper than by default: `LEASES_DEEPER=1 cargo test -p tulipgap-leases`.
+fn extra_depth() -> usize {
     std::env::var("LEASES_DEEPER").ok().and_then(|more| more.parse().ok()).unwrap_or(0)
 }
 
 #[test]
 fn two_members_of_one_lease_never_act_at_once() {
-    assert_eq!(broken(two(None), 11 + deeper()), [MOVES_ON]);
+    assert_eq!(explore(two_members(None), 11 + extra_depth()), [CHANGES_OWNER]);
 }
 
 #[test]
 fn three_members_of_two_leases_never_act_at_once() {
     let members = vec![("x", true), ("x", false), ("y", true)];
-    let model = Leases { members, ticks: 3, in_flight: 3, changes: 1, drops: 0, again: 1, flaw: None };
-    assert_eq!(broken(model, 8 + deeper()), [MOVES_ON]);
+    let model = LeaseModel { members, max_ticks: 3, max_in_flight: 3, ..two_members(None) };
+    assert_eq!(explore(model, 8 + extra_depth()), [CHANGES_OWNER]);
 }
 
 #[test]
-fn a_place_given_back_and_wanted_again_is_held_by_one() {
-    let model = Leases { ticks: 1, changes: 0, in_flight: 3, drops: 1, ..two(None) };
-    assert_eq!(broken(model, 13 + deeper()), [MOVES_ON]);
+fn a_lease_released_and_acquired_again_has_one_owner() {
+    let model = LeaseModel {
+        max_ticks: 1,
+        max_leader_changes: 0,
+        max_in_flight: 3,
+        max_releases: 1,
+        ..two_members(None)
+    };
+    assert_eq!(explore(model, 13 + extra_depth()), [CHANGES_OWNER]);
 }
 
 #[test]
-fn planted_faults_are_found() {
-    let calm = |flaw| Leases { changes: 0, again: 0, ..two(Some(flaw)) };
-    let dropped = |flaw| Leases { ticks: 0, changes: 0, in_flight: 3, drops: 1, ..two(Some(flaw)) };
+fn injected_bugs_are_found() {
+    let no_faults = |bug| LeaseModel { max_leader_changes: 0, max_duplicates: 0, ..two_members(Some(bug)) };
+    let with_release = |bug| LeaseModel {
+        max_ticks: 0,
+        max_leader_changes: 0,
+        max_in_flight: 3,
+        max_releases: 1,
+        ..two_members(Some(bug))
+    };
     for (model, depth) in [
-        (calm(Flaw::NoMargin), 14),
-        (calm(Flaw::FromAnswer), 14),
-        (calm(Flaw::PermitNotLooked), 14),
-        (Leases { ticks: 2, ..calm(Flaw::BeatIgnored) }, 20),
-        (Leases { ticks: 2, changes: 1, ..calm(Flaw::TokenInMemory) }, 16),
-        (dropped(Flaw::FreedTwice), 18),
-        (dropped(Flaw::ReleasedTaken), 16),
+        (no_faults(InjectedBug::NoClockMargin), 14),
+        (no_faults(InjectedBug::TtlFromResponse), 14),
+        (no_faults(InjectedBug::UncheckedGuard), 14),
+        (LeaseModel { max_ticks: 2, ..no_faults(InjectedBug::IgnoredRenewal) }, 20),
+        (LeaseModel { max_ticks: 2, max_leader_changes: 1, ..no_faults(InjectedBug::VolatileTokens) }, 16),
+        (with_release(InjectedBug::DoubleRelease), 18),
+        (with_release(InjectedBug::ReusedReleasedToken), 16),
     ] {
-        let flaw = model.flaw;
-        let found = broken(model, depth);
-        assert!(found.iter().any(|name| *name != MOVES_ON), "{flaw:?} is not found: {found:?}");
+        let bug = model.bug;
+        let discoveries = explore(model, depth);
+        assert!(
+            discoveries.iter().any(|name| *name != CHANGES_OWNER),
+            "{bug:?} is not found: {discoveries:?}"
+        );
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use tulipgap_agree::Peer;
-use tulipgap_leases::{Answer, Command, Lease, Name};
+use tulipgap_leases::{Command, Incarnation, Lease, Name, RequestId, Response};
 
 pub const VERSION: u16 = 1;
 /// Magic, version, cluster, length, checksum, hash.
@@ -23,16 +23,16 @@
     Member(tulipgap_cluster::Message),
     Peer(Peer),
     Ask {
-        ask: u64,
+        ask: RequestId,
         command: Command,
     },
     Answer {
-        life: u64,
-        ask: u64,
-        answer: Answer,
+        life: Incarnation,
+        ask: RequestId,
+        answer: Response,
     },
     NotLeading {
-        ask: u64,
+        ask: RequestId,
         leader: Option<Name>,
     },
     Turn {
@@ -59,7 +59,7 @@
     pub from: Name,
     pub address: SocketAddr,
     /// Of the process, drawn when it was started.
-    pub life: u64,
+    pub life: Incarnation,
     pub word: Word,
 }
 
--- a/crates/peer/tests/every_kind.rs
+++ b/crates/peer/tests/every_kind.rs
@@ -4,7 +4,10 @@
 
 use tulipgap_agree::{Peer, Stage};
 use tulipgap_cluster::{About, Body, Message, State, Update};
-use tulipgap_leases::{Answer, Command, Held, Lease, Name, Refusal, Shape, Waiting, Who};
+use tulipgap_leases::{
+    Command, FencingToken, Incarnation, Lease, LeaseHolder, LeaseSpec, Name, Owner, QueuedOwner,
+    RejectReason, RenewalNumber, RequestId, Response,
+};
 use tulipgap_peer::{Frames, HEAD, Said, Word};
 
 fn frames() -> Frames {
@@ -48,32 +51,34 @@
 }
 
 fn commands() -> Vec<Command> {
-    let (lease, who): (Name, Who) = ("prober".into(), Who { name: "north-1".into(), life: 700 });
-    let term = Duration::from_millis(2500);
+    let (lease, owner): (Name, Owner) =
+        ("prober".into(), Owner { name: "north-1".into(), incarnation: Incarnation(700) });
+    let ttl = Duration::from_millis(2500);
     vec![
-        Command::Ask { lease: lease.clone(), who: who.clone(), term, places: 3, wait: true },
-        Command::Ask { lease: lease.clone(), who: who.clone(), term, places: 3, wait: false },
-        Command::Release { lease: lease.clone(), who: who.clone(), token: Some(500) },
-        Command::Release { lease: lease.clone(), who: who.clone(), token: None },
-        Command::Expire { lease: lease.clone(), who, beat: 900 },
-        Command::Revoke { lease: lease.clone(), token: 500 },
-        Command::Transfer { lease, token: 500, to: "west-1".into() },
+        Command::Acquire { lease: lease.clone(), owner: owner.clone(), ttl, capacity: 3, wait: true },
+        Command::Acquire { lease: lease.clone(), owner: owner.clone(), ttl, capacity: 3, wait: false },
+        Command::Release { lease: lease.clone(), owner: owner.clone(), token: Some(FencingToken(500)) },
+        Command::Release { lease: lease.clone(), owner: owner.clone(), token: None },
+        Command::Expire { lease: lease.clone(), owner, renewal: RenewalNumber(900) },
+        Command::Revoke { lease: lease.clone(), token: FencingToken(500) },
+        Command::Transfer { lease, token: FencingToken(500), to: "west-1".into() },
     ]
 }
 
-fn answers() -> Vec<Answer> {
-    let refusals = [
-        Refusal::Full,
-        Refusal::QueueFull,
-        Refusal::TooMany,
-        Refusal::OtherShape { term: Duration::from_secs(2), places: 4 },
-        Refusal::Senseless,
-        Refusal::Revoked,
-        Refusal::Stale,
-        Refusal::TooManyWanted,
+fn answers() -> Vec<Response> {
+    let rejections = [
+        RejectReason::AtCapacity,
+        RejectReason::QueueFull,
+        RejectReason::TooManyLeases,
+        RejectReason::SpecMismatch { ttl: Duration::from_secs(2), capacity: 4 },
+        RejectReason::Invalid,
+        RejectReason::Revoked,
+        RejectReason::StaleToken,
+        RejectReason::TooManyWanted,
     ];
-    let others = [Answer::Granted { token: 500 }, Answer::Queued { ahead: 2 }, Answer::Done];
-    others.into_iter().chain(refusals.map(Answer::Refused)).collect()
+    let others =
+        [Response::Granted { token: FencingToken(500) }, Response::Queued { ahead: 2 }, Response::Done];
+    others.into_iter().chain(rejections.map(Response::Rejected)).collect()
 }
 
 fn voter_messages() -> Vec<Peer> {
@@ -93,19 +98,30 @@
 }
 
 fn every_kind() -> Vec<Said> {
-    let who = Who { name: "north-1".into(), life: 7 };
+    let owner = Owner { name: "north-1".into(), incarnation: Incarnation(7) };
     let lease = Lease {
-        shape: Shape { term: Duration::from_nanos(2_000_000_001), places: 2 },
-        held: vec![Held { who: who.clone(), token: 500, beat: 900, ends: true }],
-        queue: vec![Waiting { who, beat: 1000 }],
+        spec: LeaseSpec { ttl: Duration::from_nanos(2_000_000_001), capacity: 2 },
+        holders: vec![LeaseHolder {
+            owner: owner.clone(),
+            token: FencingToken(500),
+            renewal: RenewalNumber(900),
+            revoked: true,
+        }],
+        queue: vec![QueuedOwner { owner, renewal: RenewalNumber(1000) }],
     };
     let mut words: Vec<Word> = member_messages().into_iter().map(Word::Member).collect();
     words.extend(voter_messages().into_iter().map(Word::Peer));
-    words.extend(commands().into_iter().zip(1..).map(|(command, ask)| Word::Ask { ask, command }));
-    words.extend(answers().into_iter().zip(1..).map(|(answer, ask)| Word::Answer { life: 700, ask, answer }));
+    words.extend(
+        commands().into_iter().zip((1..).map(RequestId)).map(|(command, ask)| Word::Ask { ask, command }),
+    );
+    words.extend(answers().into_iter().zip((1..).map(RequestId)).map(|(answer, ask)| Word::Answer {
+        life: Incarnation(700),
+        ask,
+        answer,
+    }));
     words.extend([
-        Word::NotLeading { ask: 300, leader: Some("west-1".into()) },
-        Word::NotLeading { ask: 301, leader: None },
+        Word::NotLeading { ask: RequestId(300), leader: Some("west-1".into()) },
+        Word::NotLeading { ask: RequestId(301), leader: None },
         Word::Turn { lease: "prober".into() },
         Word::List { number: 400, lease: None },
         Word::List { number: 401, lease: Some("prober".into()) },
@@ -113,7 +129,12 @@
         Word::Replace { old: "a".into(), new: "b".into() },
     ]);
     let addresses = [([127, 0, 0, 1], 7100).into(), "[2001:db8::7]:7100".parse().unwrap()];
-    let said = |(at, word)| Said { from: "north-1".into(), address: addresses[at % 2], life: 700, word };
+    let said = |(at, word)| Said {
+        from: "north-1".into(),
+        address: addresses[at % 2],
+        life: Incarnation(700),
+        word,
+    };
     words.into_iter().enumerate().map(said).collect()
 }
 
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -4,7 +4,10 @@
 
 use quickcheck::quickcheck;
 use tulipgap_agree::{Peer, Stage};
-use tulipgap_leases::{Answer, Command, Held, Lease, Refusal, Shape, Waiting, Who};
+use tulipgap_leases::{
+    Command, FencingToken, Incarnation, Lease, LeaseHolder, LeaseSpec, Owner, QueuedOwner, RejectReason,
+    RenewalNumber, RequestId, Response,
+};
 use tulipgap_peer::*;
 
 const KEY: &[u8] = b"a key of twenty bytes";
@@ -15,18 +18,23 @@
 
 /// One of each kind that is said.
 fn all() -> Vec<Said> {
-    let who = Who { name: "north-1".into(), life: 7 };
-    let command = Command::Ask {
+    let owner = Owner { name: "north-1".into(), incarnation: Incarnation(7) };
+    let command = Command::Acquire {
         lease: "prober".into(),
-        who: who.clone(),
-        term: Duration::from_secs(2),
-        places: 1,
+        owner: owner.clone(),
+        ttl: Duration::from_secs(2),
+        capacity: 1,
         wait: true,
     };
     let lease = Lease {
-        shape: Shape { term: Duration::from_secs(2), places: 1 },
-        held: vec![Held { who: who.clone(), token: 5, beat: 9, ends: false }],
-        queue: vec![Waiting { who, beat: 10 }],
+        spec: LeaseSpec { ttl: Duration::from_secs(2), capacity: 1 },
+        holders: vec![LeaseHolder {
+            owner: owner.clone(),
+            token: FencingToken(5),
+            renewal: RenewalNumber(9),
+            revoked: false,
+        }],
+        queue: vec![QueuedOwner { owner, renewal: RenewalNumber(10) }],
     };
     let about = tulipgap_cluster::About {
         name: "north-1".into(),
@@ -64,16 +72,29 @@
         Word::Member(message),
         Word::Peer(hello),
         Word::Peer(Peer::Raft(vec![1, 2, 3])),
-        Word::Ask { ask: 1, command },
-        Word::Answer { life: 7, ask: 1, answer: Answer::Granted { token: 5 } },
-        Word::Answer { life: 7, ask: 2, answer: Answer::Refused(Refusal::Full) },
-        Word::NotLeading { ask: 3, leader: Some("west-1".into()) },
+        Word::Ask { ask: RequestId(1), command },
+        Word::Answer {
+            life: Incarnation(7),
+            ask: RequestId(1),
+            answer: Response::Granted { token: FencingToken(5) },
+        },
+        Word::Answer {
+            life: Incarnation(7),
+            ask: RequestId(2),
+            answer: Response::Rejected(RejectReason::AtCapacity),
+        },
+        Word::NotLeading { ask: RequestId(3), leader: Some("west-1".into()) },
         Word::Turn { lease: "prober".into() },
         Word::List { number: 1, lease: None },
         Word::Listing { number: 1, leases: vec![("prober".into(), lease)] },
         Word::Replace { old: "a".into(), new: "b".into() },
     ];
-    let said = |word| Said { from: "north-1".into(), address: ([127, 0, 0, 1], 7100).into(), life: 7, word };
+    let said = |word| Said {
+        from: "north-1".into(),
+        address: ([127, 0, 0, 1], 7100).into(),
+        life: Incarnation(7),
+        word,
+    };
     words.into_iter().map(said).collect()
 }
 
--- a/crates/rig/benches/leases.rs
+++ b/crates/rig/benches/leases.rs
@@ -9,7 +9,7 @@
 
 use hdrhistogram::Histogram;
 use tulipgap_agree::{Action, Event, Seat, Terms};
-use tulipgap_leases::{Answer, Command, Name, Who};
+use tulipgap_leases::{Command, Incarnation, Name, Owner, RequestId, Response};
 use tulipgap_write_ahead_log::{Directory, Disk};
 
 const RUN: Duration = Duration::from_secs(4);
@@ -48,7 +48,7 @@
 }
 
 enum Note {
-    Answered(usize, Answer),
+    Answered(usize, Response),
     NotLeading(usize),
 }
 
@@ -85,8 +85,8 @@
                 Action::Send { to, message } => {
                     let _ = others[&to].send(Event::Peer { from: me.clone(), message });
                 }
-                Action::Answer { ask, answer, .. } => _ = notes.send(Note::Answered(ask as usize, answer)),
-                Action::NotLeading { ask, .. } => _ = notes.send(Note::NotLeading(ask as usize)),
+                Action::Answer { ask, answer, .. } => _ = notes.send(Note::Answered(ask.0 as usize, answer)),
+                Action::NotLeading { ask, .. } => _ = notes.send(Note::NotLeading(ask.0 as usize)),
                 Action::Alarm { at } => alarm = alarm.min(at),
                 _ => {}
             }
@@ -118,10 +118,11 @@
         std::thread::sleep(Duration::from_millis(10));
     };
     let ask = |asker: usize| {
-        let who = Who { name: format!("a{asker}").into(), life: 1 };
-        let (lease, term) = (format!("l{asker}").into(), Duration::from_secs(60));
-        let command = Command::Ask { lease, who, term, places: 1, wait: true };
-        let _ = others[&leads].send(Event::Asked { from: "bench".into(), ask: asker as u64, command });
+        let owner = Owner { name: format!("a{asker}").into(), incarnation: Incarnation(1) };
+        let (lease, ttl) = (format!("l{asker}").into(), Duration::from_secs(60));
+        let command = Command::Acquire { lease, owner, ttl, capacity: 1, wait: true };
+        let _ =
+            others[&leads].send(Event::Asked { from: "bench".into(), ask: RequestId(asker as u64), command });
         Instant::now()
     };
     let (syncs_before, bytes_before) = (syncs.load(Ordering::Relaxed), bytes.load(Ordering::Relaxed));
@@ -131,7 +132,7 @@
     while start.elapsed() < RUN {
         match told.recv_timeout(Duration::from_secs(1)) {
             Ok(Note::Answered(asker, answer)) => {
-                assert!(matches!(answer, Answer::Granted { .. }));
+                assert!(matches!(answer, Response::Granted { .. }));
                 spans.record(sent[asker].elapsed().as_micros() as u64).unwrap();
                 answers += 1;
                 sent[asker] = ask(asker);
--- a/crates/rig/src/leases.rs
+++ b/crates/rig/src/leases.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use tulipgap_agree::{Action as Said, Event as Heard, Notice, Peer, Seat, Terms};
-use tulipgap_leases::{Action, Answer, Command, Event, Holder, Lease, Name, Permit, Shape, Who};
+use tulipgap_leases::{
+    Action, Command, Config, Event, FencingToken, Incarnation, Lease, LeaseClient, LeaseGuard, LeaseSpec,
+    Name, Owner, RequestId, Response,
+};
 use tulipgap_write_ahead_log::{DiskFaults, DiskUsage, FaultyDisk};
 
 use crate::plan::{Fault, Left, Plan, Trouble};
@@ -28,7 +31,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Planted {
     #[cfg(feature = "flaws")]
-    pub lease: Option<tulipgap_leases::Flaw>,
+    pub lease: Option<tulipgap_leases::InjectedBug>,
     #[cfg(feature = "flaws")]
     pub durable: Option<tulipgap_write_ahead_log::InjectedBug>,
     #[cfg(feature = "flaws")]
@@ -65,9 +68,9 @@
 #[derive(Clone, Debug)]
 enum Wire {
     Peer(Peer),
-    Ask { ask: u64, command: Command },
-    Answer { life: u64, ask: u64, answer: Answer },
-    NotLeading { ask: u64, leader: Option<Name> },
+    Ask { ask: RequestId, command: Command },
+    Answer { life: Incarnation, ask: RequestId, answer: Response },
+    NotLeading { ask: RequestId, leader: Option<Name> },
     Turn { lease: Name },
     List { number: u64, lease: Name },
     Listing { number: u64, leases: Vec<(Name, Lease)> },
@@ -94,14 +97,14 @@
     base: Duration,
     disk: FaultyDisk,
     seat: Option<Seat<FaultyDisk>>,
-    holder: Option<Holder>,
+    holder: Option<LeaseClient>,
     life: u64,
     stopped: bool,
     /// What came, or was due, while it was stopped.
     waiting: Vec<What>,
     older: BTreeMap<String, Vec<u8>>,
     /// By lease: the permit, and the token of an act that has begun.
-    acts: BTreeMap<Name, (Permit, Option<u64>)>,
+    acts: BTreeMap<Name, (LeaseGuard, Option<FencingToken>)>,
 }
 
 struct World<'a> {
@@ -120,10 +123,10 @@
     led: BTreeMap<u64, usize>,
     agreed: BTreeMap<u64, u64>,
     /// The highest token that was told, and of each lease the newest that was.
-    told: u64,
-    newest: BTreeMap<Name, (u64, usize)>,
+    told: FencingToken,
+    newest: BTreeMap<Name, (FencingToken, usize)>,
     /// Lists that are under way: of what, and the newest token told before.
-    lists: BTreeMap<u64, (Name, u64)>,
+    lists: BTreeMap<u64, (Name, FencingToken)>,
     out: LeaseOutcome,
 }
 
@@ -163,7 +166,7 @@
         free_since: vec![Some(Duration::ZERO); plan.leases.len()],
         led: BTreeMap::new(),
         agreed: BTreeMap::new(),
-        told: 0,
+        told: FencingToken(0),
         newest: BTreeMap::new(),
         lists: BTreeMap::new(),
         out: LeaseOutcome { trace: 0xcbf2_9ce4_8422_2325, ..LeaseOutcome::default() },
@@ -312,7 +315,7 @@
         }
         match what {
             What::Seat { life: of } if of == life => self.seat(member, vec![Heard::Alarm]),
-            What::Holder { life: of } if of == life => self.holder(member, Event::Alarm),
+            What::Holder { life: of } if of == life => self.holder(member, Event::TimerElapsed),
             What::Act { life: of, lease } if of == life => self.act(member, lease),
             What::Deliver { from, wire } => self.deliver(member, from, wire),
             _ => {}
@@ -334,8 +337,9 @@
             Left::Emptied => process.disk.restore_files(BTreeMap::new()),
             Left::Older => process.disk.restore_files(process.older.clone()),
         }
-        let who = Who { name: process.name.clone(), life: process.life };
-        let holder = Holder::new(who, voters.clone(), OFF, JITTER, seed);
+        let owner = Owner { name: process.name.clone(), incarnation: Incarnation(process.life) };
+        let config = Config { max_clock_drift_permille: OFF, jitter_permille: JITTER };
+        let holder = LeaseClient::new(owner, voters.clone(), config, seed);
         process.holder = Some(planted_in(holder, &self.planted));
         let votes = voters.contains(&process.name)
             || self
@@ -355,10 +359,10 @@
         }
         for lease in &self.plan.leases {
             if Plan::is(&self.names[member], &lease.of) {
-                let shape = Shape { term: Duration::from_secs_f64(lease.term), places: lease.places };
-                let step = Duration::from_secs_f64(lease.step);
+                let spec = LeaseSpec { ttl: Duration::from_secs_f64(lease.term), capacity: lease.places };
+                let max_step = Duration::from_secs_f64(lease.step);
                 let lease = lease.name.as_str().into();
-                self.holder(member, Event::Want { lease, shape, step, wait: true });
+                self.holder(member, Event::Acquire { lease, spec, max_step, wait: true });
             }
         }
     }
@@ -369,7 +373,7 @@
         process.waiting.clear();
         for (lease, (_, token)) in std::mem::take(&mut process.acts) {
             if let Some(token) = token {
-                self.witness.gone(&lease, token);
+                self.witness.gone(&lease, token.0);
             }
         }
         // The process ends, or its machine: of what was not synced some is there.
@@ -431,7 +435,7 @@
                     self.break_promise("one leader a term", what);
                 }
                 let seat = self.processes[member].seat.as_ref();
-                let tokens = seat.map_or(u64::MAX, |seat| seat.voter().agreed().0.tokens());
+                let tokens = seat.map_or(FencingToken(u64::MAX), |seat| seat.voter().agreed().0.last_token());
                 if tokens < self.told {
                     let what =
                         format!("token {} was told, and the leader of term {term} has {tokens}", self.told);
@@ -446,7 +450,7 @@
     fn holder(&mut self, member: usize, event: Event) {
         let now = self.clock(member);
         let Some(holder) = &mut self.processes[member].holder else { return };
-        let actions = holder.decide(now, event);
+        let actions = holder.handle_event(now, event);
         self.carry_out(member, actions);
     }
 
@@ -454,15 +458,17 @@
         let life = self.processes[member].life;
         for action in actions {
             match action {
-                Action::Ask { to, ask, command } => self.send(member, &to, Wire::Ask { ask, command }),
-                Action::Alarm { at } => {
+                Action::Send { to, request: ask, command } => {
+                    self.send(member, &to, Wire::Ask { ask, command })
+                }
+                Action::SetTimer { at } => {
                     let at = self.when(member, at);
                     self.put(at, member, What::Holder { life });
                 }
-                Action::Gained { lease, token } => {
+                Action::Acquired { lease, token } => {
                     self.out.grants += 1;
-                    self.mark([member as u64, token, self.now.as_micros() as u64]);
-                    let newest = self.newest.get(&lease).copied().unwrap_or((0, member));
+                    self.mark([member as u64, token.0, self.now.as_micros() as u64]);
+                    let newest = self.newest.get(&lease).copied().unwrap_or((FencingToken(0), member));
                     let places = self.witness.places(&lease);
                     if places == 1 && (token < newest.0 || token == newest.0 && newest.1 != member) {
                         let what = format!("{lease}: {token} after {}", newest.0);
@@ -474,7 +480,7 @@
                         self.put(self.now, member, What::Act { life, lease });
                     }
                 }
-                Action::Lost { .. } | Action::Refused { .. } => {}
+                Action::Lost { .. } | Action::Rejected { .. } => {}
             }
         }
         self.at_most();
@@ -484,7 +490,7 @@
     fn holders(&self, lease: &str) -> usize {
         let may = |member: &usize| {
             let holder = self.processes[*member].holder.clone();
-            holder.is_some_and(|mut holder| holder.begin(self.clock(*member), lease).is_ok())
+            holder.is_some_and(|mut holder| holder.acquire_guard(self.clock(*member), lease).is_ok())
         };
         (0..self.processes.len()).filter(may).count()
     }
@@ -506,7 +512,7 @@
         let Some(holder) = &mut process.holder else { return };
         let (permit, begun) = match process.acts.remove(&lease) {
             Some(acting) => acting,
-            None => match holder.begin(now, &lease) {
+            None => match holder.acquire_guard(now, &lease) {
                 Ok(permit) => (permit, None),
                 Err(_) => return,
             },
@@ -514,20 +520,20 @@
         let step = self.witness.step(&lease);
         let span = |rng: &mut fastrand::Rng, of: (f64, f64)| of.0 + (of.1 - of.0) * rng.f64();
         if let Some(token) = begun {
-            self.out.refused += u64::from(self.witness.end(&lease, token).is_err());
+            self.out.refused += u64::from(self.witness.end(&lease, token.0).is_err());
             process.acts.insert(lease.clone(), (permit, None));
             let rest = Duration::from_secs_f64(span(&mut self.rng, REST));
             return self.put(self.now + rest, member, What::Act { life, lease });
         }
-        match holder.step(now, &permit) {
+        match holder.check_guard(now, &permit) {
             Ok(token) => {
                 process.acts.insert(lease.clone(), (permit, Some(token)));
                 // A process that is stopped in the middle of an act is kept from harm by its token alone.
                 let asleep: BTreeSet<u64> = (self.processes.iter())
                     .filter(|process| process.stopped)
-                    .filter_map(|process| process.acts.get(&lease)?.1)
+                    .filter_map(|process| Some(process.acts.get(&lease)?.1?.0))
                     .collect();
-                match self.witness.begin(&lease, token, &asleep) {
+                match self.witness.begin(&lease, token.0, &asleep) {
                     Ok(()) => self.out.acts += 1,
                     Err(Refused::Older) => self.out.refused += 1,
                     Err(Refused::Overlaps(others)) => {
@@ -539,7 +545,7 @@
                 self.put(self.now + takes, member, What::Act { life, lease });
             }
             Err(_) => {
-                let actions = holder.done(now, permit);
+                let actions = holder.release_guard(now, permit);
                 self.carry_out(member, actions);
                 // Lost and gained again meanwhile.
                 self.put(self.now + Duration::from_millis(10), member, What::Act { life, lease });
@@ -571,12 +577,14 @@
             Wire::List { number, lease } => {
                 self.seat(to, vec![Heard::List { from: name, number, lease: Some(lease) }]);
             }
-            Wire::Answer { life, ask, answer } => self.holder(to, Event::Answered { life, ask, answer }),
-            Wire::NotLeading { ask, leader } => self.holder(to, Event::NotLeading { ask, leader }),
-            Wire::Turn { lease } => self.holder(to, Event::Turn { lease }),
+            Wire::Answer { life, ask, answer } => {
+                self.holder(to, Event::Response { incarnation: life, request: ask, response: answer })
+            }
+            Wire::NotLeading { ask, leader } => self.holder(to, Event::NotLeader { request: ask, leader }),
+            Wire::Turn { lease } => self.holder(to, Event::SlotAvailable { lease }),
             Wire::Listing { number, leases } => {
                 let Some((lease, newest)) = self.lists.remove(&number) else { return };
-                let held = leases.iter().find(|(name, _)| *name == lease).and_then(|(_, l)| l.held.last());
+                let held = leases.iter().find(|(name, _)| *name == lease).and_then(|(_, l)| l.holders.last());
                 if let Some(held) = held.filter(|held| held.token < newest) {
                     let what = format!("{lease}: {} is told, {newest} had been granted before", held.token);
                     self.break_promise("what is told is no older than the question", what);
@@ -593,7 +601,7 @@
         if lease.is_empty() || self.witness.places(&lease) != 1 {
             return;
         }
-        let newest = self.newest.get(&lease).map_or(0, |newest| newest.0);
+        let newest = self.newest.get(&lease).map_or(FencingToken(0), |newest| newest.0);
         let asker = self.rng.usize(0..self.names.len());
         for voter in self.voters.clone() {
             self.order += 1;
@@ -640,7 +648,7 @@
     }
 }
 
-fn fingerprint(table: &tulipgap_leases::Table) -> u64 {
+fn fingerprint(table: &tulipgap_leases::LeaseStateMachine) -> u64 {
     use std::hash::{DefaultHasher, Hash, Hasher};
     let mut hasher = DefaultHasher::new();
     table.hash(&mut hasher);
@@ -657,13 +665,13 @@
 }
 
 #[cfg(feature = "flaws")]
-fn planted_in(mut holder: Holder, planted: &Planted) -> Holder {
-    holder.plant(planted.lease);
+fn planted_in(mut holder: LeaseClient, planted: &Planted) -> LeaseClient {
+    holder.inject_bug(planted.lease);
     holder
 }
 
 #[cfg(not(feature = "flaws"))]
-fn planted_in(holder: Holder, _: &Planted) -> Holder {
+fn planted_in(holder: LeaseClient, _: &Planted) -> LeaseClient {
     holder
 }
 
--- a/crates/rig/tests/leases.rs
+++ b/crates/rig/tests/leases.rs
@@ -1,6 +1,6 @@
 //! Leases over many seeds, each hard case in simulated time, faults drawn, and each check seen to catch a planted fault.
 
-use tulipgap_leases::Flaw;
+use tulipgap_leases::InjectedBug;
 use tulipgap_rig::*;
 use tulipgap_write_ahead_log::InjectedBug as DiskBug;
 
@@ -199,8 +199,8 @@
     let quick = Planted { durable: Some(DiskBug::SkipSync), ..Planted::default() };
     let read = Planted { stale_read: true, ..Planted::default() };
     for (planted, faults, seeds, draws) in [
-        (lease(Flaw::NoMargin), clocks, 0..20, false),
-        (lease(Flaw::PermitNotLooked), &*stops, 0..20, false),
+        (lease(InjectedBug::NoClockMargin), clocks, 0..20, false),
+        (lease(InjectedBug::UncheckedGuard), &*stops, 0..20, false),
         (read, &*asleep, 0..20, false),
         (quick, "", 110..120, true),
     ] {
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -15,7 +15,10 @@
 use tulipgap_agree::{Action as Agreed, Event as Heard, Seat};
 use tulipgap_cluster::probing::{Look, Probing};
 use tulipgap_cluster::{About, Members};
-use tulipgap_leases::{Action, Command, Event, Holder, Name, Permit, Shape, Stale, Standing, Who};
+use tulipgap_leases::{
+    Action, Command, Config, Event, FencingToken, Incarnation, LeaseClient, LeaseGuard, LeaseSpec,
+    LeaseStatus, Name, Owner, RequestId, StaleGuard,
+};
 use tulipgap_peer::{Frames, Said, Word};
 use tulipgap_write_ahead_log::{Directory, Disk};
 
@@ -51,7 +54,7 @@
 /// Probing the store.
 const STORE_FACT: &str = "store";
 const PROBE_LOOK: Duration = Duration::from_millis(100);
-const PROBE_SHAPE: Shape = Shape { term: Duration::from_secs(4), places: 1 };
+const PROBE_SHAPE: LeaseSpec = LeaseSpec { ttl: Duration::from_secs(4), capacity: 1 };
 const PROBE_STEP: Duration = Duration::from_millis(500);
 
 /// Time since the machine's start, that it slept through included: a term goes on while it sleeps.
@@ -96,37 +99,38 @@
 /// The only way to act under a lease.
 #[derive(Clone)]
 pub struct Leases {
-    holder: Arc<Mutex<Holder>>,
+    holder: Arc<Mutex<LeaseClient>>,
     clock: Clock,
     inputs: SyncSender<Input>,
 }
 
 impl Leases {
-    pub fn want(&self, lease: &str, shape: Shape, step: Duration) {
+    pub fn want(&self, lease: &str, shape: LeaseSpec, step: Duration) {
         let lease = lease.into();
-        let event = Event::Want { lease, shape, step, wait: true };
-        let actions = self.holder.lock().decide(self.clock.now(), event);
+        let event = Event::Acquire { lease, spec: shape, max_step: step, wait: true };
+        let actions = self.holder.lock().handle_event(self.clock.now(), event);
         self.carry(actions);
     }
 
     pub fn give_back(&self, lease: &str) {
-        let actions = self.holder.lock().decide(self.clock.now(), Event::Drop { lease: lease.into() });
+        let actions =
+            self.holder.lock().handle_event(self.clock.now(), Event::Release { lease: lease.into() });
         self.carry(actions);
     }
 
-    pub fn begin(&self, lease: &str) -> Result<Permit, Stale> {
+    pub fn begin(&self, lease: &str) -> Result<LeaseGuard, StaleGuard> {
         let mut holder = self.holder.lock();
-        holder.begin(self.clock.now(), lease)
+        holder.acquire_guard(self.clock.now(), lease)
     }
 
     /// The token for one step that begins now.
-    pub fn step(&self, permit: &Permit) -> Result<u64, Stale> {
-        let mut holder = self.holder.lock();
-        holder.step(self.clock.now(), permit)
+    pub fn step(&self, permit: &LeaseGuard) -> Result<FencingToken, StaleGuard> {
+        let holder = self.holder.lock();
+        holder.check_guard(self.clock.now(), permit)
     }
 
-    pub fn done(&self, permit: Permit) {
-        let actions = self.holder.lock().done(self.clock.now(), permit);
+    pub fn done(&self, permit: LeaseGuard) {
+        let actions = self.holder.lock().release_guard(self.clock.now(), permit);
         self.carry(actions);
     }
 
@@ -159,7 +163,7 @@
     let (inputs, taken) = sync_channel(WAITING);
     let (said, words) = sync_channel::<Said>(WAITING);
     let routes: HashMap<_, _> = trial.routes().into_iter().collect();
-    let of = Opened { listen, frames, me: me.clone(), life, routes };
+    let of = Opened { listen, frames, me: me.clone(), life: Incarnation(life), routes };
     let links = Links::open(of, said).map_err(|error| at(&told.listen, &error))?;
     let about = About {
         name: me.clone(),
@@ -172,8 +176,9 @@
     let members = Members::new(terms, about, 0, seed ^ life).map_err(|error| at("member", &error))?;
     let voters: Vec<Name> = told.voters.iter().map(|voter| voter.as_str().into()).collect();
     let off = (told.clock_off * 1000.0).round() as u32;
-    let who = Who { name: me.clone(), life };
-    let holder = Arc::new(Mutex::new(Holder::new(who, voters.clone(), off, JITTER, seed ^ life)));
+    let owner = Owner { name: me.clone(), incarnation: Incarnation(life) };
+    let config = Config { max_clock_drift_permille: off, jitter_permille: JITTER };
+    let holder = Arc::new(Mutex::new(LeaseClient::new(owner, voters.clone(), config, seed ^ life)));
     let known = Arc::new(Mutex::new(HashMap::from([(me.clone(), listen)])));
     let post = Post { links, known, me: me.clone(), inputs: inputs.clone() };
     // A member that has a folder may be asked to vote later on, in another's place.
@@ -261,8 +266,8 @@
     }
 }
 
-fn drain_shape(at_once: u32) -> Shape {
-    Shape { term: DRAIN_TERM, places: at_once }
+fn drain_shape(at_once: u32) -> LeaseSpec {
+    LeaseSpec { ttl: DRAIN_TERM, capacity: at_once }
 }
 
 fn probe_store(leases: &Leases, inputs: &SyncSender<Input>, lease: &str, store: &Store) {
@@ -326,7 +331,7 @@
         let address = self.known.lock().get(name).copied();
         match address {
             Some(address) if *name == self.me => {
-                let said = Said { from: name.clone(), address, life: 0, word };
+                let said = Said { from: name.clone(), address, life: Incarnation(0), word };
                 // Its own queue: a voter that waited for it here would wait for itself.
                 let _ = self.inputs.try_send(Input::Said(said));
             }
@@ -410,7 +415,7 @@
 
 struct Core {
     members: Members,
-    holder: Arc<Mutex<Holder>>,
+    holder: Arc<Mutex<LeaseClient>>,
     seat: Option<Voting>,
     clock: Clock,
     post: Post,
@@ -466,7 +471,7 @@
         }
         if self.holder_at.is_some_and(|at| at <= now) {
             self.holder_at = None;
-            self.holder(Event::Alarm);
+            self.holder(Event::TimerElapsed);
         }
         let due: Vec<u64> =
             (self.waiting.iter()).filter(|(_, w)| w.again_at <= now).map(|(n, _)| *n).collect();
@@ -476,22 +481,24 @@
     }
 
     fn holder(&mut self, event: Event) {
-        let actions = self.holder.lock().decide(self.clock.now(), event);
+        let actions = self.holder.lock().handle_event(self.clock.now(), event);
         self.carry_out(actions);
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Ask { to, ask, command } => self.post.to(&to, Word::Ask { ask, command }),
-                Action::Alarm { at } => {
+                Action::Send { to, request: ask, command } => self.post.to(&to, Word::Ask { ask, command }),
+                Action::SetTimer { at } => {
                     self.holder_at = Some(self.holder_at.map_or(at, |asked| asked.min(at)))
                 }
-                Action::Gained { lease, token } => log::info!("lease {lease}: held, token {token}"),
-                Action::Lost { lease, token, why } => {
-                    log::info!("lease {lease}: token {token} lost ({why:?})")
+                Action::Acquired { lease, token } => log::info!("lease acquired name={lease} token={token}"),
+                Action::Lost { lease, token, reason } => {
+                    log::info!("lease lost name={lease} token={token} reason={reason}")
+                }
+                Action::Rejected { lease, reason } => {
+                    log::warn!("lease rejected name={lease} reason=\"{reason}\"")
                 }
-                Action::Refused { lease, why } => log::warn!("lease {lease}: {why}"),
             }
         }
     }
@@ -556,7 +563,7 @@
             Word::Peer(message) => self.voter(Heard::Peer { from, message }),
             Word::Ask { ask, command } => {
                 let own = match &command {
-                    Command::Ask { who, .. } | Command::Release { who, .. } => who.name == from,
+                    Command::Acquire { owner, .. } | Command::Release { owner, .. } => owner.name == from,
                     Command::Expire { .. } => false,
                     Command::Revoke { .. } | Command::Transfer { .. } => true,
                 };
@@ -568,21 +575,23 @@
             }
             Word::List { number, lease } => self.voter(Heard::List { from, number, lease }),
             Word::Replace { old, new } => self.voter(Heard::Replace { old, new }),
-            Word::Answer { ask, answer, .. } if ask >= OPERATORS => {
+            Word::Answer { ask, answer, .. } if ask.0 >= OPERATORS => {
                 let told = match answer {
-                    tulipgap_leases::Answer::Refused(why) => json!({ "error": why.to_string() }),
+                    tulipgap_leases::Response::Rejected(why) => json!({ "error": why.to_string() }),
                     _ => json!({ "done": true }),
                 };
-                self.reply(ask, told);
+                self.reply(ask.0, told);
+            }
+            Word::Answer { life, ask, answer } => {
+                self.holder(Event::Response { incarnation: life, request: ask, response: answer })
             }
-            Word::Answer { life, ask, answer } => self.holder(Event::Answered { life, ask, answer }),
-            Word::NotLeading { ask, leader } if ask >= OPERATORS => {
+            Word::NotLeading { ask, leader } if ask.0 >= OPERATORS => {
                 if let Some(leader) = leader {
-                    self.ask_again(ask, Some(&leader));
+                    self.ask_again(ask.0, Some(&leader));
                 }
             }
-            Word::NotLeading { ask, leader } => self.holder(Event::NotLeading { ask, leader }),
-            Word::Turn { lease } => self.holder(Event::Turn { lease }),
+            Word::NotLeading { ask, leader } => self.holder(Event::NotLeader { request: ask, leader }),
+            Word::Turn { lease } => self.holder(Event::SlotAvailable { lease }),
             Word::Listing { number, leases } => {
                 let rows: Vec<Value> = leases.iter().map(|(name, lease)| control::row(name, lease)).collect();
                 self.reply(number, json!({ "leases": rows }));
@@ -656,15 +665,16 @@
                 return self.ask(reply, |number| Word::List { number, lease });
             }
             Request::Revoke { lease, token } => {
-                let command = Command::Revoke { lease: lease.into(), token };
-                return self.ask(reply, |ask| Word::Ask { ask, command });
+                let command = Command::Revoke { lease: lease.into(), token: FencingToken(token) };
+                return self.ask(reply, |ask| Word::Ask { ask: RequestId(ask), command });
             }
             Request::Transfer { lease, token, to } => {
-                let command = Command::Transfer { lease: lease.into(), token, to: to.into() };
-                return self.ask(reply, |ask| Word::Ask { ask, command });
+                let command =
+                    Command::Transfer { lease: lease.into(), token: FencingToken(token), to: to.into() };
+                return self.ask(reply, |ask| Word::Ask { ask: RequestId(ask), command });
             }
             Request::Take { lease, term_ms, places } => {
-                let shape = Shape { term: Duration::from_millis(term_ms), places };
+                let shape = LeaseSpec { ttl: Duration::from_millis(term_ms), capacity: places };
                 self.take(&lease, shape, Duration::ZERO)
             }
             Request::Drain => match self.drain.clone() {
@@ -672,7 +682,7 @@
                 Some((lease, at_once)) => self.take(&lease, drain_shape(at_once), DRAIN_STEP),
             },
             Request::Release { lease } => {
-                self.holder(Event::Drop { lease: lease.as_str().into() });
+                self.holder(Event::Release { lease: lease.as_str().into() });
                 json!({ "done": true })
             }
             Request::Own => self.own_told(),
@@ -687,11 +697,11 @@
         let _ = reply.try_send(told);
     }
 
-    fn take(&mut self, lease: &str, shape: Shape, step: Duration) -> Value {
-        let event = Event::Want { lease: lease.into(), shape, step, wait: true };
-        let actions = self.holder.lock().decide(self.clock.now(), event);
+    fn take(&mut self, lease: &str, shape: LeaseSpec, step: Duration) -> Value {
+        let event = Event::Acquire { lease: lease.into(), spec: shape, max_step: step, wait: true };
+        let actions = self.holder.lock().handle_event(self.clock.now(), event);
         let refused = actions.iter().find_map(|action| match action {
-            Action::Refused { why, .. } => Some(json!({ "error": why.to_string() })),
+            Action::Rejected { reason, .. } => Some(json!({ "error": reason.to_string() })),
             _ => None,
         });
         self.carry_out(actions);
@@ -701,12 +711,12 @@
     /// What this process holds or wants, and how its voter stands.
     fn own_told(&self) -> Value {
         let holder = self.holder.lock();
-        let wanted: Vec<Value> = (holder.wanted())
+        let wanted: Vec<Value> = (holder.leases())
             .map(|(lease, standing)| match standing {
-                Standing::Held { token, told: true, .. } => {
+                LeaseStatus::Active { token, announced: true, .. } => {
                     json!({ "lease": &**lease, "held": true, "token": token })
                 }
-                Standing::Queued { ahead } => json!({ "lease": &**lease, "held": false, "ahead": ahead }),
+                LeaseStatus::Queued { ahead } => json!({ "lease": &**lease, "held": false, "ahead": ahead }),
                 _ => json!({ "lease": &**lease, "held": false }),
             })
             .collect();
@@ -746,10 +756,10 @@
     }
 
     fn leave(mut self, done: &SyncSender<()>) {
-        let names: Vec<Name> = self.holder.lock().wanted().map(|(name, _)| name.clone()).collect();
+        let names: Vec<Name> = self.holder.lock().leases().map(|(name, _)| name.clone()).collect();
         for lease in names {
             // Nothing acts any more: this is the end of the process.
-            self.holder(Event::Drop { lease });
+            self.holder(Event::Release { lease });
         }
         self.voter(Heard::Leave);
         std::thread::sleep(HAND_ON);
--- a/crates/server/src/control.rs
+++ b/crates/server/src/control.rs
@@ -89,10 +89,10 @@
 
 /// A lease as it is told.
 pub fn row(name: &Name, lease: &Lease) -> Value {
-    let held: Vec<Value> = (lease.held.iter())
-        .map(|held| json!({ "by": &*held.who.name, "life": held.who.life, "token": held.token, "ends": held.ends }))
+    let held: Vec<Value> = (lease.holders.iter())
+        .map(|held| json!({ "by": &*held.owner.name, "life": held.owner.incarnation, "token": held.token, "ends": held.revoked }))
         .collect();
-    let queue: Vec<&str> = lease.queue.iter().map(|waiting| &*waiting.who.name).collect();
-    json!({ "lease": &**name, "term_ms": lease.shape.term.as_millis() as u64, "places": lease.shape.places,
+    let queue: Vec<&str> = lease.queue.iter().map(|waiting| &*waiting.owner.name).collect();
+    json!({ "lease": &**name, "term_ms": lease.spec.ttl.as_millis() as u64, "places": lease.spec.capacity,
         "held": held, "queue": queue })
 }
--- a/crates/server/src/net/peers.rs
+++ b/crates/server/src/net/peers.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tulipgap_leases::Name;
+use tulipgap_leases::{Incarnation, Name};
 use tulipgap_peer::{Bad, DATAGRAM_MOST, Frames, HEAD, Said, Word};
 
 use crate::log::Bound;
@@ -40,7 +40,7 @@
     frames: Frames,
     me: Name,
     address: SocketAddr,
-    life: u64,
+    life: Incarnation,
     /// For the rig: where what is sent to an address goes instead.
     routes: HashMap<SocketAddr, SocketAddr>,
     out: Mutex<HashMap<SocketAddr, SyncSender<Vec<u8>>>>,
@@ -52,7 +52,7 @@
     pub listen: SocketAddr,
     pub frames: Frames,
     pub me: Name,
-    pub life: u64,
+    pub life: Incarnation,
     pub routes: HashMap<SocketAddr, SocketAddr>,
 }
 
--- a/crates/server/src/trial.rs
+++ b/crates/server/src/trial.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use tulipgap_config::TrialLease;
-use tulipgap_leases::{Name, Shape};
+use tulipgap_leases::{LeaseSpec, Name};
 use tulipgap_write_ahead_log::Disk;
 
 use crate::cluster::Leases;
@@ -18,7 +18,7 @@
 
 /// Wants a lease for ever and acts under it: each act is told to the witness as it begins and as it ends.
 pub fn act(leases: &Leases, lease: &TrialLease, witness: SocketAddr, me: &Name) {
-    let shape = Shape { term: lease.term, places: lease.places };
+    let shape = LeaseSpec { ttl: lease.term, capacity: lease.places };
     let mut link = None;
     loop {
         // Asked for anew each time: an operator may have given it back.
--- a/crates/server/tests/program/leases.rs
+++ b/crates/server/tests/program/leases.rs
@@ -289,7 +289,12 @@
     let mut rng = fastrand::Rng::with_seed(7);
     let elsewhere = tulipgap_peer::Frames::new("elsewhere", b"long enough to keep anybody out").unwrap();
     let word = tulipgap_peer::Word::Turn { lease: "x".into() };
-    let said = tulipgap_peer::Said { from: "m".into(), address: peer.parse().unwrap(), life: 1, word };
+    let said = tulipgap_peer::Said {
+        from: "m".into(),
+        address: peer.parse().unwrap(),
+        life: tulipgap_leases::Incarnation(1),
+        word,
+    };
     for turn in 0..3000 {
         let mut bytes = elsewhere.make(&said);
         if turn % 2 == 0 {
