--- /dev/null
+++ b/crates/consensus/src/bootstrap.rs
@@ -0,0 +1,134 @@
+//! Bootstrap: how the initial voters find each other. Each is known by an id that was drawn when its directory was created,
+//! not by its name: a directory that was emptied draws another id, and whoever has it is no voter. Once a voter knows the
+//! ids of all, it promises them, once and for ever; where all have promised the same, they are the voters.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use tulipgap_leases::Name;
+
+use crate::error::LoadError;
+use crate::peer_message::{BootstrapStage, VoterId};
+
+#[cfg(test)]
+mod tests;
+
+/// What a voter's directory says of it. It is durable before anything is sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Identity {
+    pub(crate) name: Name,
+    pub(crate) id: VoterId,
+    /// The initial voters that it promised.
+    pub(crate) promised: Option<BTreeMap<Name, VoterId>>,
+    /// Whether all have promised the same.
+    pub(crate) is_bootstrapped: bool,
+}
+
+impl Identity {
+    pub(crate) fn new(name: Name, id: VoterId) -> Self {
+        Identity { name, id: id.max(VoterId(1)), promised: None, is_bootstrapped: false }
+    }
+
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, LoadError> {
+        postcard::from_bytes(bytes).map_err(|source| LoadError::Decode { item: "the identity", source })
+    }
+
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    pub(crate) fn stage(&self) -> BootstrapStage {
+        match (&self.promised, self.is_bootstrapped) {
+            (_, true) => BootstrapStage::Complete,
+            (Some(_), false) => BootstrapStage::Promised,
+            (None, false) => BootstrapStage::Discovering,
+        }
+    }
+}
+
+/// What another voter has sent of itself.
+struct Candidate {
+    id: VoterId,
+    promised: Option<BTreeMap<Name, VoterId>>,
+}
+
+/// What this voter knows of the others before they are bootstrapped.
+pub(crate) struct Bootstrap {
+    names: Vec<Name>,
+    others: BTreeMap<Name, Candidate>,
+}
+
+/// What follows from another voter's handshake.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum BootstrapStep {
+    /// Not all have said the same yet.
+    Wait,
+    /// Promise these; durable before it is sent.
+    Promise(BTreeMap<Name, VoterId>),
+    /// These are the voters.
+    Complete(BTreeMap<Name, VoterId>),
+    /// Others were bootstrapped, with another id under this name or without it.
+    Outside,
+}
+
+impl Bootstrap {
+    pub(crate) fn new(names: Vec<Name>) -> Self {
+        Bootstrap { names, others: BTreeMap::new() }
+    }
+
+    /// The ids this voter knows, its own included; what it has promised once it has.
+    pub(crate) fn known_voters(&self, own: &Identity) -> BTreeMap<Name, VoterId> {
+        if let Some(promised) = &own.promised {
+            return promised.clone();
+        }
+        let others = self.others.iter().map(|(name, other)| (name.clone(), other.id));
+        others.chain([(own.name.clone(), own.id)]).collect()
+    }
+
+    pub(crate) fn handle_handshake(
+        &mut self,
+        own: &Identity,
+        from: &Name,
+        id: VoterId,
+        initial_voters: &BTreeMap<Name, VoterId>,
+        stage: BootstrapStage,
+    ) -> BootstrapStep {
+        if stage == BootstrapStage::Complete {
+            return match initial_voters.get(&own.name) == Some(&own.id) {
+                true => BootstrapStep::Complete(initial_voters.clone()),
+                false => BootstrapStep::Outside,
+            };
+        }
+        if from == &own.name || !self.names.contains(from) {
+            return BootstrapStep::Wait;
+        }
+        let promised = (stage == BootstrapStage::Promised).then(|| initial_voters.clone());
+        self.update(from, id, promised);
+        let known = self.known_voters(own);
+        if !self.names.iter().all(|name| known.contains_key(name)) {
+            return BootstrapStep::Wait;
+        }
+        if own.promised.is_none() {
+            return BootstrapStep::Promise(known);
+        }
+        match self.all_promised(own, &known) {
+            true => BootstrapStep::Complete(known),
+            false => BootstrapStep::Wait,
+        }
+    }
+
+    /// A late message of the same directory takes no promise back.
+    fn update(&mut self, from: &Name, id: VoterId, promised: Option<BTreeMap<Name, VoterId>>) {
+        let earlier = self.others.remove(from).filter(|other| other.id == id);
+        let promised = promised.or_else(|| earlier.and_then(|other| other.promised));
+        self.others.insert(from.clone(), Candidate { id, promised });
+    }
+
+    fn all_promised(&self, own: &Identity, voters: &BTreeMap<Name, VoterId>) -> bool {
+        self.names.iter().filter(|name| **name != own.name).all(|name| {
+            self.others.get(name).is_some_and(|other| {
+                other.promised.as_ref() == Some(voters) && voters.get(name) == Some(&other.id)
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,73 @@
+//! Consensus on leases: three or five voters agree, command by command, on who holds which lease, and on who leads them.
+//!
+//! The algorithm is Raft (Ongaro and Ousterhout, "In search of an understandable consensus algorithm", 2014) with pre-vote
+//! and the leader's check of its quorum, as implemented by the crate `raft`. A [`Voter`] drives it without a clock and with
+//! everything random drawn from a seed, so that a simulation repeats to the last message.
+//!
+//! Input: an [`Event`] and the time. Output: [`Action`]s, to be performed in their order, since what is to be written must
+//! be durable before what follows it is sent. A [`DurableVoter`] holds a voter and its write-ahead log together and does
+//! the writing. What is decided here beyond Raft:
+//!
+//! - how the initial voters find each other (bootstrap), each known by an id drawn when its directory was created;
+//! - that a voter whose directory was rolled back to an older state must not vote again;
+//! - the steps by which one voter replaces another;
+//! - reads that are as new as their request (Raft's read index).
+//!
+//! `docs/design-leases.md` gives the reasons.
+//!
+//! ```
+//! use std::collections::{BTreeMap, VecDeque};
+//! use std::time::Duration;
+//!
+//! use tulipgap_consensus::{Action, Config, DurableVoter, Event};
+//! use tulipgap_leases::Name;
+//! use tulipgap_write_ahead_log::FaultyDisk;
+//!
+//! # fn main() -> Result<(), tulipgap_consensus::VoterError> {
+//! let names: Vec<Name> = ["a", "b", "c"].map(Name::from).to_vec();
+//! let mut voters = BTreeMap::new();
+//! for (name, seed) in names.iter().zip(1..) {
+//!     let disk = FaultyDisk::default();
+//!     let voter = DurableVoter::open(Config::default(), name, names.clone(), disk, seed)?;
+//!     voters.insert(name.clone(), voter);
+//! }
+//! let mut now = Duration::ZERO;
+//! while !voters.values().any(|voter| voter.voter().is_leader()) {
+//!     now += Duration::from_millis(100);
+//!     let timers = names.iter().map(|name| (name.clone(), Event::TimerElapsed));
+//!     let mut network: VecDeque<(Name, Event)> = timers.collect();
+//!     while let Some((to, event)) = network.pop_front() {
+//!         let Some(voter) = voters.get_mut(&to) else { continue };
+//!         let (actions, written) = voter.handle_events(now, vec![event]);
+//!         written?;
+//!         for action in actions {
+//!             if let Action::Send { to: next, message } = action {
+//!                 network.push_back((next, Event::PeerMessage { from: to.clone(), message }));
+//!             }
+//!         }
+//!     }
+//! }
+//! # Ok(())
+//! # }
+//! ```
+
+mod bootstrap;
+mod durable_voter;
+mod error;
+mod event;
+#[cfg(feature = "injected-bugs")]
+mod injected_bug;
+mod log_store;
+mod peer_message;
+mod replicated_state;
+mod voter;
+
+pub use durable_voter::DurableVoter;
+pub use error::{LoadError, VoterError};
+pub use event::{
+    Action, Config, Event, InvalidData, MAX_LISTED_LEASES, MAX_VOTERS, Notice, VoterPhase, VoterStatus,
+};
+#[cfg(feature = "injected-bugs")]
+pub use injected_bug::InjectedBug;
+pub use peer_message::{BootstrapStage, LogPosition, PeerMessage, VoterId};
+pub use voter::Voter;
--- /dev/null
+++ b/crates/consensus/src/log_store.rs
@@ -0,0 +1,269 @@
+//! The consensus log and hard state. All of it is in memory, so that `raft` reads it without I/O; what changes is encoded
+//! here for the write-ahead log.
+
+use std::collections::BTreeMap;
+
+use protobuf::Message as _;
+use raft::prelude::{ConfState, Entry, HardState, Snapshot};
+use raft::{GetEntriesContext, RaftState, Storage, StorageError};
+use serde::{Deserialize, Serialize};
+use tulipgap_leases::Name;
+
+use crate::error::LoadError;
+use crate::peer_message::VoterId;
+use crate::replicated_state::ReplicatedState;
+
+/// Raft's hard state, as it is stored.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+struct StoredHardState {
+    term: u64,
+    vote: u64,
+    commit: u64,
+}
+
+impl From<&HardState> for StoredHardState {
+    fn from(state: &HardState) -> Self {
+        StoredHardState { term: state.term, vote: state.vote, commit: state.commit }
+    }
+}
+
+impl From<StoredHardState> for HardState {
+    fn from(stored: StoredHardState) -> Self {
+        HardState { term: stored.term, vote: stored.vote, commit: stored.commit, ..HardState::default() }
+    }
+}
+
+/// Index and term of an entry.
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
+struct EntryId {
+    index: u64,
+    term: u64,
+}
+
+/// One record of the write-ahead log: what changed.
+#[derive(Default, Serialize, Deserialize)]
+struct StoredChange {
+    hard_state: Option<StoredHardState>,
+    entries: Vec<Vec<u8>>,
+}
+
+/// A snapshot of the write-ahead log: all there is.
+#[derive(Serialize, Deserialize)]
+struct StoredLog {
+    hard_state: StoredHardState,
+    snapshot: Vec<u8>,
+    compacted: EntryId,
+    entries: Vec<Vec<u8>>,
+}
+
+/// The log of one voter. The `RawNode` of the crate `raft` owns it.
+///
+/// Invariant: entries are numbered without a gap, the first after `compacted`.
+#[derive(Default)]
+pub(crate) struct LogStore {
+    hard_state: HardState,
+    /// The last entry that was removed from the log; the snapshot covers it.
+    compacted: EntryId,
+    entries: Vec<Entry>,
+    snapshot: Snapshot,
+}
+
+fn encode_message(message: &impl protobuf::Message) -> Vec<u8> {
+    // Writing to memory fails only where a required field is missing, and these have none.
+    message.write_to_bytes().unwrap_or_default()
+}
+
+fn new_snapshot(index: u64, term: u64, conf_state: ConfState, state: &ReplicatedState) -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    snapshot.set_data(state.encode().into());
+    let metadata = snapshot.mut_metadata();
+    (metadata.index, metadata.term) = (index, term);
+    metadata.set_conf_state(conf_state);
+    snapshot
+}
+
+impl LogStore {
+    /// The log that all initial voters begin with: who they are, as a snapshot of entry 1.
+    pub(crate) fn bootstrapped(initial_voters: &BTreeMap<Name, VoterId>) -> Self {
+        let voters: BTreeMap<VoterId, Name> =
+            initial_voters.iter().map(|(name, id)| (*id, name.clone())).collect();
+        let mut conf_state = ConfState::default();
+        conf_state.set_voters(voters.keys().map(|id| id.0).collect());
+        let state = ReplicatedState { voters, ..ReplicatedState::default() };
+        let mut store = LogStore::default();
+        store.install_snapshot(new_snapshot(1, 1, conf_state, &state));
+        store
+    }
+
+    /// Decodes what the write-ahead log recovered; `None` where nothing was ever written.
+    pub(crate) fn decode(stored_log: Option<&[u8]>, changes: &[Vec<u8>]) -> Result<Option<Self>, LoadError> {
+        let Some(stored_log) = stored_log else {
+            return Ok(None);
+        };
+        let stored: StoredLog = postcard::from_bytes(stored_log)
+            .map_err(|source| LoadError::Decode { item: "a snapshot", source })?;
+        let snapshot = Snapshot::parse_from_bytes(&stored.snapshot)
+            .map_err(|source| LoadError::DecodeRaft { item: "a snapshot", source })?;
+        let hard_state = stored.hard_state.into();
+        let mut store = LogStore { hard_state, compacted: stored.compacted, entries: Vec::new(), snapshot };
+        store.append_encoded(&stored.entries)?;
+        for change in changes {
+            store.apply_change(change)?;
+        }
+        let (commit, last) = (store.hard_state.commit, store.last_entry());
+        if commit > last {
+            return Err(LoadError::CommitBeyondLog { commit, last });
+        }
+        Ok(Some(store))
+    }
+
+    fn apply_change(&mut self, change: &[u8]) -> Result<(), LoadError> {
+        let change: StoredChange =
+            postcard::from_bytes(change).map_err(|source| LoadError::Decode { item: "a record", source })?;
+        self.append_encoded(&change.entries)?;
+        if let Some(hard_state) = change.hard_state {
+            self.hard_state = hard_state.into();
+        }
+        Ok(())
+    }
+
+    fn append_encoded(&mut self, entries: &[Vec<u8>]) -> Result<(), LoadError> {
+        let decoded: Result<Vec<Entry>, _> =
+            entries.iter().map(|bytes| Entry::parse_from_bytes(bytes)).collect();
+        self.append(decoded.map_err(|source| LoadError::DecodeRaft { item: "an entry", source })?)
+    }
+
+    /// All there is, for a snapshot of the write-ahead log.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let stored = StoredLog {
+            hard_state: (&self.hard_state).into(),
+            snapshot: encode_message(&self.snapshot),
+            compacted: self.compacted,
+            entries: self.entries.iter().map(encode_message).collect(),
+        };
+        postcard::to_stdvec(&stored).unwrap_or_default()
+    }
+
+    /// What changed, for a record of the write-ahead log.
+    pub(crate) fn encode_change(hard_state: Option<&HardState>, entries: &[Entry]) -> Vec<u8> {
+        let change = StoredChange {
+            hard_state: hard_state.map(StoredHardState::from),
+            entries: entries.iter().map(encode_message).collect(),
+        };
+        postcard::to_stdvec(&change).unwrap_or_default()
+    }
+
+    pub(crate) fn set_hard_state(&mut self, hard_state: HardState) {
+        self.hard_state = hard_state;
+    }
+
+    pub(crate) fn set_commit(&mut self, commit: u64) {
+        self.hard_state.commit = commit;
+    }
+
+    pub(crate) fn term(&self) -> u64 {
+        self.hard_state.term
+    }
+
+    pub(crate) fn latest_snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    fn last_entry(&self) -> u64 {
+        self.compacted.index + self.entries.len() as u64
+    }
+
+    /// Where an entry is among `entries`. It must be after `compacted`.
+    fn position(&self, index: u64) -> usize {
+        (index - self.compacted.index - 1) as usize
+    }
+
+    /// Appends entries. One that conflicts with the log replaces everything from there on.
+    pub(crate) fn append(&mut self, entries: Vec<Entry>) -> Result<(), LoadError> {
+        for entry in entries {
+            let last = self.last_entry();
+            if entry.index <= self.compacted.index || entry.index > last + 1 {
+                return Err(LoadError::EntryOutOfOrder { index: entry.index, last });
+            }
+            self.entries.truncate(self.position(entry.index));
+            self.entries.push(entry);
+        }
+        Ok(())
+    }
+
+    /// Replaces everything by another voter's snapshot.
+    pub(crate) fn install_snapshot(&mut self, snapshot: Snapshot) {
+        let (index, term) = (snapshot.get_metadata().index, snapshot.get_metadata().term);
+        self.compacted = EntryId { index, term };
+        self.entries.clear();
+        self.hard_state.commit = self.hard_state.commit.max(index);
+        self.hard_state.term = self.hard_state.term.max(term);
+        self.snapshot = snapshot;
+    }
+
+    /// Takes a snapshot as of that entry. The last `keep` entries before it stay for voters that are a little behind.
+    pub(crate) fn compact(&mut self, index: u64, conf_state: ConfState, state: &ReplicatedState, keep: u64) {
+        let Ok(term) = Storage::term(self, index) else { return };
+        self.snapshot = new_snapshot(index, term, conf_state, state);
+        let last_removed = index.saturating_sub(keep);
+        if last_removed > self.compacted.index
+            && let Ok(term) = Storage::term(self, last_removed)
+        {
+            self.entries.drain(..=self.position(last_removed));
+            self.compacted = EntryId { index: last_removed, term };
+        }
+    }
+}
+
+impl Storage for LogStore {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        let conf_state = self.snapshot.get_metadata().get_conf_state().clone();
+        Ok(RaftState::new(self.hard_state.clone(), conf_state))
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        _: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        if low <= self.compacted.index {
+            return Err(StorageError::Compacted.into());
+        }
+        if high > self.last_entry() + 1 {
+            return Err(StorageError::Unavailable.into());
+        }
+        let mut entries = self.entries[self.position(low)..self.position(high)].to_vec();
+        raft::util::limit_size(&mut entries, max_size.into());
+        Ok(entries)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        let metadata = self.snapshot.get_metadata();
+        match index {
+            _ if index == self.compacted.index => Ok(self.compacted.term),
+            _ if index == metadata.index => Ok(metadata.term),
+            _ if index < self.compacted.index => Err(StorageError::Compacted.into()),
+            _ => {
+                let entry = self.entries.get(self.position(index));
+                entry.map(|entry| entry.term).ok_or_else(|| StorageError::Unavailable.into())
+            }
+        }
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        Ok(self.compacted.index + 1)
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        Ok(self.last_entry())
+    }
+
+    fn snapshot(&self, request_index: u64, _: u64) -> raft::Result<Snapshot> {
+        match self.snapshot.get_metadata().index < request_index {
+            true => Err(StorageError::SnapshotTemporarilyUnavailable.into()),
+            false => Ok(self.snapshot.clone()),
+        }
+    }
+}
--- a/crates/agree/tests/stored_format.rs
+++ b/crates/consensus/tests/stored_format.rs
@@ -1,13 +1,16 @@
 //! What a voter keeps on disk is readable by later versions: folders written by an earlier version are opened, and the
 //! same run writes the same bytes. `tests/golden/journal` holds one folder for each state a folder can be in, and in
 //! `*-final` every kind of record: identity, snapshot, hard state, commands of each kind, changes of voters.
+//!
+//! The files were written when this test was (GOLDEN_WRITE=1 writes them anew). A change of the format needs files of its
+//! own beside these, which stay readable.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 use std::path::PathBuf;
 use std::time::Duration;
 
-use tulipgap_agree::{Action, Event, Seat, Terms};
+use tulipgap_consensus::{Action, Config, DurableVoter, Event, VoterPhase};
 use tulipgap_leases::{Command, Incarnation, Name, Owner, RequestId};
 use tulipgap_write_ahead_log::{Disk, FaultyDisk, WriteAheadLog};
 
@@ -16,14 +19,14 @@
 const TICK: Duration = Duration::from_millis(100);
 const BOOTSTRAP_VOTERS: [&str; 3] = ["a", "b", "c"];
 
-fn terms() -> Terms {
+fn config() -> Config {
     // More than the 200 entries that stay behind a snapshot, so that older ones are removed from the log.
-    Terms { whole_after: 250, ..Terms::default() }
+    Config { snapshot_interval_entries: 250, ..Config::default() }
 }
 
 /// Voters over disks in memory, with messages that arrive at once and in order.
 struct Group {
-    seats: BTreeMap<Name, Seat<FaultyDisk>>,
+    voters_by_name: BTreeMap<Name, DurableVoter<FaultyDisk>>,
     disks: BTreeMap<Name, FaultyDisk>,
     now: Duration,
     next_request: RequestId,
@@ -33,26 +36,32 @@
 
 impl Group {
     fn new(folders: BTreeMap<Name, Files>) -> Self {
-        let (mut seats, mut disks) = (BTreeMap::new(), BTreeMap::new());
+        let (mut voters_by_name, mut disks) = (BTreeMap::new(), BTreeMap::new());
         for (at, (name, files)) in folders.into_iter().enumerate() {
             let disk = FaultyDisk::default();
             disk.restore_files(files);
-            seats.insert(name.clone(), seat(&name, &disk, at as u64 + 1));
+            voters_by_name.insert(name.clone(), open_voter(&name, &disk, at as u64 + 1));
             disks.insert(name, disk);
         }
-        Group { seats, disks, now: Duration::ZERO, next_request: RequestId(0), captured: BTreeMap::new() }
+        Group {
+            voters_by_name,
+            disks,
+            now: Duration::ZERO,
+            next_request: RequestId(0),
+            captured: BTreeMap::new(),
+        }
     }
 
     fn deliver(&mut self, to: &Name, event: Event) {
         let mut queue = VecDeque::from([(to.clone(), event)]);
         while let Some((to, event)) = queue.pop_front() {
-            let Some(seat) = self.seats.get_mut(&to) else { continue };
-            let (actions, written) = seat.decide(self.now, vec![event]);
+            let Some(voter) = self.voters_by_name.get_mut(&to) else { continue };
+            let (actions, written) = voter.handle_events(self.now, vec![event]);
             written.unwrap();
             self.capture();
             for action in actions {
                 if let Action::Send { to: next, message } = action {
-                    queue.push_back((next, Event::Peer { from: to.clone(), message }));
+                    queue.push_back((next, Event::PeerMessage { from: to.clone(), message }));
                 }
             }
         }
@@ -71,8 +80,8 @@
 
     fn tick(&mut self) {
         self.now += TICK;
-        for name in self.seats.keys().cloned().collect::<Vec<_>>() {
-            self.deliver(&name, Event::Alarm);
+        for name in self.voters_by_name.keys().cloned().collect::<Vec<_>>() {
+            self.deliver(&name, Event::TimerElapsed);
         }
     }
 
@@ -87,23 +96,23 @@
     }
 
     fn leader(&self) -> Option<Name> {
-        self.seats.iter().find(|(_, seat)| seat.voter().leads()).map(|(name, _)| name.clone())
+        self.voters_by_name.iter().find(|(_, voter)| voter.voter().is_leader()).map(|(name, _)| name.clone())
     }
 
     fn propose(&mut self, command: Command) {
         let leader = self.leader().unwrap();
         self.next_request.0 += 1;
-        let (from, ask) = ("client".into(), self.next_request);
-        self.deliver(&leader, Event::Asked { from, ask, command });
+        let (from, request) = ("client".into(), self.next_request);
+        self.deliver(&leader, Event::Propose { from, request, command });
     }
 
     fn voter_names(&self, of: &str) -> Vec<Name> {
-        self.seats[of].voter().standing().voters.into_values().collect()
+        self.voters_by_name[of].voter().status().voters.into_values().collect()
     }
 }
 
-fn seat(name: &Name, disk: &FaultyDisk, seed: u64) -> Seat<FaultyDisk> {
-    Seat::take(terms(), name, BOOTSTRAP_VOTERS.map(Name::from).to_vec(), disk.clone(), seed).unwrap()
+fn open_voter(name: &Name, disk: &FaultyDisk, seed: u64) -> DurableVoter<FaultyDisk> {
+    DurableVoter::open(config(), name, BOOTSTRAP_VOTERS.map(Name::from).to_vec(), disk.clone(), seed).unwrap()
 }
 
 fn owner(name: &str) -> Owner {
@@ -128,39 +137,39 @@
     };
     fill_log(&mut group);
     let leader = group.leader().unwrap();
-    let voters = group.seats[&leader].voter().standing().voters;
+    let voters = group.voters_by_name[&leader].voter().status().voters;
     // Leadership goes to the follower with the highest id: the other one is replaced.
     let replaced = voters.values().find(|name| **name != leader).unwrap().clone();
     group.disks.insert("d".into(), FaultyDisk::default());
-    let newcomer = seat(&"d".into(), &group.disks["d"], 9);
-    group.seats.insert("d".into(), newcomer);
-    let is_outside = |group: &Group| group.seats["d"].voter().standing().phase == "outside";
+    let newcomer = open_voter(&"d".into(), &group.disks["d"], 9);
+    group.voters_by_name.insert("d".into(), newcomer);
+    let is_outside = |group: &Group| group.voters_by_name["d"].voter().status().phase == VoterPhase::Outside;
     group.tick_until("the newcomer has met the voters", is_outside);
-    group.deliver(&leader, Event::Replace { old: replaced.clone(), new: "d".into() });
+    group.deliver(&leader, Event::ReplaceVoter { old: replaced.clone(), new: "d".into() });
     // The consensus restores no snapshot that was taken before the newcomer was added as a learner, and its leader waits
     // for that one: the next leader sends one that it took later.
     fill_log(&mut group);
-    group.deliver(&leader, Event::Leave);
+    group.deliver(&leader, Event::TransferLeadership);
     group.tick_until("another leader", |group| group.leader().is_some_and(|next| next != leader));
     let leader = group.leader().unwrap();
     group.tick_until("the newcomer votes", |group| {
         let voters = group.voter_names("d");
         voters.len() == 3 && voters.contains(&"d".into()) && !voters.contains(&replaced)
     });
-    group.seats.remove(&replaced);
+    group.voters_by_name.remove(&replaced);
     group.propose(acquire("short", "m1", second, 1));
     for _ in 0..15 {
         group.tick();
     }
-    let token = group.seats[&leader].voter().agreed().0.lease("lease-0").unwrap().holders[0].token;
+    let token = group.voters_by_name[&leader].voter().leases().lease("lease-0").unwrap().holders[0].token;
     group.propose(Command::Transfer { lease: "lease-0".into(), token, to: "m9".into() });
-    let held = group.seats[&leader].voter().agreed().0.lease("lease-1").unwrap().holders.clone();
+    let held = group.voters_by_name[&leader].voter().leases().lease("lease-1").unwrap().holders.clone();
     group.propose(Command::Revoke { lease: "lease-1".into(), token: held[0].token });
     let (lease, owner, token) = ("lease-1".into(), held[1].owner.clone(), Some(held[1].token));
     group.propose(Command::Release { lease, owner, token });
-    let waiting = group.seats[&leader].voter().agreed().0.lease("lease-2").unwrap().queue[0].clone();
+    let waiting = group.voters_by_name[&leader].voter().leases().lease("lease-2").unwrap().queue[0].clone();
     group.propose(Command::Release { lease: "lease-2".into(), owner: waiting.owner, token: None });
-    let held = group.seats[&leader].voter().agreed().0.lease("lease-3").unwrap().holders[0].clone();
+    let held = group.voters_by_name[&leader].voter().leases().lease("lease-3").unwrap().holders[0].clone();
     group.propose(Command::Expire { lease: "lease-3".into(), owner: held.owner, renewal: held.renewal });
     group.tick();
     for (name, disk) in &group.disks {
@@ -187,16 +196,16 @@
 }
 
 /// What a voter holds, in words of this test alone.
-fn described(seat: &Seat<FaultyDisk>) -> String {
-    let standing = seat.voter().standing();
-    let (table, applied) = seat.voter().agreed();
+fn described(voter: &DurableVoter<FaultyDisk>) -> String {
+    let status = voter.voter().status();
+    let (leases, applied) = (voter.voter().leases(), voter.voter().applied_index());
     let mut text = String::new();
-    writeln!(text, "id={} applied={applied} phase={}", standing.id, standing.phase).unwrap();
-    for (id, name) in &standing.voters {
-        writeln!(text, "voter {name} id={id}").unwrap();
+    writeln!(text, "id={} applied={applied} phase={}", status.id.0, status.phase).unwrap();
+    for (id, name) in &status.voters {
+        writeln!(text, "voter {name} id={}", id.0).unwrap();
     }
-    writeln!(text, "last token={}", table.last_token()).unwrap();
-    for (name, lease) in table.leases() {
+    writeln!(text, "last token={}", leases.last_token()).unwrap();
+    for (name, lease) in leases.leases() {
         writeln!(text, "lease {name} ttl={:?} capacity={}", lease.spec.ttl, lease.spec.capacity).unwrap();
         for held in &lease.holders {
             let (owner, incarnation) = (&held.owner.name, held.owner.incarnation.0);
@@ -245,7 +254,7 @@
         let state = recovered.snapshot.map_or(0, |state| state.len());
         let records: Vec<usize> = recovered.records.iter().map(Vec::len).collect();
         writeln!(text, "== {fixture}: {files:?}\nstate={state} records={records:?}").unwrap();
-        text += &described(&seat(&name, &disk, 1));
+        text += &described(&open_voter(&name, &disk, 1));
     }
     let remaining =
         ["a-final", "b-final", "c-final", "d-final"].map(|fixture| (fixture[..1].into(), fixture));
@@ -253,9 +262,9 @@
     let mut group = Group::new(folders.into());
     group.tick_until("a leader", |group| group.leader().is_some());
     let leader = group.leader().unwrap();
-    let term = group.seats[&leader].voter().standing().term;
+    let term = group.voters_by_name[&leader].voter().status().term;
     writeln!(text, "== reopened: {leader} leads in term {term}").unwrap();
-    text += &described(&group.seats[&leader]);
+    text += &described(&group.voters_by_name[&leader]);
     let file = golden("values.txt");
     if std::env::var_os("GOLDEN_WRITE").is_some() {
         std::fs::write(&file, &text).unwrap();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use tulipgap_agree::Peer;
+use tulipgap_consensus::PeerMessage;
 use tulipgap_leases::{Command, Incarnation, Lease, Name, RequestId, Response};
 
 pub const VERSION: u16 = 1;
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Word {
     Member(tulipgap_cluster::Message),
-    Peer(Peer),
+    Peer(PeerMessage),
     Ask {
         ask: RequestId,
         command: Command,
@@ -39,11 +39,11 @@
         lease: Name,
     },
     List {
-        number: u64,
+        number: RequestId,
         lease: Option<Name>,
     },
     Listing {
-        number: u64,
+        number: RequestId,
         leases: Vec<(Name, Lease)>,
     },
     /// An operator's: who votes changes.
--- a/crates/peer/tests/every_kind.rs
+++ b/crates/peer/tests/every_kind.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use tulipgap_agree::{Peer, Stage};
 use tulipgap_cluster::{About, Body, Message, State, Update};
+use tulipgap_consensus::{BootstrapStage, LogPosition, PeerMessage, VoterId};
 use tulipgap_leases::{
     Command, FencingToken, Incarnation, Lease, LeaseHolder, LeaseSpec, Name, Owner, QueuedOwner,
     RejectReason, RenewalNumber, RequestId, Response,
@@ -81,19 +81,19 @@
     others.into_iter().chain(rejections.map(Response::Rejected)).collect()
 }
 
-fn voter_messages() -> Vec<Peer> {
-    let hello = |asks, stage| Peer::Hello {
-        asks,
-        id: u64::MAX,
-        founders: [("north-1".into(), 11), ("west-1".into(), 1200)].into(),
+fn voter_messages() -> Vec<PeerMessage> {
+    let hello = |wants_reply, stage| PeerMessage::Handshake {
+        wants_reply,
+        id: VoterId(u64::MAX),
+        initial_voters: [("north-1".into(), VoterId(11)), ("west-1".into(), VoterId(1200))].into(),
         stage,
-        heard: (2, 300),
+        observed: LogPosition { term: 2, index: 300 },
     };
     vec![
-        hello(true, Stage::Knows),
-        hello(false, Stage::Promises),
-        hello(false, Stage::Founded),
-        Peer::Raft(vec![1, 2, 3]),
+        hello(true, BootstrapStage::Discovering),
+        hello(false, BootstrapStage::Promised),
+        hello(false, BootstrapStage::Complete),
+        PeerMessage::Raft(vec![1, 2, 3]),
     ]
 }
 
@@ -123,9 +123,9 @@
         Word::NotLeading { ask: RequestId(300), leader: Some("west-1".into()) },
         Word::NotLeading { ask: RequestId(301), leader: None },
         Word::Turn { lease: "prober".into() },
-        Word::List { number: 400, lease: None },
-        Word::List { number: 401, lease: Some("prober".into()) },
-        Word::Listing { number: 401, leases: vec![("prober".into(), lease)] },
+        Word::List { number: RequestId(400), lease: None },
+        Word::List { number: RequestId(401), lease: Some("prober".into()) },
+        Word::Listing { number: RequestId(401), leases: vec![("prober".into(), lease)] },
         Word::Replace { old: "a".into(), new: "b".into() },
     ]);
     let addresses = [([127, 0, 0, 1], 7100).into(), "[2001:db8::7]:7100".parse().unwrap()];
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use tulipgap_agree::{Peer, Stage};
+use tulipgap_consensus::{BootstrapStage, LogPosition, PeerMessage, VoterId};
 use tulipgap_leases::{
     Command, FencingToken, Incarnation, Lease, LeaseHolder, LeaseSpec, Owner, QueuedOwner, RejectReason,
     RenewalNumber, RequestId, Response,
@@ -61,17 +61,17 @@
         },
         updates: vec![update],
     };
-    let hello = Peer::Hello {
-        asks: true,
-        id: 11,
-        founders: [("north-1".into(), 11)].into(),
-        stage: Stage::Promises,
-        heard: (2, 30),
+    let hello = PeerMessage::Handshake {
+        wants_reply: true,
+        id: VoterId(11),
+        initial_voters: [("north-1".into(), VoterId(11))].into(),
+        stage: BootstrapStage::Promised,
+        observed: LogPosition { term: 2, index: 30 },
     };
     let words = vec![
         Word::Member(message),
         Word::Peer(hello),
-        Word::Peer(Peer::Raft(vec![1, 2, 3])),
+        Word::Peer(PeerMessage::Raft(vec![1, 2, 3])),
         Word::Ask { ask: RequestId(1), command },
         Word::Answer {
             life: Incarnation(7),
@@ -85,8 +85,8 @@
         },
         Word::NotLeading { ask: RequestId(3), leader: Some("west-1".into()) },
         Word::Turn { lease: "prober".into() },
-        Word::List { number: 1, lease: None },
-        Word::Listing { number: 1, leases: vec![("prober".into(), lease)] },
+        Word::List { number: RequestId(1), lease: None },
+        Word::Listing { number: RequestId(1), leases: vec![("prober".into(), lease)] },
         Word::Replace { old: "a".into(), new: "b".into() },
     ];
     let said = |word| Said {
--- a/crates/rig/benches/leases.rs
+++ b/crates/rig/benches/leases.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
-use tulipgap_agree::{Action, Event, Seat, Terms};
+use tulipgap_consensus::{Action, Config, DurableVoter, Event};
 use tulipgap_leases::{Command, Incarnation, Name, Owner, RequestId, Response};
 use tulipgap_write_ahead_log::{Directory, Disk};
 
@@ -53,7 +53,7 @@
 }
 
 fn seat(
-    mut seat: Seat<Counted>,
+    mut seat: DurableVoter<Counted>,
     me: Name,
     events: Receiver<Event>,
     others: Arc<HashMap<Name, Sender<Event>>>,
@@ -73,21 +73,25 @@
         batch.extend(events.try_iter().take(256));
         if start.elapsed() >= alarm {
             alarm = start.elapsed() + Duration::from_millis(50);
-            batch.push(Event::Alarm);
+            batch.push(Event::TimerElapsed);
         }
-        let (said, done) = seat.decide(start.elapsed(), batch);
+        let (said, done) = seat.handle_events(start.elapsed(), batch);
         done.expect("the disk holds");
-        if seat.voter().leads() {
+        if seat.voter().is_leader() {
             *leader.lock().unwrap() = Some(me.clone());
         }
         for action in said {
             match action {
                 Action::Send { to, message } => {
-                    let _ = others[&to].send(Event::Peer { from: me.clone(), message });
+                    let _ = others[&to].send(Event::PeerMessage { from: me.clone(), message });
                 }
-                Action::Answer { ask, answer, .. } => _ = notes.send(Note::Answered(ask.0 as usize, answer)),
-                Action::NotLeading { ask, .. } => _ = notes.send(Note::NotLeading(ask.0 as usize)),
-                Action::Alarm { at } => alarm = alarm.min(at),
+                Action::Respond { request: ask, response: answer, .. } => {
+                    _ = notes.send(Note::Answered(ask.0 as usize, answer))
+                }
+                Action::RejectNotLeader { request: ask, .. } => {
+                    _ = notes.send(Note::NotLeading(ask.0 as usize))
+                }
+                Action::SetTimer { at } => alarm = alarm.min(at),
                 _ => {}
             }
         }
@@ -106,7 +110,8 @@
     for (at, events) in receivers.into_iter().enumerate() {
         let disk = Directory::open(&folder.path().join(&*names[at])).unwrap();
         let disk = Counted { disk, syncs: syncs.clone(), bytes: bytes.clone() };
-        let taken = Seat::take(Terms::default(), &names[at], names.clone(), disk, at as u64 + 1).unwrap();
+        let taken =
+            DurableVoter::open(Config::default(), &names[at], names.clone(), disk, at as u64 + 1).unwrap();
         let (me, others, notes, leader, over) =
             (names[at].clone(), others.clone(), notes.clone(), leader.clone(), over.clone());
         std::thread::spawn(move || seat(taken, me, events, others, notes, leader, over));
@@ -121,8 +126,11 @@
         let owner = Owner { name: format!("a{asker}").into(), incarnation: Incarnation(1) };
         let (lease, ttl) = (format!("l{asker}").into(), Duration::from_secs(60));
         let command = Command::Acquire { lease, owner, ttl, capacity: 1, wait: true };
-        let _ =
-            others[&leads].send(Event::Asked { from: "bench".into(), ask: RequestId(asker as u64), command });
+        let _ = others[&leads].send(Event::Propose {
+            from: "bench".into(),
+            request: RequestId(asker as u64),
+            command,
+        });
         Instant::now()
     };
     let (syncs_before, bytes_before) = (syncs.load(Ordering::Relaxed), bytes.load(Ordering::Relaxed));
--- a/crates/rig/src/leases.rs
+++ b/crates/rig/src/leases.rs
@@ -4,7 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use tulipgap_agree::{Action as Said, Event as Heard, Notice, Peer, Seat, Terms};
+use tulipgap_consensus::{
+    Action as Said, Config as VoterConfig, DurableVoter, Event as Heard, Notice, PeerMessage, VoterPhase,
+};
 use tulipgap_leases::{
     Action, Command, Config, Event, FencingToken, Incarnation, Lease, LeaseClient, LeaseGuard, LeaseSpec,
     Name, Owner, RequestId, Response,
@@ -67,13 +69,13 @@
 
 #[derive(Clone, Debug)]
 enum Wire {
-    Peer(Peer),
+    Peer(PeerMessage),
     Ask { ask: RequestId, command: Command },
     Answer { life: Incarnation, ask: RequestId, answer: Response },
     NotLeading { ask: RequestId, leader: Option<Name> },
     Turn { lease: Name },
-    List { number: u64, lease: Name },
-    Listing { number: u64, leases: Vec<(Name, Lease)> },
+    List { number: RequestId, lease: Name },
+    Listing { number: RequestId, leases: Vec<(Name, Lease)> },
 }
 
 enum What {
@@ -96,7 +98,7 @@
     rate: f64,
     base: Duration,
     disk: FaultyDisk,
-    seat: Option<Seat<FaultyDisk>>,
+    seat: Option<DurableVoter<FaultyDisk>>,
     holder: Option<LeaseClient>,
     life: u64,
     stopped: bool,
@@ -126,7 +128,7 @@
     told: FencingToken,
     newest: BTreeMap<Name, (FencingToken, usize)>,
     /// Lists that are under way: of what, and the newest token told before.
-    lists: BTreeMap<u64, (Name, FencingToken)>,
+    lists: BTreeMap<RequestId, (Name, FencingToken)>,
     out: LeaseOutcome,
 }
 
@@ -297,8 +299,8 @@
             What::Disk(faults) => return self.processes[member].disk.set_faults(faults),
             What::Replace { old, new } => {
                 for at in 0..self.names.len() {
-                    if self.processes[at].seat.as_ref().is_some_and(|seat| seat.voter().leads()) {
-                        self.seat(at, vec![Heard::Replace { old: old.clone(), new: new.clone() }]);
+                    if self.processes[at].seat.as_ref().is_some_and(|seat| seat.voter().is_leader()) {
+                        self.seat(at, vec![Heard::ReplaceVoter { old: old.clone(), new: new.clone() }]);
                     }
                 }
                 return;
@@ -314,7 +316,7 @@
             return;
         }
         match what {
-            What::Seat { life: of } if of == life => self.seat(member, vec![Heard::Alarm]),
+            What::Seat { life: of } if of == life => self.seat(member, vec![Heard::TimerElapsed]),
             What::Holder { life: of } if of == life => self.holder(member, Event::TimerElapsed),
             What::Act { life: of, lease } if of == life => self.act(member, lease),
             What::Deliver { from, wire } => self.deliver(member, from, wire),
@@ -348,11 +350,17 @@
                 .iter()
                 .any(|f| matches!(f, Fault::Replace { new, .. } if **new == *process.name));
         if votes {
-            match Seat::take(Terms::default(), &process.name, voters, process.disk.clone(), seed) {
+            match DurableVoter::open(
+                VoterConfig::default(),
+                &process.name,
+                voters,
+                process.disk.clone(),
+                seed,
+            ) {
                 Ok(mut seat) => {
                     plant(&mut seat, &self.planted);
                     process.seat = Some(seat);
-                    self.seat(member, vec![Heard::Alarm]);
+                    self.seat(member, vec![Heard::TimerElapsed]);
                 }
                 Err(_) => self.out.ended += 1,
             }
@@ -384,9 +392,9 @@
     fn seat(&mut self, member: usize, events: Vec<Heard>) {
         let now = self.clock(member);
         let Some(seat) = &mut self.processes[member].seat else { return };
-        let before = seat.voter().agreed().1;
-        let (said, done) = seat.decide(now, events);
-        let (table, applied) = seat.voter().agreed();
+        let before = seat.voter().applied_index();
+        let (said, done) = seat.handle_events(now, events);
+        let (table, applied) = (seat.voter().leases(), seat.voter().applied_index());
         if applied != before {
             let hash = fingerprint(table);
             let first = *self.agreed.entry(applied).or_insert(hash);
@@ -404,29 +412,29 @@
         for action in said {
             match action {
                 Said::Send { to, message } => self.send(member, &to, Wire::Peer(message)),
-                Said::Answer { to, life, ask, answer } => {
+                Said::Respond { to, incarnation: life, request: ask, response: answer } => {
                     self.send(member, &to, Wire::Answer { life, ask, answer });
                 }
-                Said::NotLeading { to, ask, leader } => {
+                Said::RejectNotLeader { to, request: ask, leader } => {
                     self.send(member, &to, Wire::NotLeading { ask, leader })
                 }
-                Said::Turn { to, lease } => self.send(member, &to, Wire::Turn { lease }),
-                Said::Listing { to, number, leases } => {
+                Said::NotifySlotAvailable { to, lease } => self.send(member, &to, Wire::Turn { lease }),
+                Said::RespondRead { to, request: number, leases } => {
                     self.send(member, &to, Wire::Listing { number, leases });
                 }
-                Said::Alarm { at } => {
+                Said::SetTimer { at } => {
                     let at = self.when(member, at);
                     self.put(at, member, What::Seat { life });
                 }
                 Said::Notice(notice) => self.notice(member, &notice),
-                Said::Write(_) | Said::Whole(_) | Said::Identity(_) => {}
+                Said::AppendRecord(_) | Said::WriteSnapshot(_) | Said::WriteIdentity(_) => {}
             }
         }
     }
 
     fn notice(&mut self, member: usize, notice: &Notice) {
         match notice {
-            Notice::Leads(term) => {
+            Notice::BecameLeader { term } => {
                 self.out.leaders += 1;
                 self.mark([member as u64, *term, self.now.as_micros() as u64]);
                 let led = *self.led.entry(*term).or_insert(member);
@@ -435,14 +443,14 @@
                     self.break_promise("one leader a term", what);
                 }
                 let seat = self.processes[member].seat.as_ref();
-                let tokens = seat.map_or(FencingToken(u64::MAX), |seat| seat.voter().agreed().0.last_token());
+                let tokens = seat.map_or(FencingToken(u64::MAX), |seat| seat.voter().leases().last_token());
                 if tokens < self.told {
                     let what =
                         format!("token {} was told, and the leader of term {term} has {tokens}", self.told);
                     self.break_promise("what was told stays", what);
                 }
             }
-            Notice::SetBack { .. } | Notice::Senseless(_) => self.out.ended += 1,
+            Notice::RolledBack { .. } | Notice::InvalidData(_) => self.out.ended += 1,
             _ => {}
         }
     }
@@ -572,10 +580,12 @@
     fn deliver(&mut self, to: usize, from: usize, wire: Wire) {
         let name = self.processes[from].name.clone();
         match wire {
-            Wire::Peer(message) => self.seat(to, vec![Heard::Peer { from: name, message }]),
-            Wire::Ask { ask, command } => self.seat(to, vec![Heard::Asked { from: name, ask, command }]),
+            Wire::Peer(message) => self.seat(to, vec![Heard::PeerMessage { from: name, message }]),
+            Wire::Ask { ask, command } => {
+                self.seat(to, vec![Heard::Propose { from: name, request: ask, command }])
+            }
             Wire::List { number, lease } => {
-                self.seat(to, vec![Heard::List { from: name, number, lease: Some(lease) }]);
+                self.seat(to, vec![Heard::Read { from: name, request: number, lease: Some(lease) }]);
             }
             Wire::Answer { life, ask, answer } => {
                 self.holder(to, Event::Response { incarnation: life, request: ask, response: answer })
@@ -605,7 +615,7 @@
         let asker = self.rng.usize(0..self.names.len());
         for voter in self.voters.clone() {
             self.order += 1;
-            let number = self.order;
+            let number = RequestId(self.order);
             self.lists.insert(number, (lease.clone(), newest));
             self.send(asker, &voter, Wire::List { number, lease: lease.clone() });
         }
@@ -619,7 +629,7 @@
         let quiet = self.plan.quiet_from();
         let votes = |p: &&Process| {
             let seat = p.seat.as_ref().filter(|_| !p.stopped);
-            seat.is_some_and(|seat| seat.voter().standing().phase == "voting")
+            seat.is_some_and(|seat| seat.voter().status().phase == VoterPhase::Voting)
         };
         let voting = self.processes.iter().filter(votes).count();
         let led = voting > self.voters.len() / 2;
@@ -656,12 +666,12 @@
 }
 
 #[cfg(feature = "flaws")]
-fn plant(seat: &mut Seat<FaultyDisk>, planted: &Planted) {
+fn plant(seat: &mut DurableVoter<FaultyDisk>, planted: &Planted) {
     let flaw = match planted.stale_read {
-        true => Some(tulipgap_agree::Flaw::StaleRead),
-        false => planted.lease.map(tulipgap_agree::Flaw::Leases),
+        true => Some(tulipgap_consensus::InjectedBug::StaleRead),
+        false => planted.lease.map(tulipgap_consensus::InjectedBug::Leases),
     };
-    seat.plant(flaw, planted.durable);
+    seat.inject_bugs(flaw, planted.durable);
 }
 
 #[cfg(feature = "flaws")]
@@ -676,4 +686,4 @@
 }
 
 #[cfg(not(feature = "flaws"))]
-fn plant(_: &mut Seat<FaultyDisk>, _: &Planted) {}
+fn plant(_: &mut DurableVoter<FaultyDisk>, _: &Planted) {}
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -12,9 +12,9 @@
 
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use tulipgap_agree::{Action as Agreed, Event as Heard, Seat};
 use tulipgap_cluster::probing::{Look, Probing};
 use tulipgap_cluster::{About, Members};
+use tulipgap_consensus::{Action as Agreed, DurableVoter, Event as Heard, VoterPhase, VoterStatus};
 use tulipgap_leases::{
     Action, Command, Config, Event, FencingToken, Incarnation, LeaseClient, LeaseGuard, LeaseSpec,
     LeaseStatus, Name, Owner, RequestId, StaleGuard,
@@ -184,11 +184,11 @@
     // A member that has a folder may be asked to vote later on, in another's place.
     let seat = match &told.folder {
         Some(folder) if !voters.is_empty() => {
-            let terms = tulipgap_agree::Terms { off_thousandths: off, ..Default::default() };
+            let terms = tulipgap_consensus::Config { max_clock_drift_permille: off, ..Default::default() };
             let folder_at = folder.display().to_string();
             let disk = Directory::open(folder).map_err(|error| at(&folder_at, &error))?;
             let disk = Troubled::new(disk, trial.disk_trouble.clone());
-            let seat = Seat::take(terms, &me, voters.clone(), disk, seed ^ life);
+            let seat = DurableVoter::open(terms, &me, voters.clone(), disk, seed ^ life);
             let seat = seat.map_err(|error| at(&folder_at, &error))?;
             Some(take_seat(seat, clock, post.clone()).map_err(|error| at("threads", &error))?)
         }
@@ -352,12 +352,16 @@
 /// A voter's thread: its writes wait for the disk and nothing else does.
 struct Voting {
     events: SyncSender<Heard>,
-    standing: Arc<Mutex<tulipgap_agree::Standing>>,
+    standing: Arc<Mutex<VoterStatus>>,
 }
 
-fn take_seat<D: Disk + Send + 'static>(mut seat: Seat<D>, clock: Clock, post: Post) -> io::Result<Voting> {
+fn take_seat<D: Disk + Send + 'static>(
+    mut seat: DurableVoter<D>,
+    clock: Clock,
+    post: Post,
+) -> io::Result<Voting> {
     let (events, heard) = sync_channel(WAITING);
-    let standing = Arc::new(Mutex::new(seat.voter().standing()));
+    let standing = Arc::new(Mutex::new(seat.voter().status()));
     let shown = standing.clone();
     thread("voter", move || {
         let mut alarm_at = Some(Duration::ZERO);
@@ -373,30 +377,36 @@
             let now = clock.now();
             if alarm_at.is_some_and(|at| at <= now) {
                 alarm_at = None;
-                batch.push(Heard::Alarm);
+                batch.push(Heard::TimerElapsed);
             }
             if batch.is_empty() {
                 continue;
             }
-            let (said, done) = seat.decide(now, batch);
+            let (said, done) = seat.handle_events(now, batch);
             for action in said {
                 match action {
                     Agreed::Send { to, message } => post.to(&to, Word::Peer(message)),
-                    Agreed::Answer { to, life, ask, answer } => {
+                    Agreed::Respond { to, incarnation: life, request: ask, response: answer } => {
                         post.to(&to, Word::Answer { life, ask, answer })
                     }
-                    Agreed::NotLeading { to, ask, leader } => post.to(&to, Word::NotLeading { ask, leader }),
-                    Agreed::Turn { to, lease } => post.to(&to, Word::Turn { lease }),
-                    Agreed::Listing { to, number, leases } => post.to(&to, Word::Listing { number, leases }),
-                    Agreed::Alarm { at } => alarm_at = Some(alarm_at.map_or(at, |asked| asked.min(at))),
-                    Agreed::Notice(notice) => log::info!("voter: {notice}"),
-                    Agreed::Write(_) | Agreed::Whole(_) | Agreed::Identity(_) => {}
+                    Agreed::RejectNotLeader { to, request: ask, leader } => {
+                        post.to(&to, Word::NotLeading { ask, leader })
+                    }
+                    Agreed::NotifySlotAvailable { to, lease } => post.to(&to, Word::Turn { lease }),
+                    Agreed::RespondRead { to, request: number, leases } => {
+                        post.to(&to, Word::Listing { number, leases })
+                    }
+                    Agreed::SetTimer { at } => alarm_at = Some(alarm_at.map_or(at, |asked| asked.min(at))),
+                    Agreed::Notice(notice) => log::info!("voter {notice}"),
+                    Agreed::AppendRecord(_) | Agreed::WriteSnapshot(_) | Agreed::WriteIdentity(_) => {}
                 }
             }
-            *shown.lock() = seat.voter().standing();
+            *shown.lock() = seat.voter().status();
             if let Err(error) = done {
-                log::error!("voter: {error}; this process votes no more until it is started again");
-                shown.lock().phase = "ended".into();
+                log::error!(
+                    "voter ended error=\"{error}\"; it votes no more until this process is restarted"
+                );
+                shown.lock().phase = VoterPhase::Ended;
                 return;
             }
         }
@@ -454,7 +464,7 @@
                         let actions = self.members.decide(self.clock.now(), &[event]);
                         self.member_actions(actions);
                     }
-                    Input::HandOn => self.voter(Heard::Leave),
+                    Input::HandOn => self.voter(Heard::TransferLeadership),
                     Input::Leave(done) => return self.leave(&done),
                 }
             }
@@ -560,7 +570,7 @@
             }
             // Nobody speaks in another's name.
             Word::Member(_) => {}
-            Word::Peer(message) => self.voter(Heard::Peer { from, message }),
+            Word::Peer(message) => self.voter(Heard::PeerMessage { from, message }),
             Word::Ask { ask, command } => {
                 let own = match &command {
                     Command::Acquire { owner, .. } | Command::Release { owner, .. } => owner.name == from,
@@ -568,13 +578,13 @@
                     Command::Revoke { .. } | Command::Transfer { .. } => true,
                 };
                 match (own, self.seat.is_some()) {
-                    (true, true) => self.voter(Heard::Asked { from, ask, command }),
+                    (true, true) => self.voter(Heard::Propose { from, request: ask, command }),
                     (true, false) => self.post.to(&from, Word::NotLeading { ask, leader: None }),
                     (false, _) => {}
                 }
             }
-            Word::List { number, lease } => self.voter(Heard::List { from, number, lease }),
-            Word::Replace { old, new } => self.voter(Heard::Replace { old, new }),
+            Word::List { number, lease } => self.voter(Heard::Read { from, request: number, lease }),
+            Word::Replace { old, new } => self.voter(Heard::ReplaceVoter { old, new }),
             Word::Answer { ask, answer, .. } if ask.0 >= OPERATORS => {
                 let told = match answer {
                     tulipgap_leases::Response::Rejected(why) => json!({ "error": why.to_string() }),
@@ -594,7 +604,7 @@
             Word::Turn { lease } => self.holder(Event::SlotAvailable { lease }),
             Word::Listing { number, leases } => {
                 let rows: Vec<Value> = leases.iter().map(|(name, lease)| control::row(name, lease)).collect();
-                self.reply(number, json!({ "leases": rows }));
+                self.reply(number.0, json!({ "leases": rows }));
             }
         }
     }
@@ -662,7 +672,7 @@
             Request::Members => self.members_told(),
             Request::Leases { lease } => {
                 let lease = lease.map(Name::from);
-                return self.ask(reply, |number| Word::List { number, lease });
+                return self.ask(reply, |number| Word::List { number: RequestId(number), lease });
             }
             Request::Revoke { lease, token } => {
                 let command = Command::Revoke { lease: lease.into(), token: FencingToken(token) };
@@ -722,8 +732,8 @@
             .collect();
         let voter = self.seat.as_ref().map(|seat| {
             let standing = seat.standing.lock().clone();
-            json!({ "phase": standing.phase, "term": standing.term, "leader": standing.leader.as_deref(),
-                "applied": standing.applied, "id": standing.id,
+            json!({ "phase": standing.phase.to_string(), "term": standing.term, "leader": standing.leader.as_deref(),
+                "applied": standing.applied_index, "id": standing.id,
                 "voters": standing.voters.values().map(|name| &**name).collect::<Vec<_>>() })
         });
         json!({ "name": &*self.post.me, "wanted": wanted, "voter": voter, "dropped_frames": self.post.links.dropped() })
@@ -761,7 +771,7 @@
             // Nothing acts any more: this is the end of the process.
             self.holder(Event::Release { lease });
         }
-        self.voter(Heard::Leave);
+        self.voter(Heard::TransferLeadership);
         std::thread::sleep(HAND_ON);
         let left = self.members.decide(self.clock.now(), &[tulipgap_cluster::Event::Leave]);
         self.member_actions(left);
--- a/crates/server/src/net/peers.rs
+++ b/crates/server/src/net/peers.rs
@@ -88,7 +88,7 @@
     }
 
     pub fn send(self: &Arc<Self>, to: SocketAddr, word: Word) {
-        let streamed = matches!(word, Word::Peer(tulipgap_agree::Peer::Raft(_)));
+        let streamed = matches!(word, Word::Peer(tulipgap_consensus::PeerMessage::Raft(_)));
         let said = Said { from: self.me.clone(), address: self.address, life: self.life, word };
         let frame = self.frames.make(&said);
         let to = self.routes.get(&to).copied().unwrap_or(to);
