Consensus and leases: comments say what is meant in ordinary words

Left over from the old text were events that are told, directories that say and voters that ask. Comments alone change.

Measured: the tests of both packages pass, simulated clusters and leases print the same figures as before; clippy, fmt and rustdoc are clean.

--- a/crates/consensus/src/bootstrap.rs
+++ b/crates/consensus/src/bootstrap.rs
@@ -13,7 +13,7 @@
 #[cfg(test)]
 mod tests;
 
-/// What a voter's directory says of it. It is durable before anything is sent.
+/// What a voter's directory stores of the voter itself. It is durable before anything is sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Identity {
     pub(crate) name: Name,
@@ -61,7 +61,7 @@
 /// What follows from another voter's handshake.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum BootstrapStep {
-    /// Not all have said the same yet.
+    /// Not all have promised the same yet.
     Wait,
     /// Promise these; durable before it is sent.
     Promise(BTreeMap<Name, VoterId>),
--- a/crates/consensus/src/durable_voter.rs
+++ b/crates/consensus/src/durable_voter.rs
@@ -12,7 +12,7 @@
 use crate::peer_message::VoterId;
 use crate::voter::Voter;
 
-/// The file beside the log that says whose directory it is.
+/// The file beside the log that names the voter whose directory it is.
 const IDENTITY_FILE: &str = "identity";
 
 /// A voter whose writes are durable before anything that follows them is returned. It owns both the voter and its log. A
--- a/crates/consensus/src/event.rs
+++ b/crates/consensus/src/event.rs
@@ -38,7 +38,7 @@
     }
 }
 
-/// What a voter is told.
+/// Input events of a voter.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A timer that was set has elapsed.
@@ -79,7 +79,7 @@
     },
 }
 
-/// What a voter's host must do, in this order.
+/// Output actions of a voter. Its host performs them in this order.
 #[derive(Debug)]
 pub enum Action {
     /// Append a record to the log, durably before any later action. Where that fails, the voter must do nothing more.
@@ -203,7 +203,7 @@
     /// The initial voters are finding each other.
     #[default]
     Bootstrapping,
-    /// It was restarted, and asks whether others have seen more of its log than it has itself.
+    /// It was restarted, and waits for the others to report how far they have seen its log.
     Waiting,
     /// It votes.
     Voting,
--- a/crates/consensus/src/peer_message.rs
+++ b/crates/consensus/src/peer_message.rs
@@ -41,7 +41,7 @@
         id: VoterId,
         /// The initial voters, as far as the sender knows them.
         initial_voters: BTreeMap<Name, VoterId>,
-        /// What the sender says of them.
+        /// How far the sender has come in agreeing on them.
         stage: BootstrapStage,
         /// The furthest the sender has seen the receiver. Where the receiver's own log is behind, it was rolled back.
         observed: LogPosition,
--- a/crates/consensus/src/voter.rs
+++ b/crates/consensus/src/voter.rs
@@ -184,7 +184,8 @@
         self.state.voters.get(&leader_id).cloned()
     }
 
-    /// Handles events, all proposals among them as one entry, and returns the actions to perform, in order.
+    /// Handles events, all proposals among them as one entry, and returns the actions to perform, in order. Once rolled back
+    /// it returns none; events of the same batch that follow a rollback drop the actions before it as well.
     pub fn handle_events(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         let mut actions = Vec::new();
         self.now = now.max(self.now);
@@ -241,7 +242,8 @@
     fn handle_timer(&mut self, actions: &mut Vec<Action>) {
         self.timer_at = self.timer_at.filter(|&at| at > self.now);
         if self.now >= self.next_tick_at {
-            // One tick for each timer, however late it is: a process that was paused has not heard a leader be silent.
+            // One tick for each timer, however late it is: a process that was paused can't
+            // conclude that the leader sent no heartbeat.
             self.next_tick_at = self.now + self.config.tick_interval;
             self.tick(actions);
         }
@@ -295,7 +297,8 @@
         Ok(())
     }
 
-    /// The consensus can't go on: nothing sound could follow.
+    /// Ends the consensus for good, after a rollback or where its state is invalid: nothing sound could follow. Operators see
+    /// the same phase for both.
     fn stop_node(&mut self) {
         self.phase = Phase::RolledBack;
         self.node = None;
--- a/crates/consensus/src/voter/handshake.rs
+++ b/crates/consensus/src/voter/handshake.rs
@@ -47,7 +47,7 @@
         actions.push(Action::Send { to: to.clone(), message });
     }
 
-    /// A restarted voter votes once all others have told how far they have seen it.
+    /// A restarted voter votes once all others have reported how far they have seen its log.
     pub(super) fn vote_once_all_replied(&mut self) {
         if let Phase::Waiting { .. } = self.phase
             && self.other_voters().iter().all(|other| self.replied.contains(other))
--- a/crates/leases/src/client.rs
+++ b/crates/leases/src/client.rs
@@ -27,7 +27,7 @@
 use renewal::RenewalSchedule;
 use wanted_lease::{PendingRequest, WantedLease};
 
-/// After a hint who leads, the request goes there so soon.
+/// Delay before a request is sent to the voter that a hint named as leader.
 const FOLLOW_HINT_DELAY: Duration = Duration::from_millis(10);
 /// Hints in a row that are followed at once. Two voters that name each other would be asked in turn without a pause.
 const MAX_FOLLOWED_HINTS: u32 = 2;
@@ -233,7 +233,7 @@
     fn handle_not_leader(&mut self, request: RequestId, leader: Option<&str>) {
         let Some((lease, _)) = self.pending_request(request) else { return };
         let Some(wanted) = self.leases.get_mut(&lease) else { return };
-        // The voter responded: the next one is asked for the hint and not because this one was silent.
+        // The voter did respond, so its silence is no reason to try the next one: the hint decides.
         wanted.forget_requests_up_to(request);
         wanted.followed_hints += 1;
         let follows_at_once = wanted.followed_hints <= MAX_FOLLOWED_HINTS;
--- a/crates/leases/src/client/event.rs
+++ b/crates/leases/src/client/event.rs
@@ -16,7 +16,7 @@
     pub jitter_permille: u32,
 }
 
-/// What a client is told.
+/// Input events of a client.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The host wants a lease.
@@ -60,7 +60,7 @@
     TimerElapsed,
 }
 
-/// What the client's host must do.
+/// Output actions of a client. Its host performs them in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Send a command to a voter.
--- a/crates/leases/src/client/guard.rs
+++ b/crates/leases/src/client/guard.rs
@@ -6,7 +6,7 @@
 use crate::injected_bug::InjectedBug;
 use crate::protocol::{FencingToken, Name};
 
-/// The permission to act under a lease, for as long as [`LeaseClient::check_guard`] says so. It can't be made or copied
+/// The permission to act under a lease, for as long as [`LeaseClient::check_guard`] confirms it. It can't be made or copied
 /// outside this crate. Give it to [`LeaseClient::release_guard`] when nothing is done under it any more: the slot is
 /// released only then.
 #[derive(Debug, PartialEq, Eq)]
--- a/crates/leases/src/client/leader_hint.rs
+++ b/crates/leases/src/client/leader_hint.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Voters change: one that a client was not told of at the start is asked from now on as well.
+    /// Voters change: one that was not configured at the start is tried from now on as well.
     fn learn(&mut self, voter: &str) {
         let is_known = self.voters.iter().any(|known| **known == *voter);
         if !is_known && self.voters.len() < MAX_KNOWN_VOTERS {
--- a/crates/leases/src/client/renewal.rs
+++ b/crates/leases/src/client/renewal.rs
@@ -9,7 +9,7 @@
 const RENEWALS_PER_TTL: u32 = 3;
 const RETRIES_PER_TTL: u32 = 6;
 const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(500);
-/// A queued client keeps its place by so many requests in a TTL.
+/// Requests in a TTL by which a queued client keeps its place.
 const QUEUE_POLLS_PER_TTL: u32 = 4;
 
 /// Computes a client's times. It owns the random source of the jitter.
--- a/crates/leases/src/client/wanted_lease.rs
+++ b/crates/leases/src/client/wanted_lease.rs
@@ -25,7 +25,7 @@
         valid_until: Duration,
         /// When it was granted.
         since: Duration,
-        /// Whether the host was told by [`Action::Acquired`](crate::Action::Acquired).
+        /// Whether [`Action::Acquired`](crate::Action::Acquired) was returned for it.
         announced: bool,
     },
     /// It was released or revoked, and is released at the voters once no guard is out.
--- a/crates/leases/src/injected_bug.rs
+++ b/crates/leases/src/injected_bug.rs
@@ -9,7 +9,7 @@
     TtlFromResponse,
     /// A new leader forgets which tokens were handed out.
     VolatileTokens,
-    /// A guard stays valid until somebody says otherwise.
+    /// A guard stays valid until an event ends the lease.
     UncheckedGuard,
     /// A slot that is released twice is freed twice.
     DoubleRelease,
--- a/crates/leases/tests/exhaustive.rs
+++ b/crates/leases/tests/exhaustive.rs
@@ -114,7 +114,7 @@
         self.perform(world, member, actions);
     }
 
-    /// How many may act under a lease now, by what each would be told if it asked.
+    /// How many members could acquire a guard now.
     fn active_members(&self, world: &World, lease: &str) -> usize {
         let may_act = |member: &usize| {
             let mut client = world.clients[*member].clone();
