--- a/crates/rig/benches/leases.rs
+++ b/crates/rig/benches/leases.rs
@@ -8,22 +8,22 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
-use tulipgap_agree::{Action, Event, Seat, Terms};
-use tulipgap_durable::{Disk, Folder};
-use tulipgap_leases::{Answer, Command, Name, Who};
+use tulipgap_consensus::{Action, Config, DurableVoter, Event};
+use tulipgap_leases::{Command, Incarnation, Name, Owner, RequestId, Response};
+use tulipgap_write_ahead_log::{Directory, Disk};
 
 const RUN: Duration = Duration::from_secs(4);
 
 /// Counts syncs and bytes.
 struct Counted {
-    disk: Folder,
+    disk: Directory,
     syncs: Arc<AtomicU64>,
     bytes: Arc<AtomicU64>,
 }
 
 impl Disk for Counted {
-    fn names(&self) -> std::io::Result<Vec<String>> {
-        self.disk.names()
+    fn list(&self) -> std::io::Result<Vec<String>> {
+        self.disk.list()
     }
     fn read(&self, name: &str) -> std::io::Result<Vec<u8>> {
         self.disk.read(name)
@@ -39,8 +39,8 @@
     fn replace(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
         self.disk.replace(name, bytes)
     }
-    fn cut(&mut self, name: &str, length: u64) -> std::io::Result<()> {
-        self.disk.cut(name, length)
+    fn truncate(&mut self, name: &str, length: u64) -> std::io::Result<()> {
+        self.disk.truncate(name, length)
     }
     fn remove(&mut self, name: &str) -> std::io::Result<()> {
         self.disk.remove(name)
@@ -48,12 +48,12 @@
 }
 
 enum Note {
-    Answered(usize, Answer),
+    Answered(usize, Response),
     NotLeading(usize),
 }
 
 fn seat(
-    mut seat: Seat<Counted>,
+    mut seat: DurableVoter<Counted>,
     me: Name,
     events: Receiver<Event>,
     others: Arc<HashMap<Name, Sender<Event>>>,
@@ -73,21 +73,25 @@
         batch.extend(events.try_iter().take(256));
         if start.elapsed() >= alarm {
             alarm = start.elapsed() + Duration::from_millis(50);
-            batch.push(Event::Alarm);
+            batch.push(Event::TimerElapsed);
         }
-        let (said, done) = seat.decide(start.elapsed(), batch);
+        let (said, done) = seat.handle_events(start.elapsed(), batch);
         done.expect("the disk holds");
-        if seat.voter().leads() {
+        if seat.voter().is_leader() {
             *leader.lock().unwrap() = Some(me.clone());
         }
         for action in said {
             match action {
                 Action::Send { to, message } => {
-                    let _ = others[&to].send(Event::Peer { from: me.clone(), message });
+                    let _ = others[&to].send(Event::PeerMessage { from: me.clone(), message });
                 }
-                Action::Answer { ask, answer, .. } => _ = notes.send(Note::Answered(ask as usize, answer)),
-                Action::NotLeading { ask, .. } => _ = notes.send(Note::NotLeading(ask as usize)),
-                Action::Alarm { at } => alarm = alarm.min(at),
+                Action::Respond { request: ask, response: answer, .. } => {
+                    _ = notes.send(Note::Answered(ask.0 as usize, answer))
+                }
+                Action::RejectNotLeader { request: ask, .. } => {
+                    _ = notes.send(Note::NotLeading(ask.0 as usize))
+                }
+                Action::SetTimer { at } => alarm = alarm.min(at),
                 _ => {}
             }
         }
@@ -104,9 +108,10 @@
     let (notes, told) = channel();
     let leader = Arc::new(Mutex::new(None));
     for (at, events) in receivers.into_iter().enumerate() {
-        let disk = Folder::open(&folder.path().join(&*names[at])).unwrap();
+        let disk = Directory::open(&folder.path().join(&*names[at])).unwrap();
         let disk = Counted { disk, syncs: syncs.clone(), bytes: bytes.clone() };
-        let taken = Seat::take(Terms::default(), &names[at], names.clone(), disk, at as u64 + 1).unwrap();
+        let taken =
+            DurableVoter::open(Config::default(), &names[at], names.clone(), disk, at as u64 + 1).unwrap();
         let (me, others, notes, leader, over) =
             (names[at].clone(), others.clone(), notes.clone(), leader.clone(), over.clone());
         std::thread::spawn(move || seat(taken, me, events, others, notes, leader, over));
@@ -118,10 +123,14 @@
         std::thread::sleep(Duration::from_millis(10));
     };
     let ask = |asker: usize| {
-        let who = Who { name: format!("a{asker}").into(), life: 1 };
-        let (lease, term) = (format!("l{asker}").into(), Duration::from_secs(60));
-        let command = Command::Ask { lease, who, term, places: 1, wait: true };
-        let _ = others[&leads].send(Event::Asked { from: "bench".into(), ask: asker as u64, command });
+        let owner = Owner { name: format!("a{asker}").into(), incarnation: Incarnation(1) };
+        let (lease, ttl) = (format!("l{asker}").into(), Duration::from_secs(60));
+        let command = Command::Acquire { lease, owner, ttl, capacity: 1, wait: true };
+        let _ = others[&leads].send(Event::Propose {
+            from: "bench".into(),
+            request: RequestId(asker as u64),
+            command,
+        });
         Instant::now()
     };
     let (syncs_before, bytes_before) = (syncs.load(Ordering::Relaxed), bytes.load(Ordering::Relaxed));
@@ -131,7 +140,7 @@
     while start.elapsed() < RUN {
         match told.recv_timeout(Duration::from_secs(1)) {
             Ok(Note::Answered(asker, answer)) => {
-                assert!(matches!(answer, Answer::Granted { .. }));
+                assert!(matches!(answer, Response::Granted { .. }));
                 spans.record(sent[asker].elapsed().as_micros() as u64).unwrap();
                 answers += 1;
                 sent[asker] = ask(asker);
--- a/crates/rig/src/leases.rs
+++ b/crates/rig/src/leases.rs
@@ -4,9 +4,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use tulipgap_agree::{Action as Said, Event as Heard, Notice, Peer, Seat, Terms};
-use tulipgap_durable::{Faults, Faulty};
-use tulipgap_leases::{Action, Answer, Command, Event, Holder, Lease, Name, Permit, Shape, Who};
+use tulipgap_consensus::{
+    Action as Said, Config as VoterConfig, DurableVoter, Event as Heard, Notice, PeerMessage, VoterPhase,
+};
+use tulipgap_leases::{
+    Action, Command, Config, Event, FencingToken, Incarnation, Lease, LeaseClient, LeaseGuard, LeaseSpec,
+    Name, Owner, RequestId, Response,
+};
+use tulipgap_write_ahead_log::{DiskFaults, DiskUsage, FaultyDisk};
 
 use crate::plan::{Fault, Left, Plan, Trouble};
 use crate::witness::{Refused, Witness};
@@ -28,9 +33,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Planted {
     #[cfg(feature = "flaws")]
-    pub lease: Option<tulipgap_leases::Flaw>,
+    pub lease: Option<tulipgap_leases::InjectedBug>,
     #[cfg(feature = "flaws")]
-    pub durable: Option<tulipgap_durable::Flaw>,
+    pub durable: Option<tulipgap_write_ahead_log::InjectedBug>,
     #[cfg(feature = "flaws")]
     pub stale_read: bool,
 }
@@ -64,13 +69,13 @@
 
 #[derive(Clone, Debug)]
 enum Wire {
-    Peer(Peer),
-    Ask { ask: u64, command: Command },
-    Answer { life: u64, ask: u64, answer: Answer },
-    NotLeading { ask: u64, leader: Option<Name> },
+    Peer(PeerMessage),
+    Ask { ask: RequestId, command: Command },
+    Answer { life: Incarnation, ask: RequestId, answer: Response },
+    NotLeading { ask: RequestId, leader: Option<Name> },
     Turn { lease: Name },
-    List { number: u64, lease: Name },
-    Listing { number: u64, leases: Vec<(Name, Lease)> },
+    List { number: RequestId, lease: Name },
+    Listing { number: RequestId, leases: Vec<(Name, Lease)> },
 }
 
 enum What {
@@ -83,7 +88,7 @@
     Holder { life: u64 },
     Act { life: u64, lease: Name },
     Copy,
-    Disk(Faults),
+    Disk(DiskFaults),
     Replace { old: Name, new: Name },
     List,
 }
@@ -92,16 +97,16 @@
     name: Name,
     rate: f64,
     base: Duration,
-    disk: Faulty,
-    seat: Option<Seat<Faulty>>,
-    holder: Option<Holder>,
+    disk: FaultyDisk,
+    seat: Option<DurableVoter<FaultyDisk>>,
+    holder: Option<LeaseClient>,
     life: u64,
     stopped: bool,
     /// What came, or was due, while it was stopped.
     waiting: Vec<What>,
     older: BTreeMap<String, Vec<u8>>,
     /// By lease: the permit, and the token of an act that has begun.
-    acts: BTreeMap<Name, (Permit, Option<u64>)>,
+    acts: BTreeMap<Name, (LeaseGuard, Option<FencingToken>)>,
 }
 
 struct World<'a> {
@@ -120,10 +125,10 @@
     led: BTreeMap<u64, usize>,
     agreed: BTreeMap<u64, u64>,
     /// The highest token that was told, and of each lease the newest that was.
-    told: u64,
-    newest: BTreeMap<Name, (u64, usize)>,
+    told: FencingToken,
+    newest: BTreeMap<Name, (FencingToken, usize)>,
     /// Lists that are under way: of what, and the newest token told before.
-    lists: BTreeMap<u64, (Name, u64)>,
+    lists: BTreeMap<RequestId, (Name, FencingToken)>,
     out: LeaseOutcome,
 }
 
@@ -141,7 +146,7 @@
         name: member.0.as_str().into(),
         rate: rate(member),
         base: Duration::ZERO,
-        disk: Faulty::default(),
+        disk: FaultyDisk::default(),
         seat: None,
         holder: None,
         life: 0,
@@ -163,7 +168,7 @@
         free_since: vec![Some(Duration::ZERO); plan.leases.len()],
         led: BTreeMap::new(),
         agreed: BTreeMap::new(),
-        told: 0,
+        told: FencingToken(0),
         newest: BTreeMap::new(),
         lists: BTreeMap::new(),
         out: LeaseOutcome { trace: 0xcbf2_9ce4_8422_2325, ..LeaseOutcome::default() },
@@ -212,12 +217,12 @@
             }
             Fault::Disk { at, of: who, back, what } => {
                 let faults = match what {
-                    Trouble::Full => Faults { full: true, ..Faults::default() },
-                    Trouble::Fails => Faults { sync_fails: true, ..Faults::default() },
+                    Trouble::Full => DiskFaults { is_full: true, ..DiskFaults::default() },
+                    Trouble::Fails => DiskFaults { next_sync_fails: true, ..DiskFaults::default() },
                 };
                 for member in of(who) {
                     self.put(secs(*at), member, What::Disk(faults));
-                    self.put(secs(back.unwrap_or(*at + 5.0)), member, What::Disk(Faults::default()));
+                    self.put(secs(back.unwrap_or(*at + 5.0)), member, What::Disk(DiskFaults::default()));
                 }
             }
             Fault::Replace { at, old, new } => {
@@ -246,7 +251,7 @@
             self.happen(member, what);
         }
         for process in &self.processes {
-            let (syncs, written) = process.disk.worked();
+            let DiskUsage { syncs, written_bytes: written } = process.disk.usage();
             (self.out.syncs, self.out.written) = (self.out.syncs + syncs, self.out.written + written);
         }
         self.out
@@ -290,12 +295,12 @@
                 }
                 return;
             }
-            What::Copy => return self.processes[member].older = self.processes[member].disk.copy(),
-            What::Disk(faults) => return self.processes[member].disk.set(faults),
+            What::Copy => return self.processes[member].older = self.processes[member].disk.copy_files(),
+            What::Disk(faults) => return self.processes[member].disk.set_faults(faults),
             What::Replace { old, new } => {
                 for at in 0..self.names.len() {
-                    if self.processes[at].seat.as_ref().is_some_and(|seat| seat.voter().leads()) {
-                        self.seat(at, vec![Heard::Replace { old: old.clone(), new: new.clone() }]);
+                    if self.processes[at].seat.as_ref().is_some_and(|seat| seat.voter().is_leader()) {
+                        self.seat(at, vec![Heard::ReplaceVoter { old: old.clone(), new: new.clone() }]);
                     }
                 }
                 return;
@@ -311,8 +316,8 @@
             return;
         }
         match what {
-            What::Seat { life: of } if of == life => self.seat(member, vec![Heard::Alarm]),
-            What::Holder { life: of } if of == life => self.holder(member, Event::Alarm),
+            What::Seat { life: of } if of == life => self.seat(member, vec![Heard::TimerElapsed]),
+            What::Holder { life: of } if of == life => self.holder(member, Event::TimerElapsed),
             What::Act { life: of, lease } if of == life => self.act(member, lease),
             What::Deliver { from, wire } => self.deliver(member, from, wire),
             _ => {}
@@ -331,11 +336,12 @@
         process.base = now;
         match folder {
             Left::Kept => {}
-            Left::Emptied => process.disk.put_back(BTreeMap::new()),
-            Left::Older => process.disk.put_back(process.older.clone()),
+            Left::Emptied => process.disk.restore_files(BTreeMap::new()),
+            Left::Older => process.disk.restore_files(process.older.clone()),
         }
-        let who = Who { name: process.name.clone(), life: process.life };
-        let holder = Holder::new(who, voters.clone(), OFF, JITTER, seed);
+        let owner = Owner { name: process.name.clone(), incarnation: Incarnation(process.life) };
+        let config = Config { max_clock_drift_permille: OFF, jitter_permille: JITTER };
+        let holder = LeaseClient::new(owner, voters.clone(), config, seed);
         process.holder = Some(planted_in(holder, &self.planted));
         let votes = voters.contains(&process.name)
             || self
@@ -344,21 +350,27 @@
                 .iter()
                 .any(|f| matches!(f, Fault::Replace { new, .. } if **new == *process.name));
         if votes {
-            match Seat::take(Terms::default(), &process.name, voters, process.disk.clone(), seed) {
+            match DurableVoter::open(
+                VoterConfig::default(),
+                &process.name,
+                voters,
+                process.disk.clone(),
+                seed,
+            ) {
                 Ok(mut seat) => {
                     plant(&mut seat, &self.planted);
                     process.seat = Some(seat);
-                    self.seat(member, vec![Heard::Alarm]);
+                    self.seat(member, vec![Heard::TimerElapsed]);
                 }
                 Err(_) => self.out.ended += 1,
             }
         }
         for lease in &self.plan.leases {
             if Plan::is(&self.names[member], &lease.of) {
-                let shape = Shape { term: Duration::from_secs_f64(lease.term), places: lease.places };
-                let step = Duration::from_secs_f64(lease.step);
+                let spec = LeaseSpec { ttl: Duration::from_secs_f64(lease.term), capacity: lease.places };
+                let max_step = Duration::from_secs_f64(lease.step);
                 let lease = lease.name.as_str().into();
-                self.holder(member, Event::Want { lease, shape, step, wait: true });
+                self.holder(member, Event::Acquire { lease, spec, max_step, wait: true });
             }
         }
     }
@@ -369,7 +381,7 @@
         process.waiting.clear();
         for (lease, (_, token)) in std::mem::take(&mut process.acts) {
             if let Some(token) = token {
-                self.witness.gone(&lease, token);
+                self.witness.gone(&lease, token.0);
             }
         }
         // The process ends, or its machine: of what was not synced some is there.
@@ -380,9 +392,9 @@
     fn seat(&mut self, member: usize, events: Vec<Heard>) {
         let now = self.clock(member);
         let Some(seat) = &mut self.processes[member].seat else { return };
-        let before = seat.voter().agreed().1;
-        let (said, done) = seat.decide(now, events);
-        let (table, applied) = seat.voter().agreed();
+        let before = seat.voter().applied_index();
+        let (said, done) = seat.handle_events(now, events);
+        let (table, applied) = (seat.voter().leases(), seat.voter().applied_index());
         if applied != before {
             let hash = fingerprint(table);
             let first = *self.agreed.entry(applied).or_insert(hash);
@@ -400,29 +412,29 @@
         for action in said {
             match action {
                 Said::Send { to, message } => self.send(member, &to, Wire::Peer(message)),
-                Said::Answer { to, life, ask, answer } => {
+                Said::Respond { to, incarnation: life, request: ask, response: answer } => {
                     self.send(member, &to, Wire::Answer { life, ask, answer });
                 }
-                Said::NotLeading { to, ask, leader } => {
+                Said::RejectNotLeader { to, request: ask, leader } => {
                     self.send(member, &to, Wire::NotLeading { ask, leader })
                 }
-                Said::Turn { to, lease } => self.send(member, &to, Wire::Turn { lease }),
-                Said::Listing { to, number, leases } => {
+                Said::NotifySlotAvailable { to, lease } => self.send(member, &to, Wire::Turn { lease }),
+                Said::RespondRead { to, request: number, leases } => {
                     self.send(member, &to, Wire::Listing { number, leases });
                 }
-                Said::Alarm { at } => {
+                Said::SetTimer { at } => {
                     let at = self.when(member, at);
                     self.put(at, member, What::Seat { life });
                 }
                 Said::Notice(notice) => self.notice(member, &notice),
-                Said::Write(_) | Said::Whole(_) | Said::Identity(_) => {}
+                Said::AppendRecord(_) | Said::WriteSnapshot(_) | Said::WriteIdentity(_) => {}
             }
         }
     }
 
     fn notice(&mut self, member: usize, notice: &Notice) {
         match notice {
-            Notice::Leads(term) => {
+            Notice::BecameLeader { term } => {
                 self.out.leaders += 1;
                 self.mark([member as u64, *term, self.now.as_micros() as u64]);
                 let led = *self.led.entry(*term).or_insert(member);
@@ -431,14 +443,14 @@
                     self.break_promise("one leader a term", what);
                 }
                 let seat = self.processes[member].seat.as_ref();
-                let tokens = seat.map_or(u64::MAX, |seat| seat.voter().agreed().0.tokens());
+                let tokens = seat.map_or(FencingToken(u64::MAX), |seat| seat.voter().leases().last_token());
                 if tokens < self.told {
                     let what =
                         format!("token {} was told, and the leader of term {term} has {tokens}", self.told);
                     self.break_promise("what was told stays", what);
                 }
             }
-            Notice::SetBack { .. } | Notice::Senseless(_) => self.out.ended += 1,
+            Notice::RolledBack { .. } | Notice::InvalidData(_) => self.out.ended += 1,
             _ => {}
         }
     }
@@ -446,7 +458,7 @@
     fn holder(&mut self, member: usize, event: Event) {
         let now = self.clock(member);
         let Some(holder) = &mut self.processes[member].holder else { return };
-        let actions = holder.decide(now, event);
+        let actions = holder.handle_event(now, event);
         self.carry_out(member, actions);
     }
 
@@ -454,15 +466,17 @@
         let life = self.processes[member].life;
         for action in actions {
             match action {
-                Action::Ask { to, ask, command } => self.send(member, &to, Wire::Ask { ask, command }),
-                Action::Alarm { at } => {
+                Action::Send { to, request: ask, command } => {
+                    self.send(member, &to, Wire::Ask { ask, command })
+                }
+                Action::SetTimer { at } => {
                     let at = self.when(member, at);
                     self.put(at, member, What::Holder { life });
                 }
-                Action::Gained { lease, token } => {
+                Action::Acquired { lease, token } => {
                     self.out.grants += 1;
-                    self.mark([member as u64, token, self.now.as_micros() as u64]);
-                    let newest = self.newest.get(&lease).copied().unwrap_or((0, member));
+                    self.mark([member as u64, token.0, self.now.as_micros() as u64]);
+                    let newest = self.newest.get(&lease).copied().unwrap_or((FencingToken(0), member));
                     let places = self.witness.places(&lease);
                     if places == 1 && (token < newest.0 || token == newest.0 && newest.1 != member) {
                         let what = format!("{lease}: {token} after {}", newest.0);
@@ -474,7 +488,7 @@
                         self.put(self.now, member, What::Act { life, lease });
                     }
                 }
-                Action::Lost { .. } | Action::Refused { .. } => {}
+                Action::Lost { .. } | Action::Rejected { .. } => {}
             }
         }
         self.at_most();
@@ -484,7 +498,7 @@
     fn holders(&self, lease: &str) -> usize {
         let may = |member: &usize| {
             let holder = self.processes[*member].holder.clone();
-            holder.is_some_and(|mut holder| holder.begin(self.clock(*member), lease).is_ok())
+            holder.is_some_and(|mut holder| holder.acquire_guard(self.clock(*member), lease).is_ok())
         };
         (0..self.processes.len()).filter(may).count()
     }
@@ -506,7 +520,7 @@
         let Some(holder) = &mut process.holder else { return };
         let (permit, begun) = match process.acts.remove(&lease) {
             Some(acting) => acting,
-            None => match holder.begin(now, &lease) {
+            None => match holder.acquire_guard(now, &lease) {
                 Ok(permit) => (permit, None),
                 Err(_) => return,
             },
@@ -514,20 +528,20 @@
         let step = self.witness.step(&lease);
         let span = |rng: &mut fastrand::Rng, of: (f64, f64)| of.0 + (of.1 - of.0) * rng.f64();
         if let Some(token) = begun {
-            self.out.refused += u64::from(self.witness.end(&lease, token).is_err());
+            self.out.refused += u64::from(self.witness.end(&lease, token.0).is_err());
             process.acts.insert(lease.clone(), (permit, None));
             let rest = Duration::from_secs_f64(span(&mut self.rng, REST));
             return self.put(self.now + rest, member, What::Act { life, lease });
         }
-        match holder.step(now, &permit) {
+        match holder.check_guard(now, &permit) {
             Ok(token) => {
                 process.acts.insert(lease.clone(), (permit, Some(token)));
                 // A process that is stopped in the middle of an act is kept from harm by its token alone.
                 let asleep: BTreeSet<u64> = (self.processes.iter())
                     .filter(|process| process.stopped)
-                    .filter_map(|process| process.acts.get(&lease)?.1)
+                    .filter_map(|process| Some(process.acts.get(&lease)?.1?.0))
                     .collect();
-                match self.witness.begin(&lease, token, &asleep) {
+                match self.witness.begin(&lease, token.0, &asleep) {
                     Ok(()) => self.out.acts += 1,
                     Err(Refused::Older) => self.out.refused += 1,
                     Err(Refused::Overlaps(others)) => {
@@ -539,7 +553,7 @@
                 self.put(self.now + takes, member, What::Act { life, lease });
             }
             Err(_) => {
-                let actions = holder.done(now, permit);
+                let actions = holder.release_guard(now, permit);
                 self.carry_out(member, actions);
                 // Lost and gained again meanwhile.
                 self.put(self.now + Duration::from_millis(10), member, What::Act { life, lease });
@@ -566,17 +580,21 @@
     fn deliver(&mut self, to: usize, from: usize, wire: Wire) {
         let name = self.processes[from].name.clone();
         match wire {
-            Wire::Peer(message) => self.seat(to, vec![Heard::Peer { from: name, message }]),
-            Wire::Ask { ask, command } => self.seat(to, vec![Heard::Asked { from: name, ask, command }]),
+            Wire::Peer(message) => self.seat(to, vec![Heard::PeerMessage { from: name, message }]),
+            Wire::Ask { ask, command } => {
+                self.seat(to, vec![Heard::Propose { from: name, request: ask, command }])
+            }
             Wire::List { number, lease } => {
-                self.seat(to, vec![Heard::List { from: name, number, lease: Some(lease) }]);
+                self.seat(to, vec![Heard::Read { from: name, request: number, lease: Some(lease) }]);
+            }
+            Wire::Answer { life, ask, answer } => {
+                self.holder(to, Event::Response { incarnation: life, request: ask, response: answer })
             }
-            Wire::Answer { life, ask, answer } => self.holder(to, Event::Answered { life, ask, answer }),
-            Wire::NotLeading { ask, leader } => self.holder(to, Event::NotLeading { ask, leader }),
-            Wire::Turn { lease } => self.holder(to, Event::Turn { lease }),
+            Wire::NotLeading { ask, leader } => self.holder(to, Event::NotLeader { request: ask, leader }),
+            Wire::Turn { lease } => self.holder(to, Event::SlotAvailable { lease }),
             Wire::Listing { number, leases } => {
                 let Some((lease, newest)) = self.lists.remove(&number) else { return };
-                let held = leases.iter().find(|(name, _)| *name == lease).and_then(|(_, l)| l.held.last());
+                let held = leases.iter().find(|(name, _)| *name == lease).and_then(|(_, l)| l.holders.last());
                 if let Some(held) = held.filter(|held| held.token < newest) {
                     let what = format!("{lease}: {} is told, {newest} had been granted before", held.token);
                     self.break_promise("what is told is no older than the question", what);
@@ -593,11 +611,11 @@
         if lease.is_empty() || self.witness.places(&lease) != 1 {
             return;
         }
-        let newest = self.newest.get(&lease).map_or(0, |newest| newest.0);
+        let newest = self.newest.get(&lease).map_or(FencingToken(0), |newest| newest.0);
         let asker = self.rng.usize(0..self.names.len());
         for voter in self.voters.clone() {
             self.order += 1;
-            let number = self.order;
+            let number = RequestId(self.order);
             self.lists.insert(number, (lease.clone(), newest));
             self.send(asker, &voter, Wire::List { number, lease: lease.clone() });
         }
@@ -611,7 +629,7 @@
         let quiet = self.plan.quiet_from();
         let votes = |p: &&Process| {
             let seat = p.seat.as_ref().filter(|_| !p.stopped);
-            seat.is_some_and(|seat| seat.voter().standing().phase == "voting")
+            seat.is_some_and(|seat| seat.voter().status().phase == VoterPhase::Voting)
         };
         let voting = self.processes.iter().filter(votes).count();
         let led = voting > self.voters.len() / 2;
@@ -640,7 +658,7 @@
     }
 }
 
-fn fingerprint(table: &tulipgap_leases::Table) -> u64 {
+fn fingerprint(table: &tulipgap_leases::LeaseStateMachine) -> u64 {
     use std::hash::{DefaultHasher, Hash, Hasher};
     let mut hasher = DefaultHasher::new();
     table.hash(&mut hasher);
@@ -648,24 +666,24 @@
 }
 
 #[cfg(feature = "flaws")]
-fn plant(seat: &mut Seat<Faulty>, planted: &Planted) {
+fn plant(seat: &mut DurableVoter<FaultyDisk>, planted: &Planted) {
     let flaw = match planted.stale_read {
-        true => Some(tulipgap_agree::Flaw::StaleRead),
-        false => planted.lease.map(tulipgap_agree::Flaw::Leases),
+        true => Some(tulipgap_consensus::InjectedBug::StaleRead),
+        false => planted.lease.map(tulipgap_consensus::InjectedBug::Leases),
     };
-    seat.plant(flaw, planted.durable);
+    seat.inject_bugs(flaw, planted.durable);
 }
 
 #[cfg(feature = "flaws")]
-fn planted_in(mut holder: Holder, planted: &Planted) -> Holder {
-    holder.plant(planted.lease);
+fn planted_in(mut holder: LeaseClient, planted: &Planted) -> LeaseClient {
+    holder.inject_bug(planted.lease);
     holder
 }
 
 #[cfg(not(feature = "flaws"))]
-fn planted_in(holder: Holder, _: &Planted) -> Holder {
+fn planted_in(holder: LeaseClient, _: &Planted) -> LeaseClient {
     holder
 }
 
 #[cfg(not(feature = "flaws"))]
-fn plant(_: &mut Seat<Faulty>, _: &Planted) {}
+fn plant(_: &mut DurableVoter<FaultyDisk>, _: &Planted) {}
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -12,14 +12,17 @@
 
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use tulipgap_agree::{Action as Agreed, Event as Heard, Seat};
-use tulipgap_durable::{Disk, Folder};
-use tulipgap_leases::{Action, Command, Event, Holder, Name, Permit, Shape, Stale, Standing, Who};
+use tulipgap_consensus::{Action as Agreed, DurableVoter, Event as Heard, VoterPhase, VoterStatus};
+use tulipgap_leases::{
+    Action, Command, Config, Event, FencingToken, LeaseClient, LeaseGuard, LeaseSpec, LeaseStatus, Name,
+    Owner, RequestId, StaleGuard,
+};
 use tulipgap_membership::dependency_probe::{
     DependencyProber, Input as ProbeInput, ProbeOutcome, Verdict, VerdictChange,
 };
 use tulipgap_membership::{Incarnation, MemberState, MemberUpdate, Membership, Node, Reachability};
-use tulipgap_peer::{Frames, Said, Word};
+use tulipgap_peer_protocol::{Envelope, FrameCodec, Message};
+use tulipgap_write_ahead_log::{Directory, Disk};
 
 use crate::control::{self, Request};
 use crate::net;
@@ -53,7 +56,7 @@
 /// Probing the store.
 const STORE_FACT: &str = "store";
 const PROBE_LOOK: Duration = Duration::from_millis(100);
-const PROBE_SHAPE: Shape = Shape { term: Duration::from_secs(4), places: 1 };
+const PROBE_SHAPE: LeaseSpec = LeaseSpec { ttl: Duration::from_secs(4), capacity: 1 };
 const PROBE_STEP: Duration = Duration::from_millis(500);
 
 /// Time since the machine's start, that it slept through included: a term goes on while it sleeps.
@@ -84,7 +87,7 @@
 }
 
 pub enum Input {
-    Said(Said),
+    Said(Envelope),
     /// What a task's call asks to be carried out.
     Carry(Vec<Action>),
     Operator(Request, SyncSender<Value>),
@@ -98,37 +101,38 @@
 /// The only way to act under a lease.
 #[derive(Clone)]
 pub struct Leases {
-    holder: Arc<Mutex<Holder>>,
+    holder: Arc<Mutex<LeaseClient>>,
     clock: Clock,
     inputs: SyncSender<Input>,
 }
 
 impl Leases {
-    pub fn want(&self, lease: &str, shape: Shape, step: Duration) {
+    pub fn want(&self, lease: &str, shape: LeaseSpec, step: Duration) {
         let lease = lease.into();
-        let event = Event::Want { lease, shape, step, wait: true };
-        let actions = self.holder.lock().decide(self.clock.now(), event);
+        let event = Event::Acquire { lease, spec: shape, max_step: step, wait: true };
+        let actions = self.holder.lock().handle_event(self.clock.now(), event);
         self.carry(actions);
     }
 
     pub fn give_back(&self, lease: &str) {
-        let actions = self.holder.lock().decide(self.clock.now(), Event::Drop { lease: lease.into() });
+        let actions =
+            self.holder.lock().handle_event(self.clock.now(), Event::Release { lease: lease.into() });
         self.carry(actions);
     }
 
-    pub fn begin(&self, lease: &str) -> Result<Permit, Stale> {
+    pub fn begin(&self, lease: &str) -> Result<LeaseGuard, StaleGuard> {
         let mut holder = self.holder.lock();
-        holder.begin(self.clock.now(), lease)
+        holder.acquire_guard(self.clock.now(), lease)
     }
 
     /// The token for one step that begins now.
-    pub fn step(&self, permit: &Permit) -> Result<u64, Stale> {
-        let mut holder = self.holder.lock();
-        holder.step(self.clock.now(), permit)
+    pub fn step(&self, permit: &LeaseGuard) -> Result<FencingToken, StaleGuard> {
+        let holder = self.holder.lock();
+        holder.check_guard(self.clock.now(), permit)
     }
 
-    pub fn done(&self, permit: Permit) {
-        let actions = self.holder.lock().done(self.clock.now(), permit);
+    pub fn done(&self, permit: LeaseGuard) {
+        let actions = self.holder.lock().release_guard(self.clock.now(), permit);
         self.carry(actions);
     }
 
@@ -152,16 +156,16 @@
     let at = |what: &str, error: &dyn std::fmt::Display| format!("cluster: {what}: {error}");
     let listen: SocketAddr = told.listen.parse().map_err(|error| at("listen", &error))?;
     let key = std::fs::read(&told.key).map_err(|error| at(&told.key.display().to_string(), &error))?;
-    let frames = Frames::new(&told.name, &key)
-        .ok_or_else(|| at(&told.key.display().to_string(), &"a key takes 16 bytes or more"))?;
+    let frames =
+        FrameCodec::new(&told.name, &key).map_err(|error| at(&told.key.display().to_string(), &error))?;
     let trial = told.trial.clone().unwrap_or_default();
     let clock = Clock::new(trial.clock_rate);
     // Another life with each start: nothing may be taken for what an earlier one asked.
     let life = fastrand::u64(1..);
     let (inputs, taken) = sync_channel(WAITING);
-    let (said, words) = sync_channel::<Said>(WAITING);
+    let (said, words) = sync_channel::<Envelope>(WAITING);
     let routes: HashMap<_, _> = trial.routes().into_iter().collect();
-    let of = Opened { listen, frames, me: me.clone(), life, routes };
+    let of = Opened { listen, frames, me: me.clone(), life: tulipgap_leases::Incarnation(life), routes };
     let links = Links::open(of, said).map_err(|error| at(&told.listen, &error))?;
     let node = Node {
         name: me.clone(),
@@ -175,18 +179,19 @@
         .map_err(|error| at("member", &error))?;
     let voters: Vec<Name> = told.voters.iter().map(|voter| voter.as_str().into()).collect();
     let off = (told.clock_off * 1000.0).round() as u32;
-    let who = Who { name: me.clone(), life };
-    let holder = Arc::new(Mutex::new(Holder::new(who, voters.clone(), off, JITTER, seed ^ life)));
+    let owner = Owner { name: me.clone(), incarnation: tulipgap_leases::Incarnation(life) };
+    let config = Config { max_clock_drift_permille: off, jitter_permille: JITTER };
+    let holder = Arc::new(Mutex::new(LeaseClient::new(owner, voters.clone(), config, seed ^ life)));
     let known = Arc::new(Mutex::new(HashMap::from([(me.clone(), listen)])));
     let post = Post { links, known, me: me.clone(), inputs: inputs.clone() };
     // A member that has a folder may be asked to vote later on, in another's place.
     let seat = match &told.folder {
         Some(folder) if !voters.is_empty() => {
-            let terms = tulipgap_agree::Terms { off_thousandths: off, ..Default::default() };
+            let terms = tulipgap_consensus::Config { max_clock_drift_permille: off, ..Default::default() };
             let folder_at = folder.display().to_string();
-            let disk = Folder::open(folder).map_err(|error| at(&folder_at, &error))?;
+            let disk = Directory::open(folder).map_err(|error| at(&folder_at, &error))?;
             let disk = Troubled::new(disk, trial.disk_trouble.clone());
-            let seat = Seat::take(terms, &me, voters.clone(), disk, seed ^ life);
+            let seat = DurableVoter::open(terms, &me, voters.clone(), disk, seed ^ life);
             let seat = seat.map_err(|error| at(&folder_at, &error))?;
             Some(take_seat(seat, clock, post.clone()).map_err(|error| at("threads", &error))?)
         }
@@ -264,8 +269,8 @@
     }
 }
 
-fn drain_shape(at_once: u32) -> Shape {
-    Shape { term: DRAIN_TERM, places: at_once }
+fn drain_shape(at_once: u32) -> LeaseSpec {
+    LeaseSpec { ttl: DRAIN_TERM, capacity: at_once }
 }
 
 fn probe_store(leases: &Leases, inputs: &SyncSender<Input>, lease: &str, store: &StoreClient) {
@@ -337,11 +342,16 @@
 }
 
 impl Post {
-    fn to(&self, name: &Name, word: Word) {
+    fn to(&self, name: &Name, word: Message) {
         let address = self.known.lock().get(name).copied();
         match address {
             Some(address) if *name == self.me => {
-                let said = Said { from: name.clone(), address, life: 0, word };
+                let said = Envelope {
+                    from: name.clone(),
+                    address,
+                    incarnation: tulipgap_leases::Incarnation(0),
+                    message: word,
+                };
                 // Its own queue: a voter that waited for it here would wait for itself.
                 let _ = self.inputs.try_send(Input::Said(said));
             }
@@ -362,12 +372,16 @@
 /// A voter's thread: its writes wait for the disk and nothing else does.
 struct Voting {
     events: SyncSender<Heard>,
-    standing: Arc<Mutex<tulipgap_agree::Standing>>,
+    standing: Arc<Mutex<VoterStatus>>,
 }
 
-fn take_seat<D: Disk + Send + 'static>(mut seat: Seat<D>, clock: Clock, post: Post) -> io::Result<Voting> {
+fn take_seat<D: Disk + Send + 'static>(
+    mut seat: DurableVoter<D>,
+    clock: Clock,
+    post: Post,
+) -> io::Result<Voting> {
     let (events, heard) = sync_channel(WAITING);
-    let standing = Arc::new(Mutex::new(seat.voter().standing()));
+    let standing = Arc::new(Mutex::new(seat.voter().status()));
     let shown = standing.clone();
     thread("voter", move || {
         let mut alarm_at = Some(Duration::ZERO);
@@ -383,30 +397,39 @@
             let now = clock.now();
             if alarm_at.is_some_and(|at| at <= now) {
                 alarm_at = None;
-                batch.push(Heard::Alarm);
+                batch.push(Heard::TimerElapsed);
             }
             if batch.is_empty() {
                 continue;
             }
-            let (said, done) = seat.decide(now, batch);
+            let (said, done) = seat.handle_events(now, batch);
             for action in said {
                 match action {
-                    Agreed::Send { to, message } => post.to(&to, Word::Peer(message)),
-                    Agreed::Answer { to, life, ask, answer } => {
-                        post.to(&to, Word::Answer { life, ask, answer })
+                    Agreed::Send { to, message } => post.to(&to, Message::Voter(message)),
+                    Agreed::Respond { to, incarnation: life, request: ask, response: answer } => post.to(
+                        &to,
+                        Message::LeaseResponse { incarnation: life, request: ask, response: answer },
+                    ),
+                    Agreed::RejectNotLeader { to, request: ask, leader } => {
+                        post.to(&to, Message::NotLeader { request: ask, leader })
+                    }
+                    Agreed::NotifySlotAvailable { to, lease } => {
+                        post.to(&to, Message::SlotAvailable { lease })
                     }
-                    Agreed::NotLeading { to, ask, leader } => post.to(&to, Word::NotLeading { ask, leader }),
-                    Agreed::Turn { to, lease } => post.to(&to, Word::Turn { lease }),
-                    Agreed::Listing { to, number, leases } => post.to(&to, Word::Listing { number, leases }),
-                    Agreed::Alarm { at } => alarm_at = Some(alarm_at.map_or(at, |asked| asked.min(at))),
-                    Agreed::Notice(notice) => log::info!("voter: {notice}"),
-                    Agreed::Write(_) | Agreed::Whole(_) | Agreed::Identity(_) => {}
+                    Agreed::RespondRead { to, request: number, leases } => {
+                        post.to(&to, Message::LeaseList { request: number, leases })
+                    }
+                    Agreed::SetTimer { at } => alarm_at = Some(alarm_at.map_or(at, |asked| asked.min(at))),
+                    Agreed::Notice(notice) => log::info!("voter {notice}"),
+                    Agreed::AppendRecord(_) | Agreed::WriteSnapshot(_) | Agreed::WriteIdentity(_) => {}
                 }
             }
-            *shown.lock() = seat.voter().standing();
+            *shown.lock() = seat.voter().status();
             if let Err(error) = done {
-                log::error!("voter: {error}; this process votes no more until it is started again");
-                shown.lock().phase = "ended".into();
+                log::error!(
+                    "voter ended error=\"{error}\"; it votes no more until this process is restarted"
+                );
+                shown.lock().phase = VoterPhase::Ended;
                 return;
             }
         }
@@ -417,7 +440,7 @@
 /// What an operator waits for.
 struct Waits {
     reply: SyncSender<Value>,
-    word: Word,
+    word: Message,
     until: Duration,
     again_at: Duration,
     voter: usize,
@@ -425,7 +448,7 @@
 
 struct Core {
     members: Membership,
-    holder: Arc<Mutex<Holder>>,
+    holder: Arc<Mutex<LeaseClient>>,
     seat: Option<Voting>,
     clock: Clock,
     post: Post,
@@ -464,7 +487,7 @@
                         let actions = self.members.handle_events(self.clock.now(), &[event]);
                         self.member_actions(actions);
                     }
-                    Input::HandOn => self.voter(Heard::Leave),
+                    Input::HandOn => self.voter(Heard::TransferLeadership),
                     Input::Leave(done) => return self.leave(&done),
                 }
             }
@@ -481,7 +504,7 @@
         }
         if self.holder_at.is_some_and(|at| at <= now) {
             self.holder_at = None;
-            self.holder(Event::Alarm);
+            self.holder(Event::TimerElapsed);
         }
         let due: Vec<u64> =
             (self.waiting.iter()).filter(|(_, w)| w.again_at <= now).map(|(n, _)| *n).collect();
@@ -491,22 +514,26 @@
     }
 
     fn holder(&mut self, event: Event) {
-        let actions = self.holder.lock().decide(self.clock.now(), event);
+        let actions = self.holder.lock().handle_event(self.clock.now(), event);
         self.carry_out(actions);
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Ask { to, ask, command } => self.post.to(&to, Word::Ask { ask, command }),
-                Action::Alarm { at } => {
+                Action::Send { to, request: ask, command } => {
+                    self.post.to(&to, Message::LeaseRequest { request: ask, command })
+                }
+                Action::SetTimer { at } => {
                     self.holder_at = Some(self.holder_at.map_or(at, |asked| asked.min(at)))
                 }
-                Action::Gained { lease, token } => log::info!("lease {lease}: held, token {token}"),
-                Action::Lost { lease, token, why } => {
-                    log::info!("lease {lease}: token {token} lost ({why:?})")
+                Action::Acquired { lease, token } => log::info!("lease acquired name={lease} token={token}"),
+                Action::Lost { lease, token, reason } => {
+                    log::info!("lease lost name={lease} token={token} reason={reason}")
+                }
+                Action::Rejected { lease, reason } => {
+                    log::warn!("lease rejected name={lease} reason=\"{reason}\"")
                 }
-                Action::Refused { lease, why } => log::warn!("lease {lease}: {why}"),
             }
         }
     }
@@ -516,7 +543,7 @@
         let mut changed = false;
         for action in actions {
             match action {
-                Do::Send { to, message } => self.post.links.send(to, Word::Member(message)),
+                Do::Send { to, message } => self.post.links.send(to, Message::Member(message)),
                 Do::SetTimer { at } => {
                     self.members_at = Some(self.members_at.map_or(at, |asked| asked.min(at)))
                 }
@@ -559,50 +586,56 @@
         }
     }
 
-    fn said(&mut self, said: Said) {
-        let Said { from, address, word, .. } = said;
+    fn said(&mut self, said: Envelope) {
+        let Envelope { from, address, message: word, .. } = said;
         self.post.learn(&from, address);
         match word {
-            Word::Member(message) if message.from == from => {
+            Message::Member(message) if message.from == from => {
                 let event = tulipgap_membership::Event::Received { from: address, message };
                 let actions = self.members.handle_events(self.clock.now(), &[event]);
                 self.member_actions(actions);
             }
             // Nobody speaks in another's name.
-            Word::Member(_) => {}
-            Word::Peer(message) => self.voter(Heard::Peer { from, message }),
-            Word::Ask { ask, command } => {
+            Message::Member(_) => {}
+            Message::Voter(message) => self.voter(Heard::PeerMessage { from, message }),
+            Message::LeaseRequest { request: ask, command } => {
                 let own = match &command {
-                    Command::Ask { who, .. } | Command::Release { who, .. } => who.name == from,
+                    Command::Acquire { owner, .. } | Command::Release { owner, .. } => owner.name == from,
                     Command::Expire { .. } => false,
                     Command::Revoke { .. } | Command::Transfer { .. } => true,
                 };
                 match (own, self.seat.is_some()) {
-                    (true, true) => self.voter(Heard::Asked { from, ask, command }),
-                    (true, false) => self.post.to(&from, Word::NotLeading { ask, leader: None }),
+                    (true, true) => self.voter(Heard::Propose { from, request: ask, command }),
+                    (true, false) => self.post.to(&from, Message::NotLeader { request: ask, leader: None }),
                     (false, _) => {}
                 }
             }
-            Word::List { number, lease } => self.voter(Heard::List { from, number, lease }),
-            Word::Replace { old, new } => self.voter(Heard::Replace { old, new }),
-            Word::Answer { ask, answer, .. } if ask >= OPERATORS => {
+            Message::ReadLeases { request: number, lease } => {
+                self.voter(Heard::Read { from, request: number, lease })
+            }
+            Message::ReplaceVoter { old, new } => self.voter(Heard::ReplaceVoter { old, new }),
+            Message::LeaseResponse { request: ask, response: answer, .. } if ask.0 >= OPERATORS => {
                 let told = match answer {
-                    tulipgap_leases::Answer::Refused(why) => json!({ "error": why.to_string() }),
+                    tulipgap_leases::Response::Rejected(why) => json!({ "error": why.to_string() }),
                     _ => json!({ "done": true }),
                 };
-                self.reply(ask, told);
+                self.reply(ask.0, told);
+            }
+            Message::LeaseResponse { incarnation: life, request: ask, response: answer } => {
+                self.holder(Event::Response { incarnation: life, request: ask, response: answer })
             }
-            Word::Answer { life, ask, answer } => self.holder(Event::Answered { life, ask, answer }),
-            Word::NotLeading { ask, leader } if ask >= OPERATORS => {
+            Message::NotLeader { request: ask, leader } if ask.0 >= OPERATORS => {
                 if let Some(leader) = leader {
-                    self.ask_again(ask, Some(&leader));
+                    self.ask_again(ask.0, Some(&leader));
                 }
             }
-            Word::NotLeading { ask, leader } => self.holder(Event::NotLeading { ask, leader }),
-            Word::Turn { lease } => self.holder(Event::Turn { lease }),
-            Word::Listing { number, leases } => {
+            Message::NotLeader { request: ask, leader } => {
+                self.holder(Event::NotLeader { request: ask, leader })
+            }
+            Message::SlotAvailable { lease } => self.holder(Event::SlotAvailable { lease }),
+            Message::LeaseList { request: number, leases } => {
                 let rows: Vec<Value> = leases.iter().map(|(name, lease)| control::row(name, lease)).collect();
-                self.reply(number, json!({ "leases": rows }));
+                self.reply(number.0, json!({ "leases": rows }));
             }
         }
     }
@@ -653,7 +686,7 @@
         }
     }
 
-    fn ask(&mut self, reply: SyncSender<Value>, word: impl FnOnce(u64) -> Word) {
+    fn ask(&mut self, reply: SyncSender<Value>, word: impl FnOnce(u64) -> Message) {
         if self.voters.is_empty() || self.waiting.len() >= OPERATORS_MOST {
             let why =
                 if self.voters.is_empty() { "this cluster has no voters" } else { "too many ask already" };
@@ -673,18 +706,19 @@
             Request::Members => self.members_told(),
             Request::Leases { lease } => {
                 let lease = lease.map(Name::from);
-                return self.ask(reply, |number| Word::List { number, lease });
+                return self.ask(reply, |number| Message::ReadLeases { request: RequestId(number), lease });
             }
             Request::Revoke { lease, token } => {
-                let command = Command::Revoke { lease: lease.into(), token };
-                return self.ask(reply, |ask| Word::Ask { ask, command });
+                let command = Command::Revoke { lease: lease.into(), token: FencingToken(token) };
+                return self.ask(reply, |ask| Message::LeaseRequest { request: RequestId(ask), command });
             }
             Request::Transfer { lease, token, to } => {
-                let command = Command::Transfer { lease: lease.into(), token, to: to.into() };
-                return self.ask(reply, |ask| Word::Ask { ask, command });
+                let command =
+                    Command::Transfer { lease: lease.into(), token: FencingToken(token), to: to.into() };
+                return self.ask(reply, |ask| Message::LeaseRequest { request: RequestId(ask), command });
             }
             Request::Take { lease, term_ms, places } => {
-                let shape = Shape { term: Duration::from_millis(term_ms), places };
+                let shape = LeaseSpec { ttl: Duration::from_millis(term_ms), capacity: places };
                 self.take(&lease, shape, Duration::ZERO)
             }
             Request::Drain => match self.drain.clone() {
@@ -692,14 +726,14 @@
                 Some((lease, at_once)) => self.take(&lease, drain_shape(at_once), DRAIN_STEP),
             },
             Request::Release { lease } => {
-                self.holder(Event::Drop { lease: lease.as_str().into() });
+                self.holder(Event::Release { lease: lease.as_str().into() });
                 json!({ "done": true })
             }
             Request::Own => self.own_told(),
             Request::Replace { old, new } => {
                 let (old, new): (Name, Name) = (old.into(), new.into());
                 for voter in self.voters.clone() {
-                    self.post.to(&voter, Word::Replace { old: old.clone(), new: new.clone() });
+                    self.post.to(&voter, Message::ReplaceVoter { old: old.clone(), new: new.clone() });
                 }
                 json!({ "asked": true })
             }
@@ -707,11 +741,11 @@
         let _ = reply.try_send(told);
     }
 
-    fn take(&mut self, lease: &str, shape: Shape, step: Duration) -> Value {
-        let event = Event::Want { lease: lease.into(), shape, step, wait: true };
-        let actions = self.holder.lock().decide(self.clock.now(), event);
+    fn take(&mut self, lease: &str, shape: LeaseSpec, step: Duration) -> Value {
+        let event = Event::Acquire { lease: lease.into(), spec: shape, max_step: step, wait: true };
+        let actions = self.holder.lock().handle_event(self.clock.now(), event);
         let refused = actions.iter().find_map(|action| match action {
-            Action::Refused { why, .. } => Some(json!({ "error": why.to_string() })),
+            Action::Rejected { reason, .. } => Some(json!({ "error": reason.to_string() })),
             _ => None,
         });
         self.carry_out(actions);
@@ -721,19 +755,19 @@
     /// What this process holds or wants, and how its voter stands.
     fn own_told(&self) -> Value {
         let holder = self.holder.lock();
-        let wanted: Vec<Value> = (holder.wanted())
+        let wanted: Vec<Value> = (holder.leases())
             .map(|(lease, standing)| match standing {
-                Standing::Held { token, told: true, .. } => {
+                LeaseStatus::Active { token, announced: true, .. } => {
                     json!({ "lease": &**lease, "held": true, "token": token })
                 }
-                Standing::Queued { ahead } => json!({ "lease": &**lease, "held": false, "ahead": ahead }),
+                LeaseStatus::Queued { ahead } => json!({ "lease": &**lease, "held": false, "ahead": ahead }),
                 _ => json!({ "lease": &**lease, "held": false }),
             })
             .collect();
         let voter = self.seat.as_ref().map(|seat| {
             let standing = seat.standing.lock().clone();
-            json!({ "phase": standing.phase, "term": standing.term, "leader": standing.leader.as_deref(),
-                "applied": standing.applied, "id": standing.id,
+            json!({ "phase": standing.phase.to_string(), "term": standing.term, "leader": standing.leader.as_deref(),
+                "applied": standing.applied_index, "id": standing.id,
                 "voters": standing.voters.values().map(|name| &**name).collect::<Vec<_>>() })
         });
         json!({ "name": &*self.post.me, "wanted": wanted, "voter": voter, "dropped_frames": self.post.links.dropped() })
@@ -766,12 +800,12 @@
     }
 
     fn leave(mut self, done: &SyncSender<()>) {
-        let names: Vec<Name> = self.holder.lock().wanted().map(|(name, _)| name.clone()).collect();
+        let names: Vec<Name> = self.holder.lock().leases().map(|(name, _)| name.clone()).collect();
         for lease in names {
             // Nothing acts any more: this is the end of the process.
-            self.holder(Event::Drop { lease });
+            self.holder(Event::Release { lease });
         }
-        self.voter(Heard::Leave);
+        self.voter(Heard::TransferLeadership);
         std::thread::sleep(HAND_ON);
         let left = self.members.handle_events(self.clock.now(), &[tulipgap_membership::Event::Leave]);
         self.member_actions(left);
