New connections are refused before edge nodes are asked to leave, not some time after

A probe shows that callers that connect and close at once fill the backlog of 1,024, and the system then drops first packets.

Lines at fault: Clients::close asked all edge nodes to leave before the accepting coroutine, which runs when its turn comes, had new connections refused. In between callers that were told to leave got in.

Now: close() has the system refuse new connections first (ListenerState), and asks them to leave behind.

--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use may::io::{WaitIo, WaitIoWaker};
+use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
 use parking_lot::Mutex;
 use slab::Slab;
@@ -205,12 +205,9 @@
     /// By what a body is known again; nobody can make up another for which it is the same.
     prints: RandomState,
     recent: Mutex<Recent>,
-    /// Nothing is to be accepted any more once all that has come is.
-    closing: AtomicBool,
     /// The listener is closed, and all that came over it stands in `connections`.
     closed: AtomicBool,
-    /// Lets the accepting look around.
-    listener: Mutex<Option<WaitIoWaker>>,
+    listener: Mutex<ListenerState>,
 }
 
 impl Clients {
@@ -239,7 +236,6 @@
             open_most,
             prints: RandomState::new(),
             recent: Mutex::default(),
-            closing: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             listener: Mutex::default(),
         })
@@ -294,13 +290,11 @@
     /// Accepts until the listener is to be closed. What came before that is served: a connection that the machine has
     /// accepted may hold a whole req, and a listener that closes on it would lose that.
     pub fn accept(self: Arc<Self>, listener: TcpListener) {
-        *self.listener.lock() = Some(listener.waker());
-        // Once this closes: until when handshakes under way may complete.
-        let mut handshakes_until = None;
+        let listener = Arc::new(listener);
+        self.listener.lock().open(&listener);
         loop {
-            if handshakes_until.is_none() && self.closing.load(Ordering::Acquire) {
-                handshakes_until = Some(refuse_new_connections(&listener));
-            }
+            // Once this closes: until when handshakes under way may complete.
+            let handshakes_until = self.listener.lock().handshakes_until;
             // Looked at before the accept, so that an empty backlog behind it stays empty.
             let closing = handshakes_until.is_some();
             let backlog_is_final = handshakes_until.is_some_and(|until| until <= Instant::now());
@@ -334,6 +328,7 @@
                 }
             }
         }
+        self.listener.lock().listener = None;
         drop(listener);
         self.closed.store(true, Ordering::Release);
     }
@@ -354,14 +349,12 @@
         }
     }
 
-    /// Has the listener closed behind all that came before, and asks all edge nodes to leave.
+    /// Has the listener closed behind all that came before, and asks all edge nodes to leave. New connections are refused
+    /// first: an edge node that is asked to leave connects anew at once, and where the accepting is late these connections
+    /// would fill the backlog, and the system would drop the first packets of others.
     pub fn close(&self) {
+        self.listener.lock().close();
         self.tell(Event::Drain);
-        self.closing.store(true, Ordering::Release);
-        // Where it does not accept yet, it sees that once it does.
-        if let Some(listener) = &*self.listener.lock() {
-            listener.wakeup();
-        }
     }
 
     /// Whether no connection is open, and none can come any more.
@@ -725,6 +718,34 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
+/// The listener, as whoever closes it sees it.
+#[derive(Default)]
+struct ListenerState {
+    listener: Option<Arc<TcpListener>>,
+    is_closing: bool,
+    /// Once it closes: until when handshakes under way may complete.
+    handshakes_until: Option<Instant>,
+}
+
+impl ListenerState {
+    /// Accepting begins; the shutdown notice may have come before.
+    fn open(&mut self, listener: &Arc<TcpListener>) {
+        self.listener = Some(listener.clone());
+        if self.is_closing {
+            self.close();
+        }
+    }
+
+    /// Has new connections refused, and wakes whoever accepts.
+    fn close(&mut self) {
+        self.is_closing = true;
+        if let Some(listener) = &self.listener {
+            self.handshakes_until.get_or_insert_with(|| refuse_new_connections(listener));
+            listener.waker().wakeup();
+        }
+    }
+}
+
 /// Has the system refuse new connections while those in the backlog and handshakes under way stay with the listener;
 /// yields until when these handshakes may complete.
 ///
--- a/crates/server/tests/program/crossings.rs
+++ b/crates/server/tests/program/crossings.rs
@@ -186,6 +186,34 @@
     }
 }
 
+/// Edge nodes that are asked to leave connect anew at once. Where the accepting was late, such connections filled the
+/// backlog, and the system dropped the first packets of others, which hung for a second. New connections are refused before
+/// anybody is asked to leave, so none of them gets in.
+#[test]
+fn whoever_is_asked_to_leave_is_refused_at_once() {
+    for round in 0..3u32 {
+        let mut stand = stand();
+        let address = format!("{}:6565", stand.host).parse().unwrap();
+        let mut edges: Vec<Edge> = (0..16).map(|_| stand.edge()).collect();
+        // What is open on it keeps the backend from ending.
+        edges[0].req(1, &format!("0000000000ef{round:04x}"), b"hang");
+        until("it runs", || !stand.kernel.lock().unwrap().runs.is_empty());
+        stand.signal("TERM");
+        let within = std::time::Duration::from_millis(800);
+        std::thread::scope(|scope| {
+            for edge in &mut edges {
+                scope.spawn(move || {
+                    while edge.answer().expect("the wish").kind != Kind::NoMore {}
+                    let error = TcpStream::connect_timeout(&address, within).expect_err("it got in");
+                    assert_eq!(error.kind(), ErrorKind::ConnectionRefused);
+                });
+            }
+        });
+        drop(edges);
+        assert_eq!(stand.ended().code(), Some(0));
+    }
+}
+
 /// The notice comes before the kernel is up: it was forgotten, and what came behind the grace was run.
 #[test]
 fn a_notice_before_the_kernel_is_up_is_heeded_once_it_is() {
