--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -3,6 +3,7 @@
 mod admitting;
 mod cost;
 mod crossings;
+mod docs;
 mod fleet;
 mod leases;
 mod load;
