Program tests are named by the behaviour they show; a test holds crossings.md to real test names

Old reading: names such as who_says_nothing_keeps_nobody_out or the_list_hears_of_it_whenever_it_listens.

--- a/crates/server/tests/program/admitting.rs
+++ b/crates/server/tests/program/admitting.rs
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn known_clients_get_in_while_one_address_opens_thousands() {
+fn known_clients_are_accepted_while_one_address_opens_thousands() {
     let (_folder, file) = settings("  known_part = 0.5");
     let stand = Arc::new(stand_told(128, Some(&file)));
     let ids = Arc::new(AtomicU32::new(1));
@@ -112,7 +112,7 @@
 }
 
 #[test]
-fn one_address_holds_its_cap_and_is_refused_at_once_beyond() {
+fn one_address_has_its_limit_and_is_rejected_at_once_beyond() {
     let (_folder, file) = settings("  address {\n    open = 5\n    rate = 1000\n  }");
     let stand = stand_told(256, Some(&file));
     let mut edges: Vec<Edge> = (0..12).filter_map(|_| from(&stand, [127, 98, 1, 1])).collect();
@@ -134,7 +134,7 @@
 /// The system's own limit lies below what the server was told, so that it runs out in earnest; reqs that were read are
 /// answered, also while it leaves.
 #[test]
-fn descriptors_that_run_out_in_earnest_lose_no_req_that_was_read() {
+fn running_out_of_descriptors_loses_no_request_that_was_read() {
     let (_folder, file) =
         settings("  when_full = \"refuse\"\n  address {\n    open = 1000\n    rate = 1000\n  }");
     let mut stand = stand_limited(256, 60, &file);
--- a/crates/server/tests/program/crossings.rs
+++ b/crates/server/tests/program/crossings.rs
@@ -71,7 +71,7 @@
 /// Connections that the machine took while the program stood still, each with a whole req on it, as the grace ended
 /// meanwhile: the program saw no connection open, ended, and lost them all.
 #[test]
-fn what_stands_in_the_backlog_when_the_grace_ends_is_answered() {
+fn requests_in_the_backlog_when_the_grace_ends_are_answered() {
     for round in 0..5u32 {
         let mut stand = stand();
         stand.signal("TERM");
@@ -101,7 +101,7 @@
 /// Callers that connect as fast as they can until the program stands still over the end of its grace, with a long
 /// backlog behind it: the closing of the listener meets all of it, and each is answered.
 #[test]
-fn whoever_connects_before_the_listener_closes_is_answered() {
+fn a_connection_before_the_listener_closes_is_answered() {
     for round in 0..4 {
         let mut stand = stand();
         let (address, lost) = (format!("{}:6565", stand.host).parse().unwrap(), Mutex::new(Vec::new()));
@@ -154,7 +154,7 @@
 /// newcomers shut out beforehand by a filter their first packet was dropped, and they hung until the system sent another
 /// after a second. What a connect meets is the system alone, however slow the program is.
 #[test]
-fn whoever_connects_as_the_listener_closes_does_not_hang() {
+fn a_connect_as_the_listener_closes_does_not_hang() {
     for round in 0..3u32 {
         let mut stand = stand();
         let address = format!("{}:6565", stand.host).parse().unwrap();
@@ -190,7 +190,7 @@
 /// backlog, and the system dropped the first packets of others, which hung for a second. New connections are refused before
 /// anybody is asked to leave, so none of them gets in.
 #[test]
-fn whoever_is_asked_to_leave_is_refused_at_once() {
+fn an_edge_node_that_is_asked_to_leave_is_refused_at_once() {
     for round in 0..3u32 {
         let mut stand = stand();
         let address = format!("{}:6565", stand.host).parse().unwrap();
@@ -216,7 +216,7 @@
 
 /// The notice comes before the kernel is up: it was forgotten, and what came behind the grace was run.
 #[test]
-fn a_notice_before_the_kernel_is_up_is_heeded_once_it_is() {
+fn a_shutdown_notice_before_the_executor_is_up_takes_effect_once_it_is() {
     let host = host();
     let (kernel, store, file) = (Shared::default(), store(&host), file(&host, &told(&host)));
     let child = start(&file);
@@ -244,7 +244,7 @@
 
 /// One thread read the file and took the signals: a file that gives nothing kept the notice from being seen.
 #[test]
-fn a_notice_is_heeded_while_the_file_is_being_read() {
+fn a_shutdown_notice_takes_effect_while_the_configuration_is_being_read() {
     let mut stand = stand();
     std::fs::remove_file(&stand.file).unwrap();
     let path = std::ffi::CString::new(stand.file.as_os_str().as_bytes()).unwrap();
@@ -262,7 +262,7 @@
 /// The kernel moves, to where a connect hangs, and on from there while it does: connects had no limit of their own, so
 /// nothing ran for two minutes.
 #[test]
-fn a_kernel_that_moves_on_while_a_connect_hangs_is_found() {
+fn an_executor_that_moves_while_a_connect_hangs_is_found() {
     let stand = stand();
     let mut edge = stand.edge();
     edge.req(1, "0000000000fe0001", b"hang");
@@ -290,7 +290,7 @@
 /// The kernel moves and moves back before the farewell to its link is answered: the link stayed, and nothing was said on
 /// it any more.
 #[test]
-fn a_kernel_that_moves_back_during_the_farewell_is_spoken_to() {
+fn an_executor_that_moves_back_during_the_farewell_is_connected_again() {
     let stand = stand();
     let mut edge = stand.edge();
     edge.req(1, "0000000000ff0001", b"hang");
@@ -314,7 +314,7 @@
 /// A link breaks as a run starts that may not run twice, and the run ends as the next link is taken up: behind the
 /// notices that were read there, and before anything said over it arrives. Its start was said again, and it ran twice.
 #[test]
-fn a_run_that_ends_as_its_link_is_taken_up_is_not_run_again() {
+fn a_run_that_ends_as_its_link_is_resynchronised_is_not_run_again() {
     for effect in [r#""effect":"side_effect""#, r#""effect":"token","memory_span":9000.0"#] {
         let host = host();
         let (kernel, store) = (listen(Shared::default(), &host), store(&host));
@@ -348,7 +348,7 @@
 /// The announce service is down at the start, and heard of it once it listens; of its leaving too, whether or not the
 /// kernel is up by then.
 #[test]
-fn the_list_hears_of_it_whenever_it_listens() {
+fn a_backend_is_registered_whenever_the_service_registry_listens() {
     let mut stand = stand();
     let hears = |socket: &std::net::UdpSocket, what: &[u8]| {
         let mut report = [0; 64];
@@ -379,7 +379,7 @@
 
 /// Likewise the store: connects that hung where it was kept all places for two minutes, so no call was made where it is.
 #[test]
-fn a_store_that_moves_on_while_connects_hang_is_called() {
+fn a_store_that_moves_while_connects_hang_is_called() {
     let stand = stand_with(32);
     let mut edge = stand.edge();
     let (nowhere, there) = (host(), host());
@@ -411,7 +411,7 @@
 /// A reply comes over a connection to where the store was, with another call waiting for a place: that one was given
 /// to the old connection.
 #[test]
-fn a_connection_to_where_the_store_was_gets_no_further_call() {
+fn a_connection_to_the_stores_old_address_gets_no_further_call() {
     let stand = stand_with(32);
     stand.store.plan(&["", "", "", "", "", "", "", ""]);
     let mut edge = stand.edge();
@@ -440,7 +440,7 @@
 
 /// The store is taken away with a call waiting for a place: the call was dropped, and its req stood until it was due.
 #[test]
-fn a_call_that_waits_as_the_store_goes_is_left_out_at_once() {
+fn a_call_that_waits_as_the_store_goes_is_skipped_at_once() {
     let stand = stand_with(32);
     stand.store.plan(&["", "", "", ""]);
     let mut edge = stand.edge();
@@ -471,7 +471,7 @@
 
 /// A file of another backend, as when two are mixed up: its kernel was taken for this one's.
 #[test]
-fn a_file_of_another_backend_moves_nobody() {
+fn a_configuration_of_another_backend_moves_no_peer() {
     let stand = stand();
     let there = host();
     let others = listen(Shared::default(), &there);
@@ -496,7 +496,7 @@
 /// Killed with reqs read, run, and answered but not sent; back under the same name and address while what its former
 /// life has started still ends.
 #[test]
-fn a_restart_hears_nothing_of_its_former_life() {
+fn a_restart_ignores_events_of_the_previous_process() {
     let mut stand = stand();
     let mut edge = stand.edge();
     for (sequence, body) in (1..).zip([&b"hang"[..], b"hang", b"call", b"run"]) {
@@ -539,7 +539,7 @@
 
 /// A slow reader at the stop: all that it has been owed lies in the rings and in the sockets, with half a req behind.
 #[test]
-fn a_slow_reader_gets_all_its_answers_at_the_stop() {
+fn a_slow_reader_gets_all_its_answers_at_shutdown() {
     let mut stand = stand();
     let mut slow = stand.edge();
     for sequence in 1..31 {
@@ -561,7 +561,7 @@
 
 /// Reqs that cross the wish to send nothing more: each is answered, and behind the grace none is run.
 #[test]
-fn a_req_that_crosses_no_more_is_answered_and_not_run() {
+fn a_request_that_crosses_the_drain_notification_is_answered_and_not_run() {
     let mut stand = stand();
     let mut edges: Vec<Edge> = (0..6).map(|_| stand.edge()).collect();
     // What is open on it keeps it from closing.
@@ -599,7 +599,7 @@
 
 /// A store that closes each connection with its reply, just as the next call is given to it. 150 calls.
 #[test]
-fn a_lane_that_closes_as_it_is_given_a_call_costs_that_call_at_most() {
+fn a_pooled_connection_that_closes_as_it_is_assigned_costs_one_call_at_most() {
     let host = host();
     let listener = std::net::TcpListener::bind((&host[..], 7700)).unwrap();
     let resets = AtomicBool::new(false);
@@ -638,7 +638,7 @@
 
 /// The answer meets a caller that is just cutting off: it is lost with its connection, and harms nobody else.
 #[test]
-fn an_answer_that_meets_a_reset_is_lost_alone() {
+fn an_answer_that_meets_a_reset_is_the_only_one_lost() {
     let stand = stand();
     let mut edge = stand.edge();
     for turn in 0..60u32 {
@@ -678,7 +678,7 @@
 /// Callers say that they give up, where the settings tell so. It was taken for garbage: the connection was left, and the
 /// reqs that came over it meanwhile were lost with it.
 #[test]
-fn a_caller_that_gives_up_takes_its_own_req_back_alone() {
+fn a_cancellation_affects_its_own_request_alone() {
     let (mut stand, file) = {
         let host = host();
         let (kernel, store) = (listen(Shared::default(), &host), store(&host));
@@ -753,7 +753,7 @@
 /// Without memory for another req, a new one is turned away and told when to come back; a repeat of one that was run
 /// is errored, as nobody may be told that it was not.
 #[test]
-fn a_repeat_of_what_was_run_is_not_turned_away_without_room() {
+fn a_duplicate_of_a_run_is_not_rejected_for_memory() {
     let host = host();
     let (kernel, store) = (listen(Shared::default(), &host), store(&host));
     let keyed = told(&host)
--- a/crates/server/tests/program/docs.rs
+++ b/crates/server/tests/program/docs.rs
@@ -1,4 +1,4 @@
-//! The pages for operators name log lines; each exists in the code.
+//! Pages name log lines and tests; each exists in the code.
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -87,6 +87,27 @@
     assert!(missing.is_empty(), "in docs/on-call.md and not in the code: {missing:#?}");
 }
 
+/// Names of tests in a page: code with at least four underscores and nothing but a name in it.
+fn quoted_tests(page: &str) -> Vec<&str> {
+    let is_name = |code: &&str| {
+        let is_word = code.chars().all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '_');
+        is_word && code.matches('_').count() >= 4
+    };
+    page.split('`').skip(1).step_by(2).filter(is_name).collect()
+}
+
+#[test]
+fn each_test_named_in_the_crossings_page_exists() {
+    let mut text = String::new();
+    sources(&root().join("crates"), &mut text);
+    sources(&root().join("tests"), &mut text);
+    let page = fs::read_to_string(root().join("docs/crossings.md")).expect("the page of crossings");
+    let tests = quoted_tests(&page);
+    assert!(tests.len() > 60, "only {} tests were found in the page", tests.len());
+    let missing: Vec<&&str> = tests.iter().filter(|test| !text.contains(&format!("fn {test}("))).collect();
+    assert!(missing.is_empty(), "in docs/crossings.md and not in the code: {missing:#?}");
+}
+
 #[test]
 fn a_log_line_that_the_code_does_not_have_is_found() {
     let page = "| line | meaning |\n| --- | --- |\n| `gone from the code count=N` | x |\n\n| other |\n| `not a log line` |\n";
--- a/crates/server/tests/program/fleet.rs
+++ b/crates/server/tests/program/fleet.rs
@@ -51,14 +51,14 @@
 /// `run` is one program, by exec, with nothing on top: recordings, which want a lasting disk, and whatever a
 /// configuration of the product's own turns on stay off there.
 #[test]
-fn run_is_one_program_by_exec_with_nothing_on_top() {
+fn the_run_command_is_one_process_by_exec_with_nothing_enabled() {
     assert_eq!(deployed("run"), "exec target/release/tulipgapd");
     assert!(deployed("build").contains("--release --locked --workspace"));
     assert!(env!("CARGO_BIN_EXE_tulipgapd").ends_with("/tulipgapd"));
 }
 
 #[test]
-fn it_serves_as_one_process_where_what_the_fleet_test_refuses_is_refused() {
+fn it_serves_as_one_process_under_the_fleet_tests_system_call_filter() {
     let host = host();
     let (kernel, store) = (listen(Shared::default(), &host), store(&host));
     let file = file(&host, &told(&host));
--- a/crates/server/tests/program/load.rs
+++ b/crates/server/tests/program/load.rs
@@ -73,7 +73,7 @@
 }
 
 #[test]
-fn each_req_is_answered_once_and_runs_once_while_links_break_and_processes_die() {
+fn each_request_is_answered_and_run_once_while_links_break_and_processes_die() {
     let text = r#"length = 150
         voters = ["a-1", "b-1", "c-1"]
         members {
--- a/crates/server/tests/program/recording.rs
+++ b/crates/server/tests/program/recording.rs
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn the_whole_life_of_each_req_is_recorded() {
+fn the_complete_life_of_each_request_is_recorded() {
     let (folder, settings) = recorded("200ms");
     let mut stand = stand_told(1024, Some(&settings));
     let mut edge = stand.edge();
@@ -160,7 +160,7 @@
 }
 
 #[test]
-fn a_folder_that_takes_nothing_harms_no_req() {
+fn a_folder_that_takes_nothing_harms_no_request() {
     let (folder, settings) = recorded("200ms");
     // A file stands where the folder should be.
     std::fs::write(folder.path().join("trace"), "in the way").unwrap();
@@ -178,7 +178,7 @@
 }
 
 #[test]
-fn a_configuration_that_makes_no_sense_is_told_and_ends_it_with_2() {
+fn an_invalid_configuration_is_reported_and_exits_with_2() {
     let folder = tempfile::tempdir().unwrap();
     let settings = folder.path().join("bad.hcl");
     std::fs::write(&settings, "trace {\n  folder = \"t\"\n  queu = 9\n}\n").unwrap();
--- a/crates/server/tests/program/serving.rs
+++ b/crates/server/tests/program/serving.rs
@@ -7,7 +7,7 @@
 use crate::stand::*;
 
 #[test]
-fn it_serves_calls_sheds_and_drains() {
+fn it_serves_calls_rejects_and_drains() {
     let mut stand = stand();
     let mut edge = stand.edge();
     edge.req(1, "00000000000000a1", b"hang");
@@ -44,7 +44,7 @@
 }
 
 #[test]
-fn a_link_that_is_cut_is_taken_up_where_it_was() {
+fn a_link_that_is_cut_is_resumed_where_it_was() {
     let stand = stand();
     let mut edge = stand.edge();
     edge.req(1, "00000000000000b1", b"run");
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn peers_move_when_it_is_told() {
+fn peers_move_on_sighup() {
     let stand = stand();
     let mut edge = stand.edge();
     edge.req(1, "0000000000000aa1", b"hang");
@@ -114,7 +114,7 @@
 }
 
 #[test]
-fn what_was_not_heard_of_behind_missing_notices_is_not_run_again() {
+fn a_run_unheard_of_behind_missing_notices_is_not_run_again() {
     let stand = stand();
     let mut edge = stand.edge();
     edge.req(1, "00000000000000e1", b"hang");
@@ -137,7 +137,7 @@
 }
 
 #[test]
-fn calls_are_left_out_while_the_store_is_down() {
+fn calls_are_skipped_while_the_store_is_down() {
     let stand = stand();
     stand.store.down.store(true, Ordering::Release);
     let mut edge = stand.edge();
@@ -155,7 +155,7 @@
 }
 
 #[test]
-fn a_call_that_is_not_answered_is_given_up() {
+fn a_call_that_is_not_answered_times_out() {
     let stand = stand();
     stand.store.plan(&[""; 9]);
     let mut edge = stand.edge();
@@ -165,7 +165,7 @@
 }
 
 #[test]
-fn a_reply_that_is_spoilt_costs_its_own_call_only() {
+fn a_malformed_reply_costs_its_own_call_only() {
     let stand = stand();
     let mut edge = stand.edge();
     for (at, spoilt) in ["\u{1}noise\r\n", "ID OK 3000000000\r\nx", "ID OK 2\r\nfour\r\n", &"x".repeat(9000)]
@@ -193,7 +193,7 @@
 }
 
 #[test]
-fn a_reply_lost_with_the_link_is_made_up_for() {
+fn a_reply_lost_with_the_link_is_replaced_by_a_skip() {
     let stand = stand();
     let mut edge = stand.edge();
     stand.kernel.lock().unwrap().losing = true;
@@ -203,7 +203,7 @@
 }
 
 #[test]
-fn ids_that_the_kernel_does_not_know_turn_nobody_away() {
+fn ids_unknown_to_the_executor_reject_nobody_else() {
     let stand = stand();
     let mut edge = stand.edge();
     for sequence in 1..20 {
@@ -219,7 +219,7 @@
 }
 
 #[test]
-fn who_says_nothing_keeps_nobody_out() {
+fn silent_connections_keep_nobody_out() {
     let stand = stand_with(48);
     // Those that asked once and stay go too, the oldest first.
     let asked = |at: u32| {
@@ -245,7 +245,7 @@
 }
 
 #[test]
-fn a_peer_that_talks_nonsense_is_spoken_to_anew() {
+fn a_peer_that_violates_its_protocol_is_connected_again() {
     let stand = stand();
     let mut edge = stand.edge();
     let long = "x".repeat(5000);
@@ -272,7 +272,7 @@
 }
 
 #[test]
-fn each_req_is_answered_once_while_links_are_cut() {
+fn each_request_is_answered_once_while_links_are_cut() {
     const EACH: u32 = 150;
     let stand = stand();
     let mut edges: Vec<Edge> = (0..4).map(|_| stand.edge()).collect();
@@ -383,7 +383,7 @@
 }
 
 #[test]
-fn a_reader_that_is_slow_holds_up_nobody_else() {
+fn a_slow_reader_holds_up_nobody_else() {
     let stand = stand();
     let mut slow = stand.edge();
     let mut edge = stand.edge();
@@ -403,7 +403,7 @@
 }
 
 #[test]
-fn what_makes_no_sense_is_told_in_one_line() {
+fn an_invalid_configuration_is_reported_in_one_line() {
     let host = host();
     let told = told(&host);
     for (from, to, problem) in [
@@ -446,7 +446,7 @@
 }
 
 #[test]
-fn thousands_of_held_reqs_fit_its_memory() {
+fn thousands_of_queued_requests_fit_its_memory() {
     let stand = stand();
     let mut edges: Vec<Edge> = (0..64).map(|_| stand.edge()).collect();
     for (at, edge) in edges.iter_mut().enumerate() {
@@ -481,7 +481,7 @@
 /// writes. One build serves it from the settings alone; a write that may run again is refused at start, by the
 /// key at fault.
 #[test]
-fn the_shape_of_the_move_is_served_and_a_write_that_may_run_again_refused() {
+fn settings_with_writes_are_served_and_an_idempotent_write_is_refused() {
     let new_shape = |host: &str| {
         told(host)
             .replace(r#""say":"weight""#, r#""say":"silent","list_follows":true"#)
@@ -508,7 +508,7 @@
 
 /// recife-matching gives callers a value and has the list follow health; such settings were refused at start.
 #[test]
-fn a_value_on_answers_beside_a_list_that_follows_health_is_served() {
+fn feedback_values_beside_a_list_that_follows_health_are_served() {
     let host = host();
     let (kernel, store) = (listen(Shared::default(), &host), store(&host));
     let file =
@@ -523,7 +523,7 @@
 /// An effect of a word the backend does not know, such as the site file's "keyed" for the wire's "token",
 /// was told by its line and column alone.
 #[test]
-fn a_wrong_word_in_the_settings_is_refused_by_its_key_and_line() {
+fn an_invalid_word_in_the_settings_is_reported_with_key_and_line() {
     let host = host();
     let file = file(&host, &told(&host).replace(r#""effect":"pure""#, r#""effect":"keyed""#));
     let (status, error) = refusal(&file);
