--- a/crates/server/src/invariant.rs
+++ b/crates/server/src/invariant.rs
@@ -1,8 +1,8 @@
 //! Invariants: asserted in debug builds; counted, and logged at a bounded rate, in release builds.
 
-use crate::log::Bound;
+use crate::log::LogLimit;
 
-static VIOLATIONS: Bound = Bound::new();
+static VIOLATIONS: LogLimit = LogLimit::new();
 
 /// Checks that a condition holds, and reports a violation otherwise.
 #[macro_export]
--- a/crates/server/src/net/executor/link.rs
+++ b/crates/server/src/net/executor/link.rs
@@ -12,7 +12,7 @@
 use super::resync::Delivery;
 use super::{ExecutorClient, LinkState};
 use crate::clock;
-use crate::log::Bound;
+use crate::log::LogLimit;
 use crate::net::connect::connect;
 use crate::net::lines::Line;
 use crate::net::spawn;
@@ -24,9 +24,9 @@
 /// How long a link that is left may take to show that everything sent over it has arrived.
 const FAREWELL_TIMEOUT: Duration = Duration::from_millis(100);
 
-static REMARKS: Bound = Bound::new();
-static REFUSALS: Bound = Bound::new();
-static LINK_FAILURES: Bound = Bound::new();
+static REMARKS: LogLimit = LogLimit::new();
+static REFUSALS: LogLimit = LogLimit::new();
+static LINK_FAILURES: LogLimit = LogLimit::new();
 
 impl ExecutorClient {
     /// Keeps a link open for good.
--- a/crates/server/src/net/frontend/connection.rs
+++ b/crates/server/src/net/frontend/connection.rs
@@ -13,7 +13,7 @@
 use super::codec::{self, Call, CallError, Message, Reply};
 use super::{Frontend, MALFORMED_MESSAGES};
 use crate::clock;
-use crate::log::Bound;
+use crate::log::LogLimit;
 use crate::net::spawn;
 use crate::net::stream::{BufferedStream, Output, SendOutcome};
 use crate::requests::{RequestEvent, RequestId};
@@ -32,7 +32,7 @@
 /// Malformed messages after which a connection closes.
 const MAX_MALFORMED_MESSAGES: usize = 8;
 
-static MESSAGE_TIMEOUTS: Bound = Bound::new();
+static MESSAGE_TIMEOUTS: LogLimit = LogLimit::new();
 
 /// The stream of a connection that was accepted.
 pub(super) fn new_stream(stream: TcpStream) -> BufferedStream {
--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -15,7 +15,7 @@
 use super::Frontend;
 use super::connection::{Connection, new_stream};
 use crate::clock;
-use crate::log::Bound;
+use crate::log::LogLimit;
 use crate::net::connect::adopt;
 use crate::net::spawn;
 
@@ -34,8 +34,8 @@
 const ENOBUFS: i32 = 105;
 const ENOMEM: i32 = 12;
 
-static ACCEPT_FAILURES: Bound = Bound::new();
-static REJECTED_CONNECTIONS: Bound = Bound::new();
+static ACCEPT_FAILURES: LogLimit = LogLimit::new();
+static REJECTED_CONNECTIONS: LogLimit = LogLimit::new();
 
 /// The listener, as whoever closes it sees it.
 #[derive(Default)]
--- a/crates/server/src/net/frontend/mod.rs
+++ b/crates/server/src/net/frontend/mod.rs
@@ -38,7 +38,7 @@
 use super::executor::ExecutorClient;
 use super::store::StoreClient;
 use crate::invariant;
-use crate::log::Bound;
+use crate::log::LogLimit;
 use crate::requests::RequestRegistry;
 
 /// Descriptors that are reserved for the executor, the log and the runtime.
@@ -52,9 +52,9 @@
 /// The fraction of this process's memory that open requests may take; what comes beyond is rejected unregistered.
 const OPEN_REQUESTS_MEMORY_FRACTION: f64 = 0.45;
 
-static MALFORMED_MESSAGES: Bound = Bound::new();
-static REJECTED_WITHOUT_MEMORY: Bound = Bound::new();
-static EVICTIONS: Bound = Bound::new();
+static MALFORMED_MESSAGES: LogLimit = LogLimit::new();
+static REJECTED_WITHOUT_MEMORY: LogLimit = LogLimit::new();
+static EVICTIONS: LogLimit = LogLimit::new();
 
 /// All connections from edge nodes. It owns the connection table and the limiter that decides on it.
 pub(crate) struct Frontend {
--- a/crates/server/src/net/peers.rs
+++ b/crates/server/src/net/peers.rs
@@ -14,7 +14,7 @@
 use tulipgap_leases::{Incarnation, Name};
 use tulipgap_peer_protocol::{Envelope, FrameCodec, FrameError, HEADER_BYTES, MAX_DATAGRAM_BYTES, Message};
 
-use crate::log::Bound;
+use crate::log::LogLimit as Bound;
 
 /// Frames that wait for one peer; beyond, the newest are dropped.
 const WAITING: usize = 256;
--- a/crates/server/src/net/registration.rs
+++ b/crates/server/src/net/registration.rs
@@ -8,7 +8,7 @@
 
 use crate::clock;
 use crate::config::CurrentAddress;
-use crate::log::Bound;
+use crate::log::LogLimit;
 
 /// The interval of heartbeats. A backend is taken off the list 3 s after its last one. Where a quarter of the datagrams
 /// are lost, all of the 19 in such a span are with a probability of one in 10^11; at an interval of 700 ms it would be
@@ -17,7 +17,7 @@
 /// How often the deregistration is sent, because nothing is sent again afterwards.
 const DEREGISTRATION_ATTEMPTS: usize = 3;
 
-static SEND_FAILURES: Bound = Bound::new();
+static SEND_FAILURES: LogLimit = LogLimit::new();
 
 /// What the service registry is to learn.
 pub(crate) enum Registration {
--- a/crates/server/src/net/store/connection.rs
+++ b/crates/server/src/net/store/connection.rs
@@ -10,7 +10,7 @@
 use super::StoreClient;
 use super::pool::{ConnectionId, Received};
 use super::protocol::{self, has_body};
-use crate::log::Bound;
+use crate::log::LogLimit;
 use crate::net::connect::connect;
 use crate::net::lines::{Line, MAX_BODY_BYTES, MAX_LINE_BYTES};
 use crate::net::stream::{BufferedStream, protocol_error};
@@ -21,8 +21,8 @@
 /// Stray replies that are ignored while the right one is awaited.
 const MAX_STRAY_REPLIES: usize = 8;
 
-static CONNECTION_FAILURES: Bound = Bound::new();
-static STRAY_REPLIES: Bound = Bound::new();
+static CONNECTION_FAILURES: LogLimit = LogLimit::new();
+static STRAY_REPLIES: LogLimit = LogLimit::new();
 
 impl StoreClient {
     pub(super) fn run(self: &Arc<Self>, address: SocketAddr, id: ConnectionId) {
--- a/crates/server/src/net/store/mod.rs
+++ b/crates/server/src/net/store/mod.rs
@@ -16,10 +16,10 @@
 use self::pool::{Call, ConnectionPool};
 use super::spawn;
 use crate::config::CurrentAddress;
-use crate::log::Bound;
+use crate::log::LogLimit;
 use crate::requests::{Bytes, Outcome, RequestEvent, RequestId, RequestRegistry};
 
-static CALL_TIMEOUTS: Bound = Bound::new();
+static CALL_TIMEOUTS: LogLimit = LogLimit::new();
 
 /// The client side of the store. It owns the connection pool; the end of each call is reported to the registry.
 pub(crate) struct StoreClient {
--- a/crates/server/src/trace.rs
+++ b/crates/server/src/trace.rs
@@ -12,13 +12,13 @@
     Terms,
 };
 
-use crate::log::Bound;
+use crate::log::LogLimit;
 use crate::requests::{IncomingRequest, Response};
 
 /// How long the end of the program waits for the last records.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
-static DISK_FAILURES: Bound = Bound::new();
+static DISK_FAILURES: LogLimit = LogLimit::new();
 
 /// What a connection knows of a request beside what is decided by.
 #[derive(Clone, Copy, Debug)]
