--- a/crates/server/src/clock.rs
+++ b/crates/server/src/clock.rs
@@ -85,10 +85,10 @@
     CLOCK.wake(at, waiter);
 }
 
-/// Blocks a coroutine until it is woken, or until that time; at times it deadlines without either.
-pub fn park(waiter: &Arc<Blocker>, by: Option<Instant>) {
-    if let Some(by) = by {
-        wake_at(by, waiter);
+/// Blocks a coroutine until it is woken or until the deadline; it may wake up spuriously.
+pub(crate) fn park(waiter: &Arc<Blocker>, deadline: Option<Instant>) {
+    if let Some(deadline) = deadline {
+        wake_at(deadline, waiter);
     }
     // The caller looks at what it waits for, and at the clock.
     let _ = waiter.park(None);
