--- a/crates/server/src/clock.rs
+++ b/crates/server/src/clock.rs
@@ -1,4 +1,4 @@
-//! Deadlines of coroutines. A thread of its own keeps them and deadlines whoever waits. may's own timers are not used: once
+//! Deadlines of coroutines. A thread of its own keeps them and wakes whoever waits. may's own timers are not used: once
 //! there were waits of over 1024 different spans, it frees lists of them that are still referred to. Then an assertion of
 //! its queue fails, its thread is gone, and no wait ever ends.
 
