--- a/crates/server/tests/program/admitting.rs
+++ b/crates/server/tests/program/admitting.rs
@@ -8,7 +8,9 @@
 
 use socket2::{Domain, Socket, Type};
 
-use crate::stand::*;
+use crate::harness::backend::{TestBackend, start_backend_with, start_backend_with_descriptor_limit};
+use crate::harness::edge_node::{AnswerKind, EdgeConnection, request_fields};
+use crate::harness::{LONG_TIMEOUT, wait_until};
 
 /// Ends the flood, also when the test fails before.
 struct Ends(Arc<AtomicBool>);
@@ -30,27 +32,28 @@
 }
 
 /// A connection from that address; `None` where the server's end of it is not to be had.
-fn from(stand: &Stand, address: [u8; 4]) -> Option<Edge> {
+fn from(backend: &TestBackend, address: [u8; 4]) -> Option<EdgeConnection> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.bind(&SocketAddr::from((Ipv4Addr::from(address), 0)).into()).ok()?;
-    let host: Ipv4Addr = stand.host.parse().unwrap();
+    let host: Ipv4Addr = backend.host.parse().unwrap();
     socket.connect_timeout(&SocketAddr::from((host, 6565)).into(), PROMPT).ok()?;
     let stream: TcpStream = socket.into();
-    stream.set_read_timeout(Some(LONG)).unwrap();
-    Some(Edge { stream })
+    stream.set_read_timeout(Some(LONG_TIMEOUT)).unwrap();
+    Some(EdgeConnection { stream })
 }
 
 /// Sends a req, and tells whether it was answered before the connection ended.
-fn served(edge: &mut Edge, sequence: u32, id: u64) -> bool {
+fn served(edge: &mut EdgeConnection, sequence: u32, id: u64) -> bool {
     use std::io::Write;
     // What was refused may be closed before all is written.
-    let message = edge.message(sequence, &fields(&format!("{id:016x}"), "20.0"), b"run");
-    edge.stream.write_all(&message).is_ok() && edge.answer().is_some_and(|answer| answer.kind == Kind::Answer)
+    let message = edge.message(sequence, &request_fields(&format!("{id:016x}"), "20.0"), b"run");
+    edge.stream.write_all(&message).is_ok()
+        && edge.read_answer().is_some_and(|answer| answer.kind == AnswerKind::Answer)
 }
 
-/// Has an address earn that it is known: reqs done over some seconds.
-fn earn(stand: &Stand, address: [u8; 4], ids: &AtomicU32) {
-    let mut edge = from(stand, address).unwrap();
+/// Has an address earn that it is known: requests done over some seconds.
+fn earn(backend: &TestBackend, address: [u8; 4], ids: &AtomicU32) {
+    let mut edge = from(backend, address).unwrap();
     let start = Instant::now();
     for sequence in 1.. {
         assert!(served(&mut edge, sequence, ids.fetch_add(1, Ordering::Relaxed).into()));
@@ -64,24 +67,24 @@
 #[test]
 fn known_clients_are_accepted_while_one_address_opens_thousands() {
     let (_folder, file) = settings("  known_part = 0.5");
-    let stand = Arc::new(stand_told(128, Some(&file)));
+    let backend = Arc::new(start_backend_with(128, Some(&file)));
     let ids = Arc::new(AtomicU32::new(1));
     let known: Vec<[u8; 4]> = (1..=8).map(|host| [127, 200, 1, host]).collect();
     std::thread::scope(|scope| {
         for &address in &known {
-            let (stand, ids) = (&stand, &ids);
-            scope.spawn(move || earn(stand, address, ids));
+            let (backend, ids) = (&backend, &ids);
+            scope.spawn(move || earn(backend, address, ids));
         }
     });
     let flooding = Arc::new(AtomicBool::new(true));
     let ends = Ends(flooding.clone());
     let flood = {
-        let (stand, flooding) = (stand.clone(), flooding.clone());
+        let (backend, flooding) = (backend.clone(), flooding.clone());
         std::thread::spawn(move || {
             let (mut held, mut tried) = (Vec::new(), 0u32);
             while flooding.load(Ordering::Acquire) || tried < 5000 {
                 tried += 1;
-                held.extend(from(&stand, [127, 99, 9, 9]));
+                held.extend(from(&backend, [127, 99, 9, 9]));
                 // Its own descriptors are bounded, too: the oldest go.
                 if held.len() > 400 {
                     held.drain(..200);
@@ -94,7 +97,7 @@
     for turn in 0..5 {
         for &address in &known {
             let start = Instant::now();
-            let mut edge = from(&stand, address).expect("it connects");
+            let mut edge = from(&backend, address).expect("it connects");
             assert!(
                 served(&mut edge, 1, ids.fetch_add(1, Ordering::Relaxed).into()),
                 "turn {turn}, {address:?}"
@@ -107,62 +110,68 @@
     assert!(flood.join().unwrap() >= 5000);
     println!("slowest of 40 known ones: {slowest:?}");
     assert!(slowest < PROMPT, "{slowest:?}");
-    let files = std::fs::read_dir(format!("/proc/{}/fd", stand.child.id())).unwrap().count();
+    let files = std::fs::read_dir(format!("/proc/{}/fd", backend.child.id())).unwrap().count();
     assert!(files <= 128, "{files} descriptors");
 }
 
 #[test]
 fn one_address_has_its_limit_and_is_rejected_at_once_beyond() {
     let (_folder, file) = settings("  address {\n    open = 5\n    rate = 1000\n  }");
-    let stand = stand_told(256, Some(&file));
-    let mut edges: Vec<Edge> = (0..12).filter_map(|_| from(&stand, [127, 98, 1, 1])).collect();
+    let backend = start_backend_with(256, Some(&file));
+    let mut edges: Vec<EdgeConnection> = (0..12).filter_map(|_| from(&backend, [127, 98, 1, 1])).collect();
     let in_time: Vec<bool> = (1..).zip(&mut edges).map(|(id, edge)| served(edge, 1, id)).collect();
     assert_eq!(in_time.iter().filter(|&&served| served).count(), 5);
     // Who is refused learns it at once, and not by waiting.
     let start = Instant::now();
-    let mut refused = from(&stand, [127, 98, 1, 1]).unwrap();
+    let mut refused = from(&backend, [127, 98, 1, 1]).unwrap();
     assert!(refused.is_closed() && start.elapsed() < PROMPT);
-    let mut other = from(&stand, [127, 98, 1, 2]).unwrap();
+    let mut other = from(&backend, [127, 98, 1, 2]).unwrap();
     assert!(served(&mut other, 1, 77), "another address has its own");
     drop(edges);
-    until("the place is free again", || {
-        from(&stand, [127, 98, 1, 1])
+    wait_until("the place is free again", || {
+        from(&backend, [127, 98, 1, 1])
             .is_some_and(|mut edge| served(&mut edge, 1, 99 + u64::from(fastrand::u32(..))))
     });
 }
 
-/// The system's own limit lies below what the server was told, so that it runs out in earnest; reqs that were read are
+/// The system's own limit lies below what the server was told, so that it runs out in earnest; requests that were read are
 /// answered, also while it leaves.
 #[test]
 fn running_out_of_descriptors_loses_no_request_that_was_read() {
     let (_folder, file) =
         settings("  when_full = \"refuse\"\n  address {\n    open = 1000\n    rate = 1000\n  }");
-    let mut stand = stand_limited(256, 60, &file);
-    let mut early: Vec<Edge> = (1..=3).map(|host| from(&stand, [127, 97, 1, host]).unwrap()).collect();
+    let mut backend = start_backend_with_descriptor_limit(256, 60, &file);
+    let mut early: Vec<EdgeConnection> =
+        (1..=3).map(|host| from(&backend, [127, 97, 1, host]).unwrap()).collect();
     for (id, edge) in (1u32..).zip(&mut early) {
-        edge.req(1, &format!("{id:016x}"), b"hang");
+        edge.request(1, &format!("{id:016x}"), b"hang");
     }
-    until("they run", || stand.kernel.lock().unwrap().runs.len() == 3);
+    wait_until("they run", || backend.kernel.lock().unwrap().runs.len() == 3);
     // Far more than there are descriptors; each is let in, refused or waits, and none stops the server.
-    let many: Vec<Edge> = (0..120).filter_map(|at| from(&stand, [127, 96, 1, at % 4])).collect();
-    assert!(stand.child.try_wait().unwrap().is_none());
+    let many: Vec<EdgeConnection> = (0..120).filter_map(|at| from(&backend, [127, 96, 1, at % 4])).collect();
+    assert!(backend.child.try_wait().unwrap().is_none());
     drop(many);
-    until("it takes new ones again", || {
-        from(&stand, [127, 95, 1, 1]).is_some_and(|mut edge| served(&mut edge, 1, fastrand::u64(..)))
+    wait_until("it takes new ones again", || {
+        from(&backend, [127, 95, 1, 1]).is_some_and(|mut edge| served(&mut edge, 1, fastrand::u64(..)))
     });
     // Once more, and then it leaves.
-    let many: Vec<Edge> = (0..120).filter_map(|at| from(&stand, [127, 96, 1, at % 4])).collect();
-    stand.signal("TERM");
-    let notice = early[0].answer();
-    assert!(notice.is_some_and(|answer| answer.kind == Kind::NoMore), "it leaves");
+    let many: Vec<EdgeConnection> = (0..120).filter_map(|at| from(&backend, [127, 96, 1, at % 4])).collect();
+    backend.signal("TERM");
+    let notice = early[0].read_answer();
+    assert!(notice.is_some_and(|answer| answer.kind == AnswerKind::NoMore), "it leaves");
     for id in 1..=3 {
-        stand.kernel.lock().unwrap().end(&format!("{id:016x}"), "success", b"late, and whole");
+        backend.kernel.lock().unwrap().end(&format!("{id:016x}"), "success", b"late, and whole");
     }
     for edge in &mut early {
-        let answer = std::iter::from_fn(|| edge.answer()).find(|answer| answer.kind != Kind::NoMore);
-        assert!(answer.is_some_and(|answer| answer.kind == Kind::Answer && answer.holds(b"late, and whole")));
+        let answer =
+            std::iter::from_fn(|| edge.read_answer()).find(|answer| answer.kind != AnswerKind::NoMore);
+        assert!(
+            answer.is_some_and(
+                |answer| answer.kind == AnswerKind::Answer && answer.contains(b"late, and whole")
+            )
+        );
     }
     drop(many);
     drop(early);
-    assert!(stand.ended().success());
+    assert!(backend.wait_for_exit().success());
 }
--- a/crates/server/tests/program/cost.rs
+++ b/crates/server/tests/program/cost.rs
@@ -4,8 +4,10 @@
 
 use std::time::{Duration, Instant};
 
+use crate::harness::backend::{TestBackend, start_backend_with};
+use crate::harness::edge_node::{AnswerKind, request_fields_with};
+use crate::harness::unique_address;
 use crate::recording::recorded;
-use crate::stand::*;
 
 const PAIRS: usize = 9;
 const EDGES: usize = 4;
@@ -24,21 +26,21 @@
 
 /// CPU microseconds a req, those of the writer's thread among them, and the median and 99th percentile of response times in microseconds.
 fn measured(settings: Option<&std::path::Path>) -> [f64; 4] {
-    let mut stand = stand_told(1024, settings);
-    let before = cpu(stand.child.id());
+    let mut backend = start_backend_with(1024, settings);
+    let before = cpu(backend.child.id());
     let edges: Vec<_> = (0..EDGES)
         .map(|edge| {
-            let mut node = stand.edge();
+            let mut node = backend.connect();
             std::thread::spawn(move || {
                 let mut times = Vec::with_capacity(EACH as usize);
                 for sequence in 1..=EACH {
                     let start = Instant::now();
-                    node.req(
+                    node.request(
                         sequence,
                         &format!("{:016x}", (edge as u64) << 32 | u64::from(sequence)),
                         b"run",
                     );
-                    node.expect(sequence, Kind::Answer);
+                    node.expect_answer(sequence, AnswerKind::Answer);
                     times.push(start.elapsed());
                 }
                 times
@@ -46,13 +48,13 @@
         })
         .collect();
     let mut times: Vec<Duration> = edges.into_iter().flat_map(|edge| edge.join().unwrap()).collect();
-    let after = cpu(stand.child.id());
+    let after = cpu(backend.child.id());
     let used: f64 = after.iter().map(|(name, used)| used - before.get(name).unwrap_or(&0.0)).sum();
     let writer = after.get("trace").map_or(0.0, |used| used - before.get("trace").unwrap_or(&0.0));
     times.sort();
     let at = |part: f64| times[(times.len() as f64 * part) as usize].as_secs_f64() * 1e6;
-    stand.signal("TERM");
-    assert!(stand.ended().success());
+    backend.signal("TERM");
+    assert!(backend.wait_for_exit().success());
     let each = |seconds: f64| seconds * 1e6 / times.len() as f64;
     [each(used), each(writer), at(0.5), at(0.99)]
 }
@@ -100,7 +102,7 @@
 fn cost_of_a_cluster() {
     let folder = tempfile::tempdir().unwrap();
     std::fs::write(folder.path().join("key"), b"long enough to keep anybody out").unwrap();
-    let hosts: Vec<String> = (0..5).map(|_| host()).collect();
+    let hosts: Vec<String> = (0..5).map(|_| unique_address()).collect();
     let settings = |at: usize| {
         let path = |name: &str| folder.path().join(name).display().to_string();
         let text = format!(
@@ -114,46 +116,46 @@
         std::fs::write(&file, text).unwrap();
         file
     };
-    let _others: Vec<Stand> = (1..5).map(|at| stand_told(1024, Some(&settings(at)))).collect();
+    let _others: Vec<TestBackend> = (1..5).map(|at| start_backend_with(1024, Some(&settings(at)))).collect();
     pairs(&settings(0), 5);
 }
 
-/// As many reqs as an hour at 190 a second has, as fast as they go, recorded on loopback: each is in the file.
+/// As many requests as an hour at 190 a second has, as fast as they go, recorded on loopback: each is in the file.
 #[test]
 #[ignore = "a measurement"]
 fn an_hour_of_reqs() {
     const EDGES: u32 = 6;
     const ALL: u32 = 684_000;
     let (folder, settings) = recorded("5s");
-    let mut stand = stand_told(1024, Some(&settings));
+    let mut backend = start_backend_with(1024, Some(&settings));
     let start = Instant::now();
     let edges: Vec<_> = (0..EDGES)
         .map(|edge| {
-            let mut node = stand.edge();
+            let mut node = backend.connect();
             std::thread::spawn(move || {
                 for sequence in 1..=ALL / EDGES {
                     let id = format!("{:016x}", fastrand::u64(..) << 32 | u64::from(edge << 24 | sequence));
                     let body: &[u8] = if sequence % 5 == 0 { b"call" } else { b"run" };
                     if sequence % 11 == 0 {
-                        node.process(sequence, &with(&id, "ms", "60000.00"), body);
+                        node.process(sequence, &request_fields_with(&id, "ms", "60000.00"), body);
                     } else {
-                        node.req(sequence, &id, body);
+                        node.request(sequence, &id, body);
                     }
-                    node.answer().unwrap();
+                    node.read_answer().unwrap();
                 }
             })
         })
         .collect();
     edges.into_iter().for_each(|edge| edge.join().unwrap());
     let took = start.elapsed();
-    stand.signal("TERM");
-    assert!(stand.ended().success());
+    backend.signal("TERM");
+    assert!(backend.wait_for_exit().success());
     let files = std::fs::read_dir(folder.path().join("trace")).unwrap().flatten();
     let bytes: u64 = files.map(|file| file.metadata().unwrap().len()).sum();
     let records = crate::recording::count(folder.path());
     let each = bytes as f64 / records as f64;
     println!(
-        "{ALL} reqs in {:.0} s: {records} records, {bytes} bytes, {each:.1} a record",
+        "{ALL} requests in {:.0} s: {records} records, {bytes} bytes, {each:.1} a record",
         took.as_secs_f64()
     );
     assert_eq!(records as u32, ALL);
--- a/crates/server/tests/program/fleet.rs
+++ b/crates/server/tests/program/fleet.rs
@@ -5,7 +5,11 @@
 use std::path::Path;
 use std::process::{Command, Stdio};
 
-use crate::stand::*;
+use crate::harness::backend::{TestBackend, config_json, write_config};
+use crate::harness::edge_node::AnswerKind;
+use crate::harness::executor::{SharedExecutor, serve_executor};
+use crate::harness::store::start_store;
+use crate::harness::unique_address;
 
 /// System calls that are refused there, beside a new process, which is a clone that is no thread.
 const REFUSED: [i64; 6] = [
@@ -59,27 +63,27 @@
 
 #[test]
 fn it_serves_as_one_process_under_the_fleet_tests_system_call_filter() {
-    let host = host();
-    let (kernel, store) = (listen(Shared::default(), &host), store(&host));
-    let file = file(&host, &told(&host));
+    let host = unique_address();
+    let (kernel, store) = (serve_executor(SharedExecutor::default(), &host), start_store(&host));
+    let file = write_config(&host, &config_json(&host));
     let run = deployed("run").replace("target/release/tulipgapd", env!("CARGO_BIN_EXE_tulipgapd"));
     let mut command = Command::new("/bin/sh");
     command.args(["-c", &run]).env("LB_CONFIG", &file).stdin(Stdio::null()).stderr(Stdio::piped());
     // Safe: it only makes system calls.
     let child = unsafe { command.pre_exec(refuse) }.spawn().unwrap();
-    let mut stand = Stand { host, kernel, store, child, file };
-    stand.serves();
-    let mut edge = stand.edge();
-    edge.req(1, "0000000000000f01", b"run");
-    edge.expect(1, Kind::Answer);
-    edge.req(2, "0000000000000f02", b"call");
-    assert!(edge.expect(2, Kind::Answer).holds(b"richer"));
-    stand.signal("HUP");
-    edge.req(3, "0000000000000f03", b"run");
-    edge.expect(3, Kind::Answer);
+    let mut backend = TestBackend { host, kernel, store, child, file };
+    backend.wait_until_serving();
+    let mut edge = backend.connect();
+    edge.request(1, "0000000000000f01", b"run");
+    edge.expect_answer(1, AnswerKind::Answer);
+    edge.request(2, "0000000000000f02", b"call");
+    assert!(edge.expect_answer(2, AnswerKind::Answer).contains(b"richer"));
+    backend.signal("HUP");
+    edge.request(3, "0000000000000f03", b"run");
+    edge.expect_answer(3, AnswerKind::Answer);
 
     // The shell has made way for it, which is linked dynamically and has no further process and no file.
-    let of = |what: &str| format!("/proc/{}/{what}", stand.child.id());
+    let of = |what: &str| format!("/proc/{}/{what}", backend.child.id());
     let maps = std::fs::read_to_string(of("maps")).unwrap();
     assert!(maps.contains("/tulipgapd") && maps.contains("/libc.so"), "{maps}");
     let threads = std::fs::read_dir(of("task")).unwrap().map(|thread| thread.unwrap().path());
@@ -115,7 +119,7 @@
         assert!(!among.iter().any(|word| name.starts_with(word)), "{name}");
     }
 
-    stand.signal("TERM");
+    backend.signal("TERM");
     drop(edge);
-    assert_eq!(stand.ended().code(), Some(0));
+    assert_eq!(backend.wait_for_exit().code(), Some(0));
 }
--- /dev/null
+++ b/crates/server/tests/program/harness/executor.rs
@@ -0,0 +1,157 @@
+//! A stub of the executor.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+/// A stub of the executor. It does what a request's body says: `run` ends at once, `large` too with a result of almost
+/// 4 KiB, `hang` when it is cancelled or the test ends it, `call` once its call is over.
+#[derive(Default)]
+pub struct ExecutorStub {
+    /// All notices so far; the first has number 1.
+    pub notices: Vec<Vec<u8>>,
+    /// Runs that have not ended, and how often each was started.
+    pub runs: HashMap<String, u32>,
+    /// How often each has ended.
+    pub ends: HashMap<String, u32>,
+    pub link: Option<TcpStream>,
+    pub link_count: u32,
+    /// The next reply to a call is lost with the link that carried it.
+    pub loses_link_at_reply: bool,
+    /// The link breaks as the next run starts. The run ends behind the first gauges over the next link, and its notice is
+    /// delayed until more is received there.
+    pub cuts_link_at_start: bool,
+    pub ending_run: Option<String>,
+    pub delayed_notice: Vec<u8>,
+    pub replies: Vec<Vec<u8>>,
+}
+
+/// The result of a run whose body is `large`.
+pub fn large_result(id: &str) -> Vec<u8> {
+    id.bytes().cycle().take(4000).collect()
+}
+
+pub type SharedExecutor = Arc<Mutex<ExecutorStub>>;
+
+impl ExecutorStub {
+    pub fn notice(&mut self, word: &str, rest: String, body: &[u8]) {
+        let head = format!("{word} {} {rest} {}\r\n", self.notices.len() + 1, body.len());
+        let bytes = [head.as_bytes(), body, b"\r\n"].concat();
+        if let Some(link) = &mut self.link {
+            let _ = link.write_all(&bytes);
+        }
+        self.notices.push(bytes);
+    }
+
+    pub fn end(&mut self, id: &str, end: &str, result: &[u8]) {
+        if self.runs.remove(id).is_some() {
+            *self.ends.entry(id.to_owned()).or_default() += 1;
+            self.notice("REAP", format!("{id} {end} 1.5"), result);
+        }
+    }
+
+    pub fn send_line(&mut self, line: String) {
+        if let Some(link) = &mut self.link {
+            let _ = link.write_all(line.as_bytes());
+        }
+    }
+
+    pub fn handle_command(&mut self, words: &[&str], body: Vec<u8>) {
+        if let Some(link) = &mut self.link {
+            let _ = link.write_all(&std::mem::take(&mut self.delayed_notice));
+        }
+        match words {
+            ["SCHED", id, "page", _] if body == b"unknown" => {
+                self.send_line(format!("EINVAL SCHED {id}\r\n"))
+            }
+            ["SCHED", id, "page", _] => {
+                let id = id.to_string();
+                let starts = self.runs.entry(id.clone()).or_default();
+                *starts += 1;
+                match &body[..] {
+                    b"run" => self.end(&id, "success", format!("page \0 {id}").as_bytes()),
+                    b"large" => self.end(&id, "success", &large_result(&id)),
+                    b"call" if *starts == 1 => self.notice("IOREQ", id, b"what is called"),
+                    _ if std::mem::take(&mut self.cuts_link_at_start) => {
+                        let _ = self.link.take().unwrap().shutdown(Shutdown::Both);
+                        self.ending_run = Some(id);
+                    }
+                    _ => {}
+                }
+            }
+            ["PREEMPT", id] => self.end(id, "interrupted", b""),
+            ["NOIO", id, _] => self.end(id, "success", b"poorer"),
+            ["IODONE", ..] if std::mem::take(&mut self.loses_link_at_reply) => {
+                let _ = self.link.take().unwrap().shutdown(Shutdown::Both);
+            }
+            ["IODONE", id, _] => {
+                self.replies.push(body);
+                self.end(id, "success", b"richer");
+            }
+            ["SYSINFO", tag] => {
+                self.send_line(format!("INFO {tag} 0.1 0 0 1\r\n"));
+                if self.link.is_some()
+                    && let Some(id) = self.ending_run.take()
+                {
+                    let link = self.link.take();
+                    self.end(&id, "success", b"unheard");
+                    (self.link, self.delayed_notice) = (link, self.notices.last().unwrap().clone());
+                }
+            }
+            ["POST", tag] => self.send_line(format!("POSTED {tag} success\r\n")),
+            other => panic!("no command: {other:?}"),
+        }
+    }
+}
+
+/// Lets the stub listen at that address.
+pub fn serve_executor(kernel: SharedExecutor, host: &str) -> SharedExecutor {
+    let (shared, listener) = (kernel.clone(), TcpListener::bind((host, 7300)).unwrap());
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let kernel = shared.clone();
+            std::thread::spawn(move || serve_executor_link(&kernel, stream));
+        }
+    });
+    kernel
+}
+
+pub fn serve_executor_link(kernel: &SharedExecutor, stream: TcpStream) {
+    let mut input = BufReader::new(stream.try_clone().unwrap());
+    let mut line = String::new();
+    let mut number = 0;
+    loop {
+        line.clear();
+        if input.read_line(&mut line).unwrap_or(0) == 0 {
+            return;
+        }
+        let words: Vec<&str> = line.trim_end().split(' ').collect();
+        let mut body = Vec::new();
+        if matches!(words[0], "SCHED" | "IODONE") {
+            body.resize(words.last().unwrap().parse::<usize>().unwrap() + 2, 0);
+            if input.read_exact(&mut body).is_err() {
+                return;
+            }
+            assert!(body.ends_with(b"\r\n"));
+            body.truncate(body.len() - 2);
+        }
+        let mut kernel = kernel.lock().unwrap();
+        if let ["OPEN", last] = words[..] {
+            kernel.link = Some(stream.try_clone().unwrap());
+            kernel.link_count += 1;
+            number = kernel.link_count;
+            kernel.send_line("BOOTED steady 1000.0\r\nDMESG 0 a remark of no meaning\r\n".to_owned());
+            // One notice too many: what was read before must not be handled twice.
+            let from = last.parse::<usize>().unwrap().saturating_sub(1);
+            let missed = kernel.notices[from..].concat();
+            let _ = kernel.link.as_ref().unwrap().write_all(&missed);
+        } else if kernel.link_count == number {
+            kernel.handle_command(&words, body);
+        } else {
+            // A new link replaces the one before: what is left in its buffers was sent again over the new one, and would run
+            // twice.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/tests/program/harness/mod.rs
@@ -0,0 +1,41 @@
+//! What program tests share: a process of the program between stubs of its executor and its store, and the messages of an
+//! edge node, written by hand.
+
+pub mod backend;
+pub mod edge_node;
+pub mod executor;
+pub mod store;
+
+use std::net::UdpSocket;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+/// Far longer than anything takes, on a busy machine too.
+pub const LONG_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A loopback address that no other test uses, nor a suite that runs at the same time: a socket that is kept until the
+/// process ends claims it.
+pub fn unique_address() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    static CLAIMED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
+    let id = std::process::id();
+    for _ in 0..1000 {
+        let next = NEXT.fetch_add(1, Ordering::Relaxed);
+        let host = format!("127.{}.{}.{}", 64 + next % 128, id >> 8 & 255, 1 + id % 254);
+        if let Ok(socket) = UdpSocket::bind((&host[..], 6564)) {
+            CLAIMED.lock().unwrap().push(socket);
+            return host;
+        }
+    }
+    panic!("no address is free");
+}
+
+/// Waits until a condition holds; fails with `what` otherwise.
+pub fn wait_until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONG_TIMEOUT, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- /dev/null
+++ b/crates/server/tests/program/harness/store.rs
@@ -0,0 +1,66 @@
+//! A stub of the store.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// A stub of the store. It answers every call with its body, unless it is down or another reply is planned.
+#[derive(Clone, Default)]
+pub struct StoreStub {
+    pub down: Arc<AtomicBool>,
+    pub calls: Arc<AtomicU32>,
+    /// The replies to the next calls, with ID in place of theirs; an empty one is no reply.
+    pub plan: Arc<Mutex<VecDeque<String>>>,
+    /// Calls left without an answer, with their connections.
+    pub open: Arc<Mutex<HashMap<String, TcpStream>>>,
+    /// Connections that have closed.
+    pub left: Arc<AtomicU32>,
+}
+
+impl StoreStub {
+    pub fn plan(&self, replies: &[&str]) {
+        self.plan.lock().unwrap().extend(replies.iter().map(|reply| reply.to_string()));
+    }
+
+    pub fn serve(&self, stream: TcpStream) {
+        let mut input = BufReader::new(stream.try_clone().unwrap());
+        let mut line = String::new();
+        while !self.down.load(Ordering::Acquire) && input.read_line(&mut line).unwrap_or(0) > 0 {
+            let words: Vec<&str> = line.trim_end().split(' ').collect();
+            let ["CALL", id, _, length] = words[..] else { panic!("no call: {words:?}") };
+            let mut body = vec![0; length.parse::<usize>().unwrap() + 2];
+            input.read_exact(&mut body).unwrap();
+            self.calls.fetch_add(1, Ordering::AcqRel);
+            if self.down.load(Ordering::Acquire) {
+                break;
+            }
+            match self.plan.lock().unwrap().pop_front() {
+                None => {
+                    let head = format!("{id} OK {length}\r\n");
+                    (&stream).write_all(&[head.as_bytes(), &body].concat()).unwrap();
+                }
+                Some(reply) if reply.is_empty() => {
+                    self.open.lock().unwrap().insert(id.to_owned(), stream.try_clone().unwrap());
+                }
+                Some(reply) => (&stream).write_all(reply.replace("ID", id).as_bytes()).unwrap(),
+            }
+            line.clear();
+        }
+        self.left.fetch_add(1, Ordering::AcqRel);
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+}
+
+pub fn start_store(host: &str) -> StoreStub {
+    let store = StoreStub::default();
+    let (shared, listener) = (store.clone(), TcpListener::bind((host, 7700)).unwrap());
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let store = shared.clone();
+            std::thread::spawn(move || store.serve(stream));
+        }
+    });
+    store
+}
--- a/crates/server/tests/program/leases.rs
+++ b/crates/server/tests/program/leases.rs
@@ -11,7 +11,11 @@
 use serde_json::Value;
 use tulipgap_rig::{Plan, RunOutcome, run};
 
-use crate::stand::*;
+use crate::harness::backend::{TestBackend, config_json, spawn_backend_with, write_config};
+use crate::harness::edge_node::AnswerKind;
+use crate::harness::executor::{SharedExecutor, serve_executor};
+use crate::harness::store::{StoreStub, start_store};
+use crate::harness::{unique_address, wait_until};
 
 fn plan(faults: &str) -> Plan {
     let text = format!(
@@ -252,7 +256,7 @@
 /// key that is too short is told so at the start.
 #[test]
 fn garbage_at_the_peer_port_stops_nothing() {
-    let host = host();
+    let host = unique_address();
     let folder = tempfile::tempdir().unwrap();
     let at = |name: &str| folder.path().join(name);
     let settings = |voters: &str| {
@@ -262,7 +266,7 @@
             at("control").display().to_string()
         )
     };
-    let file = file(&host, &told(&host));
+    let file = write_config(&host, &config_json(&host));
     let start = |text: &str| {
         std::fs::write(at("settings.hcl"), text).unwrap();
         let mut command = Command::new(program());
@@ -279,12 +283,12 @@
     std::fs::write(at("key"), b"long enough to keep anybody out").unwrap();
     assert!(refusal(&settings(" voters = [\"n3\"]\n")).contains("a voter needs one"));
 
-    std::fs::write(&file, told(&host).replace("\"sockets\":1024", "\"sockets\":64")).unwrap();
+    std::fs::write(&file, config_json(&host).replace("\"sockets\":1024", "\"sockets\":64")).unwrap();
     assert!(refusal(&settings("")).contains("too few to be one of a cluster"));
-    std::fs::write(&file, told(&host)).unwrap();
+    std::fs::write(&file, config_json(&host)).unwrap();
 
     let mut child = start(&settings(""));
-    until("it listens", || UnixStream::connect(at("control")).is_ok());
+    wait_until("it listens", || UnixStream::connect(at("control")).is_ok());
     let (udp, peer) = (UdpSocket::bind((&host[..], 0)).unwrap(), format!("{host}:7100"));
     let mut rng = fastrand::Rng::with_seed(7);
     let elsewhere =
@@ -317,11 +321,11 @@
     let _ = std::fs::remove_file(&file);
 }
 
-/// Three backends of a zone whose store refuses: one probes, all go by its verdict, reqs are answered throughout; when the store
+/// Three backends of a zone whose store refuses: one probes, all go by its verdict, requests are answered throughout; when the store
 /// is back all make their calls again, and nothing of the verdict is left.
 #[test]
 fn one_of_a_zone_probes_a_store_that_is_down() {
-    let (hosts, away) = ([host(), host(), host()], host());
+    let (hosts, away) = ([unique_address(), unique_address(), unique_address()], unique_address());
     let folder = tempfile::tempdir().unwrap();
     std::fs::write(folder.path().join("key"), b"long enough to keep anybody out").unwrap();
     let path = |name: &str| folder.path().join(name).display().to_string();
@@ -336,16 +340,16 @@
         );
         let settings_file = folder.path().join(format!("{name}.hcl"));
         std::fs::write(&settings_file, settings).unwrap();
-        let kernel = listen(Shared::default(), host);
-        let told =
-            told(host).replace(&format!("\"store\":\"{host}:7700\""), &format!("\"store\":\"{away}:7700\""));
-        let file = file(host, &told);
-        let child = start_with(&file, Some(&settings_file));
-        let stand = Stand { host: host.clone(), kernel, store: Store::default(), child, file };
-        stand.serves();
-        stand
+        let kernel = serve_executor(SharedExecutor::default(), host);
+        let told = config_json(host)
+            .replace(&format!("\"store\":\"{host}:7700\""), &format!("\"store\":\"{away}:7700\""));
+        let file = write_config(host, &told);
+        let child = spawn_backend_with(&file, Some(&settings_file));
+        let backend = TestBackend { host: host.clone(), kernel, store: StoreStub::default(), child, file };
+        backend.wait_until_serving();
+        backend
     };
-    let stands = [start(0), start(1), start(2)];
+    let backends = [start(0), start(1), start(2)];
     let control = |at: usize| folder.path().join(format!("m{at}.control"));
     // Who publishes a verdict, as each sees it.
     let verdicts = |at: usize| -> Vec<String> {
@@ -354,19 +358,19 @@
         rows.filter(|row| row["facts"]["store"].is_string()).map(|row| row["name"].to_string()).collect()
     };
     let number = Cell::new(0);
-    let calls = |stand: &Stand| {
+    let calls = |backend: &TestBackend| {
         number.set(number.get() + 1);
-        let mut edge = stand.edge();
-        edge.req(1, &format!("{:016x}", 0xc000 + number.get()), b"call");
-        edge.expect(1, Kind::Answer).holds(b"richer")
+        let mut edge = backend.connect();
+        edge.request(1, &format!("{:016x}", 0xc000 + number.get()), b"call");
+        edge.expect_answer(1, AnswerKind::Answer).contains(b"richer")
     };
-    until("all have the verdict of one", || {
-        assert!(!stands.iter().any(&calls), "nobody answers at the store");
+    wait_until("all have the verdict of one", || {
+        assert!(!backends.iter().any(&calls), "nobody answers at the store");
         (0..3).all(|at| verdicts(at).len() == 1) && (1..3).all(|at| verdicts(at) == verdicts(0))
     });
-    let _store = store(&away);
-    until("the verdict is withdrawn", || (0..3).all(|at| verdicts(at).is_empty()));
-    for stand in &stands {
-        until("its calls are made again", || calls(stand));
+    let _store = start_store(&away);
+    wait_until("the verdict is withdrawn", || (0..3).all(|at| verdicts(at).is_empty()));
+    for backend in &backends {
+        wait_until("its calls are made again", || calls(backend));
     }
 }
--- a/crates/server/tests/program/load.rs
+++ b/crates/server/tests/program/load.rs
@@ -10,9 +10,11 @@
 
 use tulipgap_rig::{Plan, RunOutcome, Serving, run};
 
-use crate::stand::*;
+use crate::harness::edge_node::{AnswerKind, EdgeConnection};
+use crate::harness::executor::{SharedExecutor, serve_executor};
+use crate::harness::{LONG_TIMEOUT, wait_until};
 
-/// What became of reqs, over all edge nodes.
+/// What became of requests, over all edge nodes.
 #[derive(Default)]
 struct Load {
     over: AtomicBool,
@@ -34,16 +36,16 @@
             std::thread::sleep(Duration::from_millis(20));
             continue;
         };
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        let mut edge = Edge { stream };
+        stream.set_read_timeout(Some(LONG_TIMEOUT)).unwrap();
+        let mut edge = EdgeConnection { stream };
         while !load.over.load(Ordering::Relaxed) {
             number += 1;
             let (id, sequence) = (format!("{at:04x}{number:012x}"), number as u32);
             let from = Instant::now();
-            edge.req(sequence, &id, b"run");
+            edge.request(sequence, &id, b"run");
             load.sent.fetch_add(1, Ordering::Relaxed);
-            let answer = match edge.answer() {
-                Some(answer) if answer.kind == Kind::NoMore => edge.answer(),
+            let answer = match edge.read_answer() {
+                Some(answer) if answer.kind == AnswerKind::NoMore => edge.read_answer(),
                 other => other,
             };
             match answer {
@@ -122,10 +124,13 @@
         }"#;
     let plan = Plan::read(text).unwrap_or_else(|error| panic!("{error}"));
     let (folder, load) = (tempfile::tempdir().unwrap(), Arc::new(Load::default()));
-    let kernels: Mutex<Vec<Shared>> = Mutex::default();
+    let kernels: Mutex<Vec<SharedExecutor>> = Mutex::default();
     let begins = |members: &[Serving]| {
         for (at, member) in members.iter().enumerate() {
-            kernels.lock().unwrap().push(listen(Shared::default(), &member.kernel.ip().to_string()));
+            kernels
+                .lock()
+                .unwrap()
+                .push(serve_executor(SharedExecutor::default(), &member.kernel.ip().to_string()));
             for lane in 0..2 {
                 let (load, member) = (load.clone(), member.clone());
                 std::thread::spawn(move || edge(&load, &member, at * 2 + lane, member.name == "c-1"));
@@ -142,9 +147,9 @@
         if done {
             // The processes end with the run: what is open has its answer before.
             load.over.store(true, Ordering::Relaxed);
-            until("the last are answered", || {
-                let told = |count: &AtomicU64| count.load(Ordering::Relaxed);
-                told(&load.sent) == told(&load.answered) + told(&load.lost)
+            wait_until("the last are answered", || {
+                let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
+                count(&load.sent) == count(&load.answered) + count(&load.lost)
             });
         }
         done
--- a/crates/server/tests/program/recording.rs
+++ b/crates/server/tests/program/recording.rs
@@ -6,7 +6,9 @@
 
 use tulipgap_trace::{Item, Loss, Outcome, Reason, Record, Trace};
 
-use crate::stand::*;
+use crate::harness::backend::{config_json, spawn_backend_with, start_backend_with, write_config};
+use crate::harness::edge_node::{AnswerKind, request_fields, request_fields_with};
+use crate::harness::{LONG_TIMEOUT, unique_address, wait_until};
 
 /// A folder for a recording, and the configuration that names it.
 pub fn recorded(seal_after: &str) -> (tempfile::TempDir, PathBuf) {
@@ -56,32 +58,32 @@
 #[test]
 fn the_complete_life_of_each_request_is_recorded() {
     let (folder, settings) = recorded("200ms");
-    let mut stand = stand_told(1024, Some(&settings));
-    let mut edge = stand.edge();
-    edge.req(1, "00000000000000a1", b"run");
-    edge.expect(1, Kind::Answer);
-    edge.req(2, "00000000000000a2", b"call");
-    edge.expect(2, Kind::Answer);
-    edge.process(3, &with("00000000000000a3", "ms", "60000.00"), b"run");
-    edge.expect(3, Kind::Rejected);
-    edge.req(4, "00000000000000a4", b"unknown");
-    edge.expect(4, Kind::Crashed);
-    let mut marked = fields("00000000000000a5", "20.0");
+    let mut backend = start_backend_with(1024, Some(&settings));
+    let mut edge = backend.connect();
+    edge.request(1, "00000000000000a1", b"run");
+    edge.expect_answer(1, AnswerKind::Answer);
+    edge.request(2, "00000000000000a2", b"call");
+    edge.expect_answer(2, AnswerKind::Answer);
+    edge.process(3, &request_fields_with("00000000000000a3", "ms", "60000.00"), b"run");
+    edge.expect_answer(3, AnswerKind::Rejected);
+    edge.request(4, "00000000000000a4", b"unknown");
+    edge.expect_answer(4, AnswerKind::Crashed);
+    let mut marked = request_fields("00000000000000a5", "20.0");
     marked.extend([("resent", "1".to_owned()), ("subject", "7f3a9c21e0b4d655".to_owned())]);
     marked.push(("opkey", "some key".to_owned()));
     edge.process(5, &marked, b"run");
-    edge.expect(5, Kind::Answer);
+    edge.expect_answer(5, AnswerKind::Answer);
     // One whose caller goes.
-    let mut other = stand.edge();
-    other.req(1, "00000000000000a6", b"hang");
-    until("it runs", || stand.kernel.lock().unwrap().runs.contains_key("00000000000000a6"));
+    let mut other = backend.connect();
+    other.request(1, "00000000000000a6", b"hang");
+    wait_until("it runs", || backend.kernel.lock().unwrap().runs.contains_key("00000000000000a6"));
     // An answer that is never read makes the end of the connection a reset.
-    other.req(2, "00000000000000a7", b"run");
-    until("an answer has come", || other.stream.peek(&mut [0; 16]).is_ok_and(|count| count > 0));
+    other.request(2, "00000000000000a7", b"run");
+    wait_until("an answer has come", || other.stream.peek(&mut [0; 16]).is_ok_and(|count| count > 0));
     drop(other);
-    until("its run is stopped", || stand.kernel.lock().unwrap().ends.contains_key("00000000000000a6"));
-    stand.signal("TERM");
-    assert!(stand.ended().success());
+    wait_until("its run is stopped", || backend.kernel.lock().unwrap().ends.contains_key("00000000000000a6"));
+    backend.signal("TERM");
+    assert!(backend.wait_for_exit().success());
 
     let mut files = files(folder.path());
     assert_eq!(files.len(), 1);
@@ -117,35 +119,35 @@
 #[test]
 fn what_was_recorded_survives_a_kill() {
     let (folder, settings) = recorded("200ms");
-    let mut stand = stand_told(1024, Some(&settings));
+    let mut backend = start_backend_with(1024, Some(&settings));
     let mut sequence = 0;
     let mut answered = 0;
     for start in 0..2u64 {
-        let mut edge = stand.edge();
+        let mut edge = backend.connect();
         for number in 0..300u64 {
             sequence += 1;
-            edge.req(sequence, &format!("{:016x}", start * 1000 + number), b"run");
-            edge.expect(sequence, Kind::Answer);
+            edge.request(sequence, &format!("{:016x}", start * 1000 + number), b"run");
+            edge.expect_answer(sequence, AnswerKind::Answer);
         }
         answered += 300;
         // Until these are on disk, while more comes.
         let began = std::time::Instant::now();
         loop {
             sequence += 1;
-            edge.req(sequence, &format!("{:016x}", (start + 10) * 100_000 + u64::from(sequence)), b"run");
-            edge.expect(sequence, Kind::Answer);
+            edge.request(sequence, &format!("{:016x}", (start + 10) * 100_000 + u64::from(sequence)), b"run");
+            edge.expect_answer(sequence, AnswerKind::Answer);
             let early = |file: &Read| file.records.iter().filter(|record| record.id < 2000).count();
             if sequence % 100 == 0 && files(folder.path()).iter().map(early).sum::<usize>() == answered {
                 break;
             }
-            assert!(began.elapsed() < LONG, "a block is on disk in time");
+            assert!(began.elapsed() < LONG_TIMEOUT, "a block is on disk in time");
         }
-        stand.child.kill().unwrap();
-        stand.child.wait().unwrap();
+        backend.child.kill().unwrap();
+        backend.child.wait().unwrap();
         sequence = 0;
         if start == 0 {
-            stand.child = start_with(&stand.file, Some(&settings));
-            stand.serves();
+            backend.child = spawn_backend_with(&backend.file, Some(&settings));
+            backend.wait_until_serving();
         }
     }
     let files = files(folder.path());
@@ -164,16 +166,16 @@
     let (folder, settings) = recorded("200ms");
     // A file stands where the folder should be.
     std::fs::write(folder.path().join("trace"), "in the way").unwrap();
-    let mut stand = stand_told(1024, Some(&settings));
-    let mut edge = stand.edge();
+    let mut backend = start_backend_with(1024, Some(&settings));
+    let mut edge = backend.connect();
     for sequence in 1..=50 {
-        edge.req(sequence, &format!("{sequence:016x}"), b"run");
-        edge.expect(sequence, Kind::Answer);
+        edge.request(sequence, &format!("{sequence:016x}"), b"run");
+        edge.expect_answer(sequence, AnswerKind::Answer);
     }
-    stand.signal("TERM");
-    assert!(stand.ended().success());
+    backend.signal("TERM");
+    assert!(backend.wait_for_exit().success());
     let mut log = String::new();
-    std::io::Read::read_to_string(&mut stand.child.stderr.take().unwrap(), &mut log).unwrap();
+    std::io::Read::read_to_string(&mut backend.child.stderr.take().unwrap(), &mut log).unwrap();
     assert!(log.contains("trace: ") && log.contains("50 records missing"), "{log}");
 }
 
@@ -182,8 +184,8 @@
     let folder = tempfile::tempdir().unwrap();
     let settings = folder.path().join("bad.hcl");
     std::fs::write(&settings, "trace {\n  folder = \"t\"\n  queu = 9\n}\n").unwrap();
-    let host = host();
-    let file = file(&host, &told(&host));
+    let host = unique_address();
+    let file = write_config(&host, &config_json(&host));
     let run = |arguments: &[&str]| {
         let mut command = Command::new(env!("CARGO_BIN_EXE_tulipgapd"));
         command.args(arguments).env("LB_CONFIG", &file).stdin(Stdio::null()).output().unwrap()
--- a/crates/server/tests/program/standing.rs
+++ b/crates/server/tests/program/standing.rs
@@ -12,7 +12,13 @@
 
 use socket2::{Domain, SockRef, Socket, Type};
 
-use crate::stand::*;
+use crate::harness::backend::{
+    TestBackend, config_json, spawn_backend, start_backend, start_backend_with_sockets, write_config,
+};
+use crate::harness::edge_node::{AnswerKind, EdgeConnection, request_fields, request_fields_with};
+use crate::harness::executor::{SharedExecutor, large_result, serve_executor, serve_executor_link};
+use crate::harness::store::{StoreStub, start_store};
+use crate::harness::{LONG_TIMEOUT, unique_address, wait_until};
 
 /// Far longer than an answer takes on a busy machine, far shorter than a caller that is held up by another would wait.
 const PROMPT: Duration = Duration::from_secs(5);
@@ -20,64 +26,64 @@
 const MAX_TIME_TO_FIRST_ANSWER: Duration = Duration::from_secs(5);
 
 /// Starts a backend whose configuration is changed by these replacements.
-fn stand_with_changes(changes: &[(&str, &str)]) -> Stand {
-    let host = host();
-    let (kernel, store) = (listen(Shared::default(), &host), store(&host));
-    let mut configuration = told(&host);
+fn stand_with_changes(changes: &[(&str, &str)]) -> TestBackend {
+    let host = unique_address();
+    let (kernel, store) = (serve_executor(SharedExecutor::default(), &host), start_store(&host));
+    let mut configuration = config_json(&host);
     for (from, to) in changes {
         assert!(configuration.contains(from), "{from}");
         configuration = configuration.replace(from, to);
     }
-    let file = file(&host, &configuration);
-    let child = start(&file);
-    let stand = Stand { host, kernel, store, child, file };
-    stand.serves();
-    stand
+    let file = write_config(&host, &configuration);
+    let child = spawn_backend(&file);
+    let backend = TestBackend { host, kernel, store, child, file };
+    backend.wait_until_serving();
+    backend
 }
 
 /// A connection whose receive buffer holds very little, so that answers wait in the backend's send buffer.
-fn slow_reader(stand: &Stand) -> Edge {
+fn slow_reader(backend: &TestBackend) -> EdgeConnection {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(4096).unwrap();
-    let address: SocketAddr = format!("{}:6565", stand.host).parse().unwrap();
+    let address: SocketAddr = format!("{}:6565", backend.host).parse().unwrap();
     socket.connect(&address.into()).unwrap();
     let stream: TcpStream = socket.into();
-    stream.set_read_timeout(Some(LONG)).unwrap();
-    Edge { stream }
+    stream.set_read_timeout(Some(LONG_TIMEOUT)).unwrap();
+    EdgeConnection { stream }
 }
 
 /// Whether the executor was ever told to run a request.
-fn was_run(stand: &Stand, id: &str) -> bool {
-    let kernel = stand.kernel.lock().unwrap();
+fn was_run(backend: &TestBackend, id: &str) -> bool {
+    let kernel = backend.kernel.lock().unwrap();
     kernel.runs.contains_key(id) || kernel.ends.contains_key(id)
 }
 
 /// The answers up to the end of the connection, counted by sequence; drain notifications are left out.
-fn answers_until_close(edge: &mut Edge) -> HashMap<u32, u32> {
+fn answers_until_close(edge: &mut EdgeConnection) -> HashMap<u32, u32> {
     let mut counts = HashMap::new();
-    while let Some(answer) = edge.answer() {
-        if answer.kind != Kind::NoMore {
+    while let Some(answer) = edge.read_answer() {
+        if answer.kind != AnswerKind::NoMore {
             *counts.entry(answer.sequence).or_default() += 1;
         }
     }
     counts
 }
 
-fn wait_for_drain_notification(edge: &mut Edge) {
-    while edge.answer().expect("a drain notification").kind != Kind::NoMore {}
+fn wait_for_drain_notification(edge: &mut EdgeConnection) {
+    while edge.read_answer().expect("a drain notification").kind != AnswerKind::NoMore {}
 }
 
 /// Sends requests one after the other until told to stop; yields the longest time to an answer.
-fn slowest_answer_while(stand: &Stand, running: &AtomicBool, prefix: &str) -> Duration {
-    let mut edge = stand.edge();
+fn slowest_answer_while(backend: &TestBackend, running: &AtomicBool, prefix: &str) -> Duration {
+    let mut edge = backend.connect();
     let mut slowest = Duration::ZERO;
     for sequence in 1.. {
         if !running.load(Ordering::Acquire) {
             break;
         }
         let begin = Instant::now();
-        edge.req(sequence, &format!("{prefix}{sequence:08x}"), b"run");
-        let answer = edge.answer().expect("an answer");
+        edge.request(sequence, &format!("{prefix}{sequence:08x}"), b"run");
+        let answer = edge.read_answer().expect("an answer");
         assert_eq!(answer.sequence, sequence);
         slowest = slowest.max(begin.elapsed());
         std::thread::sleep(Duration::from_millis(5));
@@ -88,8 +94,8 @@
 /// Requests on resting connections at moments around the close of each: every one is answered once, or its connection
 /// closes and the request was never run.
 fn assert_answered_or_never_run(
-    stand: &Stand,
-    edges: Vec<Edge>,
+    backend: &TestBackend,
+    edges: Vec<EdgeConnection>,
     prefix: &str,
     first: Duration,
     step: Duration,
@@ -100,12 +106,12 @@
             scope.spawn(move || {
                 wait_for_drain_notification(&mut edge);
                 std::thread::sleep(first + step * at);
-                let message = edge.message(2, &fields(&id, "20.0"), b"run");
+                let message = edge.message(2, &request_fields(&id, "20.0"), b"run");
                 let _ = edge.stream.write_all(&message);
                 let answers = answers_until_close(&mut edge);
                 match answers.get(&2) {
                     Some(count) => assert_eq!(*count, 1, "{id} is answered once"),
-                    None => assert!(!was_run(stand, &id), "{id} was run and not answered"),
+                    None => assert!(!was_run(backend, &id), "{id} was run and not answered"),
                 }
             });
         }
@@ -113,11 +119,11 @@
 }
 
 /// Connections that rest after one answered request each.
-fn resting_connections(stand: &Stand, count: u32, prefix: &str) -> Vec<Edge> {
+fn resting_connections(backend: &TestBackend, count: u32, prefix: &str) -> Vec<EdgeConnection> {
     let rest = |at: u32| {
-        let mut edge = stand.edge();
-        edge.req(1, &format!("{prefix}{at:04x}"), b"run");
-        assert_eq!(edge.answer().expect("an answer").sequence, 1);
+        let mut edge = backend.connect();
+        edge.request(1, &format!("{prefix}{at:04x}"), b"run");
+        assert_eq!(edge.read_answer().expect("an answer").sequence, 1);
         edge
     };
     (0..count).map(rest).collect()
@@ -125,46 +131,50 @@
 
 #[test]
 fn a_request_on_a_resting_connection_that_closes_at_shutdown_is_answered_or_never_run() {
-    let mut stand = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":100.0"#)]);
-    let edges = resting_connections(&stand, 32, "000000000a01");
-    stand.signal("TERM");
+    let mut backend = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":100.0"#)]);
+    let edges = resting_connections(&backend, 32, "000000000a01");
+    backend.signal("TERM");
     // The close follows the notification by 60 ms.
     let (first, step) = (Duration::from_millis(40), Duration::from_millis(2));
-    assert_answered_or_never_run(&stand, edges, "000000000a02", first, step);
-    assert_eq!(stand.ended().code(), Some(0));
+    assert_answered_or_never_run(&backend, edges, "000000000a02", first, step);
+    assert_eq!(backend.wait_for_exit().code(), Some(0));
 }
 
 #[test]
 fn a_request_on_a_resting_connection_that_closes_idle_is_answered_or_never_run() {
-    let stand = stand_with_changes(&[(r#""idle":9000.0"#, r#""idle":100.0"#)]);
-    let edges = resting_connections(&stand, 32, "000000000a03");
+    let backend = stand_with_changes(&[(r#""idle":9000.0"#, r#""idle":100.0"#)]);
+    let edges = resting_connections(&backend, 32, "000000000a03");
     // The close follows the notification by 2 s.
     let (first, step) = (Duration::from_millis(1960), Duration::from_millis(4));
-    assert_answered_or_never_run(&stand, edges, "000000000a04", first, step);
+    assert_answered_or_never_run(&backend, edges, "000000000a04", first, step);
 }
 
-/// Requests that stand unread in the socket when their idle connections fall due to close: the backend is stopped over that
+/// Requests that backend unread in the socket when their idle connections fall due to close: the backend is stopped over that
 /// moment. Whole ones are read and answered, half ones end with their connection.
 #[test]
 fn a_request_that_stands_unread_as_its_connection_falls_due_is_answered() {
-    let stand = stand_with_changes(&[(r#""idle":9000.0"#, r#""idle":100.0"#)]);
-    let mut edges = resting_connections(&stand, 16, "000000000a0f");
+    let backend = stand_with_changes(&[(r#""idle":9000.0"#, r#""idle":100.0"#)]);
+    let mut edges = resting_connections(&backend, 16, "000000000a0f");
     for edge in &mut edges {
         wait_for_drain_notification(edge);
     }
     // Long before the close, which follows the notification by 2 s.
-    stand.signal("STOP");
+    backend.signal("STOP");
     for (at, edge) in (0u32..).zip(&mut edges) {
-        let message = edge.message(2, &fields(&format!("000000000a10{at:04x}"), "20.0"), b"run");
+        let message = edge.message(2, &request_fields(&format!("000000000a10{at:04x}"), "20.0"), b"run");
         let length = if at % 2 == 0 { message.len() } else { message.len() / 2 };
         edge.stream.write_all(&message[..length]).unwrap();
     }
     std::thread::sleep(Duration::from_millis(2200));
-    stand.signal("CONT");
+    backend.signal("CONT");
     for (at, edge) in (0u32..).zip(&mut edges) {
         let expected = u32::from(at % 2 == 0);
         assert_eq!(answers_until_close(edge).get(&2).copied().unwrap_or(0), expected, "connection {at}");
-        assert_eq!(u32::from(was_run(&stand, &format!("000000000a10{at:04x}"))), expected, "connection {at}");
+        assert_eq!(
+            u32::from(was_run(&backend, &format!("000000000a10{at:04x}"))),
+            expected,
+            "connection {at}"
+        );
     }
 }
 
@@ -172,15 +182,15 @@
 /// ends and costs nobody an answer.
 #[test]
 fn half_a_request_in_the_instant_of_shutdown_costs_no_answer() {
-    let mut stand = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":300.0"#)]);
-    let mut edges = resting_connections(&stand, 16, "000000000a05");
+    let mut backend = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":300.0"#)]);
+    let mut edges = resting_connections(&backend, 16, "000000000a05");
     let messages: Vec<Vec<u8>> = (0u32..)
         .zip(&edges)
-        .map(|(at, edge)| edge.message(2, &fields(&format!("000000000a06{at:04x}"), "20.0"), b"run"))
+        .map(|(at, edge)| edge.message(2, &request_fields(&format!("000000000a06{at:04x}"), "20.0"), b"run"))
         .collect();
     for (at, (edge, message)) in edges.iter_mut().zip(&messages).enumerate() {
         if at == 8 {
-            stand.signal("TERM");
+            backend.signal("TERM");
         }
         edge.stream.write_all(&message[..message.len() * (at + 1) / 17]).unwrap();
     }
@@ -193,24 +203,24 @@
         let answers = answers_until_close(edge);
         assert_eq!(answers.get(&2).copied().unwrap_or(0), u32::from(at % 2 == 0), "connection {at}");
     }
-    assert_eq!(stand.ended().code(), Some(0));
+    assert_eq!(backend.wait_for_exit().code(), Some(0));
 }
 
 /// Half a request in the instant of an idle close: the request is read as a whole once its rest has come.
 #[test]
 fn half_a_request_in_the_instant_of_an_idle_close_costs_no_answer() {
-    let stand = stand_with_changes(&[(r#""idle":9000.0"#, r#""idle":100.0"#)]);
-    let edges = resting_connections(&stand, 16, "000000000a07");
+    let backend = stand_with_changes(&[(r#""idle":9000.0"#, r#""idle":100.0"#)]);
+    let edges = resting_connections(&backend, 16, "000000000a07");
     std::thread::scope(|scope| {
         for (at, mut edge) in (0u32..).zip(edges) {
-            let stand = &stand;
+            let backend = &backend;
             scope.spawn(move || {
                 let id = format!("000000000a08{at:04x}");
                 wait_for_drain_notification(&mut edge);
                 // Some at the notification, the others around the close 2 s behind it.
                 let pause = if at < 8 { 0 } else { 1960 + u64::from(at - 8) * 10 };
                 std::thread::sleep(Duration::from_millis(pause));
-                let message = edge.message(2, &fields(&id, "20.0"), b"run");
+                let message = edge.message(2, &request_fields(&id, "20.0"), b"run");
                 let half = message.len() / 2;
                 let _ = edge.stream.write_all(&message[..half]);
                 std::thread::sleep(Duration::from_millis(20));
@@ -220,7 +230,7 @@
                     Some(count) => assert_eq!(*count, 1, "{id} is answered once"),
                     None => {
                         assert!(at >= 8, "{id} came long before the close");
-                        assert!(!was_run(stand, &id), "{id} was run and not answered");
+                        assert!(!was_run(backend, &id), "{id} was run and not answered");
                     }
                 }
             });
@@ -233,28 +243,28 @@
 #[test]
 fn a_request_that_crosses_the_close_does_not_reset_answers_on_their_way() {
     const REQUESTS: u32 = 16;
-    let mut stand = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":100.0"#)]);
-    let mut edge = slow_reader(&stand);
+    let mut backend = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":100.0"#)]);
+    let mut edge = slow_reader(&backend);
     for sequence in 1..=REQUESTS {
-        edge.req(sequence, &format!("000000000a09{sequence:04x}"), b"large");
+        edge.request(sequence, &format!("000000000a09{sequence:04x}"), b"large");
     }
-    until("all are answered", || {
-        let mut probe = stand.edge();
+    wait_until("all are answered", || {
+        let mut probe = backend.connect();
         probe.call(1, "probe", b"\0");
-        probe.answer();
-        stand.kernel.lock().unwrap().ends.len() as u32 == REQUESTS
+        probe.read_answer();
+        backend.kernel.lock().unwrap().ends.len() as u32 == REQUESTS
     });
-    stand.signal("TERM");
+    backend.signal("TERM");
     // Behind the grace and the 60 ms that a connection then has.
     std::thread::sleep(Duration::from_millis(500));
-    let late = edge.message(99, &fields("000000000a0a0001", "20.0"), b"run");
+    let late = edge.message(99, &request_fields("000000000a0a0001", "20.0"), b"run");
     let _ = edge.stream.write_all(&late);
     std::thread::sleep(Duration::from_millis(50));
     let answers = answers_until_close(&mut edge);
     let answered = (1..=REQUESTS).filter(|sequence| answers.get(sequence) == Some(&1)).count();
     assert_eq!(answered as u32, REQUESTS, "answers lost: {answers:?}");
-    assert!(!was_run(&stand, "000000000a0a0001"), "run behind the close");
-    assert_eq!(stand.ended().code(), Some(0));
+    assert!(!was_run(&backend, "000000000a0a0001"), "run behind the close");
+    assert_eq!(backend.wait_for_exit().code(), Some(0));
 }
 
 /// A connection that is established as the listener closes is answered: none is reset before a byte was read from it.
@@ -267,11 +277,11 @@
     std::thread::scope(|scope| {
         for _ in 0..THREADS {
             scope.spawn(|| {
-                let mut stand = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":50.0"#)]);
+                let mut backend = stand_with_changes(&[(r#""drain_grace":1000.0"#, r#""drain_grace":50.0"#)]);
                 for _ in 0..STARTS_PER_THREAD {
-                    lost.lock().unwrap().extend(resets_at_shutdown(&mut stand, CALLERS));
-                    stand.child = start(&stand.file);
-                    stand.serves();
+                    lost.lock().unwrap().extend(resets_at_shutdown(&mut backend, CALLERS));
+                    backend.child = spawn_backend(&backend.file);
+                    backend.wait_until_serving();
                 }
             });
         }
@@ -280,14 +290,14 @@
 }
 
 /// Ends the backend while so many callers connect, and yields what became of connections that were reset.
-fn resets_at_shutdown(stand: &mut Stand, callers: usize) -> Vec<String> {
-    let address: SocketAddr = format!("{}:6565", stand.host).parse().unwrap();
-    stand.signal("TERM");
+fn resets_at_shutdown(backend: &mut TestBackend, callers: usize) -> Vec<String> {
+    let address: SocketAddr = format!("{}:6565", backend.host).parse().unwrap();
+    backend.signal("TERM");
     let resets = std::thread::scope(|scope| {
         let callers: Vec<_> = (0..callers).map(|_| scope.spawn(|| connect_until_refused(address))).collect();
         callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
     });
-    assert_eq!(stand.ended().code(), Some(0));
+    assert_eq!(backend.wait_for_exit().code(), Some(0));
     resets
 }
 
@@ -296,7 +306,7 @@
 fn connect_until_refused(address: SocketAddr) -> Vec<String> {
     let mut resets = Vec::new();
     loop {
-        let stream = match TcpStream::connect_timeout(&address, LONG) {
+        let stream = match TcpStream::connect_timeout(&address, LONG_TIMEOUT) {
             Ok(stream) => stream,
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => return resets,
             Err(error) => {
@@ -304,8 +314,8 @@
                 continue;
             }
         };
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        let mut edge = Edge { stream };
+        stream.set_read_timeout(Some(LONG_TIMEOUT)).unwrap();
+        let mut edge = EdgeConnection { stream };
         // The write fails where the connection was reset before; the read then tells the same.
         let _ = edge.stream.write_all(&edge.health_check(1));
         if let Err(error) = edge.stream.read(&mut [0]) {
@@ -314,54 +324,56 @@
     }
 }
 
-/// A call's reply and the reset behind it stand in the buffer before the backend reads either: the reply counts.
+/// A call's reply and the reset behind it backend in the buffer before the backend reads either: the reply counts.
 #[test]
 fn a_store_reply_that_stands_before_a_reset_is_used() {
-    let (stand, calls) = stand_with_own_store();
-    let mut edge = stand.edge();
+    let (backend, calls) = stand_with_own_store();
+    let mut edge = backend.connect();
     for turn in 0..8u32 {
         let id = format!("000000000a0b{turn:04x}");
-        edge.req(turn + 1, &id, b"call");
-        let call = calls.recv_timeout(LONG).unwrap();
+        edge.request(turn + 1, &id, b"call");
+        let call = calls.recv_timeout(LONG_TIMEOUT).unwrap();
         assert_eq!(call.id, id);
-        stand.signal("STOP");
+        backend.signal("STOP");
         (&call.stream).write_all(format!("{id} OK 3\r\nown\r\n").as_bytes()).unwrap();
         if turn % 2 == 0 {
             SockRef::from(&call.stream).set_linger(Some(Duration::ZERO)).unwrap();
         }
         drop(call);
-        stand.signal("CONT");
-        assert!(edge.expect(turn + 1, Kind::Answer).holds(b"richer"), "turn {turn}");
+        backend.signal("CONT");
+        assert!(edge.expect_answer(turn + 1, AnswerKind::Answer).contains(b"richer"), "turn {turn}");
     }
-    assert!(stand.kernel.lock().unwrap().replies.iter().all(|reply| reply == b"own"));
+    assert!(backend.kernel.lock().unwrap().replies.iter().all(|reply| reply == b"own"));
 }
 
-/// A result and the end of the executor's link stand in the buffer, by turns with the shutdown notice beside them.
+/// A result and the end of the executor's link backend in the buffer, by turns with the shutdown notice beside them.
 #[test]
 fn a_result_that_stands_before_the_end_of_the_link_is_answered_once() {
-    let mut stand = stand();
-    let mut edge = stand.edge();
+    let mut backend = start_backend();
+    let mut edge = backend.connect();
     for turn in 0..6u32 {
         let id = format!("000000000a0c{turn:04x}");
-        edge.req(turn + 1, &id, b"hang");
-        until("it runs", || stand.kernel.lock().unwrap().runs.contains_key(&id));
-        stand.signal("STOP");
+        edge.request(turn + 1, &id, b"hang");
+        wait_until("it runs", || backend.kernel.lock().unwrap().runs.contains_key(&id));
+        backend.signal("STOP");
         {
-            let mut kernel = stand.kernel.lock().unwrap();
+            let mut kernel = backend.kernel.lock().unwrap();
             kernel.end(&id, "success", b"its own");
             kernel.link.take().unwrap().shutdown(Shutdown::Both).unwrap();
         }
         if turn == 5 {
-            stand.signal("TERM");
+            backend.signal("TERM");
         }
-        stand.signal("CONT");
-        let answer = std::iter::from_fn(|| edge.answer()).find(|answer| answer.kind != Kind::NoMore).unwrap();
-        assert_eq!((answer.sequence, &answer.kind), (turn + 1, &Kind::Answer));
-        assert!(answer.holds(b"its own"));
+        backend.signal("CONT");
+        let answer = std::iter::from_fn(|| edge.read_answer())
+            .find(|answer| answer.kind != AnswerKind::NoMore)
+            .unwrap();
+        assert_eq!((answer.sequence, &answer.kind), (turn + 1, &AnswerKind::Answer));
+        assert!(answer.contains(b"its own"));
     }
     assert_eq!(answers_until_close(&mut edge), HashMap::new(), "once each");
-    assert!(stand.kernel.lock().unwrap().ends.values().all(|&ends| ends == 1), "run again");
-    assert_eq!(stand.ended().code(), Some(0));
+    assert!(backend.kernel.lock().unwrap().ends.values().all(|&ends| ends == 1), "run again");
+    assert_eq!(backend.wait_for_exit().code(), Some(0));
 }
 
 /// A call as the test's own store has read it.
@@ -371,8 +383,8 @@
 }
 
 /// A backend whose store hands each call to the test.
-fn stand_with_own_store() -> (Stand, std::sync::mpsc::Receiver<Call>) {
-    let host = host();
+fn stand_with_own_store() -> (TestBackend, std::sync::mpsc::Receiver<Call>) {
+    let host = unique_address();
     let listener = TcpListener::bind((&host[..], 7700)).unwrap();
     let (sender, calls) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
@@ -387,12 +399,12 @@
             }
         }
     });
-    let kernel = listen(Shared::default(), &host);
-    let file = file(&host, &told(&host));
-    let child = start(&file);
-    let stand = Stand { host, kernel, store: Store::default(), child, file };
-    stand.serves();
-    (stand, calls)
+    let kernel = serve_executor(SharedExecutor::default(), &host);
+    let file = write_config(&host, &config_json(&host));
+    let child = spawn_backend(&file);
+    let backend = TestBackend { host, kernel, store: StoreStub::default(), child, file };
+    backend.wait_until_serving();
+    (backend, calls)
 }
 
 /// A store reply breaks off behind each of its bytes, by turns with a plain end and a reset: its request is answered
@@ -400,7 +412,7 @@
 #[test]
 fn a_store_reply_that_breaks_off_anywhere_is_no_reply() {
     const BODY: &str = "a reply";
-    let (stand, calls) = stand_with_own_store();
+    let (backend, calls) = stand_with_own_store();
     let whole_length = format!("{:016x} OK {}\r\n{BODY}\r\n", 0, BODY.len()).len();
     let done = Arc::new(AtomicBool::new(false));
     let finished = done.clone();
@@ -425,18 +437,18 @@
             }
         }
     });
-    let mut edge = stand.edge();
+    let mut edge = backend.connect();
     for sequence in 1.. {
         if done.load(Ordering::Acquire) {
             break;
         }
         assert!(sequence < 2000, "the store is called");
-        edge.req(sequence, &format!("000000000a0d{sequence:04x}"), b"call");
-        let answer = edge.expect(sequence, Kind::Answer);
-        assert!(answer.holds(b"richer") || answer.holds(b"poorer"));
+        edge.request(sequence, &format!("000000000a0d{sequence:04x}"), b"call");
+        let answer = edge.expect_answer(sequence, AnswerKind::Answer);
+        assert!(answer.contains(b"richer") || answer.contains(b"poorer"));
     }
     store.join().unwrap();
-    let kernel = stand.kernel.lock().unwrap();
+    let kernel = backend.kernel.lock().unwrap();
     assert!(!kernel.replies.is_empty());
     assert!(kernel.replies.iter().all(|reply| reply == BODY.as_bytes()), "part of a reply");
     assert!(kernel.ends.values().all(|&ends| ends == 1));
@@ -445,12 +457,12 @@
 /// Every TCP connection of the backend that it writes to has TCP_NODELAY: callers', the executor's and the store's.
 #[test]
 fn every_connection_has_nodelay() {
-    let stand = stand();
-    let mut edge = stand.edge();
-    edge.req(1, "000000000a0e0001", b"call");
-    assert!(edge.expect(1, Kind::Answer).holds(b"richer"));
+    let backend = start_backend();
+    let mut edge = backend.connect();
+    edge.request(1, "000000000a0e0001", b"call");
+    assert!(edge.expect_answer(1, AnswerKind::Answer).contains(b"richer"));
     let mut ports = Vec::new();
-    for socket in sockets_of(stand.child.id()) {
+    for socket in sockets_of(backend.child.id()) {
         let (Ok(local), Ok(peer)) = (socket.local_addr(), socket.peer_addr()) else { continue };
         let (Some(local), Some(peer)) = (local.as_socket(), peer.as_socket()) else { continue };
         if socket.r#type().unwrap() == Type::STREAM {
@@ -487,15 +499,15 @@
 /// A hundred connections that send one byte every 100 ms are ended, and hold up nobody else.
 #[test]
 fn a_hundred_slow_senders_hold_up_nobody_else() {
-    let stand = stand();
-    let mut senders: Vec<Edge> = (0..100).map(|_| stand.edge()).collect();
+    let backend = start_backend();
+    let mut senders: Vec<EdgeConnection> = (0..100).map(|_| backend.connect()).collect();
     let messages: Vec<Vec<u8>> = (0u32..)
         .zip(&senders)
-        .map(|(at, edge)| edge.message(1, &fields(&format!("000000000b01{at:04x}"), "20.0"), b"run"))
+        .map(|(at, edge)| edge.message(1, &request_fields(&format!("000000000b01{at:04x}"), "20.0"), b"run"))
         .collect();
     let running = AtomicBool::new(true);
     std::thread::scope(|scope| {
-        let other = scope.spawn(|| slowest_answer_while(&stand, &running, "0b020000"));
+        let other = scope.spawn(|| slowest_answer_while(&backend, &running, "0b020000"));
         for byte in 0..25 {
             for (edge, message) in senders.iter_mut().zip(&messages) {
                 // Behind 2 s without a whole message the backend has ended it.
@@ -511,7 +523,7 @@
     for edge in &mut senders {
         assert!(edge.is_closed());
     }
-    assert!((0u32..100).all(|at| !was_run(&stand, &format!("000000000b01{at:04x}"))));
+    assert!((0u32..100).all(|at| !was_run(&backend, &format!("000000000b01{at:04x}"))));
 }
 
 /// A hundred connections that read nothing for a while, and then slowly, get each of their answers once and whole, and
@@ -519,24 +531,24 @@
 #[test]
 fn a_hundred_slow_readers_get_their_answers_and_hold_up_nobody_else() {
     const REQUESTS: u32 = 12;
-    let stand = stand();
-    let mut readers: Vec<Edge> = (0..100).map(|_| slow_reader(&stand)).collect();
+    let backend = start_backend();
+    let mut readers: Vec<EdgeConnection> = (0..100).map(|_| slow_reader(&backend)).collect();
     let running = AtomicBool::new(true);
     let mut served = 0;
     std::thread::scope(|scope| {
-        let other = scope.spawn(|| slowest_answer_while(&stand, &running, "0b040000"));
+        let other = scope.spawn(|| slowest_answer_while(&backend, &running, "0b040000"));
         for sequence in 1..=REQUESTS {
             for (at, edge) in readers.iter_mut().enumerate() {
-                edge.req(sequence, &format!("000b03{at:02x}{sequence:08x}"), b"large");
+                edge.request(sequence, &format!("000b03{at:02x}{sequence:08x}"), b"large");
             }
         }
         std::thread::sleep(Duration::from_millis(500));
         for _ in 0..REQUESTS {
             for (at, edge) in readers.iter_mut().enumerate() {
-                let answer = edge.answer().expect("an answer for each");
-                if answer.kind == Kind::Answer {
+                let answer = edge.read_answer().expect("an answer for each");
+                if answer.kind == AnswerKind::Answer {
                     let id = format!("000b03{at:02x}{:08x}", answer.sequence);
-                    assert!(answer.holds(&large_result(&id)), "whole");
+                    assert!(answer.contains(&large_result(&id)), "whole");
                     served += 1;
                 }
             }
@@ -558,11 +570,11 @@
 /// A flood of connections beyond the limit: whoever is connected is served meanwhile, a newcomer afterwards.
 #[test]
 fn a_flood_of_connections_holds_up_nobody_who_is_connected() {
-    let stand = stand_with(64);
+    let backend = start_backend_with_sockets(64);
     let running = AtomicBool::new(true);
-    let address: SocketAddr = format!("{}:6565", stand.host).parse().unwrap();
+    let address: SocketAddr = format!("{}:6565", backend.host).parse().unwrap();
     std::thread::scope(|scope| {
-        let other = scope.spawn(|| slowest_answer_while(&stand, &running, "0b050000"));
+        let other = scope.spawn(|| slowest_answer_while(&backend, &running, "0b050000"));
         let flood: Vec<_> = (0..4)
             .map(|_| {
                 scope.spawn(move || {
@@ -572,7 +584,7 @@
             })
             .collect();
         let connected: usize = flood.into_iter().map(|thread| thread.join().unwrap()).sum();
-        let files = std::fs::read_dir(format!("/proc/{}/fd", stand.child.id())).unwrap().count();
+        let files = std::fs::read_dir(format!("/proc/{}/fd", backend.child.id())).unwrap().count();
         running.store(false, Ordering::Release);
         let slowest = other.join().unwrap();
         println!("slowest answer beside a flood of {connected} connections: {slowest:?}");
@@ -580,9 +592,9 @@
         assert!(slowest < PROMPT, "{slowest:?}");
     });
     let begin = Instant::now();
-    let mut newcomer = stand.edge();
-    newcomer.req(1, "000000000b060001", b"run");
-    assert_eq!(newcomer.answer().expect("an answer").sequence, 1);
+    let mut newcomer = backend.connect();
+    newcomer.request(1, "000000000b060001", b"run");
+    assert_eq!(newcomer.read_answer().expect("an answer").sequence, 1);
     assert!(begin.elapsed() < PROMPT, "{:?}", begin.elapsed());
 }
 
@@ -591,20 +603,20 @@
 #[test]
 fn a_flood_of_requests_on_one_connection_holds_up_nobody_else() {
     const REQUESTS: u32 = 3000;
-    let stand = stand();
-    let mut edge = stand.edge();
-    let mut writer = Edge { stream: edge.stream.try_clone().unwrap() };
+    let backend = start_backend();
+    let mut edge = backend.connect();
+    let mut writer = EdgeConnection { stream: edge.stream.try_clone().unwrap() };
     let running = AtomicBool::new(true);
     let mut counts: HashMap<u32, u32> = HashMap::new();
     std::thread::scope(|scope| {
-        let other = scope.spawn(|| slowest_answer_while(&stand, &running, "0b080000"));
+        let other = scope.spawn(|| slowest_answer_while(&backend, &running, "0b080000"));
         scope.spawn(move || {
             for sequence in 1..=REQUESTS {
-                writer.req(sequence, &format!("000000000b07{sequence:04x}"), b"run");
+                writer.request(sequence, &format!("000000000b07{sequence:04x}"), b"run");
             }
         });
         for _ in 0..REQUESTS {
-            let answer = edge.answer().expect("an answer for each");
+            let answer = edge.read_answer().expect("an answer for each");
             *counts.entry(answer.sequence).or_default() += 1;
         }
         running.store(false, Ordering::Release);
@@ -622,12 +634,12 @@
     const WINDOW_MS: u64 = 1500;
     // The window is kept in steps, so it ends a little later than it must.
     const STEP_MS: u64 = 250;
-    let stand = stand_with_changes(&[(
+    let backend = stand_with_changes(&[(
         r#""effect":"pure""#,
         &format!(r#""effect":"token","memory_span":{WINDOW_MS}.0"#),
     )]);
     let keyed = |id: &str, key: &str, stamp: u64| {
-        let mut fields = with(id, "ts", &stamp.to_string());
+        let mut fields = request_fields_with(id, "ts", &stamp.to_string());
         fields.push(("opkey", key.to_owned()));
         fields
     };
@@ -642,27 +654,27 @@
     ];
     std::thread::scope(|scope| {
         for (case, (offset, known)) in cases.into_iter().enumerate() {
-            let (stand, keyed) = (&stand, &keyed);
+            let (backend, keyed) = (&backend, &keyed);
             scope.spawn(move || {
                 let key = format!("window-{case}");
                 let (first_id, second_id) =
                     (format!("000000000c01{case:04x}"), format!("000000000c02{case:04x}"));
-                let mut edge = stand.edge();
+                let mut edge = backend.connect();
                 let first_stamp = unix_milliseconds();
                 edge.process(1, &keyed(&first_id, &key, first_stamp), b"run");
-                assert!(edge.expect(1, Kind::Answer).holds(first_id.as_bytes()));
+                assert!(edge.expect_answer(1, AnswerKind::Answer).contains(first_id.as_bytes()));
                 let second_stamp = (first_stamp + WINDOW_MS).saturating_add_signed(offset);
                 while unix_milliseconds() < second_stamp {
                     std::thread::sleep(Duration::from_millis(1));
                 }
                 edge.process(2, &keyed(&second_id, &key, second_stamp), b"run");
-                let answer = edge.expect(2, Kind::Answer);
-                let was_known = answer.holds(first_id.as_bytes());
+                let answer = edge.expect_answer(2, AnswerKind::Answer);
+                let was_known = answer.contains(first_id.as_bytes());
                 assert!(
-                    was_known || answer.holds(second_id.as_bytes()),
+                    was_known || answer.contains(second_id.as_bytes()),
                     "a result of its own or of the first"
                 );
-                assert_eq!(was_run(stand, &second_id), !was_known, "offset {offset}");
+                assert_eq!(was_run(backend, &second_id), !was_known, "offset {offset}");
                 if let Some(known) = known {
                     assert_eq!(was_known, known, "offset {offset}");
                 }
@@ -727,43 +739,43 @@
 
 /// Starts a backend so many times beside the same peers.
 fn startup_times(peer: Peer, presence: Presence, starts: usize) -> Vec<StartupTimes> {
-    let host = host();
+    let host = unique_address();
     let presence_of = |other: Peer| if other == peer { presence } else { Presence::Present };
-    let kernel = Shared::default();
+    let kernel = SharedExecutor::default();
     match presence_of(Peer::Executor) {
         Presence::Absent => {}
         Presence::Slow => listen_late(kernel.clone(), &host),
-        Presence::Present => _ = listen(kernel.clone(), &host),
+        Presence::Present => _ = serve_executor(kernel.clone(), &host),
     }
     let mut silent_store = None;
     let store = match presence_of(Peer::Store) {
-        Presence::Absent => Store::default(),
+        Presence::Absent => StoreStub::default(),
         Presence::Slow => {
-            // Connections stand in its backlog.
+            // Connections backend in its backlog.
             silent_store = Some(TcpListener::bind((&host[..], 7700)).unwrap());
-            Store::default()
+            StoreStub::default()
         }
-        Presence::Present => store(&host),
+        Presence::Present => start_store(&host),
     };
     let registry = match presence_of(Peer::Registry) {
         Presence::Absent => None,
         Presence::Slow | Presence::Present => Some(UdpSocket::bind((&host[..], 7946)).unwrap()),
     };
-    let file = file(&host, &told(&host));
+    let file = write_config(&host, &config_json(&host));
     let mut begin = Instant::now();
-    let child = start(&file);
-    let mut stand = Stand { host, kernel, store, child, file };
+    let child = spawn_backend(&file);
+    let mut backend = TestBackend { host, kernel, store, child, file };
     let may_serve = presence_of(Peer::Executor) != Presence::Absent;
     let mut times = Vec::new();
     loop {
-        times.push(first_answers(&stand, begin, may_serve));
+        times.push(first_answers(&backend, begin, may_serve));
         if times.len() == starts {
             break;
         }
-        stand.child.kill().unwrap();
-        stand.child.wait().unwrap();
+        backend.child.kill().unwrap();
+        backend.child.wait().unwrap();
         begin = Instant::now();
-        stand.child = start(&stand.file);
+        backend.child = spawn_backend(&backend.file);
     }
     if peer == Peer::Registry && presence == Presence::Present {
         let registry = registry.as_ref().unwrap();
@@ -775,14 +787,14 @@
 }
 
 /// Asks on new connections until a request is answered, and served where that may be.
-fn first_answers(stand: &Stand, begin: Instant, may_serve: bool) -> StartupTimes {
+fn first_answers(backend: &TestBackend, begin: Instant, may_serve: bool) -> StartupTimes {
     let mut first_answer = None;
     loop {
-        assert!(begin.elapsed() < LONG, "no answer");
-        if let Some(kind) = answer_on_new_connection(stand, begin) {
+        assert!(begin.elapsed() < LONG_TIMEOUT, "no answer");
+        if let Some(kind) = answer_on_new_connection(backend, begin) {
             let now = begin.elapsed();
             let first_answer = *first_answer.get_or_insert(now);
-            if kind == Kind::Answer {
+            if kind == AnswerKind::Answer {
                 return StartupTimes { first_answer, first_served: Some(now) };
             }
             if !may_serve {
@@ -793,24 +805,24 @@
     }
 }
 
-fn answer_on_new_connection(stand: &Stand, begin: Instant) -> Option<Kind> {
-    let stream = TcpStream::connect((&stand.host[..], 6565)).ok()?;
-    stream.set_read_timeout(Some(LONG)).unwrap();
-    let mut edge = Edge { stream };
+fn answer_on_new_connection(backend: &TestBackend, begin: Instant) -> Option<AnswerKind> {
+    let stream = TcpStream::connect((&backend.host[..], 6565)).ok()?;
+    stream.set_read_timeout(Some(LONG_TIMEOUT)).unwrap();
+    let mut edge = EdgeConnection { stream };
     let id = format!("{:016x}", begin.elapsed().as_nanos());
-    edge.req(1, &id, b"run");
-    edge.answer().map(|answer| answer.kind)
+    edge.request(1, &id, b"run");
+    edge.read_answer().map(|answer| answer.kind)
 }
 
 /// An executor that accepts a link at once and answers it a second later.
-fn listen_late(kernel: Shared, host: &str) {
+fn listen_late(kernel: SharedExecutor, host: &str) {
     let listener = TcpListener::bind((host, 7300)).unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let kernel = kernel.clone();
             std::thread::spawn(move || {
                 std::thread::sleep(Duration::from_secs(1));
-                serve_link(&kernel, stream);
+                serve_executor_link(&kernel, stream);
             });
         }
     });
