--- a/crates/server/tests/program/admitting.rs
+++ b/crates/server/tests/program/admitting.rs
@@ -42,7 +42,7 @@
     Some(EdgeConnection { stream })
 }
 
-/// Sends a req, and tells whether it was answered before the connection ended.
+/// Sends a request, and tells whether it was answered before the connection ended.
 fn served(edge: &mut EdgeConnection, sequence: u32, id: u64) -> bool {
     use std::io::Write;
     // What was refused may be closed before all is written.
--- a/crates/server/tests/program/cost.rs
+++ b/crates/server/tests/program/cost.rs
@@ -1,4 +1,4 @@
-//! What a recording or a cluster costs, pair by pair: CPU of the process for a req and response times, with it and without. Run by
+//! What a recording or a cluster costs, pair by pair: CPU of the process for a request and response times, with it and without. Run by
 //! hand, in a release build with the cores free:
 //! `TULIPGAP_CORE=0 cargo test --release -p tulipgap-server --test program cost -- --ignored --nocapture`
 
@@ -24,7 +24,7 @@
     all
 }
 
-/// CPU microseconds a req, those of the writer's thread among them, and the median and 99th percentile of response times in microseconds.
+/// CPU microseconds a request, those of the writer's thread among them, and the median and 99th percentile of response times in microseconds.
 fn measured(settings: Option<&std::path::Path>) -> [f64; 4] {
     let mut backend = start_backend_with(1024, settings);
     let before = cpu(backend.child.id());
--- a/crates/server/tests/program/crossings.rs
+++ b/crates/server/tests/program/crossings.rs
@@ -1,9 +1,9 @@
-//! Rare moments: what comes just between two steps of the program, each forced by what a stand-in does and has seen.
+//! Rare moments: what comes just between two steps of the program, each forced by what a stub does and has seen.
 //! docs/crossings.md has the whole list.
 
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::unix::ffi::OsStrExt;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -74,7 +74,7 @@
     }
 }
 
-/// Connections that the machine took while the program stood still, each with a whole req on it, as the grace ended
+/// Connections that the machine took while the program stood still, each with a whole request on it, as the grace ended
 /// meanwhile: the program saw no connection open, ended, and lost them all.
 #[test]
 fn requests_in_the_backlog_when_the_grace_ends_are_answered() {
@@ -157,34 +157,24 @@
     }
 }
 
-/// Whoever is asked to send nothing more connects anew at once, just as the listener closes: it gets in or is refused. With
-/// newcomers shut out beforehand by a filter their first packet was dropped, and they hung until the system sent another
-/// after a second. What a connect meets is the system alone, however slow the program is.
-#[test]
-fn a_connect_as_the_listener_closes_does_not_hang() {
+/// Drains backends with an open request; every connection, once it is asked to leave, does `then` with the address.
+fn at_drain_notifications(id_prefix: &str, connections: usize, then: impl Fn(SocketAddr) + Sync) {
     for round in 0..3u32 {
         let mut backend = start_backend();
         let address = format!("{}:6565", backend.host).parse().unwrap();
-        let mut edges: Vec<EdgeConnection> = (0..6).map(|_| backend.connect()).collect();
-        // What is open on it keeps it from closing.
+        let mut edges: Vec<EdgeConnection> = (0..connections).map(|_| backend.connect()).collect();
+        // What is open keeps the connections, and the backend, from ending.
         for (at, edge) in (0u32..).zip(&mut edges) {
-            edge.request(1, &format!("0000000000ed{round:02x}{at:02x}"), b"hang");
+            edge.request(1, &format!("{id_prefix}{round:02x}{at:02x}"), b"hang");
         }
-        wait_until("they run or are held", || !backend.kernel.lock().unwrap().runs.is_empty());
+        wait_until("they run or are queued", || !backend.kernel.lock().unwrap().runs.is_empty());
         backend.signal("TERM");
-        let within = std::time::Duration::from_millis(800);
         std::thread::scope(|scope| {
             for edge in &mut edges {
+                let then = &then;
                 scope.spawn(move || {
-                    while edge.read_answer().expect("the wish").kind != AnswerKind::NoMore {}
-                    // Again and again, until the listener is closed.
-                    wait_until("refused", || match TcpStream::connect_timeout(&address, within) {
-                        Ok(_) => false,
-                        Err(error) => {
-                            assert_eq!(error.kind(), ErrorKind::ConnectionRefused, "neither in nor refused");
-                            true
-                        }
-                    });
+                    while edge.read_answer().expect("a drain notification").kind != AnswerKind::NoMore {}
+                    then(address);
                 });
             }
         });
@@ -193,35 +183,34 @@
     }
 }
 
-/// EdgeConnection nodes that are asked to leave connect anew at once. Where the accepting was late, such connections filled the
+/// Whether a connect gets in; one that does not must be refused, within the time in which the system sends no second packet.
+fn gets_in(address: SocketAddr) -> bool {
+    match TcpStream::connect_timeout(&address, std::time::Duration::from_millis(800)) {
+        Ok(_) => true,
+        Err(error) => {
+            assert_eq!(error.kind(), ErrorKind::ConnectionRefused, "neither in nor refused");
+            false
+        }
+    }
+}
+
+/// An edge node that is asked to leave connects again and again, just as the listener closes: it gets in or is refused. With
+/// new connections shut out by a filter their first packet was dropped, and they hung until the system sent another after
+/// a second. What a connect meets is the system alone, however slow the program is.
+#[test]
+fn a_connect_as_the_listener_closes_does_not_hang() {
+    at_drain_notifications("0000000000ed", 6, |address| wait_until("refused", || !gets_in(address)));
+}
+
+/// Edge nodes that are asked to leave connect anew at once. Where the accepting was late, such connections filled the
 /// backlog, and the system dropped the first packets of others, which hung for a second. New connections are refused before
 /// anybody is asked to leave, so none of them gets in.
 #[test]
 fn an_edge_node_that_is_asked_to_leave_is_refused_at_once() {
-    for round in 0..3u32 {
-        let mut backend = start_backend();
-        let address = format!("{}:6565", backend.host).parse().unwrap();
-        let mut edges: Vec<EdgeConnection> = (0..16).map(|_| backend.connect()).collect();
-        // What is open on it keeps the backend from ending.
-        edges[0].request(1, &format!("0000000000ef{round:04x}"), b"hang");
-        wait_until("it runs", || !backend.kernel.lock().unwrap().runs.is_empty());
-        backend.signal("TERM");
-        let within = std::time::Duration::from_millis(800);
-        std::thread::scope(|scope| {
-            for edge in &mut edges {
-                scope.spawn(move || {
-                    while edge.read_answer().expect("the wish").kind != AnswerKind::NoMore {}
-                    let error = TcpStream::connect_timeout(&address, within).expect_err("it got in");
-                    assert_eq!(error.kind(), ErrorKind::ConnectionRefused);
-                });
-            }
-        });
-        drop(edges);
-        assert_eq!(backend.wait_for_exit().code(), Some(0));
-    }
+    at_drain_notifications("0000000000ef", 16, |address| assert!(!gets_in(address), "it got in"));
 }
 
-/// The notice comes before the kernel is up: it was forgotten, and what came behind the grace was run.
+/// The notice comes before the executor is up: it was forgotten, and what came behind the grace was run.
 #[test]
 fn a_shutdown_notice_before_the_executor_is_up_takes_effect_once_it_is() {
     let host = unique_address();
@@ -267,7 +256,7 @@
     drop(writer);
 }
 
-/// The kernel moves, to where a connect hangs, and on from there while it does: connects had no limit of their own, so
+/// The executor moves, to where a connect hangs, and on from there while it does: connects had no limit of their own, so
 /// nothing ran for two minutes.
 #[test]
 fn an_executor_that_moves_while_a_connect_hangs_is_found() {
@@ -295,7 +284,7 @@
     assert!(edge.expect_answer(1, AnswerKind::Answer).contains(b"all the same"));
 }
 
-/// The kernel moves and moves back before the farewell to its link is answered: the link stayed, and nothing was said on
+/// The executor moves and moves back before the farewell to its link is answered: the link stayed, and nothing was said on
 /// it any more.
 #[test]
 fn an_executor_that_moves_back_during_the_farewell_is_connected_again() {
@@ -305,7 +294,7 @@
     wait_until("it runs", || !backend.kernel.lock().unwrap().runs.is_empty());
     let elsewhere = unique_address();
     {
-        // The kernel answers nothing while this is held.
+        // The executor answers nothing while this is held.
         let _held = backend.kernel.lock().unwrap();
         backend.moves(&elsewhere, &[7300]);
         std::thread::sleep(std::time::Duration::from_millis(30));
@@ -354,7 +343,7 @@
 }
 
 /// The announce service is down at the start, and heard of it once it listens; of its leaving too, whether or not the
-/// kernel is up by then.
+/// executor is up by then.
 #[test]
 fn a_backend_is_registered_whenever_the_service_registry_listens() {
     let mut backend = start_backend();
@@ -411,7 +400,7 @@
     assert!(store.calls.load(Ordering::Acquire) > 0);
 }
 
-/// A number that no req of this backend has had.
+/// A number that no request of this backend has had.
 fn store_id(backend: &TestBackend) -> u32 {
     0x1000 + backend.kernel.lock().unwrap().ends.len() as u32
 }
@@ -448,7 +437,7 @@
     drop(store);
 }
 
-/// The store is taken away with a call waiting for a place: the call was dropped, and its req stood until it was due.
+/// The store is taken away with a call waiting for a place: the call was dropped, and its request stood until it was due.
 #[test]
 fn a_call_that_waits_as_the_store_goes_is_skipped_at_once() {
     let backend = start_backend_with_sockets(32);
@@ -481,7 +470,7 @@
     }
 }
 
-/// A file of another backend, as when two are mixed up: its kernel was taken for this one's.
+/// A file of another backend, as when two are mixed up: its executor was taken for this one's.
 #[test]
 fn a_configuration_of_another_backend_moves_no_peer() {
     let backend = start_backend();
@@ -552,7 +541,7 @@
     assert_eq!(backend.wait_for_exit().code(), Some(0));
 }
 
-/// A slow reader at the stop: all that it has been owed lies in the rings and in the sockets, with half a req behind.
+/// A slow reader at the stop: all that it has been owed lies in the rings and in the sockets, with half a request behind.
 #[test]
 fn a_slow_reader_gets_all_its_answers_at_shutdown() {
     let mut backend = start_backend();
@@ -712,7 +701,7 @@
     edge.request(2, "0000000000f40002", b"hang");
     wait_until("both run", || backend.kernel.lock().unwrap().runs.len() == 2);
     edge.give_up(1);
-    // Stopped, which this kernel answers; then nobody is owed an answer to it.
+    // Stopped, which this executor answers; then nobody is owed an answer to it.
     wait_until("it is stopped", || backend.kernel.lock().unwrap().ends.contains_key("0000000000f40001"));
     // Of what is over, was never there, or comes twice.
     for sequence in [1, 77, 1] {
@@ -770,7 +759,7 @@
     assert!(edge.read_answer().is_none(), "closed");
 }
 
-/// Without memory for another req, a new one is turned away and told when to come back; a repeat of one that was run
+/// Without memory for another request, a new one is turned away and told when to come back; a repeat of one that was run
 /// is errored, as nobody may be told that it was not.
 #[test]
 fn a_duplicate_of_a_run_is_not_rejected_for_memory() {
--- a/crates/server/tests/program/load.rs
+++ b/crates/server/tests/program/load.rs
@@ -1,4 +1,4 @@
-//! Reqs served by five real processes while what lies between them breaks: the rules hold for every req throughout.
+//! Reqs served by five real processes while what lies between them breaks: the rules hold for every request throughout.
 
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -28,7 +28,7 @@
     spans: Mutex<HashMap<String, Vec<u64>>>,
 }
 
-/// One edge node that sends one req after the other to one member, each to be answered once.
+/// One edge node that sends one request after the other to one member, each to be answered once.
 fn edge(load: &Load, member: &Serving, at: usize, killed: bool) {
     let mut number = 0u64;
     while !load.over.load(Ordering::Relaxed) {
--- a/crates/server/tests/program/recording.rs
+++ b/crates/server/tests/program/recording.rs
@@ -98,7 +98,7 @@
     assert_eq!(told[2], (Outcome::Shed, Reason::LATE));
     assert_eq!(told[3], (Outcome::Errored, Reason::STOPPED));
     assert_eq!(told[5].0, Outcome::Gone);
-    // Each time behind the one before it; the work that the kernel told.
+    // Each time behind the one before it; the work that the executor told.
     for record in &records {
         let times = [record.read, record.answered, record.over].map(Option::unwrap);
         assert!(times.is_sorted() && times[0] >= -1000, "{record:?}");
--- a/crates/server/tests/program/serving.rs
+++ b/crates/server/tests/program/serving.rs
@@ -342,7 +342,7 @@
     }
     edge.request(10, "00000000000000d4", b"run");
     edge.expect_answer(10, AnswerKind::Answer);
-    // The id of a req that is open, and of one that is over; then the sequence of one that is open. With too
+    // The id of a request that is open, and of one that is over; then the sequence of one that is open. With too
     // much of that it is cut short.
     let mut other = backend.connect();
     for (sequence, id) in [(1, "00000000000000d1"), (2, "00000000000000d4")] {
@@ -385,7 +385,7 @@
     other.stream.write_all(b"\0\0\0\x30\x80\x01\0\x01").unwrap();
     other.stream.shutdown(Shutdown::Write).unwrap();
     assert!(other.read_answer().is_none(), "closed");
-    // A connection cut off takes its req along, and others are served.
+    // A connection cut off takes its request along, and others are served.
     let mut cut = backend.connect();
     cut.request(1, "00000000000000d5", b"hang");
     wait_until("it runs", || backend.kernel.lock().unwrap().runs.contains_key("00000000000000d5"));
