--- /dev/null
+++ b/crates/server/src/cluster/control_protocol.rs
@@ -0,0 +1,369 @@
+//! The requests and responses of the control socket. The words of its JSON are those that operators' programs know; this
+//! module alone relates them to the names in the code.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tulipgap_consensus::{VoterId, VoterStatus};
+use tulipgap_leases::{FencingToken, Incarnation, Lease, LeaseHolder, LeaseStatus, Name, RejectReason};
+use tulipgap_membership::{MemberRecord, MemberUpdate, Metadata, Reachability};
+
+/// An operator's command: one line of JSON.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(tag = "do", rename_all = "lowercase", deny_unknown_fields)]
+pub(crate) enum AdminRequest {
+    /// Lists the members of the cluster.
+    Members,
+    /// Shows the leases of this process, and its voter.
+    Own,
+    /// Acquires the drain lease of this process's zone.
+    Drain,
+    /// Lists leases, by a linearizable read.
+    Leases {
+        /// One lease, or all.
+        lease: Option<String>,
+    },
+    /// Acquires a lease for this process.
+    #[serde(rename = "take")]
+    Acquire {
+        /// The lease.
+        lease: String,
+        /// Its TTL in milliseconds.
+        #[serde(rename = "term_ms")]
+        ttl_ms: u64,
+        /// Its capacity.
+        #[serde(rename = "places")]
+        capacity: u32,
+    },
+    /// Releases a lease of this process.
+    Release {
+        /// The lease.
+        lease: String,
+    },
+    /// Revokes a grant.
+    Revoke {
+        /// The lease.
+        lease: String,
+        /// The fencing token of the grant.
+        token: u64,
+    },
+    /// Revokes a grant, and serves a process next.
+    Transfer {
+        /// The lease.
+        lease: String,
+        /// The fencing token of the grant.
+        token: u64,
+        /// The process.
+        to: String,
+    },
+    /// Replaces a voter.
+    #[serde(rename = "replace")]
+    ReplaceVoter {
+        /// The voter that is removed.
+        old: String,
+        /// The voter that is added.
+        new: String,
+    },
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum AdminError {
+    /// The line is no request.
+    #[error(transparent)]
+    InvalidRequest(#[from] serde_json::Error),
+    /// The event loop did not respond.
+    #[error("no answer")]
+    NoResponse,
+    /// The configuration names no voters.
+    #[error("this cluster has no voters")]
+    NoVoters,
+    /// Too many commands wait for voters.
+    #[error("too many ask already")]
+    TooManyPending,
+    /// No leader has responded in time.
+    #[error("no voter that leads has answered in {} s", timeout.as_secs())]
+    NoLeaderResponse {
+        /// How long the command has waited.
+        timeout: Duration,
+    },
+    /// The configuration does not bound how many processes drain.
+    #[error("the block cluster has no block drain")]
+    NoDrainLease,
+    /// The command would change nothing, or its values are outside their limits.
+    #[error(transparent)]
+    Rejected(#[from] RejectReason),
+}
+
+/// The result of a command.
+pub(crate) type AdminResult = Result<AdminResponse, AdminError>;
+
+/// The response to a command: one line of JSON.
+#[derive(Debug, Serialize)]
+#[serde(untagged)]
+pub(crate) enum AdminResponse {
+    /// The command was carried out.
+    Done {
+        /// Always set.
+        done: bool,
+    },
+    /// The voters were asked; whether one carries it out is seen by its status.
+    Requested {
+        /// Always set.
+        #[serde(rename = "asked")]
+        requested: bool,
+    },
+    /// The lease is requested.
+    Acquiring {
+        /// Always set.
+        wanted: bool,
+        /// The lease.
+        lease: String,
+    },
+    /// The leases that were read.
+    Leases {
+        /// By name.
+        leases: Vec<LeaseRow>,
+    },
+    /// The leases of this process, and its voter.
+    Own(OwnStatus),
+    /// The members of the cluster.
+    Members(MemberList),
+}
+
+impl AdminResponse {
+    /// The command was carried out.
+    pub(crate) const DONE: AdminResponse = AdminResponse::Done { done: true };
+    /// The voters were asked.
+    pub(crate) const REQUESTED: AdminResponse = AdminResponse::Requested { requested: true };
+
+    /// A lease is requested.
+    pub(crate) fn acquiring(lease: &str) -> Self {
+        AdminResponse::Acquiring { wanted: true, lease: lease.into() }
+    }
+
+    /// Leases were read.
+    pub(crate) fn leases(leases: &[(Name, Lease)]) -> Self {
+        let leases = leases.iter().map(|(name, lease)| LeaseRow::new(name, lease)).collect();
+        AdminResponse::Leases { leases }
+    }
+}
+
+/// A failed command.
+#[derive(Serialize)]
+struct ErrorResponse {
+    error: String,
+}
+
+/// The JSON of a result, with its keys in the order of the alphabet.
+///
+/// # Errors
+/// Where a number has no form in JSON, which none of these has.
+pub(crate) fn to_json(result: &AdminResult) -> Result<Value, serde_json::Error> {
+    match result {
+        Ok(response) => serde_json::to_value(response),
+        Err(error) => serde_json::to_value(ErrorResponse { error: error.to_string() }),
+    }
+}
+
+/// A lease, as voters have it.
+#[derive(Debug, Serialize)]
+pub(crate) struct LeaseRow {
+    lease: String,
+    #[serde(rename = "term_ms")]
+    ttl_ms: u64,
+    #[serde(rename = "places")]
+    capacity: u32,
+    #[serde(rename = "held")]
+    holders: Vec<HolderRow>,
+    queue: Vec<String>,
+}
+
+/// A process that holds a lease.
+#[derive(Debug, Serialize)]
+struct HolderRow {
+    #[serde(rename = "by")]
+    process: String,
+    #[serde(rename = "life")]
+    incarnation: Incarnation,
+    token: FencingToken,
+    /// It gets no further renewal.
+    #[serde(rename = "ends")]
+    revoked: bool,
+}
+
+impl LeaseRow {
+    fn new(name: &Name, lease: &Lease) -> Self {
+        LeaseRow {
+            lease: name.to_string(),
+            ttl_ms: lease.spec.ttl.as_millis() as u64,
+            capacity: lease.spec.capacity,
+            holders: lease.holders.iter().map(HolderRow::from).collect(),
+            queue: lease.queue.iter().map(|queued| queued.owner.name.to_string()).collect(),
+        }
+    }
+}
+
+impl From<&LeaseHolder> for HolderRow {
+    fn from(holder: &LeaseHolder) -> Self {
+        HolderRow {
+            process: holder.owner.name.to_string(),
+            incarnation: holder.owner.incarnation,
+            token: holder.token,
+            revoked: holder.revoked,
+        }
+    }
+}
+
+/// The leases of this process, and its voter.
+#[derive(Debug, Serialize)]
+pub(crate) struct OwnStatus {
+    /// The name of this process.
+    pub(crate) name: String,
+    /// The leases that it holds or requests.
+    pub(crate) wanted: Vec<WantedLeaseRow>,
+    /// Its voter, where it has one.
+    pub(crate) voter: Option<VoterRow>,
+    /// Frames that were dropped because their peer reads too slowly.
+    pub(crate) dropped_frames: usize,
+}
+
+/// A lease that this process holds or requests.
+#[derive(Debug, Serialize)]
+pub(crate) struct WantedLeaseRow {
+    lease: String,
+    #[serde(rename = "held")]
+    is_active: bool,
+    /// Where it is held.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    token: Option<FencingToken>,
+    /// Where it is queued: the owners that are served before.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ahead: Option<u32>,
+}
+
+impl WantedLeaseRow {
+    /// The row of a lease with that status.
+    pub(crate) fn new(name: &Name, status: LeaseStatus) -> Self {
+        let token = match status {
+            LeaseStatus::Active { token, announced: true, .. } => Some(token),
+            _ => None,
+        };
+        let ahead = match status {
+            LeaseStatus::Queued { ahead } => Some(ahead),
+            _ => None,
+        };
+        WantedLeaseRow { lease: name.to_string(), is_active: token.is_some(), token, ahead }
+    }
+}
+
+/// The voter of this process.
+#[derive(Debug, Serialize)]
+pub(crate) struct VoterRow {
+    phase: String,
+    term: u64,
+    leader: Option<String>,
+    #[serde(rename = "applied")]
+    applied_index: u64,
+    id: VoterId,
+    voters: Vec<String>,
+}
+
+impl From<VoterStatus> for VoterRow {
+    fn from(status: VoterStatus) -> Self {
+        VoterRow {
+            phase: status.phase.to_string(),
+            term: status.term,
+            leader: status.leader.as_deref().map(str::to_owned),
+            applied_index: status.applied_index,
+            id: status.id,
+            voters: status.voters.values().map(|name| name.to_string()).collect(),
+        }
+    }
+}
+
+/// The members of the cluster, as this process sees them.
+#[derive(Debug, Serialize)]
+pub(crate) struct MemberList {
+    /// This process first.
+    pub(crate) members: Vec<MemberRow>,
+    /// See [`Membership::awareness`](tulipgap_membership::Membership::awareness).
+    #[serde(rename = "badly")]
+    pub(crate) awareness: u32,
+    /// See [`Membership::anomalies`](tulipgap_membership::Membership::anomalies).
+    #[serde(rename = "odd")]
+    pub(crate) anomalies: u64,
+}
+
+/// A member of the cluster.
+#[derive(Debug, Serialize)]
+pub(crate) struct MemberRow {
+    name: String,
+    address: String,
+    region: String,
+    zone: String,
+    state: String,
+    incarnation: tulipgap_membership::Incarnation,
+    #[serde(rename = "by")]
+    reported_by: Option<String>,
+    #[serde(rename = "facts")]
+    metadata: Metadata,
+    #[serde(rename = "unheard")]
+    unreachable_peers: Vec<String>,
+    #[serde(rename = "reach")]
+    reachability: &'static str,
+    /// What this process observes of another.
+    #[serde(flatten)]
+    observation: Option<Observation>,
+}
+
+/// What this process observes of another.
+#[derive(Debug, Serialize)]
+struct Observation {
+    suspected_by: Vec<String>,
+    /// How long the member has had its state, in seconds.
+    #[serde(rename = "for_s")]
+    state_age_s: f64,
+}
+
+impl MemberRow {
+    /// The row of this process.
+    pub(crate) fn local(update: &MemberUpdate) -> Self {
+        MemberRow::new(update, "itself", None)
+    }
+
+    /// The row of another member at that time.
+    pub(crate) fn remote(now: Duration, record: &MemberRecord) -> Self {
+        let observation = Observation {
+            suspected_by: record.suspected_by.iter().map(|name| name.to_string()).collect(),
+            state_age_s: now.saturating_sub(record.state_since).as_secs_f64(),
+        };
+        MemberRow::new(&record.update, reachability_word(record.reachability), Some(observation))
+    }
+
+    fn new(update: &MemberUpdate, reachability: &'static str, observation: Option<Observation>) -> Self {
+        MemberRow {
+            name: update.node.name.to_string(),
+            address: update.node.address.to_string(),
+            region: update.node.region.to_string(),
+            zone: update.node.zone.to_string(),
+            state: format!("{:?}", update.state).to_lowercase(),
+            incarnation: update.incarnation,
+            reported_by: update.reported_by.as_deref().map(str::to_owned),
+            metadata: Metadata::clone(&update.metadata),
+            unreachable_peers: update.unreachable_peers.iter().map(|name| name.to_string()).collect(),
+            reachability,
+            observation,
+        }
+    }
+}
+
+fn reachability_word(reachability: Reachability) -> &'static str {
+    match reachability {
+        Reachability::Reachable => "heard",
+        Reachability::AsymmetricPartition => "oneway",
+        Reachability::IndirectOnly => "through",
+        Reachability::Unreachable => "nobody",
+    }
+}
--- /dev/null
+++ b/crates/server/src/cluster/event_loop.rs
@@ -0,0 +1,144 @@
+//! The event loop of the cluster: it takes what other threads hand to it, and hands it to the state machines.
+
+use std::ops::ControlFlow;
+use std::sync::mpsc::{Receiver, SyncSender};
+use std::time::Duration;
+
+use tulipgap_consensus::Event as VoterEvent;
+use tulipgap_leases::{Command, Event as LeaseEvent, Name, RequestId};
+use tulipgap_membership::Event as MembershipEvent;
+use tulipgap_peer_protocol::{Envelope, Message};
+
+use super::admin::Admin;
+use super::input::Input;
+use super::local_node::LocalNode;
+use super::pending_requests::PendingRequests;
+use super::threads::receive_batch;
+
+/// How long a shutdown waits for a transfer of the leadership to begin.
+const LEADERSHIP_TRANSFER_PAUSE: Duration = Duration::from_millis(150);
+
+/// The event loop. Its thread owns all state of the cluster but the voter's.
+pub(crate) struct EventLoop {
+    node: LocalNode,
+    admin: Admin,
+}
+
+impl EventLoop {
+    /// A loop over that state.
+    pub(crate) fn new(node: LocalNode, admin: Admin) -> Self {
+        EventLoop { node, admin }
+    }
+
+    /// Joins the cluster, and runs until a shutdown.
+    pub(crate) fn run(mut self, inputs: &Receiver<Input>) {
+        self.node.handle_membership_event(MembershipEvent::Started);
+        while let Some(batch) = receive_batch(inputs, self.node.clock().wait_until(self.next_timer_at())) {
+            for input in batch {
+                if self.handle_input(input).is_break() {
+                    return;
+                }
+            }
+            self.handle_timers();
+        }
+    }
+
+    fn next_timer_at(&self) -> Option<Duration> {
+        [self.node.next_timer_at(), self.admin.next_attempt_at()].into_iter().flatten().min()
+    }
+
+    fn handle_timers(&mut self) {
+        let now = self.node.clock().now();
+        self.node.handle_timers(now);
+        self.admin.retry_due(&self.node, now);
+    }
+
+    /// Breaks after a shutdown.
+    fn handle_input(&mut self, input: Input) -> ControlFlow<()> {
+        match input {
+            Input::Received(envelope) => self.handle_envelope(envelope),
+            Input::LeaseActions(actions) => self.node.carry_out_lease_actions(actions),
+            Input::Admin { request, reply } => self.admin.handle_request(&mut self.node, request, reply),
+            Input::ReadMetadata { key, reply } => _ = reply.try_send(self.node.read_metadata(key)),
+            Input::PublishMetadata { key, value } => {
+                let key = key.into();
+                self.node.handle_membership_event(MembershipEvent::SetMetadata { key, value });
+            }
+            Input::TransferLeadership => self.node.send_to_voter(VoterEvent::TransferLeadership),
+            Input::Shutdown(done) => {
+                self.shut_down(&done);
+                return ControlFlow::Break(());
+            }
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn handle_envelope(&mut self, envelope: Envelope) {
+        let Envelope { from, address, message, .. } = envelope;
+        self.node.router().learn_address(&from, address);
+        match message {
+            // A message in the name of another member than its sender is ignored.
+            Message::Member(message) if message.from != from => {}
+            Message::Member(message) => {
+                self.node.handle_membership_event(MembershipEvent::Received { from: address, message });
+            }
+            Message::Voter(message) => self.node.send_to_voter(VoterEvent::PeerMessage { from, message }),
+            Message::LeaseRequest { request, command } => self.handle_lease_request(from, request, command),
+            Message::ReadLeases { request, lease } => {
+                self.node.send_to_voter(VoterEvent::Read { from, request, lease });
+            }
+            Message::ReplaceVoter { old, new } => {
+                self.node.send_to_voter(VoterEvent::ReplaceVoter { old, new });
+            }
+            Message::LeaseResponse { request, response, .. } if PendingRequests::is_operators(request) => {
+                self.admin.handle_response(request, response);
+            }
+            Message::LeaseResponse { incarnation, request, response } => {
+                self.node.handle_lease_event(LeaseEvent::Response { incarnation, request, response });
+            }
+            Message::NotLeader { request, leader } if PendingRequests::is_operators(request) => {
+                self.admin.handle_not_leader(&self.node, request, leader.as_ref());
+            }
+            Message::NotLeader { request, leader } => {
+                self.node.handle_lease_event(LeaseEvent::NotLeader { request, leader });
+            }
+            Message::SlotAvailable { lease } => {
+                self.node.handle_lease_event(LeaseEvent::SlotAvailable { lease });
+            }
+            Message::LeaseList { request, leases } => self.admin.handle_lease_list(request, &leases),
+        }
+    }
+
+    fn handle_lease_request(&mut self, from: Name, request: RequestId, command: Command) {
+        if !may_send(&from, &command) {
+            return;
+        }
+        if self.node.voter().is_some() {
+            self.node.send_to_voter(VoterEvent::Propose { from, request, command });
+        } else {
+            self.node.router().send(&from, Message::NotLeader { request, leader: None });
+        }
+    }
+
+    /// Releases all leases, hands the leadership on and leaves the cluster. No task acts under a lease any more, as the
+    /// process is about to end.
+    fn shut_down(&mut self, done: &SyncSender<()>) {
+        for (lease, _) in self.node.leases() {
+            self.node.handle_lease_event(LeaseEvent::Release { lease });
+        }
+        self.node.send_to_voter(VoterEvent::TransferLeadership);
+        std::thread::sleep(LEADERSHIP_TRANSFER_PAUSE);
+        self.node.handle_membership_event(MembershipEvent::Leave);
+        let _ = done.try_send(());
+    }
+}
+
+/// Whether a process may send a command: an owner sends its own, an operator's may come from any, and expiries are the
+/// leader's own.
+fn may_send(from: &Name, command: &Command) -> bool {
+    match command {
+        Command::Acquire { owner, .. } | Command::Release { owner, .. } => owner.name == *from,
+        Command::Expire { .. } => false,
+        Command::Revoke { .. } | Command::Transfer { .. } => true,
+    }
+}
--- /dev/null
+++ b/crates/server/src/cluster/fault_injection/mod.rs
@@ -0,0 +1,7 @@
+//! Fault injection, for the rig alone: off unless the block `trial` of the configuration asks for it.
+
+mod faulty_disk;
+mod lease_worker;
+
+pub(crate) use faulty_disk::FaultyDisk;
+pub(crate) use lease_worker::LeaseWorker;
--- /dev/null
+++ b/crates/server/src/cluster/local_node.rs
@@ -0,0 +1,254 @@
+//! This process's part in the cluster: its membership, its leases and its voter. Their actions are carried out here.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tulipgap_consensus::Event as VoterEvent;
+use tulipgap_leases::{
+    Action as LeaseAction, Event as LeaseEvent, LeaseClient, LeaseSpec, LeaseStatus, Name, RejectReason,
+};
+use tulipgap_membership::{
+    Action as MembershipAction, Event as MembershipEvent, MemberState, MemberUpdate, Membership,
+};
+use tulipgap_peer_protocol::Message;
+
+use super::clock::{ClusterClock, Timer};
+use super::input::PublishedValue;
+use super::message_router::MessageRouter;
+use super::voter_thread::VoterHandle;
+
+/// The state machines of this process and what they need. The event loop's thread owns it. The lease client is shared with
+/// the tasks' [`LeaseHandle`](super::lease_handle::LeaseHandle)s, the voter is its own thread's.
+pub(crate) struct LocalNode {
+    clock: ClusterClock,
+    router: MessageRouter,
+    membership: Membership,
+    membership_timer: Timer,
+    lease_client: Arc<Mutex<LeaseClient>>,
+    lease_timer: Timer,
+    voter: Option<VoterHandle>,
+    /// The initial voters.
+    voters: Vec<Name>,
+    /// Whether it was logged that one zone has a majority of the voters.
+    has_warned_of_zone_majority: bool,
+}
+
+/// The parts of a [`LocalNode`].
+pub(crate) struct LocalNodeParts {
+    /// The clock of all of them.
+    pub(crate) clock: ClusterClock,
+    /// Delivers what they send.
+    pub(crate) router: MessageRouter,
+    /// The membership.
+    pub(crate) membership: Membership,
+    /// The lease client.
+    pub(crate) lease_client: Arc<Mutex<LeaseClient>>,
+    /// The voter, where this process has one.
+    pub(crate) voter: Option<VoterHandle>,
+    /// The initial voters.
+    pub(crate) voters: Vec<Name>,
+}
+
+impl From<LocalNodeParts> for LocalNode {
+    fn from(parts: LocalNodeParts) -> Self {
+        LocalNode {
+            clock: parts.clock,
+            router: parts.router,
+            membership: parts.membership,
+            membership_timer: Timer::default(),
+            lease_client: parts.lease_client,
+            lease_timer: Timer::default(),
+            voter: parts.voter,
+            voters: parts.voters,
+            has_warned_of_zone_majority: false,
+        }
+    }
+}
+
+impl LocalNode {
+    /// The clock of the cluster.
+    pub(crate) fn clock(&self) -> ClusterClock {
+        self.clock
+    }
+
+    /// Delivers messages to members.
+    pub(crate) fn router(&self) -> &MessageRouter {
+        &self.router
+    }
+
+    /// The membership, to be read.
+    pub(crate) fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// The voter, where this process has one.
+    pub(crate) fn voter(&self) -> Option<&VoterHandle> {
+        self.voter.as_ref()
+    }
+
+    /// When [`handle_timers`](Self::handle_timers) is to be called next.
+    pub(crate) fn next_timer_at(&self) -> Option<Duration> {
+        [self.membership_timer.at(), self.lease_timer.at()].into_iter().flatten().min()
+    }
+
+    /// Handles the timers that are due at `now`.
+    pub(crate) fn handle_timers(&mut self, now: Duration) {
+        if self.membership_timer.take_if_due(now) {
+            self.handle_membership_event_at(now, MembershipEvent::TimerExpired);
+        }
+        if self.lease_timer.take_if_due(now) {
+            self.handle_lease_event(LeaseEvent::TimerElapsed);
+        }
+    }
+
+    /// Hands the voter an event, where this process has one.
+    pub(crate) fn send_to_voter(&self, event: VoterEvent) {
+        if let Some(voter) = &self.voter {
+            voter.send(event);
+        }
+    }
+
+    /// Hands the membership an event, and carries out what follows.
+    pub(crate) fn handle_membership_event(&mut self, event: MembershipEvent) {
+        self.handle_membership_event_at(self.clock.now(), event);
+    }
+
+    fn handle_membership_event_at(&mut self, now: Duration, event: MembershipEvent) {
+        let actions = self.membership.handle_events(now, &[event]);
+        let mut has_changed = false;
+        for action in actions {
+            has_changed |= matches!(action, MembershipAction::StateChanged { .. });
+            self.carry_out_membership_action(action);
+        }
+        if has_changed {
+            self.warn_of_zone_majority();
+            for member in self.membership.members() {
+                self.router.learn_address(&member.update.node.name, member.update.node.address);
+            }
+        }
+    }
+
+    fn carry_out_membership_action(&mut self, action: MembershipAction) {
+        match action {
+            MembershipAction::Send { to, message } => {
+                self.router.send_to_address(to, Message::Member(message));
+            }
+            MembershipAction::SetTimer { at } => self.membership_timer.set_earliest(at),
+            MembershipAction::StateChanged { name, state, reported_by } => {
+                log_state_change(&name, state, reported_by.as_deref());
+            }
+            MembershipAction::NameConflict { address } => log_name_conflict(address),
+            MembershipAction::MetadataRejected { error } => {
+                log::warn!("member metadata rejected error=\"{error}\"");
+            }
+        }
+    }
+
+    /// A zone with a majority of the voters takes all leases with it when it fails.
+    fn warn_of_zone_majority(&mut self) {
+        let voters = &self.voters;
+        let is_voter = |update: &MemberUpdate| voters.contains(&update.node.name);
+        let mut voters_by_zone: BTreeMap<Name, usize> = BTreeMap::new();
+        let local = self.membership.local().clone();
+        let members = self.membership.members().map(|member| member.update).chain([local]);
+        for update in members.filter(is_voter) {
+            *voters_by_zone.entry(update.node.zone).or_default() += 1;
+        }
+        let has_majority = |count: usize| voters.len() > 1 && count > voters.len() / 2;
+        let Some((zone, count)) = voters_by_zone.iter().find(|(_, count)| has_majority(**count)) else {
+            return;
+        };
+        if !std::mem::replace(&mut self.has_warned_of_zone_majority, true) {
+            let total = voters.len();
+            log::warn!(
+                "voters of one zone are a majority zone={zone} voters={count} total={total}; \
+                 no lease is granted while that zone is down"
+            );
+        }
+    }
+
+    /// What the other live members of this zone publish under a key.
+    pub(crate) fn read_metadata(&self, key: &str) -> Vec<PublishedValue> {
+        let zone = &self.membership.local().node.zone;
+        let is_live_in_zone =
+            |update: &MemberUpdate| update.node.zone == *zone && update.state == MemberState::Alive;
+        (self.membership.members())
+            .filter(|member| is_live_in_zone(&member.update))
+            .filter_map(|member| {
+                let value = member.update.metadata.get(key)?.clone();
+                Some(PublishedValue { member: member.update.node.name.clone(), value })
+            })
+            .collect()
+    }
+
+    /// Hands the lease client an event, and carries out what follows.
+    pub(crate) fn handle_lease_event(&mut self, event: LeaseEvent) {
+        let actions = self.lease_client.lock().handle_event(self.clock.now(), event);
+        self.carry_out_lease_actions(actions);
+    }
+
+    /// Carries out what follows from an event of the lease client.
+    pub(crate) fn carry_out_lease_actions(&mut self, actions: Vec<LeaseAction>) {
+        for action in actions {
+            match action {
+                LeaseAction::Send { to, request, command } => {
+                    self.router.send(&to, Message::LeaseRequest { request, command });
+                }
+                LeaseAction::SetTimer { at } => self.lease_timer.set_earliest(at),
+                LeaseAction::Acquired { lease, token } => {
+                    log::info!("lease acquired name={lease} token={token}");
+                }
+                LeaseAction::Lost { lease, token, reason } => {
+                    log::info!("lease lost name={lease} token={token} reason={reason}");
+                }
+                LeaseAction::Rejected { lease, reason } => {
+                    log::warn!("lease rejected name={lease} reason=\"{reason}\"");
+                }
+            }
+        }
+    }
+
+    /// Acquires a lease, queueing where no slot is free, and keeps it until it is released.
+    ///
+    /// # Errors
+    /// The reason, where the lease client rejects that at once.
+    pub(crate) fn acquire_lease(
+        &mut self,
+        lease: &str,
+        spec: LeaseSpec,
+        max_step: Duration,
+    ) -> Result<(), RejectReason> {
+        let event = LeaseEvent::Acquire { lease: lease.into(), spec, max_step, wait: true };
+        let actions = self.lease_client.lock().handle_event(self.clock.now(), event);
+        let rejected = actions.iter().find_map(|action| match action {
+            LeaseAction::Rejected { reason, .. } => Some(reason.clone()),
+            _ => None,
+        });
+        self.carry_out_lease_actions(actions);
+        rejected.map_or(Ok(()), Err)
+    }
+
+    /// The leases that this process holds or requests.
+    pub(crate) fn leases(&self) -> Vec<(Name, LeaseStatus)> {
+        self.lease_client.lock().leases().map(|(name, status)| (name.clone(), status)).collect()
+    }
+}
+
+fn log_state_change(name: &Name, state: MemberState, reported_by: Option<&str>) {
+    let state = format!("{state:?}").to_lowercase();
+    match reported_by {
+        Some(reporter) => {
+            log::info!("member state changed name={name} state={state} reported_by={reporter}");
+        }
+        None => log::info!("member state changed name={name} state={state}"),
+    }
+}
+
+fn log_name_conflict(address: SocketAddr) {
+    log::error!(
+        "member name conflict address={address}: another process has this name; this one sends nothing more"
+    );
+}
--- /dev/null
+++ b/crates/server/src/cluster/mod.rs
@@ -0,0 +1,293 @@
+//! This process as a member of a cluster: membership, leases and, where it is one of the voters, consensus. Nothing here is
+//! started unless the block `cluster` of the configuration enables it, and all of it runs on threads of its own.
+//!
+//! Decisions are made by the packages `membership`, `leases` and `consensus`. This module hands them their input events and
+//! carries out their output actions:
+//!
+//! - [`Cluster`] is the handle that the server has.
+//! - [`event_loop`] owns the state of the cluster and takes all inputs; [`local_node`] holds the state machines, [`admin`]
+//!   carries out operators' commands, which [`control_socket`] accepts.
+//! - [`voter_thread`] runs the voter, whose writes wait for the disk.
+//! - [`peer_links`] sends and receives frames; [`message_router`] finds the address of a member.
+//! - [`lease_handle`] is what tasks use: [`drain`], [`store_probe`] and, for the rig, [`fault_injection`].
+
+mod admin;
+mod clock;
+mod control_protocol;
+mod control_socket;
+mod drain;
+mod error;
+mod event_loop;
+mod fault_injection;
+mod input;
+mod lease_handle;
+mod local_node;
+mod message_router;
+mod peer_links;
+mod pending_requests;
+mod store_probe;
+#[cfg(test)]
+mod tests;
+mod threads;
+mod voter_thread;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tulipgap_config::Trial;
+use tulipgap_consensus::DurableVoter;
+use tulipgap_leases::{Incarnation, LeaseClient, Name, Owner};
+use tulipgap_membership::{Membership, Node, SUPPORTED_VERSIONS};
+use tulipgap_peer_protocol::{Envelope, FrameCodec};
+use tulipgap_write_ahead_log::Directory;
+
+use self::admin::Admin;
+use self::clock::ClusterClock;
+use self::drain::DrainLease;
+pub(crate) use self::error::ClusterError;
+use self::event_loop::EventLoop;
+use self::fault_injection::{FaultyDisk, LeaseWorker};
+use self::input::{Input, MAX_QUEUED_INPUTS};
+use self::lease_handle::LeaseHandle;
+use self::local_node::{LocalNode, LocalNodeParts};
+use self::message_router::MessageRouter;
+use self::peer_links::{MAX_STREAMS, PeerLinks, PeerLinksConfig};
+use self::store_probe::StoreProbe;
+use self::threads::spawn_thread;
+use self::voter_thread::VoterHandle;
+use crate::net::store::StoreClient;
+
+/// Descriptors beside the streams: datagrams, listeners, the voter's files and the control socket.
+const OTHER_DESCRIPTORS: usize = 8;
+/// Descriptors that are reserved for the cluster.
+pub(crate) const DESCRIPTORS: usize = MAX_STREAMS + OTHER_DESCRIPTORS;
+/// How much longer pauses of the lease client are at random, in thousandths.
+const RETRY_JITTER_PERMILLE: u32 = 250;
+/// How long the end of the process waits for the event loop to leave the cluster.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// This process as a member of a cluster. The event loop and the other threads own the state; this has the way to them.
+pub(crate) struct Cluster {
+    inputs: SyncSender<Input>,
+    leases: LeaseHandle,
+    /// Where the configuration bounds how many processes drain.
+    drain: Option<DrainLease>,
+    zone: String,
+    control_socket: Option<PathBuf>,
+}
+
+/// Joins the cluster. `default_name` is the name of this process where the configuration has none.
+///
+/// # Errors
+/// [`ClusterError`] where the configuration makes no sense, an address is taken, or the voter's folder can't be used.
+pub(crate) fn start(
+    config: &tulipgap_config::Cluster,
+    default_name: &str,
+    seed: u64,
+) -> Result<Cluster, ClusterError> {
+    Startup::new(config, default_name, seed)?.run()
+}
+
+impl Cluster {
+    /// Begins to drain after a shutdown notice, whether or not others of the zone drain. It acquires a slot of the drain lease
+    /// where it can, so that those that wait for a slot see it.
+    pub(crate) fn start_drain(&self) {
+        // Another voter should lead before this process is busy draining; otherwise this one leads until its end.
+        let _ = self.inputs.try_send(Input::TransferLeadership);
+        let Some(drain) = self.drain.clone() else { return };
+        let leases = self.leases.clone();
+        // On a thread of its own, as nothing may delay the drain, whatever the event loop does.
+        if let Err(error) = spawn_thread("drain", move || drain.acquire(&leases)) {
+            log::warn!("drain lease not requested error=\"{error}\"");
+        }
+    }
+
+    /// Starts the health check of the store.
+    pub(crate) fn start_store_probe(&self, store: &Arc<StoreClient>) {
+        let probe = StoreProbe::new(self.leases.clone(), self.inputs.clone(), &self.zone, store.clone());
+        if let Err(error) = spawn_thread("cluster-probe", move || probe.run()) {
+            log::error!("store probe not started error=\"{error}\"");
+        }
+    }
+
+    /// Releases all leases, hands the leadership on and leaves the cluster, within `timeout` and [`SHUTDOWN_TIMEOUT`].
+    pub(crate) fn shutdown(self, timeout: Duration) {
+        let (done, is_done) = sync_channel(1);
+        if self.inputs.try_send(Input::Shutdown(done)).is_ok() {
+            let _ = is_done.recv_timeout(timeout.min(SHUTDOWN_TIMEOUT));
+        }
+        if let Some(path) = self.control_socket {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
+/// What is known before anything is started.
+struct Startup<'a> {
+    config: &'a tulipgap_config::Cluster,
+    /// The faults to inject; none by default.
+    faults: Trial,
+    local_name: Name,
+    listen: SocketAddr,
+    codec: FrameCodec,
+    clock: ClusterClock,
+    /// Drawn with each start, so that nothing is taken for what an earlier run has requested.
+    incarnation: Incarnation,
+    seed: u64,
+    voters: Vec<Name>,
+}
+
+impl<'a> Startup<'a> {
+    fn new(
+        config: &'a tulipgap_config::Cluster,
+        default_name: &str,
+        seed: u64,
+    ) -> Result<Self, ClusterError> {
+        let listen = config.listen.parse().map_err(ClusterError::ListenAddress)?;
+        let codec = read_codec(&config.name, &config.key)?;
+        let faults = config.trial.clone().unwrap_or_default();
+        let incarnation = Incarnation(fastrand::u64(1..));
+        Ok(Startup {
+            config,
+            local_name: config.member.as_deref().unwrap_or(default_name).into(),
+            listen,
+            codec,
+            clock: ClusterClock::start(faults.clock_rate),
+            faults,
+            incarnation,
+            seed: seed ^ incarnation.0,
+            voters: config.voters.iter().map(|voter| voter.as_str().into()).collect(),
+        })
+    }
+
+    /// Starts the threads, each after what it depends on.
+    fn run(self) -> Result<Cluster, ClusterError> {
+        let (inputs, queued_inputs) = sync_channel(MAX_QUEUED_INPUTS);
+        let (received, envelopes) = sync_channel(MAX_QUEUED_INPUTS);
+        let links = self.open_links(received)?;
+        let membership = self.membership()?;
+        let lease_client = Arc::new(Mutex::new(self.lease_client()));
+        let router = MessageRouter::new(links, self.local_name.clone(), self.listen, inputs.clone());
+        let voter = self.start_voter(&router)?;
+        let leases = LeaseHandle::new(lease_client.clone(), self.clock, inputs.clone());
+        start_forwarding(envelopes, inputs.clone())?;
+        let drain =
+            self.config.drain.as_ref().map(|drain| DrainLease::for_zone(&self.config.zone, drain.at_once));
+        let node = LocalNode::from(LocalNodeParts {
+            clock: self.clock,
+            router,
+            membership,
+            lease_client,
+            voter,
+            voters: self.voters.clone(),
+        });
+        let event_loop = EventLoop::new(node, Admin::new(self.voters.clone(), drain.clone()));
+        spawn_thread("cluster", move || event_loop.run(&queued_inputs)).map_err(ClusterError::SpawnThread)?;
+        self.start_control_socket(&inputs)?;
+        self.start_lease_workers(&leases)?;
+        let (name, zone, member) = (&self.config.name, &self.config.zone, &self.local_name);
+        log::info!(
+            "cluster member started cluster={name} member={member} zone={zone} listen={}",
+            self.listen
+        );
+        let control_socket = self.config.control.clone();
+        Ok(Cluster { inputs, leases, drain, zone: zone.clone(), control_socket })
+    }
+
+    fn open_links(&self, received: SyncSender<Envelope>) -> Result<Arc<PeerLinks>, ClusterError> {
+        let config = PeerLinksConfig {
+            listen: self.listen,
+            codec: self.codec.clone(),
+            local_name: self.local_name.clone(),
+            incarnation: self.incarnation,
+            routes: self.faults.routes().into_iter().collect(),
+        };
+        PeerLinks::open(config, received)
+            .map_err(|source| ClusterError::Listen { address: self.listen, source })
+    }
+
+    fn membership(&self) -> Result<Membership, ClusterError> {
+        let node = Node {
+            name: self.local_name.clone(),
+            address: self.listen,
+            region: self.config.region.as_str().into(),
+            zone: self.config.zone.as_str().into(),
+            version: *SUPPORTED_VERSIONS.end(),
+        };
+        let config = tulipgap_membership::Config { seeds: self.config.seeds(), ..Default::default() };
+        let incarnation = tulipgap_membership::Incarnation::default();
+        Membership::new(config, node, incarnation, self.seed).map_err(ClusterError::Member)
+    }
+
+    fn lease_client(&self) -> LeaseClient {
+        let owner = Owner { name: self.local_name.clone(), incarnation: self.incarnation };
+        let config = tulipgap_leases::Config {
+            max_clock_drift_permille: self.max_clock_drift_permille(),
+            jitter_permille: RETRY_JITTER_PERMILLE,
+        };
+        LeaseClient::new(owner, self.voters.clone(), config, self.seed)
+    }
+
+    /// The voter of this process. A member with a folder has one even where it does not vote yet: an operator may let it
+    /// replace another.
+    fn start_voter(&self, router: &MessageRouter) -> Result<Option<VoterHandle>, ClusterError> {
+        let Some(folder) = self.config.folder.as_deref().filter(|_| !self.voters.is_empty()) else {
+            let needs_folder = self.config.folder.is_none() && self.voters.contains(&self.local_name);
+            return if needs_folder { Err(ClusterError::VoterWithoutFolder) } else { Ok(None) };
+        };
+        let config = tulipgap_consensus::Config {
+            max_clock_drift_permille: self.max_clock_drift_permille(),
+            ..Default::default()
+        };
+        let disk = Directory::open(folder)
+            .map_err(|source| ClusterError::OpenFolder { path: folder.into(), source })?;
+        let disk = FaultyDisk::new(disk, self.faults.disk_trouble.clone());
+        let voter = DurableVoter::open(config, &self.local_name, self.voters.clone(), disk, self.seed)
+            .map_err(|source| ClusterError::RestoreVoter { path: folder.into(), source })?;
+        let voter = VoterHandle::spawn(voter, self.clock, router.clone());
+        voter.map(Some).map_err(ClusterError::SpawnThread)
+    }
+
+    fn start_control_socket(&self, inputs: &SyncSender<Input>) -> Result<(), ClusterError> {
+        let Some(path) = &self.config.control else { return Ok(()) };
+        control_socket::listen(path, inputs.clone())
+            .map_err(|source| ClusterError::ControlSocket { path: path.clone(), source })
+    }
+
+    /// For the rig: tasks that act under leases and report to a history recorder. None where no recorder is configured.
+    fn start_lease_workers(&self, leases: &LeaseHandle) -> Result<(), ClusterError> {
+        let recorder = self.faults.witness.as_deref().and_then(|address| address.parse().ok());
+        let Some(recorder) = recorder else { return Ok(()) };
+        for lease in self.faults.leases() {
+            let worker = LeaseWorker::new(leases.clone(), lease, self.local_name.clone(), recorder);
+            spawn_thread("trial", move || worker.run()).map_err(ClusterError::SpawnThread)?;
+        }
+        Ok(())
+    }
+
+    fn max_clock_drift_permille(&self) -> u32 {
+        (self.config.clock_off * 1000.0).round() as u32
+    }
+}
+
+fn read_codec(cluster: &str, key_file: &Path) -> Result<FrameCodec, ClusterError> {
+    let path = || key_file.to_path_buf();
+    let key = std::fs::read(key_file).map_err(|source| ClusterError::ReadKey { path: path(), source })?;
+    FrameCodec::new(cluster, &key).map_err(|source| ClusterError::InvalidKey { path: path(), source })
+}
+
+/// Hands what the links have received to the event loop. Its thread ends with either of them.
+fn start_forwarding(envelopes: Receiver<Envelope>, inputs: SyncSender<Input>) -> Result<(), ClusterError> {
+    let forward = move || {
+        for envelope in envelopes {
+            if inputs.send(Input::Received(envelope)).is_err() {
+                return;
+            }
+        }
+    };
+    spawn_thread("cluster-in", forward).map_err(ClusterError::SpawnThread)
+}
--- /dev/null
+++ b/crates/server/src/cluster/peer_links.rs
@@ -0,0 +1,265 @@
+//! Links to the other processes of a cluster: datagrams for messages that may be lost, streams for those that must arrive
+//! or are long. Each link is used one way, by the process that opened it. Links have threads of their own, and none of
+//! them runs on the worker of the requests; a slow peer fills its own queue and nobody else's.
+
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tulipgap_consensus::PeerMessage;
+use tulipgap_leases::{Incarnation, Name};
+use tulipgap_peer_protocol::{Envelope, FrameCodec, FrameError, HEADER_BYTES, MAX_DATAGRAM_BYTES, Message};
+
+use super::threads::spawn_thread;
+use crate::log::Bound;
+
+/// Frames that wait for one peer; beyond, the newest are dropped.
+const MAX_QUEUED_FRAMES: usize = 256;
+/// Streams that this process opens.
+const MAX_OUTGOING_STREAMS: usize = 24;
+/// Streams that other processes open to this one.
+const MAX_INCOMING_STREAMS: usize = 32;
+/// Streams that are open at a time, in both directions.
+pub(crate) const MAX_STREAMS: usize = MAX_OUTGOING_STREAMS + MAX_INCOMING_STREAMS;
+/// A stream without a frame for so long is closed. Those of voters never are; others are opened now and then.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// A peer that sends or reads nothing in the middle of a frame for so long has stalled.
+const STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connect may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The first pause after a stream has failed. It doubles with each further failure.
+const MIN_RECONNECT_BACKOFF: Duration = Duration::from_millis(50);
+/// The longest pause after a stream has failed.
+const MAX_RECONNECT_BACKOFF: Duration = Duration::from_secs(2);
+/// Datagrams that are read before other threads have their turn.
+const DATAGRAMS_PER_YIELD: u32 = 32;
+/// As long as any datagram.
+const DATAGRAM_BUFFER_BYTES: usize = 64 * 1024;
+/// The pause after a datagram could not be read.
+const DATAGRAM_ERROR_PAUSE: Duration = Duration::from_millis(1);
+/// The pause after a stream could not be accepted.
+const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
+
+/// Of all links together: lines about rejected frames in the log.
+static REJECTED_FRAMES: Bound = Bound::new();
+/// Of all links together: lines about streams that failed in the log.
+static FAILED_STREAMS: Bound = Bound::new();
+
+/// What [`PeerLinks::open`] needs.
+pub(crate) struct PeerLinksConfig {
+    /// Where the others reach this process, by UDP and TCP.
+    pub(crate) listen: SocketAddr,
+    /// Encodes and decodes the frames of the cluster.
+    pub(crate) codec: FrameCodec,
+    /// The name of this process.
+    pub(crate) local_name: Name,
+    /// The run of this process.
+    pub(crate) incarnation: Incarnation,
+    /// For fault injection: messages to the first address go to the second.
+    pub(crate) routes: HashMap<SocketAddr, SocketAddr>,
+}
+
+/// All links of this process. It owns the sockets and the queues of the outgoing streams.
+pub(crate) struct PeerLinks {
+    config: PeerLinksConfig,
+    udp: UdpSocket,
+    /// The queue of each outgoing stream.
+    outgoing: Mutex<HashMap<SocketAddr, SyncSender<Vec<u8>>>>,
+    incoming_streams: AtomicUsize,
+    dropped_frames: AtomicUsize,
+}
+
+/// A place among the incoming streams. Dropping it frees the place.
+struct IncomingStreamSlot(Arc<PeerLinks>);
+
+impl IncomingStreamSlot {
+    fn try_acquire(links: &Arc<PeerLinks>) -> Option<Self> {
+        let slot = IncomingStreamSlot(links.clone());
+        let open = links.incoming_streams.fetch_add(1, Ordering::AcqRel);
+        (open < MAX_INCOMING_STREAMS).then_some(slot)
+    }
+}
+
+impl Drop for IncomingStreamSlot {
+    fn drop(&mut self) {
+        self.0.incoming_streams.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl PeerLinks {
+    /// Listens for peers. What they send goes to `received`.
+    ///
+    /// # Errors
+    /// The system's, where the address can't be listened on or a thread can't be started.
+    pub(crate) fn open(config: PeerLinksConfig, received: SyncSender<Envelope>) -> io::Result<Arc<Self>> {
+        let udp = UdpSocket::bind(config.listen)?;
+        let listener = TcpListener::bind(config.listen)?;
+        let links = Arc::new(PeerLinks {
+            config,
+            udp: udp.try_clone()?,
+            outgoing: Mutex::new(HashMap::new()),
+            incoming_streams: AtomicUsize::new(0),
+            dropped_frames: AtomicUsize::new(0),
+        });
+        let (udp_links, udp_received) = (links.clone(), received.clone());
+        spawn_thread("peers-udp", move || udp_links.read_datagrams(&udp, &udp_received))?;
+        let tcp_links = links.clone();
+        spawn_thread("peers-tcp", move || tcp_links.accept(&listener, &received))?;
+        Ok(links)
+    }
+
+    /// The number of frames that were dropped because their peer reads too slowly or too many streams are open.
+    pub(crate) fn dropped_frames(&self) -> usize {
+        self.dropped_frames.load(Ordering::Relaxed)
+    }
+
+    /// Sends a message to an address. It may get lost.
+    pub(crate) fn send(self: &Arc<Self>, to: SocketAddr, message: Message) {
+        let needs_stream = matches!(message, Message::Voter(PeerMessage::Raft(_)));
+        let frame = self.config.codec.encode(&Envelope {
+            from: self.config.local_name.clone(),
+            address: self.config.listen,
+            incarnation: self.config.incarnation,
+            message,
+        });
+        let to = self.config.routes.get(&to).copied().unwrap_or(to);
+        if needs_stream || frame.len() > MAX_DATAGRAM_BYTES {
+            self.send_on_stream(to, frame);
+        } else {
+            // Lost, as any datagram may be.
+            let _ = self.udp.send_to(&frame, to);
+        }
+    }
+
+    fn send_on_stream(self: &Arc<Self>, to: SocketAddr, frame: Vec<u8>) {
+        let mut outgoing = self.outgoing.lock();
+        if !outgoing.contains_key(&to) {
+            if outgoing.len() >= MAX_OUTGOING_STREAMS {
+                self.dropped_frames.fetch_add(1, Ordering::Relaxed);
+                return;
+            }
+            let (sender, queue) = sync_channel(MAX_QUEUED_FRAMES);
+            let links = Arc::downgrade(self);
+            if spawn_thread("peers-out", move || write_frames(&links, to, &queue)).is_err() {
+                return;
+            }
+            outgoing.insert(to, sender);
+        }
+        if let Some(Err(TrySendError::Full(_))) = outgoing.get(&to).map(|queue| queue.try_send(frame)) {
+            self.dropped_frames.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn read_datagrams(&self, udp: &UdpSocket, received: &SyncSender<Envelope>) {
+        let mut buffer = vec![0; DATAGRAM_BUFFER_BYTES];
+        for turn in 1u32.. {
+            match udp.recv_from(&mut buffer) {
+                Ok((length, from)) => match self.config.codec.decode_datagram(&buffer[..length]) {
+                    // Where the event loop does not keep up datagrams are lost, as on the network.
+                    Ok(envelope) => _ = received.try_send(envelope),
+                    Err(error) => log_rejected_frame(from, &error),
+                },
+                // An earlier datagram of this process met no listener; no error that ends the socket comes here.
+                Err(_) => std::thread::sleep(DATAGRAM_ERROR_PAUSE),
+            }
+            if turn.is_multiple_of(DATAGRAMS_PER_YIELD) {
+                std::thread::yield_now();
+            }
+        }
+    }
+
+    fn accept(self: &Arc<Self>, listener: &TcpListener, received: &SyncSender<Envelope>) {
+        loop {
+            let Ok((stream, from)) = listener.accept() else {
+                std::thread::sleep(ACCEPT_ERROR_PAUSE);
+                continue;
+            };
+            let Some(slot) = IncomingStreamSlot::try_acquire(self) else { continue };
+            let received = received.clone();
+            // Where no thread can be started the stream is closed, and its slot is free again.
+            let _ = spawn_thread("peers-in", move || slot.0.read_frames(stream, from, &received));
+        }
+    }
+
+    /// Reads frames until the stream ends, stalls or carries a frame that is rejected.
+    fn read_frames(&self, mut stream: TcpStream, from: SocketAddr, received: &SyncSender<Envelope>) {
+        while let Ok(header) = read_header(&mut stream) {
+            let body_length = match self.config.codec.decode_header(&header) {
+                Ok(length) => length,
+                Err(error) => return log_rejected_frame(from, &error),
+            };
+            let mut body = vec![0; body_length];
+            if stream.read_exact(&mut body).is_err() {
+                return;
+            }
+            match self.config.codec.decode(&header, &body) {
+                Ok(envelope) => {
+                    // A peer that sends more than the event loop takes waits here, on its own thread.
+                    if received.send(envelope).is_err() {
+                        return;
+                    }
+                }
+                Err(error) => return log_rejected_frame(from, &error),
+            }
+        }
+    }
+}
+
+/// Waits for the next frame, which may take as long as the idle timeout. Once it has begun its bytes must follow.
+fn read_header(stream: &mut TcpStream) -> io::Result<[u8; HEADER_BYTES]> {
+    let mut header = [0; HEADER_BYTES];
+    stream.set_read_timeout(Some(IDLE_TIMEOUT))?;
+    stream.read_exact(&mut header[..1])?;
+    stream.set_read_timeout(Some(STALL_TIMEOUT))?;
+    stream.read_exact(&mut header[1..])?;
+    Ok(header)
+}
+
+/// Writes what is queued for one peer. It ends where nothing was queued for the idle timeout, or the process ends.
+fn write_frames(links: &Weak<PeerLinks>, to: SocketAddr, queue: &Receiver<Vec<u8>>) {
+    let mut open_stream: Option<TcpStream> = None;
+    let mut backoff = MIN_RECONNECT_BACKOFF;
+    while let Ok(frame) = queue.recv_timeout(IDLE_TIMEOUT) {
+        let connected = open_stream.take().map_or_else(|| connect(to), Ok);
+        match connected.and_then(|mut stream| stream.write_all(&frame).map(|()| stream)) {
+            Ok(stream) => {
+                open_stream = Some(stream);
+                backoff = MIN_RECONNECT_BACKOFF;
+            }
+            Err(error) => {
+                log_failed_stream(to, &error);
+                std::thread::sleep(backoff.mul_f64(0.5 + 0.5 * fastrand::f64()));
+                backoff = (backoff * 2).min(MAX_RECONNECT_BACKOFF);
+                // Frames that were queued meanwhile are out of date.
+                while queue.try_recv().is_ok() {}
+            }
+        }
+    }
+    if let Some(links) = links.upgrade() {
+        links.outgoing.lock().remove(&to);
+    }
+}
+
+fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&to, CONNECT_TIMEOUT)?;
+    stream.set_nodelay(true)?;
+    stream.set_write_timeout(Some(STALL_TIMEOUT))?;
+    Ok(stream)
+}
+
+fn log_rejected_frame(from: SocketAddr, error: &FrameError) {
+    if let Some(count) = REJECTED_FRAMES.pass() {
+        log::warn!("peer frame rejected from={from} count={count} error=\"{error}\"");
+    }
+}
+
+fn log_failed_stream(to: SocketAddr, error: &io::Error) {
+    if let Some(count) = FAILED_STREAMS.pass() {
+        log::info!("peer stream failed to={to} count={count} error=\"{error}\"");
+    }
+}
--- /dev/null
+++ b/crates/server/src/cluster/pending_requests.rs
@@ -0,0 +1,136 @@
+//! Operators' commands that wait for the leader of the voters.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+use tulipgap_leases::{Name, RequestId};
+use tulipgap_peer_protocol::Message;
+
+use super::control_protocol::{AdminError, AdminResult};
+use super::message_router::MessageRouter;
+
+/// A command that no leader has responded to by then has failed.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time between two attempts.
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// Commands that wait at a time.
+const MAX_PENDING_REQUESTS: usize = 64;
+/// Ids of operators' requests are greater than this; those of the lease client never are.
+const ID_BASE: RequestId = RequestId(1 << 62);
+
+/// A command that waits.
+struct PendingRequest {
+    reply: SyncSender<AdminResult>,
+    message: Message,
+    expires_at: Duration,
+    next_attempt_at: Duration,
+    /// Attempts without a hint who leads. Each goes to the next voter.
+    attempts: usize,
+}
+
+/// The commands that wait. It owns them and their ids.
+pub(crate) struct PendingRequests {
+    voters: Vec<Name>,
+    pending: BTreeMap<RequestId, PendingRequest>,
+    last_id: RequestId,
+}
+
+impl PendingRequests {
+    /// No commands, to be sent to these voters.
+    pub(crate) fn new(voters: Vec<Name>) -> Self {
+        PendingRequests { voters, pending: BTreeMap::new(), last_id: ID_BASE }
+    }
+
+    /// Whether a response with that id is for an operator, and not for the lease client.
+    pub(crate) fn is_operators(id: RequestId) -> bool {
+        id >= ID_BASE
+    }
+
+    /// The voters that commands are sent to.
+    pub(crate) fn voters(&self) -> &[Name] {
+        &self.voters
+    }
+
+    /// When [`retry_due`](Self::retry_due) is to be called next.
+    pub(crate) fn next_attempt_at(&self) -> Option<Duration> {
+        self.pending.values().map(|request| request.next_attempt_at).min()
+    }
+
+    /// Sends a command to the voters, and the result to `reply`.
+    pub(crate) fn submit(
+        &mut self,
+        now: Duration,
+        router: &MessageRouter,
+        reply: SyncSender<AdminResult>,
+        message: impl FnOnce(RequestId) -> Message,
+    ) {
+        if let Err(error) = self.check_capacity() {
+            let _ = reply.try_send(Err(error));
+            return;
+        }
+        self.last_id = RequestId(self.last_id.0 + 1);
+        let request = PendingRequest {
+            reply,
+            message: message(self.last_id),
+            expires_at: now + REQUEST_TIMEOUT,
+            next_attempt_at: now,
+            attempts: 0,
+        };
+        self.pending.insert(self.last_id, request);
+        self.retry(now, router, self.last_id);
+    }
+
+    fn check_capacity(&self) -> Result<(), AdminError> {
+        if self.voters.is_empty() {
+            return Err(AdminError::NoVoters);
+        }
+        if self.pending.len() >= MAX_PENDING_REQUESTS {
+            return Err(AdminError::TooManyPending);
+        }
+        Ok(())
+    }
+
+    /// Ends a command with that result, where it still waits.
+    pub(crate) fn complete(&mut self, id: RequestId, result: AdminResult) {
+        if let Some(request) = self.pending.remove(&id) {
+            let _ = request.reply.try_send(result);
+        }
+    }
+
+    /// Sends the commands whose time has come to the next voter each.
+    pub(crate) fn retry_due(&mut self, now: Duration, router: &MessageRouter) {
+        let is_due = |request: &PendingRequest| request.next_attempt_at <= now;
+        let due: Vec<RequestId> =
+            self.pending.iter().filter(|(_, request)| is_due(request)).map(|(id, _)| *id).collect();
+        for id in due {
+            self.retry(now, router, id);
+        }
+    }
+
+    /// Sends a command to the voter that leads, as another voter reported.
+    pub(crate) fn redirect(&mut self, now: Duration, router: &MessageRouter, id: RequestId, leader: &Name) {
+        if let Some(request) = self.unexpired(now, id) {
+            router.send(leader, request.message.clone());
+        }
+    }
+
+    /// Sends a command to the next voter.
+    fn retry(&mut self, now: Duration, router: &MessageRouter, id: RequestId) {
+        let Some(request) = self.unexpired(now, id) else { return };
+        request.attempts += 1;
+        request.next_attempt_at = now + RETRY_INTERVAL;
+        let (attempts, message) = (request.attempts, request.message.clone());
+        if let Some(voter) = self.voters.get(attempts % self.voters.len().max(1)) {
+            router.send(voter, message);
+        }
+    }
+
+    /// A command that waits. One that has waited for too long fails here.
+    fn unexpired(&mut self, now: Duration, id: RequestId) -> Option<&mut PendingRequest> {
+        if self.pending.get(&id)?.expires_at <= now {
+            self.complete(id, Err(AdminError::NoLeaderResponse { timeout: REQUEST_TIMEOUT }));
+        }
+        self.pending.get_mut(&id)
+    }
+}
--- /dev/null
+++ b/crates/server/src/cluster/store_probe.rs
@@ -0,0 +1,148 @@
+//! The health check of the store. Where it refuses connections, one process of a zone probes it, and all others go by the
+//! verdict that it publishes.
+
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::time::Duration;
+
+use tulipgap_leases::LeaseSpec;
+use tulipgap_membership::dependency_probe::{
+    DependencyProber, Input as ProbeInput, ProbeOutcome, Verdict, VerdictChange,
+};
+
+use super::input::Input;
+use super::lease_handle::{LeaseHandle, ScopedGuard};
+use crate::net::store::StoreClient;
+
+/// The key of the metadata under which the verdict is published.
+const VERDICT_KEY: &str = "store";
+/// The time between two looks at the store's connections.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the event loop may take to read the verdicts of others. Without them the probe goes by what it sees itself.
+const VERDICT_READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a probe may take. It is the longest step under the lease on probing.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// One process probes; another takes over this long after it has died.
+const PROBE_LEASE: LeaseSpec = LeaseSpec { ttl: Duration::from_secs(4), capacity: 1 };
+
+/// The event loop has ended, and the probe ends with it.
+#[derive(Debug, thiserror::Error)]
+#[error("the event loop of the cluster has ended")]
+struct EventLoopEnded;
+
+/// The probe of this process. It owns the prober's state and the guard of the lease on probing.
+pub(crate) struct StoreProbe {
+    leases: LeaseHandle,
+    inputs: SyncSender<Input>,
+    lease: String,
+    store: Arc<StoreClient>,
+    prober: DependencyProber,
+    /// Whether the lease is requested or held.
+    wants_lease: bool,
+    guard: Option<ScopedGuard>,
+    last_outcome: Option<ProbeOutcome>,
+}
+
+impl StoreProbe {
+    /// The probe of a store that the processes of a zone share.
+    pub(crate) fn new(
+        leases: LeaseHandle,
+        inputs: SyncSender<Input>,
+        zone: &str,
+        store: Arc<StoreClient>,
+    ) -> Self {
+        StoreProbe {
+            leases,
+            inputs,
+            lease: format!("probe/store/{zone}"),
+            store,
+            prober: DependencyProber::default(),
+            wants_lease: false,
+            guard: None,
+            last_outcome: None,
+        }
+    }
+
+    /// Runs until the event loop ends.
+    pub(crate) fn run(mut self) {
+        loop {
+            std::thread::sleep(UPDATE_INTERVAL);
+            let store_answers = self.store.refused_in_a_row() == 0;
+            if store_answers && !self.wants_lease {
+                continue;
+            }
+            if self.update().is_err() {
+                return;
+            }
+        }
+    }
+
+    fn update(&mut self) -> Result<(), EventLoopEnded> {
+        let verdicts = self.read_verdicts()?;
+        let has_lease = self.check_lease();
+        let input = ProbeInput {
+            consecutive_refusals: self.store.refused_in_a_row(),
+            has_lease,
+            probe_outcome: self.last_outcome.take(),
+            verdicts: &verdicts,
+        };
+        let output = self.prober.update(self.leases.clock().now(), &input);
+        if let Some(change) = output.verdict_change {
+            self.publish(change);
+        }
+        self.store.hold_down(output.is_down);
+        self.want_lease(output.should_have_lease, has_lease);
+        if output.should_probe
+            && let Some(address) = self.store.address()
+        {
+            let connected = TcpStream::connect_timeout(&address, PROBE_TIMEOUT);
+            let outcome = if connected.is_ok() { ProbeOutcome::Succeeded } else { ProbeOutcome::Failed };
+            self.last_outcome = Some(outcome);
+        }
+        Ok(())
+    }
+
+    /// The verdicts of the other live members of the zone; none where the event loop does not respond in time.
+    fn read_verdicts(&self) -> Result<Vec<Verdict>, EventLoopEnded> {
+        let (reply, replied) = sync_channel(1);
+        let read = Input::ReadMetadata { key: VERDICT_KEY, reply };
+        self.inputs.send(read).map_err(|_| EventLoopEnded)?;
+        let published = replied.recv_timeout(VERDICT_READ_TIMEOUT).unwrap_or_default();
+        Ok(published.into_iter().map(|entry| Verdict { member: entry.member, text: entry.value }).collect())
+    }
+
+    /// Whether this process may probe now. The guard is given back where it may not.
+    fn check_lease(&mut self) -> bool {
+        if self.guard.is_none() && self.wants_lease {
+            self.guard = self.leases.acquire_guard(&self.lease).ok();
+        }
+        let has_lease = self.guard.as_ref().is_some_and(|guard| guard.fencing_token().is_ok());
+        if !has_lease {
+            self.guard = None;
+        }
+        has_lease
+    }
+
+    fn publish(&self, change: VerdictChange) {
+        let value = match change {
+            VerdictChange::Publish(text) => Some(text),
+            VerdictChange::Withdraw => None,
+        };
+        let _ = self.inputs.send(Input::PublishMetadata { key: VERDICT_KEY, value });
+    }
+
+    /// Acquires or releases the lease on probing. A process that held it and needs it no more has found the store healthy.
+    fn want_lease(&mut self, should_have_lease: bool, has_lease: bool) {
+        if should_have_lease && !self.wants_lease {
+            self.leases.acquire(&self.lease, PROBE_LEASE, PROBE_TIMEOUT);
+        } else if !should_have_lease && self.wants_lease {
+            self.guard = None;
+            self.leases.release(&self.lease);
+            if has_lease {
+                self.store.health_check_succeeded();
+            }
+        }
+        self.wants_lease = should_have_lease;
+    }
+}
--- /dev/null
+++ b/crates/server/src/cluster/voter_thread.rs
@@ -0,0 +1,116 @@
+//! The thread of this process's voter. Its writes wait for the disk; nothing else of the cluster does.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tulipgap_consensus::{Action, DurableVoter, Event, VoterError, VoterPhase, VoterStatus};
+use tulipgap_peer_protocol::Message;
+use tulipgap_write_ahead_log::Disk;
+
+use super::clock::{ClusterClock, Timer};
+use super::input::MAX_QUEUED_INPUTS;
+use super::message_router::MessageRouter;
+use super::threads::{receive_batch, spawn_thread};
+
+/// The voter, as the event loop sees it.
+pub(crate) struct VoterHandle {
+    events: SyncSender<Event>,
+    status: Arc<Mutex<VoterStatus>>,
+}
+
+impl VoterHandle {
+    /// Starts the thread of a voter. What the voter sends goes through `router`.
+    ///
+    /// # Errors
+    /// The system's, where the thread can't be started.
+    pub(crate) fn spawn<D: Disk + Send + 'static>(
+        voter: DurableVoter<D>,
+        clock: ClusterClock,
+        router: MessageRouter,
+    ) -> io::Result<Self> {
+        let (events, received) = sync_channel(MAX_QUEUED_INPUTS);
+        let status = Arc::new(Mutex::new(voter.voter().status()));
+        let timer = Timer::due_at(Duration::ZERO);
+        let thread = VoterThread { voter, clock, router, timer, status: status.clone() };
+        spawn_thread("voter", move || thread.run(&received))?;
+        Ok(VoterHandle { events, status })
+    }
+
+    /// Hands the voter an event. A voter whose disk hangs holds nobody up: the event is dropped where its queue is full, and
+    /// whoever sent it retries.
+    pub(crate) fn send(&self, event: Event) {
+        let _ = self.events.try_send(event);
+    }
+
+    /// Its status after the last batch of events.
+    pub(crate) fn status(&self) -> VoterStatus {
+        self.status.lock().clone()
+    }
+}
+
+/// The state of the thread. It owns the voter; the status is shared with the handle, and written here alone.
+struct VoterThread<D: Disk> {
+    voter: DurableVoter<D>,
+    clock: ClusterClock,
+    router: MessageRouter,
+    timer: Timer,
+    status: Arc<Mutex<VoterStatus>>,
+}
+
+impl<D: Disk> VoterThread<D> {
+    /// Runs until the handle is dropped, or the voter fails.
+    fn run(mut self, received: &Receiver<Event>) {
+        while let Some(events) = receive_batch(received, self.clock.wait_until(self.timer.at())) {
+            let mut events: Vec<Event> = events.collect();
+            let now = self.clock.now();
+            if self.timer.take_if_due(now) {
+                events.push(Event::TimerElapsed);
+            }
+            if events.is_empty() {
+                continue;
+            }
+            if let Err(error) = self.handle_events(now, events) {
+                log::error!(
+                    "voter ended error=\"{error}\"; it votes no more until this process is restarted"
+                );
+                self.status.lock().phase = VoterPhase::Ended;
+                return;
+            }
+        }
+    }
+
+    /// What the voter did before it failed is carried out, too.
+    fn handle_events(&mut self, now: Duration, events: Vec<Event>) -> Result<(), VoterError> {
+        let (actions, result) = self.voter.handle_events(now, events);
+        for action in actions {
+            self.carry_out(action);
+        }
+        *self.status.lock() = self.voter.voter().status();
+        result
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message } => self.router.send(&to, Message::Voter(message)),
+            Action::Respond { to, incarnation, request, response } => {
+                self.router.send(&to, Message::LeaseResponse { incarnation, request, response });
+            }
+            Action::RejectNotLeader { to, request, leader } => {
+                self.router.send(&to, Message::NotLeader { request, leader });
+            }
+            Action::NotifySlotAvailable { to, lease } => {
+                self.router.send(&to, Message::SlotAvailable { lease });
+            }
+            Action::RespondRead { to, request, leases } => {
+                self.router.send(&to, Message::LeaseList { request, leases });
+            }
+            Action::SetTimer { at } => self.timer.set_earliest(at),
+            Action::Notice(notice) => log::info!("voter {notice}"),
+            // The durable voter has carried these out itself.
+            Action::AppendRecord(_) | Action::WriteSnapshot(_) | Action::WriteIdentity(_) => {}
+        }
+    }
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -6,7 +6,6 @@
 mod cluster;
 mod config;
 mod connection_limits;
-mod control;
 mod invariant;
 mod log;
 mod net;
@@ -14,7 +13,6 @@
 mod server;
 mod signals;
 mod trace;
-mod trial;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -24,7 +22,7 @@
 use clap::Parser;
 use may::net::TcpListener;
 
-use cluster::Cluster;
+use cluster::{Cluster, ClusterError};
 use config::{ConfigError, MIN_SOCKETS, ServerConfig};
 use server::Server;
 use signals::Signals;
@@ -60,8 +58,8 @@
     Trace(std::io::Error),
     #[error("limits.sockets: {0} are too few to be one of a cluster")]
     TooFewSockets(usize),
-    #[error("{0}")]
-    Cluster(String),
+    #[error(transparent)]
+    Cluster(#[from] ClusterError),
 }
 
 fn main() -> ExitCode {
@@ -117,7 +115,7 @@
     let Some(block) = block.filter(|block| block.enabled) else { return Ok(None) };
     let left = config.sockets.checked_sub(cluster::DESCRIPTORS).filter(|left| *left >= MIN_SOCKETS);
     config.sockets = left.ok_or(StartError::TooFewSockets(config.sockets))?;
-    cluster::start(block, &config.name, config.seed).map(Some).map_err(StartError::Cluster)
+    Ok(Some(cluster::start(block, &config.name, config.seed)?))
 }
 
 /// Serves until a shutdown notice, and drains.
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -3,7 +3,6 @@
 pub mod clients;
 pub mod executor;
 pub mod lines;
-pub mod peers;
 pub mod registration;
 pub mod ring;
 pub mod store;
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -63,7 +63,7 @@
         let store_connections = config.sockets / STORE_DESCRIPTOR_DIVISOR;
         let store = StoreClient::new(config.peers.store, registry.clone(), store_connections);
         if let Some(cluster) = cluster {
-            cluster.probe_store(&store);
+            cluster.start_store_probe(&store);
         }
         let limits = connection_limits::limiter_config(config, store.max_connections(), admission);
         let rejects = limits.full_policy == FullPolicy::Reject;
@@ -144,7 +144,7 @@
         let counts = self.registry.counts();
         ::log::info!("notice to leave; so far {counts}; {}", self.clients.told());
         if let Some(cluster) = &cluster {
-            cluster.drains();
+            cluster.start_drain();
         }
         self.is_draining.store(true, Ordering::Release);
         self.registry.shutdown_notice(notice, self.termination);
@@ -158,7 +158,7 @@
             std::thread::sleep(DRAIN_POLL_INTERVAL);
         }
         if let Some(cluster) = cluster {
-            cluster.leave(self.termination.saturating_sub(notice.elapsed() + TERMINATION_MARGIN / 2));
+            cluster.shutdown(self.termination.saturating_sub(notice.elapsed() + TERMINATION_MARGIN / 2));
         }
         let took = notice.elapsed().as_millis();
         ::log::info!("left after {took} ms; {}; {}", self.registry.counts(), self.clients.told());
