The cluster part: docs on the fields of the control socket's rows, comments within 110 columns

The old reading: rows of the control socket's responses said in their serde renames alone what a word of the JSON means, and comments ran past the width of the code.

Now: each field whose word differs from its name, or is not plain, is described. No code changes.

--- a/crates/server/src/cluster/admin.rs
+++ b/crates/server/src/cluster/admin.rs
@@ -96,7 +96,8 @@
         self.pending.complete(request, Ok(AdminResponse::leases(leases)));
     }
 
-    /// A voter that does not lead has rejected a command. Where it knows no leader the next attempt comes in its time.
+    /// A voter that does not lead has rejected a command. Where it knows no leader the next attempt comes in
+    /// its time.
     pub(crate) fn handle_not_leader(&mut self, node: &LocalNode, request: RequestId, leader: Option<&Name>) {
         if let Some(leader) = leader {
             self.pending.redirect(node.clock().now(), node.router(), request, leader);
--- a/crates/server/src/cluster/control_protocol.rs
+++ b/crates/server/src/cluster/control_protocol.rs
@@ -1,5 +1,5 @@
-//! The requests and responses of the control socket. The words of its JSON are those that operators' programs know; this
-//! module alone relates them to the names in the code.
+//! The requests and responses of the control socket. The words of its JSON are those that operators' programs
+//! know; this module alone relates them to the names in the code.
 
 use std::time::Duration;
 
@@ -153,6 +153,7 @@
 /// A failed command.
 #[derive(Serialize)]
 struct ErrorResponse {
+    /// The cause, for people.
     error: String,
 }
 
@@ -170,13 +171,16 @@
 /// A lease, as voters have it.
 #[derive(Debug, Serialize)]
 pub(crate) struct LeaseRow {
+    /// Its name.
     lease: String,
+    /// In milliseconds.
     #[serde(rename = "term_ms")]
     ttl_ms: u64,
     #[serde(rename = "places")]
     capacity: u32,
     #[serde(rename = "held")]
     holders: Vec<HolderRow>,
+    /// The processes that wait for a slot; the first is served first.
     queue: Vec<String>,
 }
 
@@ -187,6 +191,7 @@
     process: String,
     #[serde(rename = "life")]
     incarnation: Incarnation,
+    /// Of its grant.
     token: FencingToken,
     /// It gets no further renewal.
     #[serde(rename = "ends")]
@@ -232,7 +237,9 @@
 /// A lease that this process holds or requests.
 #[derive(Debug, Serialize)]
 pub(crate) struct WantedLeaseRow {
+    /// Its name.
     lease: String,
+    /// Whether it is held, and not only requested.
     #[serde(rename = "held")]
     is_active: bool,
     /// Where it is held.
@@ -261,12 +268,18 @@
 /// The voter of this process.
 #[derive(Debug, Serialize)]
 pub(crate) struct VoterRow {
+    /// The words are those of [`VoterPhase`](tulipgap_consensus::VoterPhase)'s `Display`.
     phase: String,
+    /// Raft's term.
     term: u64,
+    /// Who leads, where that is known.
     leader: Option<String>,
+    /// The last entry that it applied.
     #[serde(rename = "applied")]
     applied_index: u64,
+    /// Names its folder.
     id: VoterId,
+    /// Who votes, as of the last entry that it applied.
     voters: Vec<String>,
 }
 
@@ -303,14 +316,19 @@
     address: String,
     region: String,
     zone: String,
+    /// A variant of [`MemberState`](tulipgap_membership::MemberState), in lower case.
     state: String,
     incarnation: tulipgap_membership::Incarnation,
+    /// The member that declared it suspect or dead.
     #[serde(rename = "by")]
     reported_by: Option<String>,
+    /// What it publishes.
     #[serde(rename = "facts")]
     metadata: Metadata,
+    /// Members that it cannot reach although others can.
     #[serde(rename = "unheard")]
     unreachable_peers: Vec<String>,
+    /// How this process reaches it: see [`reachability_word`].
     #[serde(rename = "reach")]
     reachability: &'static str,
     /// What this process observes of another.
@@ -321,6 +339,7 @@
 /// What this process observes of another.
 #[derive(Debug, Serialize)]
 struct Observation {
+    /// The members that suspect it.
     suspected_by: Vec<String>,
     /// How long the member has had its state, in seconds.
     #[serde(rename = "for_s")]
--- a/crates/server/src/cluster/control_socket.rs
+++ b/crates/server/src/cluster/control_socket.rs
@@ -25,7 +25,8 @@
 /// # Errors
 /// `AddrInUse` where another process listens there, or the system's error.
 pub(crate) fn listen(path: &Path, inputs: SyncSender<Input>) -> io::Result<()> {
-    // An earlier run of this process may have left its socket; a process that still runs accepts the connection.
+    // An earlier run of this process may have left its socket; a process that still runs accepts the
+    // connection.
     if UnixStream::connect(path).is_ok() {
         return Err(io::Error::new(io::ErrorKind::AddrInUse, "another process listens there"));
     }
--- a/crates/server/src/cluster/peer_links.rs
+++ b/crates/server/src/cluster/peer_links.rs
@@ -1,6 +1,7 @@
-//! Links to the other processes of a cluster: datagrams for messages that may be lost, streams for those that must arrive
-//! or are long. Each link is used one way, by the process that opened it. Links have threads of their own, and none of
-//! them runs on the worker of the requests; a slow peer fills its own queue and nobody else's.
+//! Links to the other processes of a cluster: datagrams for messages that may be lost, streams for those that
+//! must arrive or are long. Each link is used one way, by the process that opened it. Links have threads of
+//! their own, and none of them runs on the worker of the requests; a slow peer fills its own queue and nobody
+//! else's.
 
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
@@ -70,7 +71,9 @@
     udp: UdpSocket,
     /// The queue of each outgoing stream.
     outgoing: Mutex<HashMap<SocketAddr, SyncSender<Vec<u8>>>>,
+    /// Incoming streams that are open.
     incoming_streams: AtomicUsize,
+    /// See [`PeerLinks::dropped_frames`].
     dropped_frames: AtomicUsize,
 }
 
@@ -113,7 +116,8 @@
         Ok(links)
     }
 
-    /// The number of frames that were dropped because their peer reads too slowly or too many streams are open.
+    /// The number of frames that were dropped because their peer reads too slowly or too many streams are
+    /// open.
     pub(crate) fn dropped_frames(&self) -> usize {
         self.dropped_frames.load(Ordering::Relaxed)
     }
@@ -164,7 +168,8 @@
                     Ok(envelope) => _ = received.try_send(envelope),
                     Err(error) => log_rejected_frame(from, &error),
                 },
-                // An earlier datagram of this process met no listener; no error that ends the socket comes here.
+                // An earlier datagram of this process met no listener; no error that ends the socket comes
+                // here.
                 Err(_) => std::thread::sleep(DATAGRAM_ERROR_PAUSE),
             }
             if turn.is_multiple_of(DATAGRAMS_PER_YIELD) {
@@ -210,7 +215,8 @@
     }
 }
 
-/// Waits for the next frame, which may take as long as the idle timeout. Once it has begun its bytes must follow.
+/// Waits for the next frame, which may take as long as the idle timeout. Once it has begun its bytes must
+/// follow.
 fn read_header(stream: &mut TcpStream) -> io::Result<[u8; HEADER_BYTES]> {
     let mut header = [0; HEADER_BYTES];
     stream.set_read_timeout(Some(IDLE_TIMEOUT))?;
@@ -220,7 +226,8 @@
     Ok(header)
 }
 
-/// Writes what is queued for one peer. It ends where nothing was queued for the idle timeout, or the process ends.
+/// Writes what is queued for one peer. It ends where nothing was queued for the idle timeout, or the process
+/// ends.
 fn write_frames(links: &Weak<PeerLinks>, to: SocketAddr, queue: &Receiver<Vec<u8>>) {
     let mut open_stream: Option<TcpStream> = None;
     let mut backoff = MIN_RECONNECT_BACKOFF;
--- a/crates/server/src/cluster/pending_requests.rs
+++ b/crates/server/src/cluster/pending_requests.rs
@@ -22,8 +22,11 @@
 /// A command that waits.
 struct PendingRequest {
     reply: SyncSender<AdminResult>,
+    /// Sent with each attempt.
     message: Message,
+    /// When it fails, on the cluster's clock.
     expires_at: Duration,
+    /// When it is sent to the next voter.
     next_attempt_at: Duration,
     /// Attempts without a hint who leads. Each goes to the next voter.
     attempts: usize,
--- a/crates/server/src/cluster/voter_thread.rs
+++ b/crates/server/src/cluster/voter_thread.rs
@@ -39,8 +39,8 @@
         Ok(VoterHandle { events, status })
     }
 
-    /// Hands the voter an event. A voter whose disk hangs holds nobody up: the event is dropped where its queue is full, and
-    /// whoever sent it retries.
+    /// Hands the voter an event. A voter whose disk hangs holds nobody up: the event is dropped where its
+    /// queue is full, and whoever sent it retries.
     pub(crate) fn send(&self, event: Event) {
         let _ = self.events.try_send(event);
     }
