--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -4,7 +4,6 @@
 pub(crate) mod executor;
 pub(crate) mod frontend;
 pub(crate) mod lines;
-pub(crate) mod peers;
 pub(crate) mod registration;
 mod ring_buffer;
 pub(crate) mod store;
