crates/rig becomes crates/fault-injection, in standard words and one file a job

The old reading: trial, planted flaw, witness, pair, told, held, and three files of 560 to 765 lines with plan file, faults, checks, processes, relays and schedule in one; errors were formatted strings.

Now: plan/ (file format, faults, validation, HCL output, link quality), invariants, history_checker, random_faults, scheduler (the event queue and the loop that both simulations had), membership_simulation, lease_simulation/ and processes/ (addresses, proxy, schedule, process, configuration, history, views). Errors and violations are typed, fencing tokens, generations and operation phases are types of their own, and processes and proxies end when their owner is dropped. The feature flaws is injected-bugs. The command's reports are a file each under rig/; its flags, figures and JSON keys are as before.

A report of an operation with an unknown word is malformed now; before, any word but begin was taken for an end.

Tests: 25 before, 25 after and the crate page's example; each injected bug is still found.

--- /dev/null
+++ b/crates/fault-injection/src/plan/validation.rs
@@ -0,0 +1,187 @@
+//! What plans can be played.
+
+use std::ops::RangeInclusive;
+
+use tulipgap_membership::{Incarnation, Membership, Node, SUPPORTED_VERSIONS};
+
+use super::{Bounds, Fault, Member, Plan, PlanError, PlannedLease, TimeWindow};
+
+/// The most members of one run.
+const MAX_MEMBERS: usize = 2000;
+/// The longest run, in seconds.
+const MAX_LENGTH: f64 = 3600.0;
+const MAX_ZONE_NAME_BYTES: usize = 40;
+const MAX_LEASE_NAME_BYTES: usize = 64;
+const MAX_VOTERS: usize = 7;
+const FRACTION: RangeInclusive<f64> = 0.0..=1.0;
+const DELAY_MS: RangeInclusive<f64> = 0.0..=60_000.0;
+const CLOCK_RATE: RangeInclusive<f64> = 0.5..=2.0;
+const FLAP_SECONDS: RangeInclusive<f64> = 0.01..=3600.0;
+const TTL_SECONDS: RangeInclusive<f64> = 0.2..=3600.0;
+const CAPACITY: RangeInclusive<u32> = 1..=1000;
+/// The largest part of a TTL that one operation may take.
+const MAX_OPERATION_FRACTION: f64 = 0.25;
+
+fn ensure(is_valid: bool, location: impl Into<String>, expected: &str) -> Result<(), PlanError> {
+    match is_valid {
+        true => Ok(()),
+        false => Err(PlanError::InvalidValue { location: location.into(), expected: expected.to_owned() }),
+    }
+}
+
+fn is_known_target(members: &[Member], target: &str) -> bool {
+    target.is_empty() || members.iter().any(|member| member.matches(target))
+}
+
+impl Plan {
+    /// Checks every value of the plan.
+    ///
+    /// # Errors
+    /// [`PlanError::InvalidValue`] for the first value that cannot be played.
+    pub fn validate(&self) -> Result<(), PlanError> {
+        ensure(
+            self.length > 0.0 && self.length <= MAX_LENGTH,
+            "length",
+            "has to be above 0 and up to 3600 seconds",
+        )?;
+        self.validate_zones()?;
+        let members = self.members();
+        for (index, fault) in self.faults.iter().enumerate() {
+            let location = format!("fault {} ({fault:?})", index + 1);
+            fault.validate(&location, self.length, &members)?;
+        }
+        self.validate_membership()?;
+        self.validate_voters(&members)?;
+        for (index, lease) in self.leases.iter().enumerate() {
+            ensure(
+                lease.is_valid(&members),
+                format!("lease[{index}]"),
+                "needs a name of 1 to 64 bytes, a term from 0.2 s, places from 1, a step up to a quarter of the term",
+            )?;
+        }
+        self.bounds.validate()
+    }
+
+    fn validate_zones(&self) -> Result<(), PlanError> {
+        let count: usize = self.zones.iter().map(|zone| zone.count).sum();
+        ensure((2..=MAX_MEMBERS).contains(&count), "members", "there have to be 2 to 2000 in all")?;
+        for (index, zone) in self.zones.iter().enumerate() {
+            ensure(
+                (1..=MAX_ZONE_NAME_BYTES).contains(&zone.zone.len()) && zone.count > 0,
+                format!("members[{index}]"),
+                "needs a zone of 1 to 40 bytes and a count from 1 up",
+            )?;
+        }
+        Ok(())
+    }
+
+    fn validate_membership(&self) -> Result<(), PlanError> {
+        let node = Node {
+            name: "a".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            region: "a".into(),
+            zone: "a".into(),
+            version: *SUPPORTED_VERSIONS.end(),
+        };
+        match Membership::new(self.membership.clone(), node, Incarnation::default(), 0) {
+            Ok(_) => Ok(()),
+            Err(error) => {
+                Err(PlanError::InvalidValue { location: "terms".into(), expected: error.to_string() })
+            }
+        }
+    }
+
+    fn validate_voters(&self, members: &[Member]) -> Result<(), PlanError> {
+        let mut voters = self.voters.clone();
+        voters.sort();
+        voters.dedup();
+        let is_member = |name: &String| members.iter().any(|member| member.name == *name);
+        ensure(
+            voters.len() == self.voters.len() && voters.len() <= MAX_VOTERS && voters.iter().all(is_member),
+            "voters",
+            "have to be members, each named once, 7 at most",
+        )?;
+        ensure(self.leases.is_empty() || !voters.is_empty(), "lease", "leases need voters")
+    }
+}
+
+impl Fault {
+    fn validate(&self, location: &str, length: f64, members: &[Member]) -> Result<(), PlanError> {
+        let window = self.window(length);
+        ensure(
+            window.from >= 0.0 && window.from < window.to && window.to <= length,
+            location,
+            "its times have to lie in the run, and it has to end after it begins",
+        )?;
+        ensure(
+            self.targets().iter().all(|target| is_known_target(members, target)),
+            location,
+            "it names no zone and no member",
+        )?;
+        ensure(
+            self.has_valid_amounts(),
+            location,
+            "needs fractions from 0 to 1, a delay up to a minute, a flap from 0.01 s, a rate from 0.5 to 2",
+        )
+    }
+
+    /// From the beginning to the end of the fault, or to the end of the run.
+    fn window(&self, length: f64) -> TimeWindow {
+        match self {
+            Fault::Partition { window, .. } | Fault::DegradedLinks { window, .. } => *window,
+            Fault::Crash { at, restart_at: end, .. }
+            | Fault::Pause { at, resume_at: end, .. }
+            | Fault::Disk { at, repaired_at: end, .. } => TimeWindow { from: *at, to: end.unwrap_or(length) },
+            Fault::ClockRate { .. } => TimeWindow { from: 0.0, to: length },
+            Fault::ReplaceVoter { at, .. } => TimeWindow { from: *at, to: length },
+        }
+    }
+
+    fn targets(&self) -> Vec<&str> {
+        match self {
+            Fault::Partition { a, b, .. } => vec![a, b],
+            Fault::DegradedLinks { target, .. }
+            | Fault::Crash { target, .. }
+            | Fault::Pause { target, .. }
+            | Fault::ClockRate { target, .. }
+            | Fault::Disk { target, .. } => vec![target],
+            Fault::ReplaceVoter { old, new, .. } => vec![old, new],
+        }
+    }
+
+    fn has_valid_amounts(&self) -> bool {
+        match self {
+            Fault::DegradedLinks { loss, delay_ms, duplication, .. } => {
+                FRACTION.contains(loss) && FRACTION.contains(duplication) && DELAY_MS.contains(delay_ms)
+            }
+            Fault::ClockRate { rate, .. } => CLOCK_RATE.contains(rate),
+            Fault::Partition { flap, .. } => flap.is_none_or(|flap| FLAP_SECONDS.contains(&flap)),
+            Fault::Crash { .. } | Fault::Pause { .. } | Fault::Disk { .. } | Fault::ReplaceVoter { .. } => {
+                true
+            }
+        }
+    }
+}
+
+impl PlannedLease {
+    fn is_valid(&self, members: &[Member]) -> bool {
+        (1..=MAX_LEASE_NAME_BYTES).contains(&self.name.len())
+            && TTL_SECONDS.contains(&self.ttl)
+            && CAPACITY.contains(&self.capacity)
+            && self.max_operation > 0.0
+            && self.max_operation <= self.ttl * MAX_OPERATION_FRACTION
+            && is_known_target(members, &self.target)
+    }
+}
+
+impl Bounds {
+    fn validate(&self) -> Result<(), PlanError> {
+        let Bounds { false_death, death_detection, convergence, vacancy } = *self;
+        let is_valid = |bound: f64| bound.is_finite() && bound > 0.0;
+        ensure(
+            [false_death, death_detection, convergence, vacancy].into_iter().all(is_valid),
+            "check",
+            "bounds have to be seconds above 0",
+        )
+    }
+}
--- /dev/null
+++ b/crates/fault-injection/src/processes/configuration.rs
@@ -0,0 +1,112 @@
+//! What a process is configured with: its `config.json` and its `settings.hcl`.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use super::addresses::AddressBlock;
+use super::process::MemberProcess;
+use crate::plan::{MemberIndex, Plan, PlannedLease, seed_members};
+
+const KEY_FILE: &str = "key";
+const KEY: &[u8] = b"of this run alone, and no secret";
+
+/// Writes the key that the processes of a run share.
+pub(super) fn write_key(run_directory: &Path) -> io::Result<()> {
+    fs::create_dir_all(run_directory)?;
+    fs::write(run_directory.join(KEY_FILE), KEY)
+}
+
+/// Writes the configuration of one process into its directory.
+pub(super) fn write_configuration(
+    plan: &Plan,
+    processes: &[MemberProcess],
+    index: MemberIndex,
+    addresses: &AddressBlock,
+    run_directory: &Path,
+) -> io::Result<()> {
+    let process = &processes[index];
+    fs::create_dir_all(&process.directory)?;
+    let (listen, executor) = (addresses.frontend(index), addresses.executor(index));
+    fs::write(process.config_file(), config_json(&process.member.name, listen, executor))?;
+    let settings = settings_hcl(plan, processes, index, addresses, &run_directory.join(KEY_FILE));
+    fs::write(process.settings_file(), settings)
+}
+
+fn config_json(name: &str, listen: SocketAddr, executor: SocketAddr) -> String {
+    format!(
+        r#"{{"name":{name:?},"listen":"{listen}","kernel":"{executor}","seed":"1","stop_ms":1000,
+        "limits":{{"memory_mb":192,"sockets":256}},"settings":{{
+        "classes":[{{"name":"page","objective":10000.0,"deadline":20000.0,"worth":1.0,"effect":"side_effect"}}],
+        "family_info":{{"below":"shared","calls_out":20.0,"share_span":5000.0,"stays_for":100.0,"blowup":4.0,"cores":4,
+        "class_calls":[false],"class_skip_worth":[0.5],"halt":"drop","idle":9000.0,"mem_limit_kb":9000.0,"say":"weight",
+        "own_stats":["core_use","on_cores","heap_share","links"]}},
+        "limits":{{"max_retry_after":1000.0,"retry_after":true}},"tenants":[{{"name":"acme","allowance_per_s":40.0}}],
+        "rules":{{"cold_from":0.3,"drain_grace":100.0,"fall":2000.0,"fall_multiple":4.0,"grace_to_answer":60.0,"warm_up":1000.0}}}}}}"#
+    )
+}
+
+fn settings_hcl(
+    plan: &Plan,
+    processes: &[MemberProcess],
+    index: MemberIndex,
+    addresses: &AddressBlock,
+    key: &Path,
+) -> String {
+    let MemberProcess { member, directory, clock_rate, .. } = &processes[index];
+    let members: Vec<_> = processes.iter().map(|process| process.member.clone()).collect();
+    let seeds = quoted_list(seed_members(&members).map(|seed| addresses.peer(seed).to_string()));
+    let voters = quoted_list(plan.voters.iter().cloned());
+    let wanted = plan.leases.iter().filter(|lease| member.matches(&lease.target));
+    let leases = quoted_list(wanted.map(lease_setting));
+    let others = (0..processes.len()).filter(|&other| other != index);
+    let routes = quoted_list(
+        others.map(|other| format!("{}={}", addresses.peer(other), addresses.proxy(index, other))),
+    );
+    format!(
+        r#"cluster {{
+  name = "rig"
+  member = {name:?}
+  listen = "{listen}"
+  region = {region:?}
+  zone = {zone:?}
+  key = {key:?}
+  seeds = [{seeds}]
+  voters = [{voters}]
+  folder = {journal:?}
+  control = {control:?}
+  drain {{
+    at_once = 1
+  }}
+  trial {{
+    witness = "{history}"
+    leases = [{leases}]
+    routes = [{routes}]
+    clock_rate = {clock_rate}
+    disk_trouble = {directory:?}
+  }}
+}}
+"#,
+        name = member.name,
+        listen = addresses.peer(index),
+        region = member.region,
+        zone = member.zone,
+        key = key.display().to_string(),
+        journal = processes[index].journal().display().to_string(),
+        control = processes[index].control_socket().display().to_string(),
+        history = addresses.history(),
+        directory = directory.display().to_string(),
+    )
+}
+
+/// NAME TTL_MS CAPACITY MAX_OPERATION_MS
+fn lease_setting(lease: &PlannedLease) -> String {
+    let milliseconds = |seconds: f64| (seconds * 1000.0).round() as u64;
+    let PlannedLease { name, ttl, capacity, max_operation, .. } = lease;
+    format!("{name} {} {capacity} {}", milliseconds(*ttl), milliseconds(*max_operation))
+}
+
+fn quoted_list(values: impl Iterator<Item = String>) -> String {
+    values.map(|value| format!("{value:?}")).collect::<Vec<_>>().join(", ")
+}
--- /dev/null
+++ b/crates/fault-injection/src/processes/process.rs
@@ -0,0 +1,202 @@
+//! One process of the program: its directory, and how it is started, killed, paused and resumed.
+
+use std::fs;
+use std::io::{self, Read, Write};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::history::SharedRecorder;
+use super::schedule::FaultAction;
+use crate::plan::{DirectoryAfterCrash, DiskFault, Member, PlannedLease};
+
+/// Names in a process's directory. While the file of a disk fault is there, the process's disk fails that way.
+const JOURNAL: &str = "journal";
+const JOURNAL_BACKUP: &str = "older";
+const CONTROL_SOCKET: &str = "control";
+const CONFIG_FILE: &str = "config.json";
+const SETTINGS_FILE: &str = "settings.hcl";
+const DISK_FULL_FILE: &str = "full";
+const SYNC_FAILS_FILE: &str = "fails";
+const MAX_CONTROL_RESPONSE_BYTES: usize = 256;
+
+/// A member's process. Owns the child; dropping it kills the child.
+pub(super) struct MemberProcess {
+    pub(super) member: Member,
+    pub(super) directory: PathBuf,
+    /// Standard error of all runs of the process.
+    pub(super) log_file: PathBuf,
+    /// Seconds that the process's clock shows for each true second.
+    pub(super) clock_rate: f64,
+    child: Option<Child>,
+    is_paused: bool,
+}
+
+impl MemberProcess {
+    /// A process that is not started yet.
+    pub(super) fn new(member: &Member, run_directory: &Path, clock_rate: f64) -> Self {
+        MemberProcess {
+            member: member.clone(),
+            directory: run_directory.join(&member.name),
+            log_file: run_directory.join(format!("{}.log", member.name)),
+            clock_rate,
+            child: None,
+            is_paused: false,
+        }
+    }
+
+    pub(super) fn journal(&self) -> PathBuf {
+        self.directory.join(JOURNAL)
+    }
+
+    pub(super) fn control_socket(&self) -> PathBuf {
+        self.directory.join(CONTROL_SOCKET)
+    }
+
+    pub(super) fn config_file(&self) -> PathBuf {
+        self.directory.join(CONFIG_FILE)
+    }
+
+    pub(super) fn settings_file(&self) -> PathBuf {
+        self.directory.join(SETTINGS_FILE)
+    }
+
+    /// Whether the process was started and not killed; it may be paused.
+    pub(super) fn is_alive(&self) -> bool {
+        self.child.is_some()
+    }
+
+    pub(super) fn is_running(&self) -> bool {
+        self.is_alive() && !self.is_paused
+    }
+
+    /// The status of a process that has ended by itself.
+    pub(super) fn exit_status(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.as_mut().map_or(Ok(None), Child::try_wait)
+    }
+
+    pub(super) fn start(&mut self, program: &Path) -> io::Result<()> {
+        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log_file)?;
+        let child = Command::new(program)
+            .arg("--settings")
+            .arg(self.settings_file())
+            .env("LB_CONFIG", self.config_file())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Carries out what the schedule has due.
+    pub(super) fn perform(
+        &mut self,
+        action: &FaultAction,
+        program: &Path,
+        recorder: &SharedRecorder,
+        leases: &[PlannedLease],
+    ) -> io::Result<()> {
+        match action {
+            FaultAction::Kill => self.kill(recorder, leases),
+            FaultAction::Restart(directory) => self.restart(*directory, program),
+            FaultAction::Pause => self.pause(recorder, leases),
+            FaultAction::Resume => self.resume(),
+            FaultAction::BackUpJournal => copy_directory(&self.journal(), &self.journal_backup()),
+            FaultAction::InjectDiskFault(DiskFault::Full) => self.create_marker(DISK_FULL_FILE),
+            FaultAction::InjectDiskFault(DiskFault::SyncFails) => self.create_marker(SYNC_FAILS_FILE),
+            FaultAction::RepairDisk => {
+                let _ = fs::remove_file(self.directory.join(DISK_FULL_FILE));
+                Ok(())
+            }
+            FaultAction::ReplaceVoter { old, new } => self.request_replacement(old, new),
+        }
+    }
+
+    fn journal_backup(&self) -> PathBuf {
+        self.directory.join(JOURNAL_BACKUP)
+    }
+
+    fn create_marker(&self, name: &str) -> io::Result<()> {
+        fs::write(self.directory.join(name), b"")
+    }
+
+    fn kill(&mut self, recorder: &SharedRecorder, leases: &[PlannedLease]) -> io::Result<()> {
+        let Some(mut child) = self.child.take() else { return Ok(()) };
+        recorder.lock().member_pauses(&self.member.name, leases);
+        child.kill()?;
+        child.wait()?;
+        self.is_paused = false;
+        recorder.lock().member_died(&self.member.name);
+        Ok(())
+    }
+
+    fn restart(&mut self, directory: DirectoryAfterCrash, program: &Path) -> io::Result<()> {
+        // Where two crashes of one process overlap, it is running already.
+        if self.is_alive() {
+            return Ok(());
+        }
+        let journal = self.journal();
+        if directory != DirectoryAfterCrash::Kept {
+            let _ = fs::remove_dir_all(&journal);
+        }
+        if directory == DirectoryAfterCrash::RolledBack {
+            copy_directory(&self.journal_backup(), &journal)?;
+        }
+        self.start(program)
+    }
+
+    fn pause(&mut self, recorder: &SharedRecorder, leases: &[PlannedLease]) -> io::Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        recorder.lock().member_pauses(&self.member.name, leases);
+        send_signal(child, Signal::STOP)?;
+        self.is_paused = true;
+        Ok(())
+    }
+
+    fn resume(&mut self) -> io::Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        send_signal(child, Signal::CONT)?;
+        self.is_paused = false;
+        Ok(())
+    }
+
+    /// Asks for the replacement as an operator would; it is not waited for.
+    fn request_replacement(&self, old: &str, new: &str) -> io::Result<()> {
+        let mut control = UnixStream::connect(self.control_socket())?;
+        let command = format!("{{\"do\":\"replace\",\"old\":{old:?},\"new\":{new:?}}}\n");
+        control.write_all(command.as_bytes())?;
+        let _ = control.read(&mut [0; MAX_CONTROL_RESPONSE_BYTES])?;
+        Ok(())
+    }
+}
+
+impl Drop for MemberProcess {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn send_signal(child: &Child, signal: Signal) -> io::Result<()> {
+    Ok(kill_process(Pid::from_child(child), signal)?)
+}
+
+/// Copies the files of a directory that is in use.
+fn copy_directory(from: &Path, to: &Path) -> io::Result<()> {
+    fs::create_dir_all(to)?;
+    let Ok(entries) = fs::read_dir(from) else { return Ok(()) };
+    for entry in entries {
+        let entry = entry?;
+        match fs::copy(entry.path(), to.join(entry.file_name())) {
+            // A file may be renamed or removed while its directory is copied.
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+            _ => {}
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fault-injection/src/scheduler.rs
@@ -0,0 +1,109 @@
+//! Simulated time: a queue of events that moves the time on, and a fingerprint by which two runs are compared.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::plan::MemberIndex;
+
+/// Counts the starts of a process, so that timers of an earlier one are void.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ProcessGeneration(pub(crate) u64);
+
+impl ProcessGeneration {
+    pub(crate) fn next(self) -> Self {
+        ProcessGeneration(self.0 + 1)
+    }
+}
+
+/// The time of a run and the events that are to happen, each to one member. Events of the same time happen in the order in
+/// which they were scheduled. The scheduler alone moves the time.
+pub(crate) struct Scheduler<E> {
+    now: Duration,
+    sequence: u64,
+    events: BTreeMap<(Duration, u64), (MemberIndex, E)>,
+}
+
+impl<E> Scheduler<E> {
+    pub(crate) fn new() -> Self {
+        Scheduler { now: Duration::ZERO, sequence: 0, events: BTreeMap::new() }
+    }
+
+    /// The time since the start of the run.
+    pub(crate) fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// A number that no event and no other caller gets.
+    pub(crate) fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Has an event happen to a member at a time since the start of the run.
+    pub(crate) fn schedule(&mut self, at: Duration, member: MemberIndex, event: E) {
+        let sequence = self.next_sequence();
+        self.events.insert((at, sequence), (member, event));
+    }
+
+    /// Has an event happen after a delay.
+    pub(crate) fn schedule_in(&mut self, delay: Duration, member: MemberIndex, event: E) {
+        self.schedule(self.now + delay, member, event);
+    }
+}
+
+/// What is simulated: members that handle events, and invariants that are checked at intervals.
+pub(crate) trait Simulation {
+    type Event;
+
+    /// Between two checks of the invariants.
+    const CHECK_INTERVAL: Duration;
+
+    fn scheduler(&mut self) -> &mut Scheduler<Self::Event>;
+
+    fn handle(&mut self, member: MemberIndex, event: Self::Event);
+
+    fn check_invariants(&mut self);
+
+    /// Whether an invariant was violated, which ends the run.
+    fn has_failed(&self) -> bool;
+}
+
+/// Plays events until the time is over, none is left, or an invariant was violated.
+pub(crate) fn play<S: Simulation>(simulation: &mut S, length: Duration) {
+    let mut next_check = S::CHECK_INTERVAL;
+    while let Some(((at, _), (member, event))) = simulation.scheduler().events.pop_first() {
+        while next_check <= at.min(length) {
+            simulation.scheduler().now = next_check;
+            simulation.check_invariants();
+            next_check += S::CHECK_INTERVAL;
+        }
+        if at > length || simulation.has_failed() {
+            return;
+        }
+        simulation.scheduler().now = at;
+        simulation.handle(member, event);
+    }
+}
+
+/// A hash of what happened in a run (FNV-1a over 64-bit values): equal where all was equal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Fingerprint(u64);
+
+impl Fingerprint {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+
+    pub(crate) fn new() -> Self {
+        Fingerprint(Self::OFFSET_BASIS)
+    }
+
+    pub(crate) fn mix(&mut self, values: [u64; 3]) {
+        for value in values {
+            self.0 = (self.0 ^ value).wrapping_mul(Self::PRIME);
+        }
+    }
+
+    pub(crate) fn value(self) -> u64 {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/fault-injection/tests/membership_simulation.rs
@@ -0,0 +1,134 @@
+//! The membership in simulated time over many seeds: each hard case, and an injected bug for each invariant.
+
+use tulipgap_fault_injection::{
+    MembershipBug, MembershipInvariant, Plan, WorstDurations, simulate_membership,
+};
+
+/// Seeds of each hard case; `tulipgap rig simulate` plays many more.
+const SEEDS: u64 = 8;
+
+fn plan(faults: &str) -> Plan {
+    let text = format!(
+        r#"length = 120
+        members {{
+          zone = "north"
+          count = 3
+        }}
+        members {{
+          zone = "west"
+          count = 3
+        }}
+        members {{
+          zone = "south"
+          count = 3
+        }}
+        check {{
+          held_dead = 15
+          known = 30
+          agree = 45
+        }}
+        {faults}"#
+    );
+    Plan::parse(&text).unwrap_or_else(|error| panic!("{error}"))
+}
+
+/// Plays a plan over seeds; the worst durations are printed beside the bounds.
+fn assert_invariants_hold(what: &str, faults: &str, seeds: u64) {
+    let plan = plan(faults);
+    let (mut worst, mut false_deaths) = (WorstDurations::default(), 0);
+    for seed in 0..seeds {
+        let outcome = simulate_membership(&plan, seed, None);
+        assert_eq!(outcome.violation, None, "{what}, seed {seed}");
+        worst = worst.max(outcome.worst);
+        false_deaths += outcome.false_deaths;
+    }
+    println!("{what}: {worst:?} of {:?}, {false_deaths} false deaths in {seeds} runs", plan.bounds);
+}
+
+#[test]
+fn partitioned_zone_rejoins() {
+    assert_invariants_hold(
+        "zone cut",
+        "cut {\n from = 20\n to = 30\n between = [\"north\", \"west\"]\n}\ncut {\n from = 20\n to = 30\n between = [\"north\", \"south\"]\n}",
+        SEEDS,
+    );
+}
+
+#[test]
+fn one_way_partition_causes_no_lasting_false_death() {
+    assert_invariants_hold(
+        "one way",
+        "cut {\n from = 20\n to = 50\n between = [\"north-1\", \"west-1\"]\n one_way = true\n}",
+        SEEDS,
+    );
+}
+
+#[test]
+fn member_paused_for_8_s_converges_after_it_resumes() {
+    assert_invariants_hold("paused", "stop {\n at = 20\n of = \"west-2\"\n back = 28\n}", SEEDS);
+}
+
+#[test]
+fn three_crashes_within_a_second_are_detected_and_the_members_rejoin() {
+    let kill = |at: f64, of: &str| format!("crash {{\n at = {at}\n of = \"{of}\"\n back = 60\n}}\n");
+    assert_invariants_hold(
+        "killed",
+        &(kill(20.0, "north-1") + &kill(20.4, "west-1") + &kill(20.9, "south-3")),
+        SEEDS,
+    );
+}
+
+#[test]
+fn flapping_link_causes_no_lasting_false_death() {
+    assert_invariants_hold(
+        "flapping",
+        "cut {\n from = 20\n to = 60\n between = [\"north-1\", \"south-1\"]\n flap = 1.5\n}",
+        SEEDS,
+    );
+}
+
+#[test]
+fn member_with_slow_links_is_not_considered_dead_and_considers_nobody_dead() {
+    assert_invariants_hold(
+        "slow links",
+        "links {\n from = 20\n to = 70\n of = \"south-2\"\n delay_ms = 300\n}",
+        SEEDS,
+    );
+}
+
+#[test]
+fn halves_that_each_restarted_members_converge_after_a_partition() {
+    let cut = |a: &str, b: &str| format!("cut {{\n from = 20\n to = 60\n between = [\"{a}\", \"{b}\"]\n}}\n");
+    let restart = |of: &str| format!("crash {{\n at = 30\n of = \"{of}\"\n back = 40\n}}\n");
+    assert_invariants_hold(
+        "halves",
+        &(cut("north", "west") + &cut("north", "south") + &restart("north-1") + &restart("west-1")),
+        SEEDS,
+    );
+}
+
+#[test]
+fn lost_and_duplicated_messages_are_tolerated() {
+    assert_invariants_hold("loss", "links {\n from = 10\n to = 70\n loss = 0.15\n twice = 0.3\n}", SEEDS);
+}
+
+#[test]
+fn run_is_the_same_for_the_same_seed() {
+    let plan = plan("crash {\n at = 20\n of = \"north-1\"\n}");
+    assert_eq!(simulate_membership(&plan, 7, None), simulate_membership(&plan, 7, None));
+    assert_ne!(
+        simulate_membership(&plan, 7, None).fingerprint,
+        simulate_membership(&plan, 8, None).fingerprint
+    );
+}
+
+#[test]
+fn each_invariant_is_violated_by_an_injected_bug() {
+    let violated = |bug: MembershipBug| {
+        let plan = plan("crash {\n at = 20\n of = \"west-1\"\n}");
+        simulate_membership(&plan, 1, Some(bug)).violation.map(|violation| violation.invariant)
+    };
+    assert_eq!(violated(MembershipBug::MuteMember), Some(MembershipInvariant::FalseDeath));
+    assert_eq!(violated(MembershipBug::DeadMemberAnswers), Some(MembershipInvariant::DeathDetection));
+    assert_eq!(violated(MembershipBug::NoDissemination), Some(MembershipInvariant::Convergence));
+}
--- a/crates/server/tests/program/leases.rs
+++ b/crates/server/tests/program/leases.rs
@@ -9,7 +9,7 @@
 use std::process::{Command, Stdio};
 
 use serde_json::Value;
-use tulipgap_rig::{Plan, RunOutcome, run};
+use tulipgap_fault_injection::{OperationPhase, OperationRecord, Plan, RunOutcome, run};
 
 use crate::stand::*;
 
@@ -42,7 +42,7 @@
         }}
         {faults}"#
     );
-    Plan::read(&text).unwrap_or_else(|error| panic!("{error}"))
+    Plan::parse(&text).unwrap_or_else(|error| panic!("{error}"))
 }
 
 fn program() -> &'static Path {
@@ -57,18 +57,22 @@
         let since = from.get().unwrap_or(out.history.len());
         from.set(Some(since));
         let acts = |lease: &str| {
-            let fine =
-                |seen: &&tulipgap_rig::Seen| seen.begins && seen.refused.is_none() && seen.lease == lease;
-            out.history[since..].iter().filter(fine).count()
+            let is_accepted_begin = |record: &&OperationRecord| {
+                record.phase == OperationPhase::Begin && record.rejection.is_none() && record.lease == lease
+            };
+            out.history[since..].iter().filter(is_accepted_begin).count()
         };
         met.set(acts("one") >= 10 && acts("two") >= 10);
         met.get()
     };
     let outcome = run(&plan, program(), folder.path(), |_| {}, enough)
         .unwrap_or_else(|error| panic!("{what}: {error}"));
-    assert_eq!(outcome.broken, None, "{what}");
+    assert_eq!(outcome.violation, None, "{what}");
     assert!(met.get(), "{what}: no acts after the last fault: {:?}", outcome.tokens);
-    println!("{what}: {} acts, {} refused, no act for {:?}", outcome.acts, outcome.refused, outcome.free);
+    println!(
+        "{what}: {} operations, {} rejected, no operation for {:?}",
+        outcome.operations, outcome.rejected, outcome.longest_idle
+    );
     outcome
 }
 
@@ -181,7 +185,7 @@
     let step = Cell::new(0);
     let before = RefCell::new(Value::Null);
     let enough = |out: &RunOutcome| {
-        if out.acts < 5 {
+        if out.operations < 5 {
             return false;
         }
         let shown = asked(&socket, r#"{"do":"leases","lease":"one"}"#);
@@ -245,7 +249,7 @@
         step.get() == 7
     };
     let outcome = run(&plan, program(), folder.path(), |_| {}, enough).unwrap();
-    assert_eq!((outcome.broken, step.get()), (None, 7));
+    assert_eq!((outcome.violation, step.get()), (None, 7));
 }
 
 /// Garbage, frames of another cluster and a stream that stops in the middle keep nobody out, and a voter without a folder or a
--- a/crates/server/tests/program/load.rs
+++ b/crates/server/tests/program/load.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use tulipgap_rig::{Plan, RunOutcome, Serving, run};
+use tulipgap_fault_injection::{MemberEndpoints, Plan, RunOutcome, run};
 
 use crate::stand::*;
 
@@ -27,7 +27,7 @@
 }
 
 /// One edge node that sends one req after the other to one member, each to be answered once.
-fn edge(load: &Load, member: &Serving, at: usize, killed: bool) {
+fn edge(load: &Load, member: &MemberEndpoints, at: usize, killed: bool) {
     let mut number = 0u64;
     while !load.over.load(Ordering::Relaxed) {
         let Ok(stream) = TcpStream::connect(member.listen) else {
@@ -120,12 +120,12 @@
           of = "a-1"
           back = 14
         }"#;
-    let plan = Plan::read(text).unwrap_or_else(|error| panic!("{error}"));
+    let plan = Plan::parse(text).unwrap_or_else(|error| panic!("{error}"));
     let (folder, load) = (tempfile::tempdir().unwrap(), Arc::new(Load::default()));
     let kernels: Mutex<Vec<Shared>> = Mutex::default();
-    let begins = |members: &[Serving]| {
+    let begins = |members: &[MemberEndpoints]| {
         for (at, member) in members.iter().enumerate() {
-            kernels.lock().unwrap().push(listen(Shared::default(), &member.kernel.ip().to_string()));
+            kernels.lock().unwrap().push(listen(Shared::default(), &member.executor.ip().to_string()));
             for lane in 0..2 {
                 let (load, member) = (load.clone(), member.clone());
                 std::thread::spawn(move || edge(&load, &member, at * 2 + lane, member.name == "c-1"));
@@ -138,7 +138,7 @@
         if met.get() == 0 {
             met.set(so_far);
         }
-        let done = out.agree && so_far > met.get() + 500;
+        let done = out.is_converged && so_far > met.get() + 500;
         if done {
             // The processes end with the run: what is open has its answer before.
             load.over.store(true, Ordering::Relaxed);
@@ -152,7 +152,7 @@
     let program = Path::new(env!("CARGO_BIN_EXE_tulipgapd"));
     let outcome =
         run(&plan, program, folder.path(), begins, enough).unwrap_or_else(|error| panic!("{error}"));
-    assert_eq!(outcome.broken, None);
+    assert_eq!(outcome.violation, None);
     assert_eq!(*load.wrong.lock().unwrap(), Vec::<String>::new());
     // Each has effects, so that it must never run twice.
     for kernel in kernels.lock().unwrap().iter() {
--- a/crates/server/tests/program/members.rs
+++ b/crates/server/tests/program/members.rs
@@ -4,25 +4,25 @@
 use std::cell::Cell;
 use std::path::Path;
 
-use tulipgap_rig::{Plan, RunOutcome, run};
+use tulipgap_fault_injection::{Plan, RunOutcome, run};
 
 fn agree_again(what: &str, faults: &str) {
     let zone = |zone: &str| format!("members {{\n zone = \"{zone}\"\n count = 3\n}}\n");
     let zones = ["north", "west", "south"].map(zone).concat();
     let checks = "check {\n held_dead = 60\n known = 90\n agree = 150\n}\n";
     let text = format!("length = 240\n{zones}{checks}{faults}");
-    let plan = Plan::read(&text).unwrap_or_else(|error| panic!("{error}"));
+    let plan = Plan::parse(&text).unwrap_or_else(|error| panic!("{error}"));
     let (folder, met) = (tempfile::tempdir().unwrap(), Cell::new(false));
     let enough = |out: &RunOutcome| {
-        met.set(out.agree);
+        met.set(out.is_converged);
         met.get()
     };
     let program = Path::new(env!("CARGO_BIN_EXE_tulipgapd"));
     let outcome =
         run(&plan, program, folder.path(), |_| {}, enough).unwrap_or_else(|error| panic!("{what}: {error}"));
-    assert_eq!(outcome.broken, None, "{what}");
+    assert_eq!(outcome.violation, None, "{what}");
     assert!(met.get(), "{what}: views still differ");
-    println!("{what}: {:?} of {:?}, {} false deaths", outcome.worst, plan.checks, outcome.false_deaths);
+    println!("{what}: {:?} of {:?}, {} false deaths", outcome.worst, plan.bounds, outcome.false_deaths);
 }
 
 fn cut(a: &str, b: &str, from: u32, to: u32, more: &str) -> String {
