--- a/crates/server/tests/program/load.rs
+++ b/crates/server/tests/program/load.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use tulipgap_rig::{Plan, RunOutcome, Serving, run};
+use tulipgap_fault_injection::{MemberEndpoints, Plan, RunOutcome, run};
 
 use crate::harness::edge_node::{AnswerKind, EdgeConnection};
 use crate::harness::executor::{SharedExecutor, serve_executor};
@@ -29,7 +29,7 @@
 }
 
 /// One edge node that sends one request after the other to one member, each to be answered once.
-fn edge(load: &Load, member: &Serving, at: usize, killed: bool) {
+fn edge(load: &Load, member: &MemberEndpoints, at: usize, killed: bool) {
     let mut number = 0u64;
     while !load.over.load(Ordering::Relaxed) {
         let Ok(stream) = TcpStream::connect(member.listen) else {
@@ -122,15 +122,15 @@
           of = "a-1"
           back = 14
         }"#;
-    let plan = Plan::read(text).unwrap_or_else(|error| panic!("{error}"));
+    let plan = Plan::parse(text).unwrap_or_else(|error| panic!("{error}"));
     let (folder, load) = (tempfile::tempdir().unwrap(), Arc::new(Load::default()));
     let kernels: Mutex<Vec<SharedExecutor>> = Mutex::default();
-    let begins = |members: &[Serving]| {
+    let begins = |members: &[MemberEndpoints]| {
         for (at, member) in members.iter().enumerate() {
             kernels
                 .lock()
                 .unwrap()
-                .push(serve_executor(SharedExecutor::default(), &member.kernel.ip().to_string()));
+                .push(serve_executor(SharedExecutor::default(), &member.executor.ip().to_string()));
             for lane in 0..2 {
                 let (load, member) = (load.clone(), member.clone());
                 std::thread::spawn(move || edge(&load, &member, at * 2 + lane, member.name == "c-1"));
@@ -143,7 +143,7 @@
         if met.get() == 0 {
             met.set(so_far);
         }
-        let done = out.agree && so_far > met.get() + 500;
+        let done = out.is_converged && so_far > met.get() + 500;
         if done {
             // The processes end with the run: what is open has its answer before.
             load.over.store(true, Ordering::Relaxed);
@@ -157,7 +157,7 @@
     let program = Path::new(env!("CARGO_BIN_EXE_tulipgapd"));
     let outcome =
         run(&plan, program, folder.path(), begins, enough).unwrap_or_else(|error| panic!("{error}"));
-    assert_eq!(outcome.broken, None);
+    assert_eq!(outcome.violation, None);
     assert_eq!(*load.wrong.lock().unwrap(), Vec::<String>::new());
     // Each has effects, so that it must never run twice.
     for kernel in kernels.lock().unwrap().iter() {
