--- a/crates/fault-injection/benches/leases.rs
+++ b/crates/fault-injection/benches/leases.rs
@@ -1,5 +1,5 @@
 //! Grants and renewals a second with real disks: each voter on a thread of its own with a folder, messages by channels; askers
-//! that each wait for their answer before they ask again. `cargo bench -p tulipgap-rig`.
+//! that each wait for their answer before they ask again. `cargo bench -p tulipgap-fault-injection`.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
--- a/crates/server/tests/program/harness/backend.rs
+++ b/crates/server/tests/program/harness/backend.rs
@@ -11,22 +11,22 @@
 use super::{LONG_TIMEOUT, unique_address, wait_until};
 
 /// A process of the program, the stubs around it, and its configuration file.
-pub struct TestBackend {
-    pub host: String,
-    pub kernel: SharedExecutor,
-    pub store: StoreStub,
-    pub child: Child,
-    pub file: std::path::PathBuf,
+pub(crate) struct TestBackend {
+    pub(crate) host: String,
+    pub(crate) kernel: SharedExecutor,
+    pub(crate) store: StoreStub,
+    pub(crate) child: Child,
+    pub(crate) file: std::path::PathBuf,
 }
 
-pub fn write_config(host: &str, text: &str) -> std::path::PathBuf {
+pub(crate) fn write_config(host: &str, text: &str) -> std::path::PathBuf {
     let path = std::env::temp_dir().join(format!("tulipgapd-{host}.json"));
     std::fs::write(&path, text).unwrap();
     path
 }
 
 /// Starts the program with a configuration that it refuses; returns its exit status and what it wrote.
-pub fn run_to_refusal(file: &std::path::Path) -> (ExitStatus, String) {
+pub(crate) fn run_to_refusal(file: &std::path::Path) -> (ExitStatus, String) {
     let mut child = spawn_backend(file);
     let start = Instant::now();
     let status = loop {
@@ -41,12 +41,12 @@
     (status, written)
 }
 
-pub fn spawn_backend(file: &std::path::Path) -> Child {
+pub(crate) fn spawn_backend(file: &std::path::Path) -> Child {
     spawn_backend_with(file, None)
 }
 
 /// Starts the program, with the product's own configuration where one is given.
-pub fn spawn_backend_with(file: &std::path::Path, settings: Option<&std::path::Path>) -> Child {
+pub(crate) fn spawn_backend_with(file: &std::path::Path, settings: Option<&std::path::Path>) -> Child {
     let program = env!("CARGO_BIN_EXE_tulipgapd");
     // For measurements: all of its threads on one core, as where it is deployed.
     let mut command = match std::env::var("TULIPGAP_CORE") {
@@ -64,7 +64,7 @@
 }
 
 /// A backend whose configuration promises more descriptors than the system grants.
-pub fn start_backend_with_descriptor_limit(
+pub(crate) fn start_backend_with_descriptor_limit(
     sockets: usize,
     limit: usize,
     settings: &std::path::Path,
@@ -81,7 +81,7 @@
     backend
 }
 
-pub fn config_json(host: &str) -> String {
+pub(crate) fn config_json(host: &str) -> String {
     let settings = r#"{"classes":[{"name":"page","objective":10000.0,"deadline":20000.0,"worth":1.0,"effect":"pure"}],
         "family_info":{"below":"shared","calls_out":20.0,"share_span":5000.0,"stays_for":100.0,"blowup":4.0,"cores":4,
         "class_calls":[true],"class_skip_worth":[0.5],"halt":"drop","idle":9000.0,"mem_limit_kb":9000.0,"say":"weight",
@@ -94,15 +94,15 @@
     )
 }
 
-pub fn start_backend() -> TestBackend {
+pub(crate) fn start_backend() -> TestBackend {
     start_backend_with_sockets(1024)
 }
 
-pub fn start_backend_with_sockets(sockets: usize) -> TestBackend {
+pub(crate) fn start_backend_with_sockets(sockets: usize) -> TestBackend {
     start_backend_with(sockets, None)
 }
 
-pub fn start_backend_with(sockets: usize, settings: Option<&std::path::Path>) -> TestBackend {
+pub(crate) fn start_backend_with(sockets: usize, settings: Option<&std::path::Path>) -> TestBackend {
     let host = unique_address();
     let (kernel, store) = (serve_executor(SharedExecutor::default(), &host), start_store(&host));
     let file = write_config(&host, &config_json(&host).replace("1024", &sockets.to_string()));
@@ -114,13 +114,13 @@
 
 impl TestBackend {
     /// Waits until it is healthy and its answers carry the feedback value.
-    pub fn wait_until_serving(&self) {
+    pub(crate) fn wait_until_serving(&self) {
         self.wait_until_healthy(|answer| answer.contains(b"signal"));
     }
 
     /// Waits for a health check that succeeds: a connection alone shows nothing, because requests are rejected until the
     /// executor is up.
-    pub fn wait_until_healthy(&self, is_expected: impl Fn(&ReceivedAnswer) -> bool) {
+    pub(crate) fn wait_until_healthy(&self, is_expected: impl Fn(&ReceivedAnswer) -> bool) {
         wait_until("it serves", || {
             let Ok(stream) = TcpStream::connect((&self.host[..], 6565)) else { return false };
             let mut edge = EdgeConnection { stream };
@@ -133,19 +133,19 @@
         });
     }
 
-    pub fn connect(&self) -> EdgeConnection {
+    pub(crate) fn connect(&self) -> EdgeConnection {
         let stream = TcpStream::connect((&self.host[..], 6565)).unwrap();
         stream.set_read_timeout(Some(LONG_TIMEOUT)).unwrap();
         EdgeConnection { stream }
     }
 
-    pub fn signal(&self, signal: &str) {
+    pub(crate) fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let kill = Command::new("sh").args(["-c", "kill -$1 \"$0\"", &pid, signal]).status();
         assert!(kill.unwrap().success());
     }
 
-    pub fn wait_for_exit(&mut self) -> ExitStatus {
+    pub(crate) fn wait_for_exit(&mut self) -> ExitStatus {
         let start = Instant::now();
         loop {
             if let Some(status) = self.child.try_wait().unwrap() {
--- a/crates/server/tests/program/harness/edge_node.rs
+++ b/crates/server/tests/program/harness/edge_node.rs
@@ -5,7 +5,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 #[derive(Debug, PartialEq)]
-pub enum AnswerKind {
+pub(crate) enum AnswerKind {
     Answer,
     Rejected,
     Crashed,
@@ -13,28 +13,28 @@
     NoMore,
 }
 
-pub struct ReceivedAnswer {
-    pub kind: AnswerKind,
-    pub sequence: u32,
-    pub bytes: Vec<u8>,
+pub(crate) struct ReceivedAnswer {
+    pub(crate) kind: AnswerKind,
+    pub(crate) sequence: u32,
+    pub(crate) bytes: Vec<u8>,
 }
 
 impl ReceivedAnswer {
-    pub fn contains(&self, text: &[u8]) -> bool {
+    pub(crate) fn contains(&self, text: &[u8]) -> bool {
         self.bytes.windows(text.len()).any(|window| window == text)
     }
 }
 
 /// A connection from an edge node.
-pub struct EdgeConnection {
-    pub stream: TcpStream,
+pub(crate) struct EdgeConnection {
+    pub(crate) stream: TcpStream,
 }
 
-pub fn encode_string(bytes: &[u8]) -> Vec<u8> {
+pub(crate) fn encode_string(bytes: &[u8]) -> Vec<u8> {
     [&(bytes.len() as u32).to_be_bytes(), bytes].concat()
 }
 
-pub fn request_fields(id: &str, need: &str) -> Vec<(&'static str, String)> {
+pub(crate) fn request_fields(id: &str, need: &str) -> Vec<(&'static str, String)> {
     let ts = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
     let mut fields = vec![("kind", "page".to_owned()), ("req", id.to_owned()), ("ts", ts.to_string())];
     fields.extend([("owner", "acme".to_owned()), ("ms", "5.00".to_owned()), ("need", need.to_owned())]);
@@ -43,7 +43,7 @@
 }
 
 /// The fields of a request, one of them changed.
-pub fn request_fields_with(id: &str, name: &str, value: &str) -> Vec<(&'static str, String)> {
+pub(crate) fn request_fields_with(id: &str, name: &str, value: &str) -> Vec<(&'static str, String)> {
     let mut fields = request_fields(id, "20.0");
     fields.iter_mut().find(|(key, _)| *key == name).unwrap().1 = value.to_owned();
     fields
@@ -55,28 +55,28 @@
 }
 
 impl EdgeConnection {
-    pub fn call(&mut self, sequence: u32, method: &str, arguments: &[u8]) {
+    pub(crate) fn call(&mut self, sequence: u32, method: &str, arguments: &[u8]) {
         self.stream.write_all(&call(sequence, method, arguments)).unwrap();
     }
 
     /// A health check as it is written.
-    pub fn health_check(&self, sequence: u32) -> Vec<u8> {
+    pub(crate) fn health_check(&self, sequence: u32) -> Vec<u8> {
         call(sequence, "probe", b"\0")
     }
 
-    pub fn oneway(&mut self, sequence: u32, method: &str) {
+    pub(crate) fn oneway(&mut self, sequence: u32, method: &str) {
         let head =
             [&b"\x80\x01\0\x04"[..], &encode_string(method.as_bytes()), &sequence.to_be_bytes()].concat();
         self.stream.write_all(&encode_string(&[&head[..], b"\0"].concat())).unwrap();
     }
 
-    pub fn process(&mut self, sequence: u32, fields: &[(&str, String)], body: &[u8]) {
+    pub(crate) fn process(&mut self, sequence: u32, fields: &[(&str, String)], body: &[u8]) {
         let message = self.message(sequence, fields, body);
         self.stream.write_all(&message).unwrap();
     }
 
     /// A request as it is written.
-    pub fn message(&self, sequence: u32, fields: &[(&str, String)], body: &[u8]) -> Vec<u8> {
+    pub(crate) fn message(&self, sequence: u32, fields: &[(&str, String)], body: &[u8]) -> Vec<u8> {
         let mut map = [&b"\x0d\0\x01\x0b\x0b"[..], &(fields.len() as u32).to_be_bytes()].concat();
         for (name, value) in fields {
             map.extend([encode_string(name.as_bytes()), encode_string(value.as_bytes())].concat());
@@ -85,12 +85,12 @@
         call(sequence, "process", &arguments)
     }
 
-    pub fn request(&mut self, sequence: u32, id: &str, body: &[u8]) {
+    pub(crate) fn request(&mut self, sequence: u32, id: &str, body: &[u8]) {
         self.process(sequence, &request_fields(id, "20.0"), body);
     }
 
     /// The next answer; none once the connection is closed.
-    pub fn read_answer(&mut self) -> Option<ReceivedAnswer> {
+    pub(crate) fn read_answer(&mut self) -> Option<ReceivedAnswer> {
         let mut head = [0; 4];
         self.stream.read_exact(&mut head).ok()?;
         let mut bytes = vec![0; u32::from_be_bytes(head) as usize];
@@ -109,14 +109,14 @@
     }
 
     /// Waits until it is closed, and ignores what comes before.
-    pub fn is_closed(&mut self) -> bool {
+    pub(crate) fn is_closed(&mut self) -> bool {
         match self.stream.read_to_end(&mut Vec::new()) {
             Ok(_) => true,
             Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
         }
     }
 
-    pub fn expect_answer(&mut self, sequence: u32, kind: AnswerKind) -> ReceivedAnswer {
+    pub(crate) fn expect_answer(&mut self, sequence: u32, kind: AnswerKind) -> ReceivedAnswer {
         let answer = self.read_answer().expect("an answer");
         assert_eq!((answer.sequence, &answer.kind), (sequence, &kind));
         answer
--- a/crates/server/tests/program/harness/executor.rs
+++ b/crates/server/tests/program/harness/executor.rs
@@ -8,34 +8,34 @@
 /// A stub of the executor. It does what a request's body says: `run` ends at once, `large` too with a result of almost
 /// 4 KiB, `hang` when it is cancelled or the test ends it, `call` once its call is over.
 #[derive(Default)]
-pub struct ExecutorStub {
+pub(crate) struct ExecutorStub {
     /// All notices so far; the first has number 1.
-    pub notices: Vec<Vec<u8>>,
+    pub(crate) notices: Vec<Vec<u8>>,
     /// Runs that have not ended, and how often each was started.
-    pub runs: HashMap<String, u32>,
+    pub(crate) runs: HashMap<String, u32>,
     /// How often each has ended.
-    pub ends: HashMap<String, u32>,
-    pub link: Option<TcpStream>,
-    pub link_count: u32,
+    pub(crate) ends: HashMap<String, u32>,
+    pub(crate) link: Option<TcpStream>,
+    pub(crate) link_count: u32,
     /// The next reply to a call is lost with the link that carried it.
-    pub loses_link_at_reply: bool,
+    pub(crate) loses_link_at_reply: bool,
     /// The link breaks as the next run starts. The run ends behind the first gauges over the next link, and its notice is
     /// delayed until more is received there.
-    pub cuts_link_at_start: bool,
-    pub ending_run: Option<String>,
-    pub delayed_notice: Vec<u8>,
-    pub replies: Vec<Vec<u8>>,
+    pub(crate) cuts_link_at_start: bool,
+    pub(crate) ending_run: Option<String>,
+    pub(crate) delayed_notice: Vec<u8>,
+    pub(crate) replies: Vec<Vec<u8>>,
 }
 
 /// The result of a run whose body is `large`.
-pub fn large_result(id: &str) -> Vec<u8> {
+pub(crate) fn large_result(id: &str) -> Vec<u8> {
     id.bytes().cycle().take(4000).collect()
 }
 
-pub type SharedExecutor = Arc<Mutex<ExecutorStub>>;
+pub(crate) type SharedExecutor = Arc<Mutex<ExecutorStub>>;
 
 impl ExecutorStub {
-    pub fn notice(&mut self, word: &str, rest: String, body: &[u8]) {
+    pub(crate) fn notice(&mut self, word: &str, rest: String, body: &[u8]) {
         let head = format!("{word} {} {rest} {}\r\n", self.notices.len() + 1, body.len());
         let bytes = [head.as_bytes(), body, b"\r\n"].concat();
         if let Some(link) = &mut self.link {
@@ -44,20 +44,20 @@
         self.notices.push(bytes);
     }
 
-    pub fn end(&mut self, id: &str, end: &str, result: &[u8]) {
+    pub(crate) fn end(&mut self, id: &str, end: &str, result: &[u8]) {
         if self.runs.remove(id).is_some() {
             *self.ends.entry(id.to_owned()).or_default() += 1;
             self.notice("REAP", format!("{id} {end} 1.5"), result);
         }
     }
 
-    pub fn send_line(&mut self, line: String) {
+    pub(crate) fn send_line(&mut self, line: String) {
         if let Some(link) = &mut self.link {
             let _ = link.write_all(line.as_bytes());
         }
     }
 
-    pub fn handle_command(&mut self, words: &[&str], body: Vec<u8>) {
+    pub(crate) fn handle_command(&mut self, words: &[&str], body: Vec<u8>) {
         if let Some(link) = &mut self.link {
             let _ = link.write_all(&std::mem::take(&mut self.delayed_notice));
         }
@@ -106,7 +106,7 @@
 }
 
 /// Lets the stub listen at that address.
-pub fn serve_executor(kernel: SharedExecutor, host: &str) -> SharedExecutor {
+pub(crate) fn serve_executor(kernel: SharedExecutor, host: &str) -> SharedExecutor {
     let (shared, listener) = (kernel.clone(), TcpListener::bind((host, 7300)).unwrap());
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
@@ -117,7 +117,7 @@
     kernel
 }
 
-pub fn serve_executor_link(kernel: &SharedExecutor, stream: TcpStream) {
+pub(crate) fn serve_executor_link(kernel: &SharedExecutor, stream: TcpStream) {
     let mut input = BufReader::new(stream.try_clone().unwrap());
     let mut line = String::new();
     let mut number = 0;
--- a/crates/server/tests/program/harness/mod.rs
+++ b/crates/server/tests/program/harness/mod.rs
@@ -1,10 +1,10 @@
 //! What program tests share: a process of the program between stubs of its executor and its store, and the messages of an
 //! edge node, written by hand.
 
-pub mod backend;
-pub mod edge_node;
-pub mod executor;
-pub mod store;
+pub(crate) mod backend;
+pub(crate) mod edge_node;
+pub(crate) mod executor;
+pub(crate) mod store;
 
 use std::net::UdpSocket;
 use std::sync::Mutex;
@@ -12,11 +12,11 @@
 use std::time::{Duration, Instant};
 
 /// Far longer than anything takes, on a busy machine too.
-pub const LONG_TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const LONG_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A loopback address that no other test uses, nor a suite that runs at the same time: a socket that is kept until the
 /// process ends claims it.
-pub fn unique_address() -> String {
+pub(crate) fn unique_address() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     static CLAIMED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
     let id = std::process::id();
@@ -32,7 +32,7 @@
 }
 
 /// Waits until a condition holds; fails with `what` otherwise.
-pub fn wait_until(what: &str, holds: impl Fn() -> bool) {
+pub(crate) fn wait_until(what: &str, holds: impl Fn() -> bool) {
     let start = Instant::now();
     while !holds() {
         assert!(start.elapsed() < LONG_TIMEOUT, "{what}");
--- a/crates/server/tests/program/harness/store.rs
+++ b/crates/server/tests/program/harness/store.rs
@@ -8,23 +8,23 @@
 
 /// A stub of the store. It answers every call with its body, unless it is down or another reply is planned.
 #[derive(Clone, Default)]
-pub struct StoreStub {
-    pub down: Arc<AtomicBool>,
-    pub calls: Arc<AtomicU32>,
+pub(crate) struct StoreStub {
+    pub(crate) down: Arc<AtomicBool>,
+    pub(crate) calls: Arc<AtomicU32>,
     /// The replies to the next calls, with ID in place of theirs; an empty one is no reply.
-    pub plan: Arc<Mutex<VecDeque<String>>>,
+    pub(crate) plan: Arc<Mutex<VecDeque<String>>>,
     /// Calls left without an answer, with their connections.
-    pub open: Arc<Mutex<HashMap<String, TcpStream>>>,
+    pub(crate) open: Arc<Mutex<HashMap<String, TcpStream>>>,
     /// Connections that have closed.
-    pub left: Arc<AtomicU32>,
+    pub(crate) left: Arc<AtomicU32>,
 }
 
 impl StoreStub {
-    pub fn plan(&self, replies: &[&str]) {
+    pub(crate) fn plan(&self, replies: &[&str]) {
         self.plan.lock().unwrap().extend(replies.iter().map(|reply| reply.to_string()));
     }
 
-    pub fn serve(&self, stream: TcpStream) {
+    pub(crate) fn serve(&self, stream: TcpStream) {
         let mut input = BufReader::new(stream.try_clone().unwrap());
         let mut line = String::new();
         while !self.down.load(Ordering::Acquire) && input.read_line(&mut line).unwrap_or(0) > 0 {
@@ -53,7 +53,7 @@
     }
 }
 
-pub fn start_store(host: &str) -> StoreStub {
+pub(crate) fn start_store(host: &str) -> StoreStub {
     let store = StoreStub::default();
     let (shared, listener) = (store.clone(), TcpListener::bind((host, 7700)).unwrap());
     std::thread::spawn(move || {
--- a/crates/server/tests/program/load.rs
+++ b/crates/server/tests/program/load.rs
@@ -74,9 +74,8 @@
     }
 }
 
-#[test]
-fn each_request_is_answered_and_run_once_while_links_break_and_processes_die() {
-    let text = r#"length = 150
+/// Five members of which three vote: a cut, lossy links, a crash and a stop.
+const PLAN: &str = r#"length = 150
         voters = ["a-1", "b-1", "c-1"]
         members {
           zone = "a"
@@ -122,7 +121,10 @@
           of = "a-1"
           back = 14
         }"#;
-    let plan = Plan::parse(text).unwrap_or_else(|error| panic!("{error}"));
+
+#[test]
+fn each_request_is_answered_and_run_once_while_links_break_and_processes_die() {
+    let plan = Plan::parse(PLAN).unwrap_or_else(|error| panic!("{error}"));
     let (folder, load) = (tempfile::tempdir().unwrap(), Arc::new(Load::default()));
     let kernels: Mutex<Vec<SharedExecutor>> = Mutex::default();
     let begins = |members: &[MemberEndpoints]| {
--- a/crates/server/tests/program/recording.rs
+++ b/crates/server/tests/program/recording.rs
@@ -11,7 +11,7 @@
 use crate::harness::{LONG_TIMEOUT, unique_address, wait_until};
 
 /// A folder for a recording, and the configuration that names it.
-pub fn recorded(seal_after: &str) -> (tempfile::TempDir, PathBuf) {
+pub(crate) fn recorded(seal_after: &str) -> (tempfile::TempDir, PathBuf) {
     let folder = tempfile::tempdir().unwrap();
     let settings = folder.path().join("tulipgap.hcl");
     let text = format!(
@@ -49,7 +49,7 @@
 }
 
 /// Records in whole files without losses.
-pub fn count(folder: &Path) -> usize {
+pub(crate) fn count(folder: &Path) -> usize {
     let files = files(folder);
     assert!(files.iter().all(|file| file.losses.is_empty()));
     files.iter().map(|file| file.records.len()).sum()
