--- a/crates/cli/src/rig/leases.rs
+++ b/crates/cli/src/rig/leases.rs
@@ -74,8 +74,8 @@
     outcome: LeaseOutcome,
 }
 
-/// Hands out seeds to threads, in order, until one has failed. Later seeds may be under way by then; those before the
-/// failed one are all played.
+/// Hands out seeds to threads, in order, until one has failed. Later seeds may be under way by then; those
+/// before the failed one are all played.
 struct SeedQueue {
     next: AtomicU64,
     end: u64,
@@ -106,8 +106,8 @@
     if has_random_faults { with_random_faults(plan, seed) } else { plan.clone() }
 }
 
-/// Plays seeds on all cores, and returns what came of them in their order. Up to the first that failed, that is the same
-/// whatever the number of cores.
+/// Plays seeds on all cores, and returns what came of them in their order. Up to the first that failed, that
+/// is the same whatever the number of cores.
 fn simulate_seeds(plan: &Plan, seeds: Range<u64>, has_random_faults: bool) -> Vec<SeedOutcome> {
     let queue = SeedQueue::new(seeds);
     let simulate = |seed: u64| {
--- a/crates/fault-injection/benches/leases.rs
+++ b/crates/fault-injection/benches/leases.rs
@@ -1,10 +1,13 @@
-//! Grants and renewals a second with real disks: each voter on a thread of its own with a folder, messages by channels; askers
-//! that each wait for their answer before they ask again. `cargo bench -p tulipgap-rig`.
+//! Grants and renewals per second with real disks: each voter runs on a thread of its own with a directory,
+//! messages go through channels, and each client waits for its response before it requests again. `cargo
+//! bench -p tulipgap-fault-injection`.
 
 use std::collections::HashMap;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
@@ -13,15 +16,28 @@
 use tulipgap_write_ahead_log::{Directory, Disk};
 
 const RUN: Duration = Duration::from_secs(4);
+const TTL: Duration = Duration::from_secs(60);
+/// The longest wait of a voter, and how often its timer is checked.
+const TIMER_INTERVAL: Duration = Duration::from_millis(50);
+const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(10);
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Events that a voter handles at a time, beside the first.
+const MAX_BATCH: usize = 256;
 
-/// Counts syncs and bytes.
-struct Counted {
+/// What all voters wrote.
+#[derive(Default)]
+struct Counters {
+    syncs: AtomicU64,
+    written_bytes: AtomicU64,
+}
+
+/// A directory that counts syncs and bytes.
+struct CountingDisk {
     disk: Directory,
-    syncs: Arc<AtomicU64>,
-    bytes: Arc<AtomicU64>,
+    counters: Arc<Counters>,
 }
 
-impl Disk for Counted {
+impl Disk for CountingDisk {
     fn list(&self) -> std::io::Result<Vec<String>> {
         self.disk.list()
     }
@@ -29,11 +45,11 @@
         self.disk.read(name)
     }
     fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
-        self.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        self.counters.written_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         self.disk.append(name, bytes)
     }
     fn sync(&mut self, name: &str) -> std::io::Result<()> {
-        self.syncs.fetch_add(1, Ordering::Relaxed);
+        self.counters.syncs.fetch_add(1, Ordering::Relaxed);
         self.disk.sync(name)
     }
     fn replace(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
@@ -47,128 +63,155 @@
     }
 }
 
-enum Note {
-    Answered(usize, Response),
-    NotLeading(usize),
+/// What a client receives; clients are numbered.
+enum ClientMessage {
+    Response { client: usize, response: Response },
+    NotLeader { client: usize },
+}
+
+/// What all voters of a measurement share.
+struct Cluster {
+    voters: HashMap<Name, Sender<Event>>,
+    clients: Sender<ClientMessage>,
+    leader: Mutex<Option<Name>>,
+    is_over: AtomicBool,
+    counters: Arc<Counters>,
+}
+
+impl Cluster {
+    fn propose(&self, leader: &Name, client: usize) -> Instant {
+        let owner = Owner { name: format!("a{client}").into(), incarnation: Incarnation(1) };
+        let lease = format!("l{client}").into();
+        let command = Command::Acquire { lease, owner, ttl: TTL, capacity: 1, wait: true };
+        let request = RequestId(client as u64);
+        let _ = self.voters[leader].send(Event::Propose { from: "bench".into(), request, command });
+        Instant::now()
+    }
+
+    fn wait_for_leader(&self) -> Name {
+        loop {
+            if let Some(leader) = self.leader.lock().unwrap().clone() {
+                return leader;
+            }
+            thread::sleep(LEADER_POLL_INTERVAL);
+        }
+    }
+
+    fn perform(&self, voter: &Name, action: Action) {
+        match action {
+            Action::Send { to, message } => {
+                let _ = self.voters[&to].send(Event::PeerMessage { from: voter.clone(), message });
+            }
+            Action::Respond { request, response, .. } => {
+                let client = request.0 as usize;
+                let _ = self.clients.send(ClientMessage::Response { client, response });
+            }
+            Action::RejectNotLeader { request, .. } => {
+                let _ = self.clients.send(ClientMessage::NotLeader { client: request.0 as usize });
+            }
+            _ => {}
+        }
+    }
 }
 
-fn seat(
-    mut seat: DurableVoter<Counted>,
-    me: Name,
-    events: Receiver<Event>,
-    others: Arc<HashMap<Name, Sender<Event>>>,
-    notes: Sender<Note>,
-    leader: Arc<Mutex<Option<Name>>>,
-    over: Arc<AtomicBool>,
+/// Runs one voter until the measurement is over.
+fn run_voter(
+    mut voter: DurableVoter<CountingDisk>,
+    name: &Name,
+    events: &Receiver<Event>,
+    cluster: &Cluster,
 ) {
     let start = Instant::now();
-    let mut alarm = Duration::ZERO;
-    while !over.load(Ordering::Relaxed) {
-        let wait = alarm.saturating_sub(start.elapsed()).min(Duration::from_millis(50));
+    let mut timer = Duration::ZERO;
+    while !cluster.is_over.load(Ordering::Relaxed) {
+        let wait = timer.saturating_sub(start.elapsed()).min(TIMER_INTERVAL);
         let mut batch = match events.recv_timeout(wait) {
             Ok(event) => vec![event],
             Err(RecvTimeoutError::Timeout) => Vec::new(),
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        batch.extend(events.try_iter().take(256));
-        if start.elapsed() >= alarm {
-            alarm = start.elapsed() + Duration::from_millis(50);
+        batch.extend(events.try_iter().take(MAX_BATCH));
+        if start.elapsed() >= timer {
+            timer = start.elapsed() + TIMER_INTERVAL;
             batch.push(Event::TimerElapsed);
         }
-        let (said, done) = seat.handle_events(start.elapsed(), batch);
-        done.expect("the disk holds");
-        if seat.voter().is_leader() {
-            *leader.lock().unwrap() = Some(me.clone());
+        let (actions, result) = voter.handle_events(start.elapsed(), batch);
+        result.expect("the disk works");
+        if voter.voter().is_leader() {
+            *cluster.leader.lock().unwrap() = Some(name.clone());
         }
-        for action in said {
+        for action in actions {
             match action {
-                Action::Send { to, message } => {
-                    let _ = others[&to].send(Event::PeerMessage { from: me.clone(), message });
-                }
-                Action::Respond { request: ask, response: answer, .. } => {
-                    _ = notes.send(Note::Answered(ask.0 as usize, answer))
-                }
-                Action::RejectNotLeader { request: ask, .. } => {
-                    _ = notes.send(Note::NotLeading(ask.0 as usize))
-                }
-                Action::SetTimer { at } => alarm = alarm.min(at),
-                _ => {}
+                Action::SetTimer { at } => timer = timer.min(at),
+                action => cluster.perform(name, action),
             }
         }
     }
 }
 
-fn measure(voters: usize, askers: usize) {
-    let folder = tempfile::tempdir().unwrap();
-    let names: Vec<Name> = (0..voters).map(|at| format!("v{at}").into()).collect();
-    let (syncs, bytes, over) =
-        (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
+fn start_cluster(voters: usize, directory: &Path) -> (Arc<Cluster>, Receiver<ClientMessage>) {
+    let names: Vec<Name> = (0..voters).map(|voter| format!("v{voter}").into()).collect();
     let (senders, receivers): (Vec<_>, Vec<_>) = (0..voters).map(|_| channel::<Event>()).unzip();
-    let others: Arc<HashMap<Name, Sender<Event>>> = Arc::new(names.iter().cloned().zip(senders).collect());
-    let (notes, told) = channel();
-    let leader = Arc::new(Mutex::new(None));
-    for (at, events) in receivers.into_iter().enumerate() {
-        let disk = Directory::open(&folder.path().join(&*names[at])).unwrap();
-        let disk = Counted { disk, syncs: syncs.clone(), bytes: bytes.clone() };
-        let taken =
-            DurableVoter::open(Config::default(), &names[at], names.clone(), disk, at as u64 + 1).unwrap();
-        let (me, others, notes, leader, over) =
-            (names[at].clone(), others.clone(), notes.clone(), leader.clone(), over.clone());
-        std::thread::spawn(move || seat(taken, me, events, others, notes, leader, over));
+    let (clients, messages) = channel();
+    let cluster = Arc::new(Cluster {
+        voters: names.iter().cloned().zip(senders).collect(),
+        clients,
+        leader: Mutex::new(None),
+        is_over: AtomicBool::new(false),
+        counters: Arc::default(),
+    });
+    for ((index, name), events) in names.iter().enumerate().zip(receivers) {
+        let disk = Directory::open(&directory.join(&**name)).unwrap();
+        let disk = CountingDisk { disk, counters: cluster.counters.clone() };
+        let seed = index as u64 + 1;
+        let voter = DurableVoter::open(Config::default(), name, names.clone(), disk, seed).unwrap();
+        let (name, cluster) = (name.clone(), cluster.clone());
+        thread::spawn(move || run_voter(voter, &name, &events, &cluster));
     }
-    let leads = loop {
-        if let Some(leads) = leader.lock().unwrap().clone() {
-            break leads;
-        }
-        std::thread::sleep(Duration::from_millis(10));
-    };
-    let ask = |asker: usize| {
-        let owner = Owner { name: format!("a{asker}").into(), incarnation: Incarnation(1) };
-        let (lease, ttl) = (format!("l{asker}").into(), Duration::from_secs(60));
-        let command = Command::Acquire { lease, owner, ttl, capacity: 1, wait: true };
-        let _ = others[&leads].send(Event::Propose {
-            from: "bench".into(),
-            request: RequestId(asker as u64),
-            command,
-        });
-        Instant::now()
-    };
-    let (syncs_before, bytes_before) = (syncs.load(Ordering::Relaxed), bytes.load(Ordering::Relaxed));
-    let mut spans = Histogram::<u64>::new(3).unwrap();
-    let mut sent: Vec<Instant> = (0..askers).map(ask).collect();
-    let (start, mut answers) = (Instant::now(), 0u64);
+    (cluster, messages)
+}
+
+/// Has each client acquire and renew a lease of its own, and prints the rate, latencies and costs.
+fn measure(voters: usize, clients: usize) {
+    let directory = tempfile::tempdir().unwrap();
+    let (cluster, messages) = start_cluster(voters, directory.path());
+    let leader = cluster.wait_for_leader();
+    let syncs_before = cluster.counters.syncs.load(Ordering::Relaxed);
+    let bytes_before = cluster.counters.written_bytes.load(Ordering::Relaxed);
+    let mut latencies = Histogram::<u64>::new(3).unwrap();
+    let mut sent: Vec<Instant> = (0..clients).map(|client| cluster.propose(&leader, client)).collect();
+    let (start, mut responses) = (Instant::now(), 0u64);
     while start.elapsed() < RUN {
-        match told.recv_timeout(Duration::from_secs(1)) {
-            Ok(Note::Answered(asker, answer)) => {
-                assert!(matches!(answer, Response::Granted { .. }));
-                spans.record(sent[asker].elapsed().as_micros() as u64).unwrap();
-                answers += 1;
-                sent[asker] = ask(asker);
+        match messages.recv_timeout(RESPONSE_TIMEOUT) {
+            Ok(ClientMessage::Response { client, response }) => {
+                assert!(matches!(response, Response::Granted { .. }));
+                latencies.record(sent[client].elapsed().as_micros() as u64).unwrap();
+                responses += 1;
+                sent[client] = cluster.propose(&leader, client);
             }
-            Ok(Note::NotLeading(asker)) => sent[asker] = ask(asker),
+            Ok(ClientMessage::NotLeader { client }) => sent[client] = cluster.propose(&leader, client),
             Err(_) => {}
         }
     }
     let elapsed = start.elapsed().as_secs_f64();
-    let per = |count: u64| count as f64 / answers as f64;
+    let per_response = |count: u64| count as f64 / responses as f64;
     println!(
-        "{voters} voters, {askers} askers: {:.0} grants and renewals a second; p50 {} us, p99 {} us, worst {} us; {:.3} syncs and {:.0} bytes each, over all voters",
-        answers as f64 / elapsed,
-        spans.value_at_quantile(0.5),
-        spans.value_at_quantile(0.99),
-        spans.max(),
-        per(syncs.load(Ordering::Relaxed) - syncs_before),
-        per(bytes.load(Ordering::Relaxed) - bytes_before),
+        "{voters} voters, {clients} clients: {:.0} grants and renewals a second; p50 {} us, p99 {} us, worst {} us; {:.3} syncs and {:.0} bytes each, over all voters",
+        responses as f64 / elapsed,
+        latencies.value_at_quantile(0.5),
+        latencies.value_at_quantile(0.99),
+        latencies.max(),
+        per_response(cluster.counters.syncs.load(Ordering::Relaxed) - syncs_before),
+        per_response(cluster.counters.written_bytes.load(Ordering::Relaxed) - bytes_before),
     );
-    over.store(true, Ordering::Relaxed);
+    cluster.is_over.store(true, Ordering::Relaxed);
 }
 
 fn main() {
     for voters in [3, 5] {
-        for askers in [1, 30, 300] {
-            measure(voters, askers);
+        for clients in [1, 30, 300] {
+            measure(voters, clients);
         }
     }
-    // Each its own lease.
     measure(3, 10_000);
 }
--- a/crates/fault-injection/src/lease_simulation/clients.rs
+++ b/crates/fault-injection/src/lease_simulation/clients.rs
@@ -116,7 +116,8 @@
         self.schedule_operation(duration, member, lease);
     }
 
-    /// The tokens of operations of paused processes: nothing but the token keeps those from doing harm when they resume.
+    /// The tokens of operations of paused processes: nothing but the token keeps those from doing harm when
+    /// they resume.
     fn paused_operations(&self, lease: &Name) -> BTreeSet<FencingToken> {
         let paused = self.processes.iter().filter(|process| process.is_paused);
         paused.filter_map(|process| process.held_leases.get(lease)?.operation).collect()
--- a/crates/fault-injection/src/lease_simulation/mod.rs
+++ b/crates/fault-injection/src/lease_simulation/mod.rs
@@ -1,6 +1,6 @@
-//! Leases in simulated time: voters, lease clients and their disks as they are in production, a network, clocks and
-//! processes that do what the plan says, and a history checker that sees each operation. The same plan and seed give the
-//! same run to the last message.
+//! Leases in simulated time: voters, lease clients and their disks as they are in production, a network,
+//! clocks and processes that do what the plan says, and a history checker that sees each operation. The same
+//! plan and seed give the same run to the last message.
 
 mod clients;
 mod injected_bugs;
--- /dev/null
+++ b/crates/fault-injection/src/membership_simulation/mod.rs
@@ -0,0 +1,174 @@
+//! The membership in simulated time: the members' own state machines, a network that does what the plan says,
+//! and a checker of the invariants. The same plan and seed give the same run to the last message.
+
+mod network;
+mod outcome;
+mod processes;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tulipgap_membership::{MemberState, Message};
+
+use crate::invariants::{MembershipChecker, Observation};
+use crate::plan::{Fault, Member, MemberIndex, Plan, matching};
+use crate::scheduler::{Fingerprint, ProcessGeneration, Scheduler, Simulation, play};
+use processes::Process;
+
+pub use outcome::{DetectionTimes, MembershipBug, MembershipOutcome};
+
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Members start within this time, in seconds.
+const START_SPREAD: f64 = 0.2;
+
+enum SimulationEvent {
+    Start,
+    Crash,
+    Pause,
+    Resume,
+    TimerExpired { generation: ProcessGeneration },
+    Deliver { from: MemberIndex, message: Message },
+}
+
+/// A run. Owns the processes and what each considers the others to be.
+struct MembershipSimulation<'a> {
+    plan: &'a Plan,
+    members: Vec<Member>,
+    bug: Option<MembershipBug>,
+    rng: fastrand::Rng,
+    scheduler: Scheduler<SimulationEvent>,
+    processes: Vec<Process>,
+    index_by_address: HashMap<SocketAddr, MemberIndex>,
+    index_by_name: HashMap<String, MemberIndex>,
+    /// By observer and subject, as the observer reported it.
+    views: Vec<Vec<Option<MemberState>>>,
+    checker: MembershipChecker,
+    messages: u64,
+    false_deaths: u64,
+    detections: Vec<DetectionTimes>,
+    fingerprint: Fingerprint,
+}
+
+/// Plays a plan once in simulated time. A bug is injected to show that the checks can fail.
+pub fn simulate_membership(plan: &Plan, seed: u64, bug: Option<MembershipBug>) -> MembershipOutcome {
+    let mut simulation = MembershipSimulation::new(plan, seed, bug);
+    simulation.schedule_starts();
+    simulation.schedule_faults();
+    play(&mut simulation, Duration::from_secs_f64(plan.length));
+    MembershipOutcome {
+        violation: simulation.checker.violation().cloned(),
+        worst: simulation.checker.worst(),
+        messages: simulation.messages,
+        false_deaths: simulation.false_deaths,
+        detections: simulation.detections,
+        fingerprint: simulation.fingerprint.value(),
+    }
+}
+
+impl Simulation for MembershipSimulation<'_> {
+    type Event = SimulationEvent;
+    const CHECK_INTERVAL: Duration = CHECK_INTERVAL;
+
+    fn scheduler(&mut self) -> &mut Scheduler<SimulationEvent> {
+        &mut self.scheduler
+    }
+
+    fn handle(&mut self, member: MemberIndex, event: SimulationEvent) {
+        match event {
+            SimulationEvent::Start => self.start(member),
+            SimulationEvent::Crash => self.crash(member),
+            SimulationEvent::Pause => {
+                let process = &mut self.processes[member];
+                process.is_paused = process.membership.is_some();
+            }
+            SimulationEvent::Resume => self.resume(member),
+            SimulationEvent::TimerExpired { generation } => self.expire_timer(member, generation),
+            SimulationEvent::Deliver { from, message } => self.deliver(member, from, message),
+        }
+    }
+
+    fn check_invariants(&mut self) {
+        let now = self.scheduler.now();
+        let has_partition = self.plan.has_partition(now.as_secs_f64());
+        for observer in 0..self.members.len() {
+            if !self.is_running(observer) {
+                continue;
+            }
+            for subject in (0..self.members.len()).filter(|&subject| subject != observer) {
+                let is_reachable = match has_partition {
+                    true => self.is_reachable(observer, subject),
+                    false => self.is_running(subject),
+                };
+                let observation = Observation {
+                    observer,
+                    subject,
+                    members: &self.members,
+                    state: self.views[observer][subject],
+                    is_reachable,
+                    is_dead: self.processes[subject].death.is_some(),
+                };
+                self.checker.check(now, &observation);
+            }
+        }
+    }
+
+    fn has_failed(&self) -> bool {
+        self.checker.violation().is_some()
+    }
+}
+
+impl<'a> MembershipSimulation<'a> {
+    fn new(plan: &'a Plan, seed: u64, bug: Option<MembershipBug>) -> Self {
+        let members = plan.members();
+        let processes: Vec<Process> = (0..members.len()).map(Process::new).collect();
+        let index_by_address =
+            processes.iter().enumerate().map(|(index, process)| (process.address, index)).collect();
+        let index_by_name =
+            members.iter().enumerate().map(|(index, member)| (member.name.clone(), index)).collect();
+        MembershipSimulation {
+            plan,
+            bug,
+            rng: fastrand::Rng::with_seed(seed),
+            scheduler: Scheduler::new(),
+            processes,
+            index_by_address,
+            index_by_name,
+            views: vec![vec![None; members.len()]; members.len()],
+            checker: MembershipChecker::new(plan.bounds, plan.faults_end()),
+            messages: 0,
+            false_deaths: 0,
+            detections: Vec::new(),
+            fingerprint: Fingerprint::new(),
+            members,
+        }
+    }
+
+    fn schedule_starts(&mut self) {
+        for member in 0..self.members.len() {
+            let at = Duration::from_secs_f64(self.rng.f64() * START_SPREAD);
+            self.scheduler.schedule(at, member, SimulationEvent::Start);
+        }
+    }
+
+    fn schedule_faults(&mut self) {
+        for fault in &self.plan.faults {
+            let is_crash = matches!(fault, Fault::Crash { .. });
+            let (Fault::Crash { at, target, restart_at: end, .. }
+            | Fault::Pause { at, target, resume_at: end }) = fault
+            else {
+                continue;
+            };
+            for member in matching(&self.members, target) {
+                let (begins, ends) = match is_crash {
+                    true => (SimulationEvent::Crash, SimulationEvent::Start),
+                    false => (SimulationEvent::Pause, SimulationEvent::Resume),
+                };
+                self.scheduler.schedule(Duration::from_secs_f64(*at), member, begins);
+                if let Some(end) = end {
+                    self.scheduler.schedule(Duration::from_secs_f64(*end), member, ends);
+                }
+            }
+        }
+    }
+}
--- a/crates/fault-injection/src/plan/fault.rs
+++ b/crates/fault-injection/src/plan/fault.rs
@@ -64,7 +64,8 @@
     }
 }
 
-/// A fault. A target is the name of a member or of a zone, or empty for all members; times are seconds since the start.
+/// A fault. A target is the name of a member or of a zone, or empty for all members; times are seconds since
+/// the start.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
     /// Nothing gets through between two targets.
@@ -143,8 +144,8 @@
 }
 
 impl Fault {
-    /// The place of this kind in [`super::Plan::faults`]: plan files are read kind by kind, in this order, whatever the
-    /// order of their blocks.
+    /// The place of this kind in [`super::Plan::faults`]: plan files are read kind by kind, in this order,
+    /// whatever the order of their blocks.
     pub(crate) fn kind_order(&self) -> u32 {
         match self {
             Fault::Partition { .. } => 0,
--- a/crates/fault-injection/src/plan/mod.rs
+++ b/crates/fault-injection/src/plan/mod.rs
@@ -59,7 +59,7 @@
 
 impl Member {
     /// Whether a target means this member: its name, its zone, or the empty string, which means all.
-    pub fn matches(&self, target: &str) -> bool {
+    pub(crate) fn matches(&self, target: &str) -> bool {
         target.is_empty() || self.name == target || self.zone == target
     }
 }
@@ -109,7 +109,8 @@
     /// The longest after the last fault that a view may differ from the truth.
     #[serde(rename = "agree")]
     pub convergence: f64,
-    /// The longest after the last fault that a wanted lease may have no holder, while a majority of voters votes.
+    /// The longest after the last fault that a wanted lease may have no holder, while a majority of voters
+    /// votes.
     #[serde(rename = "free", default = "default_vacancy")]
     pub vacancy: f64,
 }
@@ -147,7 +148,8 @@
     /// Parses and validates a plan file.
     ///
     /// # Errors
-    /// [`PlanError::Syntax`] where the text is no plan file, and [`PlanError::InvalidValue`] where it cannot be played.
+    /// [`PlanError::Syntax`] where the text is no plan file, and [`PlanError::InvalidValue`] where it cannot
+    /// be played.
     pub fn parse(text: &str) -> Result<Self, PlanError> {
         let plan = Plan::try_from(file::PlanFile::parse(text)?)?;
         plan.validate()?;
--- a/crates/fault-injection/src/plan/network.rs
+++ b/crates/fault-injection/src/plan/network.rs
@@ -35,8 +35,8 @@
         rng.f64() < self.loss
     }
 
-    /// Draws for one copy in simulated time how long it takes, or `None` where it is lost. Each copy takes its own time,
-    /// so messages overtake each other.
+    /// Draws for one copy in simulated time how long it takes, or `None` where it is lost. Each copy takes
+    /// its own time, so messages overtake each other.
     pub(crate) fn draw_transit(&self, rng: &mut fastrand::Rng) -> Option<Duration> {
         let latency = MIN_LATENCY + (MAX_LATENCY - MIN_LATENCY) * rng.f64();
         let transit = latency + self.draw_delay(rng);
@@ -67,8 +67,8 @@
             .any(|fault| matches!(fault, Fault::Partition { window, .. } if window.contains(now)))
     }
 
-    /// The quality of the links from one member to another: the worst of each that a fault asks for at that time. `now`
-    /// is in seconds.
+    /// The quality of the links from one member to another: the worst of each that a fault asks for at that
+    /// time. `now` is in seconds.
     pub(crate) fn link_quality(&self, now: f64, from: &Member, to: &Member) -> LinkQuality {
         let mut quality = LinkQuality::default();
         for fault in &self.faults {
--- a/crates/fault-injection/src/plan/validation.rs
+++ b/crates/fault-injection/src/plan/validation.rs
@@ -38,7 +38,7 @@
     ///
     /// # Errors
     /// [`PlanError::InvalidValue`] for the first value that cannot be played.
-    pub fn validate(&self) -> Result<(), PlanError> {
+    pub(super) fn validate(&self) -> Result<(), PlanError> {
         ensure(
             self.length > 0.0 && self.length <= MAX_LENGTH,
             "length",
--- a/crates/fault-injection/src/processes/history.rs
+++ b/crates/fault-injection/src/processes/history.rs
@@ -1,5 +1,5 @@
-//! The history of operations under leases: each process reports over a stream when an operation begins and ends, and
-//! learns whether its token was accepted.
+//! The history of operations under leases: each process reports over a stream when an operation begins and
+//! ends, and learns whether its token was accepted.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, BufReader, Write};
@@ -66,7 +66,8 @@
     lease: String,
 }
 
-/// Records the history of a run. Owns the history checker, the outcome as it grows, and who is under way with what.
+/// Records the history of a run. Owns the history checker, the outcome as it grows, and who is under way with
+/// what.
 pub(super) struct HistoryRecorder {
     checker: HistoryChecker,
     start: Instant,
--- a/crates/fault-injection/src/processes/schedule.rs
+++ b/crates/fault-injection/src/processes/schedule.rs
@@ -5,8 +5,8 @@
 /// When each journal is backed up, for crashes after which it is rolled back, in seconds.
 const BACKUP_AT: f64 = 0.5;
 
-/// What is done to a process. Faults of links and clocks are no actions: proxies look them up, and a clock's rate is
-/// configured at the start.
+/// What is done to a process. Faults of links and clocks are no actions: proxies look them up, and a clock's
+/// rate is configured at the start.
 pub(super) enum FaultAction {
     Kill,
     Restart(DirectoryAfterCrash),
--- a/crates/fault-injection/src/random_faults.rs
+++ b/crates/fault-injection/src/random_faults.rs
@@ -10,8 +10,8 @@
 /// After a disk fault a process is restarted for so long, in seconds.
 const RESTART_SECONDS: f64 = 0.1;
 
-/// The same plan with up to six random faults beside its own, over by two thirds of its length. The same seed draws the
-/// same faults.
+/// The same plan with up to six random faults beside its own, over by two thirds of its length. The same seed
+/// draws the same faults.
 pub fn with_random_faults(plan: &Plan, seed: u64) -> Plan {
     let mut rng = fastrand::Rng::with_seed(seed ^ SEED_MASK);
     let members = plan.members();
@@ -47,8 +47,8 @@
     TimeWindow { from, to }
 }
 
-/// Draws one fault. At most one directory is emptied in a run: a second one would leave no majority that knows all that
-/// was committed.
+/// Draws one fault. At most one directory is emptied in a run: a second one would leave no majority that
+/// knows all that was committed.
 fn draw_fault(
     rng: &mut fastrand::Rng,
     members: &[Member],
--- a/crates/fault-injection/tests/lease_simulation.rs
+++ b/crates/fault-injection/tests/lease_simulation.rs
@@ -1,4 +1,5 @@
-//! Leases in simulated time over many seeds: each hard case, random faults, and injected bugs that the checks have to catch.
+//! Leases in simulated time over many seeds: each hard case, random faults, and injected bugs that the checks
+//! have to catch.
 
 use tulipgap_fault_injection::{InjectedBugs, LeaseOutcome, Plan, simulate_leases, with_random_faults};
 use tulipgap_leases::InjectedBug;
@@ -181,8 +182,8 @@
     assert_ne!(run(7).fingerprint, run(8).fingerprint);
 }
 
-/// The injected bugs that show in whole runs, each with the seeds that are played for it; the others are found by the
-/// tests of the write-ahead log and among all states at small sizes (docs/design-leases.md).
+/// The injected bugs that show in whole runs, each with the seeds that are played for it; the others are
+/// found by the tests of the write-ahead log and among all states at small sizes (docs/design-leases.md).
 #[test]
 fn injected_bugs_are_found() {
     let stops: String = ["north-1", "north-2", "west-1", "west-2", "south-1"]
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -1,4 +1,4 @@
-//! Single cases of the membership, message by message; whole clusters are simulated by `tulipgap-rig`.
+//! Single cases of the membership, message by message; whole clusters are simulated by `tulipgap-fault-injection`.
 
 use std::net::SocketAddr;
 use std::time::Duration;
