--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -273,3 +273,16 @@
     assert!(err(&output).contains("no zone and no member"), "{}", err(&output));
     assert_eq!(place.run("rig simulate plan.hcl --seeds 5..5").status.code(), Some(2));
 }
+
+/// The recordings and what version 0.1.0 exported of them stand beside the tests of the trace crate.
+#[test]
+fn recordings_of_version_0_1_0_export_the_same_lines() {
+    let place = Place::new();
+    let golden = Path::new(env!("CARGO_MANIFEST_DIR")).join("../trace/tests/files/golden");
+    for name in ["format-1", "format-2"] {
+        let recording = golden.join(format!("{name}.tgt"));
+        std::fs::copy(recording, place.path("golden.tgt")).unwrap();
+        let expected = std::fs::read_to_string(golden.join(format!("{name}.jsonl"))).unwrap();
+        assert!(place.fine("trace export golden.tgt") == expected, "{name}");
+    }
+}
--- a/crates/trace/tests/files/main.rs
+++ b/crates/trace/tests/files/main.rs
@@ -3,5 +3,6 @@
 mod common;
 mod damage;
 mod format;
+mod golden;
 mod keeping;
 mod making;
