--- /dev/null
+++ b/crates/cli/src/check_config.rs
@@ -0,0 +1,22 @@
+//! `tulipgap config check`: every problem of a configuration file at its place.
+
+use std::path::PathBuf;
+
+use tulipgap_config::ConfigError;
+
+use crate::error::{CliError, CommandResult, Status};
+
+pub(crate) fn run(paths: &[PathBuf]) -> CommandResult {
+    let mut status = Status::Complete;
+    for path in paths {
+        match tulipgap_config::read(path) {
+            Ok(_) => println!("{}: fine", path.display()),
+            Err(error @ ConfigError::Unread { .. }) => return Err(CliError::Config(error)),
+            Err(error) => {
+                println!("{error}");
+                status = Status::Incomplete;
+            }
+        }
+    }
+    Ok(status)
+}
--- a/crates/cli/src/times.rs
+++ b/crates/cli/src/times.rs
@@ -1,21 +1,43 @@
-//! Times as they are given and told: offsets, or RFC 3339.
+//! Times on the command line and in reports: offsets, or RFC 3339.
+
+#[cfg(test)]
+mod tests;
 
 use std::str::FromStr;
 use std::time::{Duration, UNIX_EPOCH};
 
 use tulipgap_trace::Micros;
 
+/// The first moment that RFC 3339 cannot write: the year 10000.
+const END_OF_RFC3339: Micros = 253_402_300_800_000_000;
+
+/// Why a time on the command line is not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum TimeError {
+    #[error("neither an offset such as 37m or 1h 5s, nor a time such as 2026-12-01T16:05:00Z")]
+    NotAMoment,
+    #[error("a time before 1970")]
+    BeforeUnixEpoch,
+    #[error("not of the form NAME=+1.5s or NAME=-20ms")]
+    NotAnOffset,
+    #[error("'{0}' is no unit: us, ms, s, m or h")]
+    UnknownUnit(String),
+}
+
 /// A moment of a recording.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Moment {
-    After(Duration),
+pub(crate) enum Moment {
+    /// So long after the first record.
+    AfterFirst(Duration),
+    /// Unix time.
     At(Micros),
 }
 
 impl Moment {
-    pub fn since(self, first: Micros) -> Micros {
+    /// Its Unix time in a recording with that first record.
+    pub(crate) fn unix_time(self, first: Micros) -> Micros {
         match self {
-            Moment::After(span) => first.saturating_add(micros(span)),
+            Moment::AfterFirst(span) => first.saturating_add(micros(span)),
             Moment::At(at) => at,
         }
     }
@@ -26,83 +48,63 @@
 }
 
 impl FromStr for Moment {
-    type Err = String;
+    type Err = TimeError;
 
-    fn from_str(text: &str) -> Result<Self, String> {
+    fn from_str(text: &str) -> Result<Self, TimeError> {
         if let Ok(span) = humantime::parse_duration(text) {
-            return Ok(Moment::After(span));
-        }
-        match humantime::parse_rfc3339_weak(text) {
-            Ok(at) => {
-                let since = at.duration_since(UNIX_EPOCH).map_err(|_| "a time before 1970".to_owned())?;
-                Ok(Moment::At(micros(since)))
-            }
-            Err(_) => {
-                Err("neither an offset such as 37m or 1h 5s, nor a time such as 2026-12-01T16:05:00Z".into())
-            }
+            return Ok(Moment::AfterFirst(span));
         }
+        let time = humantime::parse_rfc3339_weak(text).map_err(|_| TimeError::NotAMoment)?;
+        let since = time.duration_since(UNIX_EPOCH).map_err(|_| TimeError::BeforeUnixEpoch)?;
+        Ok(Moment::At(micros(since)))
     }
 }
 
-/// What is added to the times of one server.
+/// What is added to the times of one server: `NAME=+1.5s`.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Offset {
-    pub server: String,
-    pub by: Micros,
+pub(crate) struct ServerOffset {
+    pub(crate) server: String,
+    pub(crate) offset: Micros,
 }
 
-impl FromStr for Offset {
-    type Err = String;
+impl FromStr for ServerOffset {
+    type Err = TimeError;
 
-    fn from_str(text: &str) -> Result<Self, String> {
-        let form = || "not of the form NAME=+1.5s or NAME=-20ms".to_owned();
-        let (server, span) = text.rsplit_once('=').ok_or_else(form)?;
+    fn from_str(text: &str) -> Result<Self, TimeError> {
+        let (server, span) = text.rsplit_once('=').ok_or(TimeError::NotAnOffset)?;
         let (sign, span) = match span.strip_prefix('-') {
             Some(span) => (-1.0, span),
             None => (1.0, span.strip_prefix('+').unwrap_or(span)),
         };
-        let at = span.find(|c: char| !c.is_ascii_digit() && c != '.').ok_or_else(form)?;
-        let (number, unit) = span.split_at(at);
-        let unit = match unit {
+        let unit_start =
+            span.find(|c: char| !c.is_ascii_digit() && c != '.').ok_or(TimeError::NotAnOffset)?;
+        let (number, unit) = span.split_at(unit_start);
+        let unit_micros = match unit {
             "us" => 1.0,
             "ms" => 1e3,
             "s" => 1e6,
             "m" => 60e6,
             "h" => 3600e6,
-            _ => return Err(format!("'{unit}' is no unit: us, ms, s, m or h")),
+            _ => return Err(TimeError::UnknownUnit(unit.to_owned())),
         };
-        let number: f64 = number.parse().map_err(|_| form())?;
-        Ok(Offset { server: server.to_owned(), by: (sign * number * unit).round() as Micros })
+        let number: f64 = number.parse().map_err(|_| TimeError::NotAnOffset)?;
+        Ok(ServerOffset {
+            server: server.to_owned(),
+            offset: (sign * number * unit_micros).round() as Micros,
+        })
     }
 }
 
-/// A time as it is told.
-pub fn shown(at: Micros) -> String {
+/// A Unix time in RFC 3339; a number of microseconds where that cannot write it.
+pub(crate) fn format_time(at: Micros) -> String {
     match u64::try_from(at).ok().and_then(|at| UNIX_EPOCH.checked_add(Duration::from_micros(at))) {
-        // Beyond the year 9999 it cannot be written.
-        Some(time) if at < 253_402_300_800_000_000 => humantime::format_rfc3339_millis(time).to_string(),
+        Some(time) if at < END_OF_RFC3339 => humantime::format_rfc3339_millis(time).to_string(),
         _ => format!("{at} us"),
     }
 }
 
-pub fn span(micros: Micros) -> String {
-    let whole = Duration::from_millis(u64::try_from(micros / 1000).unwrap_or(0));
-    humantime::format_duration(whole).to_string()
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn moments_and_offsets_are_read() {
-        assert_eq!("37m".parse(), Ok(Moment::After(Duration::from_secs(37 * 60))));
-        assert_eq!("1970-01-01T00:00:01.5Z".parse(), Ok(Moment::At(1_500_000)));
-        assert!("soon".parse::<Moment>().is_err());
-        assert_eq!("n=1=+1.5s".parse(), Ok(Offset { server: "n=1".into(), by: 1_500_000 }));
-        assert_eq!("n2=-20ms".parse(), Ok(Offset { server: "n2".into(), by: -20_000 }));
-        assert!("n2=20".parse::<Offset>().is_err() && "n2".parse::<Offset>().is_err());
-        assert_eq!(shown(1_764_576_000_000_000), "2025-12-01T08:00:00.000Z");
-        assert_eq!(shown(i64::MAX), "9223372036854775807 us");
-    }
+/// A span of time, in whole milliseconds.
+pub(crate) fn format_span(span: Micros) -> String {
+    let span = Duration::from_millis(u64::try_from(span / 1000).unwrap_or(0));
+    humantime::format_duration(span).to_string()
 }
--- a/crates/server/src/net/clients.rs
+++ b/crates/server/src/net/clients.rs
@@ -17,7 +17,7 @@
 use socket2::SockRef;
 use tulipgap_connection_limits::{AcceptError, Action, CloseReason, ConnectionId, Event, Limiter};
 use tulipgap_settings::Names;
-use tulipgap_trace::{Reason, hashed};
+use tulipgap_trace::{Reason, hash_text};
 
 use super::executor::ExecutorClient;
 use super::store::StoreClient;
@@ -543,7 +543,7 @@
                     Ok(_) if !free => Fault::Malformed("a sequence that is open".into()),
                     Ok(_) if body.len() > BODY_MOST => Fault::Malformed("a body too long".into()),
                     Ok(read) if self.registry.open() >= self.open_most => {
-                        self.registry.record_unregistered(&read.incoming, Reason::NO_ROOM);
+                        self.registry.record_unregistered(&read.incoming, Reason::NO_CAPACITY);
                         if let Some(count) = NO_ROOM.pass() {
                             log::warn!("no memory for another req ({count} so far)");
                         }
@@ -818,10 +818,10 @@
         };
         let trace = self.registry.tracer().map(|_| TraceContext {
             number,
-            key: incoming.idempotency_key.as_deref().map(hashed),
+            key: incoming.idempotency_key.as_deref().map(hash_text),
             subject: find("subject")
-                .map(|subject| u64::from_str_radix(subject, 16).unwrap_or_else(|_| hashed(subject))),
-            caller: find("via").map(|via| via.parse().unwrap_or_else(|_| hashed(via))),
+                .map(|subject| u64::from_str_radix(subject, 16).unwrap_or_else(|_| hash_text(subject))),
+            caller: find("via").map(|via| via.parse().unwrap_or_else(|_| hash_text(via))),
             read: Instant::now(),
         });
         let incoming = IncomingRequest { trace, ..incoming };
--- a/crates/server/src/requests/state.rs
+++ b/crates/server/src/requests/state.rs
@@ -280,7 +280,7 @@
         };
         match outcome {
             Outcome::Succeeded => self.respond(index, response.clone(), Reason::NONE),
-            Outcome::Failed => self.respond(index, response.clone(), Reason::RUN_ERRORED),
+            Outcome::Failed => self.respond(index, response.clone(), Reason::RUN_FAILED),
             // Nothing ran, so a request with its key is no duplicate.
             Outcome::NotStarted => self.forget_key(index),
             _ => {}
@@ -409,7 +409,7 @@
 
     fn release(&mut self, index: usize) {
         // A run that ended with nothing for its caller, and that the controller left unanswered.
-        self.respond(index, Response::Failed, Reason::STOPPED);
+        self.respond(index, Response::Failed, Reason::CANCELLED);
         if let (Some(trace), Some(tracer)) = (self.requests[index].trace.take(), &self.tracer) {
             tracer.record(&trace, Instant::now());
         }
@@ -435,8 +435,8 @@
                 continue;
             }
             let (response, outcome, reason) = match response {
-                Response::Completed(_) => (response, Outcome::Succeeded, Reason::JOINED),
-                _ => (Response::Failed, Outcome::Failed, Reason::FIRST_ERRORED),
+                Response::Completed(_) => (response, Outcome::Succeeded, Reason::COALESCED),
+                _ => (Response::Failed, Outcome::Failed, Reason::ORIGINAL_FAILED),
             };
             self.respond(index, response, reason);
             events.push(Event::Finished { request: index, outcome });
--- a/crates/server/src/trace.rs
+++ b/crates/server/src/trace.rs
@@ -8,8 +8,8 @@
 use tulipgap_config::Tracing;
 use tulipgap_settings::Names;
 use tulipgap_trace::{
-    Disk, HandlerName, Micros, Names as Dictionary, Outcome, Reason, Record, Recorder, Recording, TenantName,
-    Terms,
+    Dictionary, DirectoryStorage, HandlerInfo, Micros, Outcome, Reason, Record, Recorder, RecorderConfig,
+    RetentionConfig, TenantInfo,
 };
 
 use crate::log::Bound;
@@ -74,7 +74,7 @@
             called: None,
             answered: None,
             work: None,
-            outcome: Outcome::Errored,
+            outcome: Outcome::Failed,
             reason: Reason::NONE,
             no_more: false,
             retry_after: None,
@@ -86,7 +86,7 @@
 
     /// It was rejected before the controller could see it.
     pub(crate) fn rejected(&mut self, reason: Reason, now: Instant) {
-        (self.outcome, self.reason, self.answered) = (Outcome::Shed, reason, Some(now));
+        (self.outcome, self.reason, self.answered) = (Outcome::Rejected, reason, Some(now));
     }
 
     /// It has its final response, or would have had it but for a caller that is gone.
@@ -100,10 +100,10 @@
     ) {
         (self.answered, self.reason, self.feedback) = (now, reason, feedback);
         self.outcome = match response {
-            _ if is_caller_gone => Outcome::Gone,
-            Response::Completed(_) => Outcome::Done,
-            Response::Rejected { .. } => Outcome::Shed,
-            Response::Failed => Outcome::Errored,
+            _ if is_caller_gone => Outcome::Abandoned,
+            Response::Completed(_) => Outcome::Completed,
+            Response::Rejected { .. } => Outcome::Rejected,
+            Response::Failed => Outcome::Failed,
         };
         if let Response::Rejected { retry_after, retry_elsewhere } = *response {
             (self.retry_after, self.no_more) = (retry_after, !retry_elsewhere);
@@ -114,17 +114,17 @@
 /// The reason of a recording for a reason of the controller.
 pub(crate) fn recorded_reason(reason: ControllerReason) -> Reason {
     match reason {
-        ControllerReason::MemoryLimit => Reason::MEMORY,
-        ControllerReason::HighFailureRate => Reason::FAILING,
-        ControllerReason::AdmissionControl => Reason::SHARE,
-        ControllerReason::PredictedLate => Reason::LATE,
+        ControllerReason::MemoryLimit => Reason::MEMORY_LIMIT,
+        ControllerReason::HighFailureRate => Reason::HIGH_FAILURE_RATE,
+        ControllerReason::AdmissionControl => Reason::ADMISSION_CONTROL,
+        ControllerReason::PredictedLate => Reason::PREDICTED_LATE,
         ControllerReason::Overtaken => Reason::OVERTAKEN,
-        ControllerReason::ObjectiveMissed => Reason::MISSED,
-        ControllerReason::DeadlineNear => Reason::DUE,
+        ControllerReason::ObjectiveMissed => Reason::OBJECTIVE_MISSED,
+        ControllerReason::DeadlineNear => Reason::DEADLINE_NEAR,
         ControllerReason::Draining => Reason::DRAINING,
-        ControllerReason::Terminating => Reason::STOPPING,
+        ControllerReason::Terminating => Reason::TERMINATING,
         ControllerReason::CallFailed => Reason::CALL_FAILED,
-        ControllerReason::Cancelled => Reason::STOPPED,
+        ControllerReason::Cancelled => Reason::CANCELLED,
     }
 }
 
@@ -141,23 +141,23 @@
         config: &Config,
         names: &Names,
     ) -> std::io::Result<Tracer> {
-        let recording = Recording {
+        let recording = RecorderConfig {
             version: tracing.format,
             server: server.to_owned(),
             names: dictionary(config, names),
-            terms: Terms {
-                records: tracing.block as usize,
+            retention: RetentionConfig {
+                block_records: tracing.block as usize,
                 seal_after: tracing.seal_after,
                 rotate_bytes: tracing.rotate_size.0,
                 rotate_after: tracing.rotate_after,
                 keep_bytes: tracing.keep_size.0,
             },
-            queue: tracing.queue as usize,
+            queue_capacity: tracing.queue as usize,
         };
-        let disk = Disk::new(Path::new(&tracing.folder), server, tracing.sync);
-        let recorder = Recorder::start(disk, recording, |failure| {
+        let storage = DirectoryStorage::new(Path::new(&tracing.folder), server, tracing.sync);
+        let recorder = Recorder::start(storage, recording, |error| {
             if let Some(count) = DISK_FAILURES.pass() {
-                log::warn!("trace: {failure} ({count} so far)");
+                log::warn!("trace: {error} ({count} so far)");
             }
         })?;
         Ok(Tracer { recorder })
@@ -165,7 +165,8 @@
 
     /// Records missing so far, and failures of the disk, for the log.
     pub(crate) fn summary(&self) -> String {
-        let (missing, failures) = self.recorder.dropped();
+        let status = self.recorder.status();
+        let (missing, failures) = (status.missing_records, status.storage_failures);
         format!("trace: {missing} records missing, {failures} failures of the disk")
     }
 
@@ -178,7 +179,7 @@
 
     /// Records a request that is released now.
     pub(crate) fn record(&self, trace: &RequestTrace, released: Instant) {
-        self.recorder.record(record(trace, released, |at| self.recorder.unix(at)));
+        self.recorder.record(record(trace, released, |at| self.recorder.unix_time(at)));
     }
 }
 
@@ -200,24 +201,24 @@
         key: trace.context.key,
         subject: trace.context.subject,
         caller: trace.context.caller,
-        retry: trace.is_retry,
+        is_retry: trace.is_retry,
         reached: unix(trace.registered).saturating_sub(age),
         read: Some(since(trace.context.read)),
         admitted: trace.admitted.map(since),
-        run: trace.started.map(since),
-        called: trace.called.map(since),
+        started: trace.started.map(since),
+        first_call: trace.called.map(since),
         answered: trace.answered.map(since),
-        over: Some(since(released)),
-        patience: trace.client_wait.map(micros),
-        hint: trace.estimated_work.map(micros),
+        released: Some(since(released)),
+        client_wait: trace.client_wait.map(micros),
+        estimated_work: trace.estimated_work.map(micros),
         work: trace.work.map(micros),
         outcome: trace.outcome,
         reason: trace.reason,
-        no_more: trace.no_more,
-        wait: trace.retry_after.map(micros),
+        no_retry: trace.no_more,
+        retry_after: trace.retry_after.map(micros),
         calls: trace.calls,
-        skipped: trace.skipped_calls,
-        advice: trace.feedback,
+        skipped_calls: trace.skipped_calls,
+        feedback: trace.feedback,
     }
 }
 
@@ -226,14 +227,14 @@
     let named = |all: &std::collections::HashMap<String, usize>, at: usize| {
         all.iter().find(|(_, place)| **place == at).map_or_else(String::new, |(name, _)| name.clone())
     };
-    let handlers = config.handlers.iter().enumerate().map(|(at, handler)| HandlerName {
+    let handlers = config.handlers.iter().enumerate().map(|(at, handler)| HandlerInfo {
         name: named(&names.handlers, at),
-        response_target: micros(handler.latency_objective),
-        target_stretch: handler.objective_stretch,
+        latency_objective: micros(handler.latency_objective),
+        objective_stretch: handler.objective_stretch,
         client_timeout: micros(handler.client_timeout),
-        value: handler.priority_weight,
-        skip_value: handler.degraded_weight,
+        priority_weight: handler.priority_weight,
+        degraded_weight: handler.degraded_weight,
     });
-    let tenants = (0..config.tenants.len()).map(|at| TenantName { name: named(&names.tenants, at) });
+    let tenants = (0..config.tenants.len()).map(|at| TenantInfo { name: named(&names.tenants, at) });
     Dictionary { servers: Vec::new(), handlers: handlers.collect(), tenants: tenants.collect() }
 }
--- a/crates/server/tests/program/recording.rs
+++ b/crates/server/tests/program/recording.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 
-use tulipgap_trace::{Item, Loss, Outcome, Reason, Record, Trace};
+use tulipgap_trace::{Item, Loss, Outcome, Reason, Record, TraceReader};
 
 use crate::stand::*;
 
@@ -33,7 +33,7 @@
     for path in paths {
         let mut read = Read { records: Vec::new(), losses: Vec::new() };
         // One that has just been begun may have no header yet.
-        let Ok(trace) = Trace::open(std::fs::File::open(path).unwrap()) else { continue };
+        let Ok(trace) = TraceReader::open(std::fs::File::open(path).unwrap()) else { continue };
         for item in trace {
             match item.unwrap() {
                 Item::Records(records) => read.records.extend(records),
@@ -91,26 +91,26 @@
     assert_eq!(by_id.len(), 7);
     let of = |last: u64| by_id[&(0xa0 + last)];
     let told: Vec<(Outcome, Reason)> = (1..=6).map(|last| (of(last).outcome, of(last).reason)).collect();
-    assert_eq!(told[0], (Outcome::Done, Reason::NONE));
-    assert_eq!(told[1], (Outcome::Done, Reason::NONE));
-    assert_eq!(told[2], (Outcome::Shed, Reason::LATE));
-    assert_eq!(told[3], (Outcome::Errored, Reason::STOPPED));
-    assert_eq!(told[5].0, Outcome::Gone);
+    assert_eq!(told[0], (Outcome::Completed, Reason::NONE));
+    assert_eq!(told[1], (Outcome::Completed, Reason::NONE));
+    assert_eq!(told[2], (Outcome::Rejected, Reason::PREDICTED_LATE));
+    assert_eq!(told[3], (Outcome::Failed, Reason::CANCELLED));
+    assert_eq!(told[5].0, Outcome::Abandoned);
     // Each time behind the one before it; the work that the kernel told.
     for record in &records {
-        let times = [record.read, record.answered, record.over].map(Option::unwrap);
+        let times = [record.read, record.answered, record.released].map(Option::unwrap);
         assert!(times.is_sorted() && times[0] >= -1000, "{record:?}");
         assert_eq!((record.caller, record.tenant), (Some(4), Some(0)));
-        assert_eq!(record.run.is_some(), record.id != 0xa3, "{record:?}");
-        if let Some(run) = record.run {
+        assert_eq!(record.started.is_some(), record.id != 0xa3, "{record:?}");
+        if let Some(run) = record.started {
             assert!(record.admitted.unwrap() >= record.read.unwrap() && run >= record.read.unwrap());
         }
     }
     assert_eq!(of(1).work, Some(1500));
-    assert_eq!((of(2).calls, of(2).called.is_some(), of(1).calls), (1, true, 0));
-    assert_eq!((of(3).hint, of(3).admitted), (Some(40_000_000), None));
-    assert!(of(5).retry && of(5).subject == Some(0x7f3a_9c21_e0b4_d655) && of(5).key.is_some());
-    assert!(of(1).advice.is_some());
+    assert_eq!((of(2).calls, of(2).first_call.is_some(), of(1).calls), (1, true, 0));
+    assert_eq!((of(3).estimated_work, of(3).admitted), (Some(40_000_000), None));
+    assert!(of(5).is_retry && of(5).subject == Some(0x7f3a_9c21_e0b4_d655) && of(5).key.is_some());
+    assert!(of(1).feedback.is_some());
 }
 
 /// Killed outright under load, and started again on the same folder.
@@ -152,7 +152,7 @@
     assert_eq!(files.len(), 2, "the second start begins a file of its own");
     let mut ids = HashSet::new();
     for file in &files {
-        assert!(file.losses.contains(&Loss::NoEnd), "{:?}", file.losses);
+        assert!(file.losses.contains(&Loss::MissingEnd), "{:?}", file.losses);
         assert!(file.records.iter().all(|record| ids.insert(record.id)), "no record twice");
     }
     let early = ids.iter().filter(|&&id| id < 2000).count();
--- a/crates/trace/benches/trace.rs
+++ b/crates/trace/benches/trace.rs
@@ -1,19 +1,24 @@
-//! What a record costs on its way into a file, and what finding a minute costs: by the index and by a plain scan.
+//! What a record costs on its way into a file, and what finding a minute costs: by the index and by a plain
+//! scan.
 
 use std::io;
 use std::time::Duration;
 
-use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
-use tulipgap_trace::*;
+use criterion::{BatchSize, BenchmarkId, Criterion, Throughput};
+use tulipgap_trace::{
+    BlockEntry, Filter, Index, Micros, Record, Recorder, RecorderConfig, RetentionConfig, RotatingWriter,
+    Storage, StoredFile, SyntheticLoad, generate_load,
+};
 
 const SECOND: Micros = 1_000_000;
 
-struct Nowhere;
+/// Takes all and keeps nothing.
+struct NullStorage;
 
-impl Folder for Nowhere {
+impl Storage for NullStorage {
     type File = io::Sink;
 
-    fn list(&mut self) -> io::Result<Vec<(u64, u64)>> {
+    fn list(&mut self) -> io::Result<Vec<StoredFile>> {
         Ok(Vec::new())
     }
 
@@ -30,22 +35,28 @@
     }
 }
 
-fn load(span: Micros) -> Vec<(Micros, Record)> {
+fn load(duration: Micros) -> Vec<(Micros, Record)> {
     let mut all = Vec::new();
-    let load = Load { span, ..Load::default() };
-    synth(&load, |over, record| all.push((over - load.start, record)));
+    let load = SyntheticLoad { duration, ..SyntheticLoad::default() };
+    generate_load(&load, |over, record| all.push((over - load.start, record)));
     all
 }
 
-fn recording() -> Recording {
-    let terms = Terms {
-        records: 4096,
+fn recording() -> RecorderConfig {
+    let retention = RetentionConfig {
+        block_records: 4096,
         seal_after: Duration::from_secs(5),
         rotate_bytes: 1 << 40,
         rotate_after: Duration::from_secs(1 << 30),
         keep_bytes: 1 << 50,
     };
-    Recording { version: 2, server: "n1".into(), names: Load::names("n1"), terms, queue: 1 << 16 }
+    RecorderConfig {
+        version: 2,
+        server: "n1".into(),
+        names: SyntheticLoad::dictionary("n1"),
+        retention,
+        queue_capacity: 1 << 16,
+    }
 }
 
 fn records(c: &mut Criterion) {
@@ -56,11 +67,12 @@
         b.iter_batched(
             || some.clone(),
             |some| {
-                let mut pen = Pen::new(Nowhere, recording(), Load::default().start, 1);
+                let mut writer =
+                    RotatingWriter::new(NullStorage, recording(), SyntheticLoad::default().start, 1);
                 for (at, record) in some {
-                    pen.record(Duration::from_micros(at as u64), record);
+                    writer.record(Duration::from_micros(at as u64), record);
                 }
-                pen.end(Duration::from_secs(61)).1
+                writer.finish(Duration::from_secs(61)).counters
             },
             BatchSize::LargeInput,
         );
@@ -68,7 +80,7 @@
     // What the server's own thread does; the queue is emptied between.
     group.bench_function("handed over by the server", |b| {
         b.iter_batched(
-            || (some.clone(), Recorder::start(Nowhere, recording(), |_| {}).unwrap()),
+            || (some.clone(), Recorder::start(NullStorage, recording(), |_| {}).unwrap()),
             |(some, recorder)| {
                 for (_, record) in some {
                     recorder.record(record);
@@ -81,16 +93,16 @@
     group.finish();
 }
 
-/// Blocks of five seconds of some servers, as their files come one after another; handlers and outcomes of which one
-/// is rare.
-fn places(servers: usize, hours: usize) -> Index {
+/// Blocks of five seconds of some servers, as their files come one after another; handlers and outcomes of
+/// which one is rare.
+fn index_of(servers: usize, hours: usize) -> Index {
     let mut index = Index::default();
     for server in 0..servers {
         for block in 0..hours * 720 {
             let from = (block as Micros * 5 + server as Micros % 5) * SECOND;
             let rare = (block * 31 + server).is_multiple_of(97);
-            index.add(Place {
-                at: index.len() as u64 * 30_000,
+            index.add(BlockEntry {
+                offset: index.len() as u64 * 30_000,
                 length: 30_000,
                 records: 950,
                 from: from - SECOND,
@@ -103,26 +115,26 @@
     index
 }
 
-fn finding(c: &mut Criterion) {
+fn lookup(c: &mut Criterion) {
     for (name, servers, hours) in [("an hour", 1, 1), ("a day of 20 servers", 20, 24)] {
-        let mut index = places(servers, hours);
+        let mut index = index_of(servers, hours);
         index.prepare();
         let (from, to) = (37 * 60 * SECOND, 38 * 60 * SECOND);
-        let minute = Wanted { from: Some(from), to: Some(to), ..Wanted::default() };
-        let rare = Wanted { handlers: Some([9].into()), ..Wanted::default() };
-        let both = Wanted { handlers: Some([9].into()), ..minute.clone() };
+        let minute = Filter { from: Some(from), to: Some(to), ..Filter::default() };
+        let rare = Filter { handlers: Some([9].into()), ..Filter::default() };
+        let both = Filter { handlers: Some([9].into()), ..minute.clone() };
         let mut group = c.benchmark_group(name);
-        for (what, wanted) in [("a minute", minute), ("a rare handler", rare), ("both", both)] {
-            assert_eq!(index.find(&wanted), index.scan(&wanted));
-            group.bench_function(BenchmarkId::new("index", what), |b| b.iter(|| index.find(&wanted)));
-            group.bench_function(BenchmarkId::new("scan", what), |b| b.iter(|| index.scan(&wanted)));
+        for (what, filter) in [("a minute", minute), ("a rare handler", rare), ("both", both)] {
+            assert_eq!(index.find(&filter), index.scan(&filter));
+            group.bench_function(BenchmarkId::new("index", what), |b| b.iter(|| index.find(&filter)));
+            group.bench_function(BenchmarkId::new("scan", what), |b| b.iter(|| index.scan(&filter)));
         }
         group.bench_function("building the index", |b| {
             b.iter_batched(
                 || index.clone(),
                 |mut index| {
                     // Adding makes it be built anew.
-                    index.add(index.places()[0].clone());
+                    index.add(index.blocks()[0].clone());
                     index.prepare();
                     index
                 },
@@ -133,5 +145,9 @@
     }
 }
 
-criterion_group!(benches, records, finding);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    records(&mut criterion);
+    lookup(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/trace/src/anonymise.rs
+++ b/crates/trace/src/anonymise.rs
@@ -1,118 +1,136 @@
-//! Ids, keys, subjects and callers behind keyed hashes, so that files made with one key still join and nothing of what
-//! stood there is left.
+//! Copies of a file in which ids, idempotency keys, subjects and callers are replaced by keyed hashes. Files
+//! made with one key can still be correlated, and nothing of what stood there is left.
 
 use std::io::{Read, Seek, Write};
 
-use crate::cut::{Span, copy};
-use crate::heads::Head;
-use crate::index::Wanted;
-use crate::reader::Trace;
-use crate::record::{Record, first_bytes};
-use crate::writer::{Pace, Writer};
-use crate::{MergeError, NEWEST};
+use crate::NEWEST_VERSION;
+use crate::copy::{CopySummary, copy};
+use crate::index::Filter;
+use crate::metadata::Header;
+use crate::reader::TraceReader;
+use crate::record::{Record, leading_u64};
+use crate::rewrite::RewriteError;
+use crate::writer::{BlockConfig, Writer};
 
-/// The shortest key in bytes, and the fewest bytes that differ in it: of 32 random ones fewer than 20 differ in
-/// less than one key of a billion.
-const LENGTH_LEAST: usize = 32;
-const DIFFERENT_LEAST: usize = 20;
+/// The shortest key.
+const MIN_KEY_BYTES: usize = 32;
+/// The fewest distinct bytes of a key. Of 32 random bytes fewer than 20 are distinct in less than one key of
+/// a billion.
+const MIN_DISTINCT_BYTES: usize = 20;
+/// The context of the key derivation of BLAKE3.
 const CONTEXT: &str = "tulipgap trace anonymise 2026 v1";
 
+/// Why a key is not accepted.
 #[derive(Debug, PartialEq, thiserror::Error)]
 pub enum KeyError {
+    /// It has so many bytes.
     #[error(
-        "the key has {0} bytes; at least {LENGTH_LEAST} are needed, such as 64 hex digits or 32 random bytes"
+        "the key has {0} bytes; at least {MIN_KEY_BYTES} are needed, such as 64 hex digits or 32 random bytes"
     )]
-    Short(usize),
+    TooShort(usize),
+    /// It has so many distinct bytes.
     #[error("the key is weak: only {0} of its bytes differ; take random ones")]
-    Weak(usize),
+    TooFewDistinctBytes(usize),
 }
 
-/// A key as it was read.
-pub struct Key([u8; 32]);
+/// The key of the hashes.
+pub struct HashKey([u8; 32]);
 
-impl Key {
-    /// From hex digits, or from bytes as they are; space at the end does not count.
-    pub fn new(text: &[u8]) -> Result<Key, KeyError> {
+impl HashKey {
+    /// A key from hex digits, or from bytes as they are. White space around hex digits is ignored.
+    ///
+    /// # Errors
+    /// [`KeyError`] where the key is short or not random.
+    pub fn new(text: &[u8]) -> Result<HashKey, KeyError> {
         let trimmed = text.trim_ascii();
-        let digits = trimmed.iter().all(u8::is_ascii_hexdigit) && trimmed.len().is_multiple_of(2);
-        let bytes = if digits && !trimmed.is_empty() {
+        let is_hex = trimmed.iter().all(u8::is_ascii_hexdigit) && trimmed.len().is_multiple_of(2);
+        let bytes = if is_hex && !trimmed.is_empty() {
             let digit = |byte: u8| (byte as char).to_digit(16).unwrap_or_default() as u8;
             trimmed.chunks(2).map(|pair| digit(pair[0]) << 4 | digit(pair[1])).collect()
         } else {
             text.to_vec()
         };
-        if bytes.len() < LENGTH_LEAST {
-            return Err(KeyError::Short(bytes.len()));
+        if bytes.len() < MIN_KEY_BYTES {
+            return Err(KeyError::TooShort(bytes.len()));
         }
-        let mut different = bytes.clone();
-        different.sort_unstable();
-        different.dedup();
-        if different.len() < DIFFERENT_LEAST {
-            return Err(KeyError::Weak(different.len()));
+        let mut distinct = bytes.clone();
+        distinct.sort_unstable();
+        distinct.dedup();
+        if distinct.len() < MIN_DISTINCT_BYTES {
+            return Err(KeyError::TooFewDistinctBytes(distinct.len()));
         }
-        Ok(Key(blake3::derive_key(CONTEXT, &bytes)))
+        Ok(HashKey(blake3::derive_key(CONTEXT, &bytes)))
     }
 
-    fn hash(&self, of: &str, bytes: &[u8]) -> blake3::Hash {
+    /// The hash of a value. The same value of two kinds has two hashes.
+    fn hash(&self, kind: &str, bytes: &[u8]) -> blake3::Hash {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
-        hasher.update(&(of.len() as u64).to_le_bytes()).update(of.as_bytes()).update(bytes);
+        hasher.update(&(kind.len() as u64).to_le_bytes()).update(kind.as_bytes()).update(bytes);
         hasher.finalize()
     }
 
-    pub fn number(&self, of: &str, value: u64) -> u64 {
-        first_bytes(&self.hash(of, &value.to_le_bytes()))
+    fn hash_number(&self, kind: &str, value: u64) -> u64 {
+        leading_u64(&self.hash(kind, &value.to_le_bytes()))
     }
 
-    pub fn word(&self, of: &str, word: &str) -> String {
-        let hash = self.hash(of, word.as_bytes()).to_hex();
-        format!("{of}-{}", &hash[..12])
+    fn hash_name(&self, kind: &str, name: &str) -> String {
+        let hash = self.hash(kind, name.as_bytes()).to_hex();
+        format!("{kind}-{}", &hash[..12])
     }
 }
 
-/// What is hidden beside ids, keys, subjects and callers.
+/// Which names are hidden beside ids, keys, subjects and callers.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Hiding {
+pub struct HiddenNames {
+    /// The names of tenants.
     pub tenants: bool,
+    /// The names of servers.
     pub servers: bool,
+    /// The names of handlers.
     pub handlers: bool,
 }
 
-/// Writes an anonymised copy.
+/// Writes an anonymised copy in the newest format version.
+///
+/// # Errors
+/// [`RewriteError::Read`] or [`RewriteError::Write`]. Damage is no error but a [`crate::Loss`].
 pub fn anonymise<R: Read + Seek, W: Write>(
-    mut trace: Trace<R>,
-    key: &Key,
-    hiding: Hiding,
+    mut source: TraceReader<R>,
+    key: &HashKey,
+    hidden: HiddenNames,
     out: W,
-) -> Result<Span, MergeError> {
-    // The dictionary as a whole: names that came later stand in it, too.
-    trace.survey().map_err(|error| MergeError::Read("input".into(), error))?;
-    let mut names = trace.names().clone();
-    if hiding.tenants {
-        names.tenants.iter_mut().for_each(|tenant| tenant.name = key.word("tenant", &tenant.name));
+) -> Result<CopySummary, RewriteError> {
+    // After a survey the dictionary has the names that came later in the file, too.
+    source.survey().map_err(RewriteError::read("input"))?;
+    let mut names = source.dictionary().clone();
+    if hidden.tenants {
+        names.tenants.iter_mut().for_each(|tenant| tenant.name = key.hash_name("tenant", &tenant.name));
     }
-    if hiding.servers {
-        names.servers.iter_mut().for_each(|server| *server = key.word("server", server));
+    if hidden.servers {
+        names.servers.iter_mut().for_each(|server| *server = key.hash_name("server", server));
     }
-    if hiding.handlers {
-        names.handlers.iter_mut().for_each(|handler| handler.name = key.word("handler", &handler.name));
+    if hidden.handlers {
+        names.handlers.iter_mut().for_each(|handler| handler.name = key.hash_name("handler", &handler.name));
     }
-    let old = trace.head().clone();
-    let server = if hiding.servers { key.word("server", &old.server) } else { old.server.clone() };
-    // The file's own id joins it with its source; a hash of it still shows one that is given twice.
-    let file = key.word("file", &old.file);
-    let mut head = Head::new(NEWEST, 0, &server, old.start);
-    (head.file, head.names) = (file, names.clone());
-    let mut writer = Writer::new(out, head, Pace::default())?;
-    let mut trace = trace.again().map_err(|error| MergeError::Read("input".into(), error))?;
-    trace.rename(names);
-    let done = copy(trace, &Wanted::default(), &mut writer, |record| hide(record, key))?;
+    let original = source.header().clone();
+    let server =
+        if hidden.servers { key.hash_name("server", &original.server) } else { original.server.clone() };
+    let mut header = Header::new(NEWEST_VERSION, 0, &server, original.start);
+    header.names = names.clone();
+    // The id of the source would connect the copy with it; a hash of it still shows a file that is given
+    // twice.
+    header.file_id = key.hash_name("file", &original.file_id);
+    let mut writer = Writer::new(out, header, BlockConfig::default())?;
+    let mut source = source.rewind().map_err(RewriteError::read("input"))?;
+    source.rename(names);
+    let summary = copy(source, &Filter::default(), &mut writer, |record| hide(record, key))?;
     writer.finish()?;
-    Ok(done)
+    Ok(summary)
 }
 
-fn hide(record: &mut Record, key: &Key) {
-    record.id = key.number("id", record.id);
-    record.key = record.key.map(|value| key.number("key", value));
-    record.subject = record.subject.map(|value| key.number("subject", value));
-    record.caller = record.caller.map(|value| key.number("caller", value));
+fn hide(record: &mut Record, key: &HashKey) {
+    record.id = key.hash_number("id", record.id);
+    record.key = record.key.map(|value| key.hash_number("key", value));
+    record.subject = record.subject.map(|value| key.hash_number("subject", value));
+    record.caller = record.caller.map(|value| key.hash_number("caller", value));
 }
--- /dev/null
+++ b/crates/trace/src/block/mod.rs
@@ -0,0 +1,134 @@
+//! A block: up to [`MAX_RECORDS`] records, column by column. Each column states its kind, how its values are
+//! predicted and laid out, and how long it is, so that a reader can skip a column that it does not know or
+//! does not need.
+
+mod decode;
+mod encode;
+
+use std::collections::BTreeSet;
+
+use crate::columns::Prediction;
+use crate::record::Record;
+use crate::varint::{ByteReader, write_i64, write_u64};
+use crate::{Micros, TraceError};
+
+pub(crate) use decode::{decode_records, read_columns};
+pub(crate) use encode::{COMPRESSION_LEVEL, check_value, columns_of, encode};
+
+/// The most records of a block.
+pub(crate) const MAX_RECORDS: usize = 65_536;
+/// The most columns of a block.
+const MAX_COLUMNS: usize = 255;
+/// The most distinct values that a column lists in a table.
+const MAX_TABLE_ENTRIES: usize = 4096;
+/// The widest value in planes.
+const MAX_PLANES: usize = 8;
+
+/// How the values of a column are laid out before they are compressed.
+mod layout {
+    /// All values are alike.
+    pub(super) const CONSTANT: u8 = 0;
+    /// One varint for each value.
+    pub(super) const VARINTS: u8 = 1;
+    /// The lowest bytes of all values, then the next ones, and so on.
+    pub(super) const PLANES: u8 = 2;
+    /// A table of the distinct values, and planes of positions in it.
+    pub(super) const TABLE: u8 = 3;
+}
+
+/// Which records have a value in a column.
+mod presence {
+    /// Each record has one.
+    pub(super) const ALL: u8 = 0;
+    /// The first part is a bitmap of those that have one.
+    pub(super) const BITMAP: u8 = 1;
+}
+
+/// The stored numbers of predictions.
+mod prediction {
+    pub(super) const ZERO: u8 = 0;
+    pub(super) const PREVIOUS_RECORD: u8 = 1;
+    pub(super) const OTHER_COLUMN: u8 = 2;
+}
+
+/// The stored form of a prediction: its number, and the column it refers to.
+fn prediction_bytes(prediction: Prediction) -> [u8; 2] {
+    match prediction {
+        Prediction::Zero => [prediction::ZERO, 0],
+        Prediction::PreviousRecord => [prediction::PREVIOUS_RECORD, 0],
+        Prediction::OtherColumn(id) => [prediction::OTHER_COLUMN, id],
+    }
+}
+
+/// What stands before the columns of a block.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct BlockHeader {
+    /// The number of the block in its file, from 0.
+    pub(crate) number: u64,
+    /// How many records stand in the file before it.
+    pub(crate) records_before: u64,
+    /// How many records it has.
+    pub(crate) records: usize,
+    /// The earliest `reached`.
+    pub(crate) from: Micros,
+    /// The latest `reached`.
+    pub(crate) to: Micros,
+    /// The handlers that occur.
+    pub(crate) handlers: BTreeSet<u32>,
+    /// The outcomes that occur, a bit for each.
+    pub(crate) outcomes: u32,
+}
+
+impl BlockHeader {
+    pub(crate) fn of(records: &[Record], number: u64, records_before: u64) -> Self {
+        BlockHeader {
+            number,
+            records_before,
+            records: records.len(),
+            from: records.iter().map(|record| record.reached).min().unwrap_or_default(),
+            to: records.iter().map(|record| record.reached).max().unwrap_or_default(),
+            handlers: records.iter().map(|record| record.handler).collect(),
+            outcomes: records.iter().fold(0, |bits, record| bits | record.outcome.bit()),
+        }
+    }
+
+    fn write(&self, out: &mut Vec<u8>) {
+        write_u64(out, self.number);
+        write_u64(out, self.records_before);
+        write_u64(out, self.records as u64);
+        write_i64(out, self.from);
+        write_u64(out, self.to.wrapping_sub(self.from) as u64);
+        write_u64(out, self.handlers.len() as u64);
+        for &handler in &self.handlers {
+            write_u64(out, u64::from(handler));
+        }
+        write_u64(out, u64::from(self.outcomes));
+    }
+
+    pub(crate) fn read(input: &mut ByteReader) -> Result<Self, TraceError> {
+        let number = input.read_u64()?;
+        let records_before = input.read_u64()?;
+        let records = input.read_u64()? as usize;
+        check_record_count(records)?;
+        let from = input.read_i64()?;
+        let to = from.wrapping_add(input.read_u64()? as i64);
+        let handler_count = input.read_u64()?;
+        if handler_count > records as u64 {
+            return Err(TraceError::LimitExceeded { what: "handlers of a block", value: handler_count });
+        }
+        let mut handlers = BTreeSet::new();
+        for _ in 0..handler_count {
+            handlers.insert(input.read_u32()?);
+        }
+        let outcomes = input.read_u32()?;
+        Ok(BlockHeader { number, records_before, records, from, to, handlers, outcomes })
+    }
+}
+
+/// Checks a number of records that a file claims for a block.
+pub(crate) fn check_record_count(records: usize) -> Result<(), TraceError> {
+    if records > MAX_RECORDS {
+        return Err(TraceError::LimitExceeded { what: "records of a block", value: records as u64 });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trace/src/check.rs
@@ -0,0 +1,128 @@
+//! Whether a file is sound: intact, with an index that agrees with its blocks, and without contradictions in
+//! its records.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::{Read, Seek};
+
+use crate::Micros;
+use crate::metadata::Gap;
+use crate::reader::{Item, Loss, TraceError, TraceReader};
+use crate::record::Record;
+
+/// How many ids are remembered to find a duplicate.
+const MAX_REMEMBERED_IDS: usize = 1 << 20;
+/// A block that lies further than this before the latest record so far counts as set back.
+const SET_BACK: Micros = 60_000_000;
+
+/// What [`check()`] finds.
+#[derive(Debug, Default)]
+pub struct CheckReport {
+    /// Records that were read.
+    pub records: u64,
+    /// Blocks that were read.
+    pub blocks: usize,
+    /// The gaps that the writer noted.
+    pub gaps: Vec<Gap>,
+    /// What could not be read.
+    pub losses: Vec<Loss>,
+    /// Columns that are not known here; they were skipped.
+    pub unknown_columns: Vec<String>,
+    /// How many records have times out of order, by which times those are.
+    pub out_of_order_times: BTreeMap<&'static str, u64>,
+    /// Records with an id that an earlier record of the same server has.
+    pub duplicate_ids: u64,
+    /// Blocks that lie over a minute before the latest record so far: the clock may have been set.
+    pub set_back_blocks: u64,
+    /// Whether the index does not agree with the blocks.
+    pub has_wrong_index: bool,
+}
+
+impl CheckReport {
+    /// Whether nothing is wrong. Gaps, unknown columns and blocks that are set back are not.
+    pub fn is_sound(&self) -> bool {
+        self.losses.is_empty()
+            && self.out_of_order_times.is_empty()
+            && self.duplicate_ids == 0
+            && !self.has_wrong_index
+    }
+
+    fn add_times(&mut self, record: &Record) {
+        for (contradiction, is_found) in time_contradictions(record) {
+            if is_found {
+                *self.out_of_order_times.entry(contradiction).or_default() += 1;
+            }
+        }
+    }
+}
+
+/// The ids of the latest records of each server.
+#[derive(Default)]
+struct RecentIds {
+    ids: BTreeSet<(u32, u64)>,
+    /// In the order in which they were added.
+    order: VecDeque<(u32, u64)>,
+}
+
+impl RecentIds {
+    /// Adds an id; false where it is known already.
+    fn insert(&mut self, record: &Record) -> bool {
+        let id = (record.server, record.id);
+        if !self.ids.insert(id) {
+            return false;
+        }
+        self.order.push_back(id);
+        if self.order.len() > MAX_REMEMBERED_IDS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.ids.remove(&oldest);
+        }
+        true
+    }
+}
+
+/// Reads all of a file and reports what is wrong with it.
+///
+/// # Errors
+/// [`TraceError`] where it cannot be read at all. Damage is a part of the report.
+pub fn check<R: Read + Seek>(mut reader: TraceReader<R>) -> Result<CheckReport, TraceError> {
+    let survey = reader.survey()?;
+    let mut reader = reader.rewind()?;
+    let mut report = CheckReport::default();
+    let mut ids = RecentIds::default();
+    let mut latest = Micros::MIN;
+    for item in reader.by_ref() {
+        match item? {
+            Item::Gap(gap) => report.gaps.push(gap),
+            Item::Loss(loss) => report.losses.push(loss),
+            Item::Records(records) => {
+                report.blocks += 1;
+                report.records += records.len() as u64;
+                let to = records.iter().map(|record| record.reached).max().unwrap_or(latest);
+                report.set_back_blocks += u64::from(to < latest.saturating_sub(SET_BACK));
+                latest = latest.max(to);
+                for record in &records {
+                    report.add_times(record);
+                    report.duplicate_ids += u64::from(!ids.insert(record));
+                }
+            }
+        }
+    }
+    report.unknown_columns = reader.unknown_columns();
+    // A damaged block is missing among those that were read, and is a loss already.
+    report.has_wrong_index =
+        survey.is_indexed && report.losses.is_empty() && survey.index.blocks() != reader.blocks().blocks();
+    Ok(report)
+}
+
+/// Which times of a record are out of order.
+fn time_contradictions(record: &Record) -> [(&'static str, bool); 5] {
+    let is_reversed =
+        |first: Option<Micros>, then: Option<Micros>| matches!((first, then), (Some(a), Some(b)) if b < a);
+    [
+        ("read before it reached the machine", is_reversed(Some(0), record.read)),
+        ("admitted before it was read", is_reversed(record.read, record.admitted)),
+        ("run before it was admitted", is_reversed(record.admitted, record.started)),
+        ("answered before it was read", is_reversed(record.read, record.answered)),
+        ("over before it was answered", is_reversed(record.answered, record.released)),
+    ]
+}
--- /dev/null
+++ b/crates/trace/src/clock_offsets.rs
@@ -0,0 +1,137 @@
+//! How far the clocks of servers are apart, from attempts of one request at several of them. A retry reaches
+//! its server after the earlier attempt was answered by another one, which bounds the difference of their
+//! clocks from one side; retries in the other direction bound it from the other, as an exchange of time
+//! stamps does in NTP. Of all pairs of servers, those with the closest bounds are used.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use crate::Micros;
+use crate::correlate::CorrelationKey;
+use crate::record::Record;
+
+/// The most requests that are remembered.
+const MAX_REMEMBERED_REQUESTS: usize = 1 << 18;
+/// How long a request is remembered.
+const CORRELATION_WINDOW: Micros = 7_200_000_000;
+/// The most attempts of one request that are compared; more of them say nothing new.
+const MAX_ATTEMPTS: usize = 8;
+
+/// What is to be added to the times of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockOffset {
+    /// The index of the server.
+    pub server: u32,
+    /// What is to be added; `None` where no retries connect it to the first server.
+    pub offset: Option<Micros>,
+    /// How far off `offset` may be, in both directions.
+    pub uncertainty: Micros,
+}
+
+#[derive(Clone, Copy)]
+struct Attempt {
+    server: u32,
+    reached: Micros,
+    /// Unix time by the clock of the server.
+    answered: Micros,
+    is_retry: bool,
+}
+
+/// For each ordered pair of servers: the least time from an answer by the one to a retry at the other.
+type MinDelays = BTreeMap<(u32, u32), Micros>;
+
+/// Estimates the clocks of `servers` against that of the first. Records may come in any order in which
+/// attempts of one request are not too far apart.
+pub fn estimate_clock_offsets(records: impl Iterator<Item = Record>, servers: &[u32]) -> Vec<ClockOffset> {
+    let mut min_delays = MinDelays::new();
+    let mut requests: HashMap<CorrelationKey, Vec<Attempt>> = HashMap::new();
+    let mut order: VecDeque<(Micros, CorrelationKey)> = VecDeque::new();
+    for record in records {
+        let (Some(key), Some(answered)) = (CorrelationKey::of(&record), record.answered) else { continue };
+        let reached = record.reached;
+        let answered = reached.saturating_add(answered);
+        let attempt = Attempt { server: record.server, reached, answered, is_retry: record.is_retry };
+        let others = requests.entry(key).or_default();
+        for other in others.iter() {
+            add_delay(&mut min_delays, other, &attempt);
+        }
+        if others.is_empty() {
+            order.push_back((reached, key));
+        }
+        if others.len() < MAX_ATTEMPTS {
+            others.push(attempt);
+        }
+        let is_old = |&(at, _): &(Micros, CorrelationKey)| reached.saturating_sub(at) > CORRELATION_WINDOW;
+        while order.len() > MAX_REMEMBERED_REQUESTS || order.front().is_some_and(is_old) {
+            let Some((_, key)) = order.pop_front() else { break };
+            requests.remove(&key);
+        }
+    }
+    offsets_from(&min_delays, servers)
+}
+
+/// Notes the delay between two attempts of which one is a retry, at different servers.
+fn add_delay(min_delays: &mut MinDelays, one: &Attempt, other: &Attempt) {
+    let (first, retry) = match (one.is_retry, other.is_retry) {
+        (false, true) => (one, other),
+        (true, false) => (other, one),
+        _ => return,
+    };
+    if first.server != retry.server {
+        let delay = retry.reached.saturating_sub(first.answered);
+        let min_delay = min_delays.entry((first.server, retry.server)).or_insert(delay);
+        *min_delay = (*min_delay).min(delay);
+    }
+}
+
+/// Two servers whose clocks are bounded from both sides, in the order in which they are used.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct BoundedPair {
+    /// How far the bounds are apart.
+    width: Micros,
+    a: u32,
+    b: u32,
+    /// The middle of the bounds of offset(a) - offset(b).
+    middle: Micros,
+}
+
+/// From delays between pairs to the offset of each server: a tree of the pairs with the closest bounds, from
+/// the first server on.
+fn offsets_from(min_delays: &MinDelays, servers: &[u32]) -> Vec<ClockOffset> {
+    let pairs = bounded_pairs(min_delays);
+    let unknown = |&server: &u32| ClockOffset { server, offset: None, uncertainty: 0 };
+    let mut clocks: Vec<ClockOffset> = servers.iter().map(unknown).collect();
+    if let Some(first) = clocks.first_mut() {
+        first.offset = Some(0);
+    }
+    while let Some((at, offset, uncertainty)) = pairs.iter().find_map(|pair| extend(pair, &clocks)) {
+        (clocks[at].offset, clocks[at].uncertainty) = (Some(offset), uncertainty);
+    }
+    clocks
+}
+
+fn bounded_pairs(min_delays: &MinDelays) -> Vec<BoundedPair> {
+    let mut pairs = Vec::new();
+    for (&(a, b), &high) in min_delays.iter().filter(|((a, b), _)| a < b) {
+        // offset(a) - offset(b) is at most the least delay from a to b, and at least minus that from b to a.
+        let Some(low) = min_delays.get(&(b, a)).map(|&delay| -delay) else { continue };
+        // Bounds that contradict each other (answers recorded late, or attempts correlated wrongly) say
+        // nothing.
+        if low <= high {
+            pairs.push(BoundedPair { width: high - low, a, b, middle: low + (high - low) / 2 });
+        }
+    }
+    pairs.sort_unstable();
+    pairs
+}
+
+/// Position, offset and uncertainty of the clock that a pair adds to the known ones, if it adds one.
+fn extend(pair: &BoundedPair, clocks: &[ClockOffset]) -> Option<(usize, Micros, Micros)> {
+    let position = |server: u32| clocks.iter().position(|clock| clock.server == server);
+    let (a, b) = (position(pair.a)?, position(pair.b)?);
+    let uncertainty = |known: usize| clocks[known].uncertainty + (pair.width + 1) / 2;
+    match (clocks[a].offset, clocks[b].offset) {
+        (Some(offset), None) => Some((b, offset - pair.middle, uncertainty(a))),
+        (None, Some(offset)) => Some((a, offset + pair.middle, uncertainty(b))),
+        _ => None,
+    }
+}
--- a/crates/trace/src/columns.rs
+++ b/crates/trace/src/columns.rs
@@ -1,100 +1,112 @@
-//! The columns of a record, one table for writer, reader and docs: what each is called, what it holds, since which
-//! format, and how it is predicted from what stands beside it.
+//! The columns of a record: one table for writer, reader and documentation. It says how each column is named,
+//! what it holds, since which format version, and from what its values are predicted.
 
 use crate::record::{Outcome, Reason, Record};
+use crate::varint::{zigzag_decode, zigzag_encode};
 
-/// What the values of a column are.
+/// What the values of a column are. Stored by position: the order of the variants is part of the format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
+pub enum ColumnKind {
+    /// A number without sign.
     Unsigned,
-    /// Microseconds before or after; stored in zigzag form.
+    /// Microseconds before or after something; stored in zigzag form.
     Signed,
     /// The bits of an IEEE double.
     Float,
     /// An index into a dictionary, or a member of a closed set.
     Name,
+    /// 0 or 1.
     Flag,
 }
 
-impl Kind {
-    pub const ALL: [Kind; 5] = [Kind::Unsigned, Kind::Signed, Kind::Float, Kind::Name, Kind::Flag];
+impl ColumnKind {
+    const ALL: [ColumnKind; 5] =
+        [ColumnKind::Unsigned, ColumnKind::Signed, ColumnKind::Float, ColumnKind::Name, ColumnKind::Flag];
 
-    pub fn code(self) -> u8 {
-        Kind::ALL.iter().position(|&kind| kind == self).unwrap_or_default() as u8
+    /// Its number in a block.
+    pub(crate) fn code(self) -> u8 {
+        ColumnKind::ALL.iter().position(|&kind| kind == self).unwrap_or_default() as u8
     }
 
+    /// Its name in a header.
     pub fn name(self) -> &'static str {
         match self {
-            Kind::Unsigned => "unsigned",
-            Kind::Signed => "signed",
-            Kind::Float => "float",
-            Kind::Name => "name",
-            Kind::Flag => "flag",
+            ColumnKind::Unsigned => "unsigned",
+            ColumnKind::Signed => "signed",
+            ColumnKind::Float => "float",
+            ColumnKind::Name => "name",
+            ColumnKind::Flag => "flag",
         }
     }
 }
 
-/// From what a value is predicted; what is stored is the difference.
+/// From what a value is predicted; the difference to the prediction is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Guess {
+pub enum Prediction {
+    /// No prediction: the value itself is stored.
     Zero,
-    /// The value in the record before.
-    Before,
-    /// The value of that column in the same record, 0 where it has none.
-    Beside(u8),
+    /// The value of the same column in the record before.
+    PreviousRecord,
+    /// The value of the column of that id in the same record; 0 where it has none.
+    OtherColumn(u8),
 }
 
+/// One column of the format.
 pub struct Column {
+    /// Its id in blocks. An id is never given another meaning.
     pub id: u8,
+    /// Its name in headers and exports.
     pub name: &'static str,
-    pub kind: Kind,
-    /// The first format that has it.
+    /// What its values are.
+    pub kind: ColumnKind,
+    /// The first format version that has it.
     pub since: u32,
-    /// How wide a value may be in format 1, and from format 2 on.
-    pub bits: [u32; 2],
-    pub guess: Guess,
+    /// How wide a value may be in version 1, and from version 2 on.
+    bits: [u32; 2],
+    /// From what its values are predicted.
+    pub prediction: Prediction,
+    /// Its value in a record, if the record has one.
     pub get: fn(&Record) -> Option<u64>,
-    /// False where the value makes no sense there.
+    /// Sets its value in a record; false where the value is invalid.
     pub set: fn(&mut Record, u64) -> bool,
 }
 
-pub fn zigzag(value: i64) -> u64 {
-    ((value << 1) ^ (value >> 63)) as u64
-}
-
-pub fn unzigzag(value: u64) -> i64 {
-    (value >> 1) as i64 ^ -((value & 1) as i64)
+impl Column {
+    /// How wide a value may be in that format version.
+    pub(crate) fn max_bits(&self, version: u32) -> u32 {
+        self.bits[usize::from(version > 1)]
+    }
 }
 
 macro_rules! signed {
     ($field:ident) => {
         (
-            |r| r.$field.map(zigzag),
-            |r, v| {
-                r.$field = Some(unzigzag(v));
+            |record| record.$field.map(zigzag_encode),
+            |record, value| {
+                record.$field = Some(zigzag_decode(value));
                 true
             },
         )
     };
 }
-macro_rules! wide {
+macro_rules! optional {
     ($field:ident) => {
         (
-            |r| r.$field,
-            |r, v| {
-                r.$field = Some(v);
+            |record| record.$field,
+            |record, value| {
+                record.$field = Some(value);
                 true
             },
         )
     };
 }
-macro_rules! always {
+macro_rules! required {
     ($field:ident) => {
         (
-            |r| Some(u64::from(r.$field)),
-            |r, v| {
-                let Ok(value) = u32::try_from(v) else { return false };
-                r.$field = value;
+            |record| Some(u64::from(record.$field)),
+            |record, value| {
+                let Ok(number) = u32::try_from(value) else { return false };
+                record.$field = number;
                 true
             },
         )
@@ -103,112 +115,114 @@
 macro_rules! flag {
     ($field:ident) => {
         (
-            |r| Some(u64::from(r.$field)),
-            |r, v| {
-                r.$field = v == 1;
-                v < 2
+            |record| Some(u64::from(record.$field)),
+            |record, value| {
+                record.$field = value == 1;
+                value < 2
             },
         )
     };
 }
 
+/// How a column reads its value from a record, and sets it; setting returns false for an invalid value.
 type Access = (fn(&Record) -> Option<u64>, fn(&mut Record, u64) -> bool);
 
 const fn column(
     id: u8,
     name: &'static str,
-    kind: Kind,
+    kind: ColumnKind,
     since: u32,
     bits: [u32; 2],
-    guess: Guess,
+    prediction: Prediction,
     (get, set): Access,
 ) -> Column {
-    Column { id, name, kind, since, bits, guess, get, set }
+    Column { id, name, kind, since, bits, prediction, get, set }
 }
 
-pub const REACHED: u8 = 1;
-pub const HANDLER: u8 = 4;
-pub const OUTCOME: u8 = 7;
-pub const SERVER: u8 = 10;
+pub(crate) const REACHED: u8 = 1;
+pub(crate) const HANDLER: u8 = 4;
+pub(crate) const OUTCOME: u8 = 7;
+pub(crate) const SERVER: u8 = 10;
 
 const ID_ACCESS: Access = (
-    |r| Some(r.id),
-    |r, v| {
-        r.id = v;
+    |record| Some(record.id),
+    |record, value| {
+        record.id = value;
         true
     },
 );
 const TENANT_ACCESS: Access = (
-    |r| r.tenant.map(u64::from),
-    |r, v| {
-        r.tenant = u32::try_from(v).ok();
-        r.tenant.is_some()
+    |record| record.tenant.map(u64::from),
+    |record, value| {
+        record.tenant = u32::try_from(value).ok();
+        record.tenant.is_some()
     },
 );
 const OUTCOME_ACCESS: Access = (
-    |r| Outcome::ALL.iter().position(|&o| o == r.outcome).map(|at| at as u64),
-    |r, v| {
-        let known = usize::try_from(v).ok().and_then(|v| Outcome::ALL.get(v));
-        r.outcome = known.copied().unwrap_or_default();
+    |record| Outcome::ALL.iter().position(|&outcome| outcome == record.outcome).map(|index| index as u64),
+    |record, value| {
+        let known = usize::try_from(value).ok().and_then(|index| Outcome::ALL.get(index));
+        record.outcome = known.copied().unwrap_or_default();
         known.is_some()
     },
 );
 const REASON_ACCESS: Access = (
-    |r| Some(u64::from(r.reason.0)),
-    |r, v| {
-        r.reason = Reason(v as u8);
-        v <= 255
+    |record| Some(u64::from(record.reason.0)),
+    |record, value| {
+        record.reason = Reason(value as u8);
+        value <= 255
     },
 );
-const ADVICE_ACCESS: Access = (
-    |r| r.advice.map(f64::to_bits),
-    |r, v| {
-        r.advice = Some(f64::from_bits(v));
+const FEEDBACK_ACCESS: Access = (
+    |record| record.feedback.map(f64::to_bits),
+    |record, value| {
+        record.feedback = Some(f64::from_bits(value));
         true
     },
 );
 const REACHED_ACCESS: Access = (
-    |r| Some(zigzag(r.reached)),
-    |r, v| {
-        r.reached = unzigzag(v);
+    |record| Some(zigzag_encode(record.reached)),
+    |record, value| {
+        record.reached = zigzag_decode(value);
         true
     },
 );
 
 /// All columns, in the order of their ids. An id is never given to another meaning.
 pub const COLUMNS: &[Column] = &[
-    column(REACHED, "reached", Kind::Signed, 1, [64, 64], Guess::Before, REACHED_ACCESS),
-    column(2, "read", Kind::Signed, 1, [32, 64], Guess::Zero, signed!(read)),
-    column(3, "answered", Kind::Signed, 1, [32, 64], Guess::Beside(2), signed!(answered)),
-    column(HANDLER, "handler", Kind::Name, 1, [32, 32], Guess::Zero, always!(handler)),
-    column(5, "tenant", Kind::Name, 1, [32, 32], Guess::Zero, TENANT_ACCESS),
-    column(6, "retry", Kind::Flag, 1, [1, 1], Guess::Zero, flag!(retry)),
-    column(OUTCOME, "outcome", Kind::Name, 1, [8, 8], Guess::Zero, OUTCOME_ACCESS),
-    column(8, "reason", Kind::Name, 1, [8, 8], Guess::Zero, REASON_ACCESS),
-    column(9, "id", Kind::Unsigned, 1, [64, 64], Guess::Zero, ID_ACCESS),
-    column(SERVER, "server", Kind::Name, 2, [32, 32], Guess::Zero, always!(server)),
-    column(11, "caller", Kind::Unsigned, 2, [64, 64], Guess::Zero, wide!(caller)),
-    column(12, "admitted", Kind::Signed, 2, [64, 64], Guess::Beside(2), signed!(admitted)),
-    column(13, "run", Kind::Signed, 2, [64, 64], Guess::Beside(12), signed!(run)),
-    column(14, "called", Kind::Signed, 2, [64, 64], Guess::Beside(13), signed!(called)),
-    column(15, "over", Kind::Signed, 2, [64, 64], Guess::Beside(3), signed!(over)),
-    column(16, "patience", Kind::Signed, 2, [64, 64], Guess::Zero, signed!(patience)),
-    column(17, "hint", Kind::Signed, 2, [64, 64], Guess::Zero, signed!(hint)),
-    column(18, "work", Kind::Signed, 2, [64, 64], Guess::Zero, signed!(work)),
-    column(19, "calls", Kind::Unsigned, 2, [32, 32], Guess::Zero, always!(calls)),
-    column(20, "skipped", Kind::Unsigned, 2, [32, 32], Guess::Zero, always!(skipped)),
-    column(21, "advice", Kind::Float, 2, [64, 64], Guess::Zero, ADVICE_ACCESS),
-    column(22, "subject", Kind::Unsigned, 2, [64, 64], Guess::Zero, wide!(subject)),
-    column(23, "key", Kind::Unsigned, 2, [64, 64], Guess::Zero, wide!(key)),
-    column(24, "wait", Kind::Signed, 2, [64, 64], Guess::Zero, signed!(wait)),
-    column(25, "no_more", Kind::Flag, 2, [1, 1], Guess::Zero, flag!(no_more)),
+    column(REACHED, "reached", ColumnKind::Signed, 1, [64, 64], Prediction::PreviousRecord, REACHED_ACCESS),
+    column(2, "read", ColumnKind::Signed, 1, [32, 64], Prediction::Zero, signed!(read)),
+    column(3, "answered", ColumnKind::Signed, 1, [32, 64], Prediction::OtherColumn(2), signed!(answered)),
+    column(HANDLER, "handler", ColumnKind::Name, 1, [32, 32], Prediction::Zero, required!(handler)),
+    column(5, "tenant", ColumnKind::Name, 1, [32, 32], Prediction::Zero, TENANT_ACCESS),
+    column(6, "retry", ColumnKind::Flag, 1, [1, 1], Prediction::Zero, flag!(is_retry)),
+    column(OUTCOME, "outcome", ColumnKind::Name, 1, [8, 8], Prediction::Zero, OUTCOME_ACCESS),
+    column(8, "reason", ColumnKind::Name, 1, [8, 8], Prediction::Zero, REASON_ACCESS),
+    column(9, "id", ColumnKind::Unsigned, 1, [64, 64], Prediction::Zero, ID_ACCESS),
+    column(SERVER, "server", ColumnKind::Name, 2, [32, 32], Prediction::Zero, required!(server)),
+    column(11, "caller", ColumnKind::Unsigned, 2, [64, 64], Prediction::Zero, optional!(caller)),
+    column(12, "admitted", ColumnKind::Signed, 2, [64, 64], Prediction::OtherColumn(2), signed!(admitted)),
+    column(13, "run", ColumnKind::Signed, 2, [64, 64], Prediction::OtherColumn(12), signed!(started)),
+    column(14, "called", ColumnKind::Signed, 2, [64, 64], Prediction::OtherColumn(13), signed!(first_call)),
+    column(15, "over", ColumnKind::Signed, 2, [64, 64], Prediction::OtherColumn(3), signed!(released)),
+    column(16, "patience", ColumnKind::Signed, 2, [64, 64], Prediction::Zero, signed!(client_wait)),
+    column(17, "hint", ColumnKind::Signed, 2, [64, 64], Prediction::Zero, signed!(estimated_work)),
+    column(18, "work", ColumnKind::Signed, 2, [64, 64], Prediction::Zero, signed!(work)),
+    column(19, "calls", ColumnKind::Unsigned, 2, [32, 32], Prediction::Zero, required!(calls)),
+    column(20, "skipped", ColumnKind::Unsigned, 2, [32, 32], Prediction::Zero, required!(skipped_calls)),
+    column(21, "advice", ColumnKind::Float, 2, [64, 64], Prediction::Zero, FEEDBACK_ACCESS),
+    column(22, "subject", ColumnKind::Unsigned, 2, [64, 64], Prediction::Zero, optional!(subject)),
+    column(23, "key", ColumnKind::Unsigned, 2, [64, 64], Prediction::Zero, optional!(key)),
+    column(24, "wait", ColumnKind::Signed, 2, [64, 64], Prediction::Zero, signed!(retry_after)),
+    column(25, "no_more", ColumnKind::Flag, 2, [1, 1], Prediction::Zero, flag!(no_retry)),
 ];
 
-/// The columns that a format has.
-pub fn of_version(version: u32) -> impl Iterator<Item = &'static Column> {
+/// The columns that a format version has.
+pub(crate) fn of_version(version: u32) -> impl Iterator<Item = &'static Column> {
     COLUMNS.iter().filter(move |column| column.since <= version)
 }
 
-pub fn by_id(id: u8) -> Option<&'static Column> {
+/// The column of that id, if it is known here.
+pub(crate) fn by_id(id: u8) -> Option<&'static Column> {
     COLUMNS.iter().find(|column| column.id == id)
 }
--- /dev/null
+++ b/crates/trace/src/correlate.rs
@@ -0,0 +1,103 @@
+//! Which attempts belong to one request. Each attempt has an id of its own; what stays the same is the
+//! idempotency key, or else what a read is about and the edge node that sends it.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::Micros;
+use crate::record::{Outcome, Record};
+
+/// The most requests that are remembered; the oldest are forgotten first.
+const MAX_REMEMBERED_REQUESTS: usize = 1 << 20;
+/// How long after its first attempt a request is remembered.
+const CORRELATION_WINDOW: Micros = 120_000_000;
+
+/// What an attempt is to those before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Attempt {
+    /// The first attempt of a request.
+    First,
+    /// A retry of a request that is remembered.
+    Retry {
+        /// Whether an earlier attempt was completed.
+        was_completed: bool,
+    },
+    /// Marked as a retry, of a request that is not known.
+    OrphanRetry,
+}
+
+/// What attempts of one request have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum CorrelationKey {
+    /// An idempotency key, which belongs to a handler.
+    Idempotency { handler: u32, key: u64 },
+    /// A read by what it is about.
+    Read { handler: u32, tenant: Option<u32>, caller: u64, subject: u64 },
+}
+
+impl CorrelationKey {
+    /// The key of a record; `None` where its attempts cannot be correlated.
+    pub(crate) fn of(record: &Record) -> Option<CorrelationKey> {
+        let handler = record.handler;
+        if let Some(key) = record.key {
+            return Some(CorrelationKey::Idempotency { handler, key });
+        }
+        let (caller, subject) = (record.caller?, record.subject?);
+        Some(CorrelationKey::Read { handler, tenant: record.tenant, caller, subject })
+    }
+}
+
+/// What is remembered of a request.
+struct Request {
+    /// When its first attempt reached the server.
+    reached: Micros,
+    is_completed: bool,
+}
+
+/// Correlates attempts as their records come in the order of time. It owns what is remembered of requests.
+#[derive(Default)]
+pub(crate) struct AttemptCorrelator {
+    requests: HashMap<CorrelationKey, Request>,
+    /// In the order of their first attempts.
+    order: VecDeque<(Micros, CorrelationKey)>,
+}
+
+impl AttemptCorrelator {
+    /// Says what the next record is to those before it.
+    pub(crate) fn observe(&mut self, record: &Record) -> Attempt {
+        self.forget_old(record.reached);
+        let is_completed = record.outcome == Outcome::Completed;
+        let Some(key) = CorrelationKey::of(record) else {
+            return if record.is_retry { Attempt::OrphanRetry } else { Attempt::First };
+        };
+        // An idempotency key shows a retry even where its mark was lost; a read without the mark is a new
+        // one.
+        let may_be_retry = record.is_retry || matches!(key, CorrelationKey::Idempotency { .. });
+        match self.requests.get_mut(&key) {
+            Some(request) if may_be_retry => {
+                let was_completed = request.is_completed;
+                request.is_completed |= is_completed;
+                Attempt::Retry { was_completed }
+            }
+            _ if record.is_retry => Attempt::OrphanRetry,
+            _ => {
+                self.requests.insert(key, Request { reached: record.reached, is_completed });
+                self.order.push_back((record.reached, key));
+                Attempt::First
+            }
+        }
+    }
+
+    fn forget_old(&mut self, now: Micros) {
+        while let Some(&(reached, key)) = self.order.front() {
+            let is_recent = now.saturating_sub(reached) <= CORRELATION_WINDOW;
+            if self.order.len() <= MAX_REMEMBERED_REQUESTS && is_recent {
+                return;
+            }
+            self.order.pop_front();
+            // A later first attempt may have replaced it.
+            if self.requests.get(&key).is_some_and(|request| request.reached == reached) {
+                self.requests.remove(&key);
+            }
+        }
+    }
+}
--- a/crates/trace/src/index.rs
+++ b/crates/trace/src/index.rs
@@ -1,305 +1,351 @@
-//! Where in a file which blocks stand, and a structure to find those that a question needs: by time, handler and
-//! outcome. Sorted by their earliest record, with a tree over their latest ones, so that blocks which overlap (and one
-//! that lasts for hours, as after a clock was set) cost a logarithm; handlers and outcomes are sets of places.
+//! The index of a file: where which blocks stand, and a structure that finds those a question needs, by time,
+//! handler and outcome. Blocks are sorted by their earliest record, with a tree over their latest ones (a
+//! max-augmented interval tree in an array), so that finding blocks that overlap costs a logarithm of their
+//! number, even where one spans hours because a clock was set. Handlers and outcomes are bitmaps of blocks.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io;
+use std::io::{self, Read};
 
 use roaring::RoaringBitmap;
 use serde::{Deserialize, Serialize};
 
-use crate::block::{Bytes, Prelude, RECORDS_MOST, put};
-use crate::columns::{unzigzag, zigzag};
-use crate::heads::{Gap, Names};
-use crate::record::Outcome;
+use crate::block::{BlockHeader, check_record_count};
+use crate::dictionary::Dictionary;
+use crate::metadata::Gap;
+use crate::record::{Outcome, Record};
+use crate::varint::{ByteReader, write_i64, write_u64};
 use crate::{Micros, TraceError};
 
-/// One block.
+/// The zstd level of an index. It is written once a file, so it may cost more than that of a block.
+const COMPRESSION_LEVEL: i32 = 5;
+/// What an index may unpack to.
+const MAX_RAW_BYTES: u64 = 64 * 1024 * 1024;
+
+/// One block of a file.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Place {
-    /// Where its frame begins in the file, and how long that is.
-    pub at: u64,
+pub struct BlockEntry {
+    /// Where its frame begins in the file.
+    pub offset: u64,
+    /// How many bytes its frame has.
     pub length: u64,
+    /// How many records it has.
     pub records: usize,
+    /// The earliest `reached` of its records.
     pub from: Micros,
+    /// The latest `reached` of its records.
     pub to: Micros,
+    /// The handlers that occur.
     pub handlers: BTreeSet<u32>,
-    /// A bit for each outcome.
+    /// The outcomes that occur: a bit for each, by its position in [`Outcome::ALL`].
     pub outcomes: u32,
 }
 
-impl Place {
-    pub fn new(at: u64, length: u64, prelude: &Prelude) -> Self {
-        let Prelude { records, from, to, outcomes, .. } = *prelude;
-        Place { at, length, records, from, to, handlers: prelude.handlers.clone(), outcomes }
+impl BlockEntry {
+    pub(crate) fn new(offset: u64, length: u64, block: &BlockHeader) -> Self {
+        let BlockHeader { records, from, to, outcomes, .. } = *block;
+        BlockEntry { offset, length, records, from, to, handlers: block.handlers.clone(), outcomes }
     }
 }
 
-/// Which records are asked for. What is `None` is not asked about.
+/// Which records are wanted. A field that is `None` does not restrict them.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Wanted {
-    /// Reached at this time or later, and before that one.
+pub struct Filter {
+    /// Only records that reached the machine at this time or later.
     pub from: Option<Micros>,
+    /// Only records that reached the machine before this time.
     pub to: Option<Micros>,
+    /// Only records of these handlers.
     pub handlers: Option<BTreeSet<u32>>,
+    /// Only records with these outcomes.
     pub outcomes: Option<BTreeSet<Outcome>>,
 }
 
-impl Wanted {
-    pub fn has(&self, record: &crate::Record) -> bool {
+impl Filter {
+    /// Whether it matches a record.
+    pub fn matches(&self, record: &Record) -> bool {
         self.from.is_none_or(|from| record.reached >= from)
             && self.to.is_none_or(|to| record.reached < to)
-            && self.handlers.as_ref().is_none_or(|some| some.contains(&record.handler))
-            && self.outcomes.as_ref().is_none_or(|some| some.contains(&record.outcome))
+            && self.handlers.as_ref().is_none_or(|handlers| handlers.contains(&record.handler))
+            && self.outcomes.as_ref().is_none_or(|outcomes| outcomes.contains(&record.outcome))
+    }
+
+    /// Whether it may match a record of a block.
+    pub(crate) fn may_match_block(&self, block: &BlockEntry) -> bool {
+        let has_outcome = |outcome: &Outcome| block.outcomes & outcome.bit() != 0;
+        self.from.is_none_or(|from| block.to >= from)
+            && self.to.is_none_or(|to| block.from < to)
+            && self.handlers.as_ref().is_none_or(|handlers| !handlers.is_disjoint(&block.handlers))
+            && self.outcomes.as_ref().is_none_or(|outcomes| outcomes.iter().any(has_outcome))
     }
 
-    /// Whether a block may have some of them, as a plain scan asks it.
-    pub fn may_be_in(&self, place: &Place) -> bool {
-        self.from.is_none_or(|from| place.to >= from)
-            && self.to.is_none_or(|to| place.from < to)
-            && self.handlers.as_ref().is_none_or(|some| !some.is_disjoint(&place.handlers))
-            && self
-                .outcomes
-                .as_ref()
-                .is_none_or(|some| some.iter().any(|&o| place.outcomes >> o as u32 & 1 == 1))
+    /// Whether a gap lies in the time span; one without times might.
+    pub(crate) fn may_match_gap(&self, gap: &Gap) -> bool {
+        let overlaps = self.from.is_none_or(|from| gap.to >= from) && self.to.is_none_or(|to| gap.from < to);
+        gap.to == 0 || overlaps
     }
 }
 
-/// What an index tells again of what stands in the file before it.
+/// What an index repeats of the frames before it.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct Again {
-    pub names: Names,
+pub(crate) struct IndexMetadata {
+    pub(crate) names: Dictionary,
     #[serde(default)]
-    pub gaps: Vec<Gap>,
+    pub(crate) gaps: Vec<Gap>,
 }
 
-/// The blocks of one or more files, in the order in which they were added.
+/// The blocks of one or more files, in the order in which they were added. It owns the entries, and the
+/// lookup structure over them, which is built when it is first needed.
 #[derive(Clone, Debug, Default)]
 pub struct Index {
-    places: Vec<Place>,
+    blocks: Vec<BlockEntry>,
     lookup: Option<Lookup>,
 }
 
-/// What is built once over the places to ask many questions.
-#[derive(Clone, Debug)]
-struct Lookup {
-    /// Places by their earliest record, and what that is.
-    order: Vec<u32>,
-    starts: Vec<Micros>,
-    /// A tree over `order`: the latest record below each node; leaves are the second half.
-    latest: Vec<Micros>,
-    leaves: usize,
-    /// Ranks in `order` of the blocks with that handler, or outcome.
-    handlers: BTreeMap<u32, RoaringBitmap>,
-    outcomes: [RoaringBitmap; Outcome::ALL.len()],
-}
-
 impl Index {
-    pub fn add(&mut self, place: Place) {
-        self.places.push(place);
+    /// Adds a block. The lookup structure is built anew when it is next needed.
+    pub fn add(&mut self, block: BlockEntry) {
+        self.blocks.push(block);
         self.lookup = None;
     }
 
+    /// How many blocks it has.
     pub fn len(&self) -> usize {
-        self.places.len()
+        self.blocks.len()
     }
 
+    /// Whether it has no block.
     pub fn is_empty(&self) -> bool {
-        self.places.is_empty()
+        self.blocks.is_empty()
     }
 
-    pub fn places(&self) -> &[Place] {
-        &self.places
+    /// Its blocks, in the order in which they were added.
+    pub fn blocks(&self) -> &[BlockEntry] {
+        &self.blocks
     }
 
+    /// How many records its blocks have.
     pub fn records(&self) -> u64 {
-        self.places.iter().map(|place| place.records as u64).sum()
+        self.blocks.iter().map(|block| block.records as u64).sum()
     }
 
-    /// The earliest and latest record.
-    pub fn span(&self) -> Option<(Micros, Micros)> {
-        let from = self.places.iter().map(|place| place.from).min()?;
-        Some((from, self.places.iter().map(|place| place.to).max()?))
+    /// The times of the earliest and the latest record; `None` without blocks.
+    pub fn time_span(&self) -> Option<(Micros, Micros)> {
+        let from = self.blocks.iter().map(|block| block.from).min()?;
+        Some((from, self.blocks.iter().map(|block| block.to).max()?))
     }
 
-    /// Builds what [`Index::find`] goes by; done again only after something was added.
+    /// Builds the lookup structure of [`Index::find`], unless it is up to date.
     pub fn prepare(&mut self) {
         if self.lookup.is_none() {
-            self.lookup = Some(Lookup::new(&self.places));
+            self.lookup = Some(Lookup::new(&self.blocks));
         }
     }
 
-    /// The blocks that may have what is wanted, in the order in which they were added.
-    pub fn find(&mut self, wanted: &Wanted) -> Vec<usize> {
+    /// The positions of the blocks that may have matching records, ascending.
+    pub fn find(&mut self, filter: &Filter) -> Vec<usize> {
         self.prepare();
         let Some(lookup) = &self.lookup else { return Vec::new() };
-        let mut found: Vec<usize> = lookup.find(wanted).into_iter().map(|at| at as usize).collect();
+        let mut found: Vec<usize> = lookup.find(filter).into_iter().map(|at| at as usize).collect();
         found.sort_unstable();
         found
     }
 
-    /// The same by looking at each block.
-    pub fn scan(&self, wanted: &Wanted) -> Vec<usize> {
-        let may = |(at, place): (usize, &Place)| wanted.may_be_in(place).then_some(at);
-        self.places.iter().enumerate().filter_map(may).collect()
+    /// The same as [`Index::find`], by looking at each block.
+    pub fn scan(&self, filter: &Filter) -> Vec<usize> {
+        let matching = |(at, block): (usize, &BlockEntry)| filter.may_match_block(block).then_some(at);
+        self.blocks.iter().enumerate().filter_map(matching).collect()
     }
 
     /// The payload of an index frame.
-    pub fn encode(&self, names: &Names, gaps: &[Gap]) -> io::Result<Vec<u8>> {
+    pub(crate) fn encode(&self, names: &Dictionary, gaps: &[Gap]) -> io::Result<Vec<u8>> {
         let mut raw = Vec::new();
-        let text = serde_json::to_vec(&Again { names: names.clone(), gaps: gaps.to_vec() })?;
-        put(&mut raw, text.len() as u64);
+        let metadata = IndexMetadata { names: names.clone(), gaps: gaps.to_vec() };
+        let text = serde_json::to_vec(&metadata)?;
+        write_u64(&mut raw, text.len() as u64);
         raw.extend_from_slice(&text);
-        put(&mut raw, self.places.len() as u64);
-        let (mut end, mut from) = (0, 0);
-        for place in &self.places {
-            // Between two blocks there may be other frames.
-            put(&mut raw, place.at - end);
-            put(&mut raw, place.length);
-            end = place.at + place.length;
-            put(&mut raw, place.records as u64);
-            put(&mut raw, zigzag(place.from.wrapping_sub(from)));
-            from = place.from;
-            put(&mut raw, place.to.wrapping_sub(place.from) as u64);
-            put(&mut raw, u64::from(place.outcomes));
-            put(&mut raw, place.handlers.len() as u64);
-            for &handler in &place.handlers {
-                put(&mut raw, u64::from(handler));
+        write_u64(&mut raw, self.blocks.len() as u64);
+        let (mut previous_end, mut previous_from) = (0, 0);
+        for block in &self.blocks {
+            // Other frames may stand between two blocks.
+            write_u64(&mut raw, block.offset - previous_end);
+            write_u64(&mut raw, block.length);
+            previous_end = block.offset + block.length;
+            write_u64(&mut raw, block.records as u64);
+            write_i64(&mut raw, block.from.wrapping_sub(previous_from));
+            previous_from = block.from;
+            write_u64(&mut raw, block.to.wrapping_sub(block.from) as u64);
+            write_u64(&mut raw, u64::from(block.outcomes));
+            write_u64(&mut raw, block.handlers.len() as u64);
+            for &handler in &block.handlers {
+                write_u64(&mut raw, u64::from(handler));
             }
         }
         let mut out = Vec::new();
-        put(&mut out, raw.len() as u64);
-        out.extend_from_slice(&zstd::bulk::compress(&raw, 5)?);
+        write_u64(&mut out, raw.len() as u64);
+        out.extend_from_slice(&zstd::bulk::compress(&raw, COMPRESSION_LEVEL)?);
         Ok(out)
     }
 
-    /// Reads that payload. No place lies beyond `end` of the file.
-    pub fn decode(payload: &[u8], end: u64) -> Result<(Index, Again), TraceError> {
-        /// What an index may unpack to.
-        const RAW_MOST: u64 = 64 * 1024 * 1024;
-        let mut from = Bytes(payload);
-        let length = from.number()?;
-        if length > RAW_MOST {
-            return Err(TraceError::Bound("bytes of an index", length));
-        }
-        // Unpacked as a stream, so that what is claimed is not set aside before it is there.
-        let mut raw = Vec::new();
-        let stream = zstd::stream::read::Decoder::new(from.0).map_err(TraceError::Io)?;
-        let read = io::Read::read_to_end(&mut io::Read::take(stream, length), &mut raw);
-        read.map_err(|_| TraceError::Senseless("a packed index"))?;
-        let mut from = Bytes(&raw);
-        let text = from.number()?;
-        let text = from.some(usize::try_from(text).unwrap_or(usize::MAX))?;
-        let again = serde_json::from_slice(text).map_err(|_| TraceError::Senseless("a dictionary"))?;
-        let count = from.number()?;
+    /// Reads the payload of an index frame that begins at `index_offset`; all blocks stand before it.
+    pub(crate) fn decode(payload: &[u8], index_offset: u64) -> Result<(Index, IndexMetadata), TraceError> {
+        let raw = unpack(payload)?;
+        let mut input = ByteReader(&raw);
+        let text_length = input.read_u64()?;
+        let text = input.read_bytes(usize::try_from(text_length).unwrap_or(usize::MAX))?;
+        let metadata = serde_json::from_slice(text).map_err(|_| TraceError::Invalid("a dictionary"))?;
+        let count = input.read_u64()?;
         let mut index = Index::default();
-        let (mut before, mut start) = (0u64, 0i64);
+        let (mut previous_end, mut previous_from) = (0, 0);
         for _ in 0..count {
-            let at = before.checked_add(from.number()?);
-            let length = from.number()?;
-            let after = at.and_then(|at| at.checked_add(length)).filter(|&after| after <= end);
-            let (Some(at), Some(after)) = (at, after) else {
-                return Err(TraceError::Senseless("a place in the index"));
-            };
-            before = after;
-            let records = from.number()? as usize;
-            if records > RECORDS_MOST {
-                return Err(TraceError::Bound("records of a block", records as u64));
-            }
-            start = start.wrapping_add(unzigzag(from.number()?));
-            let to = start.wrapping_add(from.number()? as i64);
-            let outcomes = from.number_u32()?;
-            let mut handlers = BTreeSet::new();
-            for _ in 0..from.number()? {
-                handlers.insert(from.number_u32()?);
-            }
-            index.places.push(Place { at, length, records, from: start, to, handlers, outcomes });
+            let block = read_entry(&mut input, previous_end, previous_from, index_offset)?;
+            previous_end = block.offset + block.length;
+            previous_from = block.from;
+            index.blocks.push(block);
         }
-        if from.0.is_empty() {
-            Ok((index, again))
+        if input.is_empty() {
+            Ok((index, metadata))
         } else {
-            Err(TraceError::Senseless("bytes behind an index"))
+            Err(TraceError::Invalid("bytes behind an index"))
         }
     }
 }
 
+/// Unpacks the payload of an index frame.
+fn unpack(payload: &[u8]) -> Result<Vec<u8>, TraceError> {
+    let mut input = ByteReader(payload);
+    let length = input.read_u64()?;
+    if length > MAX_RAW_BYTES {
+        return Err(TraceError::LimitExceeded { what: "bytes of an index", value: length });
+    }
+    // Unpacked as a stream, so that no memory is taken for a length that is only claimed.
+    let mut raw = Vec::new();
+    let stream = zstd::stream::read::Decoder::new(input.0)?;
+    stream.take(length).read_to_end(&mut raw).map_err(|_| TraceError::Invalid("a compressed index"))?;
+    Ok(raw)
+}
+
+/// Reads the entry of a block; none reaches beyond `index_offset`.
+fn read_entry(
+    input: &mut ByteReader,
+    previous_end: u64,
+    previous_from: Micros,
+    index_offset: u64,
+) -> Result<BlockEntry, TraceError> {
+    let offset = previous_end.checked_add(input.read_u64()?);
+    let length = input.read_u64()?;
+    let ends_before_index = |offset: &u64| offset.checked_add(length).is_some_and(|end| end <= index_offset);
+    let offset = offset.filter(ends_before_index).ok_or(TraceError::Invalid("a block entry in the index"))?;
+    let records = input.read_u64()? as usize;
+    check_record_count(records)?;
+    let from = previous_from.wrapping_add(input.read_i64()?);
+    let to = from.wrapping_add(input.read_u64()? as i64);
+    let outcomes = input.read_u32()?;
+    let mut handlers = BTreeSet::new();
+    for _ in 0..input.read_u64()? {
+        handlers.insert(input.read_u32()?);
+    }
+    Ok(BlockEntry { offset, length, records, from, to, handlers, outcomes })
+}
+
+/// What is built once over the blocks to answer many questions. A rank is a position in `order`.
+#[derive(Clone, Debug)]
+struct Lookup {
+    /// Positions of the blocks, sorted by their earliest record.
+    order: Vec<u32>,
+    /// The earliest record of each block, by rank.
+    starts: Vec<Micros>,
+    /// A tree over the ranks: the latest record under each node. Leaves are the second half.
+    latest: Vec<Micros>,
+    leaves: usize,
+    /// Ranks of the blocks with each handler.
+    handlers: BTreeMap<u32, RoaringBitmap>,
+    /// Ranks of the blocks with each outcome.
+    outcomes: [RoaringBitmap; Outcome::ALL.len()],
+}
+
 impl Lookup {
-    fn new(places: &[Place]) -> Self {
-        let mut order: Vec<u32> = (0..places.len() as u32).collect();
-        order.sort_by_key(|&at| (places[at as usize].from, at));
+    fn new(blocks: &[BlockEntry]) -> Self {
+        let mut order: Vec<u32> = (0..blocks.len() as u32).collect();
+        order.sort_by_key(|&at| (blocks[at as usize].from, at));
         let leaves = order.len().next_power_of_two();
         let mut latest = vec![Micros::MIN; 2 * leaves];
         let mut handlers: BTreeMap<u32, RoaringBitmap> = BTreeMap::new();
         let mut outcomes: [RoaringBitmap; Outcome::ALL.len()] = Default::default();
         for (rank, &at) in order.iter().enumerate() {
-            let place = &places[at as usize];
-            latest[leaves + rank] = place.to;
-            for &handler in &place.handlers {
+            let block = &blocks[at as usize];
+            latest[leaves + rank] = block.to;
+            for &handler in &block.handlers {
                 handlers.entry(handler).or_default().insert(rank as u32);
             }
-            for (bit, set) in outcomes.iter_mut().enumerate() {
-                if place.outcomes >> bit & 1 == 1 {
-                    set.insert(rank as u32);
+            for (bit, ranks) in outcomes.iter_mut().enumerate() {
+                if block.outcomes >> bit & 1 == 1 {
+                    ranks.insert(rank as u32);
                 }
             }
         }
         for node in (1..leaves).rev() {
             latest[node] = latest[2 * node].max(latest[2 * node + 1]);
         }
-        let starts = order.iter().map(|&at| places[at as usize].from).collect();
+        let starts = order.iter().map(|&at| blocks[at as usize].from).collect();
         Lookup { order, starts, latest, leaves, handlers, outcomes }
     }
 
-    fn find(&self, wanted: &Wanted) -> Vec<u32> {
-        let before = wanted.to.map_or(self.order.len(), |to| self.starts.partition_point(|&from| from < to));
-        let from = wanted.from.unwrap_or(Micros::MIN);
-        let any =
-            |sets: Vec<&RoaringBitmap>| sets.into_iter().fold(RoaringBitmap::new(), |all, one| all | one);
-        let handlers = (wanted.handlers.as_ref())
-            .map(|some| any(some.iter().filter_map(|handler| self.handlers.get(handler)).collect()));
-        let outcomes = (wanted.outcomes.as_ref())
-            .map(|some| any(some.iter().map(|&outcome| &self.outcomes[outcome as usize]).collect()));
-        let named = match (handlers, outcomes) {
-            (Some(one), Some(other)) => Some(one & other),
-            (one, other) => one.or(other),
-        };
-        let mut found = Vec::new();
-        match named {
-            // Few blocks have them: each is looked at. Else the tree leads to those of that time.
-            Some(set) if set.len() * 8 < before as u64 => {
-                let late = |&rank: &u32| self.latest[self.leaves + rank as usize] >= from;
-                found.extend(set.iter().take_while(|&rank| (rank as usize) < before).filter(late));
+    /// Positions of the blocks that may have matching records, in no particular order.
+    fn find(&self, filter: &Filter) -> Vec<u32> {
+        let end = filter.to.map_or(self.order.len(), |to| self.starts.partition_point(|&from| from < to));
+        let from = filter.from.unwrap_or(Micros::MIN);
+        let mut ranks = Vec::new();
+        match self.ranks_by_name(filter) {
+            // Few blocks have those handlers and outcomes, so each is looked at.
+            Some(named) if named.len() * 8 < end as u64 => {
+                let is_late = |&rank: &u32| self.latest[self.leaves + rank as usize] >= from;
+                ranks.extend(named.iter().take_while(|&rank| (rank as usize) < end).filter(is_late));
             }
             named => {
-                self.descend(1, 0, self.leaves, before, from, &mut found);
-                if let Some(set) = named {
-                    found.retain(|&rank| set.contains(rank));
+                self.collect_overlapping(1, 0..self.leaves, end, from, &mut ranks);
+                if let Some(named) = named {
+                    ranks.retain(|&rank| named.contains(rank));
                 }
             }
         }
-        found.into_iter().map(|rank| self.order[rank as usize]).collect()
+        ranks.into_iter().map(|rank| self.order[rank as usize]).collect()
+    }
+
+    /// Ranks of the blocks with the wanted handlers and outcomes; `None` where all are wanted.
+    fn ranks_by_name(&self, filter: &Filter) -> Option<RoaringBitmap> {
+        let union = |bitmaps: Vec<&RoaringBitmap>| {
+            bitmaps.into_iter().fold(RoaringBitmap::new(), |all, bitmap| all | bitmap)
+        };
+        let handlers = (filter.handlers.as_ref())
+            .map(|wanted| union(wanted.iter().filter_map(|handler| self.handlers.get(handler)).collect()));
+        let outcomes = (filter.outcomes.as_ref())
+            .map(|wanted| union(wanted.iter().map(|&outcome| &self.outcomes[outcome as usize]).collect()));
+        match (handlers, outcomes) {
+            (Some(handlers), Some(outcomes)) => Some(handlers & outcomes),
+            (handlers, outcomes) => handlers.or(outcomes),
+        }
     }
 
-    /// Ranks below `before` whose latest record is at `from` or later, within a node of the tree. The tree's depth
-    /// is a logarithm of the blocks, so this does not go deep.
-    fn descend(
+    /// Collects the ranks below `end` whose latest record is at `from` or later, within a node of the tree
+    /// that covers `ranks`. The depth of the tree is a logarithm of the number of blocks, so the recursion is
+    /// shallow.
+    fn collect_overlapping(
         &self,
         node: usize,
-        first: usize,
-        width: usize,
-        before: usize,
+        ranks: std::ops::Range<usize>,
+        end: usize,
         from: Micros,
         found: &mut Vec<u32>,
     ) {
-        if first >= before || self.latest[node] < from {
+        if ranks.start >= end || self.latest[node] < from {
             return;
         }
-        if width == 1 {
-            found.push(first as u32);
+        if ranks.len() == 1 {
+            found.push(ranks.start as u32);
             return;
         }
-        let half = width / 2;
-        self.descend(2 * node, first, half, before, from, found);
-        self.descend(2 * node + 1, first + half, half, before, from, found);
+        let middle = ranks.start + ranks.len() / 2;
+        self.collect_overlapping(2 * node, ranks.start..middle, end, from, found);
+        self.collect_overlapping(2 * node + 1, middle..ranks.end, end, from, found);
     }
 }
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -1,49 +1,83 @@
-//! What happened to every req: recorded in a compact, versioned, indexed file, and read, cut, merged, anonymised
-//! and summarised from there. docs/trace-format.md has the format byte by byte. Nothing here opens a socket.
+//! Recordings of what happened to each request of a server, in a compact, versioned, indexed file. This crate
+//! writes them, reads them (also torn or damaged ones), and copies, merges, anonymises and summarises them.
+//! Nothing here opens a socket. The format is described byte by byte in docs/trace-format.md.
 //!
-//! [`Writer`] and [`Trace`] are the two ends of a file; [`Recorder`] feeds a writer from a server without ever
-//! stopping it.
+//! - [`Writer`] and [`TraceReader`] are the two ends of a file. The writer takes [`Record`]s and [`Gap`]s;
+//!   the reader yields them as [`Item`]s, together with every [`Loss`]: what of the file could not be read.
+//! - [`Recorder`] feeds a writer from a server without ever blocking it. Its input is one [`Record`] for each
+//!   attempt; its output is a directory of files, bounded in size by a [`RetentionConfig`]. It decides when a
+//!   block is sealed, when a file is rotated, which old files are removed and which records are dropped.
+//! - [`copy()`], [`merge()`], [`anonymise()`], [`check()`] and [`Summary`] make files or figures from files.
+//!
+//! ```
+//! use tulipgap_trace::{BlockConfig, Header, Item, NEWEST_VERSION, Record, TraceReader, Writer};
+//!
+//! let header = Header::new(NEWEST_VERSION, 1, "server-1", 0);
+//! let mut writer = Writer::new(Vec::new(), header, BlockConfig::default())?;
+//! writer.push(Record { id: 7, reached: 1_000, answered: Some(250), ..Record::default() })?;
+//! let (bytes, _) = writer.finish()?;
+//!
+//! let mut records = Vec::new();
+//! for item in TraceReader::open(&bytes[..])? {
+//!     match item? {
+//!         Item::Records(block) => records.extend(block),
+//!         Item::Gap(gap) => println!("records are missing: {gap:?}"),
+//!         Item::Loss(loss) => println!("{loss}"),
+//!     }
+//! }
+//! assert_eq!((records.len(), records[0].id), (1, 7));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+#![warn(missing_docs)]
 
 mod anonymise;
 mod block;
-mod clocks;
+mod check;
+mod clock_offsets;
 mod columns;
-mod cut;
-mod frames;
-mod heads;
+mod copy;
+mod correlate;
+mod dictionary;
+mod framing;
 mod index;
-mod join;
-mod keep;
 mod merge;
-mod names;
+mod metadata;
 mod reader;
 mod record;
 mod recorder;
-mod remake;
+mod retention;
+mod rewrite;
+mod rotating_writer;
+mod storage;
 mod summary;
-mod synth;
+mod synthetic;
+mod varint;
 mod writer;
 
-pub use anonymise::{Hiding, Key, KeyError, anonymise};
-pub use clocks::{Clock, estimate};
-pub use columns::{COLUMNS, Column, Kind};
-pub use cut::{Findings, Span, check, copy, copy_surveyed, stream};
-pub use heads::{Gap, Head, Names, Why};
-pub use index::{Index, Place, Wanted};
-pub use join::{Joiner, Link, Seen};
-pub use keep::{Act, Keep, News, Terms};
-pub use merge::{Merged, Source, merge};
-pub use names::{HandlerName, TenantName};
-pub use reader::{Item, Loss, Survey, Trace, TraceError};
-pub use record::{Outcome, Reason, Record, hashed};
-pub use recorder::{Counts, Disk, Folder, Pen, Recorder, Recording, unix_now};
-pub use remake::MergeError;
-pub use summary::{Group, Percentiles, Row, Summary, Tally};
-pub use synth::{Load, synth};
-pub use writer::{Pace, WriteError, Writer};
+pub use anonymise::{HashKey, HiddenNames, KeyError, anonymise};
+pub use check::{CheckReport, check};
+pub use clock_offsets::{ClockOffset, estimate_clock_offsets};
+pub use columns::{COLUMNS, Column, ColumnKind, Prediction};
+pub use copy::{CopySummary, copy, copy_surveyed, stream};
+pub use dictionary::{Dictionary, HandlerInfo, TenantInfo};
+pub use index::{BlockEntry, Filter, Index};
+pub use merge::{DuplicateFile, MergeSource, MergeSummary, SourceLoss, merge};
+pub use metadata::{ColumnInfo, Gap, GapReason, Header};
+pub use reader::{Item, Loss, Survey, TraceError, TraceReader};
+pub use record::{Outcome, Reason, Record, SortKey, hash_text};
+pub use recorder::{Recorder, RecorderStatus, unix_now};
+pub use retention::{RetentionConfig, StoredFile};
+pub use rewrite::RewriteError;
+pub use rotating_writer::{RecorderConfig, RotatingWriter, RotationResult, WriterCounters};
+pub use storage::{DirectoryStorage, Storage};
+pub use summary::{Group, GroupStatistics, Percentiles, Summary, SummaryRow};
+pub use synthetic::{SyntheticLoad, generate_load};
+pub use varint::zigzag_decode;
+pub use writer::{BlockConfig, WriteError, Writer};
 
-/// The newest format that is written and read here.
-pub const NEWEST: u32 = 2;
+/// The newest format version that is written and read here.
+pub const NEWEST_VERSION: u32 = 2;
 
 /// Microseconds since the Unix epoch, or between two moments.
 pub type Micros = i64;
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -1,193 +1,270 @@
-//! Many files to one, in the order of time. Each file gives its blocks by their earliest record, so of each only
-//! those are held that overlap; memory does not grow with the length of files.
+//! Many files merged to one, in the order of time. Each file yields its blocks by their earliest record, so
+//! only blocks that overlap are in memory; memory does not grow with the length of the files.
 
-use std::cmp::Reverse;
+use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 use std::io::{Read, Seek, Write};
 
-use crate::heads::{Gap, Why};
-use crate::index::Place;
-use crate::reader::{Loss, Survey, Trace, TraceError};
-use crate::record::Record;
-use crate::remake::{HELD_MOST, MergeError, Translation, gap_of};
+use crate::index::BlockEntry;
+use crate::metadata::{Gap, GapReason};
+use crate::reader::{Loss, Survey, TraceError, TraceReader};
+use crate::record::{Record, SortKey};
+use crate::rewrite::{DictionaryMapping, MAX_BUFFERED_RECORDS, RewriteError, gap_for_loss};
 use crate::writer::Writer;
-use crate::{Micros, NEWEST};
+use crate::{Micros, NEWEST_VERSION};
 
-/// A file that is to be merged.
-pub struct Source<R> {
-    /// As it is called in what is said of it.
+/// Progress is reported once in so many records.
+const PROGRESS_INTERVAL: u64 = 8192;
+
+/// A file to be merged.
+pub struct MergeSource<R> {
+    /// How the file is named in errors and in the summary.
     pub name: String,
-    pub trace: Trace<R>,
+    /// The file.
+    pub reader: TraceReader<R>,
     /// What is added to its times.
     pub offset: Micros,
 }
 
+/// A source that is the same file as an earlier one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DuplicateFile {
+    /// The name of the source that was ignored.
+    pub name: String,
+    /// The name of the earlier one.
+    pub first: String,
+}
+
+/// Something that could not be read of a source.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SourceLoss {
+    /// The name of the source.
+    pub name: String,
+    /// What could not be read.
+    pub loss: Loss,
+}
+
 /// What a merge did.
 #[derive(Debug, Default)]
-pub struct Merged {
+pub struct MergeSummary {
+    /// Records that were written.
     pub records: u64,
-    /// Files that were given before, by another name.
-    pub twice: Vec<(String, String)>,
-    /// Records that were the same in everything; one of them was kept.
-    pub same: u64,
-    pub losses: Vec<(String, Loss)>,
-    /// The most records that were held at a time.
-    pub held_most: usize,
-}
-
-/// The place of a record in the order of the merge; ties go by the order of files.
-type Rank = ((Micros, u64, u64, u32), usize);
-
-/// One file, giving its records in order.
-struct Ordered<R> {
-    source: Source<R>,
-    at: usize,
-    /// Its blocks by their earliest record, the next one last.
-    blocks: Vec<Place>,
-    translation: Translation,
-    /// Records read and not given, by their order.
-    held: BinaryHeap<Reverse<Held>>,
-    count: u64,
-}
-
-struct Held {
-    rank: (Rank, u64),
+    /// Sources that were ignored.
+    pub duplicate_files: Vec<DuplicateFile>,
+    /// Records that were left out because an equal one was written.
+    pub duplicate_records: u64,
+    /// What could not be read.
+    pub losses: Vec<SourceLoss>,
+    /// The most records that were in memory at a time.
+    pub max_buffered_records: usize,
+}
+
+/// The order of a record in a merge: its sort key, then the position of its file.
+type MergeKey = (SortKey, usize);
+
+/// One source, yielding its records in order.
+struct SortedSource<R> {
+    source: MergeSource<R>,
+    /// Its position among the sources.
+    position: usize,
+    /// The blocks that are not read yet by their earliest record, the next one last.
+    blocks: Vec<BlockEntry>,
+    mapping: DictionaryMapping,
+    /// Records that were read and not yielded.
+    buffer: BinaryHeap<Reverse<BufferedRecord>>,
+    records_read: u64,
+}
+
+struct BufferedRecord {
+    key: MergeKey,
+    /// Its number among the records of its file, which decides between equal keys.
+    number: u64,
     record: Record,
 }
 
-impl PartialEq for Held {
+impl BufferedRecord {
+    fn order(&self) -> (MergeKey, u64) {
+        (self.key, self.number)
+    }
+}
+
+impl PartialEq for BufferedRecord {
     fn eq(&self, other: &Self) -> bool {
-        self.rank == other.rank
+        self.order() == other.order()
     }
 }
-impl Eq for Held {}
-impl PartialOrd for Held {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+impl Eq for BufferedRecord {}
+impl PartialOrd for BufferedRecord {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
-impl Ord for Held {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.rank.cmp(&other.rank)
+impl Ord for BufferedRecord {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.order().cmp(&other.order())
     }
 }
 
-impl<R: Read + Seek> Ordered<R> {
-    /// Reads blocks until the first record that is held comes before all that are not read.
-    fn ready<W: Write>(
+/// A block that could not be read although its index has it.
+struct DamagedBlock {
+    source_name: String,
+    block: BlockEntry,
+    error: TraceError,
+}
+
+impl<R: Read + Seek> SortedSource<R> {
+    /// Reads blocks until the first buffered record comes before all that are not read. Returns its key;
+    /// `None` where the source is exhausted.
+    fn fill<W: Write>(
         &mut self,
         out: &mut Writer<W>,
-        damaged: &mut Vec<(String, Place, TraceError)>,
-    ) -> Result<Option<Rank>, MergeError> {
+        damaged: &mut Vec<DamagedBlock>,
+    ) -> Result<Option<MergeKey>, RewriteError> {
         while let Some(next) = self.blocks.last() {
-            let first = self.held.peek().map(|Reverse(held)| held.record.reached);
+            let first = self.buffer.peek().map(|Reverse(first)| first.record.reached);
             if first.is_some_and(|first| first < next.from.saturating_add(self.source.offset)) {
                 break;
             }
-            let Some(place) = self.blocks.pop() else { break };
-            match self.source.trace.block(&place) {
-                Ok(records) => {
-                    for mut record in records {
-                        self.translation.apply(&mut record, self.source.trace.names(), out);
-                        record.reached = record.reached.saturating_add(self.source.offset);
-                        self.count += 1;
-                        let rank = ((record.place(), self.at), self.count);
-                        self.held.push(Reverse(Held { rank, record }));
-                    }
-                }
-                Err(TraceError::Io(error)) => {
-                    return Err(MergeError::Read(self.source.name.clone(), error.into()));
+            let Some(block) = self.blocks.pop() else { break };
+            match self.source.reader.read_block(&block) {
+                Ok(records) => records.into_iter().for_each(|record| self.buffer_record(record, out)),
+                Err(error @ TraceError::Io(_)) => return Err(RewriteError::read(&self.source.name)(error)),
+                Err(error) => {
+                    damaged.push(DamagedBlock { source_name: self.source.name.clone(), block, error });
                 }
-                Err(error) => damaged.push((self.source.name.clone(), place, error)),
             }
-            if self.held.len() > HELD_MOST {
-                return Err(MergeError::Disorder(self.source.name.clone()));
+            if self.buffer.len() > MAX_BUFFERED_RECORDS {
+                return Err(RewriteError::TooManyOverlappingRecords { name: self.source.name.clone() });
             }
         }
-        Ok(self.held.peek().map(|Reverse(held)| held.rank.0))
+        Ok(self.buffer.peek().map(|Reverse(first)| first.key))
+    }
+
+    fn buffer_record<W: Write>(&mut self, mut record: Record, out: &mut Writer<W>) {
+        self.mapping.apply(&mut record, self.source.reader.dictionary(), out);
+        record.reached = record.reached.saturating_add(self.source.offset);
+        self.records_read += 1;
+        let key = (record.sort_key(), self.position);
+        self.buffer.push(Reverse(BufferedRecord { key, number: self.records_read, record }));
     }
 }
 
-/// Merges files into one; `progress` hears of the records written so far, and of how many there are.
+/// Merges files into one. `progress` is called now and then with the records written so far, and how many
+/// there are.
+///
+/// # Errors
+/// [`RewriteError::UnsupportedVersion`] where `out` is not of the newest format version;
+/// [`RewriteError::TooManyOverlappingRecords`]; [`RewriteError::Read`] or [`RewriteError::Write`].
 pub fn merge<R: Read + Seek, W: Write>(
-    sources: Vec<Source<R>>,
+    sources: Vec<MergeSource<R>>,
     out: &mut Writer<W>,
-    mut progress: impl FnMut(u64, u64),
-) -> Result<Merged, MergeError> {
-    if out.head().version != NEWEST {
-        return Err(MergeError::Version);
+    progress: impl FnMut(u64, u64),
+) -> Result<MergeSummary, RewriteError> {
+    if out.header().version != NEWEST_VERSION {
+        return Err(RewriteError::UnsupportedVersion);
     }
-    let mut merged = Merged::default();
-    let mut files: Vec<Ordered<R>> = Vec::new();
-    let mut all = 0;
-    for mut source in sources {
-        // The same file by its id; a file that lost its header has none.
-        let id = source.trace.head().file.clone();
-        let same = files.iter().find(|other| !id.is_empty() && other.source.trace.head().file == id);
-        if let Some(other) = same {
-            merged.twice.push((source.name, other.source.name.clone()));
+    let mut summary = MergeSummary::default();
+    let mut sorted = Vec::new();
+    let mut total_records = 0;
+    for source in sources {
+        if let Some(first) = same_file(&source, &sorted) {
+            summary.duplicate_files.push(DuplicateFile { name: source.name, first });
             continue;
         }
-        let Survey { index, gaps, losses, .. } =
-            source.trace.survey().map_err(|error| MergeError::Read(source.name.clone(), error))?;
-        for loss in losses {
-            if let Some(gap) = gap_of(&loss, &source.trace.head().server) {
-                out.gap(&gap)?;
-            }
-            merged.losses.push((source.name.clone(), loss));
-        }
-        for mut gap in gaps {
-            gap.from = gap.from.saturating_add(source.offset);
-            gap.to = gap.to.saturating_add(source.offset);
-            out.gap(&gap)?;
+        let (source, records) = prepare_source(source, sorted.len(), out, &mut summary)?;
+        total_records += records;
+        sorted.push(source);
+    }
+    let damaged = merge_records(sorted, out, total_records, &mut summary, progress)?;
+    for DamagedBlock { source_name, block, error } in damaged {
+        out.write_gap(&Gap {
+            reason: GapReason::Damaged,
+            records: Some(block.records as u64),
+            from: block.from,
+            to: block.to,
+            server: String::new(),
+            clock_change: 0,
+        })?;
+        let loss = Loss::InvalidFrame { offset: block.offset, reason: error.to_string() };
+        summary.losses.push(SourceLoss { name: source_name, loss });
+    }
+    Ok(summary)
+}
+
+/// The name of the earlier source that is the same file, by the id in the header. A file without its header
+/// has none.
+fn same_file<R>(source: &MergeSource<R>, earlier: &[SortedSource<R>]) -> Option<String>
+where
+    R: Read,
+{
+    let file_id = &source.reader.header().file_id;
+    let is_same = |other: &&SortedSource<R>| other.source.reader.header().file_id == *file_id;
+    let first = earlier.iter().find(|other| !file_id.is_empty() && is_same(other))?;
+    Some(first.source.name.clone())
+}
+
+/// Surveys a source, and writes its gaps and losses. Returns it with the number of its records.
+fn prepare_source<R: Read + Seek, W: Write>(
+    mut source: MergeSource<R>,
+    position: usize,
+    out: &mut Writer<W>,
+    summary: &mut MergeSummary,
+) -> Result<(SortedSource<R>, u64), RewriteError> {
+    let survey = source.reader.survey().map_err(RewriteError::read(&source.name))?;
+    let Survey { index, gaps, losses, .. } = survey;
+    for loss in losses {
+        if let Some(gap) = gap_for_loss(&loss, &source.reader.header().server) {
+            out.write_gap(&gap)?;
         }
-        all += index.records();
-        let translation = Translation::new(source.trace.names(), out);
-        let mut blocks = index.places().to_vec();
-        blocks.sort_by_key(|place| Reverse((place.from, place.at)));
-        let at = files.len();
-        files.push(Ordered { source, at, blocks, translation, held: BinaryHeap::new(), count: 0 });
+        summary.losses.push(SourceLoss { name: source.name.clone(), loss });
+    }
+    for mut gap in gaps {
+        gap.from = gap.from.saturating_add(source.offset);
+        gap.to = gap.to.saturating_add(source.offset);
+        out.write_gap(&gap)?;
     }
+    let mapping = DictionaryMapping::new(source.reader.dictionary(), out);
+    let mut blocks = index.blocks().to_vec();
+    blocks.sort_by_key(|block| Reverse((block.from, block.offset)));
+    let buffer = BinaryHeap::new();
+    let sorted = SortedSource { source, position, blocks, mapping, buffer, records_read: 0 };
+    Ok((sorted, index.records()))
+}
 
+/// Writes the records of all sources in order, without those that are equal to one already written.
+fn merge_records<R: Read + Seek, W: Write>(
+    mut sources: Vec<SortedSource<R>>,
+    out: &mut Writer<W>,
+    total_records: u64,
+    summary: &mut MergeSummary,
+    mut progress: impl FnMut(u64, u64),
+) -> Result<Vec<DamagedBlock>, RewriteError> {
     let mut damaged = Vec::new();
-    let mut heads: BinaryHeap<Reverse<Rank>> = BinaryHeap::new();
-    for file in &mut files {
-        heads.extend(file.ready(out, &mut damaged)?.map(Reverse));
+    let mut first_keys: BinaryHeap<Reverse<MergeKey>> = BinaryHeap::new();
+    for source in &mut sources {
+        first_keys.extend(source.fill(out, &mut damaged)?.map(Reverse));
     }
-    // Records of one place, among which one that comes again is looked for.
-    let mut alike: Vec<Record> = Vec::new();
-    while let Some(Reverse((_, at))) = heads.pop() {
-        let file = &mut files[at];
-        if let Some(Reverse(Held { record, .. })) = file.held.pop() {
-            if alike.first().is_some_and(|first| first.place() != record.place()) {
-                alike.clear();
+    // The records written last that have the same sort key; equal records are among them.
+    let mut same_key: Vec<Record> = Vec::new();
+    while let Some(Reverse((_, position))) = first_keys.pop() {
+        if let Some(Reverse(BufferedRecord { record, .. })) = sources[position].buffer.pop() {
+            if same_key.first().is_some_and(|first| first.sort_key() != record.sort_key()) {
+                same_key.clear();
             }
-            if alike.contains(&record) {
-                merged.same += 1;
+            if same_key.contains(&record) {
+                summary.duplicate_records += 1;
             } else {
-                alike.push(record.clone());
+                same_key.push(record.clone());
                 out.push(record)?;
-                merged.records += 1;
-                if merged.records.is_multiple_of(8192) {
-                    progress(merged.records, all);
-                    let held = files.iter().map(|file| file.held.len()).sum();
-                    merged.held_most = merged.held_most.max(held);
+                summary.records += 1;
+                if summary.records.is_multiple_of(PROGRESS_INTERVAL) {
+                    progress(summary.records, total_records);
+                    let buffered = sources.iter().map(|source| source.buffer.len()).sum();
+                    summary.max_buffered_records = summary.max_buffered_records.max(buffered);
                 }
             }
         }
-        heads.extend(files[at].ready(out, &mut damaged)?.map(Reverse));
-    }
-    for (name, place, error) in damaged {
-        let records = Some(place.records as u64);
-        out.gap(&Gap {
-            why: Why::Damaged,
-            records,
-            from: place.from,
-            to: place.to,
-            server: String::new(),
-            by: 0,
-        })?;
-        merged.losses.push((name, Loss::Frame { at: place.at, what: error.to_string() }));
+        first_keys.extend(sources[position].fill(out, &mut damaged)?.map(Reverse));
     }
-    Ok(merged)
+    Ok(damaged)
 }
--- /dev/null
+++ b/crates/trace/src/reader/mod.rs
@@ -0,0 +1,314 @@
+//! Reads a file of either format version from its start to its end: intact, torn or damaged, from any stream.
+
+mod error;
+mod random_access;
+
+use std::collections::BTreeSet;
+use std::io::Read;
+
+use crate::NEWEST_VERSION;
+use crate::block::{self, BlockHeader};
+use crate::columns;
+use crate::dictionary::Dictionary;
+use crate::framing::{self, EndMark, FrameReader, Segment, kind};
+use crate::index::{BlockEntry, Filter, Index, IndexMetadata};
+use crate::metadata::{Gap, Header};
+use crate::record::Record;
+use crate::varint::ByteReader;
+
+pub use error::{Loss, TraceError};
+pub use random_access::Survey;
+
+/// How many bytes of a damaged magic must be right for a file to be taken as a recording.
+const MIN_MAGIC_MATCH: usize = 6;
+
+/// What comes out of a file.
+#[derive(Debug)]
+pub enum Item {
+    /// The records of one block that the filter matches.
+    Records(Vec<Record>),
+    /// A gap that the writer noted.
+    Gap(Gap),
+    /// Something that could not be read.
+    Loss(Loss),
+}
+
+/// Other names in place of those of a file.
+struct Renaming {
+    dictionary: Dictionary,
+    /// The servers as the file names them.
+    original_servers: Vec<String>,
+}
+
+/// Which columns a reader decodes.
+type ColumnFilter = Box<dyn Fn(u8) -> bool + Send>;
+
+/// Reads a file; an iterator of its [`Item`]s. It owns the input and all that is known of the file so far.
+pub struct TraceReader<R> {
+    frames: FrameReader<R>,
+    header: Header,
+    dictionary: Dictionary,
+    renaming: Option<Renaming>,
+    filter: Filter,
+    is_column_wanted: ColumnFilter,
+    /// Ids of columns that were met and are not known here.
+    unknown_columns: BTreeSet<u64>,
+    /// The blocks that were met, for a file without an index.
+    blocks: Index,
+    /// Records that stand before the next block, as far as the blocks so far state it.
+    records_before: u64,
+    records_read: u64,
+    has_end_mark: bool,
+    is_finished: bool,
+    /// Items to be yielded before more is read, the next one first.
+    pending: Vec<Item>,
+}
+
+/// What stands before the blocks of a file.
+struct FileStart {
+    /// `None` where the header is damaged.
+    header: Option<Header>,
+    losses: Vec<Item>,
+}
+
+impl<R: Read> TraceReader<R> {
+    /// Reads the header of a file. A damaged header is a [`Loss`] if intact frames follow it.
+    ///
+    /// # Errors
+    /// [`TraceError`] where the file is not a recording, of a newer version, without any intact frame, or
+    /// unreadable.
+    pub fn open(input: R) -> Result<Self, TraceError> {
+        let mut frames = FrameReader::new(input);
+        let version = read_version(&mut frames)?;
+        let FileStart { header, losses: mut pending } = read_start(&mut frames)?;
+        let header = match header {
+            Some(header) if header.version > NEWEST_VERSION => {
+                return Err(TraceError::UnsupportedVersion(header.version));
+            }
+            Some(header) => header,
+            None => {
+                pending.push(Item::Loss(Loss::DamagedHeader));
+                let placeholder = Header::new(version.unwrap_or(NEWEST_VERSION), 0, "?", 0);
+                Header { names: Dictionary::default(), file_id: String::new(), ..placeholder }
+            }
+        };
+        Ok(TraceReader {
+            frames,
+            dictionary: header.names.clone(),
+            header,
+            renaming: None,
+            filter: Filter::default(),
+            is_column_wanted: Box::new(|_| true),
+            unknown_columns: BTreeSet::new(),
+            blocks: Index::default(),
+            records_before: 0,
+            records_read: 0,
+            has_end_mark: false,
+            is_finished: false,
+            pending,
+        })
+    }
+
+    /// Yields only the records that a filter matches. Gaps and losses are yielded all the same.
+    pub fn with_filter(mut self, filter: Filter) -> Self {
+        self.filter = filter;
+        self
+    }
+
+    /// Decodes only some columns, by their ids. What else a record has is left at its default.
+    pub fn with_columns(mut self, is_wanted: impl Fn(u8) -> bool + Send + 'static) -> Self {
+        self.is_column_wanted = Box::new(is_wanted);
+        self
+    }
+
+    /// The header; with empty `file_id` and dictionary where it is damaged.
+    pub fn header(&self) -> &Header {
+        &self.header
+    }
+
+    /// The dictionary as far as it was read.
+    pub fn dictionary(&self) -> &Dictionary {
+        &self.dictionary
+    }
+
+    /// Puts other names in place of those of the file, at the same indices.
+    pub fn rename(&mut self, dictionary: Dictionary) {
+        let original_servers = std::mem::replace(&mut self.dictionary, dictionary.clone()).servers;
+        self.renaming = Some(Renaming { dictionary, original_servers });
+    }
+
+    /// A gap with its server under the name that it has here.
+    fn renamed(&self, mut gap: Gap) -> Gap {
+        if let Some(renaming) = &self.renaming {
+            let index = renaming.original_servers.iter().position(|server| *server == gap.server);
+            let name = index.and_then(|index| renaming.dictionary.servers.get(index));
+            gap.server = name.cloned().unwrap_or_default();
+        }
+        gap
+    }
+
+    /// The blocks that were met so far.
+    pub(crate) fn blocks(&self) -> &Index {
+        &self.blocks
+    }
+
+    /// The columns that were met and are not known here, by the names that the header has for them.
+    pub fn unknown_columns(&self) -> Vec<String> {
+        let name = |id: &u64| {
+            let info = self.header.columns.iter().find(|column| u64::from(column.id) == *id);
+            info.map_or_else(|| format!("column {id}"), |column| column.name.clone())
+        };
+        self.unknown_columns.iter().map(name).collect()
+    }
+
+    fn next_item(&mut self) -> Result<Option<Item>, TraceError> {
+        loop {
+            if !self.pending.is_empty() {
+                return Ok(Some(self.pending.remove(0)));
+            }
+            if self.is_finished {
+                return Ok(None);
+            }
+            match self.frames.next_segment()? {
+                None => {
+                    self.is_finished = true;
+                    if !self.has_end_mark {
+                        self.pending.push(Item::Loss(Loss::MissingEnd));
+                    }
+                }
+                Some(Segment::Skipped { offset, bytes, is_torn }) => {
+                    return Ok(Some(Item::Loss(Loss::SkippedBytes { offset, bytes, is_torn })));
+                }
+                Some(Segment::Frame { offset, kind, payload }) => {
+                    if let Err(error) = self.handle_frame(offset, kind, &payload) {
+                        let reason = error.to_string();
+                        return Ok(Some(Item::Loss(Loss::InvalidFrame { offset, reason })));
+                    }
+                }
+            }
+        }
+    }
+
+    fn handle_frame(&mut self, offset: u64, kind: u8, payload: &[u8]) -> Result<(), TraceError> {
+        match kind {
+            kind::BLOCK => self.handle_block(offset, payload),
+            kind::NAMES | kind::INDEX if self.renaming.is_some() => Ok(()),
+            kind::NAMES => {
+                let more = serde_json::from_slice(payload);
+                self.dictionary.extend(more.map_err(|_| TraceError::Invalid("a dictionary"))?)
+            }
+            kind::GAP => {
+                let gap = serde_json::from_slice(payload).map_err(|_| TraceError::Invalid("a gap"))?;
+                self.pending.push(Item::Gap(self.renamed(gap)));
+                Ok(())
+            }
+            kind::INDEX => {
+                // The index repeats the whole dictionary, and so what was lost of it.
+                let (_, IndexMetadata { names, .. }) = Index::decode(payload, offset)?;
+                if names.handlers.len() >= self.dictionary.handlers.len() {
+                    self.dictionary = names;
+                }
+                Ok(())
+            }
+            kind::END => self.handle_end(payload),
+            // Later programs may add kinds to a format version.
+            _ => Ok(()),
+        }
+    }
+
+    fn handle_block(&mut self, offset: u64, payload: &[u8]) -> Result<(), TraceError> {
+        let length = (framing::FRAME_HEADER_BYTES + payload.len() + framing::CHECKSUM_BYTES) as u64;
+        let mut input = ByteReader(payload);
+        let block = BlockHeader::read(&mut input)?;
+        // A block states how many records stand before it, and so how many were in blocks that are lost.
+        let missing = block.records_before.saturating_sub(self.records_before);
+        if missing > 0 {
+            self.pending.push(Item::Loss(Loss::MissingRecords { count: missing }));
+        }
+        self.records_before = block.records_before.saturating_add(block.records as u64);
+        let entry = BlockEntry::new(offset, length, &block);
+        if self.filter.may_match_block(&entry) {
+            let mut records = self.decode_block(&block, input)?;
+            records.retain(|record| self.filter.matches(record));
+            self.pending.push(Item::Records(records));
+        }
+        self.blocks.add(entry);
+        self.records_read += block.records as u64;
+        Ok(())
+    }
+
+    fn handle_end(&mut self, payload: &[u8]) -> Result<(), TraceError> {
+        self.has_end_mark = true;
+        let stated = EndMark::read_records(payload).ok_or(TraceError::Invalid("the end mark"))?;
+        let read = self.records_read;
+        if stated != read {
+            self.pending.push(Item::Loss(Loss::RecordCountMismatch { stated, read }));
+        }
+        Ok(())
+    }
+
+    /// The records of a block, of which `input` stands behind its header.
+    fn decode_block(
+        &mut self,
+        block: &BlockHeader,
+        mut input: ByteReader,
+    ) -> Result<Vec<Record>, TraceError> {
+        let encoded = block::read_columns(&mut input, block)?;
+        if !encoded.iter().any(|column| column.id == u64::from(columns::REACHED)) {
+            return Err(TraceError::Invalid("a block without times"));
+        }
+        let (is_column_wanted, filter) = (&self.is_column_wanted, &self.filter);
+        let is_needed = |id| {
+            is_column_wanted(id)
+                || id == columns::REACHED && (filter.from.is_some() || filter.to.is_some())
+                || id == columns::HANDLER && filter.handlers.is_some()
+                || id == columns::OUTCOME && filter.outcomes.is_some()
+        };
+        block::decode_records(block, &encoded, &is_needed, &mut self.unknown_columns)
+    }
+}
+
+impl<R: Read> Iterator for TraceReader<R> {
+    type Item = Result<Item, TraceError>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        self.next_item().transpose()
+    }
+}
+
+/// Reads the format version at the start of a file; `None` where that start is damaged.
+fn read_version<R: Read>(frames: &mut FrameReader<R>) -> Result<Option<u32>, TraceError> {
+    let start = frames.peek(framing::PRELUDE_BYTES)?.to_vec();
+    match framing::read_prelude(&start) {
+        Some(version) if version > NEWEST_VERSION || version == 0 => {
+            Err(TraceError::UnsupportedVersion(version))
+        }
+        Some(version) => {
+            frames.consume(framing::PRELUDE_BYTES);
+            Ok(Some(version))
+        }
+        None => {
+            let matching = start.iter().zip(framing::MAGIC).filter(|(a, b)| a == b).count();
+            if matching < MIN_MAGIC_MATCH { Err(TraceError::NotARecording) } else { Ok(None) }
+        }
+    }
+}
+
+/// Reads up to the header. It is the first intact frame, or it is lost.
+fn read_start<R: Read>(frames: &mut FrameReader<R>) -> Result<FileStart, TraceError> {
+    let mut losses = Vec::new();
+    loop {
+        match frames.next_segment()?.ok_or(TraceError::MissingHeader)? {
+            Segment::Skipped { offset, bytes, is_torn } => {
+                losses.push(Item::Loss(Loss::SkippedBytes { offset, bytes, is_torn }));
+            }
+            Segment::Frame { kind: kind::HEADER, payload, .. } => {
+                return Ok(FileStart { header: serde_json::from_slice(&payload).ok(), losses });
+            }
+            Segment::Frame { offset, kind, payload } => {
+                frames.put_back(offset, kind, &payload);
+                return Ok(FileStart { header: None, losses });
+            }
+        }
+    }
+}
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -1,38 +1,56 @@
-//! The whole life of one attempt. Times are microseconds: `reached` since the Unix epoch, all others from there.
+//! The lifecycle of one attempt of a request, as a recording keeps it.
+
+use std::borrow::Cow;
 
 use crate::Micros;
 
-/// How an attempt ended for its caller.
+/// How an attempt ended for its caller. Stored by position: the order of the variants is part of the format.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Outcome {
+    /// It was answered with a result.
     #[default]
-    Done,
-    Shed,
-    Errored,
-    /// Its caller had gone before the answer.
-    Gone,
+    Completed,
+    /// It was rejected by load shedding.
+    Rejected,
+    /// It was admitted and failed.
+    Failed,
+    /// Its caller had disconnected before the answer.
+    Abandoned,
 }
 
 impl Outcome {
-    pub const ALL: [Outcome; 4] = [Outcome::Done, Outcome::Shed, Outcome::Errored, Outcome::Gone];
+    /// All outcomes, in the order of their stored numbers.
+    pub const ALL: [Outcome; 4] =
+        [Outcome::Completed, Outcome::Rejected, Outcome::Failed, Outcome::Abandoned];
 
+    /// The word for it in exports, summaries and command line options.
     pub fn name(self) -> &'static str {
         match self {
-            Outcome::Done => "done",
-            Outcome::Shed => "shed",
-            Outcome::Errored => "errored",
-            Outcome::Gone => "gone",
+            Outcome::Completed => "done",
+            Outcome::Rejected => "shed",
+            Outcome::Failed => "errored",
+            Outcome::Abandoned => "gone",
         }
     }
 
-    pub fn of_name(name: &str) -> Option<Outcome> {
+    /// The outcome of that [`Outcome::name`].
+    pub fn from_name(name: &str) -> Option<Outcome> {
         Outcome::ALL.into_iter().find(|outcome| outcome.name() == name)
     }
+
+    /// The bit that stands for it in a set of outcomes.
+    pub(crate) fn bit(self) -> u32 {
+        1 << self as u32
+    }
 }
 
-/// Why it was decided so. A number, as a newer writer may know more reasons than this reader has names for.
+/// Why an attempt ended as it did, by its stored number. A newer writer may know more reasons than this
+/// reader has names for, so any number is kept.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Reason(pub u8);
+pub struct Reason(
+    /// The number in the file.
+    pub u8,
+);
 
 macro_rules! reasons {
     ($($(#[$doc:meta])* $constant:ident = $code:literal $name:literal,)*) => {
@@ -44,93 +62,125 @@
 }
 
 reasons! {
-    /// Nothing to explain: it was taken, and ended by itself.
+    /// It was admitted and ended by itself.
     NONE = 0 "none",
-    MEMORY = 1 "memory",
-    FAILING = 2 "failing",
-    SHARE = 3 "share",
-    LATE = 4 "late",
+    /// Too much memory was in use.
+    MEMORY_LIMIT = 1 "memory",
+    /// Executions of this handler were failing.
+    HIGH_FAILURE_RATE = 2 "failing",
+    /// The admitted fraction had been lowered.
+    ADMISSION_CONTROL = 3 "share",
+    /// It was predicted to miss its latency objective.
+    PREDICTED_LATE = 4 "late",
+    /// It was predicted to miss its latency objective after it had been queued.
     OVERTAKEN = 5 "overtaken",
-    MISSED = 6 "missed",
-    DUE = 7 "due",
+    /// Its latency objective passed while it was queued.
+    OBJECTIVE_MISSED = 6 "missed",
+    /// Its client timeout was near.
+    DEADLINE_NEAR = 7 "due",
+    /// The server was draining.
     DRAINING = 8 "draining",
-    STOPPING = 9 "stopping",
+    /// The server was terminating.
+    TERMINATING = 9 "stopping",
+    /// A call to a dependency failed.
     CALL_FAILED = 10 "call-failed",
-    STOPPED = 11 "stopped",
-    RUN_ERRORED = 12 "run-errored",
-    FIRST_ERRORED = 13 "first-errored",
+    /// Its execution was cancelled.
+    CANCELLED = 11 "stopped",
+    /// Its execution failed.
+    RUN_FAILED = 12 "run-errored",
+    /// The attempt that it duplicates failed.
+    ORIGINAL_FAILED = 13 "first-errored",
+    /// Its execution could not be started.
     NOT_STARTED = 14 "not-started",
-    NO_ROOM = 15 "no-room",
-    /// Joined to the req that it repeats, and answered with what that one yielded.
-    JOINED = 16 "joined",
+    /// There was no memory for a further request at all.
+    NO_CAPACITY = 15 "no-room",
+    /// It was coalesced with the attempt that it duplicates, and answered with the result of that one.
+    COALESCED = 16 "joined",
 }
 
 impl Reason {
-    /// Its name; a number where it is none of ours.
-    pub fn name(self) -> std::borrow::Cow<'static, str> {
+    /// The word for it in exports and summaries; `reason-N` where the number has no name here.
+    pub fn name(self) -> Cow<'static, str> {
         match Reason::NAMED.iter().find(|(code, _)| *code == self.0) {
             Some((_, name)) => (*name).into(),
             None => format!("reason-{}", self.0).into(),
         }
     }
-
-    pub fn all() -> impl Iterator<Item = Reason> {
-        Reason::NAMED.iter().map(|(code, _)| Reason(*code))
-    }
 }
 
-/// The number that stands for a text in a record, the same on every server, so that tries are joined by it.
-pub fn hashed(text: &str) -> u64 {
-    first_bytes(&blake3::hash(text.as_bytes()))
+/// The number that stands for a text in a record. It is the same on every server, so that attempts of one
+/// request can be correlated by it.
+pub fn hash_text(text: &str) -> u64 {
+    leading_u64(&blake3::hash(text.as_bytes()))
 }
 
-/// The first 8 bytes of a hash, as a number.
-pub fn first_bytes(hash: &blake3::Hash) -> u64 {
+/// The first 8 bytes of a hash as a big-endian number.
+pub(crate) fn leading_u64(hash: &blake3::Hash) -> u64 {
     hash.as_bytes().iter().take(8).fold(0, |number, &byte| number << 8 | u64::from(byte))
 }
 
-/// One attempt. Handlers, tenants and servers are indices into the dictionary of its file.
+/// One attempt of a request. Handlers, tenants and servers are indices into the dictionary of its file. All
+/// times but `reached` are microseconds since `reached`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Record {
+    /// The server that recorded it.
     pub server: u32,
+    /// The handler it asked for.
     pub handler: u32,
+    /// The tenant it came from, where one was named.
     pub tenant: Option<u32>,
+    /// The id of this attempt; a retry has an id of its own.
     pub id: u64,
-    /// By what a repeat of a uniqued req is known, hashed.
+    /// The hash of the idempotency key.
     pub key: Option<u64>,
-    /// What a read is about.
+    /// The hash of what a read is about.
     pub subject: Option<u64>,
-    /// The number of the edge node.
+    /// The number of the edge node that sent it.
     pub caller: Option<u64>,
-    pub retry: bool,
+    /// Whether its sender marked it as a retry.
+    pub is_retry: bool,
+    /// When it reached the machine, Unix time.
     pub reached: Micros,
+    /// When it was read off its connection.
     pub read: Option<Micros>,
+    /// When it was admitted.
     pub admitted: Option<Micros>,
-    pub run: Option<Micros>,
-    /// Its first call below.
-    pub called: Option<Micros>,
+    /// When its execution started for the first time.
+    pub started: Option<Micros>,
+    /// When its first call to a dependency started.
+    pub first_call: Option<Micros>,
+    /// When it was answered.
     pub answered: Option<Micros>,
-    pub over: Option<Micros>,
-    /// How long its caller would wait, where that was told.
-    pub patience: Option<Micros>,
-    /// The work that was told to be expected, and what it took.
-    pub hint: Option<Micros>,
+    /// When the server released all that belonged to it.
+    pub released: Option<Micros>,
+    /// How long its client would wait, where that was stated.
+    pub client_wait: Option<Micros>,
+    /// The work that its sender estimated.
+    pub estimated_work: Option<Micros>,
+    /// The work that it took.
     pub work: Option<Micros>,
+    /// How it ended.
     pub outcome: Outcome,
+    /// Why it ended so.
     pub reason: Reason,
-    /// It was told not to try another server.
-    pub no_more: bool,
-    /// When it was told to come back.
-    pub wait: Option<Micros>,
+    /// Whether the answer said not to retry on another server.
+    pub no_retry: bool,
+    /// The `retry_after` of the answer.
+    pub retry_after: Option<Micros>,
+    /// Calls to dependencies that were made.
     pub calls: u32,
-    pub skipped: u32,
-    /// What callers were advised when it was answered.
-    pub advice: Option<f64>,
+    /// Calls to dependencies that were skipped.
+    pub skipped_calls: u32,
+    /// The load feedback to callers at the time of the answer.
+    pub feedback: Option<f64>,
 }
 
+/// The total order of records: time, id, time of the answer, server.
+pub type SortKey = (Micros, u64, u64, u32);
+
 impl Record {
-    /// The total order in which records stand and are merged; ties beyond it go by the order of the files.
-    pub fn place(&self) -> (Micros, u64, u64, u32) {
+    /// The key by which records are sorted and merged; ties beyond it go by the order of the files.
+    pub fn sort_key(&self) -> SortKey {
         (self.reached, self.id, self.answered.unwrap_or(Micros::MAX) as u64, self.server)
     }
 }
--- /dev/null
+++ b/crates/trace/src/retention.rs
@@ -0,0 +1,331 @@
+//! The rotation and retention of a recorder's files: when a block is sealed, a file opened or closed, an old
+//! file removed, a record dropped. It is a state machine without I/O and without a clock: [`Event`]s in,
+//! [`Action`]s out, and the same events give the same actions.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::Micros;
+use crate::metadata::GapReason;
+
+/// By how much a file may exceed `rotate_bytes`: a block that was begun, names, gaps and the index.
+const ROTATION_SLACK_BYTES: u64 = 2 * 1024 * 1024;
+/// What of that the index and the end of a file may take.
+const INDEX_SLACK_BYTES: u64 = ROTATION_SLACK_BYTES / 2;
+/// The pause after the first failure of the disk.
+const INITIAL_RETRY_BACKOFF: Duration = Duration::from_secs(1);
+/// The longest pause between two attempts on a disk that fails.
+const MAX_RETRY_BACKOFF: Duration = Duration::from_secs(30);
+
+/// The limits of a recording.
+#[derive(Clone, Copy, Debug)]
+pub struct RetentionConfig {
+    /// The most records of a block.
+    pub block_records: usize,
+    /// A block is sealed no later than so long after its first record.
+    pub seal_after: Duration,
+    /// A file is closed once it has that many bytes.
+    pub rotate_bytes: u64,
+    /// A file is closed once it is that old.
+    pub rotate_after: Duration,
+    /// The most bytes of all files together; the oldest are removed first.
+    pub keep_bytes: u64,
+}
+
+/// A file of a recording.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoredFile {
+    /// Its number; later files have higher ones.
+    pub number: u64,
+    /// Its length.
+    pub bytes: u64,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    /// The files that were there at the start.
+    FilesFound(Vec<StoredFile>),
+    /// A record is to be recorded.
+    RecordReceived,
+    /// The block was sealed; the file has that many bytes now.
+    BlockWritten { bytes: u64 },
+    /// An action that writes failed; what the file does not have yet is lost.
+    WriteFailed,
+    /// A file was closed.
+    FileClosed(StoredFile),
+    /// A file that was to be removed is still there.
+    RemoveFailed { number: u64 },
+    /// Records did not get this far.
+    RecordsDropped { reason: GapReason, records: u64 },
+    /// The system's clock was set by so much.
+    ClockSet { change: Micros },
+    /// Time has passed.
+    Tick,
+    /// No further record comes.
+    Shutdown,
+}
+
+/// What is to be done, in the order of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Action {
+    /// Remove a file.
+    RemoveFile { number: u64 },
+    /// Open a new file.
+    OpenFile { number: u64 },
+    /// Append the received record to the block that is buffered.
+    AppendRecord,
+    /// Drop the received record.
+    DropRecord,
+    /// Write a gap, of records that are missing since that time.
+    WriteGap { reason: GapReason, records: u64, since: Duration, clock_change: Micros },
+    /// Seal the block that is buffered, and sync the file.
+    SealBlock,
+    /// Close the file.
+    CloseFile { number: u64 },
+}
+
+/// What is missing for one reason and is not known to be in the file as a gap.
+#[derive(Clone, Copy)]
+struct Missing {
+    records: u64,
+    since: Duration,
+    clock_change: Micros,
+}
+
+impl Missing {
+    fn is_empty(&self) -> bool {
+        self.records == 0 && self.clock_change == 0
+    }
+}
+
+/// A gap that was handed out to be written, until the file is known to have it.
+struct PendingGap {
+    reason: GapReason,
+    records: u64,
+    clock_change: Micros,
+}
+
+/// The file that is written.
+struct OpenFile {
+    number: u64,
+    opened: Duration,
+    bytes: u64,
+    /// Records of the block that is not sealed yet.
+    buffered_records: usize,
+    /// When that block is to be sealed.
+    seal_at: Duration,
+    pending_gaps: Vec<PendingGap>,
+}
+
+/// Decides on the files of one recorder. It owns what is known of them; [`crate::RotatingWriter`] owns the
+/// files.
+pub(crate) struct RetentionPolicy {
+    config: RetentionConfig,
+    /// Bytes of the closed files by number.
+    closed_files: BTreeMap<u64, u64>,
+    next_number: u64,
+    open_file: Option<OpenFile>,
+    missing: BTreeMap<GapReason, Missing>,
+    /// No file is opened before this time.
+    retry_at: Duration,
+    retry_backoff: Duration,
+    /// The last time at which nothing was missing.
+    complete_at: Duration,
+    total_missing: u64,
+}
+
+impl RetentionPolicy {
+    pub(crate) fn new(config: RetentionConfig) -> Self {
+        RetentionPolicy {
+            config,
+            closed_files: BTreeMap::new(),
+            next_number: 1,
+            open_file: None,
+            missing: BTreeMap::new(),
+            retry_at: Duration::ZERO,
+            retry_backoff: INITIAL_RETRY_BACKOFF,
+            complete_at: Duration::ZERO,
+            total_missing: 0,
+        }
+    }
+
+    /// Takes an event, and returns what is to be done.
+    pub(crate) fn handle_event(&mut self, now: Duration, event: &Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::FilesFound(files) => {
+                self.closed_files.extend(files.iter().map(|file| (file.number, file.bytes)));
+                let last = self.closed_files.keys().next_back();
+                self.next_number = last.map_or(1, |last| last.saturating_add(1));
+            }
+            Event::RecordReceived => self.record_received(now, &mut actions),
+            Event::BlockWritten { bytes } => self.block_written(now, *bytes, &mut actions),
+            Event::WriteFailed => self.write_failed(now),
+            Event::FileClosed(file) => {
+                self.closed_files.insert(file.number, file.bytes);
+            }
+            Event::RemoveFailed { number } => {
+                // Its bytes do not count again: a file that cannot be removed must not cause removals in a
+                // loop.
+                self.closed_files.entry(*number).or_insert(0);
+            }
+            Event::RecordsDropped { reason, records } => self.add_missing(now, *reason, *records, 0),
+            Event::ClockSet { change } => self.add_missing(now, GapReason::ClockSet, 0, *change),
+            Event::Tick => self.tick(now, &mut actions),
+            Event::Shutdown => {
+                if let Some(number) = self.open_file.as_ref().map(|file| file.number) {
+                    self.write_gaps(&mut actions);
+                    actions.extend([Action::SealBlock, Action::CloseFile { number }]);
+                }
+            }
+        }
+        actions
+    }
+
+    /// When [`Event::Tick`] is due, if nothing happens before.
+    pub(crate) fn next_deadline(&self) -> Option<Duration> {
+        let file = self.open_file.as_ref()?;
+        let rotate_at = self.rotate_at(file);
+        Some(if file.buffered_records > 0 { file.seal_at.min(rotate_at) } else { rotate_at })
+    }
+
+    /// Records that are missing so far, for whatever reason.
+    pub(crate) fn total_missing(&self) -> u64 {
+        self.total_missing
+    }
+
+    /// Bytes of all files together, as far as they are known.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.closed_bytes() + self.open_file.as_ref().map_or(0, |file| file.bytes)
+    }
+
+    fn closed_bytes(&self) -> u64 {
+        self.closed_files.values().sum()
+    }
+
+    fn rotate_at(&self, file: &OpenFile) -> Duration {
+        file.opened.saturating_add(self.config.rotate_after)
+    }
+
+    fn record_received(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.open_file.is_none() {
+            if now < self.retry_at {
+                self.add_missing(now, GapReason::DiskFailure, 1, 0);
+                actions.push(Action::DropRecord);
+                return;
+            }
+            self.open_file(now, actions);
+        }
+        let RetentionConfig { seal_after, block_records, .. } = self.config;
+        let Some(file) = self.open_file.as_mut() else { return };
+        actions.push(Action::AppendRecord);
+        file.buffered_records += 1;
+        if file.buffered_records == 1 {
+            file.seal_at = now.saturating_add(seal_after);
+        }
+        if file.buffered_records >= block_records || now >= file.seal_at {
+            actions.push(Action::SealBlock);
+        }
+    }
+
+    /// Opens a file, after enough of the oldest ones are removed for it to grow to its full size.
+    fn open_file(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let max_file_bytes = self.config.rotate_bytes.saturating_add(ROTATION_SLACK_BYTES);
+        while self.closed_bytes().saturating_add(max_file_bytes) > self.config.keep_bytes {
+            let Some((number, _)) = self.closed_files.pop_first() else { break };
+            actions.push(Action::RemoveFile { number });
+        }
+        let number = self.next_number;
+        self.next_number += 1;
+        actions.push(Action::OpenFile { number });
+        self.open_file = Some(OpenFile {
+            number,
+            opened: now,
+            bytes: 0,
+            buffered_records: 0,
+            seal_at: Duration::MAX,
+            pending_gaps: Vec::new(),
+        });
+        self.write_gaps(actions);
+    }
+
+    fn block_written(&mut self, now: Duration, bytes: u64, actions: &mut Vec<Action>) {
+        let Some(file) = self.open_file.as_mut() else { return };
+        (file.bytes, file.buffered_records) = (bytes, 0);
+        for gap in file.pending_gaps.drain(..) {
+            // More may be missing since the gap was handed out.
+            if let Some(missing) = self.missing.get_mut(&gap.reason) {
+                missing.records -= gap.records;
+                missing.clock_change -= gap.clock_change;
+            }
+        }
+        self.missing.retain(|_, missing| !missing.is_empty());
+        self.retry_backoff = INITIAL_RETRY_BACKOFF;
+        let is_old = now >= file.opened.saturating_add(self.config.rotate_after);
+        if bytes >= self.config.rotate_bytes || is_old {
+            self.close_file(actions);
+        }
+    }
+
+    fn close_file(&mut self, actions: &mut Vec<Action>) {
+        if let Some(file) = self.open_file.take() {
+            // The bytes of its index are not known before it is closed.
+            self.closed_files.insert(file.number, file.bytes.saturating_add(INDEX_SLACK_BYTES));
+            actions.push(Action::CloseFile { number: file.number });
+        }
+    }
+
+    /// The disk took something in part or not at all. The file is left as it is, and another one is opened
+    /// after a backoff: a disk that is full, slow or gone must not cost an attempt for each record. Records
+    /// meanwhile are dropped.
+    fn write_failed(&mut self, now: Duration) {
+        if let Some(file) = self.open_file.take() {
+            self.closed_files.insert(file.number, file.bytes);
+            self.add_missing(now, GapReason::DiskFailure, file.buffered_records as u64, 0);
+        }
+        self.retry_at = now.saturating_add(self.retry_backoff);
+        self.retry_backoff = (self.retry_backoff * 2).min(MAX_RETRY_BACKOFF);
+    }
+
+    fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(file) = self.open_file.as_ref() else { return };
+        let is_old = now >= self.rotate_at(file);
+        let is_seal_due = file.buffered_records > 0 && now >= file.seal_at;
+        if !self.missing.is_empty() && file.pending_gaps.is_empty() {
+            self.write_gaps(actions);
+        }
+        if is_seal_due || is_old || !actions.is_empty() {
+            actions.push(Action::SealBlock);
+        }
+        if self.missing.is_empty() {
+            self.complete_at = now;
+        }
+    }
+
+    fn add_missing(&mut self, now: Duration, reason: GapReason, records: u64, clock_change: Micros) {
+        if records == 0 && clock_change == 0 {
+            return;
+        }
+        let none = Missing { records: 0, since: self.complete_at.min(now), clock_change: 0 };
+        let missing = self.missing.entry(reason).or_insert(none);
+        missing.records += records;
+        missing.clock_change += clock_change;
+        self.total_missing += records;
+    }
+
+    /// Has all that is missing written as gaps. It counts as missing until the file is known to have the gap.
+    fn write_gaps(&mut self, actions: &mut Vec<Action>) {
+        let Some(file) = self.open_file.as_mut() else { return };
+        for (&reason, &Missing { mut records, since, mut clock_change }) in &self.missing {
+            for pending in file.pending_gaps.iter().filter(|pending| pending.reason == reason) {
+                records -= pending.records;
+                clock_change -= pending.clock_change;
+            }
+            if records > 0 || clock_change != 0 {
+                actions.push(Action::WriteGap { reason, records, since, clock_change });
+                file.pending_gaps.push(PendingGap { reason, records, clock_change });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/trace/src/rewrite.rs
@@ -0,0 +1,105 @@
+//! What copying and merging share: dictionaries mapped to that of the new file, damage noted as gaps, and
+//! errors.
+
+use std::io::Write;
+
+use crate::NEWEST_VERSION;
+use crate::dictionary::{Dictionary, HandlerInfo, MAX_NAMES, TenantInfo};
+use crate::metadata::{Gap, GapReason};
+use crate::reader::{Loss, TraceError};
+use crate::record::Record;
+use crate::writer::{WriteError, Writer};
+
+/// The most records that a merge buffers of one file.
+pub(crate) const MAX_BUFFERED_RECORDS: usize = 1 << 20;
+
+/// Why a file cannot be made from others.
+#[derive(Debug, thiserror::Error)]
+pub enum RewriteError {
+    /// A file cannot be read.
+    #[error("{name}: {source}")]
+    Read {
+        /// How the caller names the file.
+        name: String,
+        /// Why it cannot be read.
+        source: TraceError,
+    },
+    /// The new file cannot be written.
+    #[error("{0}")]
+    Write(#[from] WriteError),
+    /// Too many records of a file overlap in time to be sorted in bounded memory.
+    #[error(
+        "{name}: more than {MAX_BUFFERED_RECORDS} records overlap in time: it cannot be merged in bounded memory"
+    )]
+    TooManyOverlappingRecords {
+        /// How the caller names the file.
+        name: String,
+    },
+    /// A merge is written in the newest format version only.
+    #[error("a merge is written in format {NEWEST_VERSION}")]
+    UnsupportedVersion,
+}
+
+impl RewriteError {
+    /// The error for a file of that name.
+    pub(crate) fn read(name: &str) -> impl Fn(TraceError) -> RewriteError {
+        move |source| RewriteError::Read { name: name.to_owned(), source }
+    }
+}
+
+/// From the indices of one dictionary to those of another.
+pub(crate) struct DictionaryMapping {
+    servers: Vec<u32>,
+    handlers: Vec<u32>,
+    tenants: Vec<u32>,
+}
+
+impl DictionaryMapping {
+    /// Adds to the dictionary of `out` the names that it does not have.
+    pub(crate) fn new<W: Write>(names: &Dictionary, out: &mut Writer<W>) -> Self {
+        DictionaryMapping {
+            servers: names.servers.iter().map(|name| out.server_index(name)).collect(),
+            handlers: names.handlers.iter().map(|handler| out.handler_index(handler)).collect(),
+            tenants: names.tenants.iter().map(|tenant| out.tenant_index(tenant)).collect(),
+        }
+    }
+
+    /// Replaces the indices of a record. Names may have been added to the dictionary since the mapping was
+    /// made. An index that the dictionary does not have gets a name that says so, and never that of another
+    /// entry.
+    pub(crate) fn apply<W: Write>(&mut self, record: &mut Record, names: &Dictionary, out: &mut Writer<W>) {
+        record.server =
+            mapped(&mut self.servers, record.server, |index| out.server_index(&names.server(index)));
+        record.handler = mapped(&mut self.handlers, record.handler, |index| {
+            let unnamed = || HandlerInfo { name: names.handler(index), ..HandlerInfo::default() };
+            let handler = names.handlers.get(index as usize).cloned();
+            out.handler_index(&handler.unwrap_or_else(unnamed))
+        });
+        record.tenant = record.tenant.map(|tenant| {
+            mapped(&mut self.tenants, tenant, |index| {
+                out.tenant_index(&TenantInfo { name: names.tenant(index) })
+            })
+        });
+    }
+}
+
+/// What an index is mapped to; the map grows up to that index.
+fn mapped(map: &mut Vec<u32>, index: u32, mut new_index: impl FnMut(u32) -> u32) -> u32 {
+    // An index beyond all dictionaries is damage, and must not make the map that long.
+    let index = index.min(MAX_NAMES as u32);
+    while map.len() <= index as usize {
+        map.push(new_index(map.len() as u32));
+    }
+    map[index as usize]
+}
+
+/// The gap that a file made from a damaged one notes for a loss, if records are missing by it.
+pub(crate) fn gap_for_loss(loss: &Loss, server: &str) -> Option<Gap> {
+    let records = match loss {
+        Loss::MissingRecords { count } => Some(*count),
+        Loss::SkippedBytes { .. } => None,
+        _ => return None,
+    };
+    let server = server.to_owned();
+    Some(Gap { reason: GapReason::Damaged, records, from: 0, to: 0, server, clock_change: 0 })
+}
--- /dev/null
+++ b/crates/trace/src/storage.rs
@@ -0,0 +1,102 @@
+//! Where the files of a recorder are stored.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use crate::retention::StoredFile;
+
+/// The suffix of file names.
+const FILE_SUFFIX: &str = ".tgt";
+/// The least digits of the number in a file name.
+const MIN_NUMBER_DIGITS: usize = 8;
+
+/// A place for numbered files. Tests replace it by one in memory.
+pub trait Storage: Send + 'static {
+    /// A file that is written.
+    type File: Write + Send;
+
+    /// Lists the files that are there.
+    ///
+    /// # Errors
+    /// Where they cannot be listed.
+    fn list(&mut self) -> io::Result<Vec<StoredFile>>;
+
+    /// Creates a file, which must not exist.
+    ///
+    /// # Errors
+    /// Where it exists or cannot be created.
+    fn create(&mut self, number: u64) -> io::Result<Self::File>;
+
+    /// Makes all that was written durable.
+    ///
+    /// # Errors
+    /// Where that fails; what of it is durable is not known then.
+    fn sync(&mut self, file: &mut Self::File) -> io::Result<()>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    /// Where it is still there, or was not.
+    fn remove(&mut self, number: u64) -> io::Result<()>;
+}
+
+/// A directory, for the files of one server.
+pub struct DirectoryStorage {
+    path: PathBuf,
+    /// The server, as its name stands in file names.
+    server: String,
+    is_synced: bool,
+}
+
+impl DirectoryStorage {
+    /// The files of `server` in that directory, which is created when it is needed. Characters of the
+    /// server's name that do not belong into a file name are replaced. With `is_synced`, what is written
+    /// survives a crash of the machine, and not only of the process.
+    pub fn new(path: &Path, server: &str, is_synced: bool) -> Self {
+        let file_name_char = |c: char| if c.is_ascii_alphanumeric() || "-_.".contains(c) { c } else { '_' };
+        let server = server.chars().map(file_name_char).collect();
+        DirectoryStorage { path: path.to_owned(), server, is_synced }
+    }
+
+    /// The path of a file.
+    pub fn file_path(&self, number: u64) -> PathBuf {
+        self.path.join(format!("{}-{number:0MIN_NUMBER_DIGITS$}{FILE_SUFFIX}", self.server))
+    }
+
+    /// The number in the name of a file; `None` where the file is not one of this storage.
+    fn file_number(&self, name: &str) -> Option<u64> {
+        let digits = name.strip_prefix(&self.server)?.strip_prefix('-')?.strip_suffix(FILE_SUFFIX)?;
+        let is_number = digits.len() >= MIN_NUMBER_DIGITS && digits.bytes().all(|byte| byte.is_ascii_digit());
+        is_number.then(|| digits.parse().ok())?
+    }
+}
+
+impl Storage for DirectoryStorage {
+    type File = File;
+
+    fn list(&mut self) -> io::Result<Vec<StoredFile>> {
+        std::fs::create_dir_all(&self.path)?;
+        let mut files = Vec::new();
+        for entry in std::fs::read_dir(&self.path)? {
+            let entry = entry?;
+            if let Some(number) = entry.file_name().to_str().and_then(|name| self.file_number(name)) {
+                files.push(StoredFile { number, bytes: entry.metadata()?.len() });
+            }
+        }
+        Ok(files)
+    }
+
+    fn create(&mut self, number: u64) -> io::Result<File> {
+        std::fs::create_dir_all(&self.path)?;
+        OpenOptions::new().write(true).create_new(true).open(self.file_path(number))
+    }
+
+    fn sync(&mut self, file: &mut File) -> io::Result<()> {
+        if self.is_synced { file.sync_data() } else { Ok(()) }
+    }
+
+    fn remove(&mut self, number: u64) -> io::Result<()> {
+        std::fs::remove_file(self.file_path(number))
+    }
+}
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -1,6 +1,6 @@
-//! What a recording comes to: for each handler and tenant what was asked, how it ended and why, how long answers
-//! took, and the service: the value answered within the response target over the value asked for, with further tries
-//! counted as part of the first.
+//! What a recording comes to: for each handler and tenant the requests, how they ended and why, the response
+//! times, and the service level: the priority weight answered within the latency objective over that of all
+//! requests. Retries count as part of their first attempt.
 
 use std::collections::BTreeMap;
 
@@ -8,200 +8,259 @@
 use serde::Serialize;
 
 use crate::Micros;
-use crate::heads::Names;
-use crate::join::{Joiner, Seen};
+use crate::correlate::{Attempt, AttemptCorrelator};
+use crate::dictionary::Dictionary;
 use crate::record::{Outcome, Record};
 
-/// The longest response time that is told apart (us).
-const LONGEST: u64 = 3_600_000_000;
+/// The longest response time that is distinguished, in microseconds.
+const MAX_RESPONSE_TIME: u64 = 3_600_000_000;
 const MINUTE: Micros = 60_000_000;
+/// What stands in place of a tenant where a record has none.
+const NO_TENANT: &str = "-";
 
-/// Response times of what was done.
+/// Response times of completed attempts, in microseconds.
 #[derive(Clone)]
-struct Times(Histogram<u64>);
+struct ResponseTimes(Histogram<u64>);
 
-impl Default for Times {
+impl Default for ResponseTimes {
     fn default() -> Self {
-        // These bounds make sense, and a histogram without bounds of its own would, too.
-        let times = Histogram::new_with_bounds(1, LONGEST, 3).or_else(|_| Histogram::new(3));
-        Times(times.unwrap_or_else(|_| unreachable!("three digits are fine")))
+        // These bounds are valid, and so are three digits.
+        let histogram = Histogram::new_with_bounds(1, MAX_RESPONSE_TIME, 3).or_else(|_| Histogram::new(3));
+        ResponseTimes(histogram.unwrap_or_else(|_| unreachable!("three digits are valid")))
     }
 }
 
 /// Percentiles of response time, in milliseconds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Percentiles {
+    /// The median.
     pub p50: f64,
+    /// The 90th percentile.
     pub p90: f64,
+    /// The 99th percentile.
     pub p99: f64,
+    /// The 99.9th percentile.
     pub p999: f64,
-    pub most: f64,
+    /// The longest.
+    #[serde(rename = "most")]
+    pub max: f64,
 }
 
-/// Counts of one group.
+/// Counts of one group of attempts.
 #[derive(Clone, Default)]
-pub struct Tally {
-    /// First tries, further ones joined to them, and further ones of which the first is not known.
-    pub asked: u64,
-    pub again: u64,
-    pub stray: u64,
-    pub done_in_target: u64,
-    pub done_late: u64,
+pub struct GroupStatistics {
+    /// First attempts.
+    pub requests: u64,
+    /// Retries that were correlated to a first attempt.
+    pub retries: u64,
+    /// Retries of which the first attempt is not known.
+    pub orphan_retries: u64,
+    /// Attempts completed within their latency objective.
+    pub completed_in_time: u64,
+    /// Attempts completed after their latency objective.
+    pub completed_late: u64,
+    /// Completed attempts of which calls were skipped.
     pub degraded: u64,
-    pub errored: u64,
-    pub gone: u64,
-    /// By reason.
-    pub shed: BTreeMap<String, u64>,
-    pub errors: BTreeMap<String, u64>,
-    value_asked: f64,
-    value_answered: f64,
-    times: Times,
+    /// Attempts that failed.
+    pub failed: u64,
+    /// Attempts whose caller had disconnected.
+    pub abandoned: u64,
+    /// Rejected attempts by the name of their reason.
+    pub rejected_by_reason: BTreeMap<String, u64>,
+    /// Failed attempts by the name of their reason.
+    pub failed_by_reason: BTreeMap<String, u64>,
+    requested_weight: f64,
+    answered_weight: f64,
+    response_times: ResponseTimes,
 }
 
-impl Tally {
-    /// The part of the value asked for that was answered in time; `None` where none was asked for.
-    pub fn service(&self) -> Option<f64> {
-        (self.value_asked > 0.0).then(|| self.value_answered / self.value_asked)
+impl GroupStatistics {
+    /// The fraction of the requested priority weight that was answered in time; `None` where none was
+    /// requested.
+    pub fn service_level(&self) -> Option<f64> {
+        (self.requested_weight > 0.0).then(|| self.answered_weight / self.requested_weight)
     }
 
-    pub fn tries(&self) -> u64 {
-        self.asked + self.again + self.stray
-    }
-
-    pub fn shed_in_all(&self) -> u64 {
-        self.shed.values().sum()
+    /// All attempts.
+    pub fn attempts(&self) -> u64 {
+        self.requests + self.retries + self.orphan_retries
     }
 
+    /// Percentiles of the response times of completed attempts; `None` where there are none.
     pub fn percentiles(&self) -> Option<Percentiles> {
-        let at = |part: f64| self.times.0.value_at_quantile(part) as f64 / 1e3;
-        (!self.times.0.is_empty()).then(|| Percentiles {
+        let times = &self.response_times.0;
+        let at = |quantile: f64| times.value_at_quantile(quantile) as f64 / 1e3;
+        (!times.is_empty()).then(|| Percentiles {
             p50: at(0.5),
             p90: at(0.9),
             p99: at(0.99),
             p999: at(0.999),
-            most: self.times.0.max() as f64 / 1e3,
+            max: times.max() as f64 / 1e3,
         })
     }
 
-    fn add(&mut self, record: &Record, seen: Seen, names: &Names) {
+    fn add(&mut self, record: &Record, attempt: Attempt, names: &Dictionary) {
         let handler = names.handlers.get(record.handler as usize);
-        let value = handler.map_or(0.0, |handler| handler.value);
-        match seen {
-            Seen::First => {
-                self.asked += 1;
-                self.value_asked += value;
+        match attempt {
+            Attempt::First => {
+                self.requests += 1;
+                self.requested_weight += handler.map_or(0.0, |handler| handler.priority_weight);
             }
-            Seen::Again { .. } => self.again += 1,
-            Seen::Stray => self.stray += 1,
+            Attempt::Retry { .. } => self.retries += 1,
+            Attempt::OrphanRetry => self.orphan_retries += 1,
         }
+        let reason = || record.reason.name().into_owned();
         match record.outcome {
-            Outcome::Done => {
-                let took = record.answered.unwrap_or(0);
-                let target = handler.map_or(Micros::MAX, |handler| handler.target(record.hint));
-                let in_time = took <= target;
-                *(if in_time { &mut self.done_in_target } else { &mut self.done_late }) += 1;
-                let degraded = record.skipped > 0;
-                self.degraded += u64::from(degraded);
-                // What was answered before is worth nothing a second time.
-                if in_time && seen != (Seen::Again { done: true }) {
-                    self.value_answered += value
-                        * if degraded { handler.map_or(1.0, |handler| handler.skip_value) } else { 1.0 };
-                }
-                self.times.0.saturating_record(took.max(1) as u64);
-            }
-            Outcome::Shed => *self.shed.entry(record.reason.name().into_owned()).or_default() += 1,
-            Outcome::Errored => {
-                self.errored += 1;
-                *self.errors.entry(record.reason.name().into_owned()).or_default() += 1;
+            Outcome::Completed => self.add_completed(record, attempt, names),
+            Outcome::Rejected => *self.rejected_by_reason.entry(reason()).or_default() += 1,
+            Outcome::Failed => {
+                self.failed += 1;
+                *self.failed_by_reason.entry(reason()).or_default() += 1;
             }
-            Outcome::Gone => self.gone += 1,
+            Outcome::Abandoned => self.abandoned += 1,
+        }
+    }
+
+    fn add_completed(&mut self, record: &Record, attempt: Attempt, names: &Dictionary) {
+        let handler = names.handlers.get(record.handler as usize);
+        let response_time = record.answered.unwrap_or(0);
+        let objective = handler.map_or(Micros::MAX, |handler| handler.objective(record.estimated_work));
+        let is_in_time = response_time <= objective;
+        let is_degraded = record.skipped_calls > 0;
+        if is_in_time {
+            self.completed_in_time += 1;
+        } else {
+            self.completed_late += 1;
+        }
+        self.degraded += u64::from(is_degraded);
+        // A request that was completed before is worth nothing a second time.
+        if is_in_time && attempt != (Attempt::Retry { was_completed: true }) {
+            let weight = handler.map_or(0.0, |handler| handler.priority_weight);
+            let degraded_weight = handler.map_or(1.0, |handler| handler.degraded_weight);
+            self.answered_weight += weight * if is_degraded { degraded_weight } else { 1.0 };
         }
+        self.response_times.0.saturating_record(response_time.max(1) as u64);
     }
 }
 
-/// Who a row is about; an empty name is all of them.
+/// What a row of a summary is about. An empty name stands for all handlers or tenants.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct Group {
+    /// The start of a minute, Unix time; `None` for the whole recording.
     pub minute: Option<Micros>,
+    /// The name of a handler.
     pub handler: String,
+    /// The name of a tenant; `-` for records without one.
     pub tenant: String,
 }
 
-/// Sums up records as they come, in the order of time.
+/// Sums up records as they come, in the order of time. It owns the counts and what is needed to correlate
+/// attempts.
 #[derive(Default)]
 pub struct Summary {
-    joiner: Joiner,
-    pub groups: BTreeMap<Group, Tally>,
-    pub all: Tally,
-    by_minute: bool,
+    correlator: AttemptCorrelator,
+    groups: BTreeMap<Group, GroupStatistics>,
+    total: GroupStatistics,
+    is_by_minute: bool,
 }
 
 impl Summary {
-    pub fn new(by_minute: bool) -> Self {
-        Summary { by_minute, ..Summary::default() }
+    /// An empty summary; with `is_by_minute` it has a row for each minute, too.
+    pub fn new(is_by_minute: bool) -> Self {
+        Summary { is_by_minute, ..Summary::default() }
+    }
+
+    /// The statistics of all records.
+    pub fn total(&self) -> &GroupStatistics {
+        &self.total
     }
 
-    pub fn add(&mut self, record: &Record, names: &Names) {
-        let seen = self.joiner.see(record);
-        self.all.add(record, seen, names);
+    /// Adds a record, with the dictionary of its file.
+    pub fn add(&mut self, record: &Record, names: &Dictionary) {
+        let attempt = self.correlator.observe(record);
+        self.total.add(record, attempt, names);
         let handler = names.handler(record.handler);
-        let tenant = record.tenant.map_or_else(|| "-".to_owned(), |tenant| names.tenant(tenant));
-        let of = |minute, handler: &str, tenant: &str| Group {
+        let tenant = record.tenant.map_or_else(|| NO_TENANT.to_owned(), |tenant| names.tenant(tenant));
+        let group = |minute, handler: &str, tenant: &str| Group {
             minute,
             handler: handler.to_owned(),
             tenant: tenant.to_owned(),
         };
-        let mut groups = vec![of(None, &handler, ""), of(None, &handler, &tenant)];
-        if self.by_minute {
-            groups.push(of(Some(record.reached.div_euclid(MINUTE) * MINUTE), "", ""));
+        let mut groups = vec![group(None, &handler, ""), group(None, &handler, &tenant)];
+        if self.is_by_minute {
+            groups.push(group(Some(record.reached.div_euclid(MINUTE) * MINUTE), "", ""));
         }
         for group in groups {
-            self.groups.entry(group).or_default().add(record, seen, names);
+            self.groups.entry(group).or_default().add(record, attempt, names);
         }
     }
 
-    /// The rows as they are told, each with its group.
-    pub fn rows(&self) -> Vec<Row> {
-        let all = Row::new(Group::default(), &self.all);
-        std::iter::once(all).chain(self.groups.iter().map(|(g, t)| Row::new(g.clone(), t))).collect()
+    /// The rows of the summary: all records first, then the groups in their order.
+    pub fn rows(&self) -> Vec<SummaryRow> {
+        let total = SummaryRow::new(Group::default(), &self.total);
+        let groups = self.groups.iter().map(|(group, counts)| SummaryRow::new(group.clone(), counts));
+        std::iter::once(total).chain(groups).collect()
     }
 }
 
 /// A row of a summary, as it is written in JSON.
 #[derive(Debug, Serialize)]
-pub struct Row {
+pub struct SummaryRow {
+    /// What the row is about.
     #[serde(flatten)]
     pub group: Group,
-    pub asked: u64,
-    pub tries: u64,
-    pub joined: u64,
-    pub stray: u64,
-    pub done_in_target: u64,
-    pub done_late: u64,
+    /// First attempts.
+    #[serde(rename = "asked")]
+    pub requests: u64,
+    /// All attempts.
+    #[serde(rename = "tries")]
+    pub attempts: u64,
+    /// Retries that were correlated to a first attempt.
+    #[serde(rename = "joined")]
+    pub retries: u64,
+    /// Retries of which the first attempt is not known.
+    #[serde(rename = "stray")]
+    pub orphan_retries: u64,
+    /// Attempts completed within their latency objective.
+    #[serde(rename = "done_in_target")]
+    pub completed_in_time: u64,
+    /// Attempts completed after their latency objective.
+    #[serde(rename = "done_late")]
+    pub completed_late: u64,
+    /// Completed attempts of which calls were skipped.
     pub degraded: u64,
-    pub shed: BTreeMap<String, u64>,
-    pub errored: BTreeMap<String, u64>,
-    pub gone: u64,
-    pub service: Option<f64>,
+    /// Rejected attempts by the name of their reason.
+    #[serde(rename = "shed")]
+    pub rejected_by_reason: BTreeMap<String, u64>,
+    /// Failed attempts by the name of their reason.
+    #[serde(rename = "errored")]
+    pub failed_by_reason: BTreeMap<String, u64>,
+    /// Attempts whose caller had disconnected.
+    #[serde(rename = "gone")]
+    pub abandoned: u64,
+    /// The fraction of the requested priority weight that was answered in time.
+    #[serde(rename = "service")]
+    pub service_level: Option<f64>,
+    /// Percentiles of the response times of completed attempts.
     pub response_ms: Option<Percentiles>,
 }
 
-impl Row {
-    fn new(group: Group, tally: &Tally) -> Self {
-        Row {
+impl SummaryRow {
+    fn new(group: Group, statistics: &GroupStatistics) -> Self {
+        SummaryRow {
             group,
-            asked: tally.asked,
-            tries: tally.tries(),
-            joined: tally.again,
-            stray: tally.stray,
-            done_in_target: tally.done_in_target,
-            done_late: tally.done_late,
-            degraded: tally.degraded,
-            shed: tally.shed.clone(),
-            errored: tally.errors.clone(),
-            gone: tally.gone,
-            service: tally.service(),
-            response_ms: tally.percentiles(),
+            requests: statistics.requests,
+            attempts: statistics.attempts(),
+            retries: statistics.retries,
+            orphan_retries: statistics.orphan_retries,
+            completed_in_time: statistics.completed_in_time,
+            completed_late: statistics.completed_late,
+            degraded: statistics.degraded,
+            rejected_by_reason: statistics.rejected_by_reason.clone(),
+            failed_by_reason: statistics.failed_by_reason.clone(),
+            abandoned: statistics.abandoned,
+            service_level: statistics.service_level(),
+            response_ms: statistics.percentiles(),
         }
     }
 }
--- a/crates/trace/src/writer.rs
+++ b/crates/trace/src/writer.rs
@@ -1,231 +1,274 @@
-//! The end of a file that is written. Records gather to a block; a block is written whole, or not at all.
+//! Writes a file. Records are buffered until they fill a block; a block is written whole or not at all.
 
 use std::io::{self, Write};
 
 use zstd::bulk::Compressor;
 
-use crate::block::{self, Prelude, RECORDS_MOST};
+use crate::block::{self, BlockHeader};
 use crate::columns;
-use crate::frames::{self, write_frame};
-use crate::heads::{Gap, Head, Names};
-use crate::index::{Index, Place};
-use crate::names::{HandlerName, TenantName};
+use crate::dictionary::{Dictionary, HandlerInfo, TenantInfo};
+use crate::framing::{self, EndMark, kind, write_frame};
+use crate::index::{BlockEntry, Index};
+use crate::metadata::{Gap, Header};
 use crate::record::Record;
-use crate::{Micros, NEWEST};
+use crate::{Micros, NEWEST_VERSION};
 
+/// How many gaps the index repeats. The file itself has all of them.
+const MAX_INDEXED_GAPS: usize = 10_000;
+
+/// Why a file, or a record, cannot be written.
 #[derive(Debug, thiserror::Error)]
 pub enum WriteError {
+    /// Writing failed. The file may end in a part of a frame.
     #[error("{0}")]
     Io(#[from] io::Error),
+    /// A value does not fit its column; the record was not taken, and others can still be written.
     #[error("{column}: {value} does not fit its column of {bits} bits")]
-    Unfit { column: &'static str, value: i64, bits: u32 },
+    ValueOutOfRange {
+        /// The name of the column.
+        column: &'static str,
+        /// The value.
+        value: i64,
+        /// How wide a value of that column may be in this format version.
+        bits: u32,
+    },
+    /// The format version is not one that can be written.
     #[error("format {0} cannot be written: 1 and 2 can")]
-    Version(u32),
+    UnsupportedVersion(u32),
 }
 
-/// Gaps that are told in the index again.
-const GAPS_INDEXED: usize = 10_000;
-
 /// When a block is full.
 #[derive(Clone, Copy, Debug)]
-pub struct Pace {
-    pub records: usize,
-    /// A record that lies so far from the earlier ones of its block begins a new one, so that the index stays
-    /// sharp when the clock was set.
-    pub apart: Micros,
+pub struct BlockConfig {
+    /// The most records of a block.
+    pub max_records: usize,
+    /// A record that lies further than this from the first one of its block begins a new block, so that
+    /// blocks stay short in time when a clock is set.
+    pub max_time_span: Micros,
 }
 
-impl Default for Pace {
+impl Default for BlockConfig {
     fn default() -> Self {
-        Pace { records: 4096, apart: 60_000_000 }
+        BlockConfig { max_records: 4096, max_time_span: 60_000_000 }
     }
 }
 
+/// Writes one file. It owns the output, the records that are not written yet, the dictionary and the index.
 pub struct Writer<W> {
     out: W,
-    head: Head,
-    names: Names,
+    header: Header,
+    dictionary: Dictionary,
     /// How much of the dictionary stands in the file.
-    written: [usize; 3],
-    pace: Pace,
-    held: Vec<Record>,
+    written_names: WrittenNames,
+    config: BlockConfig,
+    /// Records that are not written yet.
+    buffer: Vec<Record>,
     index: Index,
     gaps: Vec<Gap>,
-    packer: Compressor<'static>,
+    compressor: Compressor<'static>,
     bytes: u64,
+    /// Records that are written.
     records: u64,
 }
 
+/// How many entries of each kind of a dictionary are written.
+#[derive(Clone, Copy)]
+struct WrittenNames {
+    servers: usize,
+    handlers: usize,
+    tenants: usize,
+}
+
+impl WrittenNames {
+    fn all_of(dictionary: &Dictionary) -> Self {
+        WrittenNames {
+            servers: dictionary.servers.len(),
+            handlers: dictionary.handlers.len(),
+            tenants: dictionary.tenants.len(),
+        }
+    }
+}
+
 impl<W: Write> Writer<W> {
-    /// Begins a file. The dictionary of `head` is its first.
-    pub fn new(mut out: W, head: Head, pace: Pace) -> Result<Self, WriteError> {
-        if !(1..=NEWEST).contains(&head.version) {
-            return Err(WriteError::Version(head.version));
+    /// Begins a file, with the dictionary of the header.
+    ///
+    /// # Errors
+    /// [`WriteError::UnsupportedVersion`], or [`WriteError::Io`].
+    pub fn new(mut out: W, header: Header, config: BlockConfig) -> Result<Self, WriteError> {
+        if !(1..=NEWEST_VERSION).contains(&header.version) {
+            return Err(WriteError::UnsupportedVersion(header.version));
         }
-        out.write_all(&frames::write_prelude(head.version))?;
-        let names = head.names.clone();
+        out.write_all(&framing::write_prelude(header.version))?;
+        let dictionary = header.names.clone();
         let mut writer = Writer {
             out,
-            written: [names.servers.len(), names.handlers.len(), names.tenants.len()],
-            names,
-            pace: Pace { records: pace.records.clamp(1, RECORDS_MOST), ..pace },
-            held: Vec::new(),
+            written_names: WrittenNames::all_of(&dictionary),
+            dictionary,
+            config: BlockConfig { max_records: config.max_records.clamp(1, block::MAX_RECORDS), ..config },
+            buffer: Vec::new(),
             index: Index::default(),
             gaps: Vec::new(),
-            packer: Compressor::new(block::LEVEL)?,
-            bytes: frames::PRELUDE as u64,
+            compressor: Compressor::new(block::COMPRESSION_LEVEL)?,
+            bytes: framing::PRELUDE_BYTES as u64,
             records: 0,
-            head,
+            header,
         };
-        let text = serde_json::to_vec(&writer.head).map_err(io::Error::from)?;
-        writer.frame(frames::HEADER, &text)?;
+        let text = serde_json::to_vec(&writer.header).map_err(io::Error::from)?;
+        writer.write_frame(kind::HEADER, &text)?;
         Ok(writer)
     }
 
-    pub fn head(&self) -> &Head {
-        &self.head
+    /// The header of the file.
+    pub fn header(&self) -> &Header {
+        &self.header
     }
 
-    pub fn names(&self) -> &Names {
-        &self.names
+    /// The dictionary as it is so far.
+    pub fn dictionary(&self) -> &Dictionary {
+        &self.dictionary
     }
 
-    /// Bytes in the file, and records taken, those that gather included.
+    /// How many bytes are written so far.
     pub fn bytes(&self) -> u64 {
         self.bytes
     }
 
-    pub fn records(&self) -> u64 {
-        self.records + self.held.len() as u64
-    }
-
-    /// Records that gather and are not in the file yet.
-    pub fn gathering(&self) -> usize {
-        self.held.len()
-    }
-
-    pub fn get_ref(&self) -> &W {
-        &self.out
-    }
-
-    pub fn get_mut(&mut self) -> &mut W {
+    /// The output.
+    pub(crate) fn get_mut(&mut self) -> &mut W {
         &mut self.out
     }
 
-    /// The index of a name, which enters the dictionary where it is new.
-    pub fn server(&mut self, name: &str) -> u32 {
-        place(&mut self.names.servers, |known| known == name, || name.to_owned())
+    /// The index of a server, which is added to the dictionary if it is new.
+    pub fn server_index(&mut self, name: &str) -> u32 {
+        index_of(&mut self.dictionary.servers, |known| known == name, || name.to_owned())
     }
 
-    pub fn handler(&mut self, handler: &HandlerName) -> u32 {
-        place(&mut self.names.handlers, |known| known == handler, || handler.clone())
+    /// The index of a handler, which is added to the dictionary if it is new.
+    pub fn handler_index(&mut self, handler: &HandlerInfo) -> u32 {
+        index_of(&mut self.dictionary.handlers, |known| known == handler, || handler.clone())
     }
 
-    pub fn tenant(&mut self, tenant: &TenantName) -> u32 {
-        place(&mut self.names.tenants, |known| known == tenant, || tenant.clone())
+    /// The index of a tenant, which is added to the dictionary if it is new.
+    pub fn tenant_index(&mut self, tenant: &TenantInfo) -> u32 {
+        index_of(&mut self.dictionary.tenants, |known| known == tenant, || tenant.clone())
     }
 
-    /// Names of the columns that this format has no place for.
-    pub fn left_out(&self) -> Vec<&'static str> {
+    /// The names of the columns that this format version does not have.
+    pub fn omitted_columns(&self) -> Vec<&'static str> {
         (columns::COLUMNS.iter())
-            .filter(|column| column.since > self.head.version)
+            .filter(|column| column.since > self.header.version)
             .map(|column| column.name)
             .collect()
     }
 
-    /// Takes a record; one of which a value does not fit its column is not taken.
+    /// Takes a record.
+    ///
+    /// # Errors
+    /// [`WriteError::ValueOutOfRange`] where a value does not fit its column; the record is not taken.
+    /// [`WriteError::Io`] where a block had to be written first and that failed.
     pub fn push(&mut self, record: Record) -> Result<(), WriteError> {
-        for column in columns::of_version(self.head.version) {
-            block::fits(column, self.head.version, (column.get)(&record))?;
+        let version = self.header.version;
+        for column in columns::of_version(version) {
+            block::check_value(column, version, (column.get)(&record))?;
         }
-        // Format 1 knows one server alone: a second one would be lost without a word.
-        if self.head.version == 1 && record.server != 0 {
-            return Err(WriteError::Unfit { column: "server", value: i64::from(record.server), bits: 0 });
+        // Format 1 has one server alone: the index of another one would be lost silently.
+        if version == 1 && record.server != 0 {
+            let value = i64::from(record.server);
+            return Err(WriteError::ValueOutOfRange { column: "server", value, bits: 0 });
         }
-        let apart = |first: &Record| first.reached.abs_diff(record.reached) > self.pace.apart.unsigned_abs();
-        if self.held.len() >= self.pace.records || self.held.first().is_some_and(apart) {
+        let max_time_span = self.config.max_time_span.unsigned_abs();
+        let is_far = |first: &Record| first.reached.abs_diff(record.reached) > max_time_span;
+        if self.buffer.len() >= self.config.max_records || self.buffer.first().is_some_and(is_far) {
             self.seal()?;
         }
-        self.held.push(record);
+        self.buffer.push(record);
         Ok(())
     }
 
-    /// Notes records that are missing.
-    pub fn gap(&mut self, gap: &Gap) -> Result<(), WriteError> {
+    /// Writes a gap.
+    ///
+    /// # Errors
+    /// [`WriteError::Io`].
+    pub fn write_gap(&mut self, gap: &Gap) -> Result<(), WriteError> {
         self.seal()?;
         let text = serde_json::to_vec(gap).map_err(io::Error::from)?;
-        self.frame(frames::GAP, &text)?;
-        // The file has them all; the index has as many as it can bear.
-        if self.gaps.len() < GAPS_INDEXED {
+        self.write_frame(kind::GAP, &text)?;
+        if self.gaps.len() < MAX_INDEXED_GAPS {
             self.gaps.push(gap.clone());
         }
         Ok(())
     }
 
-    /// Writes what has gathered as a block.
+    /// Writes the buffered records as a block.
+    ///
+    /// # Errors
+    /// [`WriteError::Io`].
     pub fn seal(&mut self) -> Result<(), WriteError> {
-        if self.held.is_empty() {
+        if self.buffer.is_empty() {
             return Ok(());
         }
         self.write_names()?;
-        // Keys are moved about in the place of records.
-        self.held.sort_by_cached_key(Record::place);
-        let prelude = Prelude::of(&self.held, self.index.len() as u64, self.records);
-        let columns = block::columns_of(&self.held, self.head.version)?;
-        let payload = block::encode(&prelude, &columns, &mut self.packer)?;
-        let at = self.bytes;
-        self.frame(frames::BLOCK, &payload)?;
-        self.records += self.held.len() as u64;
-        self.held.clear();
-        self.index.add(Place::new(at, self.bytes - at, &prelude));
+        // Sorting by cached keys moves keys in place of whole records.
+        self.buffer.sort_by_cached_key(Record::sort_key);
+        let block = BlockHeader::of(&self.buffer, self.index.len() as u64, self.records);
+        let columns = block::columns_of(&self.buffer, self.header.version)?;
+        let payload = block::encode(&block, &columns, &mut self.compressor)?;
+        let offset = self.bytes;
+        self.write_frame(kind::BLOCK, &payload)?;
+        self.records += self.buffer.len() as u64;
+        self.buffer.clear();
+        self.index.add(BlockEntry::new(offset, self.bytes - offset, &block));
         Ok(())
     }
 
-    /// Ends the file, with its index where the format has one; yields its length, too.
+    /// Ends the file, with its index where the format version has one. Returns the output and the length of
+    /// the file.
+    ///
+    /// # Errors
+    /// [`WriteError::Io`].
     pub fn finish(mut self) -> Result<(W, u64), WriteError> {
         self.seal()?;
         self.write_names()?;
-        let at = self.bytes;
-        let indexed = self.head.version >= 2;
-        if indexed {
-            let payload = self.index.encode(&self.names, &self.gaps).map_err(WriteError::Io)?;
-            self.frame(frames::INDEX, &payload)?;
-        }
-        let mut end = Vec::with_capacity(frames::END_LENGTH);
-        for value in [if indexed { at } else { 0 }, self.index.len() as u64, self.records] {
-            end.extend_from_slice(&value.to_le_bytes());
+        let mut index_offset = 0;
+        if self.header.version >= 2 {
+            index_offset = self.bytes;
+            let payload = self.index.encode(&self.dictionary, &self.gaps)?;
+            self.write_frame(kind::INDEX, &payload)?;
         }
-        self.frame(frames::END, &end)?;
+        let end = EndMark { index_offset, blocks: self.index.len() as u64, records: self.records };
+        self.write_frame(kind::END, &end.encode())?;
         self.out.flush()?;
         Ok((self.out, self.bytes))
     }
 
+    /// Writes what is new in the dictionary.
     fn write_names(&mut self) -> Result<(), WriteError> {
-        let [servers, handlers, tenants] = self.written;
-        let more = Names {
-            servers: self.names.servers[servers..].to_vec(),
-            handlers: self.names.handlers[handlers..].to_vec(),
-            tenants: self.names.tenants[tenants..].to_vec(),
+        let WrittenNames { servers, handlers, tenants } = self.written_names;
+        let more = Dictionary {
+            servers: self.dictionary.servers[servers..].to_vec(),
+            handlers: self.dictionary.handlers[handlers..].to_vec(),
+            tenants: self.dictionary.tenants[tenants..].to_vec(),
         };
-        if more == Names::default() {
+        if more == Dictionary::default() {
             return Ok(());
         }
         let text = serde_json::to_vec(&more).map_err(io::Error::from)?;
-        self.frame(frames::NAMES, &text)?;
-        self.written = [self.names.servers.len(), self.names.handlers.len(), self.names.tenants.len()];
+        self.write_frame(kind::NAMES, &text)?;
+        self.written_names = WrittenNames::all_of(&self.dictionary);
         Ok(())
     }
 
-    fn frame(&mut self, kind: u8, payload: &[u8]) -> Result<(), WriteError> {
+    fn write_frame(&mut self, kind: u8, payload: &[u8]) -> Result<(), WriteError> {
         self.bytes += write_frame(&mut self.out, kind, payload)?;
         Ok(())
     }
 }
 
-fn place<T>(known: &mut Vec<T>, same: impl Fn(&T) -> bool, fresh: impl FnOnce() -> T) -> u32 {
-    let at = known.iter().position(same).unwrap_or_else(|| {
-        known.push(fresh());
+/// The position of an entry in a list, to which it is added if it is new.
+fn index_of<T>(known: &mut Vec<T>, is_same: impl Fn(&T) -> bool, new_entry: impl FnOnce() -> T) -> u32 {
+    let index = known.iter().position(is_same).unwrap_or_else(|| {
+        known.push(new_entry());
         known.len() - 1
     });
-    at as u32
+    index as u32
 }
--- a/crates/trace/tests/files/common.rs
+++ b/crates/trace/tests/files/common.rs
@@ -1,72 +1,75 @@
-//! Small files of records, made up from a seed.
+//! Small files of synthetic records, from a seed.
 
 use std::io::Cursor;
 
-use tulipgap_trace::*;
+use tulipgap_trace::{
+    BlockConfig, Dictionary, Gap, Header, Item, Loss, Micros, Record, SyntheticLoad, TraceError, TraceReader,
+    Writer, generate_load,
+};
 
-pub fn names() -> Names {
-    Load::names("n1")
+pub(crate) fn names() -> Dictionary {
+    SyntheticLoad::dictionary("n1")
 }
 
-/// Records of some seconds of synthetic load.
-pub fn records(span: Micros, seed: u64) -> Vec<Record> {
+/// Records of synthetic load.
+pub(crate) fn records(duration: Micros, seed: u64) -> Vec<Record> {
     let mut all = Vec::new();
-    let load = Load { span, seed, cores: 6, ..Load::default() };
-    synth(&load, |_, record| all.push(record));
+    let load = SyntheticLoad { duration, seed, cores: 6, ..SyntheticLoad::default() };
+    generate_load(&load, |_, record| all.push(record));
     all
 }
 
-pub fn head(version: u32, file: u128, server: &str) -> Head {
-    let mut head = Head::new(version, file, server, Load::default().start);
-    head.names = Load::names(server);
-    head
+pub(crate) fn header(version: u32, file: u128, server: &str) -> Header {
+    let mut header = Header::new(version, file, server, SyntheticLoad::default().start);
+    header.names = SyntheticLoad::dictionary(server);
+    header
 }
 
-/// A whole file of these records.
-pub fn file(version: u32, id: u128, server: &str, records: &[Record], block: usize) -> Vec<u8> {
-    let pace = Pace { records: block, ..Pace::default() };
-    let mut writer = Writer::new(Vec::new(), head(version, id, server), pace).unwrap();
+/// A complete file of these records.
+pub(crate) fn file(version: u32, id: u128, server: &str, records: &[Record], block: usize) -> Vec<u8> {
+    let blocks = BlockConfig { max_records: block, ..BlockConfig::default() };
+    let mut writer = Writer::new(Vec::new(), header(version, id, server), blocks).unwrap();
     for record in records {
         writer.push(record.clone()).unwrap();
     }
     writer.finish().unwrap().0
 }
 
-pub fn open(bytes: &[u8]) -> Trace<Cursor<Vec<u8>>> {
-    Trace::open(Cursor::new(bytes.to_vec())).unwrap()
+pub(crate) fn open(bytes: &[u8]) -> TraceReader<Cursor<Vec<u8>>> {
+    TraceReader::open(Cursor::new(bytes.to_vec())).unwrap()
 }
 
 /// All that comes out of a file.
 #[derive(Debug, Default)]
-pub struct Read {
-    pub records: Vec<Record>,
-    pub gaps: Vec<Gap>,
-    pub losses: Vec<Loss>,
-    pub unknown: Vec<String>,
-    pub names: Names,
+pub(crate) struct Contents {
+    pub(crate) records: Vec<Record>,
+    pub(crate) gaps: Vec<Gap>,
+    pub(crate) losses: Vec<Loss>,
+    pub(crate) unknown: Vec<String>,
+    pub(crate) names: Dictionary,
 }
 
-pub fn read(bytes: &[u8]) -> Result<Read, TraceError> {
-    let mut trace = Trace::open(Cursor::new(bytes.to_vec()))?;
-    let mut all = Read::default();
-    for item in trace.by_ref() {
+pub(crate) fn read_all(bytes: &[u8]) -> Result<Contents, TraceError> {
+    let mut reader = TraceReader::open(Cursor::new(bytes.to_vec()))?;
+    let mut all = Contents::default();
+    for item in reader.by_ref() {
         match item? {
             Item::Records(records) => all.records.extend(records),
             Item::Gap(gap) => all.gaps.push(gap),
             Item::Loss(loss) => all.losses.push(loss),
         }
     }
-    (all.unknown, all.names) = (trace.unknown(), trace.names().clone());
+    (all.unknown, all.names) = (reader.unknown_columns(), reader.dictionary().clone());
     Ok(all)
 }
 
-/// A record as format 1 keeps it.
-pub fn lean(record: &Record) -> Record {
-    let Record { handler, tenant, id, retry, reached, read, answered, outcome, reason, .. } = *record;
-    Record { handler, tenant, id, retry, reached, read, answered, outcome, reason, ..Record::default() }
+/// A record with the columns of format 1 alone.
+pub(crate) fn format_1_record(record: &Record) -> Record {
+    let Record { handler, tenant, id, is_retry, reached, read, answered, outcome, reason, .. } = *record;
+    Record { handler, tenant, id, is_retry, reached, read, answered, outcome, reason, ..Record::default() }
 }
 
-pub fn sorted(mut records: Vec<Record>) -> Vec<Record> {
-    records.sort_by_key(Record::place);
+pub(crate) fn sorted(mut records: Vec<Record>) -> Vec<Record> {
+    records.sort_by_key(Record::sort_key);
     records
 }
