--- a/crates/trace/tests/files/damage.rs
+++ b/crates/trace/tests/files/damage.rs
@@ -4,9 +4,12 @@
 use std::io::Cursor;
 
 use quickcheck::quickcheck;
-use tulipgap_trace::*;
+use tulipgap_trace::{
+    BlockConfig, BlockEntry, Filter, GapReason, Loss, MergeSource, Micros, Record, SyntheticLoad, TraceError,
+    TraceReader, Writer, check, copy, merge, stream,
+};
 
-use crate::common::*;
+use crate::common::{file, header, open, read_all, records, sorted};
 
 const BLOCK: usize = 20;
 
@@ -28,35 +31,36 @@
 }
 
 #[test]
-fn a_file_cut_at_every_byte_gives_all_whole_blocks_and_says_what_is_lost() {
+fn truncation_at_any_byte_yields_all_complete_blocks_and_reports_the_loss() {
     for version in [1, 2] {
         let (some, bytes) = small(version);
-        let whole = read(&bytes).unwrap();
+        let whole = read_all(&bytes).unwrap();
         assert!(whole.losses.is_empty() && whole.records.len() == some.len());
         let ends = frames(&bytes);
         for cut in 0..bytes.len() {
-            let back = match read(&bytes[..cut]) {
+            let back = match read_all(&bytes[..cut]) {
                 Ok(back) => back,
                 // Nothing is whole: not even the header.
-                Err(TraceError::NoTrace | TraceError::NoHeader) if cut < ends[0].0 => continue,
+                Err(TraceError::NotARecording | TraceError::MissingHeader) if cut < ends[0].0 => continue,
                 Err(error) => panic!("cut at {cut}: {error}"),
             };
             let blocks = ends.iter().filter(|(end, kind)| *kind == b'B' && *end <= cut).count();
             let expected = (blocks * BLOCK).min(some.len());
             assert_eq!(back.records[..], whole.records[..expected], "cut at {cut}");
             assert!(!back.losses.is_empty(), "cut at {cut}: the loss is said");
-            let torn = back.losses.iter().any(|loss| matches!(loss, Loss::Bytes { torn: true, .. }));
+            let torn =
+                back.losses.iter().any(|loss| matches!(loss, Loss::SkippedBytes { is_torn: true, .. }));
             assert_eq!(torn, cut > 16 && !ends.iter().any(|(end, _)| *end == cut), "cut at {cut}");
         }
     }
 }
 
 quickcheck! {
-    fn a_bit_turned_costs_one_block_at_most_and_invents_nothing(at: usize, bit: u8) -> bool {
+    fn a_flipped_bit_loses_at_most_one_block_and_yields_no_false_record(at: usize, bit: u8) -> bool {
         let (some, mut bytes) = small(2);
         let at = at % bytes.len();
         bytes[at] ^= 1 << (bit % 8);
-        let Ok(back) = read(&bytes) else {
+        let Ok(back) = read_all(&bytes) else {
             // The mark of the file, or its version.
             return at < 16;
         };
@@ -69,17 +73,17 @@
         back.records.len() + BLOCK >= some.len()
     }
 
-    fn bytes_of_no_sense_are_no_trace_and_no_panic(noise: Vec<u8>, with_head: bool) -> bool {
+    fn random_bytes_are_rejected_without_panic(noise: Vec<u8>, with_head: bool) -> bool {
         let mut bytes = noise;
         if with_head {
             let (_, whole) = small(2);
             bytes = [&whole[..400], &bytes[..]].concat();
         }
-        // Whatever it is, it ends.
-        read(&bytes).is_err() || with_head
+        // Reading ends, whatever the bytes are.
+        read_all(&bytes).is_err() || with_head
     }
 
-    fn a_block_of_no_sense_under_a_right_checksum_is_no_panic(noise: Vec<u8>, at: usize, cut: usize) -> bool {
+    fn an_invalid_block_with_a_valid_checksum_is_skipped_without_panic(noise: Vec<u8>, at: usize, cut: usize) -> bool {
         let (some, bytes) = small(2);
         let (_, ends) = (some, frames(&bytes));
         let (start, end) = (ends[0].0, ends[1].0);
@@ -90,7 +94,7 @@
         }
         payload.truncate(payload.len() - cut % payload.len().min(40));
         let hostile = [&bytes[..start], &frame(b'B', &payload), &bytes[end..]].concat();
-        let back = read(&hostile).unwrap();
+        let back = read_all(&hostile).unwrap();
         back.records.len() + BLOCK >= 60
     }
 }
@@ -107,7 +111,7 @@
 }
 
 #[test]
-fn a_head_that_claims_gigabytes_gets_no_memory() {
+fn claimed_lengths_beyond_the_limits_allocate_no_memory() {
     let (some, bytes) = small(2);
     let ends = frames(&bytes);
     // A frame of 4 GB, then one of all that is allowed with nothing behind it, before the second block.
@@ -120,10 +124,14 @@
         hostile.extend_from_slice(&head);
     }
     hostile.extend_from_slice(&bytes[ends[1].0..]);
-    let back = read(&hostile).unwrap();
+    let back = read_all(&hostile).unwrap();
     assert_eq!(back.records.len(), some.len());
-    assert!(matches!(back.losses[..], [Loss::Bytes { bytes: 24, torn: false, .. }]), "{:?}", back.losses);
-    // Counts of no sense within a block under a right checksum.
+    assert!(
+        matches!(back.losses[..], [Loss::SkippedBytes { bytes: 24, is_torn: false, .. }]),
+        "{:?}",
+        back.losses
+    );
+    // RecorderCounters of no sense within a block under a right checksum.
     let claims = [
         // Records without end, all of one time; handlers without end; records without their times.
         &[0, 0, 255, 255, 255, 255, 15, 0, 0, 0, 1, 1, 1, 1, 0, 0, 0, 0, 1, 1, 0, 0][..],
@@ -132,89 +140,96 @@
     ];
     for claim in claims {
         let hostile = [&bytes[..ends[0].0], &frame(b'B', claim), &bytes[ends[0].0..]].concat();
-        let back = read(&hostile).unwrap();
+        let back = read_all(&hostile).unwrap();
         assert_eq!(back.records.len(), some.len());
-        assert!(matches!(back.losses[..], [Loss::Frame { .. }]), "{:?}", back.losses);
+        assert!(matches!(back.losses[..], [Loss::InvalidFrame { .. }]), "{:?}", back.losses);
     }
 }
 
 #[test]
-fn a_file_that_is_still_written_is_read_as_far_as_it_is() {
+fn a_file_still_being_written_is_readable_up_to_its_last_block() {
     let (some, bytes) = small(2);
     let ends = frames(&bytes);
     let growing = &bytes[..ends[2].0];
-    let back = read(growing).unwrap();
-    assert_eq!((back.records.len(), &back.losses[..]), (2 * BLOCK, &[Loss::NoEnd][..]));
+    let back = read_all(growing).unwrap();
+    assert_eq!((back.records.len(), &back.losses[..]), (2 * BLOCK, &[Loss::MissingEnd][..]));
     // By time, too, and without an index.
     let mut trace = open(growing);
     let survey = trace.survey().unwrap();
-    assert!(!survey.indexed && survey.index.len() == 2);
-    let mut out = Writer::new(Vec::new(), head(2, 9, "n1"), Pace::default()).unwrap();
+    assert!(!survey.is_indexed && survey.index.len() == 2);
+    let mut out = Writer::new(Vec::new(), header(2, 9, "n1"), BlockConfig::default()).unwrap();
     let from = sorted(some.clone())[5].reached;
-    let wanted = Wanted { from: Some(from), ..Wanted::default() };
+    let wanted = Filter { from: Some(from), ..Filter::default() };
     let done = copy(open(growing), &wanted, &mut out, |_| {}).unwrap();
     let expected = back.records.iter().filter(|record| record.reached >= from).count();
     assert_eq!(done.records, expected as u64);
 }
 
 #[test]
-fn records_between_blocks_that_are_lost_are_counted() {
+fn missing_records_between_blocks_are_counted() {
     let (some, mut bytes) = small(2);
     let ends = frames(&bytes);
     let middle = (ends[1].0 + ends[2].0) / 2;
     bytes[middle] ^= 0xFF;
-    let back = read(&bytes).unwrap();
+    let back = read_all(&bytes).unwrap();
     assert_eq!(back.records.len(), some.len() - BLOCK);
-    assert!(back.losses.contains(&Loss::Records { count: BLOCK as u64 }), "{:?}", back.losses);
+    assert!(back.losses.contains(&Loss::MissingRecords { count: BLOCK as u64 }), "{:?}", back.losses);
     // Repaired, it is sound, and tells of the gap.
-    let mut out = Writer::new(Vec::new(), head(2, 9, "n1"), Pace::default()).unwrap();
-    stream(open(&bytes), &Wanted::default(), &mut out, |_| {}).unwrap();
+    let mut out = Writer::new(Vec::new(), header(2, 9, "n1"), BlockConfig::default()).unwrap();
+    stream(open(&bytes), &Filter::default(), &mut out, |_| {}).unwrap();
     let repaired = out.finish().unwrap().0;
     let found = check(open(&repaired)).unwrap();
-    assert!(found.sound(), "{found:?}");
-    assert!(found.gaps.iter().any(|gap| gap.records == Some(BLOCK as u64) && gap.why == Why::Damaged));
+    assert!(found.is_sound(), "{found:?}");
+    assert!(
+        found.gaps.iter().any(|gap| gap.records == Some(BLOCK as u64) && gap.reason == GapReason::Damaged)
+    );
     // A cut by the index of the damaged file says it, too.
-    let mut out = Writer::new(Vec::new(), head(2, 9, "n1"), Pace::default()).unwrap();
-    let done = copy(open(&bytes), &Wanted::default(), &mut out, |_| {}).unwrap();
+    let mut out = Writer::new(Vec::new(), header(2, 9, "n1"), BlockConfig::default()).unwrap();
+    let done = copy(open(&bytes), &Filter::default(), &mut out, |_| {}).unwrap();
     assert_eq!(done.records as usize, some.len() - BLOCK);
-    assert!(done.losses.contains(&Loss::Records { count: BLOCK as u64 }));
+    assert!(done.losses.contains(&Loss::MissingRecords { count: BLOCK as u64 }));
 }
 
 #[test]
-fn a_file_without_its_header_gives_its_records_and_its_names() {
+fn a_damaged_header_keeps_records_and_restores_names_from_the_index() {
     let (some, mut bytes) = small(2);
     bytes[40] ^= 1;
-    let back = read(&bytes).unwrap();
+    let back = read_all(&bytes).unwrap();
     assert_eq!(back.records.len(), some.len());
-    assert!(back.losses.contains(&Loss::Header));
+    assert!(back.losses.contains(&Loss::DamagedHeader));
     // The index has the names again.
     assert_eq!(back.names.handler(0), "preview");
     // Without it they are numbers, and nobody else's names: also where others are merged in.
     let end = frames(&bytes)[4].0;
-    let lost = Trace::open(Cursor::new(bytes[..end].to_vec())).unwrap();
+    let lost = TraceReader::open(Cursor::new(bytes[..end].to_vec())).unwrap();
     let other = open(&file(2, 7, "n2", &records(300_000, 9), BLOCK));
-    let mut out = Writer::new(Vec::new(), head(2, 9, "out"), Pace::default()).unwrap();
-    let sources = [("other", other), ("lost", lost)].map(|(name, trace)| Source {
+    let mut out = Writer::new(Vec::new(), header(2, 9, "out"), BlockConfig::default()).unwrap();
+    let sources = [("other", other), ("lost", lost)].map(|(name, reader)| MergeSource {
         name: name.into(),
-        trace,
+        reader,
         offset: 0,
     });
     merge(sources.into(), &mut out, |_, _| {}).unwrap();
-    assert!(out.names().handlers.iter().any(|handler| handler.name == "handler-1"), "{:?}", out.names());
+    assert!(
+        out.dictionary().handlers.iter().any(|handler| handler.name == "handler-1"),
+        "{:?}",
+        out.dictionary()
+    );
 }
 
 #[test]
-fn times_that_run_backwards_are_kept_and_found() {
-    let odd = Record { read: Some(500), answered: Some(-200), over: Some(-300), ..Record::default() };
-    let bytes = file(2, 1, "n1", std::slice::from_ref(&odd), 10);
-    assert_eq!(read(&bytes).unwrap().records, [odd]);
+fn out_of_order_times_are_preserved_and_reported() {
+    let reversed =
+        Record { read: Some(500), answered: Some(-200), released: Some(-300), ..Record::default() };
+    let bytes = file(2, 1, "n1", std::slice::from_ref(&reversed), 10);
+    assert_eq!(read_all(&bytes).unwrap().records, [reversed]);
     let found = check(open(&bytes)).unwrap();
-    assert!(!found.sound());
-    assert_eq!(found.backwards["answered before it was read"], 1);
+    assert!(!found.is_sound());
+    assert_eq!(found.out_of_order_times["answered before it was read"], 1);
 }
 
 #[test]
-fn a_clock_set_back_an_hour_leaves_the_index_sharp() {
+fn a_clock_set_back_starts_a_new_block() {
     const HOUR: Micros = 3_600_000_000;
     let some = records(4_000_000, 5);
     let half = some.len() / 2;
@@ -227,17 +242,17 @@
     let bytes = file(2, 1, "n1", &set, 64);
     let mut trace = open(&bytes);
     let mut index = trace.survey().unwrap().index;
-    assert!(index.places().iter().all(|place| place.to - place.from < HOUR / 2), "no block spans the hour");
-    let (from, to) = (set[half].reached - 1_000_000, Load::default().start - HOUR / 2);
-    let wanted = Wanted { from: Some(from), to: Some(to), ..Wanted::default() };
+    assert!(index.blocks().iter().all(|place| place.to - place.from < HOUR / 2), "no block spans the hour");
+    let (from, to) = (set[half].reached - 1_000_000, SyntheticLoad::default().start - HOUR / 2);
+    let wanted = Filter { from: Some(from), to: Some(to), ..Filter::default() };
     assert!(index.find(&wanted).len() < index.len(), "the first half is not read");
-    let mut out = Writer::new(Vec::new(), head(2, 9, "n1"), Pace::default()).unwrap();
+    let mut out = Writer::new(Vec::new(), header(2, 9, "n1"), BlockConfig::default()).unwrap();
     let done = copy(open(&bytes), &wanted, &mut out, |_| {}).unwrap();
-    assert_eq!(done.records as usize, set.iter().filter(|record| wanted.has(record)).count());
-    assert!(check(open(&bytes)).unwrap().set_back > 0);
+    assert_eq!(done.records as usize, set.iter().filter(|record| wanted.matches(record)).count());
+    assert!(check(open(&bytes)).unwrap().set_back_blocks > 0);
 }
 
-/// Counts the bytes that are read of it.
+/// RecorderCounters the bytes that are read of it.
 struct Counted(Cursor<Vec<u8>>, std::rc::Rc<std::cell::Cell<usize>>);
 
 impl std::io::Read for Counted {
@@ -255,15 +270,15 @@
 }
 
 #[test]
-fn an_index_that_claims_a_block_longer_than_a_frame_is_not_believed() {
+fn a_block_entry_longer_than_a_frame_is_rejected_unread() {
     let (_, mut bytes) = small(2);
-    let place = open(&bytes).survey().unwrap().index.places()[0].clone();
+    let place = open(&bytes).survey().unwrap().index.blocks()[0].clone();
     bytes.resize(bytes.len() + 20 * 1024 * 1024, 0);
     let count = std::rc::Rc::default();
-    let mut trace = Trace::open(Counted(Cursor::new(bytes), std::rc::Rc::clone(&count))).unwrap();
-    assert!(trace.block(&place).is_ok() && trace.sizes(&place).is_ok());
+    let mut trace = TraceReader::open(Counted(Cursor::new(bytes), std::rc::Rc::clone(&count))).unwrap();
+    assert!(trace.read_block(&place).is_ok() && trace.column_sizes(&place).is_ok());
     let before = count.get();
-    let hostile = Place { length: 1 << 40, ..place };
-    assert!(trace.block(&hostile).is_err() && trace.sizes(&hostile).is_err());
+    let hostile = BlockEntry { length: 1 << 40, ..place };
+    assert!(trace.read_block(&hostile).is_err() && trace.column_sizes(&hostile).is_err());
     assert_eq!(count.get(), before, "nothing is read by such a length");
 }
--- a/crates/trace/tests/files/format.rs
+++ b/crates/trace/tests/files/format.rs
@@ -1,9 +1,11 @@
 //! What is written comes back, in both formats; what does not fit is an error.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use tulipgap_trace::*;
+use tulipgap_trace::{
+    BlockConfig, BlockEntry, Filter, HandlerInfo, Index, Outcome, Reason, Record, TraceError, Writer,
+};
 
-use crate::common::*;
+use crate::common::{file, format_1_record, header, open, read_all, records, sorted};
 
 #[derive(Clone, Debug)]
 struct Any(Record);
@@ -20,8 +22,8 @@
 impl Arbitrary for Any {
     fn arbitrary(g: &mut Gen) -> Self {
         let mut some = |chance: u8| (u8::arbitrary(g) % 4 < chance).then(|| value(g));
-        let [read, admitted, run, called, answered, over] = [3, 2, 2, 1, 3, 3].map(&mut some);
-        let [patience, hint, work, wait] = [1, 2, 2, 1].map(&mut some);
+        let [read, admitted, started, first_call, answered, released] = [3, 2, 2, 1, 3, 3].map(&mut some);
+        let [client_wait, estimated_work, work, retry_after] = [1, 2, 2, 1].map(&mut some);
         let [key, subject, caller] = [1, 2, 3].map(|chance| some(chance).map(|value| value as u64));
         Any(Record {
             server: u32::arbitrary(g),
@@ -31,49 +33,49 @@
             key,
             subject,
             caller,
-            retry: bool::arbitrary(g),
+            is_retry: bool::arbitrary(g),
             reached: value(g),
             read,
             admitted,
-            run,
-            called,
+            started,
+            first_call,
             answered,
-            over,
-            patience,
-            hint,
+            released,
+            client_wait,
+            estimated_work,
             work,
             outcome: *g.choose(&Outcome::ALL).unwrap(),
             reason: Reason(u8::arbitrary(g)),
-            no_more: bool::arbitrary(g),
-            wait,
+            no_retry: bool::arbitrary(g),
+            retry_after,
             calls: u32::arbitrary(g),
-            skipped: u32::arbitrary(g) % 3,
-            advice: Option::arbitrary(g).filter(|value: &f64| !value.is_nan()),
+            skipped_calls: u32::arbitrary(g) % 3,
+            feedback: Option::arbitrary(g).filter(|value: &f64| !value.is_nan()),
         })
     }
 }
 
 quickcheck! {
-    fn every_value_comes_back(records: Vec<Any>, block: u8) -> bool {
+    fn every_record_round_trips(records: Vec<Any>, block: u8) -> bool {
         let records: Vec<Record> = records.into_iter().map(|any| any.0).collect();
         let bytes = file(2, 1, "n1", &records, usize::from(block).max(1));
-        let back = read(&bytes).unwrap();
+        let back = read_all(&bytes).unwrap();
         let indexed = open(&bytes).survey().unwrap();
-        assert!(back.losses.is_empty() && indexed.indexed, "{:?}", back.losses);
+        assert!(back.losses.is_empty() && indexed.is_indexed, "{:?}", back.losses);
         assert_eq!(indexed.index.records(), records.len() as u64);
         // Blocks keep the order in which records came, records within a block their own.
         sorted(back.records) == sorted(records)
     }
 
-    fn a_block_is_found_as_by_a_plain_scan(
+    fn index_lookup_matches_a_linear_scan(
         places: Vec<(i16, u8, u8, u8)>,
         asked: (Option<i16>, Option<i16>, Option<u8>, Option<u8>)
     ) -> bool {
         let mut index = Index::default();
         for (from, length, handlers, outcomes) in places {
             let handlers = (0..8).filter(|bit| handlers >> bit & 1 == 1).collect();
-            index.add(Place {
-                at: index.len() as u64 * 100,
+            index.add(BlockEntry {
+                offset: index.len() as u64 * 100,
                 length: 100,
                 records: 1,
                 from: i64::from(from),
@@ -82,7 +84,7 @@
                 outcomes: u32::from(outcomes & 15),
             });
         }
-        let wanted = Wanted {
+        let wanted = Filter {
             from: asked.0.map(i64::from),
             to: asked.1.map(i64::from),
             handlers: asked.2.map(|handler| [u32::from(handler % 9), 3].into()),
@@ -94,20 +96,20 @@
 }
 
 #[test]
-fn format_1_is_lean_and_says_what_it_leaves_out() {
+fn format_1_omits_and_names_newer_columns() {
     let some = records(2_000_000, 1);
     let bytes = file(1, 1, "n1", &some, 100);
-    let back = read(&bytes).unwrap();
+    let back = read_all(&bytes).unwrap();
     assert!(back.losses.is_empty() && back.unknown.is_empty());
-    assert_eq!(sorted(back.records), sorted(some.iter().map(lean).collect()));
-    let writer = Writer::new(Vec::new(), head(1, 1, "n1"), Pace::default()).unwrap();
-    assert!(writer.left_out().contains(&"work") && !writer.left_out().contains(&"reached"));
+    assert_eq!(sorted(back.records), sorted(some.iter().map(format_1_record).collect()));
+    let writer = Writer::new(Vec::new(), header(1, 1, "n1"), BlockConfig::default()).unwrap();
+    assert!(writer.omitted_columns().contains(&"work") && !writer.omitted_columns().contains(&"reached"));
     assert!(bytes.len() < file(2, 1, "n1", &some, 100).len());
 }
 
 #[test]
-fn a_value_that_does_not_fit_is_an_error_that_names_its_column() {
-    let mut writer = Writer::new(Vec::new(), head(1, 1, "n1"), Pace::default()).unwrap();
+fn an_out_of_range_value_is_an_error_naming_its_column() {
+    let mut writer = Writer::new(Vec::new(), header(1, 1, "n1"), BlockConfig::default()).unwrap();
     let late = Record { answered: Some(3_600_000_000), ..Record::default() };
     let error = writer.push(late).unwrap_err();
     assert_eq!(error.to_string(), "answered: 3600000000 does not fit its column of 32 bits");
@@ -115,38 +117,39 @@
     assert!(writer.push(other).unwrap_err().to_string().starts_with("server: 1 "));
     // The others are not harmed.
     writer.push(Record::default()).unwrap();
-    assert_eq!(read(&writer.finish().unwrap().0).unwrap().records.len(), 1);
+    assert_eq!(read_all(&writer.finish().unwrap().0).unwrap().records.len(), 1);
 }
 
 #[test]
-fn a_dictionary_grows_in_mid_file() {
-    let mut writer = Writer::new(Vec::new(), head(2, 1, "n1"), Pace::default()).unwrap();
+fn names_added_after_the_header_are_read() {
+    let mut writer = Writer::new(Vec::new(), header(2, 1, "n1"), BlockConfig::default()).unwrap();
     writer.push(Record::default()).unwrap();
-    let late = writer.handler(&HandlerName { name: "late".into(), ..HandlerName::default() });
+    let late = writer.handler_index(&HandlerInfo { name: "late".into(), ..HandlerInfo::default() });
     writer.push(Record { handler: late, id: 2, ..Record::default() }).unwrap();
     let bytes = writer.finish().unwrap().0;
-    let back = read(&bytes).unwrap();
+    let back = read_all(&bytes).unwrap();
     assert_eq!(back.names.handler(late), "late");
     let mut trace = open(&bytes);
     trace.survey().unwrap();
-    assert_eq!(trace.names().handler(late), "late");
+    assert_eq!(trace.dictionary().handler(late), "late");
 }
 
 /// A file with a column of ours under an id that nobody knows, as a later writer may make it.
 #[test]
-fn a_column_that_is_not_known_is_passed_over_and_named() {
+fn an_unknown_column_is_skipped_and_named() {
     let some = records(1_000_000, 2);
-    let mut later = head(2, 1, "n1");
+    let mut later = header(2, 1, "n1");
     later.columns.iter_mut().filter(|column| column.id == 24).for_each(|column| {
         (column.id, column.name) = (99, "mood".into());
     });
-    let mut writer = Writer::new(Vec::new(), later, Pace { records: 50, ..Pace::default() }).unwrap();
+    let mut writer =
+        Writer::new(Vec::new(), later, BlockConfig { max_records: 50, ..BlockConfig::default() }).unwrap();
     some.iter().for_each(|record| writer.push(record.clone()).unwrap());
     let (bytes, _) = writer.finish().unwrap();
     let patched = patch_column_id(&bytes, 24, 99);
-    let back = read(&patched).unwrap();
+    let back = read_all(&patched).unwrap();
     assert_eq!(back.unknown, ["mood"]);
-    let without = |record: &Record| Record { wait: None, ..record.clone() };
+    let without = |record: &Record| Record { retry_after: None, ..record.clone() };
     assert!(back.losses.is_empty(), "{:?}", back.losses);
     assert_eq!(sorted(back.records), sorted(some.iter().map(without).collect()));
 }
@@ -174,13 +177,13 @@
 }
 
 #[test]
-fn a_format_from_the_future_is_turned_down() {
+fn a_newer_format_version_is_rejected() {
     let mut bytes = file(2, 1, "n1", &records(500_000, 1), 50);
     bytes[8] = 3;
     let check = crc32fast::hash(&bytes[..12]);
     bytes[12..16].copy_from_slice(&check.to_le_bytes());
-    let error = read(&bytes).unwrap_err();
+    let error = read_all(&bytes).unwrap_err();
     assert_eq!(error.to_string(), "format 3 is newer than this program, which reads up to 2");
-    assert!(matches!(read(b"GIF89a, and so on and on"), Err(TraceError::NoTrace)));
-    assert!(matches!(read(b""), Err(TraceError::NoTrace)));
+    assert!(matches!(read_all(b"GIF89a, and so on and on"), Err(TraceError::NotARecording)));
+    assert!(matches!(read_all(b""), Err(TraceError::NotARecording)));
 }
--- a/crates/trace/tests/files/golden.rs
+++ b/crates/trace/tests/files/golden.rs
@@ -1,16 +1,16 @@
 //! Recordings written by version 0.1.0, kept as bytes: every later version reads the same values from them.
 //!
-//! Each `golden/NAME.tgt` stands beside `golden/NAME.jsonl`, what `tulipgap trace export` of version 0.1.0 printed of
-//! it. `format-1.tgt` is a recording of synthetic load in format 1. `format-2.tgt` is a merge of two servers' files in
-//! format 2, one of them repaired after damage, so that it has a gap.
+//! Each `golden/NAME.tgt` stands beside `golden/NAME.jsonl`, what `tulipgap trace export` of version 0.1.0
+//! printed of it. `format-1.tgt` is a recording of synthetic load in format 1. `format-2.tgt` is a merge of
+//! two servers' files in format 2, one of them repaired after damage, so that it has a gap.
 
 use serde_json::{Map, Value, json};
-use tulipgap_trace::*;
+use tulipgap_trace::{COLUMNS, ColumnKind, Dictionary, GapReason, Outcome, Record, SyntheticLoad, check};
 
-use crate::common::*;
+use crate::common::{Contents, open, read_all};
 
 /// A record as the export of version 0.1.0 prints it, by the table of columns.
-fn exported(record: &Record, names: &Names) -> Value {
+fn exported(record: &Record, names: &Dictionary) -> Value {
     let mut row = Map::new();
     for column in COLUMNS {
         let Some(raw) = (column.get)(record) else { continue };
@@ -22,9 +22,9 @@
             ("outcome", _) => json!(record.outcome.name()),
             ("reason", _) => json!(record.reason.name()),
             ("id" | "key" | "subject", _) => json!(format!("{raw:016x}")),
-            (_, Kind::Signed) => json!(signed),
-            (_, Kind::Float) => json!(f64::from_bits(raw)),
-            (_, Kind::Flag) => json!(raw == 1),
+            (_, ColumnKind::Signed) => json!(signed),
+            (_, ColumnKind::Float) => json!(f64::from_bits(raw)),
+            (_, ColumnKind::Flag) => json!(raw == 1),
             _ => json!(raw),
         };
         row.insert(column.name.to_owned(), value);
@@ -32,8 +32,8 @@
     Value::Object(row)
 }
 
-fn assert_same_records(recording: &[u8], export: &str) -> Read {
-    let back = read(recording).unwrap();
+fn assert_same_records(recording: &[u8], export: &str) -> Contents {
+    let back = read_all(recording).unwrap();
     assert!(back.losses.is_empty() && back.unknown.is_empty(), "{:?} {:?}", back.losses, back.unknown);
     let expected: Vec<Value> = export.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
     assert_eq!(back.records.len(), expected.len());
@@ -47,9 +47,9 @@
 fn a_recording_in_format_1_of_version_0_1_0_reads_back_the_same_values() {
     let recording = include_bytes!("golden/format-1.tgt");
     let back = assert_same_records(recording, include_str!("golden/format-1.jsonl"));
-    assert_eq!(back.names, Load::names("south-1"));
+    assert_eq!(back.names, SyntheticLoad::dictionary("south-1"));
     let survey = open(recording).survey().unwrap();
-    assert!(!survey.indexed, "format 1 has no index");
+    assert!(!survey.is_indexed, "format 1 has no index");
 }
 
 #[test]
@@ -57,17 +57,17 @@
     let recording = include_bytes!("golden/format-2.tgt");
     let back = assert_same_records(recording, include_str!("golden/format-2.jsonl"));
     assert_eq!(back.names.servers, ["north-1", "north-2"]);
-    assert_eq!(back.names.handlers, Load::names("north-1").handlers);
+    assert_eq!(back.names.handlers, SyntheticLoad::dictionary("north-1").handlers);
     for outcome in Outcome::ALL {
         assert!(back.records.iter().any(|record| record.outcome == outcome), "{}", outcome.name());
     }
     let survey = open(recording).survey().unwrap();
-    assert!(survey.indexed);
+    assert!(survey.is_indexed);
     assert_eq!(survey.gaps, back.gaps);
     assert_eq!(survey.index.records() as usize, back.records.len());
     let [bytes, counted] = &back.gaps[..] else { panic!("two gaps: {:?}", back.gaps) };
-    assert_eq!((bytes.why, bytes.records), (Why::Damaged, None));
-    assert_eq!((counted.why, counted.server.as_str()), (Why::Damaged, "north-1"));
+    assert_eq!((bytes.reason, bytes.records), (GapReason::Damaged, None));
+    assert_eq!((counted.reason, counted.server.as_str()), (GapReason::Damaged, "north-1"));
     assert!(counted.records.is_some_and(|records| records > 0));
-    assert!(check(open(recording)).unwrap().sound());
+    assert!(check(open(recording)).unwrap().is_sound());
 }
--- a/crates/trace/tests/files/main.rs
+++ b/crates/trace/tests/files/main.rs
@@ -1,8 +1,8 @@
-//! Files of records: whole, torn, damaged, hostile, of both formats; and what is made of them.
+//! Recordings of both formats: complete, torn, damaged and hostile; the recorder; and files made from files.
 
 mod common;
 mod damage;
 mod format;
 mod golden;
-mod keeping;
-mod making;
+mod recorder;
+mod rewriting;
