Configuration: a file a block, standard type names, problems as an enum with place and cause

Tracing, Admitting, Cap, Trial and Product did not say what they configure, one file held two blocks, reading, errors and validators, and a problem was a text. Now: TraceConfig, ConnectionLimitsConfig, NetworkLimitConfig, ClusterConfig, DrainConfig, FaultInjectionConfig, TestLease and ProductConfig in a file a block; the schema (keys and types) apart from the check of a file's structure; ProblemKind with a variant a cause; ConfigError keeps path and source. Also gone: TraceReader's choice of columns, which nobody used.

--- a/crates/cli/src/check_config.rs
+++ b/crates/cli/src/check_config.rs
@@ -11,11 +11,11 @@
     for path in paths {
         match tulipgap_config::read(path) {
             Ok(_) => println!("{}: fine", path.display()),
-            Err(error @ ConfigError::Unread { .. }) => return Err(CliError::Config(error)),
-            Err(error) => {
+            Err(error @ ConfigError::Invalid { .. }) => {
                 println!("{error}");
                 status = Status::Incomplete;
             }
+            Err(error) => return Err(CliError::Config(error)),
         }
     }
     Ok(status)
--- /dev/null
+++ b/crates/config/src/error.rs
@@ -0,0 +1,102 @@
+//! What can be wrong with a configuration file, and where.
+
+use std::fmt;
+use std::io;
+use std::path::PathBuf;
+
+/// One problem of a file. Lines and columns count from 1.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The line.
+    pub line: usize,
+    /// The column, in characters.
+    pub column: usize,
+    /// What is wrong there.
+    pub kind: ProblemKind,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.line, self.column, self.kind)
+    }
+}
+
+/// What is wrong at one place of a file. A path is a key with the blocks around it: `trace.folder`.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ProblemKind {
+    /// The text is no HCL, or cannot be read as the configuration.
+    #[error("{0}")]
+    Syntax(String),
+    /// There is no such key.
+    #[error("'{path}' is no name{}", suggestion.map_or_else(String::new, |name| format!("; is '{name}' meant?")))]
+    UnknownKey {
+        /// The path as it is written.
+        path: String,
+        /// The known key that is nearest to it.
+        suggestion: Option<&'static str>,
+    },
+    /// A key or block occurs more than once.
+    #[error("'{0}' stands twice")]
+    Duplicate(String),
+    /// A required key is missing.
+    #[error("'{0}' is missing")]
+    Missing(String),
+    /// A block has a label.
+    #[error("'{0}' takes no label")]
+    Label(String),
+    /// A key is written as a block.
+    #[error("'{0}' is no block; write {0} = ...")]
+    NotABlock(String),
+    /// A block is written as a key.
+    #[error("'{0}' is a block; write {0} {{ ... }}")]
+    IsABlock(String),
+    /// The value is of another type.
+    #[error("{path}: it takes {expected}")]
+    WrongType {
+        /// The path of the key.
+        path: String,
+        /// What the key takes, in words.
+        expected: &'static str,
+    },
+    /// The value is of the right type, but not one that the key accepts.
+    #[error("{path}: {reason}")]
+    InvalidValue {
+        /// The path of the key.
+        path: String,
+        /// What is wrong with the value, in words.
+        reason: String,
+    },
+}
+
+/// Why a file is not accepted.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// It cannot be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Why it cannot be read.
+        source: io::Error,
+    },
+    /// It is longer than a configuration may be.
+    #[error("{}: it is longer than 1 MiB", path.display())]
+    TooLong {
+        /// The file.
+        path: PathBuf,
+    },
+    /// It has problems.
+    #[error("{}", listed(path, problems))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// All of its problems, in the order of their places.
+        problems: Vec<Problem>,
+    },
+}
+
+/// One line for each problem: `file:line:column: what`.
+fn listed(path: &std::path::Path, problems: &[Problem]) -> String {
+    let line = |problem: &Problem| format!("{}:{problem}", path.display());
+    problems.iter().map(line).collect::<Vec<_>>().join("\n")
+}
--- a/crates/config/src/tests.rs
+++ b/crates/config/src/tests.rs
@@ -1,22 +1,26 @@
-use super::*;
+use std::time::Duration;
+
+use bytesize::ByteSize;
+
+use crate::{Problem, ProductConfig, parse};
 
 fn problems(text: &str) -> Vec<String> {
-    understand(text).expect_err("it is wrong").iter().map(Problem::to_string).collect()
+    parse(text).expect_err("the text has problems").iter().map(Problem::to_string).collect()
 }
 
 #[test]
-fn what_is_left_out_has_its_default() {
-    assert_eq!(understand("").unwrap(), Product::default());
-    let trace = understand("trace {\n  folder = \"t\"\n}\n").unwrap().trace.unwrap();
+fn omitted_keys_have_their_defaults() {
+    assert_eq!(parse("").unwrap(), ProductConfig::default());
+    let trace = parse("trace {\n  folder = \"t\"\n}\n").unwrap().trace.unwrap();
     assert!(trace.enabled && trace.sync && trace.format == 2);
     assert_eq!((trace.seal_after, trace.rotate_size), (Duration::from_secs(5), ByteSize::mib(64)));
-    let told = "trace {\n folder = \"t\"\n seal_after = \"1s 500ms\"\n rotate_size = \"1 MiB\"\n keep_size = \"10 MiB\"\n}";
-    let trace = understand(told).unwrap().trace.unwrap();
+    let text = "trace {\n folder = \"t\"\n seal_after = \"1s 500ms\"\n rotate_size = \"1 MiB\"\n keep_size = \"10 MiB\"\n}";
+    let trace = parse(text).unwrap().trace.unwrap();
     assert_eq!((trace.seal_after, trace.keep_size), (Duration::from_millis(1500), ByteSize::mib(10)));
 }
 
 #[test]
-fn every_problem_is_told_at_its_place_and_not_only_the_first() {
+fn every_problem_is_reported_with_its_place() {
     let text = r#"trace {
   fodler     = "t"
   format     = "two"
@@ -25,9 +29,9 @@
 trace {}
 trase "x" {}
 "#;
-    let told = problems(text);
+    let found = problems(text);
     assert_eq!(
-        told,
+        found,
         [
             "1:1: 'trace.folder' is missing",
             "2:3: 'trace.fodler' is no name; is 'folder' meant?",
@@ -40,19 +44,22 @@
 }
 
 #[test]
-fn figures_out_of_range_are_told_at_their_place() {
+fn out_of_range_values_are_reported_with_their_places() {
     let text = "trace {\n  folder = \"\"\n  format = 7\n  queue = 1\n  seal_after = \"5m\"\n  keep_size = \"1 MiB\"\n}\n";
-    let told = problems(text);
-    assert_eq!(told.len(), 5, "{told:?}");
+    let found = problems(text);
+    assert_eq!(found.len(), 5, "{found:?}");
     for (line, name) in [(2, "folder"), (3, "format"), (4, "queue"), (5, "seal_after"), (6, "keep_size")] {
-        assert!(told.iter().any(|p| p.starts_with(&format!("{line}:3: trace.{name}: "))), "{name}: {told:?}");
+        assert!(
+            found.iter().any(|p| p.starts_with(&format!("{line}:3: trace.{name}: "))),
+            "{name}: {found:?}"
+        );
     }
 }
 
 #[test]
-fn what_is_no_hcl_is_told_at_its_place() {
-    let told = problems("trace {\n  folder = \n}\n");
-    assert!(told.len() == 1 && told[0].starts_with("2:"), "{told:?}");
+fn syntax_errors_are_reported_with_their_places() {
+    let found = problems("trace {\n  folder = \n}\n");
+    assert!(found.len() == 1 && found[0].starts_with("2:"), "{found:?}");
     let twice = problems("trace {\n folder = \"a\"\n folder = \"b\"\n}\n");
     assert!(twice.len() == 1 && twice[0].starts_with("3:"), "{twice:?}");
     assert_eq!(problems("trace = 3\n"), ["1:1: 'trace' is a block; write trace { ... }"]);
@@ -60,48 +67,51 @@
 }
 
 quickcheck::quickcheck! {
-    fn any_text_is_understood_or_told_wrong(text: String, cut: usize) -> bool {
+    fn any_text_is_accepted_or_has_problems(text: String, cut: usize) -> bool {
         let some = "trace {\n  folder = \"t\"\n  queue = 100\n}\n";
         let cut = cut % some.len();
         let mixed = format!("{}{text}{}", &some[..cut], &some[cut..]);
-        understand(&mixed).is_ok() || !problems(&mixed).is_empty()
+        parse(&mixed).is_ok() || !problems(&mixed).is_empty()
     }
 }
 
 #[test]
-fn the_block_on_connections_is_checked_as_a_whole() {
+fn all_keys_of_the_admission_block_are_checked() {
     let text =
         "admission {\n  known_part = 0.4\n  known = [\"10.0.0.0/8\"]\n  address {\n    open = 32\n  }\n}\n";
-    let admission = understand(text).unwrap().admission.unwrap();
+    let admission = parse(text).unwrap().admission.unwrap();
     assert_eq!((admission.known_part, admission.address.open, admission.wide.open), (0.4, Some(32), None));
     assert_eq!((&admission.when_full[..], admission.cold_part), ("refuse", 1.0));
     let text = "admission {\n  known_part = 2\n  known = [\"here\"]\n  when_full = \"hope\"\n  address {\n    open = 0\n  }\n}\n";
-    let told = problems(text);
-    assert_eq!(told.len(), 4, "{told:?}");
+    let found = problems(text);
+    assert_eq!(found.len(), 4, "{found:?}");
     for (place, name) in
         [("2:3", "known_part"), ("3:3", "known"), ("4:3", "when_full"), ("6:5", "address.open")]
     {
         assert!(
-            told.iter().any(|p| p.starts_with(&format!("{place}: admission.{name}"))),
-            "{name}: {told:?}"
+            found.iter().any(|p| p.starts_with(&format!("{place}: admission.{name}"))),
+            "{name}: {found:?}"
         );
     }
     assert_eq!(problems("admission {\n  known = \"x\"\n}\n").len(), 1);
 }
 
 #[test]
-fn the_block_on_the_cluster_is_checked_as_a_whole() {
+fn all_keys_of_the_cluster_block_are_checked() {
     let base = "cluster {\n  name = \"c\"\n  listen = \"127.0.0.1:7100\"\n  region = \"r\"\n  zone = \"z\"\n  key = \"/k\"\n";
-    let cluster = understand(&format!("{base}}}\n")).unwrap().cluster.unwrap();
+    let cluster = parse(&format!("{base}}}\n")).unwrap().cluster.unwrap();
     assert_eq!((cluster.enabled, cluster.clock_off, cluster.drain), (true, 0.05, None));
     let text = format!(
         "{base}  voters = [\"a\", \"a\"]\n  seeds = [\"here\"]\n  clock_off = 2\n  drain {{\n    at_once = 0\n  }}\n}}\n"
     );
-    let told = problems(&text);
+    let found = problems(&text);
     for (place, name) in
         [("7:3", "voters"), ("8:3", "seeds"), ("9:3", "clock_off"), ("11:5", "drain.at_once")]
     {
-        assert!(told.iter().any(|p| p.starts_with(&format!("{place}: cluster.{name}"))), "{name}: {told:?}");
+        assert!(
+            found.iter().any(|p| p.starts_with(&format!("{place}: cluster.{name}"))),
+            "{name}: {found:?}"
+        );
     }
     assert!(problems("cluster {\n  name = \"c\"\n}\n").len() == 4, "listen, region, zone, key");
 }
--- /dev/null
+++ b/crates/config/src/trace.rs
@@ -0,0 +1,96 @@
+//! The block `trace`: recording of what happens to each request.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bytesize::ByteSize;
+use garde::Validate;
+use serde::Deserialize;
+
+use crate::validators::{default_true, duration_between, non_empty_path, size_between};
+
+/// What a file may need beyond `rotate_size`: a block that was begun, names and the index.
+const FILE_SLACK: ByteSize = ByteSize::mib(2);
+
+/// Recording of what happens to each request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Validate)]
+#[garde(context(()))]
+pub struct TraceConfig {
+    /// Whether requests are recorded.
+    #[serde(default = "default_true")]
+    #[garde(skip)]
+    pub enabled: bool,
+    /// The directory of the files.
+    #[garde(custom(non_empty_path))]
+    pub folder: PathBuf,
+    /// The format version.
+    #[serde(default = "default_format")]
+    #[garde(range(min = 1, max = 2))]
+    pub format: u32,
+    /// How many records may wait for the disk.
+    #[serde(default = "default_queue")]
+    #[garde(range(min = 64, max = 1_000_000))]
+    pub queue: u64,
+    /// The most records of a block.
+    #[serde(default = "default_block")]
+    #[garde(range(min = 1, max = 65_536))]
+    pub block: u64,
+    /// A block is sealed no later than so long after its first record.
+    #[serde(default = "default_seal_after", with = "humantime_serde")]
+    #[garde(custom(duration_between(Duration::from_millis(100), Duration::from_secs(60))))]
+    pub seal_after: Duration,
+    /// A file is closed when it has so many bytes.
+    #[serde(default = "default_rotate_size")]
+    #[garde(custom(size_between(ByteSize::kib(64), ByteSize::gib(16))))]
+    pub rotate_size: ByteSize,
+    /// A file is closed when it is so old.
+    #[serde(default = "default_rotate_after", with = "humantime_serde")]
+    #[garde(custom(duration_between(Duration::from_secs(10), Duration::from_secs(7 * 86_400))))]
+    pub rotate_after: Duration,
+    /// The most bytes of all files together; the oldest are removed first.
+    #[serde(default = "default_keep_size")]
+    #[garde(custom(holds_two_files(&self.rotate_size)))]
+    pub keep_size: ByteSize,
+    /// Whether blocks survive a crash of the machine, and not only of the process.
+    #[serde(default = "default_true")]
+    #[garde(skip)]
+    pub sync: bool,
+}
+
+fn default_format() -> u32 {
+    2
+}
+
+fn default_queue() -> u64 {
+    8192
+}
+
+fn default_block() -> u64 {
+    4096
+}
+
+fn default_seal_after() -> Duration {
+    Duration::from_secs(5)
+}
+
+fn default_rotate_size() -> ByteSize {
+    ByteSize::mib(64)
+}
+
+fn default_rotate_after() -> Duration {
+    Duration::from_secs(3600)
+}
+
+fn default_keep_size() -> ByteSize {
+    ByteSize::gib(2)
+}
+
+/// Accepts a size that holds the file that is written and one before it.
+fn holds_two_files(rotate_size: &ByteSize) -> impl FnOnce(&ByteSize, &()) -> garde::Result {
+    let min = ByteSize(rotate_size.0.saturating_mul(2).saturating_add(FILE_SLACK.0));
+    move |value, _| {
+        let too_small =
+            || garde::Error::new(format!("{value} is less than two files and {FILE_SLACK}: {min}"));
+        if *value >= min { Ok(()) } else { Err(too_small()) }
+    }
+}
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -147,7 +147,7 @@
 }
 
 /// Takes its place among the others. What it is told makes no sense, or its address is taken: that is said at the start.
-pub fn start(told: &tulipgap_config::Cluster, own_name: &str, seed: u64) -> Result<Cluster, String> {
+pub fn start(told: &tulipgap_config::ClusterConfig, own_name: &str, seed: u64) -> Result<Cluster, String> {
     let me: Name = told.member.as_deref().unwrap_or(own_name).into();
     let at = |what: &str, error: &dyn std::fmt::Display| format!("cluster: {what}: {error}");
     let listen: SocketAddr = told.listen.parse().map_err(|error| at("listen", &error))?;
--- a/crates/server/src/connection_limits.rs
+++ b/crates/server/src/connection_limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tulipgap_config::{Admitting, Cap};
+use tulipgap_config::{ConnectionLimitsConfig, NetworkLimitConfig};
 use tulipgap_connection_limits::{
     Config, ConnectionLimit, DescriptorOwner, FullPolicy, NetworkLimits, Reservation,
 };
@@ -24,7 +24,7 @@
 pub(crate) fn limiter_config(
     config: &ServerConfig,
     store_connections: usize,
-    admission: Option<&Admitting>,
+    admission: Option<&ConnectionLimitsConfig>,
 ) -> Config {
     let store_connections = store_connections.min(config.sockets.saturating_sub(KEPT + 1));
     let default = Config {
@@ -51,7 +51,12 @@
     }
 }
 
-fn configured(config: &ServerConfig, places: usize, admission: &Admitting, default: Config) -> Config {
+fn configured(
+    config: &ServerConfig,
+    places: usize,
+    admission: &ConnectionLimitsConfig,
+    default: Config,
+) -> Config {
     // As many as all callers could have each, with room for twice that; never all of it.
     let share = 2 * places / config.controller.callers.max(MIN_CALLERS) as usize;
     let all_but_one = places.max(MIN_CONNECTIONS_PER_ADDRESS + 1) - 1;
@@ -67,7 +72,7 @@
             network: limit(&admission.network, per_network),
             wide_network: limit(&admission.wide, per_network),
         }),
-        full_policy: if admission.when_full == "wait" { FullPolicy::Wait } else { FullPolicy::Reject },
+        full_policy: admission.full_policy(),
         // They were checked when the file was read.
         trusted_networks: admission.known.iter().filter_map(|network| network.parse().ok()).collect(),
         reputation_half_life: admission.half_life,
@@ -77,7 +82,7 @@
     }
 }
 
-fn limit(configured: &Cap, default_connections: u32) -> ConnectionLimit {
+fn limit(configured: &NetworkLimitConfig, default_connections: u32) -> ConnectionLimit {
     let max_connections = configured.open.unwrap_or(default_connections);
     let max_rate = configured.rate.unwrap_or(max_connections.max(MIN_CONNECTION_RATE));
     ConnectionLimit { max_connections, max_rate }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -100,7 +100,7 @@
 }
 
 fn start_tracer(
-    tracing: Option<&tulipgap_config::Tracing>,
+    tracing: Option<&tulipgap_config::TraceConfig>,
     config: &ServerConfig,
 ) -> Result<Option<Arc<Tracer>>, StartError> {
     let Some(tracing) = tracing.filter(|tracing| tracing.enabled) else { return Ok(None) };
@@ -111,7 +111,7 @@
 /// Joins the cluster, where the block `cluster` enables it. Nothing listens, talks to peers or writes a folder without
 /// that block. The descriptors of a cluster member are taken from those of the server.
 fn start_cluster(
-    block: Option<&tulipgap_config::Cluster>,
+    block: Option<&tulipgap_config::ClusterConfig>,
     config: &mut ServerConfig,
 ) -> Result<Option<Cluster>, StartError> {
     let Some(block) = block.filter(|block| block.enabled) else { return Ok(None) };
@@ -127,7 +127,7 @@
     listener: TcpListener,
     signals: Signals,
     tracer: Option<Arc<Tracer>>,
-    admission: Option<&tulipgap_config::Admitting>,
+    admission: Option<&tulipgap_config::ConnectionLimitsConfig>,
     cluster: Option<Cluster>,
 ) {
     let server = match Server::start(&config, listener, tracer, admission, cluster.as_ref()) {
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use may::net::TcpListener;
-use tulipgap_config::Admitting;
+use tulipgap_config::ConnectionLimitsConfig;
 use tulipgap_connection_limits::{FullPolicy, Limiter};
 use tulipgap_settings::Steering;
 
@@ -52,7 +52,7 @@
         config: &ServerConfig,
         listener: TcpListener,
         tracer: Option<Arc<Tracer>>,
-        admission: Option<&Admitting>,
+        admission: Option<&ConnectionLimitsConfig>,
         cluster: Option<&Cluster>,
     ) -> Result<Arc<Self>, tulipgap_connection_limits::ConfigError> {
         let steering = describe_steering(config.steering);
--- a/crates/server/src/trace.rs
+++ b/crates/server/src/trace.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use tulipgap::{Config, Reason as ControllerReason};
-use tulipgap_config::Tracing;
+use tulipgap_config::TraceConfig;
 use tulipgap_settings::Names;
 use tulipgap_trace::{
     Dictionary, DirectoryStorage, HandlerInfo, Micros, Outcome, Reason, Record, Recorder, RecorderConfig,
@@ -136,7 +136,7 @@
 impl Tracer {
     /// Begins a recording in that folder, for a server of that name.
     pub(crate) fn start(
-        tracing: &Tracing,
+        tracing: &TraceConfig,
         server: &str,
         config: &Config,
         names: &Names,
--- a/crates/server/src/trial.rs
+++ b/crates/server/src/trial.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use tulipgap_config::TrialLease;
+use tulipgap_config::TestLease;
 use tulipgap_durable::Disk;
 use tulipgap_leases::{Name, Shape};
 
@@ -17,7 +17,7 @@
 const WITNESS_WAIT: Duration = Duration::from_secs(30);
 
 /// Wants a lease for ever and acts under it: each act is told to the witness as it begins and as it ends.
-pub fn act(leases: &Leases, lease: &TrialLease, witness: SocketAddr, me: &Name) {
+pub fn act(leases: &Leases, lease: &TestLease, witness: SocketAddr, me: &Name) {
     let shape = Shape { term: lease.term, places: lease.places };
     let mut link = None;
     loop {
--- a/crates/trace/src/block/decode.rs
+++ b/crates/trace/src/block/decode.rs
@@ -213,26 +213,20 @@
     values: Vec<Option<u64>>,
 }
 
-/// The records of a block, with the columns that `is_wanted` names; what else a record has is left at its
-/// default. Ids of columns that are not known here are added to `unknown`.
+/// The records of a block. Ids of columns that are not known here are added to `unknown`.
 pub(crate) fn decode_records(
     header: &BlockHeader,
     columns: &[EncodedColumn],
-    is_wanted: &dyn Fn(u8) -> bool,
     unknown: &mut BTreeSet<u64>,
 ) -> Result<Vec<Record>, TraceError> {
     let mut records = vec![Record::default(); header.records];
     let mut decoded: Vec<DecodedColumn> = Vec::new();
     let mut decompressor = Decompressor::new()?;
-    let needed = needed_columns(columns, is_wanted);
     for column in columns {
         let Some(known) = u8::try_from(column.id).ok().and_then(columns::by_id) else {
             unknown.insert(column.id);
             continue;
         };
-        if !needed.contains(&column.id) {
-            continue;
-        }
         if column.kind != known.kind.code() || decoded.iter().any(|other| other.id == column.id) {
             return Err(TraceError::Invalid("a column"));
         }
@@ -248,22 +242,6 @@
     Ok(records)
 }
 
-/// The columns that are wanted and known, and those that they are predicted from.
-fn needed_columns(columns: &[EncodedColumn], is_wanted: &dyn Fn(u8) -> bool) -> BTreeSet<u64> {
-    let mut needed = BTreeSet::new();
-    // A column is predicted from an earlier one, so the last columns are looked at first.
-    for column in columns.iter().rev() {
-        let is_wanted = u8::try_from(column.id).is_ok_and(|id| columns::by_id(id).is_some() && is_wanted(id));
-        if is_wanted || needed.contains(&column.id) {
-            needed.insert(column.id);
-            if column.prediction == prediction::OTHER_COLUMN {
-                needed.insert(u64::from(column.other_column));
-            }
-        }
-    }
-    needed
-}
-
 /// Turns differences into values, by the prediction of their column.
 fn add_predictions(
     column: &EncodedColumn,
--- a/crates/trace/src/columns.rs
+++ b/crates/trace/src/columns.rs
@@ -42,7 +42,7 @@
 
 /// From what a value is predicted; the difference to the prediction is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Prediction {
+pub(crate) enum Prediction {
     /// No prediction: the value itself is stored.
     Zero,
     /// The value of the same column in the record before.
@@ -60,15 +60,15 @@
     /// What its values are.
     pub kind: ColumnKind,
     /// The first format version that has it.
-    pub since: u32,
+    pub(crate) since: u32,
     /// How wide a value may be in version 1, and from version 2 on.
     bits: [u32; 2],
     /// From what its values are predicted.
-    pub prediction: Prediction,
+    pub(crate) prediction: Prediction,
     /// Its value in a record, if the record has one.
     pub get: fn(&Record) -> Option<u64>,
     /// Sets its value in a record; false where the value is invalid.
-    pub set: fn(&mut Record, u64) -> bool,
+    pub(crate) set: fn(&mut Record, u64) -> bool,
 }
 
 impl Column {
@@ -140,9 +140,9 @@
 }
 
 pub(crate) const REACHED: u8 = 1;
-pub(crate) const HANDLER: u8 = 4;
-pub(crate) const OUTCOME: u8 = 7;
-pub(crate) const SERVER: u8 = 10;
+const HANDLER: u8 = 4;
+const OUTCOME: u8 = 7;
+const SERVER: u8 = 10;
 
 const ID_ACCESS: Access = (
     |record| Some(record.id),
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -58,7 +58,7 @@
 pub use anonymise::{HashKey, HiddenNames, KeyError, anonymise};
 pub use check::{CheckReport, check};
 pub use clock_offsets::{ClockOffset, estimate_clock_offsets};
-pub use columns::{COLUMNS, Column, ColumnKind, Prediction};
+pub use columns::{COLUMNS, Column, ColumnKind};
 pub use copy::{CopySummary, copy, copy_surveyed, stream};
 pub use dictionary::{Dictionary, HandlerInfo, TenantInfo};
 pub use index::{BlockEntry, Filter, Index};
--- a/crates/trace/src/reader/mod.rs
+++ b/crates/trace/src/reader/mod.rs
@@ -40,9 +40,6 @@
     original_servers: Vec<String>,
 }
 
-/// Which columns a reader decodes.
-type ColumnFilter = Box<dyn Fn(u8) -> bool + Send>;
-
 /// Reads a file; an iterator of its [`Item`]s. It owns the input and all that is known of the file so far.
 pub struct TraceReader<R> {
     frames: FrameReader<R>,
@@ -50,7 +47,6 @@
     dictionary: Dictionary,
     renaming: Option<Renaming>,
     filter: Filter,
-    is_column_wanted: ColumnFilter,
     /// Ids of columns that were met and are not known here.
     unknown_columns: BTreeSet<u64>,
     /// The blocks that were met, for a file without an index.
@@ -98,7 +94,6 @@
             header,
             renaming: None,
             filter: Filter::default(),
-            is_column_wanted: Box::new(|_| true),
             unknown_columns: BTreeSet::new(),
             blocks: Index::default(),
             records_before: 0,
@@ -115,12 +110,6 @@
         self
     }
 
-    /// Decodes only some columns, by their ids. What else a record has is left at its default.
-    pub fn with_columns(mut self, is_wanted: impl Fn(u8) -> bool + Send + 'static) -> Self {
-        self.is_column_wanted = Box::new(is_wanted);
-        self
-    }
-
     /// The header; with empty `file_id` and dictionary where it is damaged.
     pub fn header(&self) -> &Header {
         &self.header
@@ -257,14 +246,7 @@
         if !encoded.iter().any(|column| column.id == u64::from(columns::REACHED)) {
             return Err(TraceError::Invalid("a block without times"));
         }
-        let (is_column_wanted, filter) = (&self.is_column_wanted, &self.filter);
-        let is_needed = |id| {
-            is_column_wanted(id)
-                || id == columns::REACHED && (filter.from.is_some() || filter.to.is_some())
-                || id == columns::HANDLER && filter.handlers.is_some()
-                || id == columns::OUTCOME && filter.outcomes.is_some()
-        };
-        block::decode_records(block, &encoded, &is_needed, &mut self.unknown_columns)
+        block::decode_records(block, &encoded, &mut self.unknown_columns)
     }
 }
 
--- a/crates/trace/src/reader/random_access.rs
+++ b/crates/trace/src/reader/random_access.rs
@@ -79,13 +79,7 @@
             Some(renaming) => renaming.dictionary.clone(),
             None => fresh.dictionary,
         };
-        Ok(TraceReader {
-            filter: self.filter,
-            is_column_wanted: self.is_column_wanted,
-            renaming: self.renaming,
-            dictionary,
-            ..fresh
-        })
+        Ok(TraceReader { filter: self.filter, renaming: self.renaming, dictionary, ..fresh })
     }
 
     fn index_at_end(&mut self) -> Result<Option<(Index, IndexMetadata)>, TraceError> {
