--- a/crates/cli/src/rig.rs
+++ b/crates/cli/src/rig.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use tulipgap_fault_injection::{Plan, with_random_faults};
 
-use crate::files::{Failure, Verdict};
+use crate::error::{ArgumentError, CliError, CommandResult, Status};
 use leases::LeaseReport;
 use membership::MembershipReport;
 use processes::RunReport;
@@ -29,33 +29,33 @@
 }
 
 /// Plays a plan in simulated time once for each seed, until an invariant is violated.
-pub fn simulate(file: &Path, seeds: Range<u64>, chaos: bool, json: bool) -> Result<Verdict, Failure> {
+pub(crate) fn simulate(file: &Path, seeds: Range<u64>, chaos: bool, json: bool) -> CommandResult {
     let plan = read_plan(file)?;
     if !plan.leases.is_empty() {
         return Ok(output(&LeaseReport::simulate(&plan, seeds, chaos), &plan, json));
     }
     if chaos {
-        return Err(usage(file, "faults are drawn for plans with leases alone, so far"));
+        return Err(ArgumentError::ChaosWithoutLeases(file.to_owned()).into());
     }
     Ok(output(&MembershipReport::simulate(&plan, seeds), &plan, json))
 }
 
 /// Plays a plan once with real processes. Their directories are kept in `folder`, or where something failed.
-pub fn run(
+pub(crate) fn run(
     file: &Path,
     program: Option<PathBuf>,
     seed: u64,
     chaos: bool,
     folder: Option<PathBuf>,
     json: bool,
-) -> Result<Verdict, Failure> {
+) -> CommandResult {
     let plan = read_plan(file)?;
     let plan = if chaos { with_random_faults(&plan, seed) } else { plan };
     let program = program.unwrap_or_else(default_program);
     let is_kept = folder.is_some();
     let run_directory = folder.unwrap_or_else(temporary_directory);
     let outcome = tulipgap_fault_injection::run(&plan, &program, &run_directory, |_| {}, |_| false)
-        .map_err(|error| usage(file, error))?;
+        .map_err(|source| CliError::Run { path: file.to_owned(), source })?;
     let report = RunReport::new(&plan, outcome, chaos, &run_directory);
     if !is_kept && !report.has_violation() {
         let _ = std::fs::remove_dir_all(&run_directory);
@@ -63,13 +63,9 @@
     Ok(output(&report, &plan, json))
 }
 
-fn usage(file: &Path, problem: impl std::fmt::Display) -> Failure {
-    Failure::Usage(format!("{}: {problem}", file.display()))
-}
-
-fn read_plan(file: &Path) -> Result<Plan, Failure> {
-    let text = std::fs::read_to_string(file).map_err(|error| usage(file, error))?;
-    Plan::parse(&text).map_err(|error| usage(file, error))
+fn read_plan(file: &Path) -> Result<Plan, CliError> {
+    let text = std::fs::read_to_string(file).map_err(CliError::file(file))?;
+    Plan::parse(&text).map_err(|source| CliError::Plan { path: file.to_owned(), source })
 }
 
 fn default_program() -> PathBuf {
@@ -83,11 +79,11 @@
     std::env::temp_dir().join(format!("tulipgap-rig-{}", std::process::id()))
 }
 
-fn output(report: &impl Report, plan: &Plan, json: bool) -> Verdict {
+fn output(report: &impl Report, plan: &Plan, json: bool) -> Status {
     if json {
         println!("{}", serde_json::to_string_pretty(report).unwrap_or_default());
     } else {
         report.print(plan);
     }
-    if report.has_violation() { Verdict::Lacking } else { Verdict::Whole }
+    Status::of(!report.has_violation())
 }
--- a/crates/server/src/cluster/fault_injection/lease_worker.rs
+++ b/crates/server/src/cluster/fault_injection/lease_worker.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use tulipgap_config::TrialLease;
+use tulipgap_config::TestLease;
 use tulipgap_leases::{FencingToken, LeaseSpec, Name};
 
 use crate::cluster::lease_handle::{LeaseHandle, ScopedGuard};
@@ -53,7 +53,7 @@
 /// A task that wants one lease for ever. It owns the connection to the recorder.
 pub(crate) struct LeaseWorker {
     leases: LeaseHandle,
-    lease: TrialLease,
+    lease: TestLease,
     local_name: Name,
     recorder: SocketAddr,
     connection: Option<BufReader<TcpStream>>,
@@ -61,12 +61,7 @@
 
 impl LeaseWorker {
     /// A worker that reports to the recorder at that address.
-    pub(crate) fn new(
-        leases: LeaseHandle,
-        lease: TrialLease,
-        local_name: Name,
-        recorder: SocketAddr,
-    ) -> Self {
+    pub(crate) fn new(leases: LeaseHandle, lease: TestLease, local_name: Name, recorder: SocketAddr) -> Self {
         LeaseWorker { leases, lease, local_name, recorder, connection: None }
     }
 
--- a/crates/server/src/cluster/mod.rs
+++ b/crates/server/src/cluster/mod.rs
@@ -39,7 +39,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tulipgap_config::Trial;
+use tulipgap_config::FaultInjectionConfig;
 use tulipgap_consensus::DurableVoter;
 use tulipgap_leases::{Incarnation, LeaseClient, Name, Owner};
 use tulipgap_membership::{Membership, Node, SUPPORTED_VERSIONS};
@@ -88,7 +88,7 @@
 /// [`ClusterError`] where the configuration makes no sense, an address is taken, or the voter's folder can't
 /// be used.
 pub(crate) fn start(
-    config: &tulipgap_config::Cluster,
+    config: &tulipgap_config::ClusterConfig,
     default_name: &str,
     seed: u64,
 ) -> Result<Cluster, ClusterError> {
@@ -133,9 +133,9 @@
 
 /// What is known before anything is started.
 struct Startup<'a> {
-    config: &'a tulipgap_config::Cluster,
+    config: &'a tulipgap_config::ClusterConfig,
     /// The faults to inject; none by default.
-    faults: Trial,
+    faults: FaultInjectionConfig,
     local_name: Name,
     listen: SocketAddr,
     codec: FrameCodec,
@@ -148,7 +148,7 @@
 
 impl<'a> Startup<'a> {
     fn new(
-        config: &'a tulipgap_config::Cluster,
+        config: &'a tulipgap_config::ClusterConfig,
         default_name: &str,
         seed: u64,
     ) -> Result<Self, ClusterError> {
--- a/crates/server/src/net/frontend/parse.rs
+++ b/crates/server/src/net/frontend/parse.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use tulipgap_trace::hashed;
+use tulipgap_trace::hash_text;
 
 use super::Frontend;
 use super::codec::{CallError, Fields};
@@ -130,11 +130,11 @@
 }
 
 fn trace_context(fields: &FieldReader, number: u64, key: Option<&str>) -> TraceContext {
-    let subject = |subject| u64::from_str_radix(subject, 16).unwrap_or_else(|_| hashed(subject));
-    let caller = |caller: &str| caller.parse().unwrap_or_else(|_| hashed(caller));
+    let subject = |subject| u64::from_str_radix(subject, 16).unwrap_or_else(|_| hash_text(subject));
+    let caller = |caller: &str| caller.parse().unwrap_or_else(|_| hash_text(caller));
     TraceContext {
         number,
-        key: key.map(hashed),
+        key: key.map(hash_text),
         subject: fields.get("subject").map(subject),
         caller: fields.get("via").map(caller),
         read: Instant::now(),
--- a/crates/server/src/net/frontend/request.rs
+++ b/crates/server/src/net/frontend/request.rs
@@ -92,7 +92,7 @@
     }
 
     fn reject_without_memory(&self, connection: &Connection, sequence: i32, request: &ParsedRequest) {
-        self.registry.record_unregistered(&request.incoming, Reason::NO_ROOM);
+        self.registry.record_unregistered(&request.incoming, Reason::NO_CAPACITY);
         if let Some(count) = REJECTED_WITHOUT_MEMORY.pass() {
             log::warn!("no memory for another request ({count} so far)");
         }
