--- a/crates/server/src/requests/mod.rs
+++ b/crates/server/src/requests/mod.rs
@@ -8,6 +8,7 @@
 mod idempotency;
 mod messages;
 mod metrics;
+mod open_request;
 mod registry;
 mod state;
 mod ticket;
--- /dev/null
+++ b/crates/server/src/requests/open_request.rs
@@ -0,0 +1,66 @@
+//! One open request: its place in the lock, its commands and what is recorded of it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use may::sync::Blocker;
+
+use super::messages::{Bytes, Command, IncomingRequest, RequestId};
+use crate::trace::RequestTrace;
+
+/// A request between its registration and its release.
+pub(super) struct OpenRequest {
+    pub(super) id: RequestId,
+    pub(super) commands: VecDeque<Command>,
+    pub(super) waiter: Arc<Blocker>,
+    /// Its final response is among its commands, or was.
+    pub(super) is_answered: bool,
+    pub(super) is_caller_gone: bool,
+    /// A run of it was started.
+    pub(super) is_started: bool,
+    /// The controller has released it.
+    pub(super) is_released: bool,
+    /// Its coroutine has ended before it was released.
+    pub(super) is_detached: bool,
+    /// The call that it waits for, with its number within the run.
+    pub(super) call: Option<(u64, Bytes)>,
+    pub(super) is_calling: bool,
+    /// Its idempotency key within its tenant and handler.
+    pub(super) key: Option<RequestId>,
+    pub(super) body_hash: u64,
+    pub(super) trace: Option<Box<RequestTrace>>,
+}
+
+impl OpenRequest {
+    pub(super) fn new(
+        incoming: &IncomingRequest,
+        key: Option<RequestId>,
+        waiter: Arc<Blocker>,
+        trace: Option<Box<RequestTrace>>,
+    ) -> Self {
+        OpenRequest {
+            id: incoming.id.clone(),
+            commands: VecDeque::new(),
+            waiter,
+            is_answered: false,
+            is_caller_gone: false,
+            is_started: false,
+            is_released: false,
+            is_detached: false,
+            call: None,
+            is_calling: false,
+            key,
+            body_hash: incoming.body_hash,
+            trace,
+        }
+    }
+
+    /// Queues a command and wakes the request's coroutine.
+    pub(super) fn send(&mut self, command: Command) {
+        // The controller repeats a cancellation until the run has ended.
+        if command != Command::Cancel || !self.commands.contains(&command) {
+            self.commands.push_back(command);
+            self.waiter.unpark();
+        }
+    }
+}
--- a/crates/server/src/requests/registry.rs
+++ b/crates/server/src/requests/registry.rs
@@ -10,7 +10,8 @@
 
 use super::messages::{IncomingRequest, RegisterError, RequestEvent};
 use super::metrics::RequestCounts;
-use super::state::{OpenRequest, RegistryState};
+use super::open_request::OpenRequest;
+use super::state::RegistryState;
 use super::ticket::Ticket;
 use crate::clock;
 use crate::trace::{RequestTrace, Tracer};
--- a/crates/server/src/requests/state.rs
+++ b/crates/server/src/requests/state.rs
@@ -1,76 +1,20 @@
 //! The state behind the registry's lock: open requests, and the controller whose actions are applied to them.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use may::sync::Blocker;
 use slab::Slab;
 use tulipgap::{Action, Config, Controller, Event, Gauges, Outcome};
 use tulipgap_trace::Reason;
 
 use super::idempotency::IdempotencyKeys;
-use super::messages::{Bytes, Command, IncomingRequest, RequestEvent, RequestId, Response};
+use super::messages::{Bytes, Command, RequestEvent, RequestId, Response};
 use super::metrics::RequestCounts;
+use super::open_request::OpenRequest;
 use super::timers::Timers;
 use crate::invariant;
-use crate::trace::{RequestTrace, Tracer, recorded_reason};
-
-/// A request between its registration and its release.
-pub(super) struct OpenRequest {
-    id: RequestId,
-    commands: VecDeque<Command>,
-    waiter: Arc<Blocker>,
-    /// Its final response is among its commands, or was.
-    is_answered: bool,
-    is_caller_gone: bool,
-    /// A run of it was started.
-    pub(super) is_started: bool,
-    /// The controller has released it.
-    pub(super) is_released: bool,
-    /// Its coroutine has ended before it was released.
-    is_detached: bool,
-    /// The call that it waits for, with its number within the run.
-    call: Option<(u64, Bytes)>,
-    is_calling: bool,
-    /// Its idempotency key within its tenant and handler.
-    key: Option<RequestId>,
-    body_hash: u64,
-    trace: Option<Box<RequestTrace>>,
-}
-
-impl OpenRequest {
-    pub(super) fn new(
-        incoming: &IncomingRequest,
-        key: Option<RequestId>,
-        waiter: Arc<Blocker>,
-        trace: Option<Box<RequestTrace>>,
-    ) -> Self {
-        OpenRequest {
-            id: incoming.id.clone(),
-            commands: VecDeque::new(),
-            waiter,
-            is_answered: false,
-            is_caller_gone: false,
-            is_started: false,
-            is_released: false,
-            is_detached: false,
-            call: None,
-            is_calling: false,
-            key,
-            body_hash: incoming.body_hash,
-            trace,
-        }
-    }
-
-    fn send(&mut self, command: Command) {
-        // The controller repeats a cancellation until the run has ended.
-        if command != Command::Cancel || !self.commands.contains(&command) {
-            self.commands.push_back(command);
-            self.waiter.unpark();
-        }
-    }
-}
+use crate::trace::{Tracer, recorded_reason};
 
 /// The controller, from the moment that the executor is up.
 struct RunningController {
