Lease simulation: what a client has of a lease is an ActiveLease

HeldLease and held carried a word of the withdrawn style. Lines of clients.rs and processes.rs alone.

Tests: 26 before and after, and the crate page's example, all green; so is the whole workspace on this text.

--- a/crates/fault-injection/src/lease_simulation/clients.rs
+++ b/crates/fault-injection/src/lease_simulation/clients.rs
@@ -7,7 +7,7 @@
 use tulipgap_leases::{Action, Event, FencingToken, Name};
 
 use super::network::Message;
-use super::processes::HeldLease;
+use super::processes::ActiveLease;
 use super::{LeaseInvariant, LeaseSimulation, ProcessEvent, SimulationEvent};
 use crate::history_checker::OperationError;
 use crate::plan::MemberIndex;
@@ -53,7 +53,7 @@
         let now = self.scheduler.now();
         self.fingerprint.mix([member as u64, token.0, now.as_micros() as u64]);
         self.check_grant(member, &lease, token);
-        if !self.processes[member].held_leases.contains_key(&lease) {
+        if !self.processes[member].active_leases.contains_key(&lease) {
             self.schedule_operation(Duration::ZERO, member, lease);
         }
     }
@@ -69,39 +69,39 @@
         let now = self.local_time(member);
         let process = &mut self.processes[member];
         let Some(client) = &mut process.client else { return };
-        let held = match process.held_leases.remove(&lease) {
-            Some(held) => held,
+        let active = match process.active_leases.remove(&lease) {
+            Some(active) => active,
             None => match client.acquire_guard(now, &lease) {
-                Ok(guard) => HeldLease { guard, operation: None },
+                Ok(guard) => ActiveLease { guard, operation: None },
                 Err(_) => return,
             },
         };
-        match held.operation {
-            Some(token) => self.end_operation(member, lease, held, token),
-            None => self.begin_operation(member, lease, held),
+        match active.operation {
+            Some(token) => self.end_operation(member, lease, active, token),
+            None => self.begin_operation(member, lease, active),
         }
     }
 
-    fn end_operation(&mut self, member: MemberIndex, lease: Name, held: HeldLease, token: FencingToken) {
+    fn end_operation(&mut self, member: MemberIndex, lease: Name, active: ActiveLease, token: FencingToken) {
         let is_rejected = self.invariants.history.end(&lease, token).is_err();
         self.outcome.rejected_operations += u64::from(is_rejected);
-        let held = HeldLease { operation: None, ..held };
-        self.processes[member].held_leases.insert(lease.clone(), held);
+        let active = ActiveLease { operation: None, ..active };
+        self.processes[member].active_leases.insert(lease.clone(), active);
         let rest = Duration::from_secs_f64(draw(&mut self.rng, REST_SECONDS));
         self.schedule_operation(rest, member, lease);
     }
 
-    fn begin_operation(&mut self, member: MemberIndex, lease: Name, held: HeldLease) {
+    fn begin_operation(&mut self, member: MemberIndex, lease: Name, active: ActiveLease) {
         let now = self.local_time(member);
         let process = &mut self.processes[member];
         let Some(client) = &mut process.client else { return };
-        let Ok(token) = client.check_guard(now, &held.guard) else {
-            let actions = client.release_guard(now, held.guard);
+        let Ok(token) = client.check_guard(now, &active.guard) else {
+            let actions = client.release_guard(now, active.guard);
             self.perform_client_actions(member, actions);
             // It may have been lost and acquired again meanwhile.
             return self.schedule_operation(REACQUIRE_DELAY, member, lease);
         };
-        process.held_leases.insert(lease.clone(), HeldLease { operation: Some(token), ..held });
+        process.active_leases.insert(lease.clone(), ActiveLease { operation: Some(token), ..active });
         let paused = self.paused_operations(&lease);
         match self.invariants.history.begin(&lease, token, &paused) {
             Ok(()) => self.outcome.operations += 1,
@@ -120,6 +120,6 @@
     /// they resume.
     fn paused_operations(&self, lease: &Name) -> BTreeSet<FencingToken> {
         let paused = self.processes.iter().filter(|process| process.is_paused);
-        paused.filter_map(|process| process.held_leases.get(lease)?.operation).collect()
+        paused.filter_map(|process| process.active_leases.get(lease)?.operation).collect()
     }
 }
--- a/crates/fault-injection/src/lease_simulation/processes.rs
+++ b/crates/fault-injection/src/lease_simulation/processes.rs
@@ -23,7 +23,7 @@
 const TIMER_ROUNDING: Duration = Duration::from_nanos(10);
 
 /// A lease that a client holds, or held until lately.
-pub(super) struct HeldLease {
+pub(super) struct ActiveLease {
     pub(super) guard: LeaseGuard,
     /// The token of the operation that is under way.
     pub(super) operation: Option<FencingToken>,
@@ -44,7 +44,7 @@
     pub(super) generation: ProcessGeneration,
     pub(super) is_paused: bool,
     pending_events: Vec<ProcessEvent>,
-    pub(super) held_leases: BTreeMap<Name, HeldLease>,
+    pub(super) active_leases: BTreeMap<Name, ActiveLease>,
 }
 
 impl Process {
@@ -60,7 +60,7 @@
             generation: ProcessGeneration::default(),
             is_paused: false,
             pending_events: Vec::new(),
-            held_leases: BTreeMap::new(),
+            active_leases: BTreeMap::new(),
         }
     }
 
@@ -171,8 +171,8 @@
         process.client = None;
         process.is_paused = false;
         process.pending_events.clear();
-        for (lease, held) in std::mem::take(&mut process.held_leases) {
-            if let Some(token) = held.operation {
+        for (lease, active) in std::mem::take(&mut process.active_leases) {
+            if let Some(token) = active.operation {
                 self.invariants.history.abandon(&lease, token);
             }
         }
