Tests of recordings: local names and comments in standard terms

Variables named 'some', comments that a mechanical rename had left wrong, and riddles in comments are gone; no test and no assertion changed.

--- a/crates/trace/benches/trace.rs
+++ b/crates/trace/benches/trace.rs
@@ -12,7 +12,7 @@
 
 const SECOND: Micros = 1_000_000;
 
-/// Takes all and keeps nothing.
+/// Discards all that is written.
 struct NullStorage;
 
 impl Storage for NullStorage {
@@ -133,7 +133,7 @@
             b.iter_batched(
                 || index.clone(),
                 |mut index| {
-                    // Adding makes it be built anew.
+                    // Adding a block makes the lookup structure outdated.
                     index.add(index.blocks()[0].clone());
                     index.prepare();
                     index
--- a/crates/trace/tests/files/damage.rs
+++ b/crates/trace/tests/files/damage.rs
@@ -14,12 +14,12 @@
 const BLOCK: usize = 20;
 
 fn small(version: u32) -> (Vec<Record>, Vec<u8>) {
-    let some = records(600_000, 3);
-    let bytes = file(version, 1, "n1", &some, BLOCK);
-    (some, bytes)
+    let recorded = records(600_000, 3);
+    let bytes = file(version, 1, "n1", &recorded, BLOCK);
+    (recorded, bytes)
 }
 
-/// Where the frames of a whole file end, with their kinds.
+/// Where the frames of a complete file end, with their kinds.
 fn frames(bytes: &[u8]) -> Vec<(usize, u8)> {
     let (mut at, mut ends) = (16, Vec::new());
     while at < bytes.len() {
@@ -33,19 +33,19 @@
 #[test]
 fn truncation_at_any_byte_yields_all_complete_blocks_and_reports_the_loss() {
     for version in [1, 2] {
-        let (some, bytes) = small(version);
+        let (recorded, bytes) = small(version);
         let whole = read_all(&bytes).unwrap();
-        assert!(whole.losses.is_empty() && whole.records.len() == some.len());
+        assert!(whole.losses.is_empty() && whole.records.len() == recorded.len());
         let ends = frames(&bytes);
         for cut in 0..bytes.len() {
             let back = match read_all(&bytes[..cut]) {
                 Ok(back) => back,
-                // Nothing is whole: not even the header.
+                // Not even the header is intact.
                 Err(TraceError::NotARecording | TraceError::MissingHeader) if cut < ends[0].0 => continue,
                 Err(error) => panic!("cut at {cut}: {error}"),
             };
             let blocks = ends.iter().filter(|(end, kind)| *kind == b'B' && *end <= cut).count();
-            let expected = (blocks * BLOCK).min(some.len());
+            let expected = (blocks * BLOCK).min(recorded.len());
             assert_eq!(back.records[..], whole.records[..expected], "cut at {cut}");
             assert!(!back.losses.is_empty(), "cut at {cut}: the loss is said");
             let torn =
@@ -57,20 +57,20 @@
 
 quickcheck! {
     fn a_flipped_bit_loses_at_most_one_block_and_yields_no_false_record(at: usize, bit: u8) -> bool {
-        let (some, mut bytes) = small(2);
+        let (recorded, mut bytes) = small(2);
         let at = at % bytes.len();
         bytes[at] ^= 1 << (bit % 8);
         let Ok(back) = read_all(&bytes) else {
-            // The mark of the file, or its version.
+            // The magic of the file, or its version, is damaged.
             return at < 16;
         };
-        let known: HashSet<u64> = some.iter().map(|record| record.id).collect();
+        let known: HashSet<u64> = recorded.iter().map(|record| record.id).collect();
         assert!(back.records.iter().all(|record| known.contains(&record.id)));
         for record in &back.records {
-            assert!(some.contains(record), "not one of ours: {record:?}");
+            assert!(recorded.contains(record), "not one of ours: {record:?}");
         }
         assert!(!back.losses.is_empty(), "byte {at}");
-        back.records.len() + BLOCK >= some.len()
+        back.records.len() + BLOCK >= recorded.len()
     }
 
     fn random_bytes_are_rejected_without_panic(noise: Vec<u8>, with_head: bool) -> bool {
@@ -84,8 +84,8 @@
     }
 
     fn an_invalid_block_with_a_valid_checksum_is_skipped_without_panic(noise: Vec<u8>, at: usize, cut: usize) -> bool {
-        let (some, bytes) = small(2);
-        let (_, ends) = (some, frames(&bytes));
+        let (_, bytes) = small(2);
+        let ends = frames(&bytes);
         let (start, end) = (ends[0].0, ends[1].0);
         let mut payload = bytes[start + 12..end - 4].to_vec();
         let at = at % payload.len();
@@ -99,7 +99,7 @@
     }
 }
 
-/// A frame with right checksums, whatever it holds.
+/// A frame with valid checksums, whatever its payload is.
 fn frame(kind: u8, payload: &[u8]) -> Vec<u8> {
     let mut out = vec![0xF7, b't', b'g', kind];
     out.extend_from_slice(&(payload.len() as u32).to_le_bytes());
@@ -112,9 +112,9 @@
 
 #[test]
 fn claimed_lengths_beyond_the_limits_allocate_no_memory() {
-    let (some, bytes) = small(2);
+    let (recorded, bytes) = small(2);
     let ends = frames(&bytes);
-    // A frame of 4 GB, then one of all that is allowed with nothing behind it, before the second block.
+    // Headers of a frame of 4 GB, and of the longest frame, without their payloads before the second block.
     let mut hostile = bytes[..ends[1].0].to_vec();
     for length in [u32::MAX, 8 * 1024 * 1024] {
         let mut head = vec![0xF7, b't', b'g', b'B'];
@@ -125,13 +125,13 @@
     }
     hostile.extend_from_slice(&bytes[ends[1].0..]);
     let back = read_all(&hostile).unwrap();
-    assert_eq!(back.records.len(), some.len());
+    assert_eq!(back.records.len(), recorded.len());
     assert!(
         matches!(back.losses[..], [Loss::SkippedBytes { bytes: 24, is_torn: false, .. }]),
         "{:?}",
         back.losses
     );
-    // RecorderCounters of no sense within a block under a right checksum.
+    // Invalid counts within a block with a valid checksum.
     let claims = [
         // Records without end, all of one time; handlers without end; records without their times.
         &[0, 0, 255, 255, 255, 255, 15, 0, 0, 0, 1, 1, 1, 1, 0, 0, 0, 0, 1, 1, 0, 0][..],
@@ -141,24 +141,24 @@
     for claim in claims {
         let hostile = [&bytes[..ends[0].0], &frame(b'B', claim), &bytes[ends[0].0..]].concat();
         let back = read_all(&hostile).unwrap();
-        assert_eq!(back.records.len(), some.len());
+        assert_eq!(back.records.len(), recorded.len());
         assert!(matches!(back.losses[..], [Loss::InvalidFrame { .. }]), "{:?}", back.losses);
     }
 }
 
 #[test]
 fn a_file_still_being_written_is_readable_up_to_its_last_block() {
-    let (some, bytes) = small(2);
+    let (recorded, bytes) = small(2);
     let ends = frames(&bytes);
     let growing = &bytes[..ends[2].0];
     let back = read_all(growing).unwrap();
     assert_eq!((back.records.len(), &back.losses[..]), (2 * BLOCK, &[Loss::MissingEnd][..]));
-    // By time, too, and without an index.
+    // Also by time, without an index.
     let mut trace = open(growing);
     let survey = trace.survey().unwrap();
     assert!(!survey.is_indexed && survey.index.len() == 2);
     let mut out = Writer::new(Vec::new(), header(2, 9, "n1"), BlockConfig::default()).unwrap();
-    let from = sorted(some.clone())[5].reached;
+    let from = sorted(recorded.clone())[5].reached;
     let wanted = Filter { from: Some(from), ..Filter::default() };
     let done = copy(open(growing), &wanted, &mut out, |_| {}).unwrap();
     let expected = back.records.iter().filter(|record| record.reached >= from).count();
@@ -167,14 +167,14 @@
 
 #[test]
 fn missing_records_between_blocks_are_counted() {
-    let (some, mut bytes) = small(2);
+    let (recorded, mut bytes) = small(2);
     let ends = frames(&bytes);
     let middle = (ends[1].0 + ends[2].0) / 2;
     bytes[middle] ^= 0xFF;
     let back = read_all(&bytes).unwrap();
-    assert_eq!(back.records.len(), some.len() - BLOCK);
+    assert_eq!(back.records.len(), recorded.len() - BLOCK);
     assert!(back.losses.contains(&Loss::MissingRecords { count: BLOCK as u64 }), "{:?}", back.losses);
-    // Repaired, it is sound, and tells of the gap.
+    // After a repair it is sound, and has the gap.
     let mut out = Writer::new(Vec::new(), header(2, 9, "n1"), BlockConfig::default()).unwrap();
     stream(open(&bytes), &Filter::default(), &mut out, |_| {}).unwrap();
     let repaired = out.finish().unwrap().0;
@@ -183,23 +183,23 @@
     assert!(
         found.gaps.iter().any(|gap| gap.records == Some(BLOCK as u64) && gap.reason == GapReason::Damaged)
     );
-    // A cut by the index of the damaged file says it, too.
+    // A copy by the index of the damaged file reports it, too.
     let mut out = Writer::new(Vec::new(), header(2, 9, "n1"), BlockConfig::default()).unwrap();
     let done = copy(open(&bytes), &Filter::default(), &mut out, |_| {}).unwrap();
-    assert_eq!(done.records as usize, some.len() - BLOCK);
+    assert_eq!(done.records as usize, recorded.len() - BLOCK);
     assert!(done.losses.contains(&Loss::MissingRecords { count: BLOCK as u64 }));
 }
 
 #[test]
 fn a_damaged_header_keeps_records_and_restores_names_from_the_index() {
-    let (some, mut bytes) = small(2);
+    let (recorded, mut bytes) = small(2);
     bytes[40] ^= 1;
     let back = read_all(&bytes).unwrap();
-    assert_eq!(back.records.len(), some.len());
+    assert_eq!(back.records.len(), recorded.len());
     assert!(back.losses.contains(&Loss::DamagedHeader));
     // The index has the names again.
     assert_eq!(back.names.handler(0), "preview");
-    // Without it they are numbers, and nobody else's names: also where others are merged in.
+    // Without the index they are numbers, and never names of other files, also after a merge.
     let end = frames(&bytes)[4].0;
     let lost = TraceReader::open(Cursor::new(bytes[..end].to_vec())).unwrap();
     let other = open(&file(2, 7, "n2", &records(300_000, 9), BLOCK));
@@ -231,9 +231,9 @@
 #[test]
 fn a_clock_set_back_starts_a_new_block() {
     const HOUR: Micros = 3_600_000_000;
-    let some = records(4_000_000, 5);
-    let half = some.len() / 2;
-    let set: Vec<Record> = (some.iter().enumerate())
+    let recorded = records(4_000_000, 5);
+    let half = recorded.len() / 2;
+    let set: Vec<Record> = (recorded.iter().enumerate())
         .map(|(at, record)| Record {
             reached: record.reached - if at < half { 0 } else { HOUR },
             ..record.clone()
@@ -252,7 +252,7 @@
     assert!(check(open(&bytes)).unwrap().set_back_blocks > 0);
 }
 
-/// RecorderCounters the bytes that are read of it.
+/// A file that counts the bytes that are read of it.
 struct Counted(Cursor<Vec<u8>>, std::rc::Rc<std::cell::Cell<usize>>);
 
 impl std::io::Read for Counted {
--- a/crates/trace/tests/files/format.rs
+++ b/crates/trace/tests/files/format.rs
@@ -97,14 +97,14 @@
 
 #[test]
 fn format_1_omits_and_names_newer_columns() {
-    let some = records(2_000_000, 1);
-    let bytes = file(1, 1, "n1", &some, 100);
+    let recorded = records(2_000_000, 1);
+    let bytes = file(1, 1, "n1", &recorded, 100);
     let back = read_all(&bytes).unwrap();
     assert!(back.losses.is_empty() && back.unknown.is_empty());
-    assert_eq!(sorted(back.records), sorted(some.iter().map(format_1_record).collect()));
+    assert_eq!(sorted(back.records), sorted(recorded.iter().map(format_1_record).collect()));
     let writer = Writer::new(Vec::new(), header(1, 1, "n1"), BlockConfig::default()).unwrap();
     assert!(writer.omitted_columns().contains(&"work") && !writer.omitted_columns().contains(&"reached"));
-    assert!(bytes.len() < file(2, 1, "n1", &some, 100).len());
+    assert!(bytes.len() < file(2, 1, "n1", &recorded, 100).len());
 }
 
 #[test]
@@ -115,7 +115,7 @@
     assert_eq!(error.to_string(), "answered: 3600000000 does not fit its column of 32 bits");
     let other = Record { server: 1, ..Record::default() };
     assert!(writer.push(other).unwrap_err().to_string().starts_with("server: 1 "));
-    // The others are not harmed.
+    // Other records are still taken.
     writer.push(Record::default()).unwrap();
     assert_eq!(read_all(&writer.finish().unwrap().0).unwrap().records.len(), 1);
 }
@@ -134,27 +134,27 @@
     assert_eq!(trace.dictionary().handler(late), "late");
 }
 
-/// A file with a column of ours under an id that nobody knows, as a later writer may make it.
+/// A file with a column under an id that is not known here, as a later writer may make it.
 #[test]
 fn an_unknown_column_is_skipped_and_named() {
-    let some = records(1_000_000, 2);
+    let recorded = records(1_000_000, 2);
     let mut later = header(2, 1, "n1");
     later.columns.iter_mut().filter(|column| column.id == 24).for_each(|column| {
         (column.id, column.name) = (99, "mood".into());
     });
     let mut writer =
         Writer::new(Vec::new(), later, BlockConfig { max_records: 50, ..BlockConfig::default() }).unwrap();
-    some.iter().for_each(|record| writer.push(record.clone()).unwrap());
+    recorded.iter().for_each(|record| writer.push(record.clone()).unwrap());
     let (bytes, _) = writer.finish().unwrap();
     let patched = patch_column_id(&bytes, 24, 99);
     let back = read_all(&patched).unwrap();
     assert_eq!(back.unknown, ["mood"]);
     let without = |record: &Record| Record { retry_after: None, ..record.clone() };
     assert!(back.losses.is_empty(), "{:?}", back.losses);
-    assert_eq!(sorted(back.records), sorted(some.iter().map(without).collect()));
+    assert_eq!(sorted(back.records), sorted(recorded.iter().map(without).collect()));
 }
 
-/// Gives a column of each block another id, and the block a right checksum.
+/// Gives a column of each block another id, and the block a valid checksum.
 fn patch_column_id(bytes: &[u8], from: u8, to: u8) -> Vec<u8> {
     let mut out = bytes[..16].to_vec();
     let mut rest = &bytes[16..];
@@ -163,7 +163,7 @@
         let (frame, after) = rest.split_at(12 + length + 4);
         let mut payload = frame[12..12 + length].to_vec();
         if frame[3] == b'B' {
-            // Its entry: id, kind (signed), presence, guess, beside, layout.
+            // Its entry: id, kind (signed), presence, prediction, other column, layout.
             let at = payload.windows(3).rposition(|w| w[0] == from && w[1] == 1 && w[2] == 1 && from == 24);
             payload[at.unwrap()] = to;
         }
--- a/crates/trace/tests/files/recorder.rs
+++ b/crates/trace/tests/files/recorder.rs
@@ -115,21 +115,21 @@
 fn files_rotate_and_the_oldest_are_removed() {
     let storage = MemoryStorage::default();
     let mut writer = writer(&storage);
-    let some = records(60_000_000, 1);
-    for (at, record) in some.iter().enumerate() {
+    let recorded = records(60_000_000, 1);
+    for (at, record) in recorded.iter().enumerate() {
         writer.record(ms(at as u64 * 5), record.clone());
     }
     writer.finish(ms(1_000_000));
     let state = storage.0.lock().unwrap();
     assert!(state.max_bytes as u64 <= retention().keep_bytes, "{}", state.max_bytes);
-    assert!(!state.files.contains_key(&1), "the oldest went");
+    assert!(!state.files.contains_key(&1), "the oldest file is removed");
     assert!(state.files.len() > 2);
     assert!(state.files.values().all(|bytes| read_all(bytes).unwrap().losses.is_empty()));
-    // What is left is the end of it, without a hole.
+    // The last records are left, without a gap.
     drop(state);
     let (records, gaps) = contents(&storage);
     assert!(gaps.is_empty());
-    assert_eq!(sorted(records.clone()), sorted(some[some.len() - records.len()..].to_vec()));
+    assert_eq!(sorted(records.clone()), sorted(recorded[recorded.len() - records.len()..].to_vec()));
 }
 
 #[test]
@@ -152,9 +152,9 @@
     config.retention.keep_bytes = 64 * 1024 * 1024;
     let mut writer = RotatingWriter::new(storage.clone(), config, SyntheticLoad::default().start, 1);
     writer.start();
-    let some = records(20_000_000, 1);
+    let recorded = records(20_000_000, 1);
     let mut full_until = None;
-    for (at, record) in some.iter().enumerate() {
+    for (at, record) in recorded.iter().enumerate() {
         let now = ms(at as u64 * 5);
         if writer.last_error().is_some() && full_until.is_none() {
             full_until = Some(at + 1000);
@@ -166,7 +166,7 @@
     }
     let (received, missing) = (writer.counters().received, writer.missing_records());
     assert!(full_until.is_some() && missing > 500, "{missing}");
-    // Tried again at longer and longer intervals, not with each record.
+    // Retried with a growing backoff, not with each record.
     assert!(writer.counters().failures < 10, "{}", writer.counters().failures);
     writer.finish(ms(1_000_000));
     let (records, gaps) = contents(&storage);
@@ -182,8 +182,8 @@
     let storage = MemoryStorage::default();
     storage.0.lock().unwrap().stuck = vec![1];
     let mut writer = writer(&storage);
-    let some = records(60_000_000, 1);
-    for (at, record) in some.iter().enumerate() {
+    let recorded = records(60_000_000, 1);
+    for (at, record) in recorded.iter().enumerate() {
         writer.record(ms(at as u64 * 5), record.clone());
     }
     assert_eq!(writer.missing_records(), 0);
@@ -226,14 +226,14 @@
     let storage = MemoryStorage::default();
     storage.0.lock().unwrap().pause = ms(100);
     let recorder = Recorder::start(storage.clone(), recording(100), |_| {}).unwrap();
-    let some = records(20_000_000, 1);
+    let recorded = records(20_000_000, 1);
     let start = Instant::now();
-    for record in &some {
+    for record in &recorded {
         recorder.record(record.clone());
     }
-    // Each write takes 100 ms; all of this took none.
+    // A write takes 100 ms, and none of them blocks the caller.
     assert!(start.elapsed() < ms(2000), "{:?}", start.elapsed());
-    // Once the storage is quick again all that is missing is noted.
+    // Once the storage is fast again, all that is missing is noted.
     storage.0.lock().unwrap().pause = Duration::ZERO;
     let start = Instant::now();
     while recorder.status().missing_records == 0 && start.elapsed() < Duration::from_secs(30) {
@@ -244,7 +244,7 @@
     let noted: u64 =
         gaps.iter().filter(|gap| gap.reason == GapReason::QueueFull).filter_map(|gap| gap.records).sum();
     assert!(noted > 0);
-    assert_eq!(records.len() as u64 + noted, some.len() as u64);
+    assert_eq!(records.len() as u64 + noted, recorded.len() as u64);
 }
 
 #[test]
@@ -257,7 +257,7 @@
         writer.start();
         writer.record(ms(0), Record::default());
         writer.tick(ms(600));
-        // Gone without an end, as when it is killed.
+        // Dropped without an end, as when the process is killed.
     }
     assert!(storage().file_path(1).ends_with("n_1-00000001.tgt"));
     for number in [1, 2] {
@@ -269,7 +269,7 @@
 static POOL: LazyLock<Vec<Record>> = LazyLock::new(|| records(5_000_000, 7));
 
 quickcheck! {
-    /// Whatever comes, in whatever order: files stay within their bound, and each record is taken or missed.
+    /// Files stay within the limit whatever happens, in whatever order.
     fn total_size_never_exceeds_the_limit(steps: Vec<(u8, u16)>, small: bool) -> bool {
         let storage = MemoryStorage::default();
         let mut writer = writer(&storage);
--- a/crates/trace/tests/files/rewriting.rs
+++ b/crates/trace/tests/files/rewriting.rs
@@ -37,18 +37,18 @@
     };
     assert_eq!(sorted(of("n1")), sorted(one.iter().map(format_1_record).collect()));
     assert_eq!(sorted(of("n2")), sorted(two.clone()));
-    // Reproducible, also in the order of files where all else is the same.
+    // The merge is reproducible; equal sort keys go by the order of the files.
     assert_eq!(merged(sources()).1.records, back.records);
 }
 
 #[test]
 fn dictionaries_in_another_order_are_mapped() {
-    let some = records(500_000, 4);
+    let recorded = records(500_000, 4);
     let mut other = header(2, 5, "n2");
     other.names.handlers.reverse();
     other.names.tenants.rotate_left(2);
     let mut writer = Writer::new(Vec::new(), other, BlockConfig::default()).unwrap();
-    for record in &some {
+    for record in &recorded {
         let mirrored = Record {
             handler: 2 - record.handler,
             tenant: record.tenant.map(|t| (t + 4) % 6),
@@ -57,9 +57,9 @@
         writer.push(mirrored).unwrap();
     }
     let (bytes, _) = writer.finish().unwrap();
-    let (_, back) = merged(vec![source("a", &file(2, 1, "n1", &some, 50)), source("b", &bytes)]);
+    let (_, back) = merged(vec![source("a", &file(2, 1, "n1", &recorded, 50)), source("b", &bytes)]);
     for record in &back.records {
-        let first = some.iter().find(|other| other.id == record.id).unwrap();
+        let first = recorded.iter().find(|other| other.id == record.id).unwrap();
         assert_eq!(back.names.handler(record.handler), names().handler(first.handler));
         assert_eq!(back.names.tenant(record.tenant.unwrap()), names().tenant(first.tenant.unwrap()));
     }
@@ -68,14 +68,15 @@
 
 #[test]
 fn a_duplicate_file_is_merged_once() {
-    let some = records(1_000_000, 1);
-    let bytes = file(2, 1, "n1", &some, 50);
+    let recorded = records(1_000_000, 1);
+    let bytes = file(2, 1, "n1", &recorded, 50);
     let (done, back) = merged(vec![source("a", &bytes), source("a again", &bytes)]);
     assert_eq!(done.duplicate_files, [DuplicateFile { name: "a again".to_owned(), first: "a".to_owned() }]);
-    assert_eq!(back.records.len(), some.len());
-    // A cut of it is another file; its records are the same ones all the same.
-    let (done, back) = merged(vec![source("a", &bytes), source("cut", &file(2, 8, "n1", &some[..40], 50))]);
-    assert_eq!((done.duplicate_records, back.records.len()), (40, some.len()));
+    assert_eq!(back.records.len(), recorded.len());
+    // A part of it is another file with some of the same records.
+    let (done, back) =
+        merged(vec![source("a", &bytes), source("cut", &file(2, 8, "n1", &recorded[..40], 50))]);
+    assert_eq!((done.duplicate_records, back.records.len()), (40, recorded.len()));
 }
 
 #[test]
@@ -113,13 +114,13 @@
 
 #[test]
 fn a_damaged_indexed_block_becomes_a_gap_in_the_merge() {
-    let some = records(1_000_000, 1);
-    let mut bytes = file(2, 1, "n1", &some, 50);
+    let recorded = records(1_000_000, 1);
+    let mut bytes = file(2, 1, "n1", &recorded, 50);
     let place = open(&bytes).survey().unwrap().index.blocks()[1].clone();
     bytes[place.offset as usize + 100] ^= 1;
     let (done, back) = merged(vec![source("a", &bytes)]);
     assert_eq!(done.losses.len(), 1);
-    assert_eq!(back.records.len(), some.len() - 50);
+    assert_eq!(back.records.len(), recorded.len() - 50);
     assert!(back.gaps.iter().any(|gap| gap.records == Some(50) && gap.from == place.from));
 }
 
@@ -152,7 +153,7 @@
         let off = (clock.offset.unwrap() - truth).abs();
         assert!(off <= clock.uncertainty && clock.uncertainty < 20_000, "{clock:?}, {truth}");
     }
-    // Retries in one direction alone bound it on one side, which is no estimate_clock_offsets.
+    // Retries in one direction alone bound it on one side, which is no estimate.
     all.retain(|record| record.server != 2 || record.is_retry);
     assert_eq!(estimate_clock_offsets(all.into_iter(), &[0, 1, 2])[2].offset, None);
 }
@@ -162,11 +163,11 @@
 #[test]
 fn anonymised_copies_hide_values_and_still_correlate() {
     let key = HashKey::new(KEY).unwrap();
-    let some: Vec<Record> = records(2_000_000, 6)
+    let recorded: Vec<Record> = records(2_000_000, 6)
         .into_iter()
         .map(|record| Record { caller: record.caller.map(|caller| 0x5EC2_E700_0000 + caller), ..record })
         .collect();
-    let bytes = file(2, 1, "secret-server", &some, 64);
+    let bytes = file(2, 1, "secret-server", &recorded, 64);
     let hidden = |bytes: &[u8]| {
         let mut out = Vec::new();
         let all = HiddenNames { tenants: true, servers: true, handlers: false };
@@ -175,24 +176,24 @@
     };
     let out = hidden(&bytes);
     let back = read_all(&out).unwrap();
-    assert!(back.losses.is_empty() && back.records.len() == some.len());
+    assert!(back.losses.is_empty() && back.records.len() == recorded.len());
     let old = |value: fn(&Record) -> Option<u64>| {
-        some.iter().filter_map(value).collect::<std::collections::HashSet<_>>()
+        recorded.iter().filter_map(value).collect::<std::collections::HashSet<_>>()
     };
     for value in [|r: &Record| Some(r.id), |r: &Record| r.key, |r: &Record| r.subject, |r: &Record| r.caller]
     {
         let old = old(value);
         assert!(back.records.iter().filter_map(value).all(|value| !old.contains(&value)));
     }
-    // Nor anywhere in the bytes: names in the dictionary and the index, once unpacked.
+    // Nothing is left in the bytes either: names in the dictionary and the index, once unpacked.
     let index = out.windows(4).rposition(|w| w[..3] == [0xF7, b't', b'g'] && w[3] == b'I').unwrap();
     let unpacked = zstd::stream::decode_all(&out[index + 12 + 2..]).unwrap_or_default();
     for text in ["secret-server", "harbour", &open(&bytes).header().file_id] {
         assert!(!out.windows(text.len()).any(|w| w == text.as_bytes()), "{text}");
         assert!(!unpacked.windows(text.len()).any(|w| w == text.as_bytes()), "{text}");
     }
-    // One key, one hash: files made apart still join.
-    let again = read_all(&hidden(&file(2, 2, "secret-server", &some, 64))).unwrap();
+    // One key gives one hash, so that files made separately can be correlated.
+    let again = read_all(&hidden(&file(2, 2, "secret-server", &recorded, 64))).unwrap();
     assert_eq!(sorted(again.records), sorted(back.records.clone()));
     let other = HashKey::new(b"fedcba9876543210ffeeddccbbaa99887766554433221100cd1032547698bafe").unwrap();
     let mut out = Vec::new();
