Plans are validated against the limits of the leases and the voters themselves

plan/validation.rs had written the limits of lease names, TTLs, capacities and voters again as numbers of its own, so a changed limit would have let through plans that the leases reject. It now takes them from tulipgap-leases and tulipgap-consensus; the values are the same.

--- a/crates/fault-injection/src/plan/validation.rs
+++ b/crates/fault-injection/src/plan/validation.rs
@@ -2,6 +2,8 @@
 
 use std::ops::RangeInclusive;
 
+use tulipgap_consensus::MAX_VOTERS;
+use tulipgap_leases::{MAX_CAPACITY, MAX_LEASE_TTL, MAX_NAME_BYTES, MIN_LEASE_TTL};
 use tulipgap_membership::{Incarnation, Membership, Node, SUPPORTED_VERSIONS};
 
 use super::{Bounds, Fault, Member, Plan, PlanError, PlannedLease, TimeWindow};
@@ -11,14 +13,12 @@
 /// The longest run, in seconds.
 const MAX_LENGTH: f64 = 3600.0;
 const MAX_ZONE_NAME_BYTES: usize = 40;
-const MAX_LEASE_NAME_BYTES: usize = 64;
-const MAX_VOTERS: usize = 7;
 const FRACTION: RangeInclusive<f64> = 0.0..=1.0;
 const DELAY_MS: RangeInclusive<f64> = 0.0..=60_000.0;
 const CLOCK_RATE: RangeInclusive<f64> = 0.5..=2.0;
 const FLAP_SECONDS: RangeInclusive<f64> = 0.01..=3600.0;
-const TTL_SECONDS: RangeInclusive<f64> = 0.2..=3600.0;
-const CAPACITY: RangeInclusive<u32> = 1..=1000;
+const TTL_SECONDS: RangeInclusive<f64> = MIN_LEASE_TTL.as_secs_f64()..=MAX_LEASE_TTL.as_secs_f64();
+const CAPACITY: RangeInclusive<u32> = 1..=MAX_CAPACITY;
 /// The largest part of a TTL that one operation may take.
 const MAX_OPERATION_FRACTION: f64 = 0.25;
 
@@ -165,7 +165,7 @@
 
 impl PlannedLease {
     fn is_valid(&self, members: &[Member]) -> bool {
-        (1..=MAX_LEASE_NAME_BYTES).contains(&self.name.len())
+        (1..=MAX_NAME_BYTES).contains(&self.name.len())
             && TTL_SECONDS.contains(&self.ttl)
             && CAPACITY.contains(&self.capacity)
             && self.max_operation > 0.0
