One time at which directories are backed up, beside what restores them

The simulation and the runs of real processes each had a BACKUP_AT, one a Duration and one in seconds, and the doc of DirectoryAfterCrash::RolledBack names the time as well. The constant now stands beside that enum and both use it.

--- a/crates/fault-injection/src/lease_simulation/mod.rs
+++ b/crates/fault-injection/src/lease_simulation/mod.rs
@@ -16,7 +16,7 @@
 use tulipgap_leases::Name;
 use tulipgap_write_ahead_log::{DiskFaults, DiskUsage};
 
-use crate::plan::{DirectoryAfterCrash, DiskFault, Fault, Member, MemberIndex, Plan, matching};
+use crate::plan::{BACKUP_AT, DirectoryAfterCrash, DiskFault, Fault, Member, MemberIndex, Plan, matching};
 use crate::scheduler::{Fingerprint, ProcessGeneration, Scheduler, Simulation, play};
 use invariants::InvariantState;
 use network::{Message, PendingRead};
@@ -28,8 +28,6 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Between two reads of who holds a lease.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
-/// When each directory is backed up, for crashes after which it is rolled back.
-const BACKUP_AT: Duration = Duration::from_millis(500);
 /// Members start within this time, in seconds.
 const START_SPREAD: f64 = 0.2;
 /// How long a disk fault lasts where the plan does not say, in seconds.
--- a/crates/fault-injection/src/plan/fault.rs
+++ b/crates/fault-injection/src/plan/fault.rs
@@ -1,7 +1,13 @@
 //! The faults that can be injected.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 
+/// When each directory is backed up, since the start of the run: what [`DirectoryAfterCrash::RolledBack`]
+/// restores.
+pub(crate) const BACKUP_AT: Duration = Duration::from_millis(500);
+
 /// From and to, in seconds since the start; the end is not part of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TimeWindow {
--- a/crates/fault-injection/src/plan/mod.rs
+++ b/crates/fault-injection/src/plan/mod.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use tulipgap_membership::Config;
 
+pub(crate) use fault::BACKUP_AT;
 pub use fault::{DirectoryAfterCrash, DiskFault, Fault, TimeWindow};
 pub(crate) use network::LinkQuality;
 
--- a/crates/fault-injection/src/processes/schedule.rs
+++ b/crates/fault-injection/src/processes/schedule.rs
@@ -1,9 +1,6 @@
 //! When which fault begins and ends at which process.
 
-use crate::plan::{DirectoryAfterCrash, DiskFault, Fault, Member, MemberIndex, Plan, matching};
-
-/// When each journal is backed up, for crashes after which it is rolled back, in seconds.
-const BACKUP_AT: f64 = 0.5;
+use crate::plan::{BACKUP_AT, DirectoryAfterCrash, DiskFault, Fault, Member, MemberIndex, Plan, matching};
 
 /// What is done to a process. Faults of links and clocks are no actions: proxies look them up, and a clock's
 /// rate is configured at the start.
@@ -33,7 +30,7 @@
 impl Schedule {
     pub(super) fn new(plan: &Plan, members: &[Member]) -> Self {
         let backups = (0..members.len()).map(|member| ScheduledAction {
-            at: BACKUP_AT,
+            at: BACKUP_AT.as_secs_f64(),
             member,
             action: FaultAction::BackUpJournal,
         });
