Both simulations draw the deliveries of a message by one function

The simulated networks of the leases and of the membership had the same loop: copies, the transit of each, and whether the link is open, which was looked up for each copy.

--- a/crates/fault-injection/src/lease_simulation/network.rs
+++ b/crates/fault-injection/src/lease_simulation/network.rs
@@ -1,7 +1,5 @@
 //! The simulated network between processes, and reads of who holds a lease.
 
-use std::time::Duration;
-
 use tulipgap_consensus::{Event as VoterEvent, PeerMessage};
 use tulipgap_leases::{
     Command, Event as ClientEvent, FencingToken, Incarnation, Lease, Name, RequestId, Response,
@@ -38,13 +36,9 @@
         self.outcome.messages += 1;
         let now = self.scheduler.now().as_secs_f64();
         let (from_member, to_member) = (&self.members[from], &self.members[to]);
-        let quality = self.plan.link_quality(now, from_member, to_member);
-        for _ in 0..quality.draw_copies(&mut self.rng) {
-            let transit: Option<Duration> = quality.draw_transit(&mut self.rng);
-            if let Some(transit) = transit.filter(|_| self.plan.is_link_open(now, from_member, to_member)) {
-                let event = ProcessEvent::Deliver { from, message: message.clone() };
-                self.scheduler.schedule_in(transit, to, SimulationEvent::Process(event));
-            }
+        for transit in self.plan.draw_transits(now, from_member, to_member, &mut self.rng) {
+            let event = ProcessEvent::Deliver { from, message: message.clone() };
+            self.scheduler.schedule_in(transit, to, SimulationEvent::Process(event));
         }
     }
 
--- a/crates/fault-injection/src/membership_simulation/network.rs
+++ b/crates/fault-injection/src/membership_simulation/network.rs
@@ -37,13 +37,10 @@
             }
             _ => {}
         }
-        let quality = self.plan.link_quality(now.as_secs_f64(), &self.members[from], &self.members[to]);
-        for _ in 0..quality.draw_copies(&mut self.rng) {
-            let transit = quality.draw_transit(&mut self.rng);
-            if let Some(transit) = transit.filter(|_| self.is_link_open(from, to)) {
-                let event = SimulationEvent::Deliver { from, message: message.clone() };
-                self.scheduler.schedule_in(transit, to, event);
-            }
+        let (from_member, to_member) = (&self.members[from], &self.members[to]);
+        for transit in self.plan.draw_transits(now.as_secs_f64(), from_member, to_member, &mut self.rng) {
+            let event = SimulationEvent::Deliver { from, message: message.clone() };
+            self.scheduler.schedule_in(transit, to, event);
         }
     }
 
--- a/crates/fault-injection/src/plan/network.rs
+++ b/crates/fault-injection/src/plan/network.rs
@@ -37,7 +37,7 @@
 
     /// Draws for one copy in simulated time how long it takes, or `None` where it is lost. Each copy takes
     /// its own time, so messages overtake each other.
-    pub(crate) fn draw_transit(&self, rng: &mut fastrand::Rng) -> Option<Duration> {
+    fn draw_transit(&self, rng: &mut fastrand::Rng) -> Option<Duration> {
         let latency = MIN_LATENCY + (MAX_LATENCY - MIN_LATENCY) * rng.f64();
         let transit = latency + self.draw_delay(rng);
         let is_lost = self.draw_loss(rng);
@@ -83,4 +83,19 @@
         }
         quality
     }
+
+    /// Draws for each copy of a message in simulated time that arrives how long it takes. Nothing arrives
+    /// over a link that is cut at that time. `now` is in seconds.
+    pub(crate) fn draw_transits(
+        &self,
+        now: f64,
+        from: &Member,
+        to: &Member,
+        rng: &mut fastrand::Rng,
+    ) -> impl Iterator<Item = Duration> {
+        let quality = self.link_quality(now, from, to);
+        let is_open = self.is_link_open(now, from, to);
+        let copies = quality.draw_copies(rng);
+        (0..copies).filter_map(move |_| quality.draw_transit(rng).filter(|_| is_open))
+    }
 }
