Membership: live members are counted once for all suspicion deadlines

suspicion_deadlines and expire_suspicions each worked a deadline out by a method that counted all live members for every suspicion, so a partition of many members cost their square at each timer. One iterator of suspect members and deadlines counts them once, and both use it.

--- a/crates/membership/src/suspicion.rs
+++ b/crates/membership/src/suspicion.rs
@@ -51,25 +51,26 @@
 }
 
 impl Membership {
-    /// When a suspicion ends.
-    fn suspicion_deadline(&self, suspicion: &Suspicion) -> Duration {
-        let timeout = suspicion.timeout(&self.config, self.members.live_count());
-        suspicion.since + self.health.scale(timeout)
+    /// The suspect members, and when the suspicion of each ends.
+    fn suspicions(&self) -> impl Iterator<Item = (&Member, Duration)> {
+        let live_members = self.members.live_count();
+        self.members.iter().filter_map(move |member| {
+            let suspicion = member.suspicion.as_ref()?;
+            let timeout = suspicion.timeout(&self.config, live_members);
+            Some((member, suspicion.since + self.health.scale(timeout)))
+        })
     }
 
     /// When each of the suspicions ends.
     pub(crate) fn suspicion_deadlines(&self) -> impl Iterator<Item = Duration> {
-        let suspicions = self.members.iter().filter_map(|member| member.suspicion.as_ref());
-        suspicions.map(|suspicion| self.suspicion_deadline(suspicion))
+        self.suspicions().map(|(_, deadline)| deadline)
     }
 
     /// Declares the members dead whose suspicion has ended.
     pub(crate) fn expire_suspicions(&mut self) {
-        let is_over = |member: &&Member| {
-            member.suspicion.as_ref().is_some_and(|suspicion| self.now >= self.suspicion_deadline(suspicion))
-        };
+        let is_over = |(_, deadline): &(&Member, Duration)| self.now >= *deadline;
         let expired: Vec<MemberUpdate> =
-            self.members.iter().filter(is_over).map(|member| member.update.clone()).collect();
+            self.suspicions().filter(is_over).map(|(member, _)| member.update.clone()).collect();
         for update in expired {
             let reported_by = Some(self.local.node.name.clone());
             self.apply_update(&MemberUpdate { state: MemberState::Dead, reported_by, ..update });
