Consensus: the error of invalid voters says what is checked

The message asked for three or five voters, this one among them. The check takes 1 to 7 distinct names, this voter among them or not, as the doc of DurableVoter::open says.

--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -49,7 +49,7 @@
     #[error("this folder belongs to the voter {0:?}")]
     OtherVoter(String),
     /// The configured voters are none, too many, or not distinct.
-    #[error("three or five voters (up to {MAX_VOTERS}), each named once, and this one among them")]
+    #[error("voters must be 1 to {MAX_VOTERS} names (three or five are usual), each named once")]
     InvalidVoters,
 }
 
