--- a/crates/consensus/src/event.rs
+++ b/crates/consensus/src/event.rs
@@ -17,7 +17,7 @@
 /// A voter's parameters. All voters should have the same.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
-    /// Between two ticks of the consensus; a leader sends heartbeats so often.
+    /// The time between two ticks of the consensus; a leader sends heartbeats at each tick.
     pub tick_interval: Duration,
     /// Ticks without a heartbeat before a follower campaigns; up to twice as many at random.
     pub election_ticks: u32,
@@ -52,18 +52,18 @@
     },
     /// A client's command, to be replicated.
     Propose {
-        /// Whom to respond to.
+        /// The process that gets the response.
         from: Name,
-        /// To be repeated in the response.
+        /// The id that the response repeats.
         request: RequestId,
         /// The command.
         command: Command,
     },
     /// A linearizable read of the leases.
     Read {
-        /// Whom to respond to.
+        /// The process that gets the response.
         from: Name,
-        /// To be repeated in the response.
+        /// The id that the response repeats.
         request: RequestId,
         /// One lease, or all.
         lease: Option<Name>,
@@ -101,7 +101,7 @@
         to: Name,
         /// The run of that process that did; zero where an operator did.
         incarnation: Incarnation,
-        /// As in the proposal.
+        /// The id of the proposal.
         request: RequestId,
         /// What the command resulted in.
         response: Response,
@@ -110,7 +110,7 @@
     RejectNotLeader {
         /// Who sent it.
         to: Name,
-        /// As in the request.
+        /// The id of the request.
         request: RequestId,
         /// Who leads, where that is known.
         leader: Option<Name>,
@@ -126,14 +126,14 @@
     RespondRead {
         /// Who sent it.
         to: Name,
-        /// As in the read.
+        /// The id of the read.
         request: RequestId,
-        /// At most [`MAX_LISTED_LEASES`].
+        /// The leases that were read, at most [`MAX_LISTED_LEASES`].
         leases: Vec<(Name, Lease)>,
     },
     /// Send [`Event::TimerElapsed`] at that time.
     SetTimer {
-        /// By this process's clock.
+        /// The time, by this process's clock.
         at: Duration,
     },
     /// Log a change of the voter's state.
@@ -149,21 +149,21 @@
         /// Their names.
         voters: Vec<String>,
     },
-    /// It leads.
+    /// The voter leads.
     #[error("became leader term={term}")]
     BecameLeader {
         /// Raft's term.
         term: u64,
     },
-    /// It leads no more.
+    /// The voter leads no more.
     #[error("lost leadership")]
     LostLeadership,
-    /// Others were bootstrapped without its directory.
+    /// Others were bootstrapped without the voter's directory.
     #[error(
         "is not a member: the cluster was bootstrapped without this folder; it may replace another voter"
     )]
     NotAMember,
-    /// Its directory is an older copy. It must not vote again.
+    /// The voter's directory is an older copy. The voter must not vote again.
     #[error(
         "was rolled back to an older state term={} index={} observed_term={} observed_index={}: it must not vote again; \
          replace it",
@@ -175,7 +175,7 @@
         /// How far others have seen it.
         observed: LogPosition,
     },
-    /// It received or stored something that makes no sense.
+    /// The voter received or read something that it can't use.
     #[error("received or read invalid data: {0}")]
     InvalidData(#[source] InvalidData),
 }
@@ -203,15 +203,15 @@
     /// The initial voters are finding each other.
     #[default]
     Bootstrapping,
-    /// It was restarted, and waits for the others to report how far they have seen its log.
+    /// The voter was restarted, and waits for the others to report how far they have seen its log.
     Waiting,
-    /// It votes.
+    /// The voter votes.
     Voting,
-    /// Others were bootstrapped without it.
+    /// Others were bootstrapped without this voter.
     Outside,
-    /// Its directory is an older copy: it votes no more.
+    /// The voter's directory is an older copy: the voter votes no more.
     RolledBack,
-    /// Its host ended it, after a failed write.
+    /// The host ended the voter after a failed write.
     Ended,
 }
 
--- a/crates/consensus/src/peer_message.rs
+++ b/crates/consensus/src/peer_message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 use tulipgap_leases::Name;
 
-/// Names a voter's directory, drawn when it was created and never zero. A directory that was emptied gets another id, so
-/// whoever uses it is no voter.
+/// Identifies a voter's directory: drawn at random when the directory is created, never zero. A directory that was
+/// emptied gets another id, so the process that uses it is no voter any more.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct VoterId(pub u64);
 
@@ -22,9 +22,9 @@
 /// How far a voter has come in agreeing on the initial voters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BootstrapStage {
-    /// It knows some of their ids.
+    /// The voter knows some of their ids.
     Discovering,
-    /// It has promised a complete set of ids and will never promise another.
+    /// The voter has promised a complete set of ids and will never promise another.
     Promised,
     /// All have promised the same set.
     Complete,
@@ -37,7 +37,7 @@
     Handshake {
         /// Whether the receiver is to send one back.
         wants_reply: bool,
-        /// The sender's.
+        /// The sender's id.
         id: VoterId,
         /// The initial voters, as far as the sender knows them.
         initial_voters: BTreeMap<Name, VoterId>,
--- a/crates/consensus/src/voter/membership_change.rs
+++ b/crates/consensus/src/voter/membership_change.rs
@@ -8,7 +8,7 @@
 use crate::peer_message::VoterId;
 use crate::replicated_state::{JoiningVoter, VoterChange};
 
-/// A learner votes once its log is so many entries behind the committed ones.
+/// A learner may vote once its log is at most this many entries behind the committed ones.
 const MAX_LEARNER_LAG: u64 = 50;
 
 impl Voter {
--- a/crates/consensus/src/voter/snapshot.rs
+++ b/crates/consensus/src/voter/snapshot.rs
@@ -1,4 +1,4 @@
-//! Snapshots of the replicated state: taken after so many entries, and restored from the leader's.
+//! Snapshots of the replicated state: taken at an interval of entries, and restored from the leader's.
 
 use raft::prelude::Snapshot;
 
--- a/crates/fault-injection/src/lease_simulation/outcome.rs
+++ b/crates/fault-injection/src/lease_simulation/outcome.rs
@@ -1,4 +1,4 @@
-//! What came of a run, and which invariants are checked in it.
+//! The outcome of a run, and which invariants are checked in it.
 
 use std::fmt::{self, Display};
 use std::time::Duration;
@@ -58,7 +58,7 @@
     pub details: String,
 }
 
-/// What came of a run.
+/// The outcome of a run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LeaseOutcome {
     /// The first violation of an invariant, which ends a run.
--- a/crates/fault-injection/src/lease_simulation/processes.rs
+++ b/crates/fault-injection/src/lease_simulation/processes.rs
@@ -14,7 +14,7 @@
 use crate::plan::{DirectoryAfterCrash, Fault, MemberIndex};
 use crate::scheduler::ProcessGeneration;
 
-/// How far clocks may differ in rate, and by how much waits are longer by chance, in thousandths.
+/// How far clocks may differ in rate, and the jitter of pauses, both in thousandths.
 const MAX_CLOCK_DRIFT_PERMILLE: u32 = 50;
 const JITTER_PERMILLE: u32 = 250;
 /// Events that wait for a paused process, as in a socket's buffer.
@@ -22,7 +22,7 @@
 /// Timers are set by clocks of another rate; this covers the rounding, so that none expires before its time.
 const TIMER_ROUNDING: Duration = Duration::from_nanos(10);
 
-/// A lease that a client holds, or held until lately.
+/// A lease under which a client has a guard; the lease itself may have ended meanwhile.
 pub(super) struct ActiveLease {
     pub(super) guard: LeaseGuard,
     /// The token of the operation that is under way.
--- a/crates/fault-injection/src/membership_simulation/outcome.rs
+++ b/crates/fault-injection/src/membership_simulation/outcome.rs
@@ -1,4 +1,4 @@
-//! What came of a run, and which bugs can be injected into it.
+//! The outcome of a run, and which bugs can be injected into it.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 /// A bug that is injected to show that a check can fail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MembershipBug {
-    /// The first member sends nothing, though its links are whole.
+    /// The first member sends nothing, though its links work.
     MuteMember,
     /// A dead member's pings are answered in its place.
     DeadMemberAnswers,
@@ -24,7 +24,7 @@
     pub last: Duration,
 }
 
-/// What came of a run.
+/// The outcome of a run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MembershipOutcome {
     /// The first violation of an invariant, which ends a run.
--- a/crates/fault-injection/src/plan/fault.rs
+++ b/crates/fault-injection/src/plan/fault.rs
@@ -8,7 +8,7 @@
 /// restores.
 pub(crate) const BACKUP_AT: Duration = Duration::from_millis(500);
 
-/// From and to, in seconds since the start; the end is not part of it.
+/// A span of time, in seconds since the start of the run; its end is not part of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TimeWindow {
     /// When it begins.
@@ -84,7 +84,7 @@
         b: String,
         /// Only what `a` sends to `b` is lost.
         one_way: bool,
-        /// The links are cut for so many seconds, whole for as many, and so on, in the window.
+        /// The links are cut for this many seconds, open for as many, and so on, in the window.
         flap: Option<f64>,
     },
     /// The links of a target, both ways, are slow or unreliable.
--- a/crates/fault-injection/src/plan/file.rs
+++ b/crates/fault-injection/src/plan/file.rs
@@ -105,7 +105,7 @@
     #[serde(rename = "of")]
     target: String,
     back: Option<f64>,
-    /// Without effect: the block takes the key, since it always has.
+    /// The key has no effect; it is accepted because earlier versions accepted it.
     #[serde(rename = "folder", default)]
     _directory: DirectoryAfterCrash,
 }
--- a/crates/fault-injection/src/processes/mod.rs
+++ b/crates/fault-injection/src/processes/mod.rs
@@ -100,7 +100,7 @@
     pub description: String,
 }
 
-/// What came of a run.
+/// The outcome of a run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RunOutcome {
     /// The first violation of an invariant, which ends a run.
--- a/crates/fault-injection/src/processes/views.rs
+++ b/crates/fault-injection/src/processes/views.rs
@@ -43,7 +43,7 @@
         }
     }
 
-    /// Polls all processes, if it is time to, and adds what came of it to the outcome.
+    /// Polls all processes, if it is time to, and adds the result to the outcome.
     pub(super) fn poll_if_due(
         &mut self,
         network: &Network,
--- a/crates/fault-injection/src/random_faults.rs
+++ b/crates/fault-injection/src/random_faults.rs
@@ -7,7 +7,7 @@
 const MAX_RANDOM_FAULTS: usize = 6;
 /// Faults are over by this fraction of the length of a run.
 const FAULTS_END_FRACTION: f64 = 2.0 / 3.0;
-/// After a disk fault a process is restarted for so long, in seconds.
+/// How long a process stays dead when it is restarted after a disk fault.
 const RESTART_SECONDS: f64 = 0.1;
 
 /// The same plan with up to six random faults beside its own, over by two thirds of its length. The same seed
--- a/crates/leases/src/client/event.rs
+++ b/crates/leases/src/client/event.rs
@@ -12,7 +12,7 @@
 pub struct Config {
     /// How far a clock may be off in its rate, in thousandths.
     pub max_clock_drift_permille: u32,
-    /// Pauses are longer by up to this part, drawn at random, in thousandths.
+    /// The jitter: a pause is longer by up to this fraction of it, drawn at random, in thousandths.
     pub jitter_permille: u32,
 }
 
@@ -37,7 +37,7 @@
     },
     /// A voter's response.
     Response {
-        /// Whose request was applied: an earlier run's may be applied only now.
+        /// The run of this process that sent the request: an earlier run's may be applied only now.
         incarnation: Incarnation,
         /// The request.
         request: RequestId,
@@ -67,7 +67,7 @@
     Send {
         /// The voter.
         to: Name,
-        /// To be repeated in the response.
+        /// The id that the response repeats.
         request: RequestId,
         /// The command.
         command: Command,
@@ -76,14 +76,14 @@
     Acquired {
         /// The lease.
         lease: Name,
-        /// Of its grant.
+        /// The fencing token of the grant.
         token: FencingToken,
     },
     /// A lease ended: whatever is done under it must stop now.
     Lost {
         /// The lease.
         lease: Name,
-        /// Of the grant that ended.
+        /// The fencing token of the grant that ended.
         token: FencingToken,
         /// Why it ended.
         reason: LossReason,
@@ -97,7 +97,7 @@
     },
     /// Send [`Event::TimerElapsed`] at that time.
     SetTimer {
-        /// By this process's clock.
+        /// The time, by this process's clock.
         at: Duration,
     },
 }
--- a/crates/leases/src/client/renewal.rs
+++ b/crates/leases/src/client/renewal.rs
@@ -38,12 +38,12 @@
         ttl * (1000 - self.config.max_clock_drift_permille) / 1000
     }
 
-    /// Whether a step may take so long: a renewal must come before the guard is stale.
+    /// Whether a step may take as long as `max_step`: a renewal must come before the guard is stale.
     pub(super) fn allows_step(&self, ttl: Duration, max_step: Duration) -> bool {
         max_step <= self.usable_ttl(ttl) / RENEWALS_PER_TTL
     }
 
-    /// When to renew a TTL that is counted from then.
+    /// When to renew a TTL that is counted from `counted_from`.
     pub(super) fn renew_at(&self, counted_from: Duration, ttl: Duration) -> Duration {
         counted_from + self.usable_ttl(ttl) / RENEWALS_PER_TTL
     }
--- a/crates/leases/src/client/wanted_lease.rs
+++ b/crates/leases/src/client/wanted_lease.rs
@@ -10,16 +10,16 @@
 /// How a lease stands with its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum LeaseStatus {
-    /// It is requested, and nothing is known of it.
+    /// The lease is requested, and no voter has answered yet.
     Requested,
-    /// It waits for a slot.
+    /// The client waits for a slot.
     Queued {
         /// Owners that are served before it.
         ahead: u32,
     },
-    /// It is held.
+    /// The client holds the lease.
     Active {
-        /// Of its grant.
+        /// The fencing token of the grant.
         token: FencingToken,
         /// When guards become stale, unless it is renewed.
         valid_until: Duration,
@@ -28,9 +28,9 @@
         /// Whether [`Action::Acquired`](crate::Action::Acquired) was returned for it.
         announced: bool,
     },
-    /// It was released or revoked, and is released at the voters once no guard is out.
+    /// The lease was released or revoked; its slot is released at the voters once no guard is out.
     Releasing {
-        /// Of the grant that ends.
+        /// The fencing token of the grant that ends.
         token: FencingToken,
     },
 }
--- a/crates/leases/src/expiry.rs
+++ b/crates/leases/src/expiry.rs
@@ -8,8 +8,8 @@
 use crate::protocol::{Command, Incarnation, Name, Owner, RenewalNumber};
 use crate::state_machine::LeaseStateMachine;
 
-/// Between two readings of the clock no more than this counts: a clock that jumps ahead must not expire anybody, and time
-/// for which the leader was paused is not counted.
+/// The most time that is counted between two readings of the clock: a clock that jumps ahead must not expire anybody,
+/// and time for which the leader was paused is not counted.
 const MAX_COUNTED_STEP: Duration = Duration::from_millis(500);
 /// An expiry that was not applied is proposed again after this.
 const EXPIRE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
@@ -33,7 +33,7 @@
 pub struct ExpiryTracker {
     max_clock_drift_permille: u32,
     is_leading: bool,
-    /// The clock when it was last read.
+    /// What the clock showed when it was last read.
     clock: Duration,
     /// The time counted so far. Deadlines are in this time.
     counted: Duration,
@@ -44,7 +44,8 @@
 }
 
 impl ExpiryTracker {
-    /// Of a voter that does not lead yet. Clocks may be off in rate by so many thousandths.
+    /// The tracker of a voter that does not lead yet. Clocks may be off in rate by `max_clock_drift_permille`
+    /// thousandths.
     pub fn new(max_clock_drift_permille: u32) -> Self {
         ExpiryTracker {
             max_clock_drift_permille,
--- a/crates/leases/src/protocol.rs
+++ b/crates/leases/src/protocol.rs
@@ -25,7 +25,8 @@
 /// The longest TTL.
 pub const MAX_LEASE_TTL: Duration = Duration::from_secs(3600);
 
-/// Grows with each grant, over all leases and for ever. Whatever is acted on under a lease can reject an older one.
+/// A number that grows with each grant, over all leases, and is never reused. What is acted on under a lease can reject
+/// a token that is older than one it has seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct FencingToken(pub u64);
 
@@ -35,11 +36,11 @@
     }
 }
 
-/// Numbers the requests that were applied. An expiry names the one whose TTL is over, and a later renewal voids it.
+/// The number of a request that was applied. An expiry names the one whose TTL is over, and a later renewal voids it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RenewalNumber(pub u64);
 
-/// Tells one run of a process from another. Zero is no run.
+/// Identifies one run of a process. Zero stands for no run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
@@ -107,7 +108,7 @@
     Expire {
         /// The lease.
         lease: Name,
-        /// Whose TTL is over.
+        /// The owner whose TTL is over.
         owner: Owner,
         /// The renewal whose TTL is over.
         renewal: RenewalNumber,
--- a/crates/leases/src/state_machine.rs
+++ b/crates/leases/src/state_machine.rs
@@ -17,11 +17,11 @@
 pub struct LeaseHolder {
     /// Who holds it.
     pub owner: Owner,
-    /// Of its grant.
+    /// The fencing token of the grant.
     pub token: FencingToken,
-    /// Of its latest request.
+    /// The number of the latest request.
     pub renewal: RenewalNumber,
-    /// It gets no further renewal.
+    /// Whether the grant was revoked: it gets no further renewal.
     pub revoked: bool,
 }
 
@@ -30,18 +30,18 @@
 pub struct QueuedOwner {
     /// Who waits. Incarnation zero stands for whichever run requests first.
     pub owner: Owner,
-    /// Of its latest request.
+    /// The number of the latest request.
     pub renewal: RenewalNumber,
 }
 
 /// A lease that is held or waited for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Lease {
-    /// As the first request had it.
+    /// The spec of the first request.
     pub spec: LeaseSpec,
-    /// At most as many as its capacity.
+    /// The owners that hold a slot, at most as many as the capacity.
     pub holders: Vec<LeaseHolder>,
-    /// The first is served first.
+    /// The owners that wait; the first is served first.
     pub queue: Vec<QueuedOwner>,
 }
 
--- a/crates/membership/src/anti_entropy.rs
+++ b/crates/membership/src/anti_entropy.rs
@@ -1,4 +1,4 @@
-//! Anti-entropy: now and then two members exchange their complete state (memberlist's push-pull), which
+//! Anti-entropy: at intervals two members exchange their complete state (memberlist's push-pull), which
 //! repairs what the dissemination of single updates has missed and joins the halves of a cluster again after
 //! a partition.
 
@@ -22,8 +22,7 @@
         let contacts = if self.has_joined { self.pick(rejoin).into_iter().collect() } else { rejoin };
         for contact in contacts {
             self.broadcasts.push(self.local.clone());
-            // A dead member gets to know from the state that it is declared dead, and refutes that if it
-            // lives.
+            // A member that was declared dead learns that from the state, and refutes it if it lives.
             let body = match contact.name {
                 Some(_) => MessageBody::PushPull { reply_requested: true },
                 None => MessageBody::Join,
--- a/crates/membership/src/dependency_probe.rs
+++ b/crates/membership/src/dependency_probe.rs
@@ -4,7 +4,7 @@
 //! A process whose calls are refused wants the lease on probing. The lease holder alone probes, and publishes
 //! a verdict while the dependency does not answer; the others fail their calls at once instead of making
 //! them. The holder renews its verdict, and one that is not renewed expires after [`VERDICT_TTL`]: a prober
-//! that died holds nobody back for longer. As the membership, this is a state machine without I/O and without
+//! that died blocks no calls for longer. Like the membership, this is a state machine without I/O and without
 //! a clock.
 
 use std::collections::BTreeMap;
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -21,7 +21,7 @@
     },
     /// The time of the last [`Action::SetTimer`] has come.
     TimerExpired,
-    /// The process is about to end and takes leave of the cluster. Later events have no effect.
+    /// The process is about to end and leaves the cluster. Later events have no effect.
     Leave,
     /// The host publishes an entry of this node's metadata.
     SetMetadata {
--- a/crates/membership/src/failure_detector.rs
+++ b/crates/membership/src/failure_detector.rs
@@ -85,8 +85,8 @@
         let Some(target) = self.next_probe_target() else { return };
         let Some(member) = self.members.get(&target) else { return };
         let recipient = member.recipient();
-        // A suspect gets to know it with the probe, so that it can refute it, however often the update was
-        // sent.
+        // The ping carries the suspicion, so that the suspect can refute it, even where the update has left
+        // the queue.
         if member.update.state == MemberState::Suspect {
             self.broadcasts.push(member.update.clone());
         }
@@ -152,7 +152,7 @@
             }
             ProbePhase::Indirect { pending_relays, .. } => pending_relays as u32,
         };
-        // Relays that did not report at all speak against this node and not against the target.
+        // Where relays did not report at all, the fault is more likely this node's than the target's.
         self.health.degrade(1 + missing_reports);
         let Some(member) = self.members.get_live(&probe.target) else { return };
         let suspect = MemberUpdate {
@@ -162,8 +162,8 @@
         };
         let recipient = member.recipient();
         self.apply_update(&suspect);
-        // The target gets to know it at once: over a slow link the next probe would leave too little time to
-        // refute it.
+        // The target is notified of the suspicion at once: over a slow link the next probe would leave too
+        // little time to refute it.
         self.send_update(&recipient, suspect);
     }
 
--- a/crates/membership/src/local_health.rs
+++ b/crates/membership/src/local_health.rs
@@ -1,4 +1,4 @@
-//! Local health awareness (Lifeguard's LHA-Probe): a node that does badly itself gives others more time.
+//! Local health awareness (Lifeguard's LHA-Probe): a node in bad health itself gives others more time.
 
 use std::time::Duration;
 
--- a/crates/membership/src/metadata.rs
+++ b/crates/membership/src/metadata.rs
@@ -1,4 +1,4 @@
-//! The metadata of a node: a few short key-value pairs that every other member gets to know.
+//! The metadata of a node: a few short key-value pairs that are disseminated to every other member.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/peer-protocol/src/message.rs
+++ b/crates/peer-protocol/src/message.rs
@@ -9,29 +9,29 @@
 /// A message from one process to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// Of the membership protocol.
+    /// A message of the membership protocol.
     Member(tulipgap_membership::Message),
-    /// From voter to voter.
+    /// A message from one voter to another.
     Voter(PeerMessage),
     /// A command for the leader of the voters.
     LeaseRequest {
-        /// To be repeated in the response.
+        /// The id that the response repeats.
         request: RequestId,
         /// The command.
         command: Command,
     },
     /// The result of a command.
     LeaseResponse {
-        /// Of the process that sent the request.
+        /// The run of the process that sent the request.
         incarnation: Incarnation,
-        /// As in the request.
+        /// The id of the request.
         request: RequestId,
         /// The result.
         response: Response,
     },
     /// A request or a read was rejected, as the voter does not lead.
     NotLeader {
-        /// As in the request.
+        /// The id of the request.
         request: RequestId,
         /// Who leads, where the voter knows.
         leader: Option<Name>,
@@ -41,18 +41,18 @@
         /// The lease.
         lease: Name,
     },
-    /// Reads leases.
+    /// A read of leases.
     ReadLeases {
-        /// To be repeated in the response.
+        /// The id that the response repeats.
         request: RequestId,
         /// One lease, or all.
         lease: Option<Name>,
     },
     /// The leases that were read.
     LeaseList {
-        /// As in the read.
+        /// The id of the read.
         request: RequestId,
-        /// By name.
+        /// The leases and their names.
         leases: Vec<(Name, Lease)>,
     },
     /// An operator replaces a voter.
@@ -71,7 +71,7 @@
     pub from: Name,
     /// Where the sender is reached.
     pub address: SocketAddr,
-    /// Of the sender, drawn when it was started.
+    /// The sender's run, drawn when the process was started.
     pub incarnation: Incarnation,
     /// What it sends.
     pub message: Message,
--- a/crates/write-ahead-log/src/log.rs
+++ b/crates/write-ahead-log/src/log.rs
@@ -40,7 +40,7 @@
 /// or sync failed, every further write fails with [`LogError::Poisoned`].
 pub struct WriteAheadLog<D: Disk> {
     disk: D,
-    /// Of the last record. A snapshot does not restart it.
+    /// The sequence number of the last record. A snapshot does not restart the numbers.
     last_sequence: u64,
     /// The file that records are appended to.
     log_file: String,
