Fault injection: constants in seconds bear the unit in their names

Limits and spans that are f64 seconds (MIN_LATENCY, MAX_LENGTH, START_SPREAD, DEFAULT_DISK_FAULT) had the unit in a comment only, beside others that are Durations or have it in the name (REST_SECONDS, TTL_SECONDS).

--- a/crates/fault-injection/src/lease_simulation/mod.rs
+++ b/crates/fault-injection/src/lease_simulation/mod.rs
@@ -28,10 +28,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Between two reads of who holds a lease.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
-/// Members start within this time, in seconds.
-const START_SPREAD: f64 = 0.2;
-/// How long a disk fault lasts where the plan does not say, in seconds.
-const DEFAULT_DISK_FAULT: f64 = 5.0;
+/// Members start within this time.
+const START_SPREAD_SECONDS: f64 = 0.2;
+/// How long a disk fault lasts where the plan does not say.
+const DEFAULT_DISK_FAULT_SECONDS: f64 = 5.0;
 
 /// What happens to a member's machine, or on it.
 enum SimulationEvent {
@@ -147,7 +147,7 @@
 
     fn schedule_starts(&mut self) {
         for member in 0..self.members.len() {
-            let at = Duration::from_secs_f64(self.rng.f64() * START_SPREAD);
+            let at = Duration::from_secs_f64(self.rng.f64() * START_SPREAD_SECONDS);
             let start = SimulationEvent::Start { directory: DirectoryAfterCrash::Kept };
             self.scheduler.schedule(at, member, start);
             self.scheduler.schedule(BACKUP_AT, member, SimulationEvent::BackUpDirectory);
@@ -179,7 +179,7 @@
                     DiskFault::Full => DiskFaults { is_full: true, ..DiskFaults::default() },
                     DiskFault::SyncFails => DiskFaults { next_sync_fails: true, ..DiskFaults::default() },
                 };
-                let repaired_at = repaired_at.unwrap_or(*at + DEFAULT_DISK_FAULT);
+                let repaired_at = repaired_at.unwrap_or(*at + DEFAULT_DISK_FAULT_SECONDS);
                 for member in matching(&self.members, target) {
                     self.schedule_at(*at, member, SimulationEvent::SetDiskFaults(faults));
                     let repair = SimulationEvent::SetDiskFaults(DiskFaults::default());
--- a/crates/fault-injection/src/membership_simulation/mod.rs
+++ b/crates/fault-injection/src/membership_simulation/mod.rs
@@ -19,8 +19,8 @@
 pub use outcome::{DetectionTimes, MembershipBug, MembershipOutcome};
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Members start within this time, in seconds.
-const START_SPREAD: f64 = 0.2;
+/// Members start within this time.
+const START_SPREAD_SECONDS: f64 = 0.2;
 
 enum SimulationEvent {
     Start,
@@ -146,7 +146,7 @@
 
     fn schedule_starts(&mut self) {
         for member in 0..self.members.len() {
-            let at = Duration::from_secs_f64(self.rng.f64() * START_SPREAD);
+            let at = Duration::from_secs_f64(self.rng.f64() * START_SPREAD_SECONDS);
             self.scheduler.schedule(at, member, SimulationEvent::Start);
         }
     }
--- a/crates/fault-injection/src/plan/network.rs
+++ b/crates/fault-injection/src/plan/network.rs
@@ -4,9 +4,9 @@
 
 use super::{Fault, Member, Plan};
 
-/// How long a message takes where links are not degraded, in seconds: the shortest and the longest.
-const MIN_LATENCY: f64 = 0.0002;
-const MAX_LATENCY: f64 = 0.002;
+/// How long a message takes where links are not degraded: the shortest and the longest.
+const MIN_LATENCY_SECONDS: f64 = 0.0002;
+const MAX_LATENCY_SECONDS: f64 = 0.002;
 
 /// How links from one member to another are degraded at some time.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -38,7 +38,7 @@
     /// Draws for one copy in simulated time how long it takes, or `None` where it is lost. Each copy takes
     /// its own time, so messages overtake each other.
     fn draw_transit(&self, rng: &mut fastrand::Rng) -> Option<Duration> {
-        let latency = MIN_LATENCY + (MAX_LATENCY - MIN_LATENCY) * rng.f64();
+        let latency = MIN_LATENCY_SECONDS + (MAX_LATENCY_SECONDS - MIN_LATENCY_SECONDS) * rng.f64();
         let transit = latency + self.draw_delay(rng);
         let is_lost = self.draw_loss(rng);
         (!is_lost).then(|| Duration::from_secs_f64(transit))
--- a/crates/fault-injection/src/plan/validation.rs
+++ b/crates/fault-injection/src/plan/validation.rs
@@ -10,8 +10,8 @@
 
 /// The most members of one run.
 const MAX_MEMBERS: usize = 2000;
-/// The longest run, in seconds.
-const MAX_LENGTH: f64 = 3600.0;
+/// The longest run.
+const MAX_LENGTH_SECONDS: f64 = 3600.0;
 const MAX_ZONE_NAME_BYTES: usize = 40;
 const FRACTION: RangeInclusive<f64> = 0.0..=1.0;
 const DELAY_MS: RangeInclusive<f64> = 0.0..=60_000.0;
@@ -40,7 +40,7 @@
     /// [`PlanError::InvalidValue`] for the first value that cannot be played.
     pub(super) fn validate(&self) -> Result<(), PlanError> {
         ensure(
-            self.length > 0.0 && self.length <= MAX_LENGTH,
+            self.length > 0.0 && self.length <= MAX_LENGTH_SECONDS,
             "length",
             "has to be above 0 and up to 3600 seconds",
         )?;
