Membership: the recent window is worked out once for all member records

members() asked for the reachability of each member, and that counted all live members for the window in which an answer is recent: the square of the members at each state change, status call and metadata read. The window is now worked out once, and a member's reachability is a method of the member, which needs nothing else of the membership.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -101,13 +101,14 @@
 
     /// The other members that are recorded, dead ones included, in the order of their names.
     pub fn members(&self) -> impl Iterator<Item = MemberRecord> + '_ {
-        self.members.iter().map(|member| MemberRecord {
+        let recent_window = self.recent_window();
+        self.members.iter().map(move |member| MemberRecord {
             update: member.update.clone(),
             state_since: member.state_since,
             suspected_by: (member.suspicion.iter())
                 .flat_map(|suspicion| suspicion.reporters().cloned())
                 .collect(),
-            reachability: self.reachability(member),
+            reachability: member.reachability(self.now, recent_window),
         })
     }
 
--- a/crates/membership/src/reachability.rs
+++ b/crates/membership/src/reachability.rs
@@ -29,27 +29,30 @@
     Unreachable,
 }
 
-impl Membership {
-    pub(crate) fn reachability(&self, member: &Member) -> Reachability {
-        if member.is_directly_unreachable {
-            return if self.is_recent(member.last_message) {
+impl Member {
+    /// How this node reaches the member. What happened within `recent_window` before `now` is recent.
+    pub(crate) fn reachability(&self, now: Duration, recent_window: Duration) -> Reachability {
+        let is_recent = |at: Option<Duration>| at.is_some_and(|at| now.saturating_sub(at) <= recent_window);
+        if self.is_directly_unreachable {
+            return if is_recent(self.last_message) {
                 Reachability::AsymmetricPartition
             } else {
                 Reachability::IndirectOnly
             };
         }
-        if member.is_live() && self.is_recent(member.last_ack.or(member.last_message)) {
+        if self.is_live() && is_recent(self.last_ack.or(self.last_message)) {
             Reachability::Reachable
         } else {
             Reachability::Unreachable
         }
     }
+}
 
-    /// Whether something happened within the last rounds of probes.
-    fn is_recent(&self, at: Option<Duration>) -> bool {
+impl Membership {
+    /// How long an answer or a message counts as recent.
+    pub(crate) fn recent_window(&self) -> Duration {
         let cluster_size = self.members.alive().count() as u32 + 1;
-        let window = self.config.probe_interval * cluster_size * RECENT_ROUNDS;
-        at.is_some_and(|at| self.now.saturating_sub(at) <= window)
+        self.config.probe_interval * cluster_size * RECENT_ROUNDS
     }
 
     /// Announces the members that this node does not reach directly, where they have changed.
