Decisions: arrivals by priority level and the mean response time are read in one way

Seen: the sum of recent arrivals above a priority level stood twice, in queueing.rs and in admission.rs, and brownout.rs wrote out the quotient that SlidingWindow::ratio already is. Now `arrivals_at(levels)` stands in bookkeeping.rs and has both callers, and brownout.rs calls `ratio`.

--- a/src/controller/admission.rs
+++ b/src/controller/admission.rs
@@ -5,7 +5,7 @@
 use super::Controller;
 use super::tuning::{
     ADMISSION_OBJECTIVE_FRACTION, BUCKET_WIDTH, LONG_LEARNT_WORK_FACTOR, MAX_QUEUED_MEMORY_FRACTION,
-    MEASUREMENT_WINDOW, QUOTA_BURST, QUOTA_WINDOW,
+    QUOTA_BURST, QUOTA_WINDOW,
 };
 use crate::action::{Action, Reason};
 use crate::config::Idempotency;
@@ -127,11 +127,10 @@
         if self.brownout.admitted_fraction >= 1.0 {
             return true;
         }
-        let count = |level: usize| self.window.sum(Metric::ArrivedAtLevel(level), MEASUREMENT_WINDOW);
-        let above: f64 = (level + 1..self.priority_levels).map(count).sum();
-        let all: f64 = (0..self.priority_levels).map(count).sum();
-        let draw = self.rng.f64();
-        draw * count(level) < self.brownout.admitted_fraction * all - above
+        let own = self.arrivals_at(level..level + 1);
+        let above = self.arrivals_at(level + 1..self.priority_levels);
+        let all = self.arrivals_at(0..self.priority_levels);
+        self.rng.f64() * own < self.brownout.admitted_fraction * all - above
     }
 
     /// The tokens under which a tenant is over its quota. While arrivals stay within what all tenants may
--- a/src/controller/bookkeeping.rs
+++ b/src/controller/bookkeeping.rs
@@ -1,6 +1,8 @@
 //! Records of what happened, means of recent measurements, and the release of a request. No decision is taken
 //! here.
 
+use std::ops::Range;
+
 use super::Controller;
 use super::tuning::{DEFAULT_WORK_SECONDS, MEASUREMENT_WINDOW, WORK_WINDOW};
 use crate::action::Action;
@@ -28,6 +30,11 @@
         self.window.add(Metric::UnreadTime, unread);
     }
 
+    /// Recent arrivals at these priority levels.
+    pub(super) fn arrivals_at(&self, levels: Range<usize>) -> f64 {
+        levels.map(|level| self.window.sum(Metric::ArrivedAtLevel(level), MEASUREMENT_WINDOW)).sum()
+    }
+
     /// Mean seconds of work of recent arrivals.
     pub(super) fn mean_work(&self) -> f64 {
         let mean = self.window.ratio(Metric::ArrivedWork, Metric::Arrived, WORK_WINDOW);
--- a/src/controller/brownout.rs
+++ b/src/controller/brownout.rs
@@ -12,9 +12,7 @@
 impl Controller {
     /// One step of both loops. An empty window does not count as lateness.
     pub(super) fn update_brownout(&mut self) {
-        let completed = self.window.sum(Metric::Completed, MEASUREMENT_WINDOW);
-        let response_time = self.window.sum(Metric::ResponseTime, MEASUREMENT_WINDOW);
-        let mean = (completed > 0.0).then(|| response_time / completed);
+        let mean = self.window.ratio(Metric::ResponseTime, Metric::Completed, MEASUREMENT_WINDOW);
         let error = self.brownout.setpoint - mean.unwrap_or(0.0);
         self.update_admitted_fraction(error);
         self.update_dimmer(error, mean);
--- a/src/controller/queueing.rs
+++ b/src/controller/queueing.rs
@@ -12,7 +12,6 @@
 use crate::action::{Action, Reason};
 use crate::event::RequestIndex;
 use crate::request::Request;
-use crate::sliding_window::Metric;
 
 /// The order of the queue: falling priority levels, then the earlier latency objective.
 pub(super) fn queue_order(request: &Request) -> (Reverse<usize>, Duration) {
@@ -65,8 +64,7 @@
 
     /// The fraction of the running limit that work of higher levels takes as it arrives.
     fn overtaking_fraction(&self, level: usize) -> f64 {
-        let arrived = |level: usize| self.window.sum(Metric::ArrivedAtLevel(level), MEASUREMENT_WINDOW);
-        let higher: f64 = (level + 1..self.priority_levels).map(arrived).sum();
+        let higher = self.arrivals_at(level + 1..self.priority_levels);
         let work = higher * self.mean_work() / MEASUREMENT_WINDOW.as_secs_f64();
         let fraction = OVERTAKING_FRACTION * work * self.pace.measured / self.capacity.running_limit;
         fraction.min(MAX_OVERTAKING_FRACTION)
