--- a/src/controller/admission.rs
+++ b/src/controller/admission.rs
@@ -135,8 +135,8 @@
 
     /// The tokens under which a tenant is over its quota. While arrivals stay within what all tenants may
     /// send to one server, none is: buckets walk at random, and a low rank would reject what there is room
-    /// for. Beyond that, as large a part is over quota as there is excess. Harms where one tenant floods a
-    /// fleet that the others leave idle.
+    /// for. Beyond that, as large a part is over quota as there is excess. It does harm where one tenant
+    /// floods a fleet that the others leave idle.
     fn quota_threshold(&self) -> f64 {
         let Some(quota) = self.quotas.rate_per_s else { return 1.0 };
         let span = QUOTA_WINDOW.min(self.clock.now).max(Duration::from_secs(1));
--- a/src/controller/brownout.rs
+++ b/src/controller/brownout.rs
@@ -49,7 +49,7 @@
 
     /// A dependency slows at its knee long before that shows in responses, and the more it is pressed the
     /// less it does in all: fewer calls at once, and all of them again slowly, because the knee shows only
-    /// once it is passed. Harms where calls get slower for good, until that is learnt.
+    /// once it is passed. It does harm where calls get slower for good, until that is learnt.
     pub(super) fn cut_dimmer_ceiling(&mut self) {
         let brownout = &mut self.brownout;
         brownout.ceiling = (brownout.ceiling * CEILING_CUT).max(MIN_DIMMER_CEILING);
--- a/src/controller/caller_feedback.rs
+++ b/src/controller/caller_feedback.rs
@@ -87,7 +87,7 @@
     /// Whether a rejected request is worth an attempt elsewhere. With few retries among arrivals, and most of
     /// them admitted, other servers still admit what this one rejects. Otherwise the fleet is full, and one
     /// more attempt only costs a reading. Unmarked retries are not seen: there only a server that is draining
-    /// or failing sends requests elsewhere. Guards against retry storms; harms on the only full server.
+    /// or failing sends requests elsewhere. Guards against retry storms; does harm on the only full server.
     pub(super) fn should_retry_other_server(&self, index: RequestIndex) -> bool {
         let request = &self.requests[index];
         let objective = request.objective_at.saturating_sub(request.arrived_at);
--- a/src/controller/dependency_calls.rs
+++ b/src/controller/dependency_calls.rs
@@ -75,9 +75,9 @@
         } else {
             entry.deadline.saturating_sub(self.clock.now)
         };
-        // Guards against replies that never come: given up early, the call can be made again in time. Harms
-        // where a few calls take far longer than most; where many do, the dependency is slow, and this does
-        // not act.
+        // Guards against replies that never come: given up early, the call can be made again in time. It does
+        // harm where a few calls take far longer than most; where many do, the dependency is slow, and this
+        // does not act.
         let may_retry = profile.calls_are_optional
             && profile.idempotency == Idempotency::Idempotent
             && entry.call_attempts + 1 < MAX_CALL_ATTEMPTS;
--- a/src/controller/health.rs
+++ b/src/controller/health.rs
@@ -22,8 +22,8 @@
         }
         // Few requests with rough estimates show little: on a small server two long ones would make it look
         // degraded, and it would reject with idle cores. The usual pace counts as so many requests more, and
-        // is all that counts once nothing runs: a server that hung would otherwise reject for ever. Harms by
-        // a slower notice.
+        // is all that counts once nothing runs: a server that hung would otherwise reject for ever. The price
+        // is that a slow server is noticed later.
         let prior = PACE_PRIOR_REQUESTS * self.mean_work();
         let pace = &mut self.pace;
         pace.measured = (core_time + prior * pace.usual) / (work + prior);
@@ -43,8 +43,8 @@
 
     /// The fraction of recent runs that failed if it is so high that other servers are likely to do better,
     /// and 0 otherwise; what is still admitted shows when the fault is over. Guards against a server that
-    /// fails fast and so attracts more than its share. Harms where every server fails alike: a rejected
-    /// request then finds no better one.
+    /// fails fast and so attracts more than its share. It does harm where every server fails alike: a
+    /// rejected request then finds no better one.
     pub(super) fn high_failure_fraction(&self) -> f64 {
         let failed = self.window.sum(Metric::Failed, MEASUREMENT_WINDOW);
         let completed = self.window.sum(Metric::Completed, MEASUREMENT_WINDOW);
--- a/src/controller/tuning.rs
+++ b/src/controller/tuning.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-/// The control interval of timers, at the longest and shortest: how late an overdue answer can be.
+/// The longest and the shortest interval between two ticks: how late an overdue answer can be.
 pub(super) const MAX_TICK_INTERVAL: Duration = Duration::from_millis(25);
 pub(super) const MIN_TICK_INTERVAL: Duration = Duration::from_millis(5);
-/// Ticks by which a tick is late when the process counts as having stood still.
+/// By how many tick intervals a tick is late when the process counts as having stood still.
 pub(super) const STALL_TICKS: u32 = 2;
 /// The width of the buckets in which metrics are kept.
 pub(super) const BUCKET_WIDTH: Duration = Duration::from_millis(250);
-/// Between two steps of the control loops, and the window of their means.
+/// The interval between two steps of the control loops, and the window of their means.
 pub(super) const CONTROL_INTERVAL: Duration = Duration::from_millis(500);
 pub(super) const MEASUREMENT_WINDOW: Duration = Duration::from_millis(2000);
 /// The window of the mean work of arrivals.
--- a/src/sliding_window.rs
+++ b/src/sliding_window.rs
@@ -7,23 +7,23 @@
 pub(crate) enum Metric {
     /// Requests that succeeded in time for their caller.
     Completed,
-    /// Their response times, in seconds; time in which the process stood still is left out.
+    /// Response times of completed requests, in seconds; time in which the process stood still is left out.
     ResponseTime,
     /// Seconds on a core of runs that succeeded.
     CoreTime,
-    /// Their work.
+    /// The work of runs that succeeded.
     Work,
     /// Runs that failed.
     Failed,
     /// Dependency calls that ended with an answer or a timeout.
     Calls,
-    /// Their durations, in seconds.
+    /// The durations of those calls, in seconds.
     CallTime,
     /// Seconds of calls that were in flight at the dependency.
     CallsInFlight,
     /// Requests that arrived.
     Arrived,
-    /// Their work.
+    /// The work of requests that arrived.
     ArrivedWork,
     /// Arrivals that are marked as retries.
     Retries,
