Configuration: a test lease has a TTL, a capacity and its longest operation

Seen: `TestLease` still had `term` and `places`, and `step` was documented as the pause between two uses, which is wrong: the worker's operations last up to it. A wrong entry was reported as no NAME TERM_MS PLACES STEP_MS, while the field's documentation said NAME TTL_MS CAPACITY STEP_MS and the rig, which writes these entries, NAME TTL_MS CAPACITY MAX_OPERATION_MS. Now all three say the last. The HCL key and the text of an entry are as they were. The key file's check was wrapped in a closure that did nothing; it is named like that of `trace.folder`.

--- a/crates/config/src/cluster.rs
+++ b/crates/config/src/cluster.rs
@@ -34,7 +34,7 @@
     #[garde(length(bytes, min = 1, max = 64))]
     pub zone: String,
     /// A file of 16 bytes or more that all members have: the key that authenticates frames.
-    #[garde(custom(|path: &PathBuf, context: &()| non_empty_path(path, context)))]
+    #[garde(custom(non_empty_path))]
     pub key: PathBuf,
     /// Addresses at which members may be found; some of each zone.
     #[serde(default)]
--- a/crates/config/src/fault_injection.rs
+++ b/crates/config/src/fault_injection.rs
@@ -20,7 +20,7 @@
     /// The address of the history checker, which is sent each write under a lease.
     #[garde(inner(custom(socket_address)))]
     pub witness: Option<String>,
-    /// The leases to be used, each as `NAME TTL_MS CAPACITY STEP_MS`.
+    /// The leases to be used, each as `NAME TTL_MS CAPACITY MAX_OPERATION_MS`.
     #[serde(default)]
     #[garde(inner(custom(test_lease)))]
     pub leases: Vec<String>,
@@ -56,11 +56,11 @@
     /// Its name.
     pub name: String,
     /// Its TTL.
-    pub term: Duration,
+    pub ttl: Duration,
     /// How many members may hold it at a time.
-    pub places: u32,
-    /// The pause between two uses.
-    pub step: Duration,
+    pub capacity: u32,
+    /// The longest that an operation under it takes.
+    pub max_operation: Duration,
 }
 
 impl FaultInjectionConfig {
@@ -81,13 +81,13 @@
 }
 
 fn parse_test_lease(text: &str) -> Option<TestLease> {
-    let [name, ttl, capacity, step] = text.split(' ').collect::<Vec<_>>()[..] else { return None };
+    let [name, ttl, capacity, max_operation] = text.split(' ').collect::<Vec<_>>()[..] else { return None };
     let millis = |text: &str| Some(Duration::from_millis(text.parse().ok()?));
     Some(TestLease {
         name: name.into(),
-        term: millis(ttl)?,
-        places: capacity.parse().ok()?,
-        step: millis(step)?,
+        ttl: millis(ttl)?,
+        capacity: capacity.parse().ok()?,
+        max_operation: millis(max_operation)?,
     })
 }
 
@@ -97,7 +97,7 @@
 }
 
 fn test_lease(text: &str, _: &()) -> garde::Result {
-    let invalid = || garde::Error::new(format!("'{text}' is not NAME TERM_MS PLACES STEP_MS"));
+    let invalid = || garde::Error::new(format!("'{text}' is not NAME TTL_MS CAPACITY MAX_OPERATION_MS"));
     parse_test_lease(text).map(|_| ()).ok_or_else(invalid)
 }
 
--- a/crates/server/src/cluster/fault_injection/lease_worker.rs
+++ b/crates/server/src/cluster/fault_injection/lease_worker.rs
@@ -67,10 +67,10 @@
 
     /// Acts under the lease whenever this process holds it.
     pub(crate) fn run(mut self) -> ! {
-        let spec = LeaseSpec { ttl: self.lease.term, capacity: self.lease.places };
+        let spec = LeaseSpec { ttl: self.lease.ttl, capacity: self.lease.capacity };
         loop {
             // Requested each time, as an operator may have released it.
-            self.leases.acquire(&self.lease.name, spec, self.lease.step);
+            self.leases.acquire(&self.lease.name, spec, self.lease.max_operation);
             if let Ok(guard) = self.leases.acquire_guard(&self.lease.name) {
                 self.act_under(&guard);
             }
@@ -85,7 +85,7 @@
                 return;
             }
             let fraction = MIN_STEP_FRACTION + STEP_SPREAD * fastrand::f64();
-            std::thread::sleep(self.lease.step.mul_f64(fraction));
+            std::thread::sleep(self.lease.max_operation.mul_f64(fraction));
             if self.report(StepEvent::End, token).is_err() {
                 return;
             }
