Trace: the first line of framing.rs says frames

Seen: "FrameReader: the units of a file" came of a search and replace of the word Frames. The units are frames; FrameReader reads them. Tests of trace (39 and the documentation example) passed.

--- a/crates/trace/src/framing.rs
+++ b/crates/trace/src/framing.rs
@@ -1,4 +1,4 @@
-//! FrameReader: the units of a file. Each frame has a marker, a length with a checksum of its own, and a
+//! Frames, the units of a file. Each frame has a marker, a length with a checksum of its own, and a
 //! checksum of its payload, so that a reader finds the next intact frame behind any damage.
 
 use std::io::{self, Read, Write};
