Example: the toy speaks of requests, answers and the executor

Seen: the first program that a newcomer runs still had the old house style: "one req", `told`, `hear`, `each`, "a link ended", a kernel in place of the executor that README beside it names, `WORK` and `BURST` without units, and one name, `end`, for both a flag and the word that is sent. Now it has the words of the guide; what goes over its sockets is as it was.

--- a/example/toy.rs
+++ b/example/toy.rs
@@ -1,5 +1,5 @@
-//! A toy deployment around one `tulipgapd`: a kernel with two cores, a store, and an edge node that sends a req
-//! and then a burst. See README.md beside this file.
+//! A toy deployment around one `tulipgapd`: an executor with two cores (the `kernel` of its configuration), a
+//! store, and an edge node that sends one request and then a burst. See README.md beside this file.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -17,59 +17,65 @@
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
 const BACKEND: &str = "127.0.0.1:6565";
-const KERNEL: &str = "127.0.0.2:7300";
+const EXECUTOR: &str = "127.0.0.2:7300";
 const STORE: &str = "127.0.0.2:7700";
 const CORES: u32 = 2;
-/// The work of a req, in milliseconds on one core.
-const WORK: u64 = 60;
-const BURST: i32 = 60;
+/// The work of a request, in milliseconds on one core.
+const WORK_MS: u64 = 60;
+const BURST_REQUESTS: i32 = 60;
 
 fn main() -> Result<(), Error> {
-    let kernel = TcpListener::bind(KERNEL)?;
+    let executor = TcpListener::bind(EXECUTOR)?;
     let store = TcpListener::bind(STORE)?;
-    std::thread::spawn(move || each(&kernel, |stream| serve_kernel(&stream)));
-    std::thread::spawn(move || each(&store, |stream| serve_store(&stream)));
-    println!("toy: kernel and store are up; waiting for tulipgapd on {BACKEND}");
+    std::thread::spawn(move || serve_connections(&executor, |stream| serve_executor(&stream)));
+    std::thread::spawn(move || serve_connections(&store, |stream| serve_store(&stream)));
+    println!("toy: executor and store are up; waiting for tulipgapd on {BACKEND}");
     let mut edge = loop {
         match TcpStream::connect(BACKEND) {
             Ok(stream) => break stream,
             Err(_) => std::thread::sleep(Duration::from_millis(100)),
         }
     };
-    // The backend says no until its kernel is up.
+    // The backend rejects everything until it is connected to its executor.
     std::thread::sleep(Duration::from_millis(300));
-    send(&mut edge, 1, "page")?;
-    println!("toy: one req -> {}", told(&answer(&mut edge)?));
+    send_request(&mut edge, 1, "page")?;
+    println!("toy: one request -> {}", summary(&read_answer(&mut edge)?));
     let mut count = HashMap::new();
     let mut last = HashMap::new();
-    // One connection carries 32 open reqs, so the burst comes over two.
+    // One connection carries 32 open requests, so the burst comes over two.
     let mut other = TcpStream::connect(BACKEND)?;
-    for sequence in 2..2 + BURST {
-        send(if sequence % 2 == 0 { &mut edge } else { &mut other }, sequence, "page")?;
+    for sequence in 2..2 + BURST_REQUESTS {
+        send_request(if sequence % 2 == 0 { &mut edge } else { &mut other }, sequence, "page")?;
     }
-    for sequence in 2..2 + BURST {
-        let answer = answer(if sequence % 2 == 0 { &mut edge } else { &mut other })?;
+    for sequence in 2..2 + BURST_REQUESTS {
+        let answer = read_answer(if sequence % 2 == 0 { &mut edge } else { &mut other })?;
         *count.entry(answer.0).or_insert(0) += 1;
-        last.insert(answer.0, told(&answer));
+        last.insert(answer.0, summary(&answer));
     }
-    println!("toy: a burst of {BURST} -> {count:?}, for example");
+    println!("toy: a burst of {BURST_REQUESTS} -> {count:?}, for example");
     for example in last.values() {
         println!("toy:   {example}");
     }
-    println!("toy: that is all; stop tulipgapd with SIGTERM and it ends with 0");
+    println!("toy: done; stop tulipgapd with SIGTERM and it exits with 0");
     Ok(())
 }
 
-fn each(listener: &TcpListener, serve: impl Fn(TcpStream) -> Result<(), Error> + Copy + Send + 'static) {
+/// Serves each connection in a thread of its own.
+fn serve_connections(
+    listener: &TcpListener,
+    serve: impl Fn(TcpStream) -> Result<(), Error> + Copy + Send + 'static,
+) {
     for stream in listener.incoming().flatten() {
-        std::thread::spawn(move || serve(stream).err().map(|error| println!("toy: a link ended: {error}")));
+        std::thread::spawn(move || {
+            serve(stream).err().map(|error| println!("toy: a connection failed: {error}"))
+        });
     }
 }
 
-/// Reads lines; the last word of some is the length of a body.
-fn lines(
+/// Reads lines and passes their words on, with the body that follows some; its length is their last word.
+fn read_lines(
     stream: &TcpStream,
-    mut hear: impl FnMut(&[&str], Vec<u8>) -> Result<(), Error>,
+    mut handle: impl FnMut(&[&str], Vec<u8>) -> Result<(), Error>,
 ) -> Result<(), Error> {
     let mut input = BufReader::new(stream);
     let mut line = String::new();
@@ -81,19 +87,19 @@
             input.read_exact(&mut body)?;
             body.truncate(body.len() - 2);
         }
-        hear(&words, body)?;
+        handle(&words, body)?;
         line.clear();
     }
     Ok(())
 }
 
-/// Runs share two cores; half of each is done before its call, half after.
-fn serve_kernel(stream: &TcpStream) -> Result<(), Error> {
+/// The executor: runs share two cores; half of each is done before its call, half after.
+fn serve_executor(stream: &TcpStream) -> Result<(), Error> {
     let running = Arc::new(AtomicU32::new(0));
     let stops: Arc<Mutex<HashMap<String, Arc<AtomicBool>>>> = Arc::default();
     let mut waiting: HashMap<String, Sender<()>> = HashMap::new();
     let notices = Arc::new(Mutex::new(0u32));
-    lines(stream, |words, body| {
+    read_lines(stream, |words, body| {
         match words {
             ["OPEN", _] => write!(&mut { stream }, "BOOTED steady 1000.0\r\n")?,
             ["SYSINFO", tag] => {
@@ -125,7 +131,7 @@
                 }
             }
             ["IODONE", id, _] | ["NOIO", id, _] => drop(waiting.get(*id).map(|reply| reply.send(()))),
-            _ => println!("toy: the kernel does not know {words:?}"),
+            _ => println!("toy: the executor does not know {words:?}"),
         }
         Ok(())
     })
@@ -145,27 +151,27 @@
 impl Run {
     fn run(mut self) {
         let start = Instant::now();
-        let mut end = self.work();
-        if end && self.calls {
+        let mut is_running = self.work();
+        if is_running && self.calls {
             self.notice("IOREQ", &format!("{} ", self.id.clone()), &self.body.clone());
-            // A run that is stopped at its call ends there.
+            // A run that is cancelled at its call ends there.
             while self.replied.recv_timeout(Duration::from_millis(5)).is_err() {
                 if self.stop.load(Ordering::Acquire) {
-                    end = false;
+                    is_running = false;
                     break;
                 }
             }
         }
-        let end = if end && self.work() { "success" } else { "interrupted" };
+        let end = if is_running && self.work() { "success" } else { "interrupted" };
         let result = if end == "success" { format!("a page for {}", self.id) } else { String::new() };
         let head = format!("{} {end} {:.1} ", self.id, start.elapsed().as_secs_f64() * 1e3);
         self.notice("REAP", &head, result.as_bytes());
     }
 
-    /// Half of the work, slower where more run than there are cores; false where it was stopped.
+    /// Does half of the work, slower where more run than there are cores; false where it was cancelled.
     fn work(&self) -> bool {
         self.running.fetch_add(1, Ordering::AcqRel);
-        let mut left = WORK as f64 / 2.0;
+        let mut left = WORK_MS as f64 / 2.0;
         while left > 0.0 && !self.stop.load(Ordering::Acquire) {
             std::thread::sleep(Duration::from_millis(2));
             left -= 2.0 / (f64::from(self.running.load(Ordering::Acquire)) / f64::from(CORES)).max(1.0);
@@ -178,14 +184,14 @@
         let Ok(mut number) = self.notices.lock() else { return };
         *number += 1;
         let head = format!("{word} {number} {rest}{}\r\n", body.len());
-        // A backend that is gone hears nothing.
+        // A backend that is gone reads nothing any more.
         let _ = self.out.write_all(&[head.as_bytes(), body, b"\r\n"].concat());
     }
 }
 
 /// Answers each call with its own body.
 fn serve_store(stream: &TcpStream) -> Result<(), Error> {
-    lines(stream, |words, body| {
+    read_lines(stream, |words, body| {
         if let ["CALL", id, _, _] = words {
             let head = format!("{id} OK {}\r\n", body.len());
             (&mut { stream }).write_all(&[head.as_bytes(), &body, b"\r\n"].concat())?;
@@ -198,11 +204,11 @@
     TFieldIdentifier::new::<Option<String>, String, i16>(None, kind, id)
 }
 
-fn send(edge: &mut TcpStream, sequence: i32, class: &str) -> Result<(), Error> {
+fn send_request(edge: &mut TcpStream, sequence: i32, class: &str) -> Result<(), Error> {
     let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
     let id = format!("{:08x}{sequence:08x}", now as u32);
     let fields = [("kind", class), ("req", &id), ("ts", &now.to_string()), ("owner", "acme")];
-    let rough = WORK.to_string();
+    let rough = WORK_MS.to_string();
     let fields = [&fields[..], &[("ms", &rough), ("need", "24.5"), ("level", "0.5"), ("via", "1")]].concat();
     let mut bytes = vec![0; 4];
     let mut output = TBinaryOutputProtocol::new(&mut bytes, true);
@@ -221,10 +227,10 @@
     Ok(edge.write_all(&bytes)?)
 }
 
-/// What an answer is, its fields, and its body.
+/// The outcome of a request, the fields of its answer, and the body.
 type Answer = (&'static str, Vec<(String, String)>, String);
 
-fn answer(edge: &mut TcpStream) -> Result<Answer, Error> {
+fn read_answer(edge: &mut TcpStream) -> Result<Answer, Error> {
     let mut head = [0; 4];
     edge.read_exact(&mut head)?;
     let mut bytes = vec![0; u32::from_be_bytes(head) as usize];
@@ -253,6 +259,6 @@
     }
 }
 
-fn told((kind, fields, body): &Answer) -> String {
+fn summary((kind, fields, body): &Answer) -> String {
     format!("{kind} {fields:?} {body}")
 }
