Command line: messages and help name their subject

Now: retries that are correlated, a selection, an invariant that is violated, a lease that cannot be renewed. Commands, options, exit codes, the table's headings and JSON keys, which docs/recording.md names, are as they were.

--- a/crates/cli/src/args/operator.rs
+++ b/crates/cli/src/args/operator.rs
@@ -26,7 +26,7 @@
         #[command(flatten)]
         target: Target,
     },
-    /// Wait for permission to drain, so that no more of a zone than may do so at a time; then send it the shutdown notice
+    /// Wait until this process may drain, as only so many of a zone may at a time; send it the shutdown notice after that
     Drain {
         /// Give up after this
         #[arg(long = "wait", value_name = "WAIT", default_value = "5m")]
@@ -69,13 +69,13 @@
         #[command(flatten)]
         target: Target,
     },
-    /// Give it back
+    /// Release a lease that was taken with `take`
     Release {
         lease: String,
         #[command(flatten)]
         target: Target,
     },
-    /// Its holder with that token gets no further term, and this member is next
+    /// The holder with that token cannot renew it any more, and this member is next
     Transfer {
         lease: String,
         token: u64,
@@ -83,7 +83,7 @@
         #[command(flatten)]
         target: Target,
     },
-    /// Its holder with that token gets no further term
+    /// The holder with that token cannot renew it any more
     Revoke {
         lease: String,
         token: u64,
--- a/crates/cli/src/args/rig.rs
+++ b/crates/cli/src/args/rig.rs
@@ -8,31 +8,31 @@
 
 #[derive(Subcommand)]
 pub(crate) enum RigCommand {
-    /// Play a plan in simulated time, once for each seed; ends with 1 where a promise is broken
+    /// Play a plan in simulated time, once for each seed; exits with 1 where an invariant is violated
     Simulate {
         file: PathBuf,
         /// Seeds, such as 0..100 (the last is left out)
         #[arg(long, default_value = "0..100", value_parser = parse_seeds)]
         seeds: Range<u64>,
-        /// Beside the plan's faults, draw some from each seed; one that breaks a promise is made as small as it goes and printed
+        /// Beside the plan's faults, draw some from each seed; faults that violate an invariant are minimized and printed
         #[arg(long)]
         chaos: bool,
         #[arg(long)]
         json: bool,
     },
-    /// Play a plan with leases between real processes; ends with 1 where a promise is broken
+    /// Play a plan with leases between real processes; exits with 1 where an invariant is violated
     Run {
         file: PathBuf,
-        /// The backend's program; where nothing is said, the one beside this
+        /// The backend's program; by default tulipgapd beside this program
         #[arg(long)]
         program: Option<PathBuf>,
-        /// Of what is drawn with --chaos
+        /// The seed of the faults that --chaos draws
         #[arg(long, default_value_t = 0)]
         seed: u64,
         /// Beside the plan's faults, draw some from the seed
         #[arg(long)]
         chaos: bool,
-        /// Where configurations, logs and journals go; kept. Where nothing is said, a folder that is removed unless something failed
+        /// The directory of configurations, logs and journals, which is kept; by default a temporary one that is removed unless the run failed
         #[arg(long)]
         folder: Option<PathBuf>,
         #[arg(long)]
--- a/crates/cli/src/messages.rs
+++ b/crates/cli/src/messages.rs
@@ -24,7 +24,7 @@
 pub(crate) fn print_unknown_columns(path: &Path, unknown: &[String]) {
     if !unknown.is_empty() {
         let columns = unknown.join(", ");
-        eprintln!("tulipgap: {}: columns not known here were passed over: {columns}", path.display());
+        eprintln!("tulipgap: {}: unknown columns were skipped: {columns}", path.display());
     }
 }
 
--- a/crates/cli/src/operator/cluster.rs
+++ b/crates/cli/src/operator/cluster.rs
@@ -17,7 +17,7 @@
         ClusterCommand::ReplaceVoter { old, new, target } => {
             let answer = request(&target.socket, &json!({ "do": "replace", "old": old, "new": new }))?;
             Ok(print_answer(&answer, target.json, |_| {
-                println!("asked; 'tulipgap cluster voter' shows when it has come to pass");
+                println!("accepted; 'tulipgap cluster voter' shows when it is done");
             }))
         }
     }
--- a/crates/cli/src/trace/copy.rs
+++ b/crates/cli/src/trace/copy.rs
@@ -20,7 +20,7 @@
     let summary = copy_surveyed(reader, survey, &filter, &mut writer, |_| {})?;
     finish(path, writer, &summary)?;
     if summary.records == 0 {
-        eprintln!("tulipgap: {}: no record is of that choice", path.display());
+        eprintln!("tulipgap: {}: no record matches the selection", path.display());
     }
     Ok(Status::of(summary.losses.is_empty() && summary.records > 0))
 }
@@ -31,7 +31,7 @@
     let mut writer = Writer::new(Output::new(&output.path)?, header, BlockConfig::default())?;
     let summary = stream(reader, &Filter::default(), &mut writer, |_| {})?;
     finish(path, writer, &summary)?;
-    eprintln!("tulipgap: {}: {} records were whole", path.display(), summary.records);
+    eprintln!("tulipgap: {}: {} records were intact", path.display(), summary.records);
     Ok(Status::of(summary.losses.is_empty()))
 }
 
--- a/crates/cli/src/trace/merge.rs
+++ b/crates/cli/src/trace/merge.rs
@@ -86,7 +86,9 @@
                 eprintln!("tulipgap: clock of {server}: {seconds:+.6} s, within {uncertainty:.6} s");
                 offsets.insert(server, offset);
             }
-            None => eprintln!("tulipgap: clock of {server}: no tries tell; taken as it is"),
+            None => {
+                eprintln!("tulipgap: clock of {server}: no retry connects it to the others; taken as it is")
+            }
         }
     }
     Ok(offsets)
--- a/crates/cli/src/trace/summary.rs
+++ b/crates/cli/src/trace/summary.rs
@@ -103,7 +103,7 @@
     }
     writeln!(
         out,
-        "{} degraded; of {} further tries {} were joined to their first",
+        "{} degraded; of {} retries {} were correlated to their first attempt",
         total.degraded,
         total.retries + total.orphan_retries,
         total.retries
