Command line: cut and repair begin their file in one place

Seen: the same two lines, a header from the source's and a writer over it, stood in both. Now `begin_copy` has them.

--- a/crates/cli/src/trace/copy.rs
+++ b/crates/cli/src/trace/copy.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use tulipgap_trace::{BlockConfig, CopySummary, Filter, Writer, copy_surveyed, stream};
+use tulipgap_trace::{BlockConfig, CopySummary, Filter, Header, Writer, copy_surveyed, stream};
 
 use super::new_header;
 use super::selection::survey_and_filter;
@@ -15,8 +15,7 @@
 pub(super) fn cut(path: &Path, selection: &Selection, output: &OutputArgs) -> CommandResult {
     let mut reader = open_trace(path)?;
     let (survey, filter) = survey_and_filter(&mut reader, path, selection)?;
-    let header = new_header(output.format, &reader.header().server, reader.header().start);
-    let mut writer = Writer::new(Output::new(&output.path)?, header, BlockConfig::default())?;
+    let mut writer = begin_copy(reader.header(), output)?;
     let summary = copy_surveyed(reader, survey, &filter, &mut writer, |_| {})?;
     finish(path, writer, &summary)?;
     if summary.records == 0 {
@@ -27,14 +26,19 @@
 
 pub(super) fn repair(path: &Path, output: &OutputArgs) -> CommandResult {
     let reader = open_trace(path)?;
-    let header = new_header(output.format, &reader.header().server, reader.header().start);
-    let mut writer = Writer::new(Output::new(&output.path)?, header, BlockConfig::default())?;
+    let mut writer = begin_copy(reader.header(), output)?;
     let summary = stream(reader, &Filter::default(), &mut writer, |_| {})?;
     finish(path, writer, &summary)?;
     eprintln!("tulipgap: {}: {} records were intact", path.display(), summary.records);
     Ok(Status::of(summary.losses.is_empty()))
 }
 
+/// Begins a file of the same server and start.
+fn begin_copy(source: &Header, output: &OutputArgs) -> Result<Writer<Output>, CliError> {
+    let header = new_header(output.format, &source.server, source.start);
+    Ok(Writer::new(Output::new(&output.path)?, header, BlockConfig::default())?)
+}
+
 /// Puts the new file in its place, and prints what it lacks.
 fn finish(path: &Path, writer: Writer<Output>, summary: &CopySummary) -> Result<(), CliError> {
     print_omitted_columns(&writer);
