Connection limits: the configuration's comments say reserved, and what None means

Seen: "kept for one owner", "What of them is reserved", "without them there are none". Comments alone; fmt, clippy, tests of connection-limits (17, 5 and the documentation example) passed.

--- a/crates/connection-limits/src/config.rs
+++ b/crates/connection-limits/src/config.rs
@@ -35,7 +35,7 @@
     Reject,
 }
 
-/// Descriptors that are kept for one owner.
+/// Descriptors that are reserved for one owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reservation {
     /// The owner.
@@ -49,9 +49,9 @@
 pub struct Config {
     /// The most descriptors that the process may have.
     pub max_descriptors: usize,
-    /// What of them is reserved. Several reservations of one owner add up.
+    /// How many of them are reserved, and for whom. Several reservations of one owner add up.
     pub reservations: Vec<Reservation>,
-    /// The limits by network; without them there are none.
+    /// The limits by network; `None` where connections are not limited by network.
     pub network_limits: Option<NetworkLimits>,
     /// What happens when all descriptors are taken.
     pub full_policy: FullPolicy,
