--- a/src/controller/brownout.rs
+++ b/src/controller/brownout.rs
@@ -12,9 +12,7 @@
 impl Controller {
     /// One step of both loops. An empty window does not count as lateness.
     pub(super) fn update_brownout(&mut self) {
-        let completed = self.window.sum(Metric::Completed, MEASUREMENT_WINDOW);
-        let response_time = self.window.sum(Metric::ResponseTime, MEASUREMENT_WINDOW);
-        let mean = (completed > 0.0).then(|| response_time / completed);
+        let mean = self.window.ratio(Metric::ResponseTime, Metric::Completed, MEASUREMENT_WINDOW);
         let error = self.brownout.setpoint - mean.unwrap_or(0.0);
         self.update_admitted_fraction(error);
         self.update_dimmer(error, mean);
@@ -51,7 +49,7 @@
 
     /// A dependency slows at its knee long before that shows in responses, and the more it is pressed the
     /// less it does in all: fewer calls at once, and all of them again slowly, because the knee shows only
-    /// once it is passed. Harms where calls get slower for good, until that is learnt.
+    /// once it is passed. It does harm where calls get slower for good, until that is learnt.
     pub(super) fn cut_dimmer_ceiling(&mut self) {
         let brownout = &mut self.brownout;
         brownout.ceiling = (brownout.ceiling * CEILING_CUT).max(MIN_DIMMER_CEILING);
