Error numbers of sockets come from libc, not from a table of the server's own

net/connect.rs and net/frontend/listener.rs spelled eight numbers of errno by hand, with a comment that they are the same on every Linux served. Since the package depends on libc (TIOCOUTQ), they stood twice. They are libc's now; the match on a connect's error has one arm a number in place of a guard.

--- a/crates/server/src/net/connect.rs
+++ b/crates/server/src/net/connect.rs
@@ -35,9 +35,11 @@
     loop {
         match SockRef::from(stream.inner()).connect(&address.into()) {
             Ok(()) => return Ok(stream),
-            Err(error) if error.raw_os_error() == Some(EISCONN) => return Ok(stream),
-            Err(error) if matches!(error.raw_os_error(), Some(EINPROGRESS | EALREADY | EINTR)) => {}
-            Err(error) => return Err(error),
+            Err(error) => match error.raw_os_error() {
+                Some(libc::EISCONN) => return Ok(stream),
+                Some(libc::EINPROGRESS | libc::EALREADY | libc::EINTR) => {}
+                _ => return Err(error),
+            },
         }
         if !is_wanted() {
             return Err(io::Error::other("a connect that is not wanted any more is left"));
@@ -49,9 +51,3 @@
         stream.wait_io();
     }
 }
-
-/// Error numbers of a connect; the same on all kinds of Linux that are served.
-const EINTR: i32 = 4;
-const EISCONN: i32 = 106;
-const EALREADY: i32 = 114;
-const EINPROGRESS: i32 = 115;
--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -28,12 +28,6 @@
 /// An interface index that the system does not give to any interface.
 const NO_INTERFACE: Option<NonZeroU32> = NonZeroU32::new(i32::MAX as u32);
 
-/// Error numbers of accepting; the same on all kinds of Linux that are served.
-const EMFILE: i32 = 24;
-const ENFILE: i32 = 23;
-const ENOBUFS: i32 = 105;
-const ENOMEM: i32 = 12;
-
 static ACCEPT_FAILURES: LogLimit = LogLimit::new();
 static REJECTED_CONNECTIONS: LogLimit = LogLimit::new();
 
@@ -191,9 +185,9 @@
 
 fn accept_error(error: &io::Error) -> AcceptError {
     match error.raw_os_error() {
-        Some(EMFILE) => AcceptError::ProcessDescriptorLimit,
-        Some(ENFILE) => AcceptError::SystemDescriptorLimit,
-        Some(ENOBUFS | ENOMEM) => AcceptError::OutOfMemory,
+        Some(libc::EMFILE) => AcceptError::ProcessDescriptorLimit,
+        Some(libc::ENFILE) => AcceptError::SystemDescriptorLimit,
+        Some(libc::ENOBUFS | libc::ENOMEM) => AcceptError::OutOfMemory,
         _ if error.kind() == io::ErrorKind::ConnectionAborted => AcceptError::ConnectionAborted,
         _ => AcceptError::ProcessDescriptorLimit,
     }
