Whether the listener is closed stands with its state; the server's fields need no Arc

ListenerState knew two of the three facts about the closing of the listener, and an atomic of the Frontend the third, set by a line of its own behind the state's. All three stand in ListenerState, and finish() closes the listener and says so in one step. Server::service_registry and is_draining were each behind an Arc although the server itself is, and nobody else has them; a field of a private struct was pub(super).

--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -4,7 +4,6 @@
 use std::net::IpAddr;
 use std::num::NonZeroU32;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use may::io::WaitIo;
@@ -38,6 +37,7 @@
     is_closing: bool,
     /// Once it closes: until when handshakes under way may complete.
     handshakes_until: Option<Instant>,
+    is_closed: bool,
 }
 
 impl ListenerState {
@@ -57,6 +57,18 @@
             listener.waker().wakeup();
         }
     }
+
+    /// Closes the listener: the accepting coroutine hands over the last reference beside the one here.
+    fn finish(&mut self, listener: Arc<TcpListener>) {
+        self.listener = None;
+        drop(listener);
+        self.is_closed = true;
+    }
+
+    /// Whether the listener is closed, and all that came over it stands among the connections.
+    pub(super) fn is_closed(&self) -> bool {
+        self.is_closed
+    }
 }
 
 impl Frontend {
@@ -92,9 +104,7 @@
                 Err(error) => self.accept_failed(&error, &listener),
             }
         }
-        self.listener.lock().listener = None;
-        drop(listener);
-        self.listener_is_closed.store(true, Ordering::Release);
+        self.listener.lock().finish(listener);
     }
 
     fn accept_failed(&self, error: &io::Error, listener: &TcpListener) {
--- a/crates/server/src/net/frontend/mod.rs
+++ b/crates/server/src/net/frontend/mod.rs
@@ -24,7 +24,6 @@
 use std::fmt;
 use std::hash::RandomState;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -80,8 +79,6 @@
     body_hasher: RandomState,
     recent_ids: Mutex<RecentIds>,
     listener: Mutex<ListenerState>,
-    /// The listener is closed, and all that came over it stands in `connections`.
-    listener_is_closed: AtomicBool,
 }
 
 impl Frontend {
@@ -111,7 +108,6 @@
             body_hasher: RandomState::new(),
             recent_ids: Mutex::default(),
             listener: Mutex::default(),
-            listener_is_closed: AtomicBool::new(false),
         })
     }
 
@@ -178,7 +174,7 @@
     /// Whether no connection is open, and none can come any more.
     pub(crate) fn is_over(&self) -> bool {
         // In this order: what is accepted stands among the connections before the listener counts as closed.
-        self.listener_is_closed.load(Ordering::Acquire) && self.connections.lock().is_empty()
+        self.listener.lock().is_closed() && self.connections.lock().is_empty()
     }
 
     /// What is counted here, for the log.
--- a/crates/server/src/requests/state.rs
+++ b/crates/server/src/requests/state.rs
@@ -20,7 +20,7 @@
 struct RunningController {
     controller: Controller,
     /// When the controller's clock stood at zero.
-    pub(super) started_at: Instant,
+    started_at: Instant,
 }
 
 /// A shutdown notice: when it came, and how long after it the process is terminated.
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -1,5 +1,6 @@
 //! The running server: its parts, the coroutines that drive them, and its graceful shutdown.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -40,8 +41,8 @@
     executor: Arc<ExecutorClient>,
     store: Arc<StoreClient>,
     frontend: Arc<Frontend>,
-    service_registry: Arc<CurrentAddress<Option<std::net::SocketAddr>>>,
-    is_draining: Arc<AtomicBool>,
+    service_registry: CurrentAddress<Option<SocketAddr>>,
+    is_draining: AtomicBool,
     drain_grace: Duration,
     termination: Duration,
 }
@@ -81,8 +82,8 @@
             executor,
             store,
             frontend,
-            service_registry: Arc::new(CurrentAddress::new(config.peers.registry)),
-            is_draining: Arc::new(AtomicBool::new(false)),
+            service_registry: CurrentAddress::new(config.peers.registry),
+            is_draining: AtomicBool::new(false),
             drain_grace: config.controller.drain_grace,
             termination: config.termination,
         });
