Class names and idempotency keys have types of their own names, not RequestId

RequestId is an alias of Arc<str>, and stood for two other things too: the name of a handler that goes to the executor (Run::class, Command::Start) and idempotency keys (HashMap<RequestId, KeyEntry>, owned_by(key: &RequestId)). There are ClassName and IdempotencyKey now, aliases as before; the order in maps and all bytes stay. The first line of open_request.rs spoke of 'its place in the lock'.

--- a/crates/server/src/net/executor/mod.rs
+++ b/crates/server/src/net/executor/mod.rs
@@ -26,7 +26,7 @@
 use super::stream::{BUFFER_FULL_PAUSE, Output, SendOutcome};
 use crate::clock;
 use crate::config::CurrentAddress;
-use crate::requests::{Bytes, Gauges, RequestId, RequestRegistry};
+use crate::requests::{Bytes, ClassName, Gauges, RequestId, RequestRegistry};
 
 /// The longest that a timer waits for its gauges. While the machine stands still none come, and the controller learns
 /// that from a timer that is late; longer than this, what is due could be answered too late.
@@ -79,7 +79,7 @@
     }
 
     /// Starts the run of a request, which may run `at_most_once` or any number of times.
-    pub(crate) fn start(&self, id: &RequestId, class: &RequestId, body: &Bytes, at_most_once: bool) {
+    pub(crate) fn start(&self, id: &RequestId, class: &ClassName, body: &Bytes, at_most_once: bool) {
         self.send(id, &Command::Start { class, body }, |state, delivery| {
             let (class, body) = (class.clone(), body.clone());
             let run = Run { class, body, at_most_once, last_command: LastCommand::Start, delivery, call: 0 };
--- a/crates/server/src/net/executor/resync.rs
+++ b/crates/server/src/net/executor/resync.rs
@@ -6,7 +6,7 @@
 use super::{ExecutorClient, LinkState};
 use crate::clock;
 use crate::net::stream::{BUFFER_FULL_PAUSE, Output, SendOutcome};
-use crate::requests::{Bytes, Outcome, RequestEvent, RequestId};
+use crate::requests::{Bytes, ClassName, Outcome, RequestEvent, RequestId};
 
 /// The last command for a run.
 pub(super) enum LastCommand {
@@ -29,7 +29,7 @@
 
 /// A run that the executor was asked to start and whose end was not read.
 pub(super) struct Run {
-    pub(super) class: RequestId,
+    pub(super) class: ClassName,
     pub(super) body: Bytes,
     /// It may not run again, so its start is never sent twice.
     pub(super) at_most_once: bool,
--- a/crates/server/src/net/executor/tests.rs
+++ b/crates/server/src/net/executor/tests.rs
@@ -9,7 +9,7 @@
 use super::protocol::Command;
 use super::resync::{Delivery, LastCommand, Run};
 use crate::net::stream::{BufferedStream, MAX_LINE_BUFFER_BYTES};
-use crate::requests::{Bytes, Gauges, RequestId, RequestRegistry};
+use crate::requests::{Bytes, ClassName, Gauges, RequestId, RequestRegistry};
 
 #[test]
 fn cores_are_not_idle_because_a_link_broke() {
@@ -63,7 +63,7 @@
     let client = client(listener.local_addr().unwrap());
     let id = |at: u32| RequestId::from(format!("{at:016x}"));
     let start = |at_most_once, delivery| {
-        let (class, body) = (RequestId::from("page"), Bytes::from(&b"run"[..]));
+        let (class, body) = (ClassName::from("page"), Bytes::from(&b"run"[..]));
         Run { class, body, at_most_once, last_command: LastCommand::Start, delivery, call: 0 }
     };
     let one = Command::Start { class: "page", body: b"run" }.encode(&id(0)).len();
--- a/crates/server/src/net/frontend/parse.rs
+++ b/crates/server/src/net/frontend/parse.rs
@@ -6,7 +6,7 @@
 
 use super::Frontend;
 use super::codec::{CallError, Fields};
-use crate::requests::{IncomingRequest, RequestId};
+use crate::requests::{ClassName, IdempotencyKey, IncomingRequest};
 use crate::trace::TraceContext;
 
 /// By how much the timestamp of a request may lie before the opening of its connection, or after now.
@@ -19,7 +19,7 @@
 /// What the fields of a request say.
 pub(super) struct ParsedRequest {
     pub(super) incoming: IncomingRequest,
-    pub(super) class: RequestId,
+    pub(super) class: ClassName,
     /// Its id as a number.
     pub(super) number: u64,
     /// When it arrived at the machine, since the Unix epoch.
@@ -108,7 +108,7 @@
         if fields.number("level")?.is_some_and(|level| level >= 1.0) {
             return Err(invalid("level"));
         }
-        let idempotency_key = fields.non_empty("opkey").map(RequestId::from);
+        let idempotency_key = fields.non_empty("opkey").map(IdempotencyKey::from);
         let trace =
             self.registry.tracer().map(|_| trace_context(&fields, number, idempotency_key.as_deref()));
         let incoming = IncomingRequest {
--- a/crates/server/src/net/frontend/request.rs
+++ b/crates/server/src/net/frontend/request.rs
@@ -15,7 +15,7 @@
 use super::{Frontend, MALFORMED_MESSAGES, REJECTED_WITHOUT_MEMORY};
 use crate::invariant;
 use crate::net::spawn;
-use crate::requests::{Bytes, Command, RegisterError, RequestEvent, Response, Ticket};
+use crate::requests::{Bytes, ClassName, Command, RegisterError, RequestEvent, RequestId, Response, Ticket};
 
 /// The longest body of a request.
 const MAX_BODY_BYTES: usize = 2048;
@@ -161,8 +161,8 @@
 /// A registered request, as its coroutine carries out its commands.
 struct Run<'a> {
     frontend: &'a Frontend,
-    id: &'a crate::requests::RequestId,
-    class: &'a crate::requests::RequestId,
+    id: &'a RequestId,
+    class: &'a ClassName,
     body: &'a Bytes,
     at_most_once: bool,
 }
--- a/crates/server/src/requests/idempotency.rs
+++ b/crates/server/src/requests/idempotency.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::messages::{RequestId, Response};
+use super::messages::{IdempotencyKey, Response};
 use crate::invariant;
 
 /// One remembered key.
@@ -31,13 +31,13 @@
 
 /// The keys that are remembered. Its bound is what the controller admits within a window; every entry has an expiry.
 pub(super) struct IdempotencyKeys {
-    entries: HashMap<RequestId, KeyEntry>,
+    entries: HashMap<IdempotencyKey, KeyEntry>,
     /// Expiries in their order, so that not every entry is looked at each time.
-    expiries: BTreeSet<(Duration, RequestId)>,
+    expiries: BTreeSet<(Duration, IdempotencyKey)>,
     /// How late a request may be read that can still be run.
     max_read_delay: Duration,
     /// Keys with a response that their coalesced requests have not received.
-    settled: Vec<RequestId>,
+    settled: Vec<IdempotencyKey>,
 }
 
 impl IdempotencyKeys {
@@ -51,14 +51,14 @@
     }
 
     /// The body hash of the remembered request that a request with this key duplicates, if it does.
-    pub(super) fn duplicated_body(&self, key: Option<&RequestId>, arrived_at: Duration) -> Option<u64> {
+    pub(super) fn duplicated_body(&self, key: Option<&IdempotencyKey>, arrived_at: Duration) -> Option<u64> {
         self.entries.get(key?).filter(|entry| entry.covers(arrived_at)).map(|entry| entry.body_hash)
     }
 
     /// Remembers a key for `retention` from now; `owner` is the request that holds it.
     pub(super) fn remember(
         &mut self,
-        key: RequestId,
+        key: IdempotencyKey,
         owner: usize,
         body_hash: u64,
         now: Duration,
@@ -83,7 +83,7 @@
     }
 
     /// Lets a duplicate wait for the response to the request that holds the key.
-    pub(super) fn coalesce(&mut self, key: RequestId, duplicate: usize) {
+    pub(super) fn coalesce(&mut self, key: IdempotencyKey, duplicate: usize) {
         let entry = self.entries.get_mut(&key);
         invariant!(entry.is_some(), "a coalesced request has a remembered key");
         if let Some(entry) = entry {
@@ -93,7 +93,7 @@
     }
 
     /// The request that holds the key has ended: its duplicates get the same response.
-    pub(super) fn settle(&mut self, key: &RequestId, owner: usize, response: Response) {
+    pub(super) fn settle(&mut self, key: &IdempotencyKey, owner: usize, response: Response) {
         if let Some(entry) = self.owned_by(key, owner) {
             entry.owner = None;
             entry.response = Some(response);
@@ -103,7 +103,7 @@
 
     /// The request that holds the key has not run and will not. Duplicates that wait already are answered before the
     /// key goes.
-    pub(super) fn forget(&mut self, key: &RequestId, owner: usize) {
+    pub(super) fn forget(&mut self, key: &IdempotencyKey, owner: usize) {
         if let Some(entry) = self.owned_by(key, owner) {
             (entry.window_ends_at, entry.expires_at) = (Duration::ZERO, Duration::ZERO);
             self.expiries.insert((Duration::ZERO, key.clone()));
@@ -111,7 +111,7 @@
     }
 
     /// A duplicate no longer waits; its index may be reused by a request that did not join.
-    pub(super) fn leave(&mut self, key: &RequestId, duplicate: usize) {
+    pub(super) fn leave(&mut self, key: &IdempotencyKey, duplicate: usize) {
         if let Some(entry) = self.entries.get_mut(key) {
             entry.coalesced.retain(|&other| other != duplicate);
         }
@@ -144,7 +144,7 @@
         answered
     }
 
-    fn owned_by(&mut self, key: &RequestId, owner: usize) -> Option<&mut KeyEntry> {
+    fn owned_by(&mut self, key: &IdempotencyKey, owner: usize) -> Option<&mut KeyEntry> {
         self.entries.get_mut(key).filter(|entry| entry.owner == Some(owner))
     }
 
--- a/crates/server/src/requests/messages.rs
+++ b/crates/server/src/requests/messages.rs
@@ -10,6 +10,12 @@
 /// The id of a request, as its caller chose it.
 pub(crate) type RequestId = Arc<str>;
 
+/// The name of a handler, as callers and the executor know it.
+pub(crate) type ClassName = Arc<str>;
+
+/// An idempotency key: as its caller chose it, or [within its tenant and handler](IncomingRequest::scoped_key).
+pub(crate) type IdempotencyKey = Arc<str>;
+
 /// A body, a result or a reply, shared without a copy.
 pub(crate) type Bytes = Arc<[u8]>;
 
@@ -28,7 +34,7 @@
     pub(crate) queued_kb: f64,
     pub(crate) is_retry: bool,
     /// The idempotency key that its caller chose.
-    pub(crate) idempotency_key: Option<RequestId>,
+    pub(crate) idempotency_key: Option<IdempotencyKey>,
     /// The hash of its body: a duplicate has the same.
     pub(crate) body_hash: u64,
     /// What a recording needs beside the above, where there is one.
@@ -38,7 +44,7 @@
 impl IncomingRequest {
     /// The idempotency key within its tenant and handler. Callers choose keys, so two tenants may choose the same,
     /// and neither may get the other's result.
-    pub(super) fn scoped_key(&self) -> Option<RequestId> {
+    pub(super) fn scoped_key(&self) -> Option<IdempotencyKey> {
         let key = self.idempotency_key.as_ref()?;
         Some(match self.tenant {
             Some(tenant) => format!("{}/{tenant}/{key}", self.handler).into(),
--- a/crates/server/src/requests/open_request.rs
+++ b/crates/server/src/requests/open_request.rs
@@ -1,11 +1,11 @@
-//! One open request: its place in the lock, its commands and what is recorded of it.
+//! One open request: how far it has come, the commands for its coroutine and what is recorded of it.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 use may::sync::Blocker;
 
-use super::messages::{Bytes, Command, IncomingRequest, RequestId};
+use super::messages::{Bytes, Command, IdempotencyKey, IncomingRequest, RequestId};
 use crate::trace::RequestTrace;
 
 /// A request between its registration and its release.
@@ -26,7 +26,7 @@
     pub(super) call: Option<(u64, Bytes)>,
     pub(super) is_calling: bool,
     /// Its idempotency key within its tenant and handler.
-    pub(super) key: Option<RequestId>,
+    pub(super) key: Option<IdempotencyKey>,
     pub(super) body_hash: u64,
     pub(super) trace: Option<Box<RequestTrace>>,
 }
@@ -34,7 +34,7 @@
 impl OpenRequest {
     pub(super) fn new(
         incoming: &IncomingRequest,
-        key: Option<RequestId>,
+        key: Option<IdempotencyKey>,
         waiter: Arc<Blocker>,
         trace: Option<Box<RequestTrace>>,
     ) -> Self {
--- a/crates/server/src/requests/state.rs
+++ b/crates/server/src/requests/state.rs
@@ -9,7 +9,7 @@
 use tulipgap_trace::Reason;
 
 use super::idempotency::IdempotencyKeys;
-use super::messages::{Bytes, Command, RequestEvent, RequestId, Response};
+use super::messages::{Bytes, Command, IdempotencyKey, RequestEvent, RequestId, Response};
 use super::metrics::RequestCounts;
 use super::open_request::OpenRequest;
 use super::timers::Timers;
@@ -135,7 +135,7 @@
     }
 
     /// The body hash of the remembered request that a request of this key and age duplicates, if it does.
-    pub(super) fn duplicated_body(&self, key: Option<&RequestId>, age: Duration) -> Option<u64> {
+    pub(super) fn duplicated_body(&self, key: Option<&IdempotencyKey>, age: Duration) -> Option<u64> {
         self.keys.duplicated_body(key, self.now().saturating_sub(age))
     }
 
--- a/crates/server/src/requests/tests.rs
+++ b/crates/server/src/requests/tests.rs
@@ -9,7 +9,7 @@
 use tulipgap::Idempotency;
 
 use super::{
-    Bytes, Command, Gauges, IncomingRequest, Outcome, RegisterError, RequestEvent, RequestId,
+    Bytes, Command, Gauges, IdempotencyKey, IncomingRequest, Outcome, RegisterError, RequestEvent,
     RequestRegistry, Response, Ticket,
 };
 
@@ -46,7 +46,7 @@
         estimated_work: Some(ms(50)),
         queued_kb: 10.0,
         is_retry: false,
-        idempotency_key: key.map(RequestId::from),
+        idempotency_key: key.map(IdempotencyKey::from),
         body_hash: 0,
         trace: None,
     }
