--- a/crates/server/src/net/executor/tests.rs
+++ b/crates/server/src/net/executor/tests.rs
@@ -27,8 +27,8 @@
     )
 }
 
-/// The answer that a link is caught up with may come to its turn behind the end of that link. Taken for the one in
-/// use, it would swallow all commands until the next one broke.
+/// The reply that shows a link to be caught up may be handled after that link has ended. Taken up then, the dead link
+/// would swallow all commands until the next one broke.
 #[test]
 fn a_link_that_has_ended_is_not_taken_up() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -54,9 +54,9 @@
     assert!(client.state.lock().output.is_none());
 }
 
-/// Commands that wait for room as a link is taken up had their places already: the answer to a question that
-/// overtook them showed them as arrived, and they were never said again. A start that may have arrived is said again
-/// where it may run again, and counts as broken where it may not.
+/// Commands that waited for room as a link was taken up had their positions already: the reply to a query that overtook
+/// them showed them as arrived, and they were never sent again. A start that may have arrived is sent again where it may
+/// run again, and its run counts as lost where it may not.
 #[test]
 fn a_command_that_waits_for_room_has_no_position_and_an_at_most_once_start_is_not_resent() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -72,7 +72,7 @@
     {
         let mut state = client.state.lock();
         (state.link, state.commands_sent, state.commands_arrived) = (Some(link.output.clone()), 7, 2);
-        // Known to have arrived, maybe arrived, and never said.
+        // Known to have arrived, maybe arrived, and never sent.
         let runs = [
             (false, Delivery::Sent(2)),
             (false, Delivery::Sent(3)),
@@ -82,27 +82,27 @@
         ];
         state.runs = (0..).zip(runs).map(|(at, (once, delivery))| (id(at), start(once, delivery))).collect();
     }
-    let mut said = Vec::new();
+    let mut sent = Vec::new();
     std::thread::scope(|scope| {
         scope.spawn(|| client.resync(&link.output));
         let start = Instant::now();
-        while said.len() < 2 && start.elapsed() < Duration::from_secs(30) {
+        while sent.len() < 2 && start.elapsed() < Duration::from_secs(30) {
             let state = client.state.lock();
-            let mut ring = link.output.buffer.lock();
-            if ring.len() > 0 {
-                said.push((state.commands_sent, String::from_utf8(ring.contiguous().to_vec()).unwrap()));
-                ring.consume(one);
+            let mut buffer = link.output.buffer.lock();
+            if buffer.len() > 0 {
+                sent.push((state.commands_sent, String::from_utf8(buffer.contiguous().to_vec()).unwrap()));
+                buffer.consume(one);
             }
         }
-        // Whatever still waits for room then does not wait for ever.
+        // A command that still waits for room then does not wait for ever.
         link.output.is_closed.store(true, std::sync::atomic::Ordering::Release);
     });
-    let places: Vec<u64> = said.iter().map(|said| said.0).collect();
-    assert_eq!(places, [8, 9], "a place for what was not said");
-    assert!(said[0].1.contains(&*id(1)) && said[1].1.contains(&*id(3)), "{said:?}");
+    let positions: Vec<u64> = sent.iter().map(|sent| sent.0).collect();
+    assert_eq!(positions, [8, 9], "a position for a command that was not sent");
+    assert!(sent[0].1.contains(&*id(1)) && sent[1].1.contains(&*id(3)), "{sent:?}");
     let state = client.state.lock();
-    assert!(!state.runs.contains_key(&id(2)), "it counts as broken");
+    assert!(!state.runs.contains_key(&id(2)), "it counts as lost");
     let deliveries = [0, 1, 3, 4].map(|at| state.runs[&id(at)].delivery);
     assert_eq!(deliveries, [Delivery::Sent(2), Delivery::Sent(8), Delivery::Sent(9), Delivery::Confirmed]);
-    assert_eq!(link.output.buffered_bytes(), 0, "nothing more is said");
+    assert_eq!(link.output.buffered_bytes(), 0, "nothing more is sent");
 }
--- a/crates/server/src/requests/tests.rs
+++ b/crates/server/src/requests/tests.rs
@@ -1,5 +1,5 @@
-//! The registry and the module behind it, against a plain model of the rules: whatever peers report, and in
-//! whatever order, each req gets one answer, and no effect happens twice.
+//! The registry and the controller behind it, against a plain model of the rules: whatever peers report, and in
+//! whatever order, each request gets one response, and no effect happens twice.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -18,7 +18,8 @@
 mod common;
 use common::{config, ms};
 
-const EFFECTS: [Idempotency; 3] = [Idempotency::Idempotent, Idempotency::Keyed, Idempotency::NonIdempotent];
+const IDEMPOTENCIES: [Idempotency; 3] =
+    [Idempotency::Idempotent, Idempotency::Keyed, Idempotency::NonIdempotent];
 const WINDOW: u64 = 2000;
 const TIMEOUT: u64 = 3000;
 
@@ -29,8 +30,8 @@
 }
 
 impl RequestRegistry {
-    /// Lets time pass, without waiting for it.
-    fn pass(&self, span: Duration) {
+    /// Moves the clock on without waiting, and fires the timers.
+    fn pass_time(&self, span: Duration) {
         self.state.lock().skip_time(span);
         self.fire_timers(Gauges::default());
     }
@@ -56,84 +57,84 @@
     text.as_bytes().into()
 }
 
-/// The next order, if there is one now.
-fn now(ticket: &Ticket) -> Option<Command> {
+/// The next command, if there is one now.
+fn next_command(ticket: &Ticket) -> Option<Command> {
     ticket.next_command(Some(Instant::now()))
 }
 
 #[derive(Clone, Debug)]
 enum Step {
-    Enter {
+    Register {
         handler: usize,
         key: usize,
     },
-    /// Something is reported of one of the reqs, fitting or not.
+    /// An event is reported for one of the requests, whether or not it fits.
     Report {
         of: usize,
         what: usize,
     },
-    Pass {
+    PassTime {
         span: u64,
     },
-    Pick {
+    TakeCommand {
         of: usize,
     },
-    Leave,
+    ShutdownNotice,
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let index = |g: &mut Gen| usize::arbitrary(g) % 1000;
         match u8::arbitrary(g) % 32 {
-            0..12 => Step::Enter { handler: index(g) % 3, key: index(g) % 4 },
+            0..12 => Step::Register { handler: index(g) % 3, key: index(g) % 4 },
             12..22 => Step::Report { of: index(g), what: index(g) },
-            22..26 => Step::Pass { span: u64::arbitrary(g) % 400 },
-            26..31 => Step::Pick { of: index(g) },
-            _ => Step::Leave,
+            22..26 => Step::PassTime { span: u64::arbitrary(g) % 400 },
+            26..31 => Step::TakeCommand { of: index(g) },
+            _ => Step::ShutdownNotice,
         }
     }
 }
 
-/// A req as the model sees it.
-struct Seen {
+/// A request as the model sees it.
+struct ModelRequest {
     ticket: Ticket,
     id: String,
-    effect: Idempotency,
+    idempotency: Idempotency,
     key: Option<String>,
-    entered: Duration,
+    arrived_at: Duration,
     answer: Option<Response>,
     runs: u32,
     call: Option<u64>,
     calls: u64,
-    over: bool,
+    is_finished: bool,
 }
 
 #[derive(Default)]
 struct Model {
-    seen: Vec<Seen>,
+    requests: Vec<ModelRequest>,
     now: Duration,
-    /// By key, when the req that ran last with it came, and which that was.
+    /// By key: when the request that ran last with it arrived, and its id.
     ran: HashMap<String, (Duration, String)>,
-    /// Keys, and reqs of which it was proven that they never ran.
-    unrun: Vec<(String, String)>,
+    /// Keys and ids of requests that are proven never to have run.
+    never_ran: Vec<(String, String)>,
 }
 
 impl Model {
-    fn enter(&mut self, registry: &Arc<RequestRegistry>, handler: usize, key: usize) {
-        let id = format!("r{}", self.seen.len());
-        let key = (EFFECTS[handler] == Idempotency::Keyed).then(|| format!("k{key}"));
+    fn register(&mut self, registry: &Arc<RequestRegistry>, handler: usize, key: usize) {
+        let id = format!("r{}", self.requests.len());
+        let key = (IDEMPOTENCIES[handler] == Idempotency::Keyed).then(|| format!("k{key}"));
         let ticket = registry.register(incoming(&id, handler, key.as_deref())).expect("its id is new");
-        self.seen.push(Seen {
+        self.requests.push(ModelRequest {
             ticket,
             id,
-            effect: EFFECTS[handler],
+            idempotency: IDEMPOTENCIES[handler],
             key,
-            entered: self.now,
+            arrived_at: self.now,
             answer: None,
             runs: 0,
             call: None,
             calls: 0,
-            over: false,
+            is_finished: false,
         });
     }
 
@@ -148,106 +149,107 @@
             Outcome::Cancelled,
             Outcome::NotStarted,
         ];
-        let count = self.seen.len();
-        let Some(seen) = self.seen.get_mut(of % count.max(1)) else {
+        let count = self.requests.len();
+        let Some(request) = self.requests.get_mut(of % count.max(1)) else {
             return;
         };
         let outcome = OUTCOMES[what % 8];
         let report = match what % 3 {
-            0 => RequestEvent::RunFinished { outcome, result: bytes(&seen.id), work: None },
+            0 => RequestEvent::RunFinished { outcome, result: bytes(&request.id), work: None },
             1 => RequestEvent::CallFinished { outcome, reply: bytes("reply") },
             _ => {
-                seen.calls += 1;
-                RequestEvent::CallReached { call: seen.calls, body: bytes("body") }
+                request.calls += 1;
+                RequestEvent::CallReached { call: request.calls, body: bytes("body") }
             }
         };
-        // What proves that nothing was started takes its run back, if it is still heard.
+        // The executor has not started it: where the registry still listens, that takes the run back.
         let state = registry.state.lock();
-        let open = state.request(&seen.id);
-        let unrun = matches!(report, RequestEvent::RunFinished { outcome: Outcome::NotStarted, .. })
+        let open = state.request(&request.id);
+        let never_ran = matches!(report, RequestEvent::RunFinished { outcome: Outcome::NotStarted, .. })
             && open.is_some_and(|request| request.is_started && !request.is_released);
         drop(state);
-        if let Some(key) = seen.key.as_ref().filter(|_| unrun) {
-            self.unrun.push((key.clone(), seen.id.clone()));
+        if let Some(key) = request.key.as_ref().filter(|_| never_ran) {
+            self.never_ran.push((key.clone(), request.id.clone()));
         }
-        registry.report(&seen.id, report);
+        registry.report(&request.id, report);
     }
 
-    /// Takes one order of a req and holds it against the rules.
-    fn pick(&mut self, of: usize) -> bool {
-        let count = self.seen.len();
-        let Some(seen) = self.seen.get_mut(of % count.max(1)) else {
+    /// Takes one command of a request and checks it against the rules.
+    fn take_command(&mut self, of: usize) -> bool {
+        let count = self.requests.len();
+        let Some(request) = self.requests.get_mut(of % count.max(1)) else {
             return false;
         };
-        let Some(order) = now(&seen.ticket) else {
+        let Some(command) = next_command(&request.ticket) else {
             return false;
         };
-        assert!(!seen.over, "an order after the end");
-        match order {
+        assert!(!request.is_finished, "a command after the last one");
+        match command {
             Command::Start => {
-                seen.runs += 1;
-                assert_eq!(seen.runs, 1, "run once");
-                // Told to run, but proven by now never to have run: that is no run.
-                let proven = |key: &String| self.unrun.contains(&(key.clone(), seen.id.clone()));
-                if let Some(key) = seen.key.as_ref().filter(|key| !proven(key)) {
-                    let last = self.ran.insert(key.clone(), (seen.entered, seen.id.clone()));
-                    let again = last.filter(|(_, id)| !self.unrun.contains(&(key.clone(), id.clone())));
+                request.runs += 1;
+                assert_eq!(request.runs, 1, "run once");
+                // Its start was commanded, but by now it is proven never to have run: that is no run.
+                let proven = |key: &String| self.never_ran.contains(&(key.clone(), request.id.clone()));
+                if let Some(key) = request.key.as_ref().filter(|key| !proven(key)) {
+                    let last = self.ran.insert(key.clone(), (request.arrived_at, request.id.clone()));
+                    let again = last.filter(|(_, id)| !self.never_ran.contains(&(key.clone(), id.clone())));
                     assert!(
-                        again.is_none_or(|last| seen.entered.abs_diff(last.0) >= ms(WINDOW)),
+                        again.is_none_or(|last| request.arrived_at.abs_diff(last.0) >= ms(WINDOW)),
                         "once in its window"
                     );
                 }
             }
             Command::Respond(answer) => {
-                assert_eq!(seen.answer, None, "answered once");
-                let shed = matches!(answer, Response::Rejected { .. });
+                assert_eq!(request.answer, None, "answered once");
+                let is_rejected = matches!(answer, Response::Rejected { .. });
                 assert!(
-                    !shed || seen.runs == 0 || seen.effect == Idempotency::Idempotent,
-                    "shed after a run"
+                    !is_rejected || request.runs == 0 || request.idempotency == Idempotency::Idempotent,
+                    "rejected after a run"
                 );
-                // Nor is any other try of what was run in the window.
-                if let Some(key) = seen.key.as_ref().filter(|_| shed) {
-                    let proven = |id: &String| self.unrun.contains(&(key.clone(), id.clone()));
-                    // Shed before the other came, or that would have joined it: looked at late, it is no repeat.
+                // No other attempt of what ran within the window is rejected either.
+                if let Some(key) = request.key.as_ref().filter(|_| is_rejected) {
+                    let proven = |id: &String| self.never_ran.contains(&(key.clone(), id.clone()));
+                    // One that arrived before the one that ran was rejected before it, or the other would have been
+                    // coalesced with it: its command is only taken late, and it is no duplicate.
                     let came = |id: &str| id[1..].parse::<usize>().unwrap();
-                    let ran = self.ran.get(key).filter(|(_, id)| !proven(id) && came(id) < came(&seen.id));
+                    let ran = self.ran.get(key).filter(|(_, id)| !proven(id) && came(id) < came(&request.id));
                     assert!(
-                        ran.is_none_or(|ran| seen.entered >= ran.0 + ms(WINDOW)),
-                        "a repeat is shed after a run"
+                        ran.is_none_or(|ran| request.arrived_at >= ran.0 + ms(WINDOW)),
+                        "a duplicate is rejected after a run"
                     );
                 }
-                seen.answer = Some(answer);
+                request.answer = Some(answer);
             }
             Command::StartCall { body, .. } => assert_eq!(body, bytes("body")),
             Command::SkipCall { call } => {
-                assert!(seen.effect == Idempotency::Idempotent && call <= seen.calls);
-                seen.call = None;
+                assert!(request.idempotency == Idempotency::Idempotent && call <= request.calls);
+                request.call = None;
             }
             Command::Resume { reply } => assert_eq!(reply, bytes("reply")),
-            Command::Cancel => assert!(seen.runs > 0, "nothing to stop"),
-            Command::Finish => seen.over = true,
+            Command::Cancel => assert!(request.runs > 0, "nothing to cancel"),
+            Command::Finish => request.is_finished = true,
         }
         true
     }
 
-    /// All orders there are now.
-    fn pick_all(&mut self) {
-        for of in 0..self.seen.len() {
-            while self.pick(of) {}
+    /// Takes all commands that there are now.
+    fn take_all_commands(&mut self) {
+        for of in 0..self.requests.len() {
+            while self.take_command(of) {}
         }
     }
 }
 
-/// What CI once drew: the kernel knows nothing of the first, its key is free, a second one runs, and only then does the
-/// first one's coroutine look at what it was told. The model took that for a run within the window.
+/// A case that CI once drew: the executor has not started the first request, so its key is free, a second one runs, and
+/// only then does the first one's coroutine take its command to start. The model took that for a run within the window.
 #[test]
 fn a_command_that_is_taken_late_is_no_second_run() {
     let (registry, mut model) = (registry(), Model::default());
-    model.enter(&registry, 1, 0);
+    model.register(&registry, 1, 0);
     model.report(&registry, 0, 615);
-    model.enter(&registry, 1, 0);
-    model.pick(1);
-    model.pick_all();
+    model.register(&registry, 1, 0);
+    model.take_command(1);
+    model.take_all_commands();
     assert_eq!(model.ran.values().map(|(_, id)| &id[..]).collect::<Vec<_>>(), ["r1"]);
 }
 
@@ -257,29 +259,29 @@
         let mut model = Model::default();
         for step in steps {
             match step {
-                Step::Enter { handler, key } => model.enter(&registry, handler, key),
+                Step::Register { handler, key } => model.register(&registry, handler, key),
                 Step::Report { of, what } => model.report(&registry, of, what),
-                Step::Pass { span } => {
-                    registry.pass(ms(span));
+                Step::PassTime { span } => {
+                    registry.pass_time(ms(span));
                     model.now += ms(span);
                 }
-                Step::Pick { of } => drop(model.pick(of)),
-                Step::Leave => registry.shutdown_notice(Instant::now(), ms(2000)),
+                Step::TakeCommand { of } => drop(model.take_command(of)),
+                Step::ShutdownNotice => registry.shutdown_notice(Instant::now(), ms(2000)),
             }
         }
-        // By its timeout each has its answer, whatever has not ended.
+        // By its timeout each has its response, whatever has not ended.
         for _ in 0..TIMEOUT / 20 + 5 {
-            registry.pass(ms(20));
+            registry.pass_time(ms(20));
         }
-        model.pick_all();
-        assert!(model.seen.iter().all(|seen| seen.answer.is_some()), "lost");
-        // And nothing stays once what runs has ended.
-        for seen in &model.seen {
-            registry.report(&seen.id, RequestEvent::RunFinished { outcome: Outcome::Cancelled, result: bytes(""), work: None });
+        model.take_all_commands();
+        assert!(model.requests.iter().all(|request| request.answer.is_some()), "lost");
+        // Once all runs have ended no request is open.
+        for request in &model.requests {
+            registry.report(&request.id, RequestEvent::RunFinished { outcome: Outcome::Cancelled, result: bytes(""), work: None });
         }
-        model.pick_all();
-        assert!(model.seen.iter().all(|seen| seen.over), "held for ever");
-        model.seen.clear();
+        model.take_all_commands();
+        assert!(model.requests.iter().all(|request| request.is_finished), "open for ever");
+        model.requests.clear();
         registry.open() == 0
     }
 }
@@ -288,25 +290,25 @@
 fn a_request_runs_makes_calls_and_completes() {
     let registry = registry();
     let ticket = registry.register(incoming("a", 0, None)).unwrap();
-    assert_eq!(now(&ticket), Some(Command::Start));
-    assert_eq!(now(&ticket), None);
+    assert_eq!(next_command(&ticket), Some(Command::Start));
+    assert_eq!(next_command(&ticket), None);
     assert_eq!(registry.register(incoming("a", 0, None)).err(), Some(RegisterError::DuplicateId));
     registry.report("a", RequestEvent::CallReached { call: 4, body: bytes("body") });
-    assert!(matches!(now(&ticket), Some(Command::StartCall { body, .. }) if body == bytes("body")));
+    assert!(matches!(next_command(&ticket), Some(Command::StartCall { body, .. }) if body == bytes("body")));
     registry.report("a", RequestEvent::CallFinished { outcome: Outcome::Succeeded, reply: bytes("reply") });
-    assert_eq!(now(&ticket), Some(Command::Resume { reply: bytes("reply") }));
-    // A second reply to the same call is no news.
+    assert_eq!(next_command(&ticket), Some(Command::Resume { reply: bytes("reply") }));
+    // A second reply to the same call is ignored.
     registry.report("a", RequestEvent::CallFinished { outcome: Outcome::Failed, reply: bytes("") });
     registry.report("a", RequestEvent::CallReached { call: 5, body: bytes("body") });
-    assert!(matches!(now(&ticket), Some(Command::StartCall { .. })));
+    assert!(matches!(next_command(&ticket), Some(Command::StartCall { .. })));
     registry.report("a", RequestEvent::CallFinished { outcome: Outcome::Rejected, reply: bytes("") });
-    assert_eq!(now(&ticket), Some(Command::SkipCall { call: 5 }));
+    assert_eq!(next_command(&ticket), Some(Command::SkipCall { call: 5 }));
     registry.report(
         "a",
         RequestEvent::RunFinished { outcome: Outcome::Succeeded, result: bytes("page"), work: None },
     );
-    assert_eq!(now(&ticket), Some(Command::Respond(Response::Completed(bytes("page")))));
-    assert_eq!(now(&ticket), Some(Command::Finish));
+    assert_eq!(next_command(&ticket), Some(Command::Respond(Response::Completed(bytes("page")))));
+    assert_eq!(next_command(&ticket), Some(Command::Finish));
     drop(ticket);
     assert_eq!(registry.open(), 0);
 }
@@ -315,21 +317,21 @@
 fn duplicates_are_coalesced_and_answered_alike() {
     let registry = registry();
     let first = registry.register(incoming("a", 1, Some("k"))).unwrap();
-    assert_eq!(now(&first), Some(Command::Start));
+    assert_eq!(next_command(&first), Some(Command::Start));
     let second = registry.register(incoming("b", 1, Some("k"))).unwrap();
-    assert_eq!(now(&second), None);
+    assert_eq!(next_command(&second), None);
     registry.report(
         "a",
         RequestEvent::RunFinished { outcome: Outcome::Succeeded, result: bytes("page"), work: None },
     );
-    assert_eq!(now(&second), Some(Command::Respond(Response::Completed(bytes("page")))));
-    // One that comes when the first is over gets its result too, until the window has passed.
-    registry.pass(ms(WINDOW - 100));
+    assert_eq!(next_command(&second), Some(Command::Respond(Response::Completed(bytes("page")))));
+    // A duplicate that arrives after the first has finished gets its result too, until the window has passed.
+    registry.pass_time(ms(WINDOW - 100));
     let third = registry.register(incoming("c", 1, Some("k"))).unwrap();
-    assert_eq!(now(&third), Some(Command::Respond(Response::Completed(bytes("page")))));
-    registry.pass(ms(500));
+    assert_eq!(next_command(&third), Some(Command::Respond(Response::Completed(bytes("page")))));
+    registry.pass_time(ms(500));
     let fourth = registry.register(incoming("d", 1, Some("k"))).unwrap();
-    assert_eq!(now(&fourth), Some(Command::Start));
+    assert_eq!(next_command(&fourth), Some(Command::Start));
 }
 
 #[test]
@@ -349,7 +351,7 @@
 fn a_coroutine_that_ends_abandons_its_request() {
     let registry = registry();
     let ticket = registry.register(incoming("a", 0, None)).unwrap();
-    assert_eq!(now(&ticket), Some(Command::Start));
+    assert_eq!(next_command(&ticket), Some(Command::Start));
     drop(ticket);
     assert_eq!(registry.open(), 1, "its run goes on");
     registry.report(
@@ -359,20 +361,20 @@
     assert_eq!(registry.open(), 0);
 }
 
-/// A wait of a coroutine that was over by less than a millisecond once had no end: calls were never given up,
-/// and alarms stopped for good when the kernel's link broke under a question.
+/// A coroutine whose deadline had passed by less than a millisecond once waited for ever: calls were never given up,
+/// and timers stopped for good when the executor's link broke during a query.
 #[test]
 fn a_ticket_waits_no_longer_than_its_deadline() {
-    let (told, heard) = std::sync::mpsc::channel();
+    let (commands, received) = std::sync::mpsc::channel();
     crate::net::spawn(move || {
         let ticket = registry().register(incoming("a", 0, None)).unwrap();
         assert_eq!(ticket.next_command(None), Some(Command::Start));
         for span in (0..20).map(|step| Duration::from_micros(300 * step)) {
-            told.send(ticket.next_command(Some(Instant::now() + span))).unwrap();
+            commands.send(ticket.next_command(Some(Instant::now() + span))).unwrap();
         }
     });
     for _ in 0..20 {
-        assert_eq!(heard.recv_timeout(Duration::from_secs(30)), Ok(None));
+        assert_eq!(received.recv_timeout(Duration::from_secs(30)), Ok(None));
     }
 }
 
@@ -380,12 +382,12 @@
 fn a_reused_index_is_not_taken_for_a_coalesced_request() {
     let registry = registry();
     let first = registry.register(incoming("a", 1, Some("k"))).unwrap();
-    assert_eq!(now(&first), Some(Command::Start));
+    assert_eq!(next_command(&first), Some(Command::Start));
     let second = registry.register(incoming("b", 1, Some("k"))).unwrap();
     registry.report("b", RequestEvent::CallerGone);
     drop(second);
     let third = registry.register(incoming("c", 0, None)).unwrap();
-    assert_eq!(now(&third), Some(Command::Start));
+    assert_eq!(next_command(&third), Some(Command::Start));
     registry.report(
         "a",
         RequestEvent::RunFinished {
@@ -394,7 +396,7 @@
             work: None,
         },
     );
-    assert_eq!(now(&third), None, "it joined nothing");
+    assert_eq!(next_command(&third), None, "it is coalesced with nothing");
 }
 
 #[test]
@@ -409,17 +411,17 @@
         drop(ticket);
     }
     assert_eq!(registry.state.lock().key_sizes().0, 5);
-    // What came in the window can still be read and run until its client has given up.
-    registry.pass(ms(WINDOW + 500));
+    // What arrived within the window can still be read and run until its client has timed out.
+    registry.pass_time(ms(WINDOW + 500));
     drop(registry.register(incoming("between", 0, None)).unwrap());
     assert_eq!(registry.state.lock().key_sizes().0, 5);
-    registry.pass(ms(TIMEOUT));
+    registry.pass_time(ms(TIMEOUT));
     drop(registry.register(incoming("last", 0, None)).unwrap());
     assert_eq!(registry.state.lock().key_sizes(), (0, 0, 0));
 }
 
-/// Callers choose their keys. The map went by the key alone: another tenant's req, or one for another handler, was
-/// answered with a result that was none of its business, and was never run.
+/// Callers choose their keys. The map went by the key alone: another tenant's request, or one for another handler,
+/// got a result that was not its own, and never ran.
 #[test]
 fn a_key_is_scoped_to_its_tenant_and_handler() {
     let mut config = config();
@@ -430,73 +432,77 @@
     let of = |id: &str, handler, tenant| IncomingRequest { tenant, ..incoming(id, handler, Some("k")) };
     for (id, handler, tenant) in [("a", 1, Some(0)), ("b", 1, Some(1)), ("c", 0, Some(0)), ("d", 1, None)] {
         let ticket = registry.register(of(id, handler, tenant)).unwrap();
-        assert_eq!(now(&ticket), Some(Command::Start), "{id} is its own");
+        assert_eq!(next_command(&ticket), Some(Command::Start), "{id} is its own");
         registry.report(
             id,
             RequestEvent::RunFinished { outcome: Outcome::Succeeded, result: bytes(id), work: None },
         );
-        assert_eq!(now(&ticket), Some(Command::Respond(Response::Completed(bytes(id)))));
+        assert_eq!(next_command(&ticket), Some(Command::Respond(Response::Completed(bytes(id)))));
         let repeat = format!("{id}2");
         let ticket = registry.register(of(&repeat, handler, tenant)).unwrap();
-        assert_eq!(now(&ticket), Some(Command::Respond(Response::Completed(bytes(id)))), "and known again");
+        assert_eq!(
+            next_command(&ticket),
+            Some(Command::Respond(Response::Completed(bytes(id)))),
+            "and known again"
+        );
     }
 }
 
-/// The window counts from when a try reaches the machine. One that came within it and lay unread over its end, as
-/// behind a pause, was taken for a new one and run a second time.
+/// The window counts by the arrival of an attempt at the machine. One that arrived within it and was read after its end,
+/// as after a pause of the process, was taken for a new request and ran a second time.
 #[test]
 fn a_duplicate_that_arrived_in_its_window_and_is_read_later_is_not_run() {
     let registry = registry();
     let first = registry.register(incoming("a", 1, Some("k"))).unwrap();
-    assert_eq!(now(&first), Some(Command::Start));
+    assert_eq!(next_command(&first), Some(Command::Start));
     registry.report(
         "a",
         RequestEvent::RunFinished { outcome: Outcome::Succeeded, result: bytes("page"), work: None },
     );
-    registry.pass(ms(WINDOW + 1000));
+    registry.pass_time(ms(WINDOW + 1000));
     let late = registry.register(IncomingRequest { age: ms(1500), ..incoming("b", 1, Some("k")) }).unwrap();
-    assert_eq!(now(&late), Some(Command::Respond(Response::Completed(bytes("page")))));
+    assert_eq!(next_command(&late), Some(Command::Respond(Response::Completed(bytes("page")))));
     assert!(registry.is_duplicate(&IncomingRequest { age: ms(1500), ..incoming("c", 1, Some("k")) }));
     assert!(!registry.is_duplicate(&incoming("c", 1, Some("k"))));
     let next = registry.register(incoming("c", 1, Some("k"))).unwrap();
-    assert_eq!(now(&next), Some(Command::Start));
+    assert_eq!(next_command(&next), Some(Command::Start));
 }
 
-/// Gates with every core taken, so that what comes next is held.
-fn full() -> (Arc<RequestRegistry>, Vec<Ticket>) {
+/// A registry with every core taken, so that the next request is queued.
+fn registry_at_capacity() -> (Arc<RequestRegistry>, Vec<Ticket>) {
     let registry = registry();
-    let taken = (0..config().cores)
+    let running = (0..config().cores)
         .map(|at| {
             let ticket = registry.register(incoming(&format!("full{at}"), 0, None)).unwrap();
-            assert_eq!(now(&ticket), Some(Command::Start));
+            assert_eq!(next_command(&ticket), Some(Command::Start));
             ticket
         })
         .collect();
-    (registry, taken)
+    (registry, running)
 }
 
-/// A connection that broke took its held req along, but the key of that stayed: all further tries of it were errored
-/// for the whole window, though nothing had run.
+/// A queued request was dropped with its broken connection, but its key stayed: all further attempts failed for the whole
+/// window, though nothing had run.
 #[test]
 fn a_key_is_forgotten_with_its_request_that_never_ran() {
-    let (registry, taken) = full();
+    let (registry, running) = registry_at_capacity();
     let first = registry.register(incoming("a", 1, Some("k"))).unwrap();
-    assert_eq!(now(&first), None, "held");
+    assert_eq!(next_command(&first), None, "queued");
     registry.report("a", RequestEvent::CallerGone);
     let again = registry.register(incoming("b", 1, Some("k"))).unwrap();
-    assert_eq!(now(&again), None, "held in its place");
-    for at in 0..taken.len() {
+    assert_eq!(next_command(&again), None, "queued in its place");
+    for at in 0..running.len() {
         let id = format!("full{at}");
         registry.report(
             &id,
             RequestEvent::RunFinished { outcome: Outcome::Succeeded, result: bytes("page"), work: None },
         );
     }
-    assert_eq!(now(&again), Some(Command::Start));
+    assert_eq!(next_command(&again), Some(Command::Start));
 }
 
-/// The notice to leave was dropped where it came before what runs reqs was up: once that was, reqs were taken and run
-/// up to the stop.
+/// A shutdown notice that came before the executor was up was dropped: once it was up, requests were admitted and run
+/// until the termination.
 #[test]
 fn a_shutdown_notice_before_the_start_takes_effect_after_it() {
     let registry = Arc::new(RequestRegistry::new(config(), 7, None));
@@ -504,94 +510,99 @@
     assert!(registry.start(false, Duration::ZERO));
     assert!(!registry.is_healthy());
     let ticket = registry.register(incoming("a", 0, None)).unwrap();
-    assert_eq!(now(&ticket), Some(Command::Start), "within the grace");
-    registry.pass(config().drain_grace + ms(50));
+    assert_eq!(next_command(&ticket), Some(Command::Start), "within the grace");
+    registry.pass_time(config().drain_grace + ms(50));
     let ticket = registry.register(incoming("b", 0, None)).unwrap();
-    assert!(matches!(now(&ticket), Some(Command::Respond(Response::Rejected { .. }))), "behind it");
+    assert!(matches!(next_command(&ticket), Some(Command::Respond(Response::Rejected { .. }))), "behind it");
 }
 
-/// The grace counted from when the module was told of the notice: told late, it ran what came too late.
+/// The grace counted from when the controller learned of the notice: where it learned late, requests ran that had
+/// arrived after the grace.
 #[test]
 fn the_drain_grace_counts_from_the_notice_however_late_it_is_passed_on() {
     let registry = registry();
     let grace = config().drain_grace;
-    registry.pass(grace * 4);
+    registry.pass_time(grace * 4);
     let Some(notice) = Instant::now().checked_sub(grace) else { return };
     let early = registry.register(incoming("a", 0, None)).unwrap();
-    assert_eq!(now(&early), Some(Command::Start));
+    assert_eq!(next_command(&early), Some(Command::Start));
     registry.shutdown_notice(notice, grace + ms(3000));
     let ticket =
         registry.register(IncomingRequest { age: Duration::ZERO, ..incoming("b", 0, None) }).unwrap();
-    assert!(matches!(now(&ticket), Some(Command::Respond(Response::Rejected { .. }))));
+    assert!(matches!(next_command(&ticket), Some(Command::Respond(Response::Rejected { .. }))));
     let ticket = registry.register(IncomingRequest { age: ms(700), ..incoming("c", 0, None) }).unwrap();
-    assert_eq!(now(&ticket), Some(Command::Start), "it came within the grace");
+    assert_eq!(next_command(&ticket), Some(Command::Start), "it came within the grace");
 }
 
-/// Every order of few events around one key: tries that come, the end of a run, a stop of it, callers that go, and the
-/// end of the window. Each try gets one answer, what runs runs once in the window, and none is turned away after it.
+/// Every order of a few events around one key: attempts, the end of a run, its cancellation, callers that are gone, and
+/// the end of the window. Each attempt gets one response, one runs within the window, and none is rejected after that.
 #[test]
 fn every_order_of_attempts_ends_and_losses_around_a_key() {
     const EVENTS: usize = 7;
     const LENGTH: u32 = 5;
-    let mut joined = 0;
+    let mut coalesced = 0;
     for order in 0..EVENTS.pow(LENGTH) {
-        for held in [false, true] {
-            let (registry, taken) = if held { full() } else { (registry(), Vec::new()) };
+        for queued in [false, true] {
+            let (registry, running) = if queued { registry_at_capacity() } else { (registry(), Vec::new()) };
             let mut model = Model::default();
             let (mut left, mut gone) = (order, Vec::new());
             for _ in 0..LENGTH {
-                let (event, count) = (left % EVENTS, model.seen.len());
+                let (event, count) = (left % EVENTS, model.requests.len());
                 left /= EVENTS;
-                let newest = count.checked_sub(1).map(|at| model.seen[at].id.clone());
-                let oldest = model.seen.iter().find(|seen| seen.runs > 0 && !seen.over).map(|s| s.id.clone());
+                let newest = count.checked_sub(1).map(|at| model.requests[at].id.clone());
+                let oldest = model
+                    .requests
+                    .iter()
+                    .find(|request| request.runs > 0 && !request.is_finished)
+                    .map(|s| s.id.clone());
                 let end = |outcome| RequestEvent::RunFinished { outcome, result: bytes("page"), work: None };
                 match (event, oldest, newest) {
-                    (0 | 1, ..) => model.enter(&registry, 1, 0),
+                    (0 | 1, ..) => model.register(&registry, 1, 0),
                     (2, Some(id), _) => registry.report(&id, end(Outcome::Succeeded)),
                     (3, Some(id), _) => registry.report(&id, end(Outcome::Cancelled)),
                     (4, _, Some(id)) => {
                         (gone.push(id.clone()), registry.report(&id, RequestEvent::CallerGone)).1
                     }
                     (5, ..) if count > 0 => {
-                        let id = model.seen[0].id.clone();
+                        let id = model.requests[0].id.clone();
                         gone.push(id.clone());
                         registry.report(&id, RequestEvent::CallerGone);
                     }
                     (6, ..) => {
-                        registry.pass(ms(WINDOW / 2 + 200));
+                        registry.pass_time(ms(WINDOW / 2 + 200));
                         model.now += ms(WINDOW / 2 + 200);
                     }
                     _ => {}
                 }
-                model.pick_all();
+                model.take_all_commands();
             }
-            for at in 0..taken.len() {
+            for at in 0..running.len() {
                 let id = format!("full{at}");
                 registry.report(
                     &id,
                     RequestEvent::RunFinished { outcome: Outcome::Succeeded, result: bytes(""), work: None },
                 );
             }
-            model.pick_all();
+            model.take_all_commands();
             for _ in 0..TIMEOUT / 100 + 2 {
-                registry.pass(ms(100));
+                registry.pass_time(ms(100));
                 model.now += ms(100);
-                model.pick_all();
+                model.take_all_commands();
             }
-            let answered = |seen: &Seen| seen.answer.is_some() || gone.contains(&seen.id);
-            assert!(model.seen.iter().all(answered), "lost in order {order}, held {held}");
-            joined += model
-                .seen
+            let answered = |request: &ModelRequest| request.answer.is_some() || gone.contains(&request.id);
+            assert!(model.requests.iter().all(answered), "lost in order {order}, queued {queued}");
+            coalesced += model
+                .requests
                 .iter()
                 .filter(|s| s.runs == 0 && matches!(s.answer, Some(Response::Completed(_))))
                 .count();
         }
     }
-    assert!(joined > 1000, "only {joined} repeats were answered with a first one's result");
+    assert!(coalesced > 1000, "only {coalesced} duplicates were answered with a first one's result");
 }
 
-/// Bad clients sent a key that had come before with a body of their own, under an id that the kernel would not have
-/// known: they were answered with the first one's result, as done.
+/// Malicious clients sent a known key with a body of their own, under an id that the executor did not know: they got the
+/// first request's result.
 #[test]
 fn a_known_key_with_another_body_gets_no_result() {
     let registry = registry();
@@ -605,21 +616,21 @@
     assert_eq!(registry.register(other("b")).err(), Some(RegisterError::KeyReused), "and when it is over");
     drop(first);
     let repeat = registry.register(incoming("c", 1, Some("k"))).unwrap();
-    assert_eq!(now(&repeat), Some(Command::Respond(Response::Completed(bytes("page")))));
+    assert_eq!(next_command(&repeat), Some(Command::Respond(Response::Completed(bytes("page")))));
 }
 
-/// One that comes first with a key that is not its own runs nothing, as the kernel does not know it: whoever has that
-/// key is served all the same.
+/// A made-up request that comes first with somebody else's key runs nothing, as the executor does not know it: the owner
+/// of that key is served all the same.
 #[test]
 fn a_key_of_a_run_that_never_started_is_free() {
     let registry = registry();
     let made_up = registry.register(IncomingRequest { body_hash: 1, ..incoming("a", 1, Some("k")) }).unwrap();
-    assert_eq!(now(&made_up), Some(Command::Start));
+    assert_eq!(next_command(&made_up), Some(Command::Start));
     registry.report(
         "a",
         RequestEvent::RunFinished { outcome: Outcome::NotStarted, result: bytes(""), work: None },
     );
-    assert_eq!(now(&made_up), Some(Command::Respond(Response::Failed)));
+    assert_eq!(next_command(&made_up), Some(Command::Respond(Response::Failed)));
     let own = registry.register(incoming("b", 1, Some("k"))).unwrap();
-    assert_eq!(now(&own), Some(Command::Start));
+    assert_eq!(next_command(&own), Some(Command::Start));
 }
