Lines on closing connections and on the suspended store say subject and reason; frontend comments reworded

'connections are short, an idle one goes', 'no whole message in time, a connection ends', 'what came is no message, a connection ends' and 'store: held down by the zone's prober' had to be asked about. Comments of the listener said 'the pause of an accepting that may not go on', 'closed behind all that came before', 'a descriptor, and not of that'; one on IDLE_MARGIN was no sentence.

--- a/crates/server/src/net/frontend/connection.rs
+++ b/crates/server/src/net/frontend/connection.rs
@@ -267,13 +267,13 @@
         if self.is_readable && (has_timed_out || is_cut_short) {
             self.is_readable = false;
             if let Some(count) = MESSAGE_TIMEOUTS.pass() {
-                log::warn!("no whole message in time, a connection ends ({count} so far)");
+                log::warn!("connection closing reason=message_timeout count={count}");
             }
         } else if turn.has_more
             && !self.is_readable
             && let Some(count) = MALFORMED_MESSAGES.pass()
         {
-            log::warn!("what came is no message, a connection ends ({count} so far)");
+            log::warn!("connection closing reason=malformed_message count={count}");
         }
         is_closing
     }
--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -18,9 +18,9 @@
 use crate::net::connect::adopt;
 use crate::net::spawn;
 
-/// The pause of an accepting that may not go on.
+/// The pause before the limiter is asked again whether another connection may be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// The pause where others have to act first.
+/// The same where a connection is about to close, and between two looks at the backlog of a listener that closes.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
 /// How long handshakes under way get to complete once the listener refuses new connections.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(20);
@@ -30,7 +30,7 @@
 static ACCEPT_FAILURES: LogLimit = LogLimit::new();
 static REJECTED_CONNECTIONS: LogLimit = LogLimit::new();
 
-/// The listener, as whoever closes it sees it.
+/// The listener, shared by the accepting coroutine and whoever closes it.
 #[derive(Default)]
 pub(super) struct ListenerState {
     listener: Option<Arc<TcpListener>>,
@@ -41,7 +41,7 @@
 }
 
 impl ListenerState {
-    /// Accepting begins; the shutdown notice may have come before.
+    /// Accepting begins. Where `close` was called before, new connections are refused at once.
     fn open(&mut self, listener: &Arc<TcpListener>) {
         self.listener = Some(listener.clone());
         if self.is_closing {
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Has new connections refused, and wakes whoever accepts.
+    /// Has the system refuse new connections, and wakes the accepting coroutine.
     pub(super) fn close(&mut self) {
         self.is_closing = true;
         if let Some(listener) = &self.listener {
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Closes the listener: the accepting coroutine hands over the last reference beside the one here.
+    /// Closes the listener: the accepting coroutine hands over its reference, the only one beside the one here.
     fn finish(&mut self, listener: Arc<TcpListener>) {
         self.listener = None;
         drop(listener);
@@ -72,8 +72,8 @@
 }
 
 impl Frontend {
-    /// Accepts until the listener is to be closed. What came before that is served: a connection that the system has
-    /// accepted may hold a whole request, and a listener that closes on it would lose that.
+    /// Accepts connections until the listener is to be closed, and every one in the backlog then: the system has completed
+    /// their handshakes, so they may hold a whole request, which closing the listener would lose.
     pub(crate) fn accept(self: Arc<Self>, listener: TcpListener) {
         let listener = Arc::new(listener);
         self.listener.lock().open(&listener);
@@ -81,12 +81,12 @@
             // Read before the accept, so that an empty backlog behind it stays empty.
             let handshakes_until = self.listener.lock().handshakes_until;
             let backlog_is_final = handshakes_until.is_some_and(|until| until <= Instant::now());
-            let (may_accept, others_act) = self.decide(|limiter, now, actions| {
+            let (may_accept, is_evicting) = self.decide(|limiter, now, actions| {
                 let may_accept = limiter.may_accept(now, actions);
                 (may_accept, !actions.is_empty())
             });
             if !may_accept {
-                clock::sleep(if others_act { TURN_PAUSE } else { ACCEPT_PAUSE });
+                clock::sleep(if is_evicting { TURN_PAUSE } else { ACCEPT_PAUSE });
                 continue;
             }
             let accepted = listener.inner().accept().and_then(|(stream, peer)| Ok((adopt(stream)?, peer)));
@@ -128,7 +128,7 @@
             return;
         };
         drop(file);
-        // One stands in the backlog: the accept before failed for want of a descriptor, and not of that.
+        // A connection stands in the backlog: the accept before failed for want of a descriptor, not of a connection.
         drop(listener.inner().accept());
         *self.spare_descriptor.lock() = open_spare_descriptor();
         if let Some(count) = REJECTED_CONNECTIONS.pass() {
--- a/crates/server/src/net/frontend/mod.rs
+++ b/crates/server/src/net/frontend/mod.rs
@@ -44,7 +44,7 @@
 pub(crate) const RESERVED_DESCRIPTORS: usize = 16;
 /// How long a connection may take to its first message, and a message from its first byte to its last.
 pub(crate) const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
-/// How much longer than an edge node does this side keep an unused connection.
+/// How much longer than an edge node this server keeps an unused connection.
 pub(crate) const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// What one open request takes at most: its coroutine's stack as far as it is touched, body and result.
 const OPEN_REQUEST_KB: f64 = 24.0;
@@ -144,7 +144,7 @@
                     if reason == CloseReason::Evicted
                         && let Some(count) = EVICTIONS.pass()
                     {
-                        log::warn!("connections are short, an idle one goes ({count} so far)");
+                        log::warn!("connection closing reason=evicted count={count}");
                     }
                 }
                 Action::PauseAccepting { until } => *self.accepting_paused_until.lock() = until,
@@ -163,9 +163,10 @@
         self.notify(Event::TimerExpired);
     }
 
-    /// Has the listener closed behind all that came before, and asks all edge nodes to leave. New connections are refused
-    /// first: an edge node that is asked to leave connects anew at once, and where the accepting is late these connections
-    /// would fill the backlog, and the system would drop the first packets of others.
+    /// Closes the listener once every connection in its backlog is accepted, and asks all edge nodes to leave. New
+    /// connections are refused first: an edge node that is asked to leave connects anew at once. While the accepting
+    /// coroutine waits for its turn these connections would fill the backlog, and the system would drop the first packets
+    /// of others.
     pub(crate) fn close(&self) {
         self.listener.lock().close();
         self.notify(Event::Drain);
--- a/crates/server/src/net/store/mod.rs
+++ b/crates/server/src/net/store/mod.rs
@@ -71,8 +71,11 @@
     /// Whether calls fail here without being attempted.
     pub(crate) fn set_suspended(&self, is_down: bool) {
         if self.is_suspended.swap(is_down, Ordering::AcqRel) != is_down {
-            let state = if is_down { "held down by the zone's prober" } else { "held down no more" };
-            log::info!("store: {state}");
+            if is_down {
+                log::info!("store suspended reason=probe_verdict");
+            } else {
+                log::info!("store resumed reason=probe_verdict");
+            }
         }
     }
 
