--- a/crates/server/src/net/executor/protocol.rs
+++ b/crates/server/src/net/executor/protocol.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use crate::net::lines::{Line, line};
+use crate::net::lines::{Line, line, line_with_body};
 use crate::requests::{Bytes, Outcome};
 
 /// A command for a run.
@@ -16,17 +16,11 @@
 
 impl Command<'_> {
     pub(super) fn encode(&self, id: &str) -> Vec<u8> {
-        let (head, body) = match *self {
-            Command::Start { class, body } => {
-                (line(format_args!("SCHED {id} {class} {}", body.len())), Some(body))
-            }
-            Command::Cancel => (line(format_args!("PREEMPT {id}")), None),
-            Command::Reply(reply) => (line(format_args!("IODONE {id} {}", reply.len())), Some(reply)),
-            Command::SkipCall { notice } => (line(format_args!("NOIO {id} {notice}")), None),
-        };
-        match body {
-            Some(body) => [head.as_bytes(), body, b"\r\n"].concat(),
-            None => head.into_bytes(),
+        match *self {
+            Command::Start { class, body } => line_with_body(format_args!("SCHED {id} {class}"), body),
+            Command::Cancel => line(format_args!("PREEMPT {id}")).into_bytes(),
+            Command::Reply(reply) => line_with_body(format_args!("IODONE {id}"), reply),
+            Command::SkipCall { notice } => line(format_args!("NOIO {id} {notice}")).into_bytes(),
         }
     }
 }
--- a/crates/server/src/net/lines.rs
+++ b/crates/server/src/net/lines.rs
@@ -61,6 +61,18 @@
     text
 }
 
+/// A line of these words and the length of the body, followed by the body, ready to be written.
+pub(crate) fn line_with_body(words: std::fmt::Arguments, body: &[u8]) -> Vec<u8> {
+    use std::io::Write;
+
+    let mut bytes = Vec::with_capacity(64 + body.len());
+    // Writing to memory does not fail.
+    let _ = write!(bytes, "{words} {}\r\n", body.len());
+    bytes.extend_from_slice(body);
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
+
 #[cfg(test)]
 #[path = "lines_tests.rs"]
 mod tests;
--- a/crates/server/src/net/store/protocol.rs
+++ b/crates/server/src/net/store/protocol.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use crate::net::lines::{Line, line};
+use crate::net::lines::{Line, line_with_body};
 use crate::requests::Outcome;
 
 /// The line and body of a call.
 pub(super) fn call(id: &str, timeout: Duration, body: &[u8]) -> Vec<u8> {
-    let head = line(format_args!("CALL {id} {} {}", timeout.as_millis().max(1), body.len()));
-    [head.as_bytes(), body, b"\r\n"].concat()
+    line_with_body(format_args!("CALL {id} {}", timeout.as_millis().max(1)), body)
 }
 
 /// Whether a body follows the line of these words.
