The drain before a close has an interval of its own, not the pause of a full buffer

drain_before_close polled at BUFFER_FULL_PAUSE, whose doc speaks of a coroutine that finds a full buffer; nothing said that 200 polls are 1 s. DRAIN_POLL_INTERVAL is 5 ms as before.

--- a/crates/server/src/net/stream.rs
+++ b/crates/server/src/net/stream.rs
@@ -19,8 +19,9 @@
 pub(crate) const MAX_LINE_BUFFER_BYTES: usize = 256 * 1024;
 /// How long a coroutine that finds a full buffer leaves it to drain.
 pub(crate) const BUFFER_FULL_PAUSE: Duration = Duration::from_millis(5);
-/// How often it is polled whether a peer has closed before this side does.
+/// How often it is polled whether a peer has closed before this side does, and the pause in between: 1 s in all.
 const MAX_DRAIN_POLLS: usize = 200;
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Reads of up to 4 KB that are dropped meanwhile.
 const MAX_DRAIN_READS: usize = 256;
 
@@ -180,7 +181,7 @@
             if self.is_read_closed || reads >= MAX_DRAIN_READS {
                 return;
             }
-            clock::sleep(BUFFER_FULL_PAUSE);
+            clock::sleep(DRAIN_POLL_INTERVAL);
         }
     }
 
