A request's sequence number is checked where its result is used

handle_request looked the sequence number up first and used the answer only after the fields were parsed, with nothing in between that waits. It is looked up in the condition.

--- a/crates/server/src/net/frontend/request.rs
+++ b/crates/server/src/net/frontend/request.rs
@@ -68,9 +68,8 @@
         fields: &Fields,
         body: Vec<u8>,
     ) -> Result<(), CallError> {
-        let is_open = connection.open_requests.lock().contains_key(&sequence);
         let request = self.parse_request(fields, connection.accepted_at)?;
-        if is_open {
+        if connection.open_requests.lock().contains_key(&sequence) {
             return Err(CallError::Malformed("a sequence that is open".into()));
         }
         if body.len() > MAX_BODY_BYTES {
