--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -4,7 +4,6 @@
 use std::net::IpAddr;
 use std::num::NonZeroU32;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use may::io::WaitIo;
@@ -19,35 +18,30 @@
 use crate::net::connect::adopt;
 use crate::net::spawn;
 
-/// The pause of an accepting that may not go on.
+/// The pause before the limiter is asked again whether another connection may be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// The pause where others have to act first.
+/// The same where a connection is about to close, and between two looks at the backlog of a listener that closes.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
 /// How long handshakes under way get to complete once the listener refuses new connections.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(20);
 /// An interface index that the system does not give to any interface.
 const NO_INTERFACE: Option<NonZeroU32> = NonZeroU32::new(i32::MAX as u32);
 
-/// Error numbers of accepting; the same on all kinds of Linux that are served.
-const EMFILE: i32 = 24;
-const ENFILE: i32 = 23;
-const ENOBUFS: i32 = 105;
-const ENOMEM: i32 = 12;
-
 static ACCEPT_FAILURES: LogLimit = LogLimit::new();
 static REJECTED_CONNECTIONS: LogLimit = LogLimit::new();
 
-/// The listener, as whoever closes it sees it.
+/// The listener, shared by the accepting coroutine and whoever closes it.
 #[derive(Default)]
 pub(super) struct ListenerState {
     listener: Option<Arc<TcpListener>>,
     is_closing: bool,
     /// Once it closes: until when handshakes under way may complete.
     handshakes_until: Option<Instant>,
+    is_closed: bool,
 }
 
 impl ListenerState {
-    /// Accepting begins; the shutdown notice may have come before.
+    /// Accepting begins. Where `close` was called before, new connections are refused at once.
     fn open(&mut self, listener: &Arc<TcpListener>) {
         self.listener = Some(listener.clone());
         if self.is_closing {
@@ -55,7 +49,7 @@
         }
     }
 
-    /// Has new connections refused, and wakes whoever accepts.
+    /// Has the system refuse new connections, and wakes the accepting coroutine.
     pub(super) fn close(&mut self) {
         self.is_closing = true;
         if let Some(listener) = &self.listener {
@@ -63,11 +57,23 @@
             listener.waker().wakeup();
         }
     }
+
+    /// Closes the listener: the accepting coroutine hands over its reference, the only one beside the one here.
+    fn finish(&mut self, listener: Arc<TcpListener>) {
+        self.listener = None;
+        drop(listener);
+        self.is_closed = true;
+    }
+
+    /// Whether the listener is closed, and all that came over it stands among the connections.
+    pub(super) fn is_closed(&self) -> bool {
+        self.is_closed
+    }
 }
 
 impl Frontend {
-    /// Accepts until the listener is to be closed. What came before that is served: a connection that the system has
-    /// accepted may hold a whole request, and a listener that closes on it would lose that.
+    /// Accepts connections until the listener is to be closed, and every one in the backlog then: the system has completed
+    /// their handshakes, so they may hold a whole request, which closing the listener would lose.
     pub(crate) fn accept(self: Arc<Self>, listener: TcpListener) {
         let listener = Arc::new(listener);
         self.listener.lock().open(&listener);
@@ -75,12 +81,12 @@
             // Read before the accept, so that an empty backlog behind it stays empty.
             let handshakes_until = self.listener.lock().handshakes_until;
             let backlog_is_final = handshakes_until.is_some_and(|until| until <= Instant::now());
-            let (may_accept, others_act) = self.decide(|limiter, now, actions| {
+            let (may_accept, is_evicting) = self.decide(|limiter, now, actions| {
                 let may_accept = limiter.may_accept(now, actions);
                 (may_accept, !actions.is_empty())
             });
             if !may_accept {
-                clock::sleep(if others_act { TURN_PAUSE } else { ACCEPT_PAUSE });
+                clock::sleep(if is_evicting { TURN_PAUSE } else { ACCEPT_PAUSE });
                 continue;
             }
             let accepted = listener.inner().accept().and_then(|(stream, peer)| Ok((adopt(stream)?, peer)));
@@ -98,9 +104,7 @@
                 Err(error) => self.accept_failed(&error, &listener),
             }
         }
-        self.listener.lock().listener = None;
-        drop(listener);
-        self.listener_is_closed.store(true, Ordering::Release);
+        self.listener.lock().finish(listener);
     }
 
     fn accept_failed(&self, error: &io::Error, listener: &TcpListener) {
@@ -124,7 +128,7 @@
             return;
         };
         drop(file);
-        // One stands in the backlog: the accept before failed for want of a descriptor, and not of that.
+        // A connection stands in the backlog: the accept before failed for want of a descriptor, not of a connection.
         drop(listener.inner().accept());
         *self.spare_descriptor.lock() = open_spare_descriptor();
         if let Some(count) = REJECTED_CONNECTIONS.pass() {
@@ -191,9 +195,9 @@
 
 fn accept_error(error: &io::Error) -> AcceptError {
     match error.raw_os_error() {
-        Some(EMFILE) => AcceptError::ProcessDescriptorLimit,
-        Some(ENFILE) => AcceptError::SystemDescriptorLimit,
-        Some(ENOBUFS | ENOMEM) => AcceptError::OutOfMemory,
+        Some(libc::EMFILE) => AcceptError::ProcessDescriptorLimit,
+        Some(libc::ENFILE) => AcceptError::SystemDescriptorLimit,
+        Some(libc::ENOBUFS | libc::ENOMEM) => AcceptError::OutOfMemory,
         _ if error.kind() == io::ErrorKind::ConnectionAborted => AcceptError::ConnectionAborted,
         _ => AcceptError::ProcessDescriptorLimit,
     }
--- a/crates/server/src/net/frontend/request.rs
+++ b/crates/server/src/net/frontend/request.rs
@@ -15,7 +15,7 @@
 use super::{Frontend, MALFORMED_MESSAGES, REJECTED_WITHOUT_MEMORY};
 use crate::invariant;
 use crate::net::spawn;
-use crate::requests::{Bytes, Command, RegisterError, RequestEvent, Response, Ticket};
+use crate::requests::{Bytes, ClassName, Command, RegisterError, RequestEvent, RequestId, Response, Ticket};
 
 /// The longest body of a request.
 const MAX_BODY_BYTES: usize = 2048;
@@ -68,9 +68,8 @@
         fields: &Fields,
         body: Vec<u8>,
     ) -> Result<(), CallError> {
-        let is_open = connection.open_requests.lock().contains_key(&sequence);
         let request = self.parse_request(fields, connection.accepted_at)?;
-        if is_open {
+        if connection.open_requests.lock().contains_key(&sequence) {
             return Err(CallError::Malformed("a sequence that is open".into()));
         }
         if body.len() > MAX_BODY_BYTES {
@@ -161,8 +160,8 @@
 /// A registered request, as its coroutine carries out its commands.
 struct Run<'a> {
     frontend: &'a Frontend,
-    id: &'a crate::requests::RequestId,
-    class: &'a crate::requests::RequestId,
+    id: &'a RequestId,
+    class: &'a ClassName,
     body: &'a Bytes,
     at_most_once: bool,
 }
