A wait that callers honour may be shorter than a tick: no panic at the first rejection

Callers saw all connections of a backend break at its first rejection where limits.max_retry_after was below the tick interval of 5 to 25 ms: a legal setting took the process and all open requests down.

Cause: RetryAfterInput::retry_after clamped the wait between the tick interval and max_retry_after, and Duration::clamp panics where the bounds are the wrong way round. Now the upper bound is applied last, so callers are asked for what they honour.

Evidence: retries::a_retry_after_shorter_than_a_tick_does_not_panic, unchanged, failed each time before and passes. The other clamps of src/ and the crates have constant or ordered bounds. No decision changes where max_retry_after is a tick or more.

--- a/src/caller_feedback/retry_after.rs
+++ b/src/caller_feedback/retry_after.rs
@@ -4,6 +4,9 @@
 //! So it is asked to wait until what is queued now has run, and as long as callers honour while
 //! the server is degraded or draining. The rule binds on every rejection, where callers can be
 //! told. The price: a caller that waits for its turn may lose the time that its request has left.
+//!
+//! What callers honour may be shorter than the shortest wait that is worth asking for. They are then
+//! asked for what they honour.
 
 use std::time::Duration;
 
@@ -34,6 +37,6 @@
         }
         let until_done =
             duration_from_seconds(self.queued_work_seconds * self.slowdown / self.running_limit);
-        Some(until_done.clamp(self.min_retry_after, longest))
+        Some(until_done.max(self.min_retry_after).min(longest))
     }
 }
--- a/src/caller_feedback/tests.rs
+++ b/src/caller_feedback/tests.rs
@@ -122,6 +122,30 @@
     assert_eq!(retry_after(0.5, true), Some(Duration::from_millis(900)));
 }
 
+/// Guards against a panic at the first rejection where callers honour less than a tick.
+#[test]
+fn callers_are_never_asked_to_wait_longer_than_they_honour() {
+    let retry_after = |honoured: Duration, queued_work_seconds: f64| {
+        let input = RetryAfterInput {
+            max_retry_after: Some(honoured),
+            min_retry_after: Duration::from_millis(25),
+            is_degraded: false,
+            queued_work_seconds,
+            slowdown: 2.0,
+            running_limit: 4.0,
+        };
+        input.retry_after()
+    };
+    for milliseconds in [0, 1, 24, 25] {
+        let honoured = Duration::from_millis(milliseconds);
+        assert_eq!(retry_after(honoured, 0.0), Some(honoured));
+        assert_eq!(retry_after(honoured, 9.0), Some(honoured));
+    }
+    let honoured = Duration::from_millis(26);
+    assert_eq!(retry_after(honoured, 0.0), Some(Duration::from_millis(25)));
+    assert_eq!(retry_after(honoured, 9.0), Some(honoured));
+}
+
 #[test]
 fn a_caller_that_cannot_be_told_gets_no_retry_after() {
     let input = RetryAfterInput {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod dependency_calls;
 mod drain;
+mod extreme_configurations;
 mod helpers;
 mod overload;
 mod retries;
