The history checker tells operations that a pause interrupts by when their lease was checked

Callers saw nothing: the checker was wrong, not the lease.

Cause: HistoryRecorder marked a member before SIGSTOP, and took the mark back at the next report that it read. A report sent before the stop and read after the mark took it back, and its operation counted as one of a running process. Likewise a begin that is read after its process was killed stayed under way for ever.

Change: each report names when the lease was checked, by the machine's monotonic clock; a pause is noted once waitid has confirmed it. An operation is excused only where a pause began after its check, which is less than before: all operations of a member were, until its next report. Operations end with their stream. Violations name checks, begins and pauses.

New: the rig's stop takes a step, at which the process pauses itself; lease_pauses does so at each of five steps for half a TTL to three.

--- a/crates/fault-injection/src/fault_schedule.rs
+++ b/crates/fault-injection/src/fault_schedule.rs
@@ -1,7 +1,9 @@
 //! Which actions a fault of a plan causes at which member, and when. Serves the simulations and the
 //! runs of real processes.
 
-use crate::plan::{DirectoryAfterCrash, DiskFault, Fault, Member, MemberIndex, matching};
+use crate::plan::{
+    DirectoryAfterCrash, DiskFault, Fault, Member, MemberIndex, OperationStep, matching,
+};
 
 /// What is done to a process. Faults of links and clocks are no actions: the network looks them up,
 /// and a clock's rate is configured at the start.
@@ -9,12 +11,16 @@
 pub(crate) enum FaultAction {
     Kill,
     Restart(DirectoryAfterCrash),
-    Pause,
+    /// At a step of an operation under a lease, or at once. The simulations pause at once.
+    Pause(Option<OperationStep>),
     Resume,
     BackUpJournal,
     InjectDiskFault(DiskFault),
     RepairDisk,
-    ReplaceVoter { old: String, new: String },
+    ReplaceVoter {
+        old: String,
+        new: String,
+    },
 }
 
 /// An action, its process, and its time in seconds since the start.
@@ -94,9 +100,11 @@
             at,
             target,
             resume_at,
+            step,
         } => {
+            let pause = FaultAction::Pause(*step);
             let resume = FaultAction::Resume;
-            (target, *at, FaultAction::Pause, *resume_at, Some(resume))
+            (target, *at, pause, *resume_at, Some(resume))
         }
         Fault::Disk {
             at,
--- a/crates/fault-injection/src/history_checker.rs
+++ b/crates/fault-injection/src/history_checker.rs
@@ -64,13 +64,14 @@
         HistoryChecker { leases }
     }
 
-    /// An operation begins. Of those that have not ended, the ones with `paused` tokens belong to
-    /// processes that are paused: a newer token fences them off.
+    /// An operation begins. The ones with `paused` tokens belong to processes that were paused after
+    /// they had checked the lease: a newer token fences them off.
     ///
     /// # Errors
-    /// [`OperationError::StaleToken`] where a newer token of a lease of capacity 1 was seen or
-    /// there is no such lease, and [`OperationError::Overlap`] where operations of more owners than
-    /// may hold the lease are under way.
+    /// [`OperationError::StaleToken`] where a newer token of a lease of capacity 1 was seen, where
+    /// the operation is itself one of the paused and as many others are under way as may be (with
+    /// newer tokens, where the capacity is 1), or where there is no such lease. [`OperationError::Overlap`] where operations of more
+    /// owners than may hold the lease are under way.
     pub fn begin(
         &mut self,
         lease: &str,
@@ -87,13 +88,20 @@
         history
             .under_way
             .retain(|other| !paused.contains(other) || *other == token);
+        // Only the owners of a lease of capacity 1 follow one another in the order of their tokens.
+        let may_be_stale =
+            history.capacity > 1 || history.under_way.iter().all(|other| *other > token);
         history.under_way.insert(token);
-        match history.under_way.len() > history.capacity as usize {
-            true => Err(OperationError::Overlap {
-                tokens: history.under_way.iter().copied().collect(),
-            }),
-            false => Ok(()),
+        if history.under_way.len() <= history.capacity as usize {
+            return Ok(());
         }
+        if paused.contains(&token) && may_be_stale {
+            history.under_way.remove(&token);
+            return Err(OperationError::StaleToken);
+        }
+        Err(OperationError::Overlap {
+            tokens: history.under_way.iter().copied().collect(),
+        })
     }
 
     /// An operation ends.
--- a/crates/fault-injection/src/lease_simulation/events.rs
+++ b/crates/fault-injection/src/lease_simulation/events.rs
@@ -45,7 +45,7 @@
         match action {
             FaultAction::Kill => SimulationEvent::Crash,
             FaultAction::Restart(directory) => SimulationEvent::Start { directory },
-            FaultAction::Pause => SimulationEvent::Pause,
+            FaultAction::Pause(_) => SimulationEvent::Pause,
             FaultAction::Resume => SimulationEvent::Resume,
             FaultAction::BackUpJournal => SimulationEvent::BackUpDirectory,
             FaultAction::InjectDiskFault(fault) => {
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -62,10 +62,11 @@
     DetectionTimes, MembershipBug, MembershipOutcome, simulate_membership,
 };
 pub use plan::{
-    Bounds, DirectoryAfterCrash, DiskFault, Fault, Member, Plan, PlanError, PlannedLease,
-    TimeWindow, ZoneMembers,
+    Bounds, DirectoryAfterCrash, DiskFault, Fault, Member, OperationStep, Plan, PlanError,
+    PlannedLease, TimeWindow, ZoneMembers,
 };
 pub use processes::{
-    MemberEndpoints, OperationPhase, OperationRecord, RunError, RunOutcome, RunViolation, run,
+    MemberEndpoints, MemberPause, OperationPhase, OperationRecord, RunError, RunOutcome,
+    RunViolation, run,
 };
 pub use random_faults::{minimize_faults, with_random_faults};
--- a/crates/fault-injection/src/membership_simulation/mod.rs
+++ b/crates/fault-injection/src/membership_simulation/mod.rs
@@ -163,7 +163,7 @@
             let event = match action {
                 FaultAction::Kill => SimulationEvent::Crash,
                 FaultAction::Restart(_) => SimulationEvent::Start,
-                FaultAction::Pause => SimulationEvent::Pause,
+                FaultAction::Pause(_) => SimulationEvent::Pause,
                 FaultAction::Resume => SimulationEvent::Resume,
                 // Of voters and their disks, which this simulation does not have.
                 FaultAction::BackUpJournal
--- a/crates/fault-injection/src/plan/fault.rs
+++ b/crates/fault-injection/src/plan/fault.rs
@@ -70,6 +70,44 @@
     }
 }
 
+/// A step of an operation under a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OperationStep {
+    /// The lease is about to be checked.
+    BeforeCheck,
+    /// The lease was checked, and the begin of the operation is not reported.
+    Checked,
+    /// The begin of the operation was sent, and its response is not read.
+    BeginSent,
+    /// The operation is under way.
+    UnderWay,
+    /// The operation is done, and its end is not reported.
+    BeforeEnd,
+}
+
+impl OperationStep {
+    /// All steps, in their order.
+    pub const ALL: [OperationStep; 5] = [
+        OperationStep::BeforeCheck,
+        OperationStep::Checked,
+        OperationStep::BeginSent,
+        OperationStep::UnderWay,
+        OperationStep::BeforeEnd,
+    ];
+
+    /// The value in a plan file and in the file that arms a process.
+    pub fn keyword(self) -> &'static str {
+        match self {
+            OperationStep::BeforeCheck => "before_check",
+            OperationStep::Checked => "checked",
+            OperationStep::BeginSent => "begin_sent",
+            OperationStep::UnderWay => "under_way",
+            OperationStep::BeforeEnd => "before_end",
+        }
+    }
+}
+
 /// A fault. A target is the name of a member or of a zone, or empty for all members; times are
 /// seconds since the start.
 #[derive(Clone, Debug, PartialEq)]
@@ -119,6 +157,9 @@
         target: String,
         /// When it resumes, if ever.
         resume_at: Option<f64>,
+        /// Between real processes: at which step of an operation under a lease it is paused, once
+        /// it reaches that step. `None`: at `at`, wherever it is.
+        step: Option<OperationStep>,
     },
     /// A clock runs at another rate for the whole run.
     ClockRate {
--- a/crates/fault-injection/src/plan/file.rs
+++ b/crates/fault-injection/src/plan/file.rs
@@ -7,8 +7,8 @@
 use tulipgap_membership::Config;
 
 use super::{
-    Bounds, DirectoryAfterCrash, DiskFault, Fault, Plan, PlanError, PlannedLease, TimeWindow,
-    ZoneMembers,
+    Bounds, DirectoryAfterCrash, DiskFault, Fault, OperationStep, Plan, PlanError, PlannedLease,
+    TimeWindow, ZoneMembers,
 };
 
 /// No block of a kind, one, or several.
@@ -141,6 +141,7 @@
     #[serde(rename = "of")]
     target: String,
     back: Option<f64>,
+    step: Option<OperationStep>,
     /// The key has no effect; it is accepted because earlier versions accepted it.
     #[serde(rename = "folder", default)]
     _directory: DirectoryAfterCrash,
@@ -152,12 +153,14 @@
             at,
             target,
             back: resume_at,
+            step,
             ..
         } = block;
         Fault::Pause {
             at,
             target,
             resume_at,
+            step,
         }
     }
 }
--- a/crates/fault-injection/src/plan/hcl_output.rs
+++ b/crates/fault-injection/src/plan/hcl_output.rs
@@ -78,10 +78,17 @@
                 at,
                 target,
                 resume_at,
-            } => Block::new("stop")
-                .value("at", at)
-                .text("of", target)
-                .optional("back", *resume_at),
+                step,
+            } => {
+                let block = Block::new("stop")
+                    .value("at", at)
+                    .text("of", target)
+                    .optional("back", *resume_at);
+                match step {
+                    Some(step) => block.text("step", step.keyword()),
+                    None => block,
+                }
+            }
             Fault::ClockRate { target, rate } => {
                 Block::new("clock").text("of", target).value("rate", rate)
             }
--- a/crates/fault-injection/src/plan/mod.rs
+++ b/crates/fault-injection/src/plan/mod.rs
@@ -13,7 +13,7 @@
 use tulipgap_membership::Config;
 
 pub(crate) use fault::BACKUP_AT;
-pub use fault::{DirectoryAfterCrash, DiskFault, Fault, TimeWindow};
+pub use fault::{DirectoryAfterCrash, DiskFault, Fault, OperationStep, TimeWindow};
 pub(crate) use network::LinkQuality;
 
 /// A member's address in a run: its place in [`Plan::members`].
--- /dev/null
+++ b/crates/fault-injection/src/processes/history/tests.rs
@@ -0,0 +1,204 @@
+//! Written histories: each report and pause in the order in which the run saw them. Legal ones
+//! violate nothing, and one that overlaps is found.
+
+use super::*;
+
+const ONE: &str = "one";
+const TWO: &str = "two";
+
+/// A history of two leases, the first of capacity 1 and the second of capacity 2.
+struct WrittenHistory {
+    recorder: HistoryRecorder,
+}
+
+impl WrittenHistory {
+    fn new() -> Self {
+        let text = r#"length = 45
+            voters = ["north-1"]
+            members {
+              zone = "north"
+              count = 4
+            }
+            lease {
+              name = "one"
+              term = 2
+            }
+            lease {
+              name = "two"
+              term = 2
+              places = 2
+            }"#;
+        let plan = Plan::parse(text).unwrap_or_else(|error| panic!("{error}"));
+        WrittenHistory {
+            recorder: HistoryRecorder::new(&plan, Instant::now()),
+        }
+    }
+
+    fn report(&mut self, phase: OperationPhase, lease: &str, member: u64, at: CheckTime) -> bool {
+        let report = OperationReport {
+            phase,
+            lease: lease.to_owned(),
+            token: FencingToken(member),
+            member: format!("north-{member}"),
+            checked_at: at.0,
+        };
+        self.recorder.record(StreamId(member), report)
+    }
+
+    /// The member, whose token is its number, begins an operation that was checked then.
+    fn begin(&mut self, lease: &str, member: u64, at: CheckTime) -> bool {
+        self.report(OperationPhase::Begin, lease, member, at)
+    }
+
+    /// The member ends the operation that was checked then.
+    fn end(&mut self, lease: &str, member: u64, at: CheckTime) -> bool {
+        self.report(OperationPhase::End, lease, member, at)
+    }
+
+    fn pause(&mut self, member: u64) {
+        self.recorder.member_paused(&format!("north-{member}"));
+        // No two moments of a history are the same.
+        thread::sleep(Duration::from_micros(10));
+    }
+
+    fn resume(&mut self, member: u64) {
+        self.recorder.member_resumes(&format!("north-{member}"));
+    }
+
+    fn violation(&self) -> Option<&str> {
+        let violation = self.recorder.outcome.violation.as_ref();
+        violation.map(|violation| violation.description.as_str())
+    }
+}
+
+/// When a lease was checked.
+#[derive(Clone, Copy)]
+struct CheckTime(Duration);
+
+fn check_time() -> CheckTime {
+    thread::sleep(Duration::from_micros(10));
+    let now = CheckTime(monotonic_time());
+    thread::sleep(Duration::from_micros(10));
+    now
+}
+
+/// Guards against the false alarm of a run whose process was paused just after it had sent its
+/// report: the report was read during the pause, and its operation counted as one of a running
+/// process.
+#[test]
+fn a_begin_that_is_read_during_the_pause_is_fenced_off() {
+    let mut history = WrittenHistory::new();
+    let checked = check_time();
+    history.pause(1);
+    assert!(history.begin(ONE, 1, checked));
+    let next = check_time();
+    assert!(history.begin(ONE, 2, next));
+    history.resume(1);
+    assert!(
+        !history.end(ONE, 1, checked),
+        "a store turns its effect away"
+    );
+    assert!(history.end(ONE, 2, next));
+    assert_eq!(history.violation(), None);
+    assert_eq!(history.recorder.outcome.rejected_while_running, 0);
+}
+
+/// The same where the report is read only after the process was resumed.
+#[test]
+fn a_begin_of_before_the_pause_that_is_read_after_it_is_fenced_off() {
+    let mut history = WrittenHistory::new();
+    let checked = check_time();
+    history.pause(1);
+    history.resume(1);
+    assert!(history.begin(ONE, 1, checked));
+    assert!(history.begin(ONE, 2, check_time()));
+    assert_eq!(history.violation(), None);
+
+    let mut history = WrittenHistory::new();
+    let checked = check_time();
+    history.pause(1);
+    assert!(history.begin(ONE, 2, check_time()));
+    history.resume(1);
+    assert!(!history.begin(ONE, 1, checked), "its token is stale");
+    assert_eq!(history.violation(), None);
+}
+
+#[test]
+fn an_operation_that_a_pause_interrupts_is_fenced_off() {
+    let mut history = WrittenHistory::new();
+    let [checked, next] = [check_time(), check_time()];
+    assert!(history.begin(ONE, 1, checked));
+    history.pause(1);
+    assert!(history.begin(ONE, 2, next));
+    assert!(history.end(ONE, 2, next));
+    history.resume(1);
+    assert!(!history.end(ONE, 1, checked));
+    assert_eq!(history.violation(), None);
+}
+
+/// A pause excuses no operation whose lease was checked after it.
+#[test]
+fn operations_that_overlap_after_a_pause_are_a_violation() {
+    let mut history = WrittenHistory::new();
+    let checked = check_time();
+    assert!(history.begin(ONE, 1, checked));
+    history.pause(1);
+    history.resume(1);
+    assert!(history.end(ONE, 1, checked));
+    assert!(history.begin(ONE, 1, check_time()));
+    assert!(!history.begin(ONE, 2, check_time()));
+    let violation = history.violation().expect("the overlap is found");
+    assert!(violation.contains("tokens 1, 2"), "{violation}");
+}
+
+/// A pause of another member excuses nothing.
+#[test]
+fn operations_of_running_members_that_overlap_are_a_violation() {
+    let mut history = WrittenHistory::new();
+    assert!(history.begin(ONE, 1, check_time()));
+    history.pause(3);
+    assert!(!history.begin(ONE, 2, check_time()));
+    assert!(history.violation().is_some());
+}
+
+/// A lease of capacity 2 has no newest token that fences off all others: an operation of before a
+/// pause is turned away where both slots are in use, whatever their tokens, and only then.
+#[test]
+fn two_slots_in_use_turn_away_an_operation_of_before_a_pause() {
+    let mut history = WrittenHistory::new();
+    let checked = check_time();
+    history.pause(2);
+    assert!(history.begin(TWO, 1, check_time()));
+    assert!(history.begin(TWO, 3, check_time()));
+    history.resume(2);
+    assert!(!history.begin(TWO, 2, checked));
+    assert_eq!(history.violation(), None);
+    assert!(!history.begin(TWO, 4, check_time()));
+    assert!(history.violation().is_some(), "three run at a time");
+}
+
+/// With capacity 1 a newer token is granted only once the older one is lost: an operation under the
+/// older one that runs then is a violation, although the newer one's owner was paused.
+#[test]
+fn a_pause_of_the_newer_owner_excuses_no_overlap() {
+    let mut history = WrittenHistory::new();
+    let checked = check_time();
+    history.pause(2);
+    assert!(history.begin(ONE, 1, check_time()));
+    history.resume(2);
+    assert!(!history.begin(ONE, 2, checked));
+    assert!(history.violation().is_some());
+}
+
+/// Guards against an operation that stays under way for ever: its begin is read only after its
+/// process was killed.
+#[test]
+fn a_begin_that_is_read_after_the_kill_ends_with_its_stream() {
+    let mut history = WrittenHistory::new();
+    let checked = check_time();
+    history.recorder.member_died("north-1");
+    assert!(history.begin(ONE, 1, checked));
+    history.recorder.stream_closed(StreamId(1));
+    assert!(history.begin(ONE, 2, check_time()));
+    assert_eq!(history.violation(), None);
+}
--- a/crates/fault-injection/src/processes/mod.rs
+++ b/crates/fault-injection/src/processes/mod.rs
@@ -79,6 +79,8 @@
 pub struct OperationRecord {
     /// When it was received, since the start of the run.
     pub at: Duration,
+    /// When the member checked that it holds the lease, since the start of the run.
+    pub checked_at: Duration,
     /// The member that carries the operation out.
     pub member: String,
     /// The lease that it holds.
@@ -91,6 +93,17 @@
     pub rejection: Option<OperationError>,
 }
 
+/// A member was paused: between the two times none of its threads ran.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemberPause {
+    /// The member.
+    pub member: String,
+    /// When it was seen to be paused, since the start of the run.
+    pub paused_at: Duration,
+    /// When it was about to be resumed; `None` while it is paused.
+    pub resumed_at: Option<Duration>,
+}
+
 /// How an invariant was violated.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunViolation {
@@ -109,7 +122,7 @@
     pub operations: u64,
     /// Reports rejected for their token.
     pub rejected: u64,
-    /// Those of them that came from processes that had not been paused or killed.
+    /// Those of them whose process had not been paused since it checked the lease.
     pub rejected_while_running: u64,
     /// By lease: how many tokens were seen.
     pub tokens: BTreeMap<String, usize>,
@@ -123,6 +136,8 @@
     pub false_deaths: u64,
     /// All reports in the order in which they were received.
     pub history: Vec<OperationRecord>,
+    /// All pauses of members, in the order in which they began.
+    pub pauses: Vec<MemberPause>,
 }
 
 /// Where a member serves requests, and where it looks for its executor.
@@ -256,7 +271,12 @@
             thread::sleep(POLL_INTERVAL);
             while let Some(due) = schedule.pop_due(self.network.elapsed_seconds()) {
                 self.processes[due.member]
-                    .perform(&due.action, program, recorder, &plan.leases)
+                    .perform(&due.action, program, recorder)
+                    .map_err(RunError::io("faults"))?;
+            }
+            for process in &mut self.processes {
+                process
+                    .detect_pause_at_step(recorder)
                     .map_err(RunError::io("faults"))?;
             }
             self.check_processes()?;
--- a/crates/fault-injection/src/processes/process.rs
+++ b/crates/fault-injection/src/processes/process.rs
@@ -5,12 +5,14 @@
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 
 use super::history::SharedRecorder;
 use crate::fault_schedule::FaultAction;
-use crate::plan::{DirectoryAfterCrash, DiskFault, Member, PlannedLease};
+use crate::plan::{DirectoryAfterCrash, DiskFault, Member, OperationStep};
 
 /// The directory of the voter's log, in a process's directory.
 const JOURNAL: &str = "journal";
@@ -26,6 +28,12 @@
 const DISK_FULL_FILE: &str = "full";
 /// While this file is there, the next sync of the process's disk fails.
 const SYNC_FAILS_FILE: &str = "fails";
+/// Where this file is there, the process pauses itself at the step that it names, and removes it.
+const PAUSE_STEP_FILE: &str = "pause_at";
+/// How long a process may take to pause after it was sent the signal.
+const PAUSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often a process is checked that is about to pause.
+const PAUSE_POLL_INTERVAL: Duration = Duration::from_millis(1);
 /// How much of a response on the control socket is read, in bytes.
 const MAX_CONTROL_RESPONSE_BYTES: usize = 256;
 
@@ -38,7 +46,16 @@
     /// Seconds that the process's clock shows for each true second.
     pub(super) clock_rate: f64,
     child: Option<Child>,
-    is_paused: bool,
+    pause: PauseState,
+}
+
+/// Whether a process is paused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PauseState {
+    Running,
+    /// It pauses itself once it reaches a step.
+    AwaitingStep,
+    Paused,
 }
 
 impl MemberProcess {
@@ -50,7 +67,7 @@
             log_file: run_directory.join(format!("{}.log", member.name)),
             clock_rate,
             child: None,
-            is_paused: false,
+            pause: PauseState::Running,
         }
     }
 
@@ -76,7 +93,7 @@
     }
 
     pub(super) fn is_running(&self) -> bool {
-        self.is_alive() && !self.is_paused
+        self.is_alive() && self.pause != PauseState::Paused
     }
 
     /// The status of a process that has ended by itself.
@@ -107,13 +124,13 @@
         action: &FaultAction,
         program: &Path,
         recorder: &SharedRecorder,
-        leases: &[PlannedLease],
     ) -> io::Result<()> {
         match action {
-            FaultAction::Kill => self.kill(recorder, leases),
+            FaultAction::Kill => self.kill(recorder),
             FaultAction::Restart(directory) => self.restart(*directory, program),
-            FaultAction::Pause => self.pause(recorder, leases),
-            FaultAction::Resume => self.resume(),
+            FaultAction::Pause(None) => self.pause(recorder),
+            FaultAction::Pause(Some(step)) => self.pause_at_step(*step),
+            FaultAction::Resume => self.resume(recorder),
             FaultAction::BackUpJournal => copy_directory(&self.journal(), &self.journal_backup()),
             FaultAction::InjectDiskFault(DiskFault::Full) => self.create_marker(DISK_FULL_FILE),
             FaultAction::InjectDiskFault(DiskFault::SyncFails) => {
@@ -135,14 +152,14 @@
         fs::write(self.directory.join(name), b"")
     }
 
-    fn kill(&mut self, recorder: &SharedRecorder, leases: &[PlannedLease]) -> io::Result<()> {
+    fn kill(&mut self, recorder: &SharedRecorder) -> io::Result<()> {
         let Some(mut child) = self.child.take() else {
             return Ok(());
         };
-        recorder.lock().member_pauses(&self.member.name, leases);
         child.kill()?;
         child.wait()?;
-        self.is_paused = false;
+        self.pause = PauseState::Running;
+        let _ = fs::remove_file(self.directory.join(PAUSE_STEP_FILE));
         recorder.lock().member_died(&self.member.name);
         Ok(())
     }
@@ -162,23 +179,75 @@
         self.start(program)
     }
 
-    fn pause(&mut self, recorder: &SharedRecorder, leases: &[PlannedLease]) -> io::Result<()> {
+    fn pause(&mut self, recorder: &SharedRecorder) -> io::Result<()> {
         let Some(child) = &self.child else {
             return Ok(());
         };
-        recorder.lock().member_pauses(&self.member.name, leases);
         send_signal(child, Signal::STOP)?;
-        self.is_paused = true;
+        self.await_pause(recorder)
+    }
+
+    /// The process pauses itself once it reaches the step, if it does before it is resumed.
+    fn pause_at_step(&mut self, step: OperationStep) -> io::Result<()> {
+        if self.is_alive() {
+            fs::write(self.directory.join(PAUSE_STEP_FILE), step.keyword())?;
+            self.pause = PauseState::AwaitingStep;
+        }
+        Ok(())
+    }
+
+    /// Records that a process has paused itself at its step.
+    pub(super) fn detect_pause_at_step(&mut self, recorder: &SharedRecorder) -> io::Result<()> {
+        if self.pause == PauseState::AwaitingStep && self.has_paused()? {
+            self.record_pause(recorder);
+        }
+        Ok(())
+    }
+
+    /// Waits until no thread of the process runs any longer, and records it.
+    fn await_pause(&mut self, recorder: &SharedRecorder) -> io::Result<()> {
+        let deadline = Instant::now() + PAUSE_TIMEOUT;
+        while !self.has_paused()? {
+            if Instant::now() > deadline {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            thread::sleep(PAUSE_POLL_INTERVAL);
+        }
+        self.record_pause(recorder);
         Ok(())
     }
 
-    fn resume(&mut self) -> io::Result<()> {
+    fn record_pause(&mut self, recorder: &SharedRecorder) {
+        recorder.lock().member_paused(&self.member.name);
+        self.pause = PauseState::Paused;
+    }
+
+    /// Whether the process has paused since this was last asked.
+    fn has_paused(&self) -> io::Result<bool> {
         let Some(child) = &self.child else {
-            return Ok(());
+            return Ok(false);
         };
-        send_signal(child, Signal::CONT)?;
-        self.is_paused = false;
-        Ok(())
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::NOHANG;
+        Ok(waitid(WaitId::Pid(Pid::from_child(child)), options)?.is_some())
+    }
+
+    fn resume(&mut self, recorder: &SharedRecorder) -> io::Result<()> {
+        if self.child.is_none() {
+            return Ok(());
+        }
+        let is_awaiting_step = self.pause == PauseState::AwaitingStep;
+        if is_awaiting_step && fs::remove_file(self.directory.join(PAUSE_STEP_FILE)).is_err() {
+            // It has reached the step, and pauses now.
+            self.await_pause(recorder)?;
+        }
+        if self.pause == PauseState::Paused {
+            recorder.lock().member_resumes(&self.member.name);
+        }
+        self.pause = PauseState::Running;
+        match &self.child {
+            Some(child) => send_signal(child, Signal::CONT),
+            None => Ok(()),
+        }
     }
 
     /// Asks for the replacement as an operator would; it is not waited for.
--- a/crates/fault-injection/src/random_faults.rs
+++ b/crates/fault-injection/src/random_faults.rs
@@ -121,6 +121,7 @@
             at,
             target,
             resume_at: Some(to),
+            step: None,
         },
         7 => Fault::ClockRate {
             target,
--- a/crates/fault-injection/tests/plan_file.rs
+++ b/crates/fault-injection/tests/plan_file.rs
@@ -2,7 +2,7 @@
 //! they are read.
 
 use tulipgap_fault_injection::{
-    DirectoryAfterCrash, DiskFault, Fault, Plan, PlanError, TimeWindow,
+    DirectoryAfterCrash, DiskFault, Fault, OperationStep, Plan, PlanError, TimeWindow,
 };
 
 const MEMBERS: &str = "length = 9\nmembers {\n zone = \"a\"\n count = 3\n}\n";
@@ -73,6 +73,13 @@
             at: 3.0,
             target: a.clone(),
             resume_at: None,
+            step: None,
+        },
+        Fault::Pause {
+            at: 3.0,
+            target: a.clone(),
+            resume_at: Some(4.0),
+            step: Some(OperationStep::Checked),
         },
         Fault::ClockRate {
             target: String::new(),
--- a/crates/server/src/cluster/fault_injection/lease_worker.rs
+++ b/crates/server/src/cluster/fault_injection/lease_worker.rs
@@ -4,11 +4,14 @@
 use std::fmt;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::time::Duration;
 
+use rustix::time::{ClockId, Timespec, clock_gettime};
 use tulipgap_config::TestLease;
-use tulipgap_leases::{FencingToken, LeaseSpec, Name};
+use tulipgap_leases::{FencingToken, LeaseSpec, Name, StaleGuard};
 
+use crate::cluster::fault_injection::pause_step::{PauseStep, pause_if_armed};
 use crate::cluster::lease_handle::{LeaseHandle, ScopedGuard};
 
 /// The pause between two steps, and between two attempts to acquire a guard.
@@ -19,6 +22,8 @@
 const ACKNOWLEDGED: &str = "taken";
 /// A step takes this part of its longest time, or up to [`STEP_SPREAD`] more.
 const MIN_STEP_FRACTION: f64 = 0.2;
+/// Nanoseconds in a second.
+const NANOSECONDS_PER_SECOND: i64 = 1_000_000_000;
 /// How much longer a step may take at random, as a part of its longest time.
 const STEP_SPREAD: f64 = 0.4;
 
@@ -57,6 +62,16 @@
     local_name: Name,
     recorder: SocketAddr,
     connection: Option<BufReader<TcpStream>>,
+    /// Where the process finds the step at which it is to pause.
+    fault_folder: Option<PathBuf>,
+}
+
+/// A step that the lease was checked for.
+#[derive(Clone, Copy)]
+struct CheckedStep {
+    token: FencingToken,
+    /// Just before the check, by the machine's monotonic clock.
+    checked_at: Timespec,
 }
 
 impl LeaseWorker {
@@ -66,6 +81,7 @@
         lease: TestLease,
         local_name: Name,
         recorder: SocketAddr,
+        fault_folder: Option<PathBuf>,
     ) -> Self {
         LeaseWorker {
             leases,
@@ -73,6 +89,7 @@
             local_name,
             recorder,
             connection: None,
+            fault_folder,
         }
     }
 
@@ -95,27 +112,52 @@
 
     /// Takes steps until the lease is lost or a report is not acknowledged.
     fn act_under(&mut self, guard: &ScopedGuard) {
-        while let Ok(token) = guard.fencing_token() {
-            if self.report(StepEvent::Begin, token).is_err() {
+        while let Ok(step) = self.check(guard) {
+            self.pause_if_armed(PauseStep::Checked);
+            if self.report(StepEvent::Begin, step).is_err() {
                 return;
             }
+            self.pause_if_armed(PauseStep::UnderWay);
             let fraction = MIN_STEP_FRACTION + STEP_SPREAD * fastrand::f64();
             std::thread::sleep(self.lease.max_operation.mul_f64(fraction));
-            if self.report(StepEvent::End, token).is_err() {
+            self.pause_if_armed(PauseStep::BeforeEnd);
+            if self.report(StepEvent::End, step).is_err() {
                 return;
             }
             std::thread::sleep(PAUSE);
         }
     }
 
+    /// Checks that the lease is held for one step that begins now.
+    fn check(&self, guard: &ScopedGuard) -> Result<CheckedStep, StaleGuard> {
+        self.pause_if_armed(PauseStep::BeforeCheck);
+        let checked_at = clock_gettime(ClockId::Monotonic);
+        let token = guard.fencing_token()?;
+        Ok(CheckedStep { token, checked_at })
+    }
+
+    fn pause_if_armed(&self, step: PauseStep) {
+        if let Some(folder) = &self.fault_folder {
+            pause_if_armed(folder, step);
+        }
+    }
+
     /// Sends a report and waits for the acknowledgement. The connection is kept unless it fails.
-    fn report(&mut self, event: StepEvent, token: FencingToken) -> Result<(), ReportError> {
+    fn report(&mut self, event: StepEvent, step: CheckedStep) -> Result<(), ReportError> {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
             None => self.connect()?,
         };
-        let line = format!("{event} {} {token} {}\n", self.lease.name, self.local_name);
+        let CheckedStep { token, checked_at } = step;
+        let checked_at_ns = checked_at.tv_sec * NANOSECONDS_PER_SECOND + checked_at.tv_nsec;
+        let line = format!(
+            "{event} {} {token} {} {checked_at_ns}\n",
+            self.lease.name, self.local_name
+        );
         connection.get_mut().write_all(line.as_bytes())?;
+        if let StepEvent::Begin = event {
+            self.pause_if_armed(PauseStep::BeginSent);
+        }
         let mut response = String::new();
         if connection.read_line(&mut response)? == 0 {
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
--- a/crates/server/src/cluster/fault_injection/mod.rs
+++ b/crates/server/src/cluster/fault_injection/mod.rs
@@ -3,6 +3,7 @@
 
 mod faulty_disk;
 mod lease_worker;
+mod pause_step;
 
 pub(crate) use faulty_disk::FaultyDisk;
 pub(crate) use lease_worker::LeaseWorker;
--- a/crates/server/src/cluster/mod.rs
+++ b/crates/server/src/cluster/mod.rs
@@ -342,7 +342,13 @@
             return Ok(());
         };
         for lease in self.faults.leases() {
-            let worker = LeaseWorker::new(leases.clone(), lease, self.local_name.clone(), recorder);
+            let worker = LeaseWorker::new(
+                leases.clone(),
+                lease,
+                self.local_name.clone(),
+                recorder,
+                self.faults.disk_trouble.clone(),
+            );
             spawn_thread("trial", move || worker.run()).map_err(ClusterError::SpawnThread)?;
         }
         Ok(())
--- a/crates/server/tests/program/harness/mod.rs
+++ b/crates/server/tests/program/harness/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod backend;
 pub(crate) mod edge_node;
 pub(crate) mod executor;
+pub(crate) mod lease_runs;
 pub(crate) mod store;
 
 use std::net::UdpSocket;
--- a/crates/server/tests/program/leases.rs
+++ b/crates/server/tests/program/leases.rs
@@ -10,89 +10,15 @@
 use std::process::{Command, Stdio};
 
 use serde_json::Value;
-use tulipgap_fault_injection::{OperationPhase, OperationRecord, Plan, RunOutcome, run};
+use tulipgap_fault_injection::{RunOutcome, run};
 
 use crate::harness::backend::{BackendSetup, TestBackend, config_json, write_config};
 use crate::harness::edge_node::AnswerKind;
 use crate::harness::executor::{SharedExecutor, serve_executor};
+use crate::harness::lease_runs::{plan, program, run_until_operations_resume};
 use crate::harness::store::{StoreStub, start_store};
 use crate::harness::{unique_address, wait_until};
 
-/// Five members with three voters, which use two leases, and these faults.
-fn plan(faults: &str) -> Plan {
-    let text = format!(
-        r#"length = 150
-        voters = ["a-1", "b-1", "c-1"]
-        members {{
-          zone = "a"
-          count = 2
-        }}
-        members {{
-          zone = "b"
-          count = 2
-        }}
-        members {{
-          zone = "c"
-          count = 1
-        }}
-        lease {{
-          name = "one"
-          term = 2
-          step = 0.3
-        }}
-        lease {{
-          name = "two"
-          term = 2
-          places = 2
-          step = 0.3
-        }}
-        {faults}"#
-    );
-    Plan::parse(&text).unwrap_or_else(|error| panic!("{error}"))
-}
-
-fn program() -> &'static Path {
-    Path::new(env!("CARGO_BIN_EXE_tulipgapd"))
-}
-
-/// Plays the faults until operations have begun under both leases after the last one; no invariant
-/// may be violated on the way.
-fn run_until_operations_resume(what: &str, faults: &str) -> RunOutcome {
-    let (plan, folder) = (plan(faults), tempfile::tempdir().unwrap());
-    // The run calls `is_finished` for the first time after its last fault.
-    let (operations_at_last_fault, has_resumed) = (Cell::new(None), Cell::new(false));
-    let is_finished = |out: &RunOutcome| {
-        let since = operations_at_last_fault.get().unwrap_or(out.history.len());
-        operations_at_last_fault.set(Some(since));
-        let count_operations = |lease: &str| {
-            let is_accepted_begin = |record: &&OperationRecord| {
-                record.phase == OperationPhase::Begin
-                    && record.rejection.is_none()
-                    && record.lease == lease
-            };
-            out.history[since..]
-                .iter()
-                .filter(is_accepted_begin)
-                .count()
-        };
-        has_resumed.set(count_operations("one") >= 10 && count_operations("two") >= 10);
-        has_resumed.get()
-    };
-    let outcome = run(&plan, program(), folder.path(), |_| {}, is_finished)
-        .unwrap_or_else(|error| panic!("{what}: {error}"));
-    assert_eq!(outcome.violation, None, "{what}");
-    assert!(
-        has_resumed.get(),
-        "{what}: no operations after the last fault: {:?}",
-        outcome.tokens
-    );
-    println!(
-        "{what}: {} operations, {} rejected, no operation for {:?}",
-        outcome.operations, outcome.rejected, outcome.longest_idle
-    );
-    outcome
-}
-
 /// Each member in turn is paused for longer than its lease while an operation under it is under
 /// way. The lease goes on to another member. The paused one must not take effect when it wakes,
 /// because its fencing token is older than the newest that was seen.
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -12,6 +12,7 @@
 mod graceful_shutdown;
 mod harness;
 mod idempotency;
+mod lease_pauses;
 mod leases;
 mod listener_close;
 mod load;
