A flood of silent connections no longer closes that of a client being served

Cause: with the table full, may_accept evicted the oldest silent connection at once, whatever its age, unless it was the only one. In a flood that was the client's, whose first message was in transit; it was answered on a connection that was closing.

Change: while others wait in the backlog, a silent connection has 60 ms for its first message, an idle one stays for 60 ms after its use, and no second silent newcomer displaces an idle one. A full server asks again after 1 ms, not 20, while a connection is silent. Where accept fails for want of a descriptor, eviction is immediate as before.

Two checks asserted the fault and are replaced: 'of several silent connections the oldest is evicted at once', now none at 60 ms and the oldest at 61; 'an idle connection used at this moment gives way to the newcomer', now none at 60 ms, and one of them, never the newcomer, at 61.

--- a/crates/connection-limits/src/eviction.rs
+++ b/crates/connection-limits/src/eviction.rs
@@ -6,6 +6,11 @@
 //! keep a connection whose next message may be in transit, and keep two active clients from
 //! evicting each other with each message. A connection with a request in flight has no class and
 //! is never evicted. The price is that an idle client has to connect anew.
+//!
+//! While a new connection waits in the backlog, the grace periods are shorter, and newcomers give
+//! way to newcomers: a flood of connections that send nothing would otherwise evict a client whose
+//! first message is in transit, or one that was answered a moment ago. The price is that at most
+//! the capacity is accepted anew in each [`NEWCOMER_GRACE`].
 
 use std::time::Duration;
 
@@ -21,9 +26,15 @@
 /// transit when it was asked to is sent again on another. `DRAIN_CLOSE_TIMEOUT` in
 /// [`crate::timeouts`] is the same time during a drain.
 const CLOSE_GRACE: Duration = Duration::from_millis(60);
-/// How long the only silent connection is spared after it was accepted: its first message may be in
-/// transit.
+/// How long a silent connection is spared after it was accepted while others wait in the backlog:
+/// its first message may be in transit.
 const NEWCOMER_GRACE: Duration = Duration::from_millis(60);
+/// How long an idle connection is spared after its last use while others wait in the backlog: its
+/// next message may be in transit.
+const RECENT_USE_GRACE: Duration = Duration::from_millis(60);
+/// Newcomers that may displace idle connections before they have sent a message. Behind them others
+/// wait, so that silent connections cannot take the place of all who work.
+const MAX_DISPLACING_NEWCOMERS: usize = 1;
 /// How long a connection of a new client stays unused before it is evicted. Without this hysteresis
 /// two clients would evict each other with each message.
 const NEW_CLIENT_IDLE_GRACE: Duration = Duration::from_millis(250);
@@ -89,8 +100,10 @@
 /// How soon an eviction has to free a descriptor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Urgency {
-    /// At once: most grace periods are skipped.
+    /// At once, as the system refuses descriptors: most grace periods are skipped.
     Immediate,
+    /// Soon, as a connection waits in the backlog: the shorter grace periods apply.
+    Backlog,
     /// After the grace periods.
     Gradual {
         /// Whether the descriptor is for a known client.
@@ -142,45 +155,41 @@
     }
 
     /// The connection that is evicted now, if any: the first of the first class whose grace period
-    /// is over. The spared one stays.
+    /// is over.
     pub(crate) fn choose(
         &self,
         connections: &ConnectionTable,
         now: Duration,
         urgency: Urgency,
-        spared: Option<ConnectionId>,
     ) -> Option<Eviction> {
         let is_evictable = |&(class, id): &(EvictionClass, ConnectionId)| {
-            Some(id) != spared
-                && connections
-                    .get(id)
-                    .is_some_and(|connection| is_evictable(connection, class, now, urgency))
+            connections
+                .get(id)
+                .is_some_and(|connection| is_evictable(connection, class, now, urgency))
         };
         let first_of_class = |class| self.first_in(class).map(|id| (class, id));
         let (class, id) = EvictionClass::ALL
             .into_iter()
             .filter_map(first_of_class)
             .find(is_evictable)?;
+        if class.is_idle() && urgency == Urgency::Backlog && self.newcomers_give_way() {
+            return None;
+        }
         Some(match urgency {
             _ if !class.is_idle() => Eviction::Close(id),
-            Urgency::Immediate => Eviction::RequestCloseAndClose(id),
+            Urgency::Immediate | Urgency::Backlog => Eviction::RequestCloseAndClose(id),
             Urgency::Gradual { .. } => Eviction::RequestClose(id),
         })
     }
 
-    /// The connection that an eviction spares: the only silent one, where it has just been accepted
-    /// and its first message may be in transit.
-    pub(crate) fn spared_newcomer(
-        &self,
-        connections: &ConnectionTable,
-        now: Duration,
-    ) -> Option<ConnectionId> {
-        if self.queues.len(EvictionClass::Silent.queue()) != 1 {
-            return None;
-        }
-        let id = self.first_in(EvictionClass::Silent)?;
-        let accepted_at = connections.get(id)?.accepted_at;
-        (now.saturating_sub(accepted_at) <= NEWCOMER_GRACE).then_some(id)
+    /// Whether the next newcomer waits for those before it, in place of displacing who is idle.
+    fn newcomers_give_way(&self) -> bool {
+        self.queues.len(EvictionClass::Silent.queue()) > MAX_DISPLACING_NEWCOMERS
+    }
+
+    /// Whether a connection is silent: it sends its first message soon, or is evicted soon.
+    pub(crate) fn has_silent(&self) -> bool {
+        self.first_in(EvictionClass::Silent).is_some()
     }
 }
 
@@ -191,22 +200,29 @@
     now: Duration,
     urgency: Urgency,
 ) -> bool {
-    let is_immediate = urgency == Urgency::Immediate;
+    let is_gradual = matches!(urgency, Urgency::Gradual { .. });
     let is_older = |at: Duration, grace: Duration| now.saturating_sub(at) > grace;
     match class {
-        EvictionClass::Silent => is_immediate || is_older(connection.accepted_at, SILENCE_GRACE),
+        EvictionClass::Silent => match urgency {
+            Urgency::Immediate => true,
+            Urgency::Backlog => is_older(connection.accepted_at, NEWCOMER_GRACE),
+            Urgency::Gradual { .. } => is_older(connection.accepted_at, SILENCE_GRACE),
+        },
         // Never at once: the rest of the message may be in transit.
         EvictionClass::PartialMessage => connection
             .partial_message_since
             .is_some_and(|at| is_older(at, SILENCE_GRACE)),
         EvictionClass::CloseRequested => connection
             .close_requested_at
-            .is_some_and(|at| is_immediate || is_older(at, CLOSE_GRACE)),
-        EvictionClass::IdleNewClient => {
-            is_immediate || is_older(connection.last_used_at, NEW_CLIENT_IDLE_GRACE)
-        }
+            .is_some_and(|at| !is_gradual || is_older(at, CLOSE_GRACE)),
+        EvictionClass::IdleNewClient => match urgency {
+            Urgency::Immediate => true,
+            Urgency::Backlog => is_older(connection.last_used_at, RECENT_USE_GRACE),
+            Urgency::Gradual { .. } => is_older(connection.last_used_at, NEW_CLIENT_IDLE_GRACE),
+        },
         EvictionClass::IdleKnownClient => match urgency {
             Urgency::Immediate => true,
+            Urgency::Backlog => is_older(connection.last_used_at, RECENT_USE_GRACE),
             Urgency::Gradual { for_known_client } => {
                 for_known_client && is_older(connection.last_used_at, KNOWN_CLIENT_IDLE_GRACE)
             }
--- a/crates/connection-limits/src/limiter/closing.rs
+++ b/crates/connection-limits/src/limiter/closing.rs
@@ -53,18 +53,9 @@
         }
     }
 
-    /// Evicts one connection, where one may be evicted, so that another gets its descriptor. The
-    /// spared one stays.
-    pub(super) fn make_room(
-        &mut self,
-        now: Duration,
-        urgency: Urgency,
-        spared: Option<ConnectionId>,
-        actions: &mut Vec<Action>,
-    ) {
-        let eviction = self
-            .eviction_queues
-            .choose(&self.connections, now, urgency, spared);
+    /// Evicts one connection, where one may be evicted, so that another gets its descriptor.
+    pub(super) fn make_room(&mut self, now: Duration, urgency: Urgency, actions: &mut Vec<Action>) {
+        let eviction = self.eviction_queues.choose(&self.connections, now, urgency);
         match eviction {
             Some(Eviction::RequestClose(id)) => self.request_close(now, id, actions),
             Some(Eviction::RequestCloseAndClose(id)) => {
--- a/crates/connection-limits/src/limiter/mod.rs
+++ b/crates/connection-limits/src/limiter/mod.rs
@@ -96,11 +96,16 @@
         if rejects_when_full || self.descriptors.available(DescriptorOwner::NewClients) > 0 {
             return true;
         }
-        let spared = self.eviction_queues.spared_newcomer(&self.connections, now);
-        self.make_room(now, Urgency::Immediate, spared, actions);
+        self.make_room(now, Urgency::Backlog, actions);
         false
     }
 
+    /// Whether a connection has sent nothing yet. A full server has room within a short time then:
+    /// its first message comes, so that others may be evicted, or it is evicted itself.
+    pub fn has_silent_connection(&self) -> bool {
+        self.eviction_queues.has_silent()
+    }
+
     /// Handles an event, and the deadlines that have come by `now`, the time since a start that the
     /// host chooses. Appends the actions in the order in which the host is to carry them out; the
     /// caller may reuse the buffer.
@@ -147,7 +152,7 @@
         if let Err(reason) = self.admit(now, address, is_known) {
             if reason == RejectReason::Full {
                 // The next connection finds a descriptor, where one can be freed.
-                self.make_room(now, urgency, None, actions);
+                self.make_room(now, urgency, actions);
             }
             return actions.push(Action::Reject {
                 connection: id,
@@ -159,7 +164,7 @@
         // Before the new connection is in its eviction class: none is evicted for having just been
         // accepted.
         if self.connections.open() as f64 > self.capacity as f64 * SATURATION_FRACTION {
-            self.make_room(now, urgency, None, actions);
+            self.make_room(now, urgency, actions);
         }
         self.update_eviction_class(id);
         self.deadlines
@@ -297,7 +302,7 @@
             return;
         };
         // Descriptors are in use that the budget does not know of.
-        self.make_room(now, Urgency::Immediate, None, actions);
+        self.make_room(now, Urgency::Immediate, actions);
         actions.push(Action::PauseAccepting {
             until: now.saturating_add(pause),
         });
--- a/crates/connection-limits/src/tests/eviction.rs
+++ b/crates/connection-limits/src/tests/eviction.rs
@@ -26,7 +26,7 @@
 #[test]
 fn silent_connection_is_evicted_after_its_grace_and_at_once_where_it_is_urgent() {
     let (queues, table) = queued(vec![silent_connection()]);
-    let choose = |at, urgency| queues.choose(&table, ms(at), urgency, None);
+    let choose = |at, urgency| queues.choose(&table, ms(at), urgency);
     let evicted = Some(Eviction::Close(ConnectionId(0)));
     assert_eq!(choose(500, FOR_NEW_CLIENT), None);
     assert_eq!(choose(501, FOR_NEW_CLIENT), evicted);
@@ -40,7 +40,7 @@
         ..silent_connection()
     };
     let (queues, table) = queued(vec![partial]);
-    let choose = |at| queues.choose(&table, ms(at), Urgency::Immediate, None);
+    let choose = |at| queues.choose(&table, ms(at), Urgency::Immediate);
     assert_eq!(choose(500), None);
     assert_eq!(choose(501), Some(Eviction::Close(ConnectionId(0))));
 }
@@ -48,7 +48,7 @@
 #[test]
 fn idle_connection_of_a_new_client_is_asked_to_close_after_its_grace() {
     let (queues, table) = queued(vec![idle_connection(DescriptorOwner::NewClients)]);
-    let choose = |at, urgency| queues.choose(&table, ms(at), urgency, None);
+    let choose = |at, urgency| queues.choose(&table, ms(at), urgency);
     let id = ConnectionId(0);
     assert_eq!(choose(250, FOR_NEW_CLIENT), None);
     assert_eq!(
@@ -64,7 +64,7 @@
 #[test]
 fn idle_connection_of_a_known_client_gives_way_to_known_clients_only() {
     let (queues, table) = queued(vec![idle_connection(DescriptorOwner::KnownClients)]);
-    let choose = |at, urgency| queues.choose(&table, ms(at), urgency, None);
+    let choose = |at, urgency| queues.choose(&table, ms(at), urgency);
     assert_eq!(choose(60_000, FOR_NEW_CLIENT), None);
     assert_eq!(choose(1000, FOR_KNOWN_CLIENT), None);
     assert_eq!(
@@ -80,20 +80,58 @@
         ..idle_connection(DescriptorOwner::NewClients)
     };
     let (queues, table) = queued(vec![busy]);
-    assert_eq!(
-        queues.choose(&table, ms(60_000), Urgency::Immediate, None),
-        None
-    );
+    assert_eq!(queues.choose(&table, ms(60_000), Urgency::Immediate), None);
+    assert_eq!(queues.choose(&table, ms(60_000), Urgency::Backlog), None);
 }
 
+/// Guards against a client whose first message is in transit while a flood of silent connections
+/// waits in the backlog: the oldest silent connection was evicted at once.
 #[test]
-fn only_silent_connection_is_spared_while_its_first_message_may_be_in_transit() {
-    let (queues, table) = queued(vec![silent_connection()]);
+fn silent_connection_is_spared_while_its_first_message_may_be_in_transit() {
+    for silent_connections in [1, 2, 40] {
+        let silent = (0..silent_connections).map(|_| silent_connection());
+        let (queues, table) = queued(silent.collect());
+        let choose = |at| queues.choose(&table, ms(at), Urgency::Backlog);
+        assert_eq!(choose(0), None);
+        assert_eq!(choose(60), None);
+        assert_eq!(choose(61), Some(Eviction::Close(ConnectionId(0))));
+    }
+}
+
+/// Guards against a client that was answered a moment ago and loses its connection to a newcomer.
+#[test]
+fn idle_connection_is_spared_after_its_use_while_others_wait_in_the_backlog() {
+    for owner in [DescriptorOwner::NewClients, DescriptorOwner::KnownClients] {
+        let (queues, table) = queued(vec![idle_connection(owner)]);
+        let choose = |at| queues.choose(&table, ms(at), Urgency::Backlog);
+        assert_eq!(choose(0), None);
+        assert_eq!(choose(60), None);
+        let evicted = Some(Eviction::RequestCloseAndClose(ConnectionId(0)));
+        assert_eq!(choose(61), evicted);
+    }
+}
+
+/// One newcomer displaces an idle connection. Behind it the next one waits until the first has sent
+/// a message, or has been silent for too long.
+#[test]
+fn newcomers_that_have_sent_nothing_give_way_to_one_another() {
+    let newcomer = || Connection {
+        accepted_at: ms(1000),
+        ..silent_connection()
+    };
+    let idle = || idle_connection(DescriptorOwner::NewClients);
+    let evicted_at = |connections: Vec<Connection>, at| {
+        let (queues, table) = queued(connections);
+        queues.choose(&table, ms(at), Urgency::Backlog)
+    };
+    assert_eq!(
+        evicted_at(vec![idle(), newcomer()], 1000),
+        Some(Eviction::RequestCloseAndClose(ConnectionId(0)))
+    );
+    let connections = || vec![idle(), newcomer(), newcomer()];
+    assert_eq!(evicted_at(connections(), 1060), None);
     assert_eq!(
-        queues.spared_newcomer(&table, ms(60)),
-        Some(ConnectionId(0))
+        evicted_at(connections(), 1061),
+        Some(Eviction::Close(ConnectionId(1)))
     );
-    assert_eq!(queues.spared_newcomer(&table, ms(61)), None);
-    let (queues, table) = queued(vec![silent_connection(), silent_connection()]);
-    assert_eq!(queues.spared_newcomer(&table, ms(0)), None);
 }
--- a/crates/connection-limits/tests/limiter/eviction.rs
+++ b/crates/connection-limits/tests/limiter/eviction.rs
@@ -141,12 +141,22 @@
             server.serve(last.unwrap());
         }
     }
+    // The others were answered at this very moment: one of them gives way once its next message has
+    // had time, and the newcomer stays.
+    assert_eq!(evicted(&mut server), (false, None));
+    server.now += ms(59);
+    let newcomer = last.expect("a descriptor was available");
+    server.close(newcomer);
+    assert_eq!(server.accept(v4(10, 0, 0, 1)), Some(newcomer));
+    server.now += ms(1);
+    assert_eq!(evicted(&mut server), (false, None));
+    server.now += ms(1);
     let (may, first) = evicted(&mut server);
     assert!(
         !may && first.is_some() && first != last,
         "{first:?} of {last:?}"
     );
-    // Of several silent connections the oldest is evicted at once.
+    // Of several silent connections the oldest is evicted, once its first message has had time.
     let mut server = Server::new(Config {
         full_policy: FullPolicy::Wait,
         network_limits: None,
@@ -161,5 +171,51 @@
     {
         silent.extend(server.accept(v4(10, 0, 0, 2)));
     }
+    assert_eq!(evicted(&mut server), (false, None));
+    server.now += ms(60);
+    assert_eq!(evicted(&mut server), (false, None));
+    server.now += ms(1);
     assert_eq!(evicted(&mut server), (false, silent.first().copied()));
 }
+
+/// Guards against a flood of connections that send nothing, which closed the connection of a client
+/// that was being served: 1,000 of them wait in the backlog while one client sends its first
+/// message 5 ms after it was accepted, and then one each 5 ms. It keeps its connection, newcomers
+/// get theirs at the promised rate, and descriptors stay within the limit.
+#[test]
+fn a_flood_of_silent_connections_displaces_no_client_that_works() {
+    let mut server = Server::new(Config {
+        full_policy: FullPolicy::Wait,
+        network_limits: None,
+        ..config()
+    });
+    let client = server.accept(v4(127, 1, 1, 1)).unwrap();
+    let mut accepted = 0;
+    let mut longest_wait = Duration::ZERO;
+    let mut waits_since = server.now;
+    for millisecond in 0..1000 {
+        server.now = ms(millisecond);
+        server.handle(Event::TimerExpired);
+        server.finish_closing();
+        if millisecond % 5 == 0 && millisecond > 0 {
+            assert!(server.open.contains_key(&client), "at {millisecond} ms");
+            server.serve(client);
+        }
+        let mut actions = Vec::new();
+        while server.limiter.may_accept(server.now, &mut actions) {
+            server.accept(v4(10, 0, 0, 1)).expect("a descriptor");
+            accepted += 1;
+            longest_wait = longest_wait.max(server.now - waits_since);
+            waits_since = server.now;
+        }
+        for action in actions {
+            if let Action::Close { connection, .. } = action {
+                server.model(connection).is_closing = true;
+            }
+        }
+    }
+    assert!(!server.model(client).is_close_requested);
+    assert!(longest_wait <= ms(62), "{longest_wait:?}");
+    // The capacity for new clients is 40, of which the client has one.
+    assert!((39 * 14..=39 * 18).contains(&accepted), "{accepted}");
+}
--- a/crates/server/src/net/frontend/connection_table.rs
+++ b/crates/server/src/net/frontend/connection_table.rs
@@ -26,8 +26,9 @@
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Admission {
     Accept,
-    /// A connection is about to close and to leave its place.
-    WaitForClose,
+    /// A connection is about to close and to leave its place, or one that was just accepted is
+    /// about to send its first message, behind which others may be closed.
+    WaitBriefly,
     /// No place is free, and none is about to be.
     Wait,
 }
@@ -76,10 +77,12 @@
     /// Asks the limiter whether another connection may be accepted.
     pub(super) fn may_accept(&self) -> Admission {
         self.decide(|limiter, now, actions| {
-            match (limiter.may_accept(now, actions), actions.is_empty()) {
-                (true, _) => Admission::Accept,
-                (false, false) => Admission::WaitForClose,
-                (false, true) => Admission::Wait,
+            if limiter.may_accept(now, actions) {
+                Admission::Accept
+            } else if !actions.is_empty() || limiter.has_silent_connection() {
+                Admission::WaitBriefly
+            } else {
+                Admission::Wait
             }
         })
     }
--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -25,7 +25,7 @@
 
 /// The pause before the limiter is asked again whether another connection may be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// The pause before the limiter is asked again, where a connection is about to close.
+/// The pause before the limiter is asked again, where there is room soon.
 const EVICTION_PAUSE: Duration = Duration::from_millis(1);
 /// How often the backlog of a listener that closes is checked.
 const BACKLOG_POLL_INTERVAL: Duration = Duration::from_millis(1);
@@ -108,7 +108,7 @@
             let backlog_is_final = handshakes_until.is_some_and(|until| until <= Instant::now());
             match self.table.may_accept() {
                 Admission::Accept => {}
-                Admission::WaitForClose => {
+                Admission::WaitBriefly => {
                     clock::sleep(EVICTION_PAUSE);
                     continue;
                 }
