The wait beside a flood of requests is the stand-in's: notices held back for acknowledgements

a_flood_of_requests_on_one_connection_holds_up_nobody_else failed beside load: a client on another connection waited 4.2 to 6.6 s or milliseconds, nothing between.

Evidence, by stage: the slow request was read and registered at 0.38 s, started at 6.145 s and answered 0.9 ms later. Until then each run of the flood took 26 ms, one tick of 25 ms, 148 a second in place of 1,900: the test's executor did not set TCP_NODELAY, so a notice waited for the acknowledgement of the one before, which came with the backend's next query of the gauges. The queue runs what arrived first, whichever connection sent it, so the client waited for a thousand requests that were older.

So that the next one is told at once, each summary is followed by 'requests delays max_queued_ms=N max_run_ms=N', with a test. The decisions are untouched.

--- a/crates/server/src/requests/metrics.rs
+++ b/crates/server/src/requests/metrics.rs
@@ -1,4 +1,6 @@
-//! Counts of requests by their outcome.
+//! Counts of requests by their outcome, and the longest delays of their stages.
+
+use std::time::Duration;
 
 /// The requests since the start, by their outcome.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -50,3 +52,29 @@
         );
     }
 }
+
+/// The longest delay of each stage of a request. It tells whether requests wait for a core of this
+/// server, or for the executor.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct LongestDelays {
+    /// From the registration of a request to the start of its run.
+    pub(super) queued: Duration,
+    /// From the start of a run to its end, dependency calls included.
+    pub(super) run: Duration,
+}
+
+impl LongestDelays {
+    pub(super) fn record_queued(&mut self, delay: Duration) {
+        self.queued = self.queued.max(delay);
+    }
+
+    pub(super) fn record_run(&mut self, delay: Duration) {
+        self.run = self.run.max(delay);
+    }
+
+    /// Logs the delays.
+    pub(crate) fn log(&self) {
+        let (queued, run) = (self.queued.as_millis(), self.run.as_millis());
+        log::info!("requests delays max_queued_ms={queued} max_run_ms={run}");
+    }
+}
--- a/crates/server/src/requests/open_request.rs
+++ b/crates/server/src/requests/open_request.rs
@@ -21,6 +21,9 @@
     /// Its final response is queued among its commands, or was.
     pub(super) is_answered: bool,
     pub(super) is_caller_gone: bool,
+    registered_at: Instant,
+    /// When its run was started; `None` before, and once it has ended.
+    run_started_at: Option<Instant>,
     /// A run of it was started.
     pub(super) is_started: bool,
     /// The controller has released it.
@@ -51,6 +54,8 @@
             waiter,
             is_answered: false,
             is_caller_gone: false,
+            registered_at: Instant::now(),
+            run_started_at: None,
             is_started: false,
             is_released: false,
             is_detached: false,
@@ -75,13 +80,21 @@
         }
     }
 
-    /// Starts its run, or starts it again.
-    pub(super) fn start_run(&mut self, now: Option<Instant>) {
-        self.is_started = true;
+    /// Starts its run, or starts it again. Returns how long it was queued before the first start.
+    pub(super) fn start_run(&mut self, now: Instant) -> Option<Duration> {
+        let is_first_start = !std::mem::replace(&mut self.is_started, true);
+        self.run_started_at = Some(now);
         if let Some(trace) = &mut self.trace {
-            trace.started = trace.started.or(now);
+            trace.started = trace.started.or(Some(now));
         }
         self.send(Command::Start);
+        is_first_start.then(|| now.saturating_duration_since(self.registered_at))
+    }
+
+    /// Its run has ended. Returns how long it took; `None` where its end was seen before.
+    pub(super) fn finish_run(&mut self, now: Instant) -> Option<Duration> {
+        let started_at = self.run_started_at.take()?;
+        Some(now.saturating_duration_since(started_at))
     }
 
     /// Its run has reached a call. Returns false where the run waits for a call already: it makes
--- a/crates/server/src/requests/registry.rs
+++ b/crates/server/src/requests/registry.rs
@@ -10,7 +10,7 @@
 use tulipgap_trace::Reason;
 
 use super::messages::{IncomingRequest, RegisterError, RequestEvent};
-use super::metrics::RequestCounts;
+use super::metrics::{LongestDelays, RequestCounts};
 use super::open_request::OpenRequest;
 use super::state::RegistryState;
 use super::ticket::Ticket;
@@ -187,6 +187,11 @@
         self.state.lock().counts()
     }
 
+    /// The longest delays since this was last asked.
+    pub(crate) fn take_longest_delays(&self) -> LongestDelays {
+        self.state.lock().take_longest_delays()
+    }
+
     /// The longest `retry_after` that a caller may be given; none where callers are not given one.
     pub(crate) fn max_retry_after(&self) -> Option<Duration> {
         self.config.max_retry_after
--- a/crates/server/src/requests/state/actions.rs
+++ b/crates/server/src/requests/state/actions.rs
@@ -47,8 +47,9 @@
     }
 
     fn start_run(&mut self, index: usize) {
-        let now = self.trace_time();
-        self.requests[index].start_run(now);
+        if let Some(delay) = self.requests[index].start_run(Instant::now()) {
+            self.longest_delays.record_queued(delay);
+        }
     }
 
     fn start_call(&mut self, index: usize, timeout: Duration) {
--- a/crates/server/src/requests/state/events.rs
+++ b/crates/server/src/requests/state/events.rs
@@ -4,6 +4,8 @@
 //! the caller is gone. Events of a request that is released, of a run that was not started, and of
 //! a call that the run does not wait for are ignored.
 
+use std::time::Instant;
+
 use tulipgap::{Event, Outcome};
 use tulipgap_trace::Reason;
 
@@ -56,6 +58,9 @@
     }
 
     fn run_finished(&mut self, index: usize, outcome: Outcome, result: Bytes) {
+        if let Some(delay) = self.requests[index].finish_run(Instant::now()) {
+            self.longest_delays.record_run(delay);
+        }
         let response = match outcome {
             Outcome::Succeeded => Response::Completed(result),
             _ => Response::Failed,
--- a/crates/server/src/requests/state/mod.rs
+++ b/crates/server/src/requests/state/mod.rs
@@ -21,7 +21,7 @@
 use self::schedule::ShutdownNotice;
 use super::idempotency::IdempotencyKeys;
 use super::messages::{Command, RequestId};
-use super::metrics::RequestCounts;
+use super::metrics::{LongestDelays, RequestCounts};
 use super::open_request::OpenRequest;
 use super::timers::Timers;
 use crate::trace::Tracer;
@@ -50,6 +50,8 @@
     /// What health checks report, as the controller has set it last.
     is_healthy: bool,
     counts: RequestCounts,
+    /// Since they were last taken.
+    longest_delays: LongestDelays,
     /// The recording, where there is one.
     tracer: Option<Arc<Tracer>>,
 }
@@ -69,6 +71,7 @@
             idle_timeout: config.idle_timeout,
             is_healthy: false,
             counts: RequestCounts::default(),
+            longest_delays: LongestDelays::default(),
             tracer,
         }
     }
@@ -113,6 +116,11 @@
         }
     }
 
+    /// The longest delays since this was last asked.
+    pub(super) fn take_longest_delays(&mut self) -> LongestDelays {
+        std::mem::take(&mut self.longest_delays)
+    }
+
     /// The feedback value that every reply carries; none before the controller has set it.
     pub(super) fn feedback(&self) -> Option<f64> {
         self.feedback
--- a/crates/server/src/requests/tests/lifecycle.rs
+++ b/crates/server/src/requests/tests/lifecycle.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::common::{config, ms};
-use super::{bytes, incoming, next_command, registry};
+use super::{bytes, incoming, next_command, registry, registry_at_capacity};
 use crate::requests::{Command, Outcome, RegisterError, RequestEvent, RequestRegistry, Response};
 
 /// The ordinary life of a request: it is started, makes a call and gets its reply, has a second
@@ -139,3 +139,34 @@
         assert_eq!(received.recv_timeout(Duration::from_secs(30)), Ok(None));
     }
 }
+
+/// Tells a request that waits for a core from one that waits for the executor: where a client was
+/// held up for seconds, nothing did.
+#[test]
+fn the_longest_delays_tell_the_queue_from_the_run() {
+    let (registry, mut running) = registry_at_capacity();
+    let queued = registry.register(incoming("queued", 0, None)).unwrap();
+    assert_eq!(next_command(&queued), None);
+    std::thread::sleep(ms(5));
+    let finish = |id: &str| {
+        registry.report(
+            id,
+            RequestEvent::RunFinished {
+                outcome: Outcome::Succeeded,
+                result: bytes("result"),
+                work: None,
+            },
+        );
+    };
+    finish("full0");
+    running.clear();
+    assert_eq!(next_command(&queued), Some(Command::Start));
+    let delays = registry.take_longest_delays();
+    assert!(delays.queued >= ms(5) && delays.run >= ms(5), "{delays:?}");
+    finish("queued");
+    let delays = registry.take_longest_delays();
+    assert_eq!(delays.queued, Duration::ZERO);
+    assert!(delays.run > Duration::ZERO, "{delays:?}");
+    finish("queued");
+    assert_eq!(registry.take_longest_delays().run, Duration::ZERO);
+}
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -136,6 +136,7 @@
     /// Logs what became of requests since the start, and the counters of the frontend.
     fn log_summary(&self) {
         self.registry.counts().log();
+        self.registry.take_longest_delays().log();
         self.frontend.summary().log();
     }
 
