--- a/crates/consensus/src/log_store.rs
+++ b/crates/consensus/src/log_store.rs
@@ -1,6 +1,7 @@
 //! The consensus log and hard state. All of it is in memory, so that `raft` reads it without I/O;
 //! what changes is encoded here for the write-ahead log.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use protobuf::Message as _;
@@ -80,6 +81,17 @@
     compacted: EntryId,
     entries: Vec<Entry>,
     snapshot: Snapshot,
+    /// A follower needs a snapshot that is newer than the latest one. The consensus asks for
+    /// snapshots by a shared reference.
+    needs_snapshot: Cell<bool>,
+}
+
+/// Whether a snapshot names that voter or learner. One that does not is ignored by its receiver.
+fn names_member(snapshot: &Snapshot, id: u64) -> bool {
+    let membership = snapshot.get_metadata().get_conf_state();
+    let members = membership.get_voters().iter();
+    let members = members.chain(membership.get_learners());
+    members.copied().any(|member| member == id)
 }
 
 fn encode_message(message: &impl protobuf::Message) -> Vec<u8> {
@@ -156,6 +168,7 @@
             compacted: stored.compacted,
             entries: Vec::new(),
             snapshot,
+            needs_snapshot: Cell::default(),
         };
         store.append_encoded(&stored.entries)?;
         for change in changes {
@@ -263,6 +276,11 @@
         self.snapshot = snapshot;
     }
 
+    /// Whether a follower has needed a snapshot newer than the latest one since this was last asked.
+    pub(crate) fn take_snapshot_need(&self) -> bool {
+        self.needs_snapshot.take()
+    }
+
     /// Takes a snapshot and removes the entries that it covers, but for the last `kept_entries`.
     pub(crate) fn compact(&mut self, content: SnapshotContent<'_>, kept_entries: u64) {
         let index = content.index;
@@ -330,10 +348,12 @@
         Ok(self.last_entry())
     }
 
-    fn snapshot(&self, request_index: u64, _: u64) -> raft::Result<Snapshot> {
-        match self.snapshot.get_metadata().index < request_index {
-            true => Err(StorageError::SnapshotTemporarilyUnavailable.into()),
-            false => Ok(self.snapshot.clone()),
+    fn snapshot(&self, request_index: u64, to: u64) -> raft::Result<Snapshot> {
+        let is_too_old = self.snapshot.get_metadata().index < request_index;
+        if is_too_old || !names_member(&self.snapshot, to) {
+            self.needs_snapshot.set(true);
+            return Err(StorageError::SnapshotTemporarilyUnavailable.into());
         }
+        Ok(self.snapshot.clone())
     }
 }
--- a/crates/consensus/src/voter/ready.rs
+++ b/crates/consensus/src/voter/ready.rs
@@ -219,10 +219,11 @@
     }
 
     fn take_snapshot_if_due(&mut self, actions: &mut Vec<Action>) {
-        if !self.snapshots.is_due(self.applied_index) {
+        let Some(node) = &mut self.node else { return };
+        let is_needed = node.store_mut().take_snapshot_need();
+        if !is_needed && !self.snapshots.is_due(self.applied_index) {
             return;
         }
-        let Some(node) = &mut self.node else { return };
         let content = SnapshotContent {
             index: self.applied_index,
             membership: node.membership(),
--- a/crates/consensus/tests/voter_replacement.rs
+++ b/crates/consensus/tests/voter_replacement.rs
@@ -45,6 +45,33 @@
     );
 }
 
+/// Guards against a newcomer that never votes: the consensus of a learner ignores a snapshot that was
+/// taken before it was added, and its leader waited for the confirmation of that one. Beyond 250
+/// entries the log is compacted; before, it begins with the snapshot of the bootstrap.
+#[test]
+fn a_newcomer_gets_a_snapshot_that_names_it() {
+    for commands in [0, 100, 249, 251, 800] {
+        let folders = BOOTSTRAP_VOTERS.map(|name| (name.into(), Files::new()));
+        let mut group = Group::new(folders.into());
+        group.tick_until("a leader", |group| group.leader().is_some());
+        let leader = group.leader().unwrap();
+        for _ in 0..commands {
+            group.propose_to(&leader, acquire("old", "m1", Duration::from_secs(60), 1));
+        }
+        group.add_newcomer(&"d".into(), 9);
+        let replaced = BOOTSTRAP_VOTERS.into_iter().find(|name| **name != *leader);
+        let old = replaced.unwrap().into();
+        let event = Event::ReplaceVoter {
+            old,
+            new: "d".into(),
+        };
+        group.deliver(&leader, event);
+        group.tick_until("the newcomer votes", |group| {
+            newcomer_votes(group, replaced.unwrap())
+        });
+    }
+}
+
 fn request_from_every_voter(group: &mut Group) {
     let voters: Vec<_> = group.voters_by_name.keys().cloned().collect();
     for voter in voters {
