--- a/crates/consensus/src/voter/raft_node.rs
+++ b/crates/consensus/src/voter/raft_node.rs
@@ -2,10 +2,11 @@
 //! timeouts drawn from the voter's seed.
 
 use raft::prelude::{ConfChange, ConfChangeV2, ConfState, Message};
-use raft::{LightReady, RawNode, ReadOnlyOption, Ready, StateRole};
+use raft::{LightReady, ProgressState, RawNode, ReadOnlyOption, Ready, SnapshotStatus, StateRole};
 
 use super::leadership::{ElectionTimeout, FollowerProgress, Role, transfer_target};
 use super::membership_change::{ChangeStep, LearnerProgress};
+use super::snapshot::SnapshotTransfers;
 use crate::error::LoadError;
 use crate::log_store::LogStore;
 use crate::peer_message::{LogPosition, VoterId};
@@ -35,6 +36,7 @@
     raw: RawNode<LogStore>,
     election_ticks: usize,
     election_timeout: ElectionTimeout,
+    snapshot_transfers: SnapshotTransfers,
 }
 
 impl RaftNode {
@@ -62,6 +64,7 @@
             raw: RawNode::new(&raft_config, store, &no_log)?,
             election_ticks,
             election_timeout: ElectionTimeout::new(config.seed),
+            snapshot_transfers: SnapshotTransfers::default(),
         };
         node.set_election_timeout();
         Ok(node)
@@ -77,9 +80,23 @@
     /// One tick has passed.
     pub(super) fn tick(&mut self) {
         self.raw.tick();
+        self.resend_stalled_snapshots();
         self.set_election_timeout();
     }
 
+    /// Has the consensus send a snapshot again that its receiver has not confirmed in time: it waits
+    /// for that confirmation for ever, and the message may be lost.
+    fn resend_stalled_snapshots(&mut self) {
+        let progress = self.raw.raft.prs().iter();
+        let receivers = progress
+            .filter(|(_, progress)| progress.state == ProgressState::Snapshot)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in self.snapshot_transfers.tick(receivers, self.election_ticks) {
+            self.raw.report_snapshot(id, SnapshotStatus::Failure);
+        }
+    }
+
     /// Handles another voter's message. One that is not accepted is out of date or from an unknown
     /// sender.
     pub(super) fn step(&mut self, message: Message) {
--- a/crates/consensus/src/voter/tests/reads_and_snapshots.rs
+++ b/crates/consensus/src/voter/tests/reads_and_snapshots.rs
@@ -9,7 +9,7 @@
     LinearizableReads, MAX_PENDING_READS, ReadRequest, read_leases,
 };
 use crate::voter::proposals::slot_notifications;
-use crate::voter::snapshot::SnapshotSchedule;
+use crate::voter::snapshot::{SnapshotSchedule, SnapshotTransfers};
 
 fn read(request: u64) -> ReadRequest {
     ReadRequest {
@@ -121,3 +121,16 @@
     assert!(!schedule.is_due(239));
     assert!(schedule.is_due(240));
 }
+
+/// Guards against a lost snapshot, which its sender would wait for without end.
+#[test]
+fn a_snapshot_is_sent_again_once_it_is_unconfirmed_for_the_timeout() {
+    let mut transfers = SnapshotTransfers::default();
+    assert_eq!(transfers.tick(vec![7], 3), []);
+    assert_eq!(transfers.tick(vec![7, 8], 3), []);
+    assert_eq!(transfers.tick(vec![7, 8], 3), [7]);
+    // It counts anew from there, and one that was confirmed meanwhile is forgotten.
+    assert_eq!(transfers.tick(vec![7], 3), []);
+    assert_eq!(transfers.tick(vec![7, 8], 3), []);
+    assert_eq!(transfers.tick(vec![7, 8], 3), [7]);
+}
--- a/crates/consensus/tests/voter_replacement.rs
+++ b/crates/consensus/tests/voter_replacement.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{BOOTSTRAP_VOTERS, Files, Group, MAX_TICKS, acquire};
+use common::{BOOTSTRAP_VOTERS, Files, Group, MAX_TICKS, MessageFate, acquire, is_snapshot};
 use tulipgap_consensus::Event;
 
 /// How often every voter is asked for the lease: each 5 s. It is first asked for that long after
@@ -51,27 +51,51 @@
 #[test]
 fn a_newcomer_gets_a_snapshot_that_names_it() {
     for commands in [0, 100, 249, 251, 800] {
-        let folders = BOOTSTRAP_VOTERS.map(|name| (name.into(), Files::new()));
-        let mut group = Group::new(folders.into());
-        group.tick_until("a leader", |group| group.leader().is_some());
-        let leader = group.leader().unwrap();
-        for _ in 0..commands {
-            group.propose_to(&leader, acquire("old", "m1", Duration::from_secs(60), 1));
-        }
-        group.add_newcomer(&"d".into(), 9);
-        let replaced = BOOTSTRAP_VOTERS.into_iter().find(|name| **name != *leader);
-        let old = replaced.unwrap().into();
-        let event = Event::ReplaceVoter {
-            old,
-            new: "d".into(),
-        };
-        group.deliver(&leader, event);
-        group.tick_until("the newcomer votes", |group| {
-            newcomer_votes(group, replaced.unwrap())
-        });
+        replace_follower(commands, MessageFate::Delivered);
+    }
+}
+
+/// Guards against a newcomer that never votes as its snapshot was lost: the leader waited for the
+/// confirmation of that one.
+#[test]
+fn a_snapshot_that_is_lost_is_sent_again() {
+    for commands in [0, 800] {
+        replace_follower(commands, MessageFate::Lost);
     }
 }
 
+/// Replaces a voter that does not lead, after so many commands; the first snapshot has that fate.
+fn replace_follower(commands: usize, first_snapshot: MessageFate) {
+    let folders = BOOTSTRAP_VOTERS.map(|name| (name.into(), Files::new()));
+    let mut group = Group::new(folders.into());
+    group.tick_until("a leader", |group| group.leader().is_some());
+    let leader = group.leader().unwrap();
+    for _ in 0..commands {
+        group.propose_to(&leader, acquire("old", "m1", Duration::from_secs(60), 1));
+    }
+    group.add_newcomer(&"d".into(), 9);
+    disturb_first_snapshot(&mut group, first_snapshot);
+    let replaced = BOOTSTRAP_VOTERS.into_iter().find(|name| **name != *leader);
+    let old = replaced.unwrap().into();
+    let event = Event::ReplaceVoter {
+        old,
+        new: "d".into(),
+    };
+    group.deliver(&leader, event);
+    group.tick_until("the newcomer votes", |group| {
+        newcomer_votes(group, replaced.unwrap())
+    });
+}
+
+/// The first snapshot that is sent has that fate; all other messages are delivered.
+fn disturb_first_snapshot(group: &mut Group, fate: MessageFate) {
+    let mut fates = std::iter::once(fate);
+    group.fate = Box::new(move |message| match is_snapshot(message) {
+        true => fates.next().unwrap_or(MessageFate::Delivered),
+        false => MessageFate::Delivered,
+    });
+}
+
 fn request_from_every_voter(group: &mut Group) {
     let voters: Vec<_> = group.voters_by_name.keys().cloned().collect();
     for voter in voters {
