A leader that is replaced hands leadership over before it is removed

Callers saw, after replace-voter of the voter that led, no lease granted, renewed or expired any more: every voter rejected every request.

Cause: the leader proposed its own removal, and the consensus leads on after applying it. The others heard its heartbeats, held no election and knew no voter of its id. Where it committed on, the crate panicked (maybe_commit on a leader that is no member).

Change: a leader that is to be removed hands leadership to an active voter, never a learner, and the next leader proposes the removal. Should a leader's own removal be applied all the same, it steps down (dissertation, 4.2.2).

--- a/crates/consensus/src/voter.rs
+++ b/crates/consensus/src/voter.rs
@@ -507,8 +507,10 @@
             return;
         };
         let has_caught_up = |learner| node.learner_progress(learner).has_caught_up();
-        if let Some(step) = next_step(&self.state, has_caught_up) {
-            node.propose_change(&step);
+        match next_step(&self.state, has_caught_up) {
+            Some(step) if step.removes(self.identity.id) => node.transfer_leadership(),
+            Some(step) => node.propose_change(&step),
+            None => {}
         }
     }
 }
--- a/crates/consensus/src/voter/raft_node.rs
+++ b/crates/consensus/src/voter/raft_node.rs
@@ -123,12 +123,13 @@
 
     /// Hands leadership over, where this voter leads and another is active.
     pub(super) fn transfer_leadership(&mut self) {
-        if !self.is_leader() {
+        if !self.is_leader() || self.raw.raft.lead_transferee.is_some() {
             return;
         }
         let own_id = self.raw.raft.id;
+        let voters = self.membership().take_voters();
         let progress = self.raw.raft.prs().iter();
-        let followers = progress.filter(|(id, _)| **id != own_id);
+        let followers = progress.filter(|(id, _)| **id != own_id && voters.contains(id));
         let target = transfer_target(followers.map(|(id, progress)| FollowerProgress {
             id: *id,
             matched_index: progress.matched,
@@ -139,6 +140,15 @@
         }
     }
 
+    /// Stops leading, where this voter does: it was removed, and the others elect one of theirs
+    /// (Raft's dissertation, section 4.2.2).
+    pub(super) fn step_down(&mut self) {
+        if self.is_leader() {
+            let term = self.term();
+            self.raw.raft.become_follower(term, raft::INVALID_ID);
+        }
+    }
+
     pub(super) fn term(&self) -> u64 {
         self.raw.raft.term
     }
--- a/crates/consensus/src/voter/ready.rs
+++ b/crates/consensus/src/voter/ready.rs
@@ -4,7 +4,9 @@
 
 use protobuf::Message as _;
 use raft::Ready;
-use raft::prelude::{ConfChange, ConfChangeV2, Entry, EntryType, Message, Snapshot};
+use raft::prelude::{
+    ConfChange, ConfChangeType, ConfChangeV2, Entry, EntryType, Message, Snapshot,
+};
 use tulipgap_leases::Command;
 
 use super::Voter;
@@ -133,8 +135,14 @@
     /// applied here either.
     fn apply_change(&mut self, change: &ConfChange) {
         let Some(node) = &mut self.node else { return };
-        if node.apply_change(change) {
-            apply_step(&mut self.state, change);
+        if !node.apply_change(change) {
+            return;
+        }
+        apply_step(&mut self.state, change);
+        let is_removed = change.get_change_type() == ConfChangeType::RemoveNode
+            && change.node_id == self.identity.id.0;
+        if is_removed {
+            node.step_down();
         }
     }
 
