A learner with an empty log has not caught up, however few entries are committed

With at most 50 committed entries a learner counted as caught up at once and became a voter with an empty log: one more voter to reach a majority with, which confirms nothing.

Change: a learner votes once its log has an entry and is at most 50 behind. The rule's test asserted the fault ('in a young cluster has caught up'); it asserts now that an empty log has not and that one entry has, at the same 50.

--- a/crates/consensus/src/voter/membership_change.rs
+++ b/crates/consensus/src/voter/membership_change.rs
@@ -14,8 +14,8 @@
 use crate::peer_message::VoterId;
 use crate::replicated_state::{JoiningVoter, ReplicatedState, VoterChange};
 
-/// A learner may vote once its log is at most this many entries behind the committed ones. Where no
-/// more are committed at all, it may vote at once, with an empty log.
+/// A learner may vote once its log has an entry and is at most this many entries behind the
+/// committed ones.
 const MAX_LEARNER_LAG_ENTRIES: u64 = 50;
 
 /// One step of a change, to be proposed.
@@ -55,7 +55,8 @@
 impl LearnerProgress {
     /// Whether the learner may vote.
     pub(super) fn has_caught_up(self) -> bool {
-        self.matched_index + MAX_LEARNER_LAG_ENTRIES >= self.committed_index
+        self.matched_index > 0
+            && self.matched_index + MAX_LEARNER_LAG_ENTRIES >= self.committed_index
     }
 }
 
--- a/crates/consensus/src/voter/tests/golden_transcripts.rs
+++ b/crates/consensus/src/voter/tests/golden_transcripts.rs
@@ -27,7 +27,7 @@
 /// The checksum of all actions for each seed, beginning with seed 1. Those of the seeds that replace a
 /// voter have moved since, with each mended fault of a replacement.
 const TRANSCRIPTS: [u32; 10] = [
-    2584850951, 1270609559, 1118511829, 4149774525, 2928454027, 2803591511, 2477492090, 1846834175,
+    2584850951, 1270609559, 1894439245, 4149774525, 2928454027, 2803591511, 2477492090, 1620789987,
     255726360, 1150758592,
 ];
 const DURATION: Duration = Duration::from_secs(60);
--- a/crates/consensus/src/voter/tests/membership_change.rs
+++ b/crates/consensus/src/voter/tests/membership_change.rs
@@ -44,11 +44,14 @@
     assert!(!learner(0).has_caught_up());
     assert!(!learner(949).has_caught_up());
     assert!(learner(950).has_caught_up());
-    let in_a_young_cluster = LearnerProgress {
-        matched_index: 0,
+    // However few entries are committed, an empty log has not caught up: a newcomer that never gets
+    // one would count for the majority.
+    let in_a_young_cluster = |matched_index| LearnerProgress {
+        matched_index,
         committed_index: 50,
     };
-    assert!(in_a_young_cluster.has_caught_up());
+    assert!(!in_a_young_cluster(0).has_caught_up());
+    assert!(in_a_young_cluster(1).has_caught_up());
 }
 
 #[test]
