A rollback found in the middle of a batch is reported, and what came before it is answered

Operators would have seen a voter set back without its log line, and clients got no response to requests of the same batch: Voter::handle_events returned no actions at all once another event followed the one that showed the rollback.

Change: the batch ends there.

--- a/crates/consensus/src/voter.rs
+++ b/crates/consensus/src/voter.rs
@@ -180,8 +180,8 @@
     }
 
     /// Handles events, all proposals among them as one entry, and returns the actions to perform,
-    /// in order. Once rolled back, or stopped since its state was invalid, it returns none; events
-    /// of the same batch that follow a rollback drop the actions before it as well.
+    /// in order. Once rolled back, or stopped since its state was invalid, it handles none: events
+    /// of the same batch that follow are dropped, and the proposals before them are rejected.
     ///
     /// `now` is the host's clock, which must stand near zero when the voter is opened: a restarted
     /// voter waits until it shows `election_ticks` ticks. With a clock that is past that already,
@@ -192,7 +192,7 @@
         let mut proposals = Vec::new();
         for event in events {
             if self.phase == Phase::RolledBack {
-                return Vec::new();
+                break;
             }
             self.handle_event(event, &mut proposals, &mut actions);
         }
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -28,7 +28,6 @@
 }
 
 /// What becomes of a message on its way.
-#[allow(dead_code)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum MessageFate {
     Delivered,
@@ -47,7 +46,6 @@
 }
 
 /// Whether a message carries a snapshot.
-#[allow(dead_code)]
 pub(crate) fn is_snapshot(message: &PeerMessage) -> bool {
     let PeerMessage::Raft(bytes) = message else {
         return false;
--- a/crates/consensus/tests/stored_format.rs
+++ b/crates/consensus/tests/stored_format.rs
@@ -7,6 +7,8 @@
 //! since then voters send a newcomer its snapshot earlier, so the same run writes what `journal-2`
 //! has. A change of the format needs files of its own beside these, which stay readable.
 
+// Other tests use what this one does not.
+#[allow(dead_code)]
 mod common;
 
 use std::collections::BTreeMap;
