Invalid limits on connections end the program with 2, and no accepted configuration gives any

By reading: an error of Limiter::new was logged and the program ended with 0, where a platform takes it for a finished drain; 2 is promised. It is a start error like the others now.

No configuration that is accepted leads there: limits_that_follow_from_the_configuration_are_valid goes through descriptors, store connections and reserved parts. So the path itself is not shown by a run; the log line 'backend not started' is gone.

--- a/crates/server/src/connection_limits.rs
+++ b/crates/server/src/connection_limits.rs
@@ -115,3 +115,7 @@
         max_rate,
     }
 }
+
+#[cfg(test)]
+#[path = "connection_limits_tests.rs"]
+mod tests;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -66,6 +66,8 @@
     TooFewSockets(usize),
     #[error(transparent)]
     Cluster(#[from] ClusterError),
+    #[error("limits on connections: {0}")]
+    ConnectionLimits(#[from] tulipgap_connection_limits::ConfigError),
 }
 
 fn main() -> ExitCode {
@@ -113,7 +115,7 @@
         tracer.clone(),
         product.admission.as_ref(),
         cluster,
-    );
+    )?;
     if let Some(tracer) = tracer {
         tracer.finish();
         tracer.log_summary();
@@ -160,11 +162,9 @@
     tracer: Option<Arc<Tracer>>,
     admission: Option<&tulipgap_config::ConnectionLimitsConfig>,
     cluster: Option<Cluster>,
-) {
-    let server = match Server::start(&config, listener, tracer, admission, cluster.as_ref()) {
-        Ok(server) => server,
-        Err(error) => return ::log::error!("backend not started error=\"{error}\""),
-    };
+) -> Result<(), StartError> {
+    let server = Server::start(&config, listener, tracer, admission, cluster.as_ref())?;
     let notice = signals.wait_for_shutdown(config, path, &server);
     server.drain(notice, cluster);
+    Ok(())
 }
