Requests that waited in the backlog are served, and not answered as malformed

Cause: parse_timestamp took one second for the most that a timestamp may lie before the accept. Change: as long as its caller waits (the handler's client timeout) and a second. A timestamp that is impossible stays malformed.

Test: requests_that_waited_in_the_backlog_are_served (paused for 1.5 s) got exceptions before.

--- a/crates/server/src/net/frontend/parse.rs
+++ b/crates/server/src/net/frontend/parse.rs
@@ -10,7 +10,8 @@
 use crate::requests::{ClassName, IdempotencyKey, IncomingRequest};
 use crate::trace::TraceContext;
 
-/// How far the timestamp of a request may lie before its connection was accepted, or after now.
+/// How far the timestamp of a request may lie after now, or before the earliest that its caller can
+/// have written it and still wait.
 const TIMESTAMP_SLACK: Duration = Duration::from_secs(1);
 /// The memory that a request may ask for is below this, in kilobytes.
 const MEMORY_LIMIT_KB: f64 = 2000.0;
@@ -121,14 +122,25 @@
 /// The timestamp of a request from a connection that was accepted at `accepted_at`. The controller
 /// measures by timestamps how long requests were unread, so a caller with an impossible one could
 /// have the requests of others rejected. Such a request is malformed.
-fn parse_timestamp(fields: &FieldReader, accepted_at: Instant) -> Result<Duration, CallError> {
+///
+/// Before that, the connection may have waited in the backlog of a full or paused server, with its
+/// requests on it, for as long as their caller waits.
+fn parse_timestamp(
+    fields: &FieldReader,
+    accepted_at: Instant,
+    client_timeout: Duration,
+) -> Result<Duration, CallError> {
     let arrived = fields
         .required(KEY_TIMESTAMP)?
         .parse()
         .map(Duration::from_millis)
         .map_err(|_| invalid(KEY_TIMESTAMP))?;
     let now = unix_now();
-    let is_too_old = now.saturating_sub(arrived) > accepted_at.elapsed() + TIMESTAMP_SLACK;
+    let oldest = accepted_at
+        .elapsed()
+        .saturating_add(client_timeout)
+        .saturating_add(TIMESTAMP_SLACK);
+    let is_too_old = now.saturating_sub(arrived) > oldest;
     if is_too_old || arrived > now + TIMESTAMP_SLACK {
         return Err(invalid(KEY_TIMESTAMP));
     }
@@ -169,11 +181,11 @@
         let tenant = self.tenant(&fields)?;
         let id = fields.required(KEY_ID)?;
         let number = parse_id(id).ok_or_else(|| invalid(KEY_ID))?;
-        let arrived = parse_timestamp(&fields, accepted_at)?;
+        let client_timeout = self.client_timeout(handler);
+        let arrived = parse_timestamp(&fields, accepted_at, client_timeout)?;
         let queued_kb = fields
             .number(KEY_MEMORY)?
             .filter(|&kb| kb > 0.0 && kb < MEMORY_LIMIT_KB);
-        let client_timeout = self.client_timeout(handler);
         let estimated_work = parse_work(&fields, client_timeout)?;
         check_level(&fields)?;
         let idempotency_key = fields.non_empty(KEY_IDEMPOTENCY).map(IdempotencyKey::from);
--- a/crates/server/tests/program/connection_floods.rs
+++ b/crates/server/tests/program/connection_floods.rs
@@ -140,3 +140,24 @@
     last.expect_answer(1, AnswerKind::Answer);
     assert!(edges[0].wait_until_closed());
 }
+
+/// Guards against requests that are answered as malformed because their connection waited in the
+/// backlog: their timestamps lay over a second before it was accepted. From the ninth on nothing
+/// was read, so all further requests of the connection were lost. Here the process is paused for
+/// longer than that; behind a crowd of connections on a full server it is the same.
+#[test]
+fn requests_that_waited_in_the_backlog_are_served() {
+    const REQUESTS: u32 = 12;
+    let backend = start_backend();
+    backend.signal("STOP");
+    let mut edge = backend.connect();
+    for sequence in 1..=REQUESTS {
+        edge.send_request(sequence, &format!("000000000bac{sequence:04x}"), b"run");
+    }
+    std::thread::sleep(Duration::from_millis(1500));
+    backend.signal("CONT");
+    for _ in 0..REQUESTS {
+        let answer = edge.read_answer().expect("an answer for each");
+        assert_eq!(answer.kind, AnswerKind::Answer);
+    }
+}
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -24,6 +24,7 @@
 mod restart;
 mod serving;
 mod slow_clients;
+mod soak;
 mod socket_options;
 mod startup;
 mod store_calls;
