A connection that never sent a whole message is closed without a drain

Cause: an evicted connection with unread input is drained before its close, for up to a second, as a reset would drop replies on their way. Where nothing was ever answered there is no reply; the crowd kept its descriptors for that second, and nothing behind it was accepted in time.

Tests: requests_behind_a_crowd_with_half_messages_are_answered_at_shutdown got no answer before; the rule alone.

--- a/crates/server/src/net/frontend/closing.rs
+++ b/crates/server/src/net/frontend/closing.rs
@@ -5,7 +5,9 @@
 //! edge node then sees a broken connection in place of a reply, and repeats a request that was
 //! run. The guard: a connection closes only once everything on it is answered and written, and
 //! where bytes may still cross the close, it is drained first (the write side is shut down, and
-//! input is read and dropped). The price is up to a second before its place is free.
+//! input is read and dropped). The price is up to a second before its place is free. A connection
+//! that never sent a whole message has no reply that a reset could drop, and closes at once: a crowd
+//! with half messages would otherwise keep the places of those who wait behind it.
 
 /// The inputs of the decision.
 pub(super) struct ConnectionState {
@@ -15,6 +17,8 @@
     pub(super) is_read_closed: bool,
     /// Messages are still read: no message was malformed beyond repair or took too long.
     pub(super) is_readable: bool,
+    /// A whole message was read at some time, so a reply may be on its way.
+    pub(super) has_read_message: bool,
     /// The limiter has decided to close this connection.
     pub(super) is_closing: bool,
     /// Bytes were read that are not handled yet.
@@ -25,7 +29,7 @@
 #[derive(Debug, PartialEq)]
 pub(super) enum CloseStep {
     StayOpen,
-    /// Close it now: the edge node sends nothing more.
+    /// Close it now: the edge node sends nothing more, or nothing that was written can be lost.
     Close,
     /// Drain it, then close it: the edge node may be sending.
     Drain,
@@ -35,9 +39,10 @@
 
 /// Decides whether a connection closes now.
 pub(super) fn close_step(state: &ConnectionState) -> CloseStep {
+    let has_nothing_to_lose = !state.is_readable && !state.has_read_message;
     if !state.is_done {
         CloseStep::StayOpen
-    } else if state.is_read_closed {
+    } else if state.is_read_closed || has_nothing_to_lose {
         CloseStep::Close
     } else if !state.is_readable {
         CloseStep::Drain
--- a/crates/server/src/net/frontend/closing_tests.rs
+++ b/crates/server/src/net/frontend/closing_tests.rs
@@ -7,6 +7,7 @@
     is_done: true,
     is_read_closed: false,
     is_readable: true,
+    has_read_message: true,
     is_closing: true,
     has_unhandled_input: false,
 };
@@ -44,6 +45,24 @@
     assert_eq!(close_step(&malformed), CloseStep::Drain);
 }
 
+/// Guards against a crowd with half messages that keeps its places for another second each, while
+/// connections with whole requests wait behind it.
+#[test]
+fn a_connection_that_never_sent_a_whole_message_is_closed_without_a_drain() {
+    let partial = ConnectionState {
+        is_readable: false,
+        has_read_message: false,
+        has_unhandled_input: true,
+        ..CLOSING
+    };
+    assert_eq!(close_step(&partial), CloseStep::Close);
+    let unfinished = ConnectionState {
+        is_done: false,
+        ..partial
+    };
+    assert_eq!(close_step(&unfinished), CloseStep::StayOpen);
+}
+
 #[test]
 fn a_connection_that_closes_handles_its_input_first() {
     let idle = ConnectionState {
--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -41,6 +41,8 @@
     stream: &'a mut BufferedStream,
     /// False after bytes that are no message: nothing more is read, and what is open is answered.
     is_readable: bool,
+    /// A whole message was read at some time.
+    has_read_message: bool,
     /// The limiter is notified that a message has begun.
     has_begun_message: bool,
     drain_notification_is_sent: bool,
@@ -75,6 +77,7 @@
             connection,
             stream,
             is_readable: true,
+            has_read_message: false,
             has_begun_message: false,
             drain_notification_is_sent: false,
             malformed_messages: 0,
@@ -145,6 +148,7 @@
         let message =
             codec::decode(&self.stream.input.contiguous()[codec::FRAME_HEADER_BYTES..end]);
         self.stream.input.consume(end);
+        self.has_read_message = true;
         self.has_begun_message = false;
         self.table.notify(Event::MessageCompleted {
             connection: self.connection.id,
@@ -194,6 +198,7 @@
             is_done: self.connection.is_done(),
             is_read_closed: self.stream.is_read_closed,
             is_readable: self.is_readable,
+            has_read_message: self.has_read_message,
             is_closing,
             has_unhandled_input: self.stream.input.len() > 0,
         };
--- a/crates/server/tests/program/connection_floods.rs
+++ b/crates/server/tests/program/connection_floods.rs
@@ -6,8 +6,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use crate::harness::backend::{start_backend, start_backend_with_sockets};
-use crate::harness::edge_node::{AnswerKind, EdgeConnection, slowest_answer_while};
+use crate::harness::backend::{
+    start_backend, start_backend_with_changes, start_backend_with_sockets,
+};
+use crate::harness::edge_node::{
+    AnswerKind, EdgeConnection, answers_until_close, slowest_answer_while,
+};
 use crate::harness::{PROMPT, wait_until};
 
 /// A thousand connections are opened at a limit of 64 descriptors. Connections that are idle and
@@ -161,3 +165,34 @@
         assert_eq!(answer.kind, AnswerKind::Answer);
     }
 }
+
+/// Guards against requests that are lost at a shutdown: their connection was in the backlog behind a
+/// crowd with half messages. Each of those kept its place for another second after it was evicted,
+/// and the process ended before it read the requests.
+#[test]
+fn requests_behind_a_crowd_with_half_messages_are_answered_at_shutdown() {
+    const REQUESTS: u32 = 10;
+    let backend = start_backend_with_changes(&[
+        ("1024", "128"),
+        ("\"drain_grace\":1000.0", "\"drain_grace\":300.0"),
+        ("\"stop_ms\":4000", "\"stop_ms\":2000"),
+    ]);
+    let _crowd: Vec<EdgeConnection> = (0..200)
+        .map(|_| {
+            let mut half = backend.connect();
+            half.stream.write_all(b"\0\0\0\x30\x80\x01").unwrap();
+            half
+        })
+        .collect();
+    let mut edge = backend.connect();
+    for sequence in 1..=REQUESTS {
+        edge.send_request(sequence, &format!("000000000bad{sequence:04x}"), b"run");
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    backend.signal("TERM");
+    let counts = answers_until_close(&mut edge);
+    assert!(
+        (1..=REQUESTS).all(|sequence| counts.get(&sequence) == Some(&1)),
+        "{counts:?}"
+    );
+}
