--- a/crates/connection-limits/tests/golden_transcripts.rs
+++ b/crates/connection-limits/tests/golden_transcripts.rs
@@ -16,9 +16,9 @@
 /// The number of connection indices that the host has.
 const MAX_CONNECTIONS: usize = 80;
 
-/// The checksum of the actions for each seed, as the limiter of 3cbff72 decided. Seeds 0, 2, 4 and 6,
-/// in which new connections wait in the backlog of a full server, are of the shorter grace periods
-/// that came after it.
+/// The checksum of the actions for each seed, as the limiter of 3cbff72 decided. Seeds 0, 2, 4 and
+/// 6, in which new connections wait in the backlog of a full server, are of the shorter grace
+/// periods that came after it.
 const EXPECTED: [u32; 10] = [
     3304378219, 162822689, 1610050632, 342605814, 1022552167, 2834350916, 698804909, 3275918163,
     4119285404, 2971507849,
--- a/crates/consensus/src/log_store.rs
+++ b/crates/consensus/src/log_store.rs
@@ -276,7 +276,8 @@
         self.snapshot = snapshot;
     }
 
-    /// Whether a follower has needed a snapshot newer than the latest one since this was last asked.
+    /// Whether a follower has needed a snapshot newer than the latest one since this was last
+    /// asked.
     pub(crate) fn take_snapshot_need(&self) -> bool {
         self.needs_snapshot.take()
     }
--- a/crates/consensus/src/voter/membership_change.rs
+++ b/crates/consensus/src/voter/membership_change.rs
@@ -5,8 +5,8 @@
 //! 4.1). The new voter learns first (section 4.2.1): one with an empty log would count for the
 //! majority and confirm nothing, and a further failure would leave no quorum until it caught up.
 //! The old one leaves last, so a new one that fails on the way costs no vote. A leader does not
-//! remove itself: it hands leadership over, and the next leader removes it (section 4.2.2 has it step
-//! down after its removal, when nobody leads until an election).
+//! remove itself: it hands leadership over, and the next leader removes it (section 4.2.2 has it
+//! step down after its removal, when nobody leads until an election).
 
 use raft::prelude::{ConfChange, ConfChangeType};
 use tulipgap_leases::Name;
--- a/crates/consensus/src/voter/raft_node.rs
+++ b/crates/consensus/src/voter/raft_node.rs
@@ -84,8 +84,8 @@
         self.set_election_timeout();
     }
 
-    /// Has the consensus send a snapshot again that its receiver has not confirmed in time: it waits
-    /// for that confirmation for ever, and the message may be lost.
+    /// Has the consensus send a snapshot again that its receiver has not confirmed in time: it
+    /// waits for that confirmation for ever, and the message may be lost.
     fn resend_stalled_snapshots(&mut self) {
         let progress = self.raw.raft.prs().iter();
         let receivers = progress
--- a/crates/consensus/src/voter/tests/golden_transcripts.rs
+++ b/crates/consensus/src/voter/tests/golden_transcripts.rs
@@ -24,8 +24,8 @@
 use crate::peer_message::{PeerMessage, VoterId};
 use crate::voter::Voter;
 
-/// The checksum of all actions for each seed, beginning with seed 1. Those of the seeds that replace a
-/// voter have moved since, with each mended fault of a replacement.
+/// The checksum of all actions for each seed, beginning with seed 1. Those of the seeds that
+/// replace a voter have moved since, with each mended fault of a replacement.
 const TRANSCRIPTS: [u32; 10] = [
     2584850951, 1270609559, 1894439245, 4149774525, 2928454027, 2803591511, 2477492090, 1620789987,
     255726360, 1150758592,
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -54,8 +54,8 @@
     message.get_msg_type() == MessageType::MsgSnapshot
 }
 
-/// Voters over disks in memory, with messages that arrive at once and in order, unless their fate is
-/// another one.
+/// Voters over disks in memory, with messages that arrive at once and in order, unless their fate
+/// is another one.
 pub(crate) struct Group {
     /// The fate of each message that a voter sends.
     pub(crate) fate: Box<dyn FnMut(&PeerMessage) -> MessageFate>,
--- a/crates/consensus/tests/voter_replacement.rs
+++ b/crates/consensus/tests/voter_replacement.rs
@@ -48,9 +48,9 @@
     );
 }
 
-/// Guards against a newcomer that never votes: the consensus of a learner ignores a snapshot that was
-/// taken before it was added, and its leader waited for the confirmation of that one. Beyond 250
-/// entries the log is compacted; before, it begins with the snapshot of the bootstrap.
+/// Guards against a newcomer that never votes: the consensus of a learner ignores a snapshot that
+/// was taken before it was added, and its leader waited for the confirmation of that one. Beyond
+/// 250 entries the log is compacted; before, it begins with the snapshot of the bootstrap.
 #[test]
 fn a_newcomer_gets_a_snapshot_that_names_it() {
     for commands in [0, 100, 249, 251, 800] {
@@ -132,11 +132,11 @@
 
 /// Ticks of an election timeout. One is drawn from this up to twice as many.
 const ELECTION_TICKS: usize = 10;
-/// Ticks within which a newcomer votes where no message is lost and no voter fails: it learns, gets a
-/// snapshot, votes, and the replaced voter is removed, by the next leader where it led.
+/// Ticks within which a newcomer votes where no message is lost and no voter fails: it learns, gets
+/// a snapshot, votes, and the replaced voter is removed, by the next leader where it led.
 const MAX_REPLACEMENT_TICKS: usize = ELECTION_TICKS;
-/// The same where its snapshot is lost or late once, and where the leader dies on the way: a further
-/// election timeout, which is at most twice as long.
+/// The same where its snapshot is lost or late once, and where the leader dies on the way: a
+/// further election timeout, which is at most twice as long.
 const MAX_DISTURBED_REPLACEMENT_TICKS: usize = MAX_REPLACEMENT_TICKS + 2 * ELECTION_TICKS;
 
 /// What goes wrong while a voter is replaced.
@@ -267,8 +267,8 @@
 }
 
 /// Guards against a newcomer that never votes: the snapshot that it was sent did not name it or was
-/// lost, and nothing was sent to it any more. Snapshots are lost, doubled and late, leaders die, and
-/// the log is compacted at any point before.
+/// lost, and nothing was sent to it any more. Snapshots are lost, doubled and late, leaders die,
+/// and the log is compacted at any point before.
 #[test]
 fn a_newcomer_votes_in_time_whatever_happens_to_its_snapshot() {
     replace_in_many_groups(0..150);
--- a/crates/fault-injection/src/history_checker.rs
+++ b/crates/fault-injection/src/history_checker.rs
@@ -64,14 +64,15 @@
         HistoryChecker { leases }
     }
 
-    /// An operation begins. The ones with `paused` tokens belong to processes that were paused after
-    /// they had checked the lease: a newer token fences them off.
+    /// An operation begins. The ones with `paused` tokens belong to processes that were paused
+    /// after they had checked the lease: a newer token fences them off.
     ///
     /// # Errors
     /// [`OperationError::StaleToken`] where a newer token of a lease of capacity 1 was seen, where
     /// the operation is itself one of the paused and as many others are under way as may be (with
-    /// newer tokens, where the capacity is 1), or where there is no such lease. [`OperationError::Overlap`] where operations of more
-    /// owners than may hold the lease are under way.
+    /// newer tokens, where the capacity is 1), or where there is no such lease.
+    /// [`OperationError::Overlap`] where operations of more owners than may hold the lease are
+    /// under way.
     pub fn begin(
         &mut self,
         lease: &str,
--- a/crates/membership/src/tests/anti_entropy.rs
+++ b/crates/membership/src/tests/anti_entropy.rs
@@ -53,8 +53,8 @@
 }
 
 /// Guards against a live member that stays dead for the others: its address was a seed, too, and a
-/// seed is only asked to let this node join. It was not told that it was declared dead, so it refuted
-/// nothing.
+/// seed is only asked to let this node join. It was not told that it was declared dead, so it
+/// refuted nothing.
 #[test]
 fn dead_member_at_the_address_of_a_seed_is_tried_by_its_name_alone() {
     let seeds = [1, 4, 8].map(address);
--- a/crates/server/src/net/frontend/closing.rs
+++ b/crates/server/src/net/frontend/closing.rs
@@ -6,8 +6,8 @@
 //! run. The guard: a connection closes only once everything on it is answered and written, and
 //! where bytes may still cross the close, it is drained first (the write side is shut down, and
 //! input is read and dropped). The price is up to a second before its place is free. A connection
-//! that never sent a whole message has no reply that a reset could drop, and closes at once: a crowd
-//! with half messages would otherwise keep the places of those who wait behind it.
+//! that never sent a whole message has no reply that a reset could drop, and closes at once: a
+//! crowd with half messages would otherwise keep the places of those who wait behind it.
 
 /// The inputs of the decision.
 pub(super) struct ConnectionState {
--- a/crates/server/tests/program/connection_floods.rs
+++ b/crates/server/tests/program/connection_floods.rs
@@ -166,9 +166,9 @@
     }
 }
 
-/// Guards against requests that are lost at a shutdown: their connection was in the backlog behind a
-/// crowd with half messages. Each of those kept its place for another second after it was evicted,
-/// and the process ended before it read the requests.
+/// Guards against requests that are lost at a shutdown: their connection was in the backlog behind
+/// a crowd with half messages. Each of those kept its place for another second after it was
+/// evicted, and the process ended before it read the requests.
 #[test]
 fn requests_behind_a_crowd_with_half_messages_are_answered_at_shutdown() {
     const REQUESTS: u32 = 10;
--- a/crates/server/tests/program/harness/executor.rs
+++ b/crates/server/tests/program/harness/executor.rs
@@ -140,8 +140,8 @@
 
 /// Reads commands from one link until it is closed or replaced.
 pub(crate) fn serve_executor_link(executor: &SharedExecutor, stream: TcpStream) {
-    // Else a notice would wait for the acknowledgement of the one before, which the backend's system
-    // sends with the next query of its gauges, 25 ms later.
+    // Else a notice would wait for the acknowledgement of the one before, which the backend's
+    // system sends with the next query of its gauges, 25 ms later.
     stream.set_nodelay(true).unwrap();
     let mut input = BufReader::new(stream.try_clone().unwrap());
     let mut line = String::new();
--- a/crates/server/tests/program/lease_pauses.rs
+++ b/crates/server/tests/program/lease_pauses.rs
@@ -1,5 +1,5 @@
-//! An owner of a lease that is paused at a chosen step of an operation, for half of its TTL to three
-//! times its TTL. Whatever the step, no operation of a member that runs overlaps another one.
+//! An owner of a lease that is paused at a chosen step of an operation, for half of its TTL to
+//! three times its TTL. Whatever the step, no operation of a member that runs overlaps another one.
 
 use tulipgap_fault_injection::OperationStep;
 
--- a/crates/server/tests/program/soak/clients.rs
+++ b/crates/server/tests/program/soak/clients.rs
@@ -1,5 +1,5 @@
-//! Clients of the soak. Each keeps requests open on its connection for as long as it lasts, past the
-//! drain notification, and connects again.
+//! Clients of the soak. Each keeps requests open on its connection for as long as it lasts, past
+//! the drain notification, and connects again.
 
 use std::collections::HashMap;
 use std::io::Write;
--- a/crates/server/tests/program/soak/mod.rs
+++ b/crates/server/tests/program/soak/mod.rs
@@ -1,6 +1,6 @@
 //! A seeded soak of the real program: clients that go on past the drain notification, signals in
-//! series, crowds and troubles of its peers, up to the kill. Each seed draws a run and prints it, so
-//! that it can be played again; CONTRIBUTING.md has the commands.
+//! series, crowds and troubles of its peers, up to the kill. Each seed draws a run and prints it,
+//! so that it can be played again; CONTRIBUTING.md has the commands.
 
 mod checks;
 mod clients;
--- a/src/caller_feedback/retry_after.rs
+++ b/src/caller_feedback/retry_after.rs
@@ -5,8 +5,8 @@
 //! the server is degraded or draining. The rule binds on every rejection, where callers can be
 //! told. The price: a caller that waits for its turn may lose the time that its request has left.
 //!
-//! What callers honour may be shorter than the shortest wait that is worth asking for. They are then
-//! asked for what they honour.
+//! What callers honour may be shorter than the shortest wait that is worth asking for. They are
+//! then asked for what they honour.
 
 use std::time::Duration;
 
--- a/tests/decisions/extreme_configurations.rs
+++ b/tests/decisions/extreme_configurations.rs
@@ -43,8 +43,8 @@
 #[derive(Clone, Debug)]
 struct AcceptedConfig(Config);
 
-/// Mostly a usual value, else one from the edges: with every field at an edge at once the controller
-/// would hardly admit a request.
+/// Mostly a usual value, else one from the edges: with every field at an edge at once the
+/// controller would hardly admit a request.
 fn draw<T: Clone>(g: &mut Gen, usual: T, edges: &[T]) -> T {
     if u8::arbitrary(g).is_multiple_of(3) {
         g.choose(edges).unwrap().clone()
@@ -254,7 +254,7 @@
     }
 
     fn finish(&mut self, request: RequestIndex, outcome: Outcome) {
-        if self.answered.get(&request).is_none() {
+        if !self.answered.contains_key(&request) {
             self.answer(request);
         }
         self.send(Event::Finished { request, outcome });
