--- a/crates/server/tests/program/harness/backend.rs
+++ b/crates/server/tests/program/harness/backend.rs
@@ -261,12 +261,18 @@
     }
 
     /// Sends a signal by its short name, such as `TERM`.
-    pub(crate) fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        let kill = Command::new("sh")
-            .args(["-c", "kill -$1 \"$0\"", &pid, signal])
-            .status();
-        assert!(kill.unwrap().success());
+    pub(crate) fn signal(&self, name: &str) {
+        let signal = match name {
+            "CONT" => libc::SIGCONT,
+            "HUP" => libc::SIGHUP,
+            "KILL" => libc::SIGKILL,
+            "STOP" => libc::SIGSTOP,
+            "TERM" => libc::SIGTERM,
+            other => panic!("no signal is named {other}"),
+        };
+        // Safe: the process is a child that was not waited for, so its id is still its own.
+        let result = unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
+        assert_eq!(result, 0, "{}", std::io::Error::last_os_error());
     }
 
     /// Waits until the process exits.
--- a/crates/server/tests/program/soak/checks.rs
+++ b/crates/server/tests/program/soak/checks.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::clients::{Answer, SentRequest};
+use super::process_end::ProcessEnd;
 
 /// A request that crosses the end of its connection within this time is sent once more by an edge
 /// node: the 50 ms of the protocol, and what this machine may take to notice the end.
@@ -20,10 +21,7 @@
     pub(super) may_repeat: bool,
     /// How often the run of each request has ended.
     pub(super) ends: HashMap<String, u32>,
-    /// `None` where the process was killed.
-    pub(super) exit_code: Option<i32>,
-    /// From the shutdown notice.
-    pub(super) ended_after: Duration,
+    pub(super) end: ProcessEnd,
     pub(super) max_files: usize,
     pub(super) sockets: usize,
 }
@@ -56,8 +54,8 @@
         .iter()
         .flat_map(|request| request_violations(record, request))
         .collect();
-    if record.exit_code != Some(0) {
-        let code = record.exit_code;
+    if record.end.exit_code != Some(0) {
+        let code = record.end.exit_code;
         violations.push(Violation::Exit { code });
     }
     if record.max_files > record.sockets {
@@ -117,8 +115,10 @@
         grace: Duration::from_millis(100),
         may_repeat: false,
         ends: HashMap::from([("a".to_owned(), 1)]),
-        exit_code: Some(0),
-        ended_after: Duration::from_millis(500),
+        end: ProcessEnd {
+            exit_code: Some(0),
+            after: Duration::from_millis(500),
+        },
         max_files: 30,
         sockets: 32,
     }
@@ -166,7 +166,7 @@
         [Violation::RunBehindGrace { id: id(), late }]
     );
     assert_eq!(
-        planted(&|record| record.exit_code = None),
+        planted(&|record| record.end.exit_code = None),
         [Violation::Exit { code: None }]
     );
     assert_eq!(
--- a/crates/server/tests/program/soak/mod.rs
+++ b/crates/server/tests/program/soak/mod.rs
@@ -4,6 +4,7 @@
 
 mod checks;
 mod clients;
+mod process_end;
 
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -13,8 +14,9 @@
 use crate::harness::backend::{BackendSetup, TestBackend};
 use checks::{RunRecord, violations};
 use clients::{Answer, ClientPlan, run_client};
+use process_end::watch_until_kill;
 
-/// How often descriptors are counted and the end of the process is looked for.
+/// How often descriptors are counted.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The first seed of the long run, and its number of seeds: `SOAK_SEEDS=FIRST,COUNT`.
 const SEEDS_VARIABLE: &str = "SOAK_SEEDS";
@@ -153,12 +155,10 @@
             scope.spawn(move || watch_descriptors(process, max_files, ended));
             self.send_signals(&backend, &self.signals_before);
             self.make_trouble(&backend);
-            let (first, later) = self.signals_from_notice.split_at(1);
-            self.send_signals(&backend, first);
+            let (notice, later) = self.signals_from_notice.split_first().unwrap();
+            self.send_signals(&backend, std::slice::from_ref(notice));
             let notified_at = Instant::now();
-            self.send_signals(&backend, later);
-            let exit_code = wait_until_kill(&mut backend, notified_at + self.stop);
-            let ended_after = notified_at.elapsed();
+            let end = watch_until_kill(&mut backend, notified_at, later, self.stop);
             is_over.store(true, Ordering::Release);
             let requests = clients
                 .into_iter()
@@ -170,8 +170,7 @@
                 grace: self.grace,
                 may_repeat: self.effect == "pure",
                 ends: backend.executor().ends.clone(),
-                exit_code,
-                ended_after,
+                end,
                 max_files: 0,
                 sockets: self.sockets,
             }
@@ -226,19 +225,6 @@
     }
 }
 
-/// The exit code of a process that ends before the kill; `None` where it was killed.
-fn wait_until_kill(backend: &mut TestBackend, kill_at: Instant) -> Option<i32> {
-    while Instant::now() < kill_at {
-        if let Some(status) = backend.child.try_wait().unwrap() {
-            return status.code();
-        }
-        std::thread::sleep(POLL_INTERVAL);
-    }
-    backend.child.kill().unwrap();
-    backend.child.wait().unwrap();
-    None
-}
-
 /// How many requests got which answer.
 fn summary(record: &RunRecord) -> String {
     let count = |answer| {
@@ -265,15 +251,12 @@
         let record = plan.play();
         requests += record.requests.len();
         let violations = violations(&record);
-        let RunRecord {
-            exit_code,
-            ended_after,
-            max_files,
-            ..
-        } = &record;
+        let RunRecord { end, max_files, .. } = &record;
         println!(
-            "seed {seed}: {}, exit {exit_code:?} after {ended_after:.2?}, {max_files} descriptors",
-            summary(&record)
+            "seed {seed}: {}, exit {:?} after {:.2?}, {max_files} descriptors",
+            summary(&record),
+            end.exit_code,
+            end.after
         );
         if !violations.is_empty() {
             println!("{plan:#?}\nVIOLATED {violations:#?}");
--- /dev/null
+++ b/crates/server/tests/program/soak/process_end.rs
@@ -0,0 +1,97 @@
+//! The end of the process: it is watched from the shutdown notice on, beside the signals that are
+//! still to be sent, and the kill comes at its time whatever they are.
+
+use std::time::{Duration, Instant};
+
+use super::TimedSignal;
+use crate::harness::backend::TestBackend;
+
+/// How often the end of the process is looked for.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// How a process ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct ProcessEnd {
+    /// `None` where the process was killed.
+    pub(super) exit_code: Option<i32>,
+    /// From the shutdown notice, as it was seen.
+    pub(super) after: Duration,
+}
+
+/// Sends the signals behind the notice, each after its pause, until the process ends or `stop`
+/// after the notice is over; then it is killed.
+pub(super) fn watch_until_kill(
+    backend: &mut TestBackend,
+    notified_at: Instant,
+    signals: &[TimedSignal],
+    stop: Duration,
+) -> ProcessEnd {
+    let kill_at = notified_at + stop;
+    let mut signals = signals.iter();
+    let mut next = signals.next();
+    let mut sent_at = notified_at;
+    loop {
+        // The process is asked before the time is: one that ends in time is never taken for late.
+        let status = backend.child.try_wait().unwrap();
+        let now = Instant::now();
+        if now >= kill_at {
+            break;
+        }
+        if let Some(status) = status {
+            return ProcessEnd {
+                exit_code: status.code(),
+                after: now - notified_at,
+            };
+        }
+        if let Some(signal) = next.filter(|signal| now >= sent_at + signal.after) {
+            backend.signal(signal.name);
+            sent_at = now;
+            next = signals.next();
+        }
+        std::thread::sleep(POLL_INTERVAL.min(kill_at - now));
+    }
+    let _ = backend.child.kill();
+    backend.child.wait().unwrap();
+    ProcessEnd {
+        exit_code: None,
+        after: notified_at.elapsed(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{ProcessEnd, TimedSignal, watch_until_kill};
+    use crate::harness::backend::{TestBackend, start_backend_with_changes};
+    use std::time::{Duration, Instant};
+
+    const GRACE: &str = r#""drain_grace":100.0"#;
+    const STOP: Duration = Duration::from_millis(1500);
+
+    fn start() -> TestBackend {
+        start_backend_with_changes(&[(r#""drain_grace":1000.0"#, GRACE), ("4000", "1500")])
+    }
+
+    fn end_with_signal(name: &'static str, after: Duration) -> ProcessEnd {
+        let mut backend = start();
+        backend.signal("TERM");
+        let signals = [TimedSignal { after, name }];
+        watch_until_kill(&mut backend, Instant::now(), &signals, STOP)
+    }
+
+    /// Guards against a soak that takes a process for ended that is held up past the kill.
+    #[test]
+    fn a_process_that_is_held_up_past_the_kill_is_found() {
+        let end = end_with_signal("STOP", Duration::ZERO);
+        assert_eq!(end.exit_code, None);
+        assert!(end.after >= STOP, "{end:?}");
+    }
+
+    /// Guards against a soak that takes a process for killed because signals were still to be sent
+    /// as it ended.
+    #[test]
+    fn an_end_before_the_last_signal_is_seen_at_its_time() {
+        let end = end_with_signal("HUP", 2 * STOP);
+        assert_eq!(end.exit_code, Some(0));
+        assert!(end.after < STOP, "{end:?}");
+    }
+}
