Requests in the backlog of a full server are answered at a shutdown, whatever came before them

What callers saw: connections that the machine had accepted, with whole requests on them, were ended without an answer as the process ended with 0.

Change: the limiter learns of the shutdown notice. From then on no connection without an open request keeps a place that one in the backlog needs for longer than a message crosses (60 ms), in the drain not at all, and one is evicted for each that waits, by the length of the accept queue. A drain before a close ends once the peer's system has acknowledged all output and the place is needed. Where the system does not tell the length, one is evicted at a time as before.

Where the termination comes sooner the log says so at the notice.

Failed on the way: the first text of the new test hung where its bound was broken, as the thread that measures delays was never told of the end; it is told by a panic now. The harness had 128 addresses a suite, and the soak needs more.

--- a/crates/connection-limits/src/event.rs
+++ b/crates/connection-limits/src/event.rs
@@ -73,6 +73,9 @@
         /// The new value of [`Config::idle_timeout`](crate::Config::idle_timeout).
         timeout: Duration,
     },
+    /// The server was told to shut down. It still serves, and whoever waits in the backlog goes
+    /// before a connection that is not in use.
+    ShutdownNotice,
     /// The server drains: clients are asked to close all connections, new ones too.
     Drain,
     /// The time of the last [`Action::SetTimer`] has come. An event that comes earlier does no
--- a/crates/connection-limits/src/eviction.rs
+++ b/crates/connection-limits/src/eviction.rs
@@ -11,6 +11,12 @@
 //! way to newcomers: a flood of connections that send nothing would otherwise evict a client whose
 //! first message is in transit, or one that was answered a moment ago. The price is that at most
 //! the capacity is accepted anew in each [`NEWCOMER_GRACE`].
+//!
+//! From the shutdown notice on the time is short in which whoever waits in the backlog can be
+//! answered at all, and a request that is lost there was complete. So nothing spares a connection
+//! beyond the crossing of a message: half a message is no request, and newcomers displace idle
+//! connections without a limit. Once the server drains not even that is spared. The price is that a
+//! client whose message takes longer than the grace has to send it again elsewhere.
 
 use std::time::Duration;
 
@@ -32,6 +38,9 @@
 /// How long an idle connection is spared after its last use while others wait in the backlog: its
 /// next message may be in transit.
 const RECENT_USE_GRACE: Duration = Duration::from_millis(60);
+/// How long a message that has begun is spared from the shutdown notice on while others wait in the
+/// backlog: its end may be in transit.
+const SHUTDOWN_MESSAGE_GRACE: Duration = Duration::from_millis(60);
 /// Newcomers that may displace idle connections before they have sent a message. Behind them others
 /// wait, so that silent connections cannot take the place of all who work.
 const MAX_DISPLACING_NEWCOMERS: usize = 1;
@@ -104,6 +113,11 @@
     Immediate,
     /// Soon, as a connection waits in the backlog: the shorter grace periods apply.
     Backlog,
+    /// Soon, as connections wait in the backlog of a server that was told to shut down: no grace
+    /// period is longer than the crossing of a message.
+    ShutdownBacklog,
+    /// At once, as connections wait in the backlog of a server that drains.
+    DrainBacklog,
     /// After the grace periods.
     Gradual {
         /// Whether the descriptor is for a known client.
@@ -177,8 +191,11 @@
         }
         Some(match urgency {
             _ if !class.is_idle() => Eviction::Close(id),
-            Urgency::Immediate | Urgency::Backlog => Eviction::RequestCloseAndClose(id),
             Urgency::Gradual { .. } => Eviction::RequestClose(id),
+            Urgency::Immediate
+            | Urgency::Backlog
+            | Urgency::ShutdownBacklog
+            | Urgency::DrainBacklog => Eviction::RequestCloseAndClose(id),
         })
     }
 
@@ -204,25 +221,37 @@
     let is_older = |at: Duration, grace: Duration| now.saturating_sub(at) > grace;
     match class {
         EvictionClass::Silent => match urgency {
-            Urgency::Immediate => true,
-            Urgency::Backlog => is_older(connection.accepted_at, NEWCOMER_GRACE),
+            Urgency::Immediate | Urgency::DrainBacklog => true,
+            Urgency::Backlog | Urgency::ShutdownBacklog => {
+                is_older(connection.accepted_at, NEWCOMER_GRACE)
+            }
             Urgency::Gradual { .. } => is_older(connection.accepted_at, SILENCE_GRACE),
         },
-        // Never at once: the rest of the message may be in transit.
-        EvictionClass::PartialMessage => connection
-            .partial_message_since
-            .is_some_and(|at| is_older(at, SILENCE_GRACE)),
+        EvictionClass::PartialMessage => connection.partial_message_since.is_some_and(|at| {
+            match urgency {
+                Urgency::DrainBacklog => true,
+                Urgency::ShutdownBacklog => is_older(at, SHUTDOWN_MESSAGE_GRACE),
+                // Never at once: the rest of the message may be in transit.
+                Urgency::Immediate | Urgency::Backlog | Urgency::Gradual { .. } => {
+                    is_older(at, SILENCE_GRACE)
+                }
+            }
+        }),
         EvictionClass::CloseRequested => connection
             .close_requested_at
             .is_some_and(|at| !is_gradual || is_older(at, CLOSE_GRACE)),
         EvictionClass::IdleNewClient => match urgency {
-            Urgency::Immediate => true,
-            Urgency::Backlog => is_older(connection.last_used_at, RECENT_USE_GRACE),
+            Urgency::Immediate | Urgency::DrainBacklog => true,
+            Urgency::Backlog | Urgency::ShutdownBacklog => {
+                is_older(connection.last_used_at, RECENT_USE_GRACE)
+            }
             Urgency::Gradual { .. } => is_older(connection.last_used_at, NEW_CLIENT_IDLE_GRACE),
         },
         EvictionClass::IdleKnownClient => match urgency {
-            Urgency::Immediate => true,
-            Urgency::Backlog => is_older(connection.last_used_at, RECENT_USE_GRACE),
+            Urgency::Immediate | Urgency::DrainBacklog => true,
+            Urgency::Backlog | Urgency::ShutdownBacklog => {
+                is_older(connection.last_used_at, RECENT_USE_GRACE)
+            }
             Urgency::Gradual { for_known_client } => {
                 for_known_client && is_older(connection.last_used_at, KNOWN_CLIENT_IDLE_GRACE)
             }
--- a/crates/connection-limits/src/limiter/closing.rs
+++ b/crates/connection-limits/src/limiter/closing.rs
@@ -8,6 +8,9 @@
 use crate::eviction::{Eviction, EvictionClass, Urgency};
 use crate::timeouts::DeadlineOutcome;
 
+/// Between two batches of evictions for the backlog of a server that shuts down.
+const EVICTION_BATCH_INTERVAL: Duration = Duration::from_millis(5);
+
 impl Limiter {
     /// Handles the deadlines that have come, and sets the timer for the next one.
     pub(super) fn advance_time(&mut self, now: Duration, actions: &mut Vec<Action>) {
@@ -53,6 +56,28 @@
         }
     }
 
+    /// Evicts one connection for each of so many that wait, as far as there are any that may be
+    /// evicted. The next batch comes once those of this one have had time to leave their places.
+    pub(super) fn make_room_for_all(
+        &mut self,
+        now: Duration,
+        waiting: usize,
+        urgency: Urgency,
+        actions: &mut Vec<Action>,
+    ) {
+        if now < self.next_eviction_batch_at {
+            return;
+        }
+        self.next_eviction_batch_at = now.saturating_add(EVICTION_BATCH_INTERVAL);
+        for _ in 0..waiting.min(self.capacity) {
+            let actions_before = actions.len();
+            self.make_room(now, urgency, actions);
+            if actions.len() == actions_before {
+                break;
+            }
+        }
+    }
+
     /// Evicts one connection, where one may be evicted, so that another gets its descriptor.
     pub(super) fn make_room(&mut self, now: Duration, urgency: Urgency, actions: &mut Vec<Action>) {
         let eviction = self.eviction_queues.choose(&self.connections, now, urgency);
--- a/crates/connection-limits/src/limiter/mod.rs
+++ b/crates/connection-limits/src/limiter/mod.rs
@@ -42,7 +42,20 @@
     known_clients: KnownClients,
     eviction_queues: EvictionQueues,
     deadlines: Deadlines,
-    is_draining: bool,
+    phase: Phase,
+    /// No connection is evicted for the backlog of a shutdown before this time: those of the last
+    /// batch are about to leave their places.
+    next_eviction_batch_at: Duration,
+}
+
+/// How far the server's shutdown is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Serving,
+    /// The shutdown notice was received, and the server still serves.
+    Leaving,
+    /// Clients are asked to close all connections.
+    Draining,
 }
 
 impl Limiter {
@@ -75,7 +88,8 @@
             ),
             eviction_queues: EvictionQueues::new(),
             deadlines: Deadlines::new(),
-            is_draining: false,
+            phase: Phase::Serving,
+            next_eviction_batch_at: Duration::ZERO,
         })
     }
 
@@ -89,17 +103,49 @@
         &self.descriptors
     }
 
-    /// Whether another connection may be accepted now. Under [`FullPolicy::Wait`] a full server
-    /// evicts a connection, so that the next one in the backlog finds a descriptor.
-    pub fn may_accept(&mut self, now: Duration, actions: &mut Vec<Action>) -> bool {
+    /// Whether another connection may be accepted without one being evicted.
+    pub fn may_accept_at_once(&self) -> bool {
         let rejects_when_full = self.full_policy == FullPolicy::Reject;
-        if rejects_when_full || self.descriptors.available(DescriptorOwner::NewClients) > 0 {
+        rejects_when_full || self.descriptors.available(DescriptorOwner::NewClients) > 0
+    }
+
+    /// Whether another connection may be accepted now. Under [`FullPolicy::Wait`] a full server
+    /// evicts a connection, so that the next one in the backlog finds a descriptor. From the
+    /// shutdown notice on it evicts one for each of the connections in the backlog; one at each
+    /// call where their number is not known.
+    pub fn may_accept(
+        &mut self,
+        now: Duration,
+        backlog: Option<usize>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if self.may_accept_at_once() {
             return true;
         }
-        self.make_room(now, Urgency::Backlog, actions);
+        let urgency = match self.phase {
+            Phase::Serving => Urgency::Backlog,
+            Phase::Leaving => Urgency::ShutdownBacklog,
+            Phase::Draining => Urgency::DrainBacklog,
+        };
+        match backlog {
+            Some(waiting) if self.is_shutting_down() => {
+                self.make_room_for_all(now, waiting, urgency, actions);
+            }
+            _ => self.make_room(now, urgency, actions),
+        }
         false
     }
 
+    /// Whether the shutdown notice was received: a full server has room within a short time then.
+    pub fn is_shutting_down(&self) -> bool {
+        self.phase != Phase::Serving
+    }
+
+    /// The connections that there can be.
+    pub fn capacity(&self) -> usize {
+        self.capacity
+    }
+
     /// Whether a connection has sent nothing yet. A full server has room within a short time then:
     /// its first message comes, so that others may be evicted, or it is evicted itself.
     pub fn has_silent_connection(&self) -> bool {
@@ -130,6 +176,7 @@
             Event::Closed { connection } => self.handle_closed(connection),
             Event::AcceptFailed { error } => self.handle_accept_failed(now, error, actions),
             Event::SetIdleTimeout { timeout } => self.timeouts.idle = timeout,
+            Event::ShutdownNotice => self.handle_shutdown_notice(),
             Event::Drain => self.drain(now, actions),
             Event::TimerExpired => self.deadlines.timer_expired(),
         }
@@ -169,7 +216,7 @@
         self.update_eviction_class(id);
         self.deadlines
             .set(id, now.saturating_add(self.timeouts.message));
-        if self.is_draining {
+        if self.phase == Phase::Draining {
             self.request_close(now, id, actions);
         }
     }
@@ -308,8 +355,14 @@
         });
     }
 
+    fn handle_shutdown_notice(&mut self) {
+        if self.phase == Phase::Serving {
+            self.phase = Phase::Leaving;
+        }
+    }
+
     fn drain(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        self.is_draining = true;
+        self.phase = Phase::Draining;
         self.timeouts.start_drain();
         for id in self.connections.indices() {
             self.request_close(now, id, actions);
--- a/crates/connection-limits/src/tests/eviction.rs
+++ b/crates/connection-limits/src/tests/eviction.rs
@@ -135,3 +135,53 @@
         Some(Eviction::Close(ConnectionId(1)))
     );
 }
+
+/// A connection of which a message began at time zero.
+fn partial_message() -> Connection {
+    Connection {
+        has_sent_message: true,
+        partial_message_since: Some(ms(0)),
+        ..silent_connection()
+    }
+}
+
+/// Guards against connections that keep their places at a shutdown for longer than a message
+/// crosses, while whole requests wait in the backlog and are lost when the process ends.
+#[test]
+fn nothing_is_spared_beyond_a_crossing_from_the_shutdown_notice_on() {
+    let close = Some(Eviction::Close(ConnectionId(0)));
+    let request_close = Some(Eviction::RequestCloseAndClose(ConnectionId(0)));
+    for (connection, evicted) in [
+        (silent_connection(), close),
+        (partial_message(), close),
+        (idle_connection(DescriptorOwner::NewClients), request_close),
+        (
+            idle_connection(DescriptorOwner::KnownClients),
+            request_close,
+        ),
+    ] {
+        let (queues, table) = queued(vec![connection]);
+        let choose = |at, urgency| queues.choose(&table, ms(at), urgency);
+        assert_eq!(choose(60, Urgency::ShutdownBacklog), None);
+        assert_eq!(choose(61, Urgency::ShutdownBacklog), evicted);
+        assert_eq!(choose(0, Urgency::DrainBacklog), evicted);
+    }
+}
+
+/// Guards against newcomers that displace idle connections one at a time: at a shutdown the backlog
+/// has to be gone through.
+#[test]
+fn newcomers_do_not_give_way_from_the_shutdown_notice_on() {
+    let newcomers = (0..3).map(|_| Connection {
+        accepted_at: ms(1000),
+        ..silent_connection()
+    });
+    let idle = idle_connection(DescriptorOwner::NewClients);
+    let (queues, table) = queued(std::iter::once(idle).chain(newcomers).collect());
+    let choose = |urgency| queues.choose(&table, ms(1000), urgency);
+    assert_eq!(choose(Urgency::Backlog), None);
+    assert_eq!(
+        choose(Urgency::ShutdownBacklog),
+        Some(Eviction::RequestCloseAndClose(ConnectionId(0)))
+    );
+}
--- a/crates/connection-limits/tests/golden_transcripts.rs
+++ b/crates/connection-limits/tests/golden_transcripts.rs
@@ -173,7 +173,7 @@
 
     fn accept(&mut self) {
         let mut actions = Vec::new();
-        let may_accept = self.limiter.may_accept(self.now, &mut actions);
+        let may_accept = self.limiter.may_accept(self.now, None, &mut actions);
         self.checksum.update(&[u8::from(may_accept)]);
         self.carry_out(&actions);
         let free = (0..MAX_CONNECTIONS)
--- a/crates/connection-limits/tests/limiter/eviction.rs
+++ b/crates/connection-limits/tests/limiter/eviction.rs
@@ -113,7 +113,7 @@
     let mut server = Server::new(config);
     let evicted = |server: &mut Server| {
         let mut actions = Vec::new();
-        let may = server.limiter.may_accept(server.now, &mut actions);
+        let may = server.limiter.may_accept(server.now, None, &mut actions);
         let closed = |action: &Action| {
             if let Action::Close { connection, .. } = action {
                 Some(*connection)
@@ -202,7 +202,7 @@
             server.serve(client);
         }
         let mut actions = Vec::new();
-        while server.limiter.may_accept(server.now, &mut actions) {
+        while server.limiter.may_accept(server.now, None, &mut actions) {
             server.accept(v4(10, 0, 0, 1)).expect("a descriptor");
             accepted += 1;
             longest_wait = longest_wait.max(server.now - waits_since);
@@ -219,3 +219,34 @@
     // The capacity for new clients is 40, of which the client has one.
     assert!((39 * 14..=39 * 18).contains(&accepted), "{accepted}");
 }
+
+/// Guards against a backlog that is gone through at one connection a call when the server shuts
+/// down: the process ended before it came to the last of those that waited.
+#[test]
+fn one_connection_is_evicted_for_each_that_waits_at_a_shutdown() {
+    let mut config = config();
+    (config.full_policy, config.network_limits) = (FullPolicy::Wait, None);
+    let mut server = Server::new(config);
+    let owner = DescriptorOwner::NewClients;
+    while server.limiter.descriptors().available(owner) > 0 {
+        let connection = server.accept(v4(10, 0, 0, 1)).unwrap();
+        server.serve(connection);
+    }
+    server.closed.clear();
+    let evicted = |server: &mut Server, backlog| {
+        let mut actions = Vec::new();
+        assert!(!server.limiter.may_accept(server.now, backlog, &mut actions));
+        let is_close = |action: &&Action| matches!(action, Action::Close { .. });
+        actions.iter().filter(is_close).count()
+    };
+    server.handle(Event::ShutdownNotice);
+    assert_eq!(evicted(&mut server, Some(3)), 0, "all were used just now");
+    server.advance(ms(61));
+    assert_eq!(evicted(&mut server, Some(3)), 3);
+    assert_eq!(evicted(&mut server, Some(3)), 0, "those are leaving");
+    server.advance(ms(5));
+    assert_eq!(evicted(&mut server, Some(0)), 0, "nobody waits");
+    server.advance(ms(5));
+    assert_eq!(evicted(&mut server, None), 1, "one, where it is not known");
+    assert_eq!(evicted(&mut server, None), 1);
+}
--- a/crates/connection-limits/tests/limiter/invariants.rs
+++ b/crates/connection-limits/tests/limiter/invariants.rs
@@ -38,7 +38,7 @@
             match (action % 12, any) {
                 (0..=3, _) => {
                     let mut actions = Vec::new();
-                    let may = server.limiter.may_accept(server.now, &mut actions);
+                    let may = server.limiter.may_accept(server.now, None, &mut actions);
                     for action in actions {
                         match action {
                             Action::Close { connection, .. } => {
--- a/crates/server/src/net/frontend/closing.rs
+++ b/crates/server/src/net/frontend/closing.rs
@@ -5,7 +5,9 @@
 //! edge node then sees a broken connection in place of a reply, and repeats a request that was
 //! run. The guard: a connection closes only once everything on it is answered and written, and
 //! where bytes may still cross the close, it is drained first (the write side is shut down, and
-//! input is read and dropped). The price is up to a second before its place is free. A connection
+//! input is read and dropped). The price is up to a second before its place is free; where another
+//! connection waits for it, the drain ends once the peer's system has acknowledged all output. That
+//! system keeps what it has acknowledged for its program, whatever comes behind it. A connection
 //! that never sent a whole message has no reply that a reset could drop, and closes at once: a
 //! crowd with half messages would otherwise keep the places of those who wait behind it.
 
--- a/crates/server/src/net/frontend/connection_table.rs
+++ b/crates/server/src/net/frontend/connection_table.rs
@@ -7,6 +7,7 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use may::net::TcpStream;
@@ -55,6 +56,8 @@
     accepting_paused_until: Mutex<Duration>,
     /// The idle timeout that the limiter applies.
     idle_timeout: Mutex<Duration>,
+    /// A connection waits in the backlog for a place.
+    is_place_needed: AtomicBool,
 }
 
 impl ConnectionTable {
@@ -66,6 +69,7 @@
             started_at: Instant::now(),
             accepting_paused_until: Mutex::default(),
             idle_timeout: Mutex::default(),
+            is_place_needed: AtomicBool::new(false),
         }
     }
 
@@ -74,12 +78,26 @@
         self.decide(|limiter, now, actions| limiter.handle_event(now, event, actions));
     }
 
-    /// Asks the limiter whether another connection may be accepted.
-    pub(super) fn may_accept(&self) -> Admission {
+    /// Asks the limiter whether another connection may be accepted. `backlog` tells how many wait,
+    /// where that is known, and is asked on a full server only.
+    pub(super) fn may_accept(&self, backlog: impl FnOnce() -> Option<usize>) -> Admission {
         self.decide(|limiter, now, actions| {
-            if limiter.may_accept(now, actions) {
+            let may_accept_at_once = limiter.may_accept_at_once();
+            let backlog = if may_accept_at_once {
+                Some(0)
+            } else {
+                backlog()
+            };
+            // Where the number is not known, one may wait.
+            let is_place_needed = backlog != Some(0);
+            self.is_place_needed
+                .store(is_place_needed, Ordering::Release);
+            if may_accept_at_once || limiter.may_accept(now, backlog, actions) {
                 Admission::Accept
-            } else if !actions.is_empty() || limiter.has_silent_connection() {
+            } else if !actions.is_empty()
+                || limiter.has_silent_connection()
+                || limiter.is_shutting_down()
+            {
                 Admission::WaitBriefly
             } else {
                 Admission::Wait
@@ -87,6 +105,16 @@
         })
     }
 
+    /// Whether a connection waits in the backlog for a place.
+    pub(super) fn is_place_needed(&self) -> bool {
+        self.is_place_needed.load(Ordering::Acquire)
+    }
+
+    /// The connections that there can be.
+    pub(super) fn capacity(&self) -> usize {
+        self.limiter.lock().capacity()
+    }
+
     /// Adds a connection that was accepted, unless the limiter rejects it.
     pub(super) fn admit(&self, stream: TcpStream, address: IpAddr) -> Result<Admitted, Rejected> {
         self.decide(|limiter, now, actions| {
--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -18,6 +18,7 @@
 use socket2::SockRef;
 use tulipgap_connection_limits::{AcceptError, RejectReason};
 
+use super::backlog::waiting_connections;
 use super::connection_table::{Admission, ConnectionTable};
 use crate::clock;
 use crate::log::LogLimit;
@@ -106,7 +107,7 @@
             // Read before the accept, so that an empty backlog behind it stays empty.
             let handshakes_until = self.listener.lock().handshakes_until;
             let backlog_is_final = handshakes_until.is_some_and(|until| until <= Instant::now());
-            match self.table.may_accept() {
+            match self.table.may_accept(|| waiting_connections(&listener)) {
                 Admission::Accept => {}
                 Admission::WaitBriefly => {
                     clock::sleep(EVICTION_PAUSE);
@@ -144,6 +145,12 @@
         self.listener.lock().close();
     }
 
+    /// The number of connections that wait in the backlog; none where the listener is closed, or the
+    /// system does not tell.
+    pub(super) fn waiting_connections(&self) -> Option<usize> {
+        waiting_connections(self.listener.lock().listener.as_ref()?)
+    }
+
     /// Whether the listener is closed, and each connection that was accepted is in the table.
     pub(super) fn is_closed(&self) -> bool {
         self.listener.lock().is_closed
--- a/crates/server/src/net/frontend/mod.rs
+++ b/crates/server/src/net/frontend/mod.rs
@@ -8,6 +8,7 @@
 //! | `connection_table` | all connections, and the limiter that decides on them |
 //! | `connection` | one connection, as all coroutines see it |
 //! | `session` | the coroutine of a connection: reading, writing, and its end |
+//! | `backlog` | how many connections wait, and how long they wait at a shutdown |
 //! | `closing` | the rule by which a connection closes |
 //! | `request` | the life of a request, from its registration to its response |
 //! | `memory` | the limit on open requests |
@@ -17,6 +18,7 @@
 //! | `summary` | what is counted, for the log |
 //! | `codec` | the messages on the wire |
 
+mod backlog;
 mod closing;
 mod codec;
 mod connection;
@@ -41,6 +43,7 @@
 use tulipgap_connection_limits::{Event, Limiter};
 use tulipgap_settings::Names;
 
+pub(crate) use self::backlog::Backlog;
 use self::codec::{Call, Message, Reply};
 use self::connection::Connection;
 use self::connection_table::{Admitted, ConnectionTable, Rejected};
@@ -156,6 +159,20 @@
         self.table.sweep(idle_timeout);
     }
 
+    /// The shutdown notice was received: from now on no connection that is not in use keeps a place
+    /// that one in the backlog needs.
+    pub(crate) fn shutdown_notice(&self) {
+        self.table.notify(Event::ShutdownNotice);
+    }
+
+    /// The backlog; none where the listener is closed, or the system does not tell.
+    pub(crate) fn backlog(&self) -> Option<Backlog> {
+        Some(Backlog {
+            waiting: self.acceptor.waiting_connections()?,
+            places: self.table.capacity(),
+        })
+    }
+
     /// Closes the listener once every connection in its backlog is accepted, and sends drain
     /// notifications to all edge nodes. New connections are refused first: an edge node that is
     /// notified connects again at once. While the accepting coroutine waits for its turn these
@@ -172,6 +189,11 @@
         self.acceptor.is_closed() && self.table.len() == 0
     }
 
+    /// The number of connections that are open.
+    pub(crate) fn connections(&self) -> usize {
+        self.table.len()
+    }
+
     /// What is counted here, for the log.
     pub(crate) fn summary(&self) -> FrontendSummary {
         FrontendSummary {
--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -94,7 +94,7 @@
             self.stream.flush()?;
             let turn = self.read_messages()?;
             let is_closing = self.check_input(&turn);
-            if self.finish(is_closing) {
+            if self.finish(&turn, is_closing) {
                 return Ok(());
             }
             if turn.is_used_up() {
@@ -193,25 +193,30 @@
     }
 
     /// Whether the session ends here.
-    fn finish(&mut self, is_closing: bool) -> bool {
+    fn finish(&mut self, turn: &Turn, is_closing: bool) -> bool {
         let state = ConnectionState {
             is_done: self.connection.is_done(),
             is_read_closed: self.stream.is_read_closed,
             is_readable: self.is_readable,
             has_read_message: self.has_read_message,
             is_closing,
-            has_unhandled_input: self.stream.input.len() > 0,
+            has_unhandled_input: self.stream.input.len() > 0 || turn.has_more,
         };
         match close_step(&state) {
             CloseStep::StayOpen => return false,
             CloseStep::Close => {}
-            CloseStep::Drain => self.stream.drain_before_close(),
+            CloseStep::Drain => self.drain_before_close(),
             CloseStep::DrainUnacknowledged => {
                 if self.stream.has_unacknowledged_output() {
-                    self.stream.drain_before_close();
+                    self.drain_before_close();
                 }
             }
         }
         true
     }
+
+    fn drain_before_close(&mut self) {
+        let table = self.table;
+        self.stream.drain_before_close(|| table.is_place_needed());
+    }
 }
--- a/crates/server/src/net/stream.rs
+++ b/crates/server/src/net/stream.rs
@@ -23,6 +23,8 @@
 const MAX_DRAIN_POLLS: usize = 200;
 /// The pause between two of these checks.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// What the end of the output counts as among the bytes that are not acknowledged.
+const END_OF_OUTPUT_BYTES: libc::c_int = 1;
 /// Reads of up to 4 KB whose bytes are dropped while a connection drains.
 const MAX_DRAIN_READS: usize = 256;
 /// Reads after one check. The others wait until the peer has had time to read.
@@ -170,17 +172,24 @@
     /// Whether the peer's system has not acknowledged all that was written: a reset would drop the
     /// rest. False where the system does not tell.
     pub(crate) fn has_unacknowledged_output(&self) -> bool {
+        self.unacknowledged_bytes().is_some_and(|bytes| bytes > 0)
+    }
+
+    /// The bytes written that the peer's system has not acknowledged; none where the system does
+    /// not tell.
+    fn unacknowledged_bytes(&self) -> Option<libc::c_int> {
         let mut bytes: libc::c_int = 0;
         // Safe: the descriptor is open as long as the stream is, and the call writes that one
         // integer.
         let result = unsafe { libc::ioctl(self.stream.as_raw_fd(), libc::TIOCOUTQ, &mut bytes) };
-        result == 0 && bytes > 0
+        (result == 0).then_some(bytes)
     }
 
     /// Lets the peer read all that was written before this side closes: what it still sends is read
     /// and dropped, because the system resets a socket that is closed with bytes unread, and the
-    /// reset drops replies on their way.
-    pub(crate) fn drain_before_close(&mut self) {
+    /// reset drops replies on their way. Where the place is needed, the peer's system has to
+    /// acknowledge them and no more: it keeps what it has acknowledged for its program.
+    pub(crate) fn drain_before_close(&mut self, is_place_needed: impl Fn() -> bool) {
         let _ = self.stream.shutdown(Shutdown::Write);
         let mut reads = 0;
         for _ in 0..MAX_DRAIN_POLLS {
@@ -197,6 +206,12 @@
             if self.is_read_closed || reads >= MAX_DRAIN_READS {
                 return;
             }
+            let is_acknowledged = self
+                .unacknowledged_bytes()
+                .is_some_and(|bytes| bytes <= END_OF_OUTPUT_BYTES);
+            if is_acknowledged && is_place_needed() {
+                return;
+            }
             clock::sleep(DRAIN_POLL_INTERVAL);
         }
     }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -157,6 +157,34 @@
         self.service_registry.set(peers.registry);
     }
 
+    /// Warns where the backlog takes longer to be answered than there is time until the termination.
+    fn warn_of_a_long_backlog(&self, notice: Instant) {
+        let Some(backlog) = self.frontend.backlog() else {
+            return;
+        };
+        let left = (self.termination).saturating_sub(notice.elapsed() + TERMINATION_MARGIN);
+        let bound = backlog.answer_bound();
+        if bound > left {
+            ::log::warn!(
+                "backlog may not be answered waiting={} places={} bound_ms={} left_ms={}",
+                backlog.waiting,
+                backlog.places,
+                bound.as_millis(),
+                left.as_millis()
+            );
+        }
+    }
+
+    /// Logs what the termination cuts off.
+    fn log_cut_short(&self) {
+        ::log::warn!(
+            "drain cut short waiting={} connections={} open_requests={}",
+            self.frontend.backlog().map_or(0, |backlog| backlog.waiting),
+            self.frontend.connections(),
+            self.registry.open()
+        );
+    }
+
     /// Drains after the notice that was received at `notice`, and returns once everything is
     /// answered and closed, or shortly before the termination.
     pub(crate) fn drain(&self, notice: Instant, cluster: Option<Cluster>) {
@@ -167,6 +195,8 @@
         }
         self.is_draining.store(true, Ordering::Release);
         self.registry.shutdown_notice(notice, self.termination);
+        self.frontend.shutdown_notice();
+        self.warn_of_a_long_backlog(notice);
         let accepting_time = accepting_time(self.drain_grace, self.termination);
         std::thread::sleep(accepting_time.saturating_sub(notice.elapsed()));
         self.frontend.close();
@@ -174,6 +204,9 @@
         while !is_over() && notice.elapsed() + TERMINATION_MARGIN < self.termination {
             std::thread::sleep(DRAIN_POLL_INTERVAL);
         }
+        if !is_over() {
+            self.log_cut_short();
+        }
         if let Some(cluster) = cluster {
             cluster.shutdown(
                 self.termination
--- a/crates/server/tests/program/harness/mod.rs
+++ b/crates/server/tests/program/harness/mod.rs
@@ -36,7 +36,10 @@
     let id = std::process::id();
     for _ in 0..1000 {
         let next = NEXT.fetch_add(1, Ordering::Relaxed);
-        let host = format!("127.{}.{}.{}", 64 + next % 128, id >> 8 & 255, 1 + id % 254);
+        let second = 64 + next % 128;
+        // A suite with more backends than the second byte has values goes on with the third.
+        let third = (id >> 8).wrapping_add(next / 128) & 255;
+        let host = format!("127.{second}.{third}.{}", 1 + id % 254);
         if let Ok(socket) = UdpSocket::bind((&host[..], 6564)) {
             CLAIMED.lock().unwrap().push(socket);
             return host;
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -23,6 +23,7 @@
 mod registration;
 mod restart;
 mod serving;
+mod shutdown_backlog;
 mod slow_clients;
 mod soak;
 mod socket_options;
--- /dev/null
+++ b/crates/server/tests/program/shutdown_backlog.rs
@@ -0,0 +1,154 @@
+//! Requests that wait in the backlog of a full server at its shutdown: they are answered within a
+//! bound, whatever those before them sent, and the log tells where there is no time for it.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+use crate::harness::backend::{TestBackend, start_backend_with_changes};
+use crate::harness::edge_node::{
+    AnswerKind, EdgeConnection, answers_until_close, connect_slow_reader, request_fields,
+};
+use crate::harness::wait_until;
+use crate::soak::crowd::{Crowd, CrowdKind};
+use crate::soak::delays::Delays;
+
+/// Connections that a backend with 128 descriptors may have: 16 are its own, 16 are the store's.
+const PLACES: usize = 96;
+/// Connections of the crowd.
+const CROWD: usize = 500;
+/// The bound of docs/bounds.md on the time in which all places turn over.
+const TURNOVER: Duration = Duration::from_millis(150);
+
+fn start_with_places(drain_grace: &str, stop_ms: &str) -> TestBackend {
+    start_backend_with_changes(&[
+        ("1024", "128"),
+        ("\"drain_grace\":1000.0", drain_grace),
+        ("\"stop_ms\":4000", stop_ms),
+    ])
+}
+
+/// Connections behind a crowd, with requests on them.
+fn clients_with_requests(backend: &TestBackend, requests: u32) -> Vec<EdgeConnection> {
+    let connect = |client: u32| {
+        let mut edge = backend.connect();
+        for sequence in 1..=requests {
+            edge.send_request(
+                sequence,
+                &format!("0000000d{client:04x}{sequence:04x}"),
+                b"run",
+            );
+        }
+        edge
+    };
+    (0..10).map(connect).collect()
+}
+
+fn assert_answered_once(counts: &HashMap<u32, u32>, requests: u32) {
+    assert!(
+        (1..=requests).all(|sequence| counts.get(&sequence) == Some(&1)),
+        "{counts:?}"
+    );
+}
+
+/// Guards against connections that keep their places at a shutdown while whole requests wait in the
+/// backlog: a connection that was once answered kept its place for 1.5 s after half a message, and
+/// one whose replies nobody read for a second.
+#[test]
+fn a_backlog_is_answered_within_its_bound_at_a_shutdown() {
+    const REQUESTS: u32 = 5;
+    for kind in [
+        CrowdKind::HalfMessage,
+        CrowdKind::RequestThenHalf,
+        CrowdKind::RepliesNeverRead,
+    ] {
+        let backend = start_with_places("\"drain_grace\":100.0", "\"stop_ms\":4000");
+        let _crowd = Crowd::connect(&backend.host, kind, CROWD, 0);
+        let clients = clients_with_requests(&backend, REQUESTS);
+        let waiting = CROWD + clients.len() - PLACES;
+        let bound = TURNOVER * (waiting.div_ceil(PLACES) as u32 + 1);
+        let delays = Delays::default();
+        let notified_at = Instant::now();
+        let counts = delays.measure_while(|| {
+            backend.signal("TERM");
+            let clients = clients.into_iter();
+            clients
+                .map(|mut edge| answers_until_close(&mut edge))
+                .collect::<Vec<_>>()
+        });
+        let took = notified_at.elapsed();
+        let own_delay = delays.longest(notified_at, notified_at + took);
+        println!("{kind:?}: {waiting} waiting, answered after {took:?} of {bound:?}");
+        for counts in counts {
+            assert_answered_once(&counts, REQUESTS);
+        }
+        assert!(took <= bound + own_delay, "{kind:?}: {took:?} of {bound:?}");
+    }
+}
+
+/// Guards against an operator who learns of a backlog that is too long only by its lost requests:
+/// the log says at the notice that there is no time for it.
+#[test]
+fn a_backlog_that_the_termination_cuts_off_is_announced_at_the_notice() {
+    let mut backend = start_with_places("\"drain_grace\":100.0", "\"stop_ms\":500");
+    let _crowd = Crowd::connect(&backend.host, CrowdKind::HalfMessage, CROWD, 0);
+    backend.signal("TERM");
+    assert_eq!(backend.wait_for_exit().code(), Some(0));
+    let mut log = String::new();
+    let mut standard_error = backend.child.stderr.take().unwrap();
+    standard_error.read_to_string(&mut log).unwrap();
+    let line = log
+        .lines()
+        .find(|line| line.contains("backlog may not be answered"));
+    let line = line.expect("a line at the notice");
+    assert!(line.contains(" places=96 bound_ms="), "{line}");
+}
+
+/// What the reset of an evicted connection drops: nothing that its system has acknowledged. The
+/// caller has read no reply yet, and goes on with its half message behind the close.
+#[test]
+fn replies_that_nobody_has_read_yet_survive_the_reset_of_their_connection() {
+    const REQUESTS: u32 = 24;
+    let backend = start_with_places("\"drain_grace\":300.0", "\"stop_ms\":4000");
+    let mut edge = backend.connect();
+    for sequence in 1..=REQUESTS {
+        edge.send_request(sequence, &format!("0000000000e5{sequence:04x}"), b"run");
+    }
+    wait_until("all are run", || {
+        backend.executor().ends.len() as u32 == REQUESTS
+    });
+    let late = edge.encode_request(99, &request_fields("0000000000e50099", "20.0"), b"run");
+    let (half, rest) = late.split_at(late.len() / 2);
+    edge.stream.write_all(half).unwrap();
+    let _crowd = Crowd::connect(&backend.host, CrowdKind::HalfMessage, 2 * PLACES, 0);
+    backend.signal("TERM");
+    // Behind the 60 ms in which the half message is spared, and the end of its connection.
+    std::thread::sleep(Duration::from_millis(500));
+    let _ = edge.stream.write_all(rest);
+    std::thread::sleep(Duration::from_millis(50));
+    assert_answered_once(&answers_until_close(&mut edge), REQUESTS);
+    assert!(!backend.was_run("0000000000e50099"), "run behind its close");
+}
+
+/// A caller that reads slowly has not acknowledged its replies, and its place is needed: it keeps it
+/// until they are, and gets each of them.
+#[test]
+fn a_slow_reader_keeps_its_place_until_its_replies_are_acknowledged() {
+    const REQUESTS: u32 = 16;
+    let backend = start_with_places("\"drain_grace\":100.0", "\"stop_ms\":4000");
+    let mut edge = connect_slow_reader(&backend);
+    for sequence in 1..=REQUESTS {
+        edge.send_request(sequence, &format!("0000000000e6{sequence:04x}"), b"large");
+    }
+    wait_until("all are run", || {
+        backend.executor().ends.len() as u32 == REQUESTS
+    });
+    let _crowd = Crowd::connect(&backend.host, CrowdKind::HalfMessage, 2 * PLACES, 0);
+    backend.signal("TERM");
+    let mut answered = 0;
+    while let Some(answer) = edge.read_answer() {
+        answered += u32::from(answer.kind == AnswerKind::Answer);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(answered, REQUESTS);
+}
--- a/crates/server/tests/program/soak/delays.rs
+++ b/crates/server/tests/program/soak/delays.rs
@@ -30,6 +30,17 @@
         }
     }
 
+    /// Measures while `run` runs. Its result, or its panic, ends the measurement.
+    pub(crate) fn measure_while<T>(&self, run: impl FnOnce() -> T) -> T {
+        let is_over = AtomicBool::new(false);
+        std::thread::scope(|scope| {
+            scope.spawn(|| self.measure(&is_over));
+            let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run));
+            is_over.store(true, Ordering::Release);
+            result.unwrap_or_else(|panic| std::panic::resume_unwind(panic))
+        })
+    }
+
     /// The longest delay that overlaps this time.
     pub(crate) fn longest(&self, from: Instant, to: Instant) -> Duration {
         let delays = self.0.lock().unwrap();
