An error of accept that is not known no longer evicts a connection

Cause: `accept_error` took every error but four for a lack of descriptors, and a lack of descriptors evicts a connection at once, grace or not. An error of the network that Linux returns from accept for the new connection, or a firewall's EPERM, so closed an idle connection of a client that had nothing to do with it. Evidence: the new test of the limiter fails on the old one (connection 0 evicted).

Change: an unknown error pauses accepting for 20 ms and evicts nobody; errors that are pending on the new connection count as an aborted one.

--- a/crates/connection-limits/src/accept_pause.rs
+++ b/crates/connection-limits/src/accept_pause.rs
@@ -15,6 +15,8 @@
 const SYSTEM_LIMIT_PAUSE: Duration = Duration::from_millis(100);
 /// How long accepting pauses after `ENOBUFS` or `ENOMEM`.
 const OUT_OF_MEMORY_PAUSE: Duration = Duration::from_millis(200);
+/// How long accepting pauses after an error that is not known.
+const OTHER_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
 /// The pause after an error; none where the error concerns one connection only, and the next may be
 /// accepted at once.
@@ -24,5 +26,6 @@
         AcceptError::ProcessDescriptorLimit => Some(PROCESS_LIMIT_PAUSE),
         AcceptError::SystemDescriptorLimit => Some(SYSTEM_LIMIT_PAUSE),
         AcceptError::OutOfMemory => Some(OUT_OF_MEMORY_PAUSE),
+        AcceptError::Other => Some(OTHER_ERROR_PAUSE),
     }
 }
--- a/crates/connection-limits/src/event.rs
+++ b/crates/connection-limits/src/event.rs
@@ -18,6 +18,20 @@
     OutOfMemory,
     /// `ECONNABORTED`: the client had closed the connection before.
     ConnectionAborted,
+    /// Any other error: nothing says that a connection here is its cause.
+    Other,
+}
+
+impl AcceptError {
+    /// Whether descriptors or memory are short, so that it helps to close a connection.
+    pub(crate) fn is_shortage(self) -> bool {
+        match self {
+            AcceptError::ProcessDescriptorLimit
+            | AcceptError::SystemDescriptorLimit
+            | AcceptError::OutOfMemory => true,
+            AcceptError::ConnectionAborted | AcceptError::Other => false,
+        }
+    }
 }
 
 /// What has happened. Handed to [`Limiter::handle_event`](crate::Limiter::handle_event).
--- a/crates/connection-limits/src/limiter/mod.rs
+++ b/crates/connection-limits/src/limiter/mod.rs
@@ -348,8 +348,10 @@
         let Some(pause) = accept_pause(error) else {
             return;
         };
-        // Descriptors are in use that the budget does not know of.
-        self.make_room(now, Urgency::Immediate, actions);
+        if error.is_shortage() {
+            // Descriptors are in use that the budget does not know of.
+            self.make_room(now, Urgency::Immediate, actions);
+        }
         actions.push(Action::PauseAccepting {
             until: now.saturating_add(pause),
         });
--- a/crates/connection-limits/src/tests/accept_pause.rs
+++ b/crates/connection-limits/src/tests/accept_pause.rs
@@ -14,4 +14,5 @@
         Some(ms(100))
     );
     assert_eq!(accept_pause(AcceptError::OutOfMemory), Some(ms(200)));
+    assert_eq!(accept_pause(AcceptError::Other), Some(ms(20)));
 }
--- a/crates/connection-limits/tests/limiter/eviction.rs
+++ b/crates/connection-limits/tests/limiter/eviction.rs
@@ -250,3 +250,16 @@
     assert_eq!(evicted(&mut server, None), 1, "one, where it is not known");
     assert_eq!(evicted(&mut server, None), 1);
 }
+
+/// Guards against a client that loses its connection to an error of `accept` that it has not
+/// caused: any error that is not known was taken for a lack of descriptors.
+#[test]
+fn no_connection_is_evicted_for_an_error_that_is_not_known() {
+    let mut server = Server::new(config());
+    server.accept(v4(127, 1, 1, 1)).unwrap();
+    server.handle(Event::AcceptFailed {
+        error: AcceptError::Other,
+    });
+    assert_eq!(server.closed, []);
+    assert_eq!(server.paused_until, ms(20), "accepting does not spin");
+}
--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -217,14 +217,29 @@
     File::open("/dev/null").ok()
 }
 
+/// The cause of a failed accept. Errors of the network that are pending on the new connection are
+/// returned by `accept` on Linux, and concern that connection only.
 fn accept_error(error: &io::Error) -> AcceptError {
     match error.raw_os_error() {
         Some(libc::EMFILE) => AcceptError::ProcessDescriptorLimit,
         Some(libc::ENFILE) => AcceptError::SystemDescriptorLimit,
         Some(libc::ENOBUFS | libc::ENOMEM) => AcceptError::OutOfMemory,
-        _ if error.kind() == io::ErrorKind::ConnectionAborted => AcceptError::ConnectionAborted,
-        // Any other error: treated like a lack of descriptors, so that accepting pauses and does
-        // not spin. The price: a connection is evicted that did not cause it.
-        _ => AcceptError::ProcessDescriptorLimit,
+        Some(
+            libc::ECONNABORTED
+            | libc::EHOSTDOWN
+            | libc::EHOSTUNREACH
+            | libc::EINTR
+            | libc::ENETDOWN
+            | libc::ENETUNREACH
+            | libc::ENONET
+            | libc::ENOPROTOOPT
+            | libc::EOPNOTSUPP
+            | libc::EPROTO,
+        ) => AcceptError::ConnectionAborted,
+        _ => AcceptError::Other,
     }
 }
+
+#[cfg(test)]
+#[path = "listener_tests.rs"]
+mod tests;
