A malformed message is counted once where its connection closes

What operators saw: `malformed_messages` of the summary one too high for each connection that closed for bad input; with few bad clients nearly twice as many messages as there were. Cause: the handler counts the message that it rejects, and the session counted it again as it closed the connection for it. Change: the session counts only what no handler has counted.

--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -47,6 +47,8 @@
     has_begun_message: bool,
     drain_notification_is_sent: bool,
     malformed_messages: usize,
+    /// The last message was well-formed on the wire, and its handler has rejected and counted it.
+    last_message_was_rejected: bool,
 }
 
 /// What one turn of a session has read.
@@ -81,6 +83,7 @@
             has_begun_message: false,
             drain_notification_is_sent: false,
             malformed_messages: 0,
+            last_message_was_rejected: false,
         }
     }
 
@@ -132,6 +135,7 @@
             turn.steps += 1;
             while self.may_read(&turn) {
                 let Ok(length) = codec::frame_length(self.stream.input.contiguous()) else {
+                    self.last_message_was_rejected = false;
                     self.is_readable = false;
                     break;
                 };
@@ -154,11 +158,13 @@
             connection: self.connection.id,
         });
         let Some(message) = message else {
+            self.last_message_was_rejected = false;
             self.is_readable = false;
             return;
         };
         let is_oneway = message.is_oneway;
-        if !self.handler.handle_message(self.connection, message) {
+        self.last_message_was_rejected = !self.handler.handle_message(self.connection, message);
+        if self.last_message_was_rejected {
             self.malformed_messages += 1;
             self.is_readable = !is_oneway && self.malformed_messages <= MAX_MALFORMED_MESSAGES;
         }
@@ -186,12 +192,22 @@
             if let Some(count) = MESSAGE_TIMEOUTS.pass() {
                 log::warn!("connection closing reason=message_timeout count={count}");
             }
-        } else if became_unreadable && let Some(count) = MALFORMED_MESSAGES.pass() {
-            log::warn!("connection closing reason=malformed_message count={count}");
+        } else if became_unreadable {
+            self.log_malformed_message();
         }
         is_closing
     }
 
+    /// Logs that a connection closes for a malformed message. One that its handler has rejected is
+    /// counted there, with a line of its own.
+    fn log_malformed_message(&self) {
+        if !self.last_message_was_rejected
+            && let Some(count) = MALFORMED_MESSAGES.pass()
+        {
+            log::warn!("connection closing reason=malformed_message count={count}");
+        }
+    }
+
     /// Whether the session ends here.
     fn finish(&mut self, turn: &Turn, is_closing: bool) -> bool {
         let state = ConnectionState {
--- a/crates/server/src/net/frontend/summary.rs
+++ b/crates/server/src/net/frontend/summary.rs
@@ -2,8 +2,8 @@
 
 use crate::log::LogLimit;
 
-/// Messages that could not be decoded or had invalid fields, requests whose idempotency key was
-/// known with another body, and connections that closed for malformed messages.
+/// Messages that could not be decoded or had invalid fields, each once, and requests whose
+/// idempotency key was known with another body.
 pub(super) static MALFORMED_MESSAGES: LogLimit = LogLimit::new();
 /// Requests that were rejected because no memory was left for them.
 pub(super) static REJECTED_WITHOUT_MEMORY: LogLimit = LogLimit::new();
--- a/crates/server/tests/program/malformed_messages.rs
+++ b/crates/server/tests/program/malformed_messages.rs
@@ -1,6 +1,6 @@
 //! Malformed messages and messages that violate the protocol of edge nodes.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::Shutdown;
 
 use crate::harness::backend::{TestBackend, start_backend};
@@ -123,3 +123,31 @@
     edge.send_request(1, "00000000000000d6", b"run");
     edge.expect_answer(1, AnswerKind::Answer);
 }
+
+/// What the program has logged by its end, after a shutdown notice.
+fn log_after_shutdown(mut backend: TestBackend) -> String {
+    backend.signal("TERM");
+    assert_eq!(backend.wait_for_exit().code(), Some(0));
+    let mut log = String::new();
+    let mut standard_error = backend.child.stderr.take().unwrap();
+    standard_error.read_to_string(&mut log).unwrap();
+    log
+}
+
+/// Guards against an operator who looks for twice as many bad messages: the one with which a
+/// connection closes was counted again at the close.
+#[test]
+fn each_malformed_message_is_counted_once() {
+    let backend = start_backend();
+    let mut edge = backend.connect();
+    for sequence in 1..=9 {
+        edge.send_call(sequence, "drop_tables", b"\0");
+        edge.expect_answer(sequence, AnswerKind::Exception);
+    }
+    assert!(edge.read_answer().is_none(), "closed");
+    let mut other = backend.connect();
+    other.stream.write_all(&[0x7f, 0xff, 0xff, 0xff]).unwrap();
+    assert!(other.read_answer().is_none(), "closed");
+    let log = log_after_shutdown(backend);
+    assert!(log.contains(" malformed_messages=10 "), "{log}");
+}
