A message that is cut short by an eviction is not logged as one that took too long

What operators saw: `connection closing reason=message_timeout` for connections that were evicted in the middle of a message, so slow clients where there were none. Cause: one branch of the session stopped reading for both. Change: the line is written for messages that took too long; an eviction has its own line.

--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -187,11 +187,14 @@
         let is_cut_short = has_partial_message && is_closing && self.connection.open() == 0;
         // A turn has more to read only while the connection was readable.
         let became_unreadable = turn.has_more && !self.is_readable;
-        if self.is_readable && (has_timed_out || is_cut_short) {
+        if self.is_readable && has_timed_out {
             self.is_readable = false;
             if let Some(count) = MESSAGE_TIMEOUTS.pass() {
                 log::warn!("connection closing reason=message_timeout count={count}");
             }
+        } else if self.is_readable && is_cut_short {
+            // An eviction has a line of its own, and a drain closes all connections.
+            self.is_readable = false;
         } else if became_unreadable {
             self.log_malformed_message();
         }
--- a/crates/server/tests/program/malformed_messages.rs
+++ b/crates/server/tests/program/malformed_messages.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::Shutdown;
 
-use crate::harness::backend::{TestBackend, start_backend};
+use crate::harness::backend::{TestBackend, start_backend, start_backend_with_changes};
 use crate::harness::edge_node::{AnswerKind, EdgeConnection, request_fields_with};
 use crate::harness::wait_until;
 
@@ -151,3 +151,27 @@
     let log = log_after_shutdown(backend);
     assert!(log.contains(" malformed_messages=10 "), "{log}");
 }
+
+/// Guards against an operator who looks for slow clients: half a message whose connection was
+/// evicted was logged as one that took too long.
+#[test]
+fn half_a_message_that_is_evicted_is_not_logged_as_a_timeout() {
+    let backend = start_backend_with_changes(&[
+        ("1024", "128"),
+        (r#""drain_grace":1000.0"#, r#""drain_grace":100.0"#),
+    ]);
+    let mut crowd: Vec<EdgeConnection> = (0..200)
+        .map(|_| {
+            let mut half = backend.connect();
+            half.stream.write_all(b"\0\0\0\x30\x80\x01").unwrap();
+            half
+        })
+        .collect();
+    backend.signal("TERM");
+    assert!(crowd[0].wait_until_closed());
+    // The others do not come to their time limit of 2 s.
+    drop(crowd);
+    let log = log_after_shutdown(backend);
+    assert!(log.contains("reason=evicted"), "{log}");
+    assert!(!log.contains("reason=message_timeout"), "{log}");
+}
