--- a/crates/server/tests/program/harness/edge_node.rs
+++ b/crates/server/tests/program/harness/edge_node.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -211,6 +212,19 @@
     EdgeConnection { stream }
 }
 
+/// Ends a connection with a reset. Its descriptor stays open.
+pub(crate) fn reset_connection(stream: &TcpStream) {
+    // A connect to the unspecified family dissolves the connection, and the system resets it.
+    let address = libc::sockaddr {
+        sa_family: libc::AF_UNSPEC as libc::sa_family_t,
+        sa_data: [0; 14],
+    };
+    let descriptor = stream.as_raw_fd();
+    let length = size_of::<libc::sockaddr>() as libc::socklen_t;
+    // Safe: the descriptor is open as long as the stream is, and the address outlives the call.
+    unsafe { libc::connect(descriptor, &raw const address, length) };
+}
+
 /// The answers up to the end of the connection, counted by sequence; drain notifications are left
 /// out.
 pub(crate) fn answers_until_close(edge: &mut EdgeConnection) -> HashMap<u32, u32> {
--- a/crates/server/tests/program/soak/checks.rs
+++ b/crates/server/tests/program/soak/checks.rs
@@ -27,6 +27,8 @@
     pub(super) sockets: usize,
     /// By how much the test itself was late.
     pub(super) delays: Delays,
+    /// What the program has logged.
+    pub(super) log: String,
 }
 
 /// A rule that was broken.
@@ -48,6 +50,8 @@
     RunBehindGrace { id: String, late: Duration },
     /// The process did not end by itself before the kill, or with an error.
     Exit { code: Option<i32> },
+    /// A panic, or an invariant that did not hold, whatever the exit code.
+    Logged { line: String },
     /// More descriptors than it may have.
     Descriptors { files: usize },
 }
@@ -63,6 +67,13 @@
         let code = record.end.exit_code;
         violations.push(Violation::Exit { code });
     }
+    let signs_of_faults = ["panicked at", "invariant violated"];
+    for line in record.log.lines() {
+        if signs_of_faults.iter().any(|sign| line.contains(sign)) {
+            let line = line.to_owned();
+            violations.push(Violation::Logged { line });
+        }
+    }
     if record.max_files > record.sockets {
         let files = record.max_files;
         violations.push(Violation::Descriptors { files });
@@ -78,6 +89,7 @@
         .connection_ended_at
         .map(|end| end.saturating_duration_since(request.sent_at));
     match request.answers[..] {
+        [] if request.is_caller_gone => {}
         [] if ends > 0 => violations.push(Violation::RunWithoutAnswer { id: id() }),
         [] => {
             let crossing = CROSSING + request.reading_delay + own_delay(record, request);
@@ -129,6 +141,7 @@
             answers: vec![Answer::Served],
             connection_ended_at: Some(now + Duration::from_secs(2)),
             reading_delay: Duration::ZERO,
+            is_caller_gone: false,
         }],
         notified_at: now + Duration::from_millis(10),
         grace: Duration::from_millis(100),
@@ -141,6 +154,7 @@
         max_files: 30,
         sockets: 32,
         delays: Delays::default(),
+        log: String::new(),
     }
 }
 
@@ -202,4 +216,9 @@
         planted(&|record| record.max_files = 33),
         [Violation::Descriptors { files: 33 }]
     );
+    let line = || "thread 'main' panicked at src/main.rs".to_owned();
+    assert_eq!(
+        planted(&|record| record.log = format!("0.1 INFO started\n{}\n", line())),
+        [Violation::Logged { line: line() }]
+    );
 }
--- a/crates/server/tests/program/soak/clients.rs
+++ b/crates/server/tests/program/soak/clients.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::harness::edge_node::{AnswerKind, EdgeConnection, request_fields};
+use crate::harness::edge_node::{AnswerKind, EdgeConnection, request_fields, reset_connection};
 use crate::harness::{EDGE_PORT, LONG_TIMEOUT};
 
 /// The pause of a client that has its requests open, or finds no listener.
@@ -38,6 +38,8 @@
     reads_slowly: bool,
     /// The bodies of its requests, in turn.
     bodies: Vec<&'static str>,
+    /// After so many requests on a connection it resets it, whatever is open there.
+    pub(super) resets_after: Option<u32>,
 }
 
 impl ClientPlan {
@@ -52,6 +54,7 @@
             bodies: (0..rng.usize(1..5))
                 .map(|_| rng.choice(bodies).unwrap())
                 .collect(),
+            resets_after: None,
         }
     }
 }
@@ -99,6 +102,8 @@
     /// How long its client may take from the end of a connection to seeing it: one that reads
     /// slowly reads what is before the end first.
     pub(super) reading_delay: Duration,
+    /// Its caller has reset the connection without an answer: it is known to be gone.
+    pub(super) is_caller_gone: bool,
 }
 
 /// What the reader of a connection has seen.
@@ -144,6 +149,7 @@
     let first = requests.len();
     let mut edge = EdgeConnection { stream };
     let mut sequence = 0;
+    let mut has_reset = false;
     while state.lock().unwrap().ended_at.is_none() && !is_over.load(Ordering::Acquire) {
         let open = sequence as usize - state.lock().unwrap().answered;
         if open >= plan.window {
@@ -157,6 +163,11 @@
         if !send_requests(&mut edge, plan, prefix, &mut sequence, count, requests) {
             break;
         }
+        if plan.resets_after.is_some_and(|after| sequence >= after) {
+            reset_connection(&edge.stream);
+            has_reset = true;
+            break;
+        }
     }
     // The process has ended, or ends the connection: the reader sees that.
     reader.join().unwrap();
@@ -164,6 +175,7 @@
     for (request, sequence) in requests[first..].iter_mut().zip(1u32..) {
         request.connection_ended_at = state.ended_at;
         request.answers = state.answers.get(&sequence).cloned().unwrap_or_default();
+        request.is_caller_gone = has_reset && request.answers.is_empty();
     }
 }
 
@@ -207,6 +219,7 @@
         answers: Vec::new(),
         connection_ended_at: None,
         reading_delay: plan.reading_delay(),
+        is_caller_gone: false,
     }));
     true
 }
--- a/crates/server/tests/program/soak/crowd.rs
+++ b/crates/server/tests/program/soak/crowd.rs
@@ -3,13 +3,12 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use super::clients::{Answer, SentRequest};
 use crate::harness::EDGE_PORT;
-use crate::harness::edge_node::{EdgeConnection, request_fields};
+use crate::harness::edge_node::{EdgeConnection, request_fields, reset_connection};
 
 /// Between two bytes of a connection that writes one byte at a time.
 const TICK: Duration = Duration::from_millis(20);
@@ -138,19 +137,6 @@
     }
 }
 
-/// Ends a connection with a reset. Its descriptor stays open.
-fn reset_connection(stream: &TcpStream) {
-    // A connect to the unspecified family dissolves the connection, and the system resets it.
-    let address = libc::sockaddr {
-        sa_family: libc::AF_UNSPEC as libc::sa_family_t,
-        sa_data: [0; 14],
-    };
-    let descriptor = stream.as_raw_fd();
-    let length = size_of::<libc::sockaddr>() as libc::socklen_t;
-    // Safe: the descriptor is open as long as the stream is, and the address outlives the call.
-    unsafe { libc::connect(descriptor, &raw const address, length) };
-}
-
 impl CrowdConnection {
     fn send(&mut self, kind: CrowdKind, number: &mut u64) {
         for sequence in 1..=kind.requests() {
@@ -169,6 +155,7 @@
                 answers: Vec::new(),
                 connection_ended_at: None,
                 reading_delay: Duration::ZERO,
+                is_caller_gone: false,
             });
         }
         if kind.sends_half_a_message() {
--- a/crates/server/tests/program/soak/mod.rs
+++ b/crates/server/tests/program/soak/mod.rs
@@ -6,16 +6,23 @@
 mod clients;
 pub(crate) mod crowd;
 pub(crate) mod delays;
+mod plan;
 mod process_end;
 
+use std::io::Read;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::harness::backend::{BackendSetup, TestBackend};
+use crate::harness::executor::{SharedExecutor, serve_executor};
+use crate::harness::store::start_store;
+use crate::harness::{EDGE_PORT, unique_address, wait_until};
 use checks::{RunRecord, violations};
-use clients::{Answer, ClientPlan, run_client};
+use clients::{Answer, run_client};
 use crowd::{Crowd, CrowdKind};
 use delays::Delays;
+use plan::{CLOSE_MARGINS, KillMargins, RunPlan, TimedSignal, Trouble, USUAL_MARGINS};
 use process_end::watch_until_kill;
 
 /// How often descriptors are counted.
@@ -28,131 +35,42 @@
 const CROWD_VARIABLE: &str = "SOAK_CROWD";
 /// Seeds of the runs about crowds in CI: two of each kind.
 const CROWD_SEEDS: std::ops::Range<u64> = 40..54;
+/// Seeds of the wide run in CI.
+const WIDE_SEEDS: std::ops::Range<u64> = 60..68;
+/// Calls that a silent store leaves without a reply.
+const SILENT_REPLIES: usize = 100;
+/// Set, the runs are drawn wider: `SOAK_WIDE=1`.
+const WIDE_VARIABLE: &str = "SOAK_WIDE";
 /// Seeds of the run in CI.
 const CI_SEEDS: std::ops::Range<u64> = 0..12;
 
 /// Seeds of the run whose kill comes close behind the grace.
 const CLOSE_KILL_SEEDS: std::ops::Range<u64> = 500..524;
 
-/// Connections of a crowd in the runs that are about crowds.
-const CROWD_CONNECTIONS: std::ops::Range<usize> = 300..900;
-
-/// From the end of the drain grace to the kill, in milliseconds: one of them is drawn.
-#[derive(Clone, Copy, Debug)]
-struct KillMargins(&'static [u64]);
-
-/// Longer than the time before the kill in which the program starts nothing more.
-const USUAL_MARGINS: KillMargins = KillMargins(&[600, 700, 1000, 2000]);
-/// Shorter than that.
-const CLOSE_MARGINS: KillMargins = KillMargins(&[100, 300, 450]);
-
-/// What is wrong with a peer of the backend for a while.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Trouble {
-    None,
-    /// The executor's link breaks.
-    ExecutorLinkBreaks,
-    /// The store closes all its connections.
-    StoreDown,
-}
-
-/// A signal to the backend, after a pause behind the one before.
-#[derive(Clone, Copy, Debug)]
-struct TimedSignal {
-    after: Duration,
-    name: &'static str,
-}
-
-/// One run, drawn from a seed.
-#[derive(Debug)]
-struct RunPlan {
-    seed: u64,
-    sockets: usize,
-    effect: &'static str,
-    grace: Duration,
-    /// From the first SIGTERM to the kill.
-    stop: Duration,
-    clients: Vec<ClientPlan>,
-    /// Connections of the crowd.
-    crowd: usize,
-    crowd_kind: CrowdKind,
-    trouble: Trouble,
-    /// Before the shutdown notice.
-    signals_before: Vec<TimedSignal>,
-    /// The shutdown notice is the first of them.
-    signals_from_notice: Vec<TimedSignal>,
-}
-
-fn milliseconds(rng: &mut fastrand::Rng, range: std::ops::Range<u64>) -> Duration {
-    Duration::from_millis(rng.u64(range))
-}
-
 impl RunPlan {
-    fn draw(seed: u64, margins: KillMargins) -> Self {
-        let mut rng = fastrand::Rng::with_seed(seed);
-        let grace = Duration::from_millis(rng.choice([100, 300, 1000]).unwrap());
-        let margin = Duration::from_millis(*rng.choice(margins.0).unwrap());
-        let clients = (0..rng.usize(2..9)).map(|_| ClientPlan::draw(&mut rng));
-        let clients = clients.collect();
-        let before = ["HUP", "HUP", "STOP"];
-        let signals_before = (0..rng.usize(0..4)).map(|_| TimedSignal {
-            after: milliseconds(&mut rng, 0..200),
-            name: rng.choice(before).unwrap(),
-        });
-        let signals_before = signals_before.collect();
-        let notice = TimedSignal {
-            after: milliseconds(&mut rng, 50..600),
-            name: "TERM",
-        };
-        let behind = (0..rng.usize(0..4)).map(|_| TimedSignal {
-            after: milliseconds(&mut rng, 0..300),
-            name: rng.choice(["TERM", "HUP"]).unwrap(),
-        });
-        let signals_from_notice = std::iter::once(notice).chain(behind).collect();
-        RunPlan {
-            seed,
-            sockets: rng.choice([128, 256, 1024]).unwrap(),
-            effect: rng.choice(["pure", "side_effect"]).unwrap(),
-            grace,
-            stop: grace + margin,
-            clients,
-            crowd: match rng.u8(..3) {
-                0 => rng.usize(100..600),
-                _ => 0,
-            },
-            crowd_kind: CrowdKind::HalfMessage,
-            trouble: rng
-                .choice([
-                    Trouble::None,
-                    Trouble::None,
-                    Trouble::ExecutorLinkBreaks,
-                    Trouble::StoreDown,
-                ])
-                .unwrap(),
-            signals_before,
-            signals_from_notice,
-        }
-    }
-
-    /// The same run behind a crowd of this kind.
-    fn with_crowd(mut self, kind: CrowdKind) -> Self {
-        let mut rng = fastrand::Rng::with_seed(!self.seed);
-        self.crowd = rng.usize(CROWD_CONNECTIONS);
-        self.crowd_kind = kind;
-        self
-    }
-
     fn start_backend(&self) -> TestBackend {
         let (grace, stop) = (self.grace.as_millis(), self.stop.as_millis());
-        BackendSetup::new()
+        let is_late = self.trouble == Trouble::ExecutorLate;
+        let setup = match is_late {
+            true => setup_without_executor(),
+            false => BackendSetup::new(),
+        };
+        let setup = setup
             .change("1024", &self.sockets.to_string())
             .change("\"pure\"", &format!("\"{}\"", self.effect))
             .change(
                 "\"drain_grace\":1000.0",
                 &format!("\"drain_grace\":{grace}.0"),
             )
-            .change("\"stop_ms\":4000", &format!("\"stop_ms\":{stop}"))
-            .start()
+            .change("\"stop_ms\":4000", &format!("\"stop_ms\":{stop}"));
+        if !is_late {
+            return setup.start();
+        }
+        let backend = setup.spawn();
+        wait_until("the backend listens", || {
+            TcpStream::connect((&backend.host[..], EDGE_PORT)).is_ok()
+        });
+        backend
     }
 
     /// Plays the run to the end of the process.
@@ -198,9 +116,12 @@
                 max_files: 0,
                 sockets: self.sockets,
                 delays: Delays::default(),
+                log: String::new(),
             }
         });
         record.requests.extend(crowd.into_requests());
+        let mut standard_error = backend.child.stderr.take().unwrap();
+        standard_error.read_to_string(&mut record.log).unwrap();
         record.delays = delays;
         record.max_files = max_files.load(Ordering::Acquire);
         record
@@ -226,10 +147,21 @@
                 }
             }
             Trouble::StoreDown => backend.store.is_down.store(true, Ordering::Release),
+            Trouble::StoreSilent => backend.store.plan_replies(&[""; SILENT_REPLIES]),
+            Trouble::ExecutorLate => {
+                serve_executor(backend.executor.clone(), &backend.host);
+            }
         }
     }
 }
 
+/// A backend whose executor does not listen yet.
+fn setup_without_executor() -> BackendSetup {
+    let host = unique_address();
+    let store = start_store(&host);
+    BackendSetup::with_peers(host, SharedExecutor::default(), store)
+}
+
 fn watch_descriptors(process: u32, max_files: &AtomicUsize, is_over: &AtomicBool) {
     while !is_over.load(Ordering::Acquire) {
         if let Ok(files) = std::fs::read_dir(format!("/proc/{process}/fd")) {
@@ -276,6 +208,7 @@
         if !violations.is_empty() {
             println!("{plan:#?}\nVIOLATED {violations:#?}");
             println!("broken: {} violations", violations.len());
+            println!("{}", record.log);
             broken.push(plan.seed);
         }
     }
@@ -308,6 +241,12 @@
     soak(plans.map(|(seed, kind)| RunPlan::draw(seed, USUAL_MARGINS).with_crowd(kind)));
 }
 
+/// Guards against requests that are lost among the troubles which the usual runs do not have.
+#[test]
+fn the_four_rules_hold_in_a_wider_soak() {
+    soak(WIDE_SEEDS.map(RunPlan::draw_wide));
+}
+
 /// The long run, by hand.
 #[test]
 #[ignore = "takes as long as it is told: SOAK_SEEDS=FIRST,COUNT"]
@@ -324,6 +263,9 @@
         let is_named = |kind: &CrowdKind| format!("{kind:?}") == name;
         kinds.find(is_named).expect("SOAK_CROWD=KIND")
     });
+    if std::env::var_os(WIDE_VARIABLE).is_some() {
+        return soak((first..first + count).map(RunPlan::draw_wide));
+    }
     soak(
         draw_all(first..first + count, margins).map(|plan| match kind {
             Some(kind) => plan.with_crowd(kind),
--- a/crates/server/tests/program/soak/process_end.rs
+++ b/crates/server/tests/program/soak/process_end.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::TimedSignal;
+use super::plan::TimedSignal;
 use crate::harness::backend::TestBackend;
 
 /// How often the end of the process is looked for.
