--- a/crates/server/tests/program/executor_link.rs
+++ b/crates/server/tests/program/executor_link.rs
@@ -4,10 +4,12 @@
 use std::collections::HashMap;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use crate::harness::backend::{start_backend, start_backend_with_changes};
 use crate::harness::edge_node::{AnswerKind, EdgeConnection, answers_until_close, request_fields};
 use crate::harness::wait_until;
+use crate::soak::delays::Delays;
 
 /// The executor's link breaks while a run ends, so that nobody receives the notice of its end. The
 /// next link begins with the notices that were missed: the run is answered and not started again,
@@ -280,3 +282,36 @@
     );
     assert_eq!(backend.wait_for_exit().code(), Some(0));
 }
+
+/// Guards against requests that are answered too late because the timers of the controller wait for
+/// the gauges of an executor that hangs: each tick does, for up to 60 ms in place of 25.
+#[test]
+fn requests_are_answered_in_time_while_the_executor_does_not_reply() {
+    const DEADLINE: Duration = Duration::from_millis(400);
+    /// `grace_to_answer` of the configuration, and what PROTOCOL.md adds to each time limit.
+    const SLACK: Duration = Duration::from_millis(60 + 50);
+    let backend = start_backend_with_changes(&[
+        ("\"objective\":10000.0", "\"objective\":300.0"),
+        ("\"deadline\":20000.0", "\"deadline\":400.0"),
+    ]);
+    backend.executor().ignores_queries = true;
+    let delays = Delays::default();
+    for round in 0..20u32 {
+        // At different moments between two ticks.
+        std::thread::sleep(Duration::from_millis(u64::from(round * 7 % 60)));
+        let mut edge = backend.connect();
+        let sent_at = Instant::now();
+        let took = delays.measure_while(|| {
+            for sequence in 1..=4 {
+                let id = format!("000000000eca{round:02x}{sequence:02x}");
+                edge.send_request(sequence, &id, b"hang");
+            }
+            for _ in 1..=4 {
+                edge.read_answer().expect("an answer for each");
+            }
+            sent_at.elapsed()
+        });
+        let own_delay = delays.longest(sent_at, sent_at + took);
+        assert!(took <= DEADLINE + SLACK + own_delay, "{took:?}");
+    }
+}
--- a/crates/server/tests/program/harness/executor.rs
+++ b/crates/server/tests/program/harness/executor.rs
@@ -29,6 +29,8 @@
     /// The link breaks as the next run starts. The run ends behind the first gauges over the next
     /// link, and its notice is delayed until more is received there.
     pub(crate) cuts_link_at_start: bool,
+    /// Queries of the gauges get no reply.
+    pub(crate) ignores_queries: bool,
     /// The run that ends behind the next gauges.
     pub(crate) ending_run: Option<String>,
     /// The notice that is delayed until the next command.
@@ -107,6 +109,7 @@
                 self.replies.push(body);
                 self.end_run(id, "success", b"richer");
             }
+            ["SYSINFO", _] if self.ignores_queries => {}
             ["SYSINFO", tag] => {
                 self.send_line(format!("INFO {tag} 0.1 0 0 1\r\n"));
                 if self.link.is_some()
