--- a/crates/server/tests/program/soak/mod.rs
+++ b/crates/server/tests/program/soak/mod.rs
@@ -35,6 +35,8 @@
 const CROWD_VARIABLE: &str = "SOAK_CROWD";
 /// Seeds of the runs about crowds in CI: two of each kind.
 const CROWD_SEEDS: std::ops::Range<u64> = 40..54;
+/// Seeds of the runs with a crowd and a close kill.
+const CLOSE_KILL_CROWD_SEEDS: [u64; 3] = [9011, 9029, 9032];
 /// Seeds of the wide run in CI.
 const WIDE_SEEDS: std::ops::Range<u64> = 60..68;
 /// Calls that a silent store leaves without a reply.
@@ -241,6 +243,15 @@
     soak(plans.map(|(seed, kind)| RunPlan::draw(seed, USUAL_MARGINS).with_crowd(kind)));
 }
 
+/// Guards against requests that are lost where each of hundreds of connections has many of them and
+/// the kill leaves a tenth of a second for all.
+#[test]
+fn the_four_rules_hold_behind_unread_replies_with_a_close_kill() {
+    let plans = CLOSE_KILL_CROWD_SEEDS.map(|seed| RunPlan::draw(seed, CLOSE_MARGINS));
+    let with_crowd = |plan: RunPlan| plan.with_crowd(CrowdKind::RepliesNeverRead);
+    soak(plans.into_iter().map(with_crowd));
+}
+
 /// Guards against requests that are lost among the troubles which the usual runs do not have.
 #[test]
 fn the_four_rules_hold_in_a_wider_soak() {
