An operator's command follows a reported leader twice, and then waits for its next attempt

A leader with 256 waiting reads answers that it does not lead, and names itself; the command went to it again at once, for up to 5 s, while it was short of room. Cause: `redirect` had no limit. Evidence: the new test has 100 such answers cause 100 messages on the old text, 2 now.

--- a/crates/server/src/cluster/pending_requests.rs
+++ b/crates/server/src/cluster/pending_requests.rs
@@ -19,6 +19,9 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 /// The pause between two attempts.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// How often a command follows a reported leader between two attempts. A leader that can't take it
+/// may name itself: without the limit the command would go to it without a pause until it fails.
+const MAX_REDIRECTS_PER_ATTEMPT: u32 = 2;
 /// The limit on commands that wait at a time.
 const MAX_PENDING_REQUESTS: usize = 64;
 /// Ids of operators' requests are greater than this; those of the lease client never are.
@@ -36,6 +39,8 @@
     /// Attempts, each to the next voter. A command that is sent to a reported leader does not
     /// count.
     attempts: usize,
+    /// How often it was sent to a reported leader since the last attempt.
+    redirects: u32,
 }
 
 /// The commands that wait. It owns them and their ids.
@@ -92,6 +97,7 @@
             expires_at: now + REQUEST_TIMEOUT,
             next_attempt_at: now,
             attempts: 0,
+            redirects: 0,
         };
         self.pending.insert(self.last_id, request);
         self.retry(now, router, self.last_id);
@@ -128,7 +134,8 @@
         }
     }
 
-    /// Sends a command to the voter that leads, as another voter reported.
+    /// Sends a command to the voter that leads, as a voter reported. Beyond
+    /// [`MAX_REDIRECTS_PER_ATTEMPT`] it waits for its next attempt.
     pub(crate) fn redirect(
         &mut self,
         now: Duration,
@@ -136,7 +143,11 @@
         id: RequestId,
         leader: &Name,
     ) {
-        if let Some(request) = self.unexpired(now, id) {
+        let Some(request) = self.unexpired(now, id) else {
+            return;
+        };
+        if request.redirects < MAX_REDIRECTS_PER_ATTEMPT {
+            request.redirects += 1;
             router.send(leader, request.message.clone());
         }
     }
@@ -147,6 +158,7 @@
             return;
         };
         request.attempts += 1;
+        request.redirects = 0;
         request.next_attempt_at = now + RETRY_INTERVAL;
         let (attempts, message) = (request.attempts, request.message.clone());
         if let Some(voter) = self.voters.get(attempts % self.voters.len().max(1)) {
@@ -167,3 +179,7 @@
         self.pending.get_mut(&id)
     }
 }
+
+#[cfg(test)]
+#[path = "pending_requests_tests.rs"]
+mod tests;
