--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -3,10 +3,13 @@
 //! [`Controller`] owns the state of every rule, hands each event to the rules that it concerns,
 //! passes on what one rule knows to another as a value, and turns their results into actions. The
 //! rules stand in the modules beside this one and never import it; docs/design.md lists them. This
-//! file has the order of decisions on events, ticks and control steps; `request_lifecycle.rs` has
-//! the way of a request from its arrival to its release.
+//! file has the order of decisions on events, ticks and control steps; `request_arrival.rs`,
+//! `request_start.rs`, `dependency_calls.rs` and `request_end.rs` have the way of a request.
 
-mod request_lifecycle;
+mod dependency_calls;
+mod request_arrival;
+mod request_end;
+mod request_start;
 
 use std::time::Duration;
 
