--- a/crates/server/src/net/frontend/backlog.rs
+++ b/crates/server/src/net/frontend/backlog.rs
@@ -30,7 +30,7 @@
 
 impl Backlog {
     /// The time within which all that wait are accepted and what they hold is answered: all places
-    /// turn over once for each round of those that wait, and once more for the requests of the last.
+    /// turn over once for each round of those that wait, and once more for the last requests.
     pub(crate) fn answer_bound(&self) -> Duration {
         let rounds = self.waiting.div_ceil(self.places.max(1));
         match u32::try_from(rounds) {
--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -145,7 +145,7 @@
         self.listener.lock().close();
     }
 
-    /// The number of connections that wait in the backlog; none where the listener is closed, or the
+    /// The number of connections that wait in the backlog; none where the listener is closed or the
     /// system does not tell.
     pub(super) fn waiting_connections(&self) -> Option<usize> {
         waiting_connections(self.listener.lock().listener.as_ref()?)
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -157,7 +157,7 @@
         self.service_registry.set(peers.registry);
     }
 
-    /// Warns where the backlog takes longer to be answered than there is time until the termination.
+    /// Warns where the backlog takes longer to be answered than the termination leaves.
     fn warn_of_a_long_backlog(&self, notice: Instant) {
         let Some(backlog) = self.frontend.backlog() else {
             return;
--- a/crates/server/tests/program/leases.rs
+++ b/crates/server/tests/program/leases.rs
@@ -21,8 +21,8 @@
 
 /// Each member in turn is paused for longer than its lease while an operation under it is under
 /// way. The lease goes on to another member. The paused one must not take effect when it wakes,
-/// because its fencing token is older than the newest that was seen. A pause outlasts the 8 s within
-/// which a lease has an owner again (docs/design-leases.md), and no two voters are paused at a time.
+/// because its fencing token is older than the newest that was seen. A pause outlasts the 8 s in
+/// which a lease has an owner again (docs/design-leases.md); no two voters are paused at a time.
 #[test]
 fn a_holder_stopped_in_mid_act_is_shut_out_when_it_wakes() {
     const PAUSE_SECONDS: u32 = 9;
--- a/crates/server/tests/program/shutdown_backlog.rs
+++ b/crates/server/tests/program/shutdown_backlog.rs
@@ -130,8 +130,8 @@
     assert!(!backend.was_run("0000000000e50099"), "run behind its close");
 }
 
-/// A caller that reads slowly has not acknowledged its replies, and its place is needed: it keeps it
-/// until they are, and gets each of them.
+/// A caller that reads slowly has not acknowledged its replies, and its place is needed: it keeps
+/// the place until they are, and gets each of them.
 #[test]
 fn a_slow_reader_keeps_its_place_until_its_replies_are_acknowledged() {
     const REQUESTS: u32 = 16;
