A session counts bytes that are no message where it meets them, without a flag

The mend of the doubled count kept a flag, set in three places, that told the end of the turn whether the handler had counted the last message. The line and the count now stand where the bytes are found, and the flag and the branch are gone. One case differs: garbage left in the buffer by an earlier turn, met in a turn that reads nothing new, was not counted at all and is now, once. Beside that: FIN_BYTES in place of a paraphrase, an odd pair of parentheses, and one count of connections.

--- a/crates/server/src/net/frontend/mod.rs
+++ b/crates/server/src/net/frontend/mod.rs
@@ -197,7 +197,7 @@
     /// What is counted here, for the log.
     pub(crate) fn summary(&self) -> FrontendSummary {
         FrontendSummary {
-            connections: self.table.len(),
+            connections: self.connections(),
             malformed_messages: MALFORMED_MESSAGES.count(),
             rejected_without_memory: REJECTED_WITHOUT_MEMORY.count(),
             invariants_violated: invariant::violations(),
--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -47,8 +47,6 @@
     has_begun_message: bool,
     drain_notification_is_sent: bool,
     malformed_messages: usize,
-    /// The last message was well-formed on the wire, and its handler has rejected and counted it.
-    last_message_was_rejected: bool,
 }
 
 /// What one turn of a session has read.
@@ -83,7 +81,6 @@
             has_begun_message: false,
             drain_notification_is_sent: false,
             malformed_messages: 0,
-            last_message_was_rejected: false,
         }
     }
 
@@ -135,8 +132,7 @@
             turn.steps += 1;
             while self.may_read(&turn) {
                 let Ok(length) = codec::frame_length(self.stream.input.contiguous()) else {
-                    self.last_message_was_rejected = false;
-                    self.is_readable = false;
+                    self.stop_at_malformed_bytes();
                     break;
                 };
                 let Some(length) = length else { break };
@@ -147,6 +143,15 @@
         Ok(turn)
     }
 
+    /// Nothing more is read behind bytes that are no message. A message that is one and that its
+    /// handler rejects is counted there, with a line of its own.
+    fn stop_at_malformed_bytes(&mut self) {
+        self.is_readable = false;
+        if let Some(count) = MALFORMED_MESSAGES.pass() {
+            log::warn!("connection closing reason=malformed_message count={count}");
+        }
+    }
+
     fn handle_frame(&mut self, length: usize) {
         let end = codec::FRAME_HEADER_BYTES + length;
         let message =
@@ -158,13 +163,10 @@
             connection: self.connection.id,
         });
         let Some(message) = message else {
-            self.last_message_was_rejected = false;
-            self.is_readable = false;
-            return;
+            return self.stop_at_malformed_bytes();
         };
         let is_oneway = message.is_oneway;
-        self.last_message_was_rejected = !self.handler.handle_message(self.connection, message);
-        if self.last_message_was_rejected {
+        if !self.handler.handle_message(self.connection, message) {
             self.malformed_messages += 1;
             self.is_readable = !is_oneway && self.malformed_messages <= MAX_MALFORMED_MESSAGES;
         }
@@ -185,8 +187,6 @@
         let is_closing = self.connection.is_closing();
         let has_timed_out = self.connection.has_timed_out();
         let is_cut_short = has_partial_message && is_closing && self.connection.open() == 0;
-        // A turn has more to read only while the connection was readable.
-        let became_unreadable = turn.has_more && !self.is_readable;
         if self.is_readable && has_timed_out {
             self.is_readable = false;
             if let Some(count) = MESSAGE_TIMEOUTS.pass() {
@@ -195,22 +195,10 @@
         } else if self.is_readable && is_cut_short {
             // An eviction has a line of its own, and a drain closes all connections.
             self.is_readable = false;
-        } else if became_unreadable {
-            self.log_malformed_message();
         }
         is_closing
     }
 
-    /// Logs that a connection closes for a malformed message. One that its handler has rejected is
-    /// counted there, with a line of its own.
-    fn log_malformed_message(&self) {
-        if !self.last_message_was_rejected
-            && let Some(count) = MALFORMED_MESSAGES.pass()
-        {
-            log::warn!("connection closing reason=malformed_message count={count}");
-        }
-    }
-
     /// Whether the session ends here.
     fn finish(&mut self, turn: &Turn, is_closing: bool) -> bool {
         let state = ConnectionState {
--- a/crates/server/src/net/stream.rs
+++ b/crates/server/src/net/stream.rs
@@ -23,8 +23,8 @@
 const MAX_DRAIN_POLLS: usize = 200;
 /// The pause between two of these checks.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// What the end of the output counts as among the bytes that are not acknowledged.
-const END_OF_OUTPUT_BYTES: libc::c_int = 1;
+/// What the FIN counts as among the bytes that are not acknowledged.
+const FIN_BYTES: libc::c_int = 1;
 /// Reads of up to 4 KB whose bytes are dropped while a connection drains.
 const MAX_DRAIN_READS: usize = 256;
 /// Reads after one check. The others wait until the peer has had time to read.
@@ -208,7 +208,7 @@
             }
             let is_acknowledged = self
                 .unacknowledged_bytes()
-                .is_some_and(|bytes| bytes <= END_OF_OUTPUT_BYTES);
+                .is_some_and(|bytes| bytes <= FIN_BYTES);
             if is_acknowledged && is_place_needed() {
                 return;
             }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -162,7 +162,8 @@
         let Some(backlog) = self.frontend.backlog() else {
             return;
         };
-        let left = (self.termination).saturating_sub(notice.elapsed() + TERMINATION_MARGIN);
+        let taken = notice.elapsed() + TERMINATION_MARGIN;
+        let left = self.termination.saturating_sub(taken);
         let bound = backlog.answer_bound();
         if bound > left {
             ::log::warn!(
