--- a/crates/server/tests/program/harness/backend.rs
+++ b/crates/server/tests/program/harness/backend.rs
@@ -272,7 +272,6 @@
         let signal = match name {
             "CONT" => libc::SIGCONT,
             "HUP" => libc::SIGHUP,
-            "KILL" => libc::SIGKILL,
             "STOP" => libc::SIGSTOP,
             "TERM" => libc::SIGTERM,
             other => panic!("no signal is named {other}"),
@@ -282,6 +281,14 @@
         assert_eq!(result, 0, "{}", std::io::Error::last_os_error());
     }
 
+    /// What the process has logged, once it has ended.
+    pub(crate) fn read_log(&mut self) -> String {
+        let mut log = String::new();
+        let mut standard_error = self.child.stderr.take().unwrap();
+        standard_error.read_to_string(&mut log).unwrap();
+        log
+    }
+
     /// Waits until the process exits.
     pub(crate) fn wait_for_exit(&mut self) -> ExitStatus {
         let start = Instant::now();
--- a/crates/server/tests/program/malformed_messages.rs
+++ b/crates/server/tests/program/malformed_messages.rs
@@ -1,6 +1,6 @@
 //! Malformed messages and messages that violate the protocol of edge nodes.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::Shutdown;
 
 use crate::harness::backend::{TestBackend, start_backend, start_backend_with_changes};
@@ -128,10 +128,7 @@
 fn log_after_shutdown(mut backend: TestBackend) -> String {
     backend.signal("TERM");
     assert_eq!(backend.wait_for_exit().code(), Some(0));
-    let mut log = String::new();
-    let mut standard_error = backend.child.stderr.take().unwrap();
-    standard_error.read_to_string(&mut log).unwrap();
-    log
+    backend.read_log()
 }
 
 /// Guards against an operator who looks for twice as many bad messages: the one with which a
--- a/crates/server/tests/program/recording.rs
+++ b/crates/server/tests/program/recording.rs
@@ -239,8 +239,7 @@
     }
     backend.signal("TERM");
     assert!(backend.wait_for_exit().success());
-    let mut log = String::new();
-    std::io::Read::read_to_string(&mut backend.child.stderr.take().unwrap(), &mut log).unwrap();
+    let log = backend.read_log();
     assert!(
         log.contains("recording summary missing_records=50 "),
         "{log}"
--- a/crates/server/tests/program/shutdown_backlog.rs
+++ b/crates/server/tests/program/shutdown_backlog.rs
@@ -2,7 +2,7 @@
 //! bound, whatever those before them sent, and the log tells where there is no time for it.
 
 use std::collections::HashMap;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 use crate::harness::backend::{TestBackend, start_backend_with_changes};
@@ -110,12 +110,9 @@
     let _crowd = Crowd::connect(&backend.host, CrowdKind::HalfMessage, CROWD, 0);
     backend.signal("TERM");
     assert_eq!(backend.wait_for_exit().code(), Some(0));
-    let mut log = String::new();
-    let mut standard_error = backend.child.stderr.take().unwrap();
-    standard_error.read_to_string(&mut log).unwrap();
-    let line = log
-        .lines()
-        .find(|line| line.contains("backlog may not be answered"));
+    let log = backend.read_log();
+    let mut lines = log.lines();
+    let line = lines.find(|line| line.contains("backlog may not be answered"));
     let line = line.expect("a line at the notice");
     assert!(line.contains(" places=96 bound_ms="), "{line}");
 }
--- a/crates/server/tests/program/soak/crowd.rs
+++ b/crates/server/tests/program/soak/crowd.rs
@@ -61,6 +61,8 @@
 /// A connection of a crowd, and its whole requests by their sequence from 1 on.
 struct CrowdConnection {
     edge: EdgeConnection,
+    /// It is of the crowd's kind; the others are silent.
+    is_of_kind: bool,
     requests: Vec<SentRequest>,
 }
 
@@ -78,9 +80,10 @@
             let stream = TcpStream::connect((host, EDGE_PORT)).ok()?;
             let mut connection = CrowdConnection {
                 edge: EdgeConnection { stream },
+                is_of_kind: at.is_multiple_of(2),
                 requests: Vec::new(),
             };
-            if at.is_multiple_of(2) {
+            if connection.is_of_kind {
                 connection.send(kind, &mut number);
             }
             Some(connection)
@@ -98,6 +101,11 @@
         }
     }
 
+    fn of_kind(&self) -> impl Iterator<Item = &CrowdConnection> {
+        let connections = self.connections.iter();
+        connections.filter(|connection| connection.is_of_kind)
+    }
+
     fn write_bytes(&self, is_over: &AtomicBool) {
         let message = self.connections.first().map(|connection| {
             let fields = request_fields("0000000000000000", "20.0");
@@ -108,7 +116,7 @@
             if is_over.load(Ordering::Acquire) {
                 return;
             }
-            for connection in self.connections.iter().step_by(2) {
+            for connection in self.of_kind() {
                 let _ = (&connection.edge.stream).write_all(&[*byte]);
             }
             std::thread::sleep(TICK);
@@ -116,7 +124,7 @@
     }
 
     fn reset(&self, is_over: &AtomicBool) {
-        for connection in self.connections.iter().step_by(2) {
+        for connection in self.of_kind() {
             if is_over.load(Ordering::Acquire) {
                 return;
             }
@@ -128,10 +136,11 @@
     /// The requests of the crowd, with the answers that are read now that the process has ended.
     /// Those of callers that reset their connections are left out: these callers are gone.
     pub(super) fn into_requests(self) -> Vec<SentRequest> {
-        let kind = self.kind;
-        self.connections
-            .into_iter()
-            .filter(|_| kind != CrowdKind::Reset)
+        if self.kind == CrowdKind::Reset {
+            return Vec::new();
+        }
+        let connections = self.connections.into_iter();
+        connections
             .flat_map(CrowdConnection::into_requests)
             .collect()
     }
--- a/crates/server/tests/program/soak/mod.rs
+++ b/crates/server/tests/program/soak/mod.rs
@@ -9,7 +9,6 @@
 mod plan;
 mod process_end;
 
-use std::io::Read;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -122,8 +121,7 @@
             }
         });
         record.requests.extend(crowd.into_requests());
-        let mut standard_error = backend.child.stderr.take().unwrap();
-        standard_error.read_to_string(&mut record.log).unwrap();
+        record.log = backend.read_log();
         record.delays = delays;
         record.max_files = max_files.load(Ordering::Acquire);
         record
