A request that is answered on its arrival costs no coroutine, and is answered where it is read

Cause: each request got a coroutine before it was known whether it runs. `may` keeps 256 stacks; each one beyond them is mapped, protected, faulted in and unmapped for one rejection. And the coroutines run behind all sessions, on one worker: the program read everything, then registered everything, then answered, and sessions wrote last.

Change: a session registers the requests that it has read together, behind the cancellations among them, and answers those on which the controller decides at once. Only what waits or runs gets a coroutine. The replies, and a drain notification, go out in one write. A shallow health check is answered in the same way. A panic in the handling of a request still ends that request alone, with a failure.

--- a/crates/server/src/net/frontend/connection.rs
+++ b/crates/server/src/net/frontend/connection.rs
@@ -11,6 +11,7 @@
 use tulipgap_connection_limits::{CloseReason, ConnectionId};
 
 use super::codec::{self, Reply};
+use super::request::ArrivedRequest;
 use crate::net::stream::{BufferedStream, Output, SendOutcome};
 use crate::requests::RequestId;
 
@@ -45,6 +46,8 @@
     pub(super) output: Arc<Output>,
     /// Its open requests, by the sequence number of their message.
     pub(super) open_requests: Mutex<HashMap<i32, OpenRequest>>,
+    /// The open requests that were read and are not registered yet.
+    pub(super) arrived_requests: Mutex<Vec<ArrivedRequest>>,
     /// Health checks that are not answered yet.
     pub(super) open_checks: AtomicUsize,
     pub(super) accepted_at: Instant,
@@ -63,6 +66,7 @@
             id,
             output,
             open_requests: Mutex::new(HashMap::new()),
+            arrived_requests: Mutex::default(),
             open_checks: AtomicUsize::new(0),
             accepted_at: Instant::now(),
             close_is_requested: AtomicBool::new(false),
@@ -76,6 +80,13 @@
         self.open_requests.lock().len() + self.open_checks.load(Ordering::Acquire)
     }
 
+    /// Whether the caller of the open request of this sequence number has cancelled it.
+    pub(super) fn is_cancelled(&self, sequence: i32) -> bool {
+        let open_requests = self.open_requests.lock();
+        let request = open_requests.get(&sequence);
+        request.is_some_and(|request| request.is_cancelled)
+    }
+
     /// Whether another message may be read: the protocol's limit on open requests and the bound on
     /// unread replies keep what one connection takes of the memory bounded.
     pub(super) fn has_room(&self) -> bool {
--- a/crates/server/src/net/frontend/health.rs
+++ b/crates/server/src/net/frontend/health.rs
@@ -38,7 +38,7 @@
         })
     }
 
-    /// Starts a coroutine for a health check.
+    /// Answers a shallow check at once, and starts a coroutine for a deep one.
     pub(super) fn handle(
         self: &Arc<Self>,
         connection: &Arc<Connection>,
@@ -49,6 +49,9 @@
         self.table.notify(Event::RequestStarted {
             connection: connection.id,
         });
+        if !is_deep {
+            return self.answer(connection, sequence, is_deep);
+        }
         let (checks, connection) = (self.clone(), connection.clone());
         spawn(move || checks.answer(&connection, sequence, is_deep));
     }
--- a/crates/server/src/net/frontend/mod.rs
+++ b/crates/server/src/net/frontend/mod.rs
@@ -236,4 +236,8 @@
         }
         false
     }
+
+    fn finish_messages(&self, connection: &Arc<Connection>) {
+        self.requests.register_arrived(connection);
+    }
 }
--- a/crates/server/src/net/frontend/request.rs
+++ b/crates/server/src/net/frontend/request.rs
@@ -1,8 +1,13 @@
 //! The life of a request: it is parsed and registered, the commands for it are carried out, and it
 //! is answered, until its run has ended.
+//!
+//! A request that is answered on its arrival costs no coroutine: in a flood, or at a shutdown,
+//! thousands arrive at once, and a stack for each would be mapped and unmapped for one reply. It is
+//! registered and answered by the session that has read it; only what waits gets a coroutine.
 
 use std::cell::Cell;
 use std::hash::{BuildHasher, RandomState};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -33,23 +38,23 @@
 
 /// The reply that a request's connection waits for. The request leaves its connection's open
 /// requests once it is answered, or when this is dropped without a reply.
-pub(super) struct PendingReply<'a> {
-    table: &'a ConnectionTable,
-    connection: &'a Connection,
+pub(super) struct PendingReply {
+    table: Arc<ConnectionTable>,
+    connection: Arc<Connection>,
     sequence: i32,
     is_concluded: Cell<bool>,
 }
 
-impl<'a> PendingReply<'a> {
+impl PendingReply {
     /// The pending reply to the open request of this sequence number.
     pub(super) fn new(
-        table: &'a ConnectionTable,
-        connection: &'a Connection,
+        table: &Arc<ConnectionTable>,
+        connection: &Arc<Connection>,
         sequence: i32,
     ) -> Self {
         PendingReply {
-            table,
-            connection,
+            table: table.clone(),
+            connection: connection.clone(),
             sequence,
             is_concluded: Cell::new(false),
         }
@@ -74,8 +79,8 @@
     }
 }
 
-impl Drop for PendingReply<'_> {
-    /// Concludes without a reply. Where the coroutine panics, its caller gets a failure: it would
+impl Drop for PendingReply {
+    /// Concludes without a reply. Where its handling panics, its caller gets a failure: it would
     /// otherwise wait until its timeout.
     fn drop(&mut self) {
         if !self.is_concluded.get() && std::thread::panicking() {
@@ -92,6 +97,13 @@
     }
 }
 
+/// A request that was read, checked and not registered yet.
+pub(super) struct ArrivedRequest {
+    sequence: i32,
+    request: ParsedRequest,
+    body: Bytes,
+}
+
 /// Processes requests. It owns what requests are checked against; the registry owns those that are
 /// open.
 pub(super) struct RequestHandler {
@@ -143,7 +155,7 @@
         })
     }
 
-    /// Checks a request and starts a coroutine for it.
+    /// Checks a request, which is registered by [`RequestHandler::register_arrived`].
     ///
     /// # Errors
     /// [`CallError::Malformed`] where a field, the sequence number, the body or the id is invalid.
@@ -176,11 +188,28 @@
         self.table.notify(Event::RequestStarted {
             connection: connection.id,
         });
-        let (handler, connection) = (self.clone(), connection.clone());
-        spawn(move || handler.process(&connection, sequence, request, body.into()));
+        connection.arrived_requests.lock().push(ArrivedRequest {
+            sequence,
+            request,
+            body: body.into(),
+        });
         Ok(())
     }
 
+    /// Registers the requests of a connection that were read together, behind the cancellations
+    /// that were read with them: a request that is cancelled by then is not run. Each is answered
+    /// at once, or by a coroutine of its own.
+    pub(super) fn register_arrived(self: &Arc<Self>, connection: &Arc<Connection>) {
+        let arrived = std::mem::take(&mut *connection.arrived_requests.lock());
+        for request in arrived {
+            // A fault in its handling ends this request with a failure, and not its connection.
+            let handled = catch_unwind(AssertUnwindSafe(|| self.process(connection, request)));
+            if handled.is_err() {
+                log::error!("request handling panicked");
+            }
+        }
+    }
+
     fn reject_without_memory(
         &self,
         connection: &Connection,
@@ -202,8 +231,14 @@
         connection.reply(codec::PROCESS, sequence, &reply);
     }
 
-    /// Processes a request until its run has ended.
-    fn process(&self, connection: &Connection, sequence: i32, request: ParsedRequest, body: Bytes) {
+    /// Registers a request. It is answered here where that is decided on its arrival, and by a
+    /// coroutine of its own where it waits.
+    fn process(self: &Arc<Self>, connection: &Arc<Connection>, arrived: ArrivedRequest) {
+        let ArrivedRequest {
+            sequence,
+            request,
+            body,
+        } = arrived;
         let ParsedRequest {
             mut incoming,
             class,
@@ -218,30 +253,29 @@
         incoming.client_wait = incoming
             .client_wait
             .map(|wait| wait.saturating_sub(incoming.age));
-        // Where much input is unread, a request and its cancellation may be read together, before
-        // the request is registered. It would be run although its caller is gone.
-        if connection
-            .open_requests
-            .lock()
-            .get(&sequence)
-            .is_some_and(|open| open.is_cancelled)
-        {
+        if connection.is_cancelled(sequence) {
             incoming.client_wait = Some(Duration::ZERO);
         }
         incoming.body_hash = self.body_hasher.hash_one(&body);
         let pending = PendingReply::new(&self.table, connection, sequence);
-        match self.registry.register(incoming) {
-            Ok(ticket) => {
-                let run = Run {
-                    handler: self,
-                    id: &id,
-                    class: &class,
-                    body: &body,
-                    at_most_once,
-                };
-                run.carry_out(&ticket, &pending);
-            }
-            Err(error) => self.reply_unregistered(connection, &pending, error),
+        let ticket = match self.registry.register(incoming) {
+            Ok(ticket) => ticket,
+            Err(error) => return self.reply_unregistered(connection, &pending, error),
+        };
+        let is_finished = ticket.is_finished_on_arrival();
+        let run = Run {
+            handler: self.clone(),
+            ticket,
+            pending,
+            id,
+            class,
+            body,
+            at_most_once,
+        };
+        if is_finished {
+            run.carry_out();
+        } else {
+            spawn(move || run.carry_out());
         }
     }
 
@@ -321,34 +355,36 @@
     }
 }
 
-/// A registered request, as its coroutine carries out its commands.
-struct Run<'a> {
-    handler: &'a RequestHandler,
-    id: &'a RequestId,
-    class: &'a ClassName,
-    body: &'a Bytes,
+/// A registered request, and the commands for it that are carried out.
+struct Run {
+    handler: Arc<RequestHandler>,
+    ticket: Ticket,
+    pending: PendingReply,
+    id: RequestId,
+    class: ClassName,
+    body: Bytes,
     at_most_once: bool,
 }
 
-impl Run<'_> {
+impl Run {
     /// Carries out one command after the other until there are no more.
-    fn carry_out(&self, ticket: &Ticket, pending: &PendingReply) {
+    fn carry_out(self) {
         let RequestHandler {
             registry,
             executor,
             store,
             ..
-        } = self.handler;
+        } = &*self.handler;
         let mut calls = 0;
         let mut call_deadline = None;
         loop {
-            let Some(command) = ticket.next_command(call_deadline) else {
+            let Some(command) = self.ticket.next_command(call_deadline) else {
                 // The call has timed out. It may have had its effect, unless it never left this
                 // process.
                 call_deadline = None;
-                let outcome = store.give_up(self.id, calls);
+                let outcome = store.give_up(&self.id, calls);
                 registry.report(
-                    self.id,
+                    &self.id,
                     RequestEvent::CallFinished {
                         outcome,
                         reply: Bytes::default(),
@@ -357,50 +393,52 @@
                 continue;
             };
             match command {
-                Command::Start => executor.start(self.id, self.class, self.body, self.at_most_once),
-                Command::Cancel => executor.cancel(self.id),
+                Command::Start => {
+                    executor.start(&self.id, &self.class, &self.body, self.at_most_once);
+                }
+                Command::Cancel => executor.cancel(&self.id),
                 Command::StartCall { timeout, body } => {
                     calls += 1;
                     call_deadline = Instant::now().checked_add(timeout);
-                    store.call(self.id, calls, timeout, &body);
+                    store.call(&self.id, calls, timeout, &body);
                 }
                 Command::Resume { reply } => {
                     call_deadline = None;
-                    executor.reply(self.id, &reply);
+                    executor.reply(&self.id, &reply);
                 }
                 Command::SkipCall { call } => {
                     call_deadline = None;
-                    executor.skip_call(self.id, call);
+                    executor.skip_call(&self.id, call);
                 }
-                Command::Respond(response) => self.respond(pending, &response),
+                Command::Respond(response) => self.respond(&response),
                 Command::Finish => break,
             }
         }
         // The run has ended while its call was in flight.
         if call_deadline.is_some() {
-            store.give_up(self.id, calls);
+            store.give_up(&self.id, calls);
         }
     }
 
-    fn respond(&self, pending: &PendingReply, response: &Response) {
+    fn respond(&self, response: &Response) {
         let mut fields = Vec::with_capacity(MAX_REPLY_FIELDS);
         fields.extend(self.handler.registry.feedback().map(codec::feedback_field));
         match response {
             Response::Completed(result) => {
-                pending.send(&Reply::Result {
+                self.pending.send(&Reply::Result {
                     body: result,
                     fields: &fields,
                     succeeded: true,
                 });
             }
-            Response::Failed => pending.send(&Reply::Failed { fields: &fields }),
+            Response::Failed => self.pending.send(&Reply::Failed { fields: &fields }),
             Response::Rejected {
                 retry_after,
                 retry_other_server,
             } => {
                 fields.extend(retry_after.map(codec::retry_after_field));
                 fields.extend((!retry_other_server).then(codec::no_retry_other_server_field));
-                pending.send(&Reply::Rejected { fields: &fields });
+                self.pending.send(&Reply::Rejected { fields: &fields });
             }
         }
     }
--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -31,6 +31,9 @@
 pub(super) trait MessageHandler {
     /// Handles a message, and returns whether it was well-formed.
     fn handle_message(&self, connection: &Arc<Connection>, message: Message) -> bool;
+
+    /// All messages that were read together are handled.
+    fn finish_messages(&self, connection: &Arc<Connection>);
 }
 
 /// A connection in the hands of its own coroutine.
@@ -90,9 +93,11 @@
     /// The error with which the connection has failed.
     pub(super) fn run(&mut self) -> io::Result<()> {
         loop {
-            self.send_drain_notification();
             self.stream.flush()?;
             let turn = self.read_messages()?;
+            // Behind what was read, so that the replies to it go out in the same write.
+            self.send_drain_notification();
+            self.stream.flush()?;
             let is_closing = self.check_input(&turn);
             if self.finish(&turn, is_closing) {
                 return Ok(());
@@ -130,19 +135,29 @@
         while turn.has_more && self.may_read(&turn) {
             turn.has_more = self.stream.read()?;
             turn.steps += 1;
-            while self.may_read(&turn) {
-                let Ok(length) = codec::frame_length(self.stream.input.contiguous()) else {
-                    self.stop_at_malformed_bytes();
-                    break;
-                };
-                let Some(length) = length else { break };
-                turn.steps += 1;
-                self.handle_frame(length);
+            // What is answered at once leaves room for more of the messages that were read.
+            while self.handle_frames(&mut turn) > 0 {
+                self.handler.finish_messages(self.connection);
             }
         }
         Ok(turn)
     }
 
+    /// Handles the messages that were read, as far as there is room. Returns how many there were.
+    fn handle_frames(&mut self, turn: &mut Turn) -> usize {
+        let steps_before = turn.steps;
+        while self.may_read(turn) {
+            let Ok(length) = codec::frame_length(self.stream.input.contiguous()) else {
+                self.stop_at_malformed_bytes();
+                break;
+            };
+            let Some(length) = length else { break };
+            turn.steps += 1;
+            self.handle_frame(length);
+        }
+        turn.steps - steps_before
+    }
+
     /// Nothing more is read behind bytes that are no message. A message that is one and that its
     /// handler rejects is counted there, with a line of its own.
     fn stop_at_malformed_bytes(&mut self) {
--- a/crates/server/src/requests/registry.rs
+++ b/crates/server/src/requests/registry.rs
@@ -111,6 +111,7 @@
             state: self.state.clone(),
             index,
             waiter,
+            is_finished_on_arrival: state.is_released(index),
         })
     }
 
--- a/crates/server/src/requests/state/mod.rs
+++ b/crates/server/src/requests/state/mod.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Whether the controller has released a request: no command is added to those that it has.
+    pub(super) fn is_released(&self, index: usize) -> bool {
+        self.requests[index].is_released
+    }
+
     /// Takes the next command for the coroutine of a request.
     pub(super) fn next_command(&mut self, index: usize) -> Option<Command> {
         self.requests[index].next_command()
--- a/crates/server/src/requests/ticket.rs
+++ b/crates/server/src/requests/ticket.rs
@@ -16,9 +16,16 @@
     pub(super) state: Arc<Mutex<RegistryState>>,
     pub(super) index: usize,
     pub(super) waiter: Arc<Blocker>,
+    /// The controller has answered and released it on its arrival.
+    pub(super) is_finished_on_arrival: bool,
 }
 
 impl Ticket {
+    /// Whether all commands that there will ever be are queued, so that none blocks.
+    pub(crate) fn is_finished_on_arrival(&self) -> bool {
+        self.is_finished_on_arrival
+    }
+
     /// Blocks until there is a command; `None` once `deadline` has passed without one.
     pub(crate) fn next_command(&self, deadline: Option<Instant>) -> Option<Command> {
         loop {
--- a/crates/server/tests/program/cost.rs
+++ b/crates/server/tests/program/cost.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::harness::backend::{TestBackend, start_backend_with_settings};
-use crate::harness::edge_node::{AnswerKind, request_fields_with};
+use crate::harness::edge_node::{AnswerKind, ReceivedAnswer, request_fields_with};
 use crate::harness::unique_address;
 use crate::recording::recording_settings;
 
@@ -195,3 +195,72 @@
     );
     assert_eq!(records as u32, REQUESTS);
 }
+
+/// Processor time that all ended children of the test have used.
+fn cpu_of_ended_children() -> Duration {
+    let mut usage = std::mem::MaybeUninit::<libc::rusage>::zeroed();
+    // Safe: the call fills the structure, for which all values are valid.
+    let usage = unsafe {
+        assert_eq!(
+            libc::getrusage(libc::RUSAGE_CHILDREN, usage.as_mut_ptr()),
+            0
+        );
+        usage.assume_init()
+    };
+    let time = |time: libc::timeval| {
+        Duration::from_secs(time.tv_sec as u64) + Duration::from_micros(time.tv_usec as u64)
+    };
+    time(usage.ru_utime) + time(usage.ru_stime)
+}
+
+/// Requests that all wait to be read at a shutdown which leaves no time to run any: processor time
+/// for each until the process has ended, that of its connections included. `COST_CONNECTIONS` and
+/// `COST_REQUESTS` change how many there are.
+#[test]
+#[ignore = "a measurement"]
+fn cost_of_a_rejection() {
+    let count = |variable: &str, usual: u32| {
+        std::env::var(variable).map_or(usual, |text| text.parse().unwrap())
+    };
+    let connections = count("COST_CONNECTIONS", 256);
+    let requests = count("COST_REQUESTS", 24);
+    let mut each = Vec::new();
+    for _ in 0..PAIRS {
+        let mut backend = crate::harness::backend::start_backend_with_changes(&[
+            ("\"drain_grace\":1000.0", "\"drain_grace\":100.0"),
+            ("\"stop_ms\":4000", "\"stop_ms\":500"),
+        ]);
+        let mut edges: Vec<_> = (0..connections).map(|_| backend.connect()).collect();
+        // Every connection is accepted by the time that this one is served.
+        let mut last = backend.connect();
+        last.send_request(1, "00000000ffffffff", b"run");
+        last.expect_answer(1, AnswerKind::Answer);
+        backend.signal("STOP");
+        for (at, edge) in edges.iter_mut().enumerate() {
+            for sequence in 1..=requests {
+                edge.send_request(sequence, &format!("{at:08x}{sequence:08x}"), b"run");
+            }
+        }
+        let before: f64 = cpu_seconds_by_thread(backend.child.id()).values().sum();
+        let ended_before = cpu_of_ended_children();
+        backend.signal("TERM");
+        let started_at = Instant::now();
+        backend.signal("CONT");
+        for edge in &mut edges {
+            let is_rejection = |answer: &ReceivedAnswer| answer.kind == AnswerKind::Rejected;
+            let mut answers = std::iter::from_fn(|| edge.read_answer()).filter(is_rejection);
+            assert_eq!(
+                answers.by_ref().take(requests as usize).count(),
+                requests as usize
+            );
+        }
+        let answered_after = started_at.elapsed();
+        assert!(backend.wait_for_exit().success());
+        let used = (cpu_of_ended_children() - ended_before).as_secs_f64() - before;
+        let used = used * 1e6 / f64::from(connections * requests);
+        println!("{used:.2} us of CPU a request, all answered after {answered_after:.1?}");
+        each.push(used);
+    }
+    each.sort_by(f64::total_cmp);
+    println!("median {:.2} us of CPU a request", each[each.len() / 2]);
+}
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -24,6 +24,7 @@
 mod restart;
 mod serving;
 mod shutdown_backlog;
+mod shutdown_time;
 mod slow_clients;
 mod soak;
 mod socket_options;
