Connections that owe nothing, or that go on sending, no longer hold a drain

What callers saw: a server that was told to shut down stayed to its last moment for connections on which nothing was owed, and what was written to it meanwhile was lost when it ended.

--- a/crates/connection-limits/src/connection.rs
+++ b/crates/connection-limits/src/connection.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::descriptor_owner::DescriptorOwner;
+use crate::event::CloseReason;
 
 /// An open connection. Owned by the limiter.
 pub(crate) struct Connection {
@@ -24,6 +25,9 @@
     /// A message timed out while a request was in flight: the connection is closed once that has
     /// finished.
     pub(crate) is_message_overdue: bool,
+    /// The client did not close it in time while a request was in flight: the connection is closed
+    /// once that has finished.
+    pub(crate) is_close_overdue: bool,
     /// The host was told to close it.
     pub(crate) is_closing: bool,
 }
@@ -41,10 +45,22 @@
             has_sent_message: false,
             open_requests: 0,
             is_message_overdue: false,
+            is_close_overdue: false,
             is_closing: false,
         }
     }
 
+    /// Why it is closed once no request is in flight, if it is.
+    pub(crate) fn overdue(&self) -> Option<CloseReason> {
+        if self.is_message_overdue {
+            Some(CloseReason::MessageTimeout)
+        } else if self.is_close_overdue {
+            Some(CloseReason::CloseTimeout)
+        } else {
+            None
+        }
+    }
+
     /// Whether no request is in flight and no message is awaited.
     pub(crate) fn is_idle(&self) -> bool {
         self.open_requests == 0 && self.message_awaited_since.is_none()
--- a/crates/connection-limits/src/limiter/closing.rs
+++ b/crates/connection-limits/src/limiter/closing.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::Limiter;
+use super::{Limiter, Phase};
 use crate::event::{Action, CloseReason, ConnectionId};
 use crate::eviction::{Eviction, EvictionClass, Urgency};
 use crate::timeouts::DeadlineOutcome;
@@ -38,6 +38,7 @@
                     self.close(id, CloseReason::MessageTimeout, actions);
                 }
             }
+            DeadlineOutcome::CloseOverdue => connection.is_close_overdue = true,
             DeadlineOutcome::Close(reason) => self.close(id, reason, actions),
             DeadlineOutcome::RequestClose => self.request_close(now, id, actions),
             DeadlineOutcome::Nothing => {}
@@ -113,7 +114,7 @@
             return;
         }
         connection.close_requested_at = Some(now);
-        if connection.is_idle() {
+        if connection.is_idle() || self.phase == Phase::Draining {
             let deadline = self.timeouts.idle_deadline(connection, now);
             self.deadlines.set(id, deadline);
         }
--- a/crates/connection-limits/src/limiter/mod.rs
+++ b/crates/connection-limits/src/limiter/mod.rs
@@ -13,7 +13,7 @@
 use crate::deadlines::Deadlines;
 use crate::descriptor_budget::DescriptorBudget;
 use crate::descriptor_owner::DescriptorOwner;
-use crate::event::{AcceptError, Action, CloseReason, ConnectionId, Event, RejectReason};
+use crate::event::{AcceptError, Action, ConnectionId, Event, RejectReason};
 use crate::eviction::{EvictionQueues, Urgency};
 use crate::known_clients::KnownClients;
 use crate::network_limiter::NetworkLimiter;
@@ -282,8 +282,8 @@
         connection.last_used_at = now;
         connection.message_awaited_since = None;
         connection.partial_message_since = None;
-        self.deadlines
-            .set(id, now.saturating_add(self.timeouts.idle));
+        let deadline = self.timeouts.deadline_after_message(connection, now);
+        self.deadlines.set(id, deadline);
         self.update_eviction_class(id);
     }
 
@@ -309,7 +309,9 @@
         connection.open_requests = connection.open_requests.saturating_sub(1);
         connection.last_used_at = now;
         let address = connection.address;
-        let has_timed_out = connection.is_message_overdue && connection.open_requests == 0;
+        let overdue = connection
+            .overdue()
+            .filter(|_| connection.open_requests == 0);
         if connection.is_idle() {
             let deadline = self.timeouts.idle_deadline(connection, now);
             self.deadlines.set(id, deadline);
@@ -318,8 +320,8 @@
         if is_answered {
             self.known_clients.record_success(now, address);
         }
-        if has_timed_out {
-            self.close(id, CloseReason::MessageTimeout, actions);
+        if let Some(reason) = overdue {
+            self.close(id, reason, actions);
         }
     }
 
--- a/crates/connection-limits/src/timeouts.rs
+++ b/crates/connection-limits/src/timeouts.rs
@@ -5,6 +5,10 @@
 //! descriptor for ever. A request in flight is answered before its connection is closed, so no
 //! answer is lost to a timeout.
 //!
+//! In a drain the client of each connection was asked to send nothing more. So a connection on which
+//! nothing has begun is closed as an idle one is, whether or not it was ever used: it would
+//! otherwise hold the drain for the time of a first message that does not come.
+//!
 //! The price: a client whose message takes longer than the message timeout is cut off in its midst,
 //! an idle client has to connect anew, and a request that is in transit when its connection is
 //! closed is lost; the client has to send it again.
@@ -29,6 +33,7 @@
     pub(crate) idle: Duration,
     /// From the request to close until the connection is closed.
     pub(crate) close: Duration,
+    is_draining: bool,
 }
 
 impl Timeouts {
@@ -38,12 +43,36 @@
             message,
             idle,
             close: CLOSE_TIMEOUT,
+            is_draining: false,
         }
     }
 
     /// Clients get less time to close from now on: the process is about to end.
     pub(crate) fn start_drain(&mut self) {
         self.close = DRAIN_CLOSE_TIMEOUT;
+        self.is_draining = true;
+    }
+
+    /// Since when a complete message is awaited for which the connection is kept.
+    fn message_awaited_since(&self, connection: &Connection) -> Option<Duration> {
+        let sends_nothing_more = self.is_draining && connection.close_requested_at.is_some();
+        if sends_nothing_more && connection.partial_message_since.is_none() {
+            return None;
+        }
+        connection.message_awaited_since
+    }
+
+    /// The deadline of a connection on which a message has completed.
+    pub(crate) fn deadline_after_message(
+        &self,
+        connection: &Connection,
+        now: Duration,
+    ) -> Duration {
+        if self.is_draining {
+            self.idle_deadline(connection, now)
+        } else {
+            now.saturating_add(self.idle)
+        }
     }
 
     /// The deadline of a connection that has become idle.
@@ -66,7 +95,7 @@
         connection: &Connection,
         now: Duration,
     ) -> DeadlineOutcome {
-        if let Some(since) = connection.message_awaited_since {
+        if let Some(since) = self.message_awaited_since(connection) {
             return if now.saturating_sub(since) < self.message {
                 DeadlineOutcome::Extend(since.saturating_add(self.message))
             } else {
@@ -74,8 +103,17 @@
             };
         }
         if connection.open_requests > 0 {
-            // The deadline is set again when the request has finished.
-            return DeadlineOutcome::Nothing;
+            // A client that goes on sending may never be without a request in flight.
+            let close_at = connection
+                .close_requested_at
+                .map(|at| at.saturating_add(self.close));
+            return match close_at {
+                Some(close_at) if self.is_draining && close_at <= now => {
+                    DeadlineOutcome::CloseOverdue
+                }
+                // The deadline is set again when the request has finished.
+                _ => DeadlineOutcome::Nothing,
+            };
         }
         if let Some(requested_at) = connection.close_requested_at {
             return if now.saturating_sub(requested_at) < self.close {
@@ -99,6 +137,8 @@
     Extend(Duration),
     /// A message did not complete in time: the connection is closed once no request is in flight.
     MessageOverdue,
+    /// The client did not close in time: the connection is closed as soon as no request is in flight.
+    CloseOverdue,
     /// The connection is closed.
     Close(CloseReason),
     /// The client is asked to close the connection.
--- a/crates/connection-limits/tests/limiter/timeouts.rs
+++ b/crates/connection-limits/tests/limiter/timeouts.rs
@@ -56,3 +56,49 @@
     server.advance(ms(100));
     assert!(!server.open.contains_key(&connection));
 }
+
+/// Guards against a drain that is held by connections on which nothing was ever sent: they were kept
+/// for the time of a first message, which does not come behind the request to close.
+#[test]
+fn drain_closes_unused_connections_as_idle_ones() {
+    let mut server = Server::new(config());
+    let silent = server.accept(v4(127, 1, 1, 1)).unwrap();
+    let partial = server.accept(v4(127, 2, 1, 1)).unwrap();
+    server.handle(Event::MessageStarted {
+        connection: partial,
+    });
+    let cancelling = server.accept(v4(127, 3, 1, 1)).unwrap();
+    server.handle(Event::Drain);
+    // A message that starts no request.
+    server.handle(Event::MessageCompleted {
+        connection: cancelling,
+    });
+    server.advance(ms(50));
+    assert!(server.closed.is_empty(), "each may still send for 60 ms");
+    server.advance(ms(30));
+    assert!(!server.open.contains_key(&silent));
+    assert!(!server.open.contains_key(&cancelling));
+    assert!(
+        server.open.contains_key(&partial),
+        "its message is in transit"
+    );
+    server.advance(ms(2000));
+    assert!(!server.open.contains_key(&partial));
+}
+
+/// Guards against a client that holds a drain by sending without a pause: it was never without a
+/// request in flight when its deadline came.
+#[test]
+fn drain_closes_a_connection_at_its_first_moment_without_a_request() {
+    let mut server = Server::new(config());
+    let connection = server.accept(v4(127, 1, 1, 1)).unwrap();
+    server.serve(connection);
+    server.start_request(connection);
+    server.handle(Event::Drain);
+    server.advance(ms(100));
+    server.start_request(connection);
+    server.finish_request(connection, true);
+    assert!(server.closed.is_empty(), "another is in flight");
+    server.finish_request(connection, true);
+    assert_eq!(server.closed, [(connection, CloseReason::CloseTimeout)]);
+}
--- a/crates/server/src/net/executor/link.rs
+++ b/crates/server/src/net/executor/link.rs
@@ -72,7 +72,7 @@
             // none of them.
             (
                 state.notices.last(),
-                state.queries.open(Arc::new(Blocker::new(true)), 0),
+                state.queries.open(Arc::new(Blocker::new(true)), false, 0),
             )
         };
         output.send(&[open(last_notice).as_bytes()]);
@@ -100,7 +100,7 @@
         let commands_before = state.commands_sent;
         let tag = state
             .queries
-            .open(Arc::new(Blocker::new(true)), commands_before);
+            .open(Arc::new(Blocker::new(true)), false, commands_before);
         drop(state);
         output.try_send(&[Query::Gauges.encode(tag).as_bytes()]);
         let (client, output) = (self.clone(), output.clone());
--- a/crates/server/src/net/executor/mod.rs
+++ b/crates/server/src/net/executor/mod.rs
@@ -148,6 +148,11 @@
         matches!(self.query(Query::Work, within), Some(Reply::Worked(true)))
     }
 
+    /// Ends the waits for pieces of work: none of them counts as done.
+    pub(crate) fn abandon_work(&self) {
+        self.state.lock().queries.abandon_work();
+    }
+
     /// Sends a command, and has `record` note how far it has come. Without a link it is not sent;
     /// the next link sends it if its run is still open.
     fn send(&self, id: &str, command: &Command, record: impl FnOnce(&mut LinkState, Delivery)) {
@@ -178,7 +183,10 @@
             let mut state = self.state.lock();
             let output = state.output.clone()?;
             let commands_before = state.commands_sent;
-            let tag = state.queries.open(waiter.clone(), commands_before);
+            let is_for_work = matches!(query, Query::Work);
+            let tag = state
+                .queries
+                .open(waiter.clone(), is_for_work, commands_before);
             // Where the buffer is full, the reply would be too late anyway.
             if output.try_send(&[query.encode(tag).as_bytes()]) != SendOutcome::Queued {
                 state.queries.close(tag);
--- a/crates/server/src/net/executor/queries.rs
+++ b/crates/server/src/net/executor/queries.rs
@@ -17,6 +17,8 @@
 
 struct OpenQuery {
     waiter: Arc<Blocker>,
+    /// It asks for a piece of work.
+    is_for_work: bool,
     /// The number of commands that were sent before it.
     commands_before: u64,
     reply: Option<Reply>,
@@ -32,12 +34,18 @@
 
 impl Queries {
     /// Opens a query and returns its tag.
-    pub(super) fn open(&mut self, waiter: Arc<Blocker>, commands_before: u64) -> u64 {
+    pub(super) fn open(
+        &mut self,
+        waiter: Arc<Blocker>,
+        is_for_work: bool,
+        commands_before: u64,
+    ) -> u64 {
         self.last_tag += 1;
         self.open.insert(
             self.last_tag,
             OpenQuery {
                 waiter,
+                is_for_work,
                 commands_before,
                 reply: None,
             },
@@ -66,6 +74,14 @@
             .is_none_or(|query| query.reply.is_some())
     }
 
+    /// Nobody waits any more for a piece of work to get done.
+    pub(super) fn abandon_work(&mut self) {
+        let abandoned = self.open.extract_if(|_, query| query.is_for_work);
+        for (_, query) in abandoned {
+            query.waiter.unpark();
+        }
+    }
+
     /// The link has ended: none of its queries will be answered.
     pub(super) fn abandon_all(&mut self) {
         for query in std::mem::take(&mut self.open).into_values() {
--- a/crates/server/src/net/frontend/health.rs
+++ b/crates/server/src/net/frontend/health.rs
@@ -2,7 +2,7 @@
 //! do a piece of work, so that it notices an executor which hangs.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tulipgap_connection_limits::Event;
@@ -22,6 +22,8 @@
     registry: Arc<RequestRegistry>,
     executor: Arc<ExecutorClient>,
     table: Arc<ConnectionTable>,
+    /// No deep check waits for its work any more.
+    is_draining: AtomicBool,
 }
 
 impl HealthChecks {
@@ -35,9 +37,17 @@
             registry,
             executor,
             table,
+            is_draining: AtomicBool::new(false),
         })
     }
 
+    /// The drain begins: deep checks that wait for the executor end, and their connections with
+    /// them. One that hangs would otherwise have them hold the places that requests wait for.
+    pub(super) fn start_drain(&self) {
+        self.is_draining.store(true, Ordering::Release);
+        self.executor.abandon_work();
+    }
+
     /// Answers a shallow check at once, and starts a coroutine for a deep one.
     pub(super) fn handle(
         self: &Arc<Self>,
@@ -57,8 +67,7 @@
     }
 
     fn answer(&self, connection: &Connection, sequence: i32, is_deep: bool) {
-        let is_healthy =
-            self.registry.is_healthy() && (!is_deep || self.executor.does_work(DEEP_CHECK_TIMEOUT));
+        let is_healthy = self.registry.is_healthy() && (!is_deep || self.executor_does_work());
         let feedback = self.registry.feedback().map(codec::feedback_field);
         let fields: Vec<_> = feedback.into_iter().collect();
         let reply = Reply::Result {
@@ -74,4 +83,8 @@
             is_answered: false,
         });
     }
+
+    fn executor_does_work(&self) -> bool {
+        !self.is_draining.load(Ordering::Acquire) && self.executor.does_work(DEEP_CHECK_TIMEOUT)
+    }
 }
--- a/crates/server/src/net/frontend/mod.rs
+++ b/crates/server/src/net/frontend/mod.rs
@@ -179,6 +179,7 @@
     /// connections would fill the backlog, and the system would drop the first packets of others.
     pub(crate) fn close(&self) {
         self.acceptor.close();
+        self.health_checks.start_drain();
         self.table.notify(Event::Drain);
     }
 
--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -3,7 +3,7 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tulipgap_connection_limits::Event;
 
@@ -21,6 +21,9 @@
 const MAX_STEPS_PER_TURN: usize = 64;
 /// The pause of a session that has used up its turn.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
+/// How long a connection that is to close is still read once nothing on it is open. Its edge node
+/// was asked to send nothing more, and sends what crosses that for this long once more.
+const CLOSING_READ_TIME: Duration = Duration::from_millis(50);
 /// Malformed messages that are tolerated on a connection. With the next one, which is answered like
 /// the others, reading ends.
 const MAX_MALFORMED_MESSAGES: usize = 8;
@@ -49,6 +52,11 @@
     /// The limiter is notified that a message has begun.
     has_begun_message: bool,
     drain_notification_is_sent: bool,
+    /// Since when the limiter has closed it and nothing on it is open, whatever its edge node still
+    /// sends.
+    closing_since: Option<Instant>,
+    /// The socket is read no more; whole messages that were read are still handled.
+    has_stopped_reading: bool,
     malformed_messages: usize,
 }
 
@@ -56,7 +64,7 @@
 struct Turn {
     /// Messages that were handled, and reads from the socket.
     steps: usize,
-    /// The socket may have more to read.
+    /// The socket may have more to read, or a message that was read is still to be handled.
     has_more: bool,
 }
 
@@ -83,6 +91,8 @@
             has_read_message: false,
             has_begun_message: false,
             drain_notification_is_sent: false,
+            closing_since: None,
+            has_stopped_reading: false,
             malformed_messages: 0,
         }
     }
@@ -93,23 +103,40 @@
     /// The error with which the connection has failed.
     pub(super) fn run(&mut self) -> io::Result<()> {
         loop {
-            self.stream.flush()?;
-            let turn = self.read_messages()?;
-            // Behind what was read, so that the replies to it go out in the same write.
-            self.send_drain_notification();
-            self.stream.flush()?;
+            self.stream.output.begin_turn();
+            let turn = self.take_turn()?;
             let is_closing = self.check_input(&turn);
             if self.finish(&turn, is_closing) {
                 return Ok(());
             }
+            let has_new_output = self.stream.output.end_turn();
             if turn.is_used_up() {
                 clock::sleep(TURN_PAUSE)
-            } else {
+            } else if !has_new_output {
                 self.stream.wait()
             }
         }
     }
 
+    /// Writes what waits, and reads and handles messages as far as there is room.
+    fn take_turn(&mut self) -> io::Result<Turn> {
+        let mut turn = Turn {
+            steps: 0,
+            has_more: self.is_readable,
+        };
+        self.stream.flush()?;
+        loop {
+            self.read_messages(&mut turn)?;
+            // Behind what was read, so that the replies to it go out in the same write.
+            self.send_drain_notification();
+            self.stream.flush()?;
+            // What is written has left room for more.
+            if !turn.has_more || !self.may_read(&turn) {
+                return Ok(turn);
+            }
+        }
+    }
+
     /// Sends the drain notification, once the connection is to close. Where the buffer is full, the
     /// next turn sends it.
     fn send_drain_notification(&mut self) {
@@ -126,21 +153,18 @@
         self.is_readable && self.connection.has_room() && !turn.is_used_up()
     }
 
-    /// Reads and handles messages, for one turn.
-    fn read_messages(&mut self) -> io::Result<Turn> {
-        let mut turn = Turn {
-            steps: 0,
-            has_more: self.is_readable,
-        };
-        while turn.has_more && self.may_read(&turn) {
-            turn.has_more = self.stream.read()?;
+    /// Reads and handles messages until there are no more, or no room for them.
+    fn read_messages(&mut self, turn: &mut Turn) -> io::Result<()> {
+        while turn.has_more && self.may_read(turn) {
+            turn.has_more = !self.has_stopped_reading && self.stream.read()?;
             turn.steps += 1;
             // What is answered at once leaves room for more of the messages that were read.
-            while self.handle_frames(&mut turn) > 0 {
+            while self.handle_frames(turn) > 0 {
                 self.handler.finish_messages(self.connection);
             }
+            turn.has_more |= self.has_whole_message();
         }
-        Ok(turn)
+        Ok(())
     }
 
     /// Handles the messages that were read, as far as there is room. Returns how many there were.
@@ -190,10 +214,7 @@
     /// Stops reading where a message takes too long, and notifies the limiter of one that has
     /// begun. Returns whether the connection is to close.
     fn check_input(&mut self, turn: &Turn) -> bool {
-        let has_partial_message = self.is_readable
-            && !turn.is_used_up()
-            && self.stream.input.len() > 0
-            && self.connection.has_room();
+        let has_partial_message = self.is_readable && !turn.has_more && self.stream.input.len() > 0;
         if has_partial_message && !std::mem::replace(&mut self.has_begun_message, true) {
             self.table.notify(Event::MessageStarted {
                 connection: self.connection.id,
@@ -201,7 +222,10 @@
         }
         let is_closing = self.connection.is_closing();
         let has_timed_out = self.connection.has_timed_out();
-        let is_cut_short = has_partial_message && is_closing && self.connection.open() == 0;
+        let may_end = is_closing && self.connection.open() == 0;
+        self.stop_reading_in_time(may_end);
+        let is_read_to_the_end = self.has_stopped_reading && !turn.has_more;
+        let is_cut_short = may_end && (has_partial_message || is_read_to_the_end);
         if self.is_readable && has_timed_out {
             self.is_readable = false;
             if let Some(count) = MESSAGE_TIMEOUTS.pass() {
@@ -214,6 +238,26 @@
         is_closing
     }
 
+    /// Whether a message that was read is still to be handled. Bytes that can be none count as one:
+    /// they are met where the next message is handled.
+    fn has_whole_message(&mut self) -> bool {
+        !matches!(
+            codec::frame_length(self.stream.input.contiguous()),
+            Ok(None)
+        )
+    }
+
+    /// Stops reading a connection that is to end once its edge node has had the time to learn that.
+    /// One that sends without a pause would otherwise never end.
+    fn stop_reading_in_time(&mut self, is_to_end: bool) {
+        if !is_to_end {
+            self.closing_since = None;
+            return;
+        }
+        let since = *self.closing_since.get_or_insert_with(Instant::now);
+        self.has_stopped_reading |= since.elapsed() > CLOSING_READ_TIME;
+    }
+
     /// Whether the session ends here.
     fn finish(&mut self, turn: &Turn, is_closing: bool) -> bool {
         let state = ConnectionState {
--- a/crates/server/src/net/stream.rs
+++ b/crates/server/src/net/stream.rs
@@ -35,6 +35,10 @@
 pub(crate) struct Output {
     pub(super) buffer: Mutex<RingBuffer>,
     waker: WaitIoWaker,
+    /// The connection's own coroutine runs and will write what is added, so it need not be woken.
+    is_in_turn: AtomicBool,
+    /// Bytes were added since that coroutine wrote last.
+    has_new_bytes: AtomicBool,
     pub(super) is_closed: AtomicBool,
 }
 
@@ -55,7 +59,10 @@
         if !self.buffer.lock().push(parts) {
             return SendOutcome::Full;
         }
-        self.waker.wakeup();
+        self.has_new_bytes.store(true, Ordering::SeqCst);
+        if !self.is_in_turn.load(Ordering::SeqCst) {
+            self.waker.wakeup();
+        }
         SendOutcome::Queued
     }
 
@@ -69,6 +76,20 @@
         }
     }
 
+    /// The connection's own coroutine begins a turn: until its end it is not woken for bytes that
+    /// are added. One that wakes itself by its replies would never wait, and the worker polls the
+    /// other sockets only once nothing runs.
+    pub(crate) fn begin_turn(&self) {
+        self.is_in_turn.store(true, Ordering::SeqCst);
+    }
+
+    /// The turn ends. Returns whether bytes were added that were not written yet: nobody was woken
+    /// for them.
+    pub(crate) fn end_turn(&self) -> bool {
+        self.is_in_turn.store(false, Ordering::SeqCst);
+        self.has_new_bytes.load(Ordering::SeqCst)
+    }
+
     /// Wakes the connection's own coroutine.
     pub(crate) fn wake(&self) {
         self.waker.wakeup();
@@ -99,6 +120,8 @@
         let output = Output {
             buffer: Mutex::new(RingBuffer::new(max_output_bytes)),
             waker: stream.waker(),
+            is_in_turn: AtomicBool::new(false),
+            has_new_bytes: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
         };
         BufferedStream {
@@ -112,6 +135,7 @@
     /// Writes what waits, as far as the socket takes it without blocking.
     pub(crate) fn flush(&mut self) -> io::Result<()> {
         let mut buffer = self.output.buffer.lock();
+        self.output.has_new_bytes.store(false, Ordering::SeqCst);
         while buffer.len() > 0 {
             match buffer.write_to(&mut self.stream.inner()) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -204,6 +204,8 @@
         let is_over = || self.frontend.is_over() && self.registry.open() == 0;
         while !is_over() && notice.elapsed() + TERMINATION_MARGIN < self.termination {
             std::thread::sleep(DRAIN_POLL_INTERVAL);
+            // Connections whose edge nodes do not close are closed on time.
+            self.frontend.sweep();
         }
         if !is_over() {
             self.log_cut_short();
