At a shutdown a place turns over as soon as everything on it is answered, sent, and needed elsewhere

What callers saw: whole requests in the backlog of a full server were lost where the shutdown left little time, behind connections that had been answered long before.

Cause: a place was given on by the limiter alone, in batches every 5 ms that the accepting coroutine asked for between sleeps of 1 and 20 ms (the notice did not wake it; it had 3 to 8 turns in 100 ms beside thousands of requests). A connection then kept its place until its peer's system had acknowledged its replies, which Linux delays by 40 ms, or, where the peer does not read, for a second.

Change: - A session whose edge node was sent the drain notification ends by itself once everything is answered and another waits for its place. Half a message is left to the limiter, as before. - A place that is freed wakes the accepting coroutine of a server that shuts down.

On a link that loses a segment, `sent`, the close and then bytes of the peer behind it could drop that reply: the reset that RFC 9293 wants for them ends the retransmission. So the acknowledgement is kept wherever there is time, and at a shutdown every peer was asked to send nothing more before.

The tests of the bound follow its formula: as many cases, exact as before.

--- a/crates/connection-limits/src/lib.rs
+++ b/crates/connection-limits/src/lib.rs
@@ -58,6 +58,7 @@
 mod event;
 mod eviction;
 mod known_clients;
+mod leaving;
 mod limiter;
 mod linked_queues;
 mod network_counts;
--- a/crates/connection-limits/src/limiter/closing.rs
+++ b/crates/connection-limits/src/limiter/closing.rs
@@ -8,9 +8,6 @@
 use crate::eviction::{Eviction, EvictionClass, Urgency};
 use crate::timeouts::DeadlineOutcome;
 
-/// Between two batches of evictions for the backlog of a server that shuts down.
-const EVICTION_BATCH_INTERVAL: Duration = Duration::from_millis(5);
-
 impl Limiter {
     /// Handles the deadlines that have come, and sets the timer for the next one.
     pub(super) fn advance_time(&mut self, now: Duration, actions: &mut Vec<Action>) {
@@ -35,11 +32,11 @@
                 connection.is_message_overdue = true;
                 // A request in flight is answered first.
                 if connection.open_requests == 0 {
-                    self.close(id, CloseReason::MessageTimeout, actions);
+                    self.close(now, id, CloseReason::MessageTimeout, actions);
                 }
             }
             DeadlineOutcome::CloseOverdue => connection.is_close_overdue = true,
-            DeadlineOutcome::Close(reason) => self.close(id, reason, actions),
+            DeadlineOutcome::Close(reason) => self.close(now, id, reason, actions),
             DeadlineOutcome::RequestClose => self.request_close(now, id, actions),
             DeadlineOutcome::Nothing => {}
         }
@@ -57,8 +54,8 @@
         }
     }
 
-    /// Evicts one connection for each of so many that wait, as far as there are any that may be
-    /// evicted. The next batch comes once those of this one have had time to leave their places.
+    /// Evicts one connection for each of so many that wait, less those that are about to leave their
+    /// places, as far as there are any that may be evicted.
     pub(super) fn make_room_for_all(
         &mut self,
         now: Duration,
@@ -66,11 +63,7 @@
         urgency: Urgency,
         actions: &mut Vec<Action>,
     ) {
-        if now < self.next_eviction_batch_at {
-            return;
-        }
-        self.next_eviction_batch_at = now.saturating_add(EVICTION_BATCH_INTERVAL);
-        for _ in 0..waiting.min(self.capacity) {
+        for _ in self.leaving.count(now)..waiting.min(self.capacity) {
             let actions_before = actions.len();
             self.make_room(now, urgency, actions);
             if actions.len() == actions_before {
@@ -86,9 +79,9 @@
             Some(Eviction::RequestClose(id)) => self.request_close(now, id, actions),
             Some(Eviction::RequestCloseAndClose(id)) => {
                 self.request_close(now, id, actions);
-                self.close(id, CloseReason::Evicted, actions);
+                self.close(now, id, CloseReason::Evicted, actions);
             }
-            Some(Eviction::Close(id)) => self.close(id, CloseReason::Evicted, actions),
+            Some(Eviction::Close(id)) => self.close(now, id, CloseReason::Evicted, actions),
             None => {}
         }
     }
@@ -125,6 +118,7 @@
     /// Has the host close a connection, once.
     pub(super) fn close(
         &mut self,
+        now: Duration,
         id: ConnectionId,
         reason: CloseReason,
         actions: &mut Vec<Action>,
@@ -140,6 +134,7 @@
             "invariant: no request is in flight on a closing connection"
         );
         connection.is_closing = true;
+        self.leaving.add(id, now);
         self.eviction_queues.remove(id);
         self.deadlines.cancel(id);
         actions.push(Action::Close {
--- a/crates/connection-limits/src/limiter/mod.rs
+++ b/crates/connection-limits/src/limiter/mod.rs
@@ -16,6 +16,7 @@
 use crate::event::{AcceptError, Action, ConnectionId, Event, RejectReason};
 use crate::eviction::{EvictionQueues, Urgency};
 use crate::known_clients::KnownClients;
+use crate::leaving::LeavingConnections;
 use crate::network_limiter::NetworkLimiter;
 use crate::slow_start::{OpenConnections, SlowStart};
 use crate::timeouts::Timeouts;
@@ -43,9 +44,8 @@
     eviction_queues: EvictionQueues,
     deadlines: Deadlines,
     phase: Phase,
-    /// No connection is evicted for the backlog of a shutdown before this time: those of the last
-    /// batch are about to leave their places.
-    next_eviction_batch_at: Duration,
+    /// The connections that the host was told to close a moment ago.
+    leaving: LeavingConnections,
 }
 
 /// How far the server's shutdown is.
@@ -89,7 +89,7 @@
             eviction_queues: EvictionQueues::new(),
             deadlines: Deadlines::new(),
             phase: Phase::Serving,
-            next_eviction_batch_at: Duration::ZERO,
+            leaving: LeavingConnections::default(),
         })
     }
 
@@ -321,7 +321,7 @@
             self.known_clients.record_success(now, address);
         }
         if let Some(reason) = overdue {
-            self.close(id, reason, actions);
+            self.close(now, id, reason, actions);
         }
     }
 
@@ -335,6 +335,7 @@
         let Some(connection) = self.connections.remove(id) else {
             return;
         };
+        self.leaving.remove(id);
         self.eviction_queues.remove(id);
         self.deadlines.cancel(id);
         self.descriptors.release(connection.owner);
--- a/crates/connection-limits/tests/limiter/eviction.rs
+++ b/crates/connection-limits/tests/limiter/eviction.rs
@@ -244,6 +244,7 @@
     server.advance(ms(61));
     assert_eq!(evicted(&mut server, Some(3)), 3);
     assert_eq!(evicted(&mut server, Some(3)), 0, "those are leaving");
+    assert_eq!(evicted(&mut server, Some(5)), 2, "two more have come");
     server.advance(ms(5));
     assert_eq!(evicted(&mut server, Some(0)), 0, "nobody waits");
     server.advance(ms(5));
@@ -251,6 +252,33 @@
     assert_eq!(evicted(&mut server, None), 1);
 }
 
+/// Guards against connections that do not leave their places, as their clients do not read: while
+/// they counted among the evicted, nobody else was evicted for those who wait.
+#[test]
+fn connections_that_do_not_leave_keep_nobody_waiting_at_a_shutdown() {
+    let mut config = config();
+    (config.full_policy, config.network_limits) = (FullPolicy::Wait, None);
+    let mut server = Server::new(config);
+    let owner = DescriptorOwner::NewClients;
+    while server.limiter.descriptors().available(owner) > 0 {
+        let connection = server.accept(v4(10, 0, 0, 1)).unwrap();
+        server.serve(connection);
+    }
+    server.handle(Event::ShutdownNotice);
+    server.advance(ms(61));
+    let evicted = |server: &mut Server| {
+        let mut actions = Vec::new();
+        assert!(!server.limiter.may_accept(server.now, Some(3), &mut actions));
+        let is_close = |action: &&Action| matches!(action, Action::Close { .. });
+        actions.iter().filter(is_close).count()
+    };
+    assert_eq!(evicted(&mut server), 3);
+    server.now += ms(4);
+    assert_eq!(evicted(&mut server), 0, "those are leaving");
+    server.now += ms(1);
+    assert_eq!(evicted(&mut server), 3, "they did not leave");
+}
+
 /// Guards against a client that loses its connection to an error of `accept` that it has not
 /// caused: any error that is not known was taken for a lack of descriptors.
 #[test]
--- a/crates/server/src/net/frontend/backlog_tests.rs
+++ b/crates/server/src/net/frontend/backlog_tests.rs
@@ -5,24 +5,39 @@
 
 use may::net::TcpListener;
 
-use super::{Backlog, TURNOVER, waiting_connections};
+use super::{Backlog, CONNECTION_TIME, REQUEST_TIME, TURNOVER, waiting_connections};
 
-fn answer_bound(waiting: usize, places: usize) -> Duration {
-    Backlog { waiting, places }.answer_bound()
+fn backlog(waiting: usize, places: usize) -> Backlog {
+    Backlog { waiting, places }
 }
 
 #[test]
-fn a_backlog_is_answered_in_a_turnover_for_each_round_of_the_places_and_one_more() {
-    assert_eq!(answer_bound(0, 96), Duration::ZERO);
-    assert_eq!(answer_bound(1, 96), TURNOVER * 2);
-    assert_eq!(answer_bound(96, 96), TURNOVER * 2);
-    assert_eq!(answer_bound(97, 96), TURNOVER * 3);
+fn a_backlog_is_answered_in_the_time_of_its_connections_and_of_their_requests() {
+    let one = CONNECTION_TIME + REQUEST_TIME * 32;
+    assert_eq!(backlog(0, 96).answer_bound(), Duration::ZERO);
+    assert_eq!(backlog(1, 96).answer_bound(), one);
+    assert_eq!(backlog(97, 96).answer_bound(), one * 97);
+}
+
+#[test]
+fn a_backlog_is_acknowledged_in_a_turnover_for_each_round_of_the_places_and_one_more() {
+    let turnovers = |waiting, places| {
+        let backlog = backlog(waiting, places);
+        backlog.acknowledged_bound() - backlog.answer_bound()
+    };
+    assert_eq!(turnovers(0, 96), Duration::ZERO);
+    assert_eq!(turnovers(1, 96), TURNOVER * 2);
+    assert_eq!(turnovers(96, 96), TURNOVER * 2);
+    assert_eq!(turnovers(97, 96), TURNOVER * 3);
 }
 
 #[test]
 fn a_backlog_without_places_or_beyond_all_numbers_has_a_bound() {
-    assert_eq!(answer_bound(3, 0), TURNOVER * 4);
-    assert_eq!(answer_bound(usize::MAX, 1), Duration::MAX);
+    let without_places = backlog(3, 0);
+    let turnovers = without_places.acknowledged_bound() - without_places.answer_bound();
+    assert_eq!(turnovers, TURNOVER * 4);
+    assert_eq!(backlog(usize::MAX, 1).answer_bound(), Duration::MAX);
+    assert_eq!(backlog(usize::MAX, 1).acknowledged_bound(), Duration::MAX);
 }
 
 #[test]
--- a/crates/server/src/net/frontend/connection.rs
+++ b/crates/server/src/net/frontend/connection.rs
@@ -16,7 +16,7 @@
 use crate::requests::RequestId;
 
 /// Requests that the protocol allows to be open on one connection.
-const MAX_OPEN_REQUESTS: usize = 32;
+pub(super) const MAX_OPEN_REQUESTS: usize = 32;
 /// Bytes of replies that a slow reader may leave unread before nothing more is read from it. The
 /// replies to its open requests may follow these, so the output buffer is larger.
 const MAX_UNREAD_BYTES: usize = 4 * 1024;
--- a/crates/server/src/net/frontend/connection_table.rs
+++ b/crates/server/src/net/frontend/connection_table.rs
@@ -6,20 +6,23 @@
 //! place. No other lock of the table is held when that of the limiter is taken.
 
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use may::net::TcpStream;
+use may::sync::Blocker;
 use parking_lot::Mutex;
 use slab::Slab;
 use tulipgap_connection_limits::{
     AcceptError, Action, CloseReason, ConnectionId, Event, Limiter, RejectReason,
 };
 
+use super::backlog::Backlog;
 use super::connection::{Connection, new_stream};
+use crate::clock;
 use crate::log::LogLimit;
-use crate::net::stream::BufferedStream;
+use crate::net::stream::{BufferedStream, DrainTarget};
 
 static EVICTIONS: LogLimit = LogLimit::new();
 
@@ -58,6 +61,13 @@
     idle_timeout: Mutex<Duration>,
     /// A connection waits in the backlog for a place.
     is_place_needed: AtomicBool,
+    /// When the server ends, from the shutdown notice on.
+    ends_at: OnceLock<Instant>,
+    /// The server ends before everything in the backlog could be acknowledged.
+    is_short_of_time: AtomicBool,
+    /// Wakes the accepting coroutine of a server that shuts down when a place is free. That
+    /// coroutine creates it: one that a thread creates blocks the thread.
+    place_freed: OnceLock<Arc<Blocker>>,
 }
 
 impl ConnectionTable {
@@ -70,9 +80,21 @@
             accepting_paused_until: Mutex::default(),
             idle_timeout: Mutex::default(),
             is_place_needed: AtomicBool::new(false),
+            ends_at: OnceLock::new(),
+            is_short_of_time: AtomicBool::new(false),
+            place_freed: OnceLock::new(),
         }
     }
 
+    /// The shutdown notice was received: from now on no connection that is not in use keeps a place
+    /// that one in the backlog needs. The server ends at `ends_at`.
+    pub(super) fn shutdown_notice(&self, ends_at: Instant) {
+        // A second notice changes nothing.
+        let _ = self.ends_at.set(ends_at);
+        self.notify(Event::ShutdownNotice);
+        self.wake_acceptor();
+    }
+
     /// Notifies the limiter of what happened to a connection.
     pub(super) fn notify(&self, event: Event) {
         self.decide(|limiter, now, actions| limiter.handle_event(now, event, actions));
@@ -92,6 +114,12 @@
             let is_place_needed = backlog != Some(0);
             self.is_place_needed
                 .store(is_place_needed, Ordering::Release);
+            if let (Some(ends_at), Some(waiting)) = (self.ends_at.get(), backlog) {
+                let places = limiter.capacity();
+                let bound = Backlog { waiting, places }.acknowledged_bound();
+                let left = ends_at.saturating_duration_since(Instant::now());
+                self.is_short_of_time.store(bound > left, Ordering::Release);
+            }
             if may_accept_at_once || limiter.may_accept(now, backlog, actions) {
                 Admission::Accept
             } else if !actions.is_empty()
@@ -110,6 +138,33 @@
         self.is_place_needed.load(Ordering::Acquire)
     }
 
+    /// How far the replies on a connection that closes have to get before its place is free.
+    pub(super) fn drain_target(&self) -> DrainTarget {
+        let is_place_needed = self.is_place_needed();
+        if is_place_needed && self.is_short_of_time.load(Ordering::Acquire) {
+            DrainTarget::Sent
+        } else if is_place_needed || self.ends_at.get().is_some() {
+            DrainTarget::Acknowledged
+        } else {
+            DrainTarget::PeerClosed
+        }
+    }
+
+    /// Blocks the accepting coroutine of a full server for that long, or until a place is free at a
+    /// shutdown.
+    pub(super) fn wait_for_place(&self, pause: Duration) {
+        let place_freed = self
+            .place_freed
+            .get_or_init(|| Arc::new(Blocker::new(true)));
+        clock::park(place_freed, Instant::now().checked_add(pause));
+    }
+
+    fn wake_acceptor(&self) {
+        if let Some(place_freed) = self.place_freed.get() {
+            place_freed.unpark();
+        }
+    }
+
     /// The connections that there can be.
     pub(super) fn capacity(&self) -> usize {
         self.limiter.lock().capacity()
@@ -145,6 +200,9 @@
             limiter.handle_event(now, Event::Closed { connection: id }, actions);
             self.connections.lock().remove(id.0);
         });
+        if self.ends_at.get().is_some() {
+            self.wake_acceptor();
+        }
     }
 
     /// Notifies the limiter of an accept that failed.
--- a/crates/server/src/net/frontend/listener.rs
+++ b/crates/server/src/net/frontend/listener.rs
@@ -110,11 +110,11 @@
             match self.table.may_accept(|| waiting_connections(&listener)) {
                 Admission::Accept => {}
                 Admission::WaitBriefly => {
-                    clock::sleep(EVICTION_PAUSE);
+                    self.table.wait_for_place(EVICTION_PAUSE);
                     continue;
                 }
                 Admission::Wait => {
-                    clock::sleep(ACCEPT_PAUSE);
+                    self.table.wait_for_place(ACCEPT_PAUSE);
                     continue;
                 }
             }
--- a/crates/server/src/net/frontend/mod.rs
+++ b/crates/server/src/net/frontend/mod.rs
@@ -37,7 +37,7 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use may::net::{TcpListener, TcpStream};
 use tulipgap_connection_limits::{Event, Limiter};
@@ -160,9 +160,9 @@
     }
 
     /// The shutdown notice was received: from now on no connection that is not in use keeps a place
-    /// that one in the backlog needs.
-    pub(crate) fn shutdown_notice(&self) {
-        self.table.notify(Event::ShutdownNotice);
+    /// that one in the backlog needs. The server ends at `ends_at`.
+    pub(crate) fn shutdown_notice(&self, ends_at: Instant) {
+        self.table.shutdown_notice(ends_at);
     }
 
     /// The backlog; none where the listener is closed, or the system does not tell.
--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -220,10 +220,10 @@
                 connection: self.connection.id,
             });
         }
-        let is_closing = self.connection.is_closing();
+        let is_closing = self.connection.is_closing() || self.gives_up_place();
         let has_timed_out = self.connection.has_timed_out();
         let may_end = is_closing && self.connection.open() == 0;
-        self.stop_reading_in_time(may_end);
+        self.stop_reading_in_time(may_end && self.connection.is_closing());
         let is_read_to_the_end = self.has_stopped_reading && !turn.has_more;
         let is_cut_short = may_end && (has_partial_message || is_read_to_the_end);
         if self.is_readable && has_timed_out {
@@ -258,6 +258,14 @@
         self.has_stopped_reading |= since.elapsed() > CLOSING_READ_TIME;
     }
 
+    /// Whether the connection leaves its place to one that waits: its edge node was notified, and
+    /// sends nothing more. The rest of a message that has begun may be in transit.
+    fn gives_up_place(&self) -> bool {
+        self.drain_notification_is_sent
+            && self.stream.input.len() == 0
+            && self.table.is_place_needed()
+    }
+
     /// Whether the session ends here.
     fn finish(&mut self, turn: &Turn, is_closing: bool) -> bool {
         let state = ConnectionState {
@@ -283,6 +291,6 @@
 
     fn drain_before_close(&mut self) {
         let table = self.table;
-        self.stream.drain_before_close(|| table.is_place_needed());
+        self.stream.drain_before_close(|| table.drain_target());
     }
 }
--- a/crates/server/src/net/frontend/tests.rs
+++ b/crates/server/src/net/frontend/tests.rs
@@ -3,25 +3,23 @@
 use std::io::Read;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use may::net::TcpStream;
 use tulipgap_connection_limits::{Config, ConnectionId, Event, FullPolicy, Limiter};
 
 use super::codec::{Reply, encode_reply};
 use super::connection::{Connection, OpenRequest, new_stream};
+use super::connection_table::{Admitted, ConnectionTable};
 use super::request::PendingReply;
 use super::{ExecutorClient, Frontend, IDLE_MARGIN, MESSAGE_TIMEOUT, StoreClient};
+use crate::net::stream::DrainTarget;
 use crate::requests::RequestRegistry;
 
-/// A bug makes the coroutine of one request panic while it holds locks. Without a guard its caller
-/// would wait for ever and the locks would stay poisoned. The pending reply answers `Failed` when
-/// it is dropped, the locks are not poisoned, and the connection goes on.
-#[test]
-fn a_request_whose_coroutine_panics_is_answered() {
-    let (controller_config, names) = crate::net::test_config();
+/// A limiter of so many connections, of which others wait in the backlog.
+fn limiter(max_descriptors: usize) -> Limiter {
     let config = Config {
-        max_descriptors: 64,
+        max_descriptors,
         reservations: Vec::new(),
         network_limits: None,
         full_policy: FullPolicy::Wait,
@@ -32,12 +30,55 @@
         cold_start_fraction: 1.0,
         warm_up: Duration::ZERO,
     };
+    Limiter::new(config, 7).unwrap()
+}
+
+/// A table whose only place is taken, and the connection there.
+fn full_table() -> (ConnectionTable, Admitted) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let table = ConnectionTable::new(limiter(1));
+    let stream = TcpStream::connect(address).unwrap();
+    let Ok(admitted) = table.admit(stream, address.ip()) else {
+        panic!("the table is empty");
+    };
+    (table, admitted)
+}
+
+/// A place is given on the sooner the more it is needed. Guards against a close that waits for an
+/// acknowledgement while there is no time for those who wait, and against one that does not wait
+/// for it although there is.
+#[test]
+fn a_place_is_given_on_by_the_time_that_is_left() {
+    let hour = Duration::from_secs(3600);
+    for (left, target_at_shutdown) in [
+        (hour, DrainTarget::Acknowledged),
+        (Duration::ZERO, DrainTarget::Sent),
+    ] {
+        let (table, _admitted) = full_table();
+        assert_eq!(table.drain_target(), DrainTarget::PeerClosed);
+        table.may_accept(|| Some(1));
+        assert_eq!(table.drain_target(), DrainTarget::Acknowledged);
+        table.shutdown_notice(Instant::now() + left);
+        table.may_accept(|| Some(1));
+        assert_eq!(table.drain_target(), target_at_shutdown);
+        table.may_accept(|| Some(0));
+        assert_eq!(table.drain_target(), DrainTarget::Acknowledged);
+    }
+}
+
+/// A bug makes the coroutine of one request panic while it holds locks. Without a guard its caller
+/// would wait for ever and the locks would stay poisoned. The pending reply answers `Failed` when
+/// it is dropped, the locks are not poisoned, and the connection goes on.
+#[test]
+fn a_request_whose_coroutine_panics_is_answered() {
+    let (controller_config, names) = crate::net::test_config();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let registry = Arc::new(RequestRegistry::new(controller_config, 7, None));
     let executor = ExecutorClient::new(address, registry.clone(), Vec::new());
     let store = StoreClient::new(None, registry.clone(), 4);
-    let limiter = Limiter::new(config, 7).unwrap();
+    let limiter = limiter(64);
     let frontend = Frontend::new(registry, executor, store, names, limiter, false, 48.0);
     frontend.accepted(TcpStream::connect(address).unwrap(), address.ip());
     let connection = frontend
--- a/crates/server/src/net/stream.rs
+++ b/crates/server/src/net/stream.rs
@@ -23,8 +23,12 @@
 const MAX_DRAIN_POLLS: usize = 200;
 /// The pause between two of these checks.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// How many times a connection is checked whose output need only be sent: 20 ms in all.
+const MAX_SEND_POLLS: usize = 4;
 /// What the FIN counts as among the bytes that are not acknowledged.
 const FIN_BYTES: libc::c_int = 1;
+/// The request for the number of bytes that the system has not sent yet (linux/sockios.h).
+const SIOCOUTQNSD: libc::Ioctl = 0x894B;
 /// Reads of up to 4 KB whose bytes are dropped while a connection drains.
 const MAX_DRAIN_READS: usize = 256;
 /// Reads after one check. The others wait until the peer has had time to read.
@@ -42,6 +46,21 @@
     pub(super) is_closed: AtomicBool,
 }
 
+/// How far the output of a connection has to get before its socket may be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DrainTarget {
+    /// The peer has closed its side, so that its program has read everything, or it has had a
+    /// second for that.
+    PeerClosed,
+    /// The peer's system has acknowledged everything: it keeps that for its program, whatever comes
+    /// behind it.
+    Acknowledged,
+    /// Everything is sent, or has waited for room at the peer for 20 ms. The system sends the rest,
+    /// and sends again what is lost on the way, unless the peer sends something behind the close:
+    /// the reset that answers it ends that.
+    Sent,
+}
+
 /// What became of bytes that were to be sent.
 #[derive(PartialEq)]
 pub(crate) enum SendOutcome {
@@ -202,22 +221,43 @@
     /// The bytes written that the peer's system has not acknowledged; none where the system does
     /// not tell.
     fn unacknowledged_bytes(&self) -> Option<libc::c_int> {
+        self.output_bytes(libc::TIOCOUTQ)
+    }
+
+    /// The bytes written that the system has not sent, as the peer has no room for them; none where
+    /// the system does not tell.
+    fn unsent_bytes(&self) -> Option<libc::c_int> {
+        self.output_bytes(SIOCOUTQNSD)
+    }
+
+    fn output_bytes(&self, request: libc::Ioctl) -> Option<libc::c_int> {
         let mut bytes: libc::c_int = 0;
         // Safe: the descriptor is open as long as the stream is, and the call writes that one
         // integer.
-        let result = unsafe { libc::ioctl(self.stream.as_raw_fd(), libc::TIOCOUTQ, &mut bytes) };
+        let result = unsafe { libc::ioctl(self.stream.as_raw_fd(), request, &mut bytes) };
         (result == 0).then_some(bytes)
     }
 
-    /// Lets the peer read all that was written before this side closes: what it still sends is read
+    /// Whether the output has got so far, with the FIN behind it. False where the system does not
+    /// tell.
+    fn has_reached(&self, target: DrainTarget) -> bool {
+        let left = match target {
+            DrainTarget::PeerClosed => None,
+            DrainTarget::Acknowledged => self.unacknowledged_bytes(),
+            DrainTarget::Sent => self.unsent_bytes(),
+        };
+        left.is_some_and(|bytes| bytes <= FIN_BYTES)
+    }
+
+    /// Lets the peer get all that was written before this side closes: what it still sends is read
     /// and dropped, because the system resets a socket that is closed with bytes unread, and the
-    /// reset drops replies on their way. Where the place is needed, the peer's system has to
-    /// acknowledge them and no more: it keeps what it has acknowledged for its program.
-    pub(crate) fn drain_before_close(&mut self, is_place_needed: impl Fn() -> bool) {
+    /// reset drops replies on their way. `target` tells how far they have to get, and is asked
+    /// again after each pause.
+    pub(crate) fn drain_before_close(&mut self, target: impl Fn() -> DrainTarget) {
         let _ = self.stream.shutdown(Shutdown::Write);
         let mut reads = 0;
-        for _ in 0..MAX_DRAIN_POLLS {
-            let turn = reads + MAX_READS_PER_DRAIN_POLL;
+        for poll in 0..MAX_DRAIN_POLLS {
+            let turn = MAX_DRAIN_READS.min(reads + MAX_READS_PER_DRAIN_POLL);
             while reads < turn {
                 self.input.consume(usize::MAX);
                 match self.read() {
@@ -226,14 +266,17 @@
                     Err(_) => return,
                 }
             }
-            // A peer that goes on sending has had time to read.
-            if self.is_read_closed || reads >= MAX_DRAIN_READS {
+            if self.is_read_closed {
                 return;
             }
-            let is_acknowledged = self
-                .unacknowledged_bytes()
-                .is_some_and(|bytes| bytes <= FIN_BYTES);
-            if is_acknowledged && is_place_needed() {
+            // A peer that goes on sending has had time to read. What is left unread of it resets
+            // the socket, which drops all that its system has not acknowledged.
+            let target = match reads >= MAX_DRAIN_READS {
+                true => DrainTarget::Acknowledged,
+                false => target(),
+            };
+            let is_given_up = target == DrainTarget::Sent && poll >= MAX_SEND_POLLS;
+            if is_given_up || self.has_reached(target) {
                 return;
             }
             clock::sleep(DRAIN_POLL_INTERVAL);
@@ -260,3 +303,7 @@
 ) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
+
+#[cfg(test)]
+#[path = "stream_tests.rs"]
+mod tests;
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -196,7 +196,8 @@
         }
         self.is_draining.store(true, Ordering::Release);
         self.registry.shutdown_notice(notice, self.termination);
-        self.frontend.shutdown_notice();
+        let ends_at = notice + self.termination.saturating_sub(TERMINATION_MARGIN);
+        self.frontend.shutdown_notice(ends_at);
         self.warn_of_a_long_backlog(notice);
         let accepting_time = accepting_time(self.drain_grace, self.termination);
         std::thread::sleep(accepting_time.saturating_sub(notice.elapsed()));
--- a/crates/server/tests/program/connection_close.rs
+++ b/crates/server/tests/program/connection_close.rs
@@ -4,7 +4,9 @@
 use std::io::{ErrorKind, Read, Write};
 use std::time::Duration;
 
-use crate::harness::backend::{TestBackend, start_backend, start_backend_with_changes};
+use crate::harness::backend::{
+    TestBackend, start_backend, start_backend_with_changes, start_backend_with_sockets,
+};
 use crate::harness::edge_node::{
     AnswerKind, EdgeConnection, answers_until_close, connect_slow_reader, request_fields,
     wait_for_drain_notification,
@@ -278,3 +280,36 @@
         "nothing more than one each"
     );
 }
+
+/// Guards against a message in transit that is cut off in service: its connection is asked to close
+/// meanwhile, and others wait for its place.
+#[test]
+fn a_message_that_has_begun_is_read_while_others_wait_for_its_place() {
+    const PLACES: u32 = 96;
+    let backend = start_backend_with_sockets(128);
+    let mut edge = backend.connect();
+    edge.send_request(1, "00000000000f0001", b"run");
+    edge.expect_answer(1, AnswerKind::Answer);
+    // Behind the time for which a connection that was used is spared.
+    std::thread::sleep(Duration::from_millis(400));
+    let connect_and_run = |at: u32| {
+        let mut other = backend.connect();
+        other.send_request(1, &format!("0000000f{at:08x}"), b"hang");
+        other
+    };
+    // From 85 % of the places on, the connection that was used least is asked to close.
+    let mut others: Vec<EdgeConnection> = (0..PLACES * 9 / 10).map(connect_and_run).collect();
+    wait_for_drain_notification(&mut edge);
+    let message = edge.encode_request(2, &request_fields("00000000000f0002", "20.0"), b"run");
+    let (half, rest) = message.split_at(message.len() / 2);
+    edge.stream.write_all(half).unwrap();
+    others.extend((PLACES..PLACES + 20).map(connect_and_run));
+    // By then all places are taken.
+    std::thread::sleep(Duration::from_millis(20));
+    for piece in rest.chunks(5) {
+        edge.stream.write_all(piece).unwrap();
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    let answer = edge.read_answer().expect("an answer");
+    assert_eq!(answer.sequence, 2);
+}
--- a/crates/server/tests/program/shutdown_time.rs
+++ b/crates/server/tests/program/shutdown_time.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use crate::harness::backend::{TestBackend, start_backend_with_changes};
-use crate::harness::edge_node::{AnswerKind, EdgeConnection, answers_until_close, request_fields};
+use crate::harness::edge_node::{
+    AnswerKind, EdgeConnection, answers_until_close, connect_slow_reader, request_fields,
+};
 
 /// Requests on each connection.
 const REQUESTS: u32 = 24;
@@ -144,6 +146,34 @@
     drop(hang);
 }
 
+/// Guards against places that are held by callers which read nothing, until the kill: their replies
+/// are in the hands of the system, which goes on with them behind the close.
+#[test]
+fn callers_that_read_nothing_do_not_hold_places_where_time_is_short() {
+    const LARGE_REPLIES: u32 = 30;
+    let mut backend = start_with_places();
+    let connect = |at: u32| {
+        let mut edge = connect_slow_reader(&backend);
+        for sequence in 1..=LARGE_REPLIES {
+            edge.send_request(
+                sequence,
+                &format!("00000004{at:04x}{sequence:04x}"),
+                b"large",
+            );
+        }
+        // Its replies are written before the next caller's.
+        std::thread::sleep(Duration::from_millis(4));
+        edge
+    };
+    let mut unread: Vec<EdgeConnection> = (0..PLACES).map(connect).collect();
+    let waiting = connect_waiting(&backend);
+    assert_answered_at_a_shutdown(&backend, waiting);
+    assert_eq!(backend.wait_for_exit().code(), Some(0));
+    for edge in &mut unread {
+        assert_eq!(answers_until_close(edge).len() as u32, LARGE_REPLIES);
+    }
+}
+
 /// Guards against whole requests that were read and are taken for half a message, because a long
 /// reply before them left no room to handle them in the same turn.
 #[test]
