--- a/crates/connection-limits/src/limiter/closing.rs
+++ b/crates/connection-limits/src/limiter/closing.rs
@@ -54,8 +54,8 @@
         }
     }
 
-    /// Evicts one connection for each of so many that wait, less those that are about to leave their
-    /// places, as far as there are any that may be evicted.
+    /// Evicts one connection for each of so many that wait, less those that are about to leave
+    /// their places, as far as there are any that may be evicted.
     pub(super) fn make_room_for_all(
         &mut self,
         now: Duration,
--- a/crates/connection-limits/src/timeouts.rs
+++ b/crates/connection-limits/src/timeouts.rs
@@ -5,8 +5,8 @@
 //! descriptor for ever. A request in flight is answered before its connection is closed, so no
 //! answer is lost to a timeout.
 //!
-//! In a drain the client of each connection was asked to send nothing more. So a connection on which
-//! nothing has begun is closed as an idle one is, whether or not it was ever used: it would
+//! In a drain the client of each connection was asked to send nothing more. So a connection on
+//! which nothing has begun is closed as an idle one is, whether or not it was ever used: it would
 //! otherwise hold the drain for the time of a first message that does not come.
 //!
 //! The price: a client whose message takes longer than the message timeout is cut off in its midst,
@@ -137,7 +137,7 @@
     Extend(Duration),
     /// A message did not complete in time: the connection is closed once no request is in flight.
     MessageOverdue,
-    /// The client did not close in time: the connection is closed as soon as no request is in flight.
+    /// The client did not close in time: the connection is closed once no request is in flight.
     CloseOverdue,
     /// The connection is closed.
     Close(CloseReason),
--- a/crates/connection-limits/tests/golden_transcripts.rs
+++ b/crates/connection-limits/tests/golden_transcripts.rs
@@ -22,8 +22,8 @@
     1756346914, 1254896479,
 ];
 
-/// The checksum of all actions for each seed. The drain at their end is as decided since 38f3fa5: an
-/// unused connection closes as an idle one does, and one that is always in use at its first moment
+/// The checksum of all actions for each seed. The drain at their end is as decided since 38f3fa5:
+/// an unused connection closes as an idle one does, and one that is always in use at its first moment
 /// without a request.
 const EXPECTED: [u32; 10] = [
     1926675380, 2337232852, 67116655, 1841844573, 1377608518, 541477784, 378476256, 2213672859,
--- a/crates/connection-limits/tests/limiter/eviction.rs
+++ b/crates/connection-limits/tests/limiter/eviction.rs
@@ -220,10 +220,8 @@
     assert!((39 * 14..=39 * 18).contains(&accepted), "{accepted}");
 }
 
-/// Guards against a backlog that is gone through at one connection a call when the server shuts
-/// down: the process ended before it came to the last of those that waited.
-#[test]
-fn one_connection_is_evicted_for_each_that_waits_at_a_shutdown() {
+/// A server whose places are all taken by connections that were used, and others wait for them.
+fn full_server() -> Server {
     let mut config = config();
     (config.full_policy, config.network_limits) = (FullPolicy::Wait, None);
     let mut server = Server::new(config);
@@ -232,13 +230,23 @@
         let connection = server.accept(v4(10, 0, 0, 1)).unwrap();
         server.serve(connection);
     }
+    server
+}
+
+/// How many are evicted where so many wait.
+fn evicted(server: &mut Server, backlog: Option<usize>) -> usize {
+    let mut actions = Vec::new();
+    assert!(!server.limiter.may_accept(server.now, backlog, &mut actions));
+    let is_close = |action: &&Action| matches!(action, Action::Close { .. });
+    actions.iter().filter(is_close).count()
+}
+
+/// Guards against a backlog that is gone through at one connection a call when the server shuts
+/// down: the process ended before it came to the last of those that waited.
+#[test]
+fn one_connection_is_evicted_for_each_that_waits_at_a_shutdown() {
+    let mut server = full_server();
     server.closed.clear();
-    let evicted = |server: &mut Server, backlog| {
-        let mut actions = Vec::new();
-        assert!(!server.limiter.may_accept(server.now, backlog, &mut actions));
-        let is_close = |action: &&Action| matches!(action, Action::Close { .. });
-        actions.iter().filter(is_close).count()
-    };
     server.handle(Event::ShutdownNotice);
     assert_eq!(evicted(&mut server, Some(3)), 0, "all were used just now");
     server.advance(ms(61));
@@ -256,27 +264,14 @@
 /// they counted among the evicted, nobody else was evicted for those who wait.
 #[test]
 fn connections_that_do_not_leave_keep_nobody_waiting_at_a_shutdown() {
-    let mut config = config();
-    (config.full_policy, config.network_limits) = (FullPolicy::Wait, None);
-    let mut server = Server::new(config);
-    let owner = DescriptorOwner::NewClients;
-    while server.limiter.descriptors().available(owner) > 0 {
-        let connection = server.accept(v4(10, 0, 0, 1)).unwrap();
-        server.serve(connection);
-    }
+    let mut server = full_server();
     server.handle(Event::ShutdownNotice);
     server.advance(ms(61));
-    let evicted = |server: &mut Server| {
-        let mut actions = Vec::new();
-        assert!(!server.limiter.may_accept(server.now, Some(3), &mut actions));
-        let is_close = |action: &&Action| matches!(action, Action::Close { .. });
-        actions.iter().filter(is_close).count()
-    };
-    assert_eq!(evicted(&mut server), 3);
+    assert_eq!(evicted(&mut server, Some(3)), 3);
     server.now += ms(4);
-    assert_eq!(evicted(&mut server), 0, "those are leaving");
+    assert_eq!(evicted(&mut server, Some(3)), 0, "those are leaving");
     server.now += ms(1);
-    assert_eq!(evicted(&mut server), 3, "they did not leave");
+    assert_eq!(evicted(&mut server, Some(3)), 3, "they did not leave");
 }
 
 /// Guards against a client that loses its connection to an error of `accept` that it has not
--- a/crates/connection-limits/tests/limiter/timeouts.rs
+++ b/crates/connection-limits/tests/limiter/timeouts.rs
@@ -57,8 +57,8 @@
     assert!(!server.open.contains_key(&connection));
 }
 
-/// Guards against a drain that is held by connections on which nothing was ever sent: they were kept
-/// for the time of a first message, which does not come behind the request to close.
+/// Guards against a drain that is held by connections on which nothing was ever sent: they were
+/// kept for the time of a first message, which does not come behind the request to close.
 #[test]
 fn drain_closes_unused_connections_as_idle_ones() {
     let mut server = Server::new(config());
--- a/crates/server/src/net/frontend/backlog.rs
+++ b/crates/server/src/net/frontend/backlog.rs
@@ -3,8 +3,8 @@
 //!
 //! A connection in the backlog may hold whole requests, which are lost if the process ends before
 //! it comes to them. At a shutdown of a full server each place is therefore given on as soon as
-//! nothing is open on its connection. How long that takes is bounded in two ways, for a machine that
-//! gives the program a whole core, and where no run holds a place:
+//! nothing is open on its connection. How long that takes is bounded in two ways, for a machine
+//! that gives the program a whole core, and where no run holds a place:
 //!
 //! - Where there is time, a place is kept until the peer's system has acknowledged all replies,
 //!   within [`TURNOVER`] for each round of the places.
@@ -12,8 +12,8 @@
 //!   answer: [`CONNECTION_TIME`] for each connection, and [`REQUEST_TIME`] for each request. How
 //!   many requests wait is not known, and no more than a connection may have open.
 //!
-//! Where the termination comes sooner even so, the operator learns of it at the notice: the grace is
-//! too short for the crowd.
+//! Where the termination comes sooner even so, the operator learns of it at the notice: the grace
+//! is too short for the crowd.
 
 use std::mem::{MaybeUninit, size_of};
 use std::os::fd::AsRawFd;
--- a/crates/server/src/net/frontend/closing.rs
+++ b/crates/server/src/net/frontend/closing.rs
@@ -2,14 +2,16 @@
 //!
 //! The failure: a socket that is closed while bytes from its peer are unread, or before its peer
 //! has acknowledged the output, is reset, and the reset drops replies that are on their way. The
-//! edge node then sees a broken connection in place of a reply, and repeats a request that was
-//! run. The guard: a connection closes only once everything on it is answered and written, and
-//! where bytes may still cross the close, it is drained first (the write side is shut down, and
-//! input is read and dropped). The price is up to a second before its place is free; where another
-//! connection waits for it, the drain ends once the peer's system has acknowledged all output. That
-//! system keeps what it has acknowledged for its program, whatever comes behind it. A connection
-//! that never sent a whole message has no reply that a reset could drop, and closes at once: a
-//! crowd with half messages would otherwise keep the places of those who wait behind it.
+//! edge node then sees a broken connection in place of a reply, and repeats a request that was run.
+//! The guard: a connection closes only once everything on it is answered and written, and where
+//! bytes may still cross the close, it is drained first (the write side is shut down, and input is
+//! read and dropped). The price is up to a second before its place is free; where another
+//! connection waits for it, or the server shuts down, the drain ends once the peer's system has
+//! acknowledged all output. That system keeps what it has acknowledged for its program, whatever
+//! comes behind it. Where a shutdown leaves no time for that, the drain ends once all output is
+//! sent (`ConnectionTable::drain_target`). A connection that never sent a whole message has no
+//! reply that a reset could drop, and closes at once: a crowd with half messages would otherwise
+//! keep the places of those who wait behind it.
 
 /// The inputs of the decision.
 pub(super) struct ConnectionState {
--- a/crates/server/src/net/frontend/mod.rs
+++ b/crates/server/src/net/frontend/mod.rs
@@ -11,6 +11,7 @@
 //! | `backlog` | how many connections wait, and how long they wait at a shutdown |
 //! | `closing` | the rule by which a connection closes |
 //! | `request` | the life of a request, from its registration to its response |
+//! | `pending_reply` | the reply to a request, which is sent once |
 //! | `memory` | the limit on open requests |
 //! | `parse` | the fields of a request |
 //! | `health` | health checks |
@@ -27,6 +28,7 @@
 mod listener;
 mod memory;
 mod parse;
+mod pending_reply;
 mod recent_ids;
 mod request;
 mod session;
--- a/crates/server/src/net/frontend/request.rs
+++ b/crates/server/src/net/frontend/request.rs
@@ -5,7 +5,6 @@
 //! thousands arrive at once, and a stack for each would be mapped and unmapped for one reply. It is
 //! registered and answered by the session that has read it; only what waits gets a coroutine.
 
-use std::cell::Cell;
 use std::hash::{BuildHasher, RandomState};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
@@ -20,9 +19,9 @@
 use super::connection_table::ConnectionTable;
 use super::memory::MemoryLimit;
 use super::parse::{ParsedRequest, RequestParser, unix_now};
+use super::pending_reply::PendingReply;
 use super::recent_ids::RecentIds;
 use super::summary::{MALFORMED_MESSAGES, REJECTED_WITHOUT_MEMORY};
-use crate::invariant;
 use crate::net::executor::ExecutorClient;
 use crate::net::spawn;
 use crate::net::store::StoreClient;
@@ -36,67 +35,6 @@
 /// The fields that a reply may have.
 const MAX_REPLY_FIELDS: usize = 3;
 
-/// The reply that a request's connection waits for. The request leaves its connection's open
-/// requests once it is answered, or when this is dropped without a reply.
-pub(super) struct PendingReply {
-    table: Arc<ConnectionTable>,
-    connection: Arc<Connection>,
-    sequence: i32,
-    is_concluded: Cell<bool>,
-}
-
-impl PendingReply {
-    /// The pending reply to the open request of this sequence number.
-    pub(super) fn new(
-        table: &Arc<ConnectionTable>,
-        connection: &Arc<Connection>,
-        sequence: i32,
-    ) -> Self {
-        PendingReply {
-            table: table.clone(),
-            connection: connection.clone(),
-            sequence,
-            is_concluded: Cell::new(false),
-        }
-    }
-
-    fn send(&self, reply: &Reply) {
-        invariant!(
-            !self.is_concluded.replace(true),
-            "a request is answered once on its connection"
-        );
-        self.connection
-            .conclude(codec::PROCESS, self.sequence, reply, |open_requests| {
-                open_requests.remove(&self.sequence);
-            });
-        // The reputation of a client grows with the requests that were served, and not with those
-        // that were rejected.
-        let is_answered = matches!(reply, Reply::Result { .. });
-        self.table.notify(Event::RequestFinished {
-            connection: self.connection.id,
-            is_answered,
-        });
-    }
-}
-
-impl Drop for PendingReply {
-    /// Concludes without a reply. Where its handling panics, its caller gets a failure: it would
-    /// otherwise wait until its timeout.
-    fn drop(&mut self) {
-        if !self.is_concluded.get() && std::thread::panicking() {
-            self.send(&Reply::Failed { fields: &[] });
-        } else if !self.is_concluded.replace(true) {
-            self.connection.open_requests.lock().remove(&self.sequence);
-            let connection = self.connection.id;
-            self.table.notify(Event::RequestFinished {
-                connection,
-                is_answered: false,
-            });
-            self.connection.output.wake();
-        }
-    }
-}
-
 /// A request that was read, checked and not registered yet.
 pub(super) struct ArrivedRequest {
     sequence: i32,
--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -162,7 +162,7 @@
             while self.handle_frames(turn) > 0 {
                 self.handler.finish_messages(self.connection);
             }
-            turn.has_more |= self.has_whole_message();
+            turn.has_more |= self.has_complete_message();
         }
         Ok(())
     }
@@ -240,7 +240,7 @@
 
     /// Whether a message that was read is still to be handled. Bytes that can be none count as one:
     /// they are met where the next message is handled.
-    fn has_whole_message(&mut self) -> bool {
+    fn has_complete_message(&mut self) -> bool {
         !matches!(
             codec::frame_length(self.stream.input.contiguous()),
             Ok(None)
--- a/crates/server/src/net/frontend/tests.rs
+++ b/crates/server/src/net/frontend/tests.rs
@@ -11,7 +11,7 @@
 use super::codec::{Reply, encode_reply};
 use super::connection::{Connection, OpenRequest, new_stream};
 use super::connection_table::{Admitted, ConnectionTable};
-use super::request::PendingReply;
+use super::pending_reply::PendingReply;
 use super::{ExecutorClient, Frontend, IDLE_MARGIN, MESSAGE_TIMEOUT, StoreClient};
 use crate::net::stream::DrainTarget;
 use crate::requests::RequestRegistry;
--- a/crates/server/src/net/stream.rs
+++ b/crates/server/src/net/stream.rs
@@ -275,8 +275,8 @@
                 true => DrainTarget::Acknowledged,
                 false => target(),
             };
-            let is_given_up = target == DrainTarget::Sent && poll >= MAX_SEND_POLLS;
-            if is_given_up || self.has_reached(target) {
+            let has_waited_long_enough = target == DrainTarget::Sent && poll >= MAX_SEND_POLLS;
+            if has_waited_long_enough || self.has_reached(target) {
                 return;
             }
             clock::sleep(DRAIN_POLL_INTERVAL);
--- a/crates/server/tests/program/shutdown_time.rs
+++ b/crates/server/tests/program/shutdown_time.rs
@@ -128,8 +128,8 @@
     assert!(!log.contains("drain cut short"), "{log}");
 }
 
-/// Guards against places that are held by deep health checks while the executor hangs: they wait for
-/// two seconds, and the requests behind them were lost.
+/// Guards against places that are held by deep health checks while the executor hangs: they wait
+/// for two seconds, and the requests behind them were lost.
 #[test]
 fn deep_health_checks_do_not_hold_places_at_a_shutdown() {
     let backend = start_with_places();
