--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -42,6 +42,10 @@
 const CLUSTER_SHUTDOWN_MARGIN: Duration = Duration::from_millis(100);
 /// A termination that is later than this never comes.
 const MAX_TERMINATION: Duration = Duration::from_secs(365 * 24 * 3600);
+/// The time before the end of a drain from which connections whose edge nodes do not close are
+/// closed as soon as they may be. Before that a sweep notices them, and what crosses the close less
+/// often has to be sent once more.
+const PROMPT_CLOSE_TIME: Duration = Duration::from_millis(200);
 /// How often a drain checks whether everything is answered and closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -221,8 +225,9 @@
                 leaving = leaving.or_else(|| leave(cluster.take()?, ends_at));
             }
             std::thread::sleep(DRAIN_POLL_INTERVAL);
-            // Connections whose edge nodes do not close are closed on time.
-            self.frontend.sweep();
+            if Instant::now() + PROMPT_CLOSE_TIME >= ends_at {
+                self.frontend.sweep();
+            }
         }
         if !self.is_over() {
             self.log_cut_short();
