Review case 1: a backend whose kernel hung for 18 s never serves again

Cause: hung runs raise the usual slowdown, which only completed runs lower, and no request is admitted any more. The stand-in of the kernel ends runs whose request is over. The program is not changed.

--- a/review/stand/src/edge.rs
+++ b/review/stand/src/edge.rs
@@ -84,6 +84,9 @@
     unreadable: bool,
 }
 
+/// Is told the id of each request that is answered.
+pub type OnAnswer = Arc<dyn Fn(&str) + Send + Sync>;
+
 /// A connection to a backend.
 pub struct Connection {
     stream: TcpStream,
@@ -94,11 +97,20 @@
 
 impl Connection {
     pub fn open(address: SocketAddr, record: &Record) -> io::Result<Self> {
+        Self::open_with(address, record, Arc::new(|_: &str| {}))
+    }
+
+    /// Opens a connection; `on_answer` is told of each answer.
+    pub fn open_with(
+        address: SocketAddr,
+        record: &Record,
+        on_answer: OnAnswer,
+    ) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
         let state = Arc::new(Mutex::new(State::default()));
         let (reader, shared, log) = (stream.try_clone()?, state.clone(), record.clone());
-        std::thread::spawn(move || read_answers(reader, &shared, &log));
+        std::thread::spawn(move || read_answers(reader, &shared, &log, &on_answer));
         Ok(Connection {
             stream,
             state,
@@ -216,7 +228,12 @@
     }
 }
 
-fn read_answers(mut stream: TcpStream, state: &Mutex<State>, record: &Record) {
+fn read_answers(
+    mut stream: TcpStream,
+    state: &Mutex<State>,
+    record: &Record,
+    on_answer: &OnAnswer,
+) {
     loop {
         let mut length = [0; 4];
         if stream.read_exact(&mut length).is_err() {
@@ -245,6 +262,9 @@
                 answer.word()
             ));
             sent.answers.push((now, answer));
+            let id = sent.id.clone();
+            drop(state);
+            on_answer(&id);
         } else {
             record.line(format!("answer to unknown sequence {sequence}: {answer:?}"));
         }
--- a/review/stand/src/kernel.rs
+++ b/review/stand/src/kernel.rs
@@ -2,7 +2,7 @@
 //! its run does, as words: `work=MS` (time on a core), `calls=N`, `forever`. Cores are not shared:
 //! a run takes its time whatever else runs.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -47,6 +47,8 @@
     pub may_skip: bool,
     /// Ids that belong to no request of an edge node; their starts are refused.
     pub unknown_ids: Vec<String>,
+    /// Requests that are answered or given up.
+    over: HashSet<String>,
     /// The most runs at a time.
     pub most_runs: usize,
     commands: u64,
@@ -121,10 +123,11 @@
             .unwrap_or(0)
     }
 
-    /// Ends a run that waits at a call, because its request is over.
+    /// The request is answered or given up: its run ends at a call, and is not started any more.
     pub fn request_is_over(&self, id: &str) {
         let mut state = self.state.lock().unwrap();
-        if state.runs.get(id).is_some_and(|run| run.waits_at.is_some()) {
+        state.over.insert(id.to_owned());
+        if !state.hangs && state.runs.get(id).is_some_and(|run| run.waits_at.is_some()) {
             self.end(&mut state, id, "interrupted", b"");
         }
     }
@@ -177,8 +180,11 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in due {
+            let is_over = state.over.contains(&id);
             let run = state.runs.get_mut(&id).unwrap();
-            if run.calls_left > 0 {
+            if run.calls_left > 0 && is_over {
+                self.end(&mut state, &id, "interrupted", b"");
+            } else if run.calls_left > 0 {
                 run.calls_left -= 1;
                 run.works_until = None;
                 let number = state.last_notice + 1;
@@ -273,7 +279,9 @@
                     return self.send(state, format!("EINVAL SCHED {id}\r\n"));
                 }
                 let running = state.runs.contains_key(*id);
-                if !running {
+                if !running && state.over.contains(*id) {
+                    self.notice(state, "REAP", &format!("{id} nothing 0.000"), Some(b""));
+                } else if !running {
                     *state.starts.entry((*id).to_owned()).or_default() += 1;
                     state
                         .started_at
