--- a/review/stand/src/bin/case-estimate.rs
+++ b/review/stand/src/bin/case-estimate.rs
@@ -22,7 +22,7 @@
 const SENSELESS_MS: f64 = 1e-7;
 
 fn settings() -> String {
-    // As at reader-brittany, with the times of a day on sockets: a tenth of the site's.
+    // As at reader-brittany, with two cores and short work.
     r#"{"classes":[
       {"name":"preview-page","objective":1800.0,"deadline":4500.0,"worth":1.0,"late_worth":0.0,"effect":"pure"},
       {"name":"subscriber-page","objective":1800.0,"deadline":4500.0,"worth":2.0,"late_worth":0.2,"effect":"pure"},
--- a/review/stand/src/kernel.rs
+++ b/review/stand/src/kernel.rs
@@ -109,6 +109,18 @@
         self.record.line("kernel: link broken");
     }
 
+    /// Sends a remark: a notice with no meaning.
+    pub fn remark(&self, text: &str) {
+        let mut state = self.state.lock().unwrap();
+        self.record
+            .line(format!("kernel: DMESG with a text of {} bytes", text.len()));
+        self.notice(&mut state, "DMESG", text, None);
+    }
+
+    pub fn links(&self) -> u64 {
+        self.state.lock().unwrap().links
+    }
+
     pub fn running(&self) -> usize {
         self.state.lock().unwrap().runs.len()
     }
