A work estimate of zero no longer stops admission for good: the slowdown stays finite

Cause: the figure is above 0 and rounds to a Duration of 0. As the only recent arrival it made the mean work 0, and Slowdown::update divided 0 by 0. The usual and the measured slowdown are computed from each other, so both stayed NaN, and a prediction of NaN is never within the objective: PredictedLate. A run with an estimate of 0 leads there by infinity, and an estimate of a nanosecond raised the usual slowdown to thousands. Evidence: a trial print in Slowdown::update shows mean_work=0 work=0 core=0 measured=NaN usual=1 -> NaN, and for the run measured=inf, then NaN. The two tests of tests/decisions/recovery.rs and, between real processes, recovery::requests_are_served_after_one_with_an_estimate_of_zero failed before, each with that rejection. Change: the estimated work of a request is at least 10 us in the module, so for every host; with it the divisor is above 0 and the measured slowdown finite, which debug builds assert. The usual slowdown stays between a twentieth and twenty. So neither figure can be moved to a value that later runs do not correct. Tried and dropped: a floor of 1 ms. It changes four of the twelve golden transcripts, whose requests need 25 us and more.

--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -20,6 +20,7 @@
 mod membership;
 mod peer_moves;
 mod recording;
+mod recovery;
 mod registration;
 mod restart;
 mod serving;
--- a/src/controller/request_arrival.rs
+++ b/src/controller/request_arrival.rs
@@ -52,9 +52,7 @@
         let now = self.clock.now();
         let profile = self.handlers.get(arrival.handler)?;
         let work_is_learnt = arrival.estimated_work.is_none();
-        let work_seconds = arrival
-            .estimated_work
-            .map_or(profile.learnt_work_seconds, |work| work.as_secs_f64());
+        let work_seconds = profile.expected_work_seconds(arrival.estimated_work);
         let times = ArrivalTimes {
             now,
             arrived_at: now.saturating_sub(arrival.age),
--- a/src/handlers.rs
+++ b/src/handlers.rs
@@ -26,6 +26,10 @@
 /// Minimum of the learnt work, in seconds, so that predictions never assume requests without work.
 const MIN_LEARNT_WORK_SECONDS: f64 = 0.001;
 
+/// Minimum of the estimated work of a request, in seconds: about what reading a request costs. A
+/// ratio with the work of requests in its divisor, such as the slowdown, is finite because of it.
+const MIN_ESTIMATED_WORK_SECONDS: f64 = 1e-5;
+
 /// Attempts of dependency calls that a run is assumed to make before any run has completed.
 const INITIAL_CALLS_PER_RUN: f64 = 1.0;
 
@@ -65,7 +69,8 @@
     pub(crate) level: usize,
     /// The priority level of requests beyond their tenant's quota.
     pub(crate) over_quota_level: usize,
-    /// Seconds of work of a request without an estimate, learnt from runs.
+    /// Seconds of work of a request without an estimate, learnt from runs; at least
+    /// [`MIN_LEARNT_WORK_SECONDS`].
     pub(crate) learnt_work_seconds: f64,
     /// Attempts of calls that one of its runs makes, retries included, learnt from runs.
     pub(crate) calls_per_run: f64,
@@ -112,6 +117,15 @@
         }
     }
 
+    /// Seconds of work that a request is expected to need: the caller's estimate, or the learnt
+    /// work where there is none. No run needs less than [`MIN_ESTIMATED_WORK_SECONDS`], so a lower
+    /// estimate counts as that.
+    pub(crate) fn expected_work_seconds(&self, estimated_work: Option<Duration>) -> f64 {
+        estimated_work.map_or(self.learnt_work_seconds, |work| {
+            work.as_secs_f64().max(MIN_ESTIMATED_WORK_SECONDS)
+        })
+    }
+
     /// Learns from a run that succeeded.
     pub(crate) fn learn(&mut self, run: &CompletedRun) {
         self.calls_per_run += LEARNING_GAIN * (f64::from(run.calls_made) - self.calls_per_run);
--- a/src/handlers/tests.rs
+++ b/src/handlers/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of priority levels and of the figures learnt from runs.
 
+use std::time::Duration;
+
 use super::{CompletedRun, HandlerProfile, handler_profiles, is_long};
 use crate::config::{Dependency, Idempotency};
 use crate::tests::{config, handler};
@@ -49,6 +51,16 @@
     assert!((profile.learnt_work_seconds - 0.11).abs() < 1e-9);
 }
 
+#[test]
+fn an_estimate_below_any_run_counts_as_ten_microseconds() {
+    let expected =
+        |nanoseconds| profile().expected_work_seconds(Some(Duration::from_nanos(nanoseconds)));
+    assert_eq!(expected(0), 1e-5);
+    assert_eq!(expected(9_999), 1e-5);
+    assert_eq!(expected(10_001), 1.0001e-5);
+    assert_eq!(profile().expected_work_seconds(None), 0.1);
+}
+
 #[test]
 fn learnt_work_has_a_floor() {
     let mut profile = profile();
--- a/src/health/slowdown.rs
+++ b/src/health/slowdown.rs
@@ -10,6 +10,11 @@
 //! slowdown therefore counts like several additional requests. While no run is on a core and none
 //! has succeeded recently, only the usual slowdown counts, because a server that hung would
 //! otherwise reject requests indefinitely. The cost is that a slow server is detected later.
+//!
+//! Both figures outlive the requests from which they were measured, so no request may move them to
+//! a value from which they do not return. The measured slowdown is finite because every request
+//! counts with some work (`handlers.rs`), and the usual slowdown stays between fixed limits: no run
+//! shows that a machine is slower or faster than these.
 
 use std::time::Duration;
 
@@ -25,6 +30,13 @@
 /// prior.
 const PRIOR_REQUESTS: f64 = 6.0;
 
+/// Maximum of the usual slowdown: that of the slowest cold start.
+const MAX_USUAL_SLOWDOWN: f64 = AVERAGE_CORE_SLOWDOWN / MIN_COLD_SPEED_FRACTION;
+
+/// Minimum of the usual slowdown: a machine as much faster than the average as the slowest one is
+/// slower.
+const MIN_USUAL_SLOWDOWN: f64 = AVERAGE_CORE_SLOWDOWN / MAX_USUAL_SLOWDOWN;
+
 /// Fraction by which a tick moves the usual slowdown while the measured one is better, or while the
 /// server still learns the speed of its machine. The usual slowdown follows 63 percent of a change
 /// in 50 ticks, which is 0.25 to 1.25 s: the tick interval is 5 to 25 ms, depending on the
@@ -54,7 +66,7 @@
 pub(crate) struct SlowdownSample {
     /// All runs that recently succeeded.
     pub(crate) completed: RunTimes,
-    /// Mean seconds of work of recent arrivals.
+    /// Mean seconds of work of recent arrivals; above 0.
     pub(crate) mean_work_seconds: f64,
     /// The time since the start of the process.
     pub(crate) age: Duration,
@@ -62,9 +74,11 @@
     pub(crate) started_warm: bool,
 }
 
-/// Seconds on a core for a second of work. Both are above 0.
+/// Seconds on a core for a second of work.
 pub(crate) struct Slowdown {
+    /// Finite and above 0.
     measured: f64,
+    /// From [`MIN_USUAL_SLOWDOWN`] to [`MAX_USUAL_SLOWDOWN`].
     usual: f64,
 }
 
@@ -113,7 +127,13 @@
         } else {
             USUAL_SLOWDOWN_GAIN_WHEN_WORSE
         };
-        self.usual += gain * (self.measured - self.usual);
+        let usual = self.usual + gain * (self.measured - self.usual);
+        self.usual = usual.clamp(MIN_USUAL_SLOWDOWN, MAX_USUAL_SLOWDOWN);
+        debug_assert!(
+            self.measured.is_finite() && self.measured > 0.0,
+            "the measured slowdown is {}",
+            self.measured
+        );
     }
 
     /// Whether this server is so slow that another would serve better.
--- a/src/health/tests.rs
+++ b/src/health/tests.rs
@@ -111,6 +111,21 @@
     assert!((traffic_fraction_at(new) - 1.7 * 1.02 / 2.0).abs() < 1e-9);
 }
 
+#[test]
+fn the_usual_slowdown_stays_between_a_twentieth_and_twenty() {
+    let usual_after = |core_seconds, work_seconds| {
+        let mut slowdown = Slowdown::new(&config());
+        for _ in 0..10_000 {
+            slowdown.update(&sample(core_seconds, work_seconds), std::iter::empty());
+        }
+        // Without a recent run the measured slowdown is the usual one.
+        slowdown.update(&sample(0.0, 0.0), std::iter::empty());
+        slowdown.measured()
+    };
+    assert!((usual_after(1e9, 0.6) - 20.0).abs() < 1e-9);
+    assert!((usual_after(0.6, 1e9) - 0.05).abs() < 1e-9);
+}
+
 #[test]
 fn arrivals_are_shed_with_the_fraction_of_failed_runs() {
     let mut rng = fastrand::Rng::with_seed(7);
--- a/tests/decisions/common.rs
+++ b/tests/decisions/common.rs
@@ -12,7 +12,7 @@
     HandlerConfig, Idempotency, Outcome, RequestIndex, TenantConfig,
 };
 
-pub(crate) fn ms(span: u64) -> Duration {
+pub(crate) const fn ms(span: u64) -> Duration {
     Duration::from_millis(span)
 }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -11,5 +11,6 @@
 mod extreme_configurations;
 mod helpers;
 mod overload;
+mod recovery;
 mod retries;
 mod rules;
