An idle server admits a probe, so figures that only runs correct cannot stop admission for good

Cause: after a hang the measured slowdown falls back to the usual one, which completed runs alone lower. Each arrival is predicted late, so none completes. The learnt work of a handler is the same: it starts at 0.1 s, and with an objective under 38 ms no request without an estimate was ever admitted.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -28,7 +28,7 @@
 use crate::health::{RunTimes, Slowdown, SlowdownSample, high_failure_fraction, is_degraded};
 use crate::idle_timeout::{ConnectionLoad, IdleTimeout, STORM_WINDOW};
 use crate::metrics::{MIN_RETAINED_SPAN, Metric, Metrics};
-use crate::queue::Queue;
+use crate::queue::{IdleProbe, Queue};
 use crate::requests::{RequestTable, Stage};
 
 // A sum over a longer window than the metrics retain would silently be too small.
@@ -48,6 +48,7 @@
     metrics: Metrics,
     requests: RequestTable,
     queue: Queue,
+    idle_probe: IdleProbe,
     memory: Memory,
     quotas: TenantQuotas,
     cores: CoreUsage,
@@ -85,6 +86,7 @@
             metrics: Metrics::new(config.dependency, tick_interval, priority_levels),
             requests: RequestTable::default(),
             queue: Queue::default(),
+            idle_probe: IdleProbe::default(),
             memory: Memory::new(config),
             quotas: TenantQuotas::new(config),
             cores: CoreUsage::new(config.cores),
--- a/src/controller/request_arrival.rs
+++ b/src/controller/request_arrival.rs
@@ -10,7 +10,7 @@
 use crate::handlers::{HandlerProfile, is_long};
 use crate::health::is_shed_for_failures;
 use crate::metrics::Metric;
-use crate::queue::{RequestForecast, ServerForecast};
+use crate::queue::{ProbeRequest, RequestForecast, ServerForecast};
 use crate::requests::{ArrivalTimes, Deadlines, Request, Stage};
 
 impl Controller {
@@ -126,7 +126,7 @@
             Some(Reason::HighFailureRate)
         } else if !self.passes_admission_control(level) {
             Some(Reason::AdmissionControl)
-        } else if !self.is_predicted_in_time(index) {
+        } else if !self.is_predicted_in_time(index) && !self.is_probe(index) {
             Some(Reason::PredictedLate)
         } else {
             None
@@ -155,6 +155,23 @@
         self.server_forecast().may_admit(&forecast)
     }
 
+    /// Whether a request starts at once as a probe of an idle server.
+    fn is_probe(&self, index: RequestIndex) -> bool {
+        let is_idle = self.requests.started() == 0 && self.queue.is_empty();
+        let request = &self.requests[index];
+        let probe = ProbeRequest {
+            age_seconds: (self.clock.now() - request.arrived_at).as_secs_f64(),
+            work_seconds: request.work_seconds,
+            work_is_learnt: request.work_is_learnt,
+            objective: request.objective_at.saturating_sub(request.arrived_at),
+            handler_objective: self.handler_of(request).latency_objective,
+        };
+        is_idle
+            && self.idle_probe.is_due(self.clock.awake_seconds())
+            && self.has_core_for_next()
+            && probe.meets_objective()
+    }
+
     fn remember_key(&mut self, request: RequestIndex, out: &mut Vec<Action>) {
         let now = self.clock.now();
         let entry = &mut self.requests[request];
--- a/src/controller/request_end.rs
+++ b/src/controller/request_end.rs
@@ -35,6 +35,7 @@
         if stage == Stage::Queued {
             return;
         }
+        self.idle_probe.record_run(self.clock.awake_seconds());
         if stage == Stage::Running {
             self.requests
                 .leave_core(request, self.clock.awake_seconds());
--- a/src/controller/request_start.rs
+++ b/src/controller/request_start.rs
@@ -36,11 +36,12 @@
             self.memory.start_running(queued_kb);
             self.requests
                 .enter_core(request, self.clock.awake_seconds());
+            self.idle_probe.record_run(self.clock.awake_seconds());
             out.push(Action::Start { request });
         }
     }
 
-    fn has_core_for_next(&self) -> bool {
+    pub(super) fn has_core_for_next(&self) -> bool {
         let core_limit = CoreLimitInput {
             cores: self.cores.cores,
             reading_cores: self.cores.reading_cores,
--- a/src/queue/prediction.rs
+++ b/src/queue/prediction.rs
@@ -10,7 +10,8 @@
 //! estimated from recent arrivals, so that requests of low priority are rejected on arrival and not
 //! after a wait. If a core is free and no queued work precedes the request, its run delays no other
 //! request, so the predicted response time may exceed its limit by a factor. The cost is that a
-//! request may be rejected which would have been in time.
+//! request may be rejected which would have been in time. `idle_probe.rs` has the exception for a
+//! server on which nothing runs.
 
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 
 /// Fraction of the latency objective within which an answer must be predicted for a request to be
 /// admitted. It is below 1 because callers may abandon an attempt before its objective.
-const ADMISSION_OBJECTIVE_FRACTION: f64 = 0.65;
+pub(super) const ADMISSION_OBJECTIVE_FRACTION: f64 = 0.65;
 
 /// Fraction of the latency objective within which an answer must be predicted for a request to
 /// stay queued.
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::idle_probe::{IdleProbe, ProbeRequest};
 use super::order::{Queue, QueueHeads};
 use super::prediction::{RequestForecast, ServerForecast};
 use crate::requests::{Request, RequestTable};
@@ -134,3 +135,42 @@
     assert!(!meets(free(true), 0.81));
     assert!(!meets(server(), 1.79));
 }
+
+fn probe(work_seconds: f64, work_is_learnt: bool) -> ProbeRequest {
+    ProbeRequest {
+        age_seconds: 0.1,
+        work_seconds,
+        work_is_learnt,
+        objective: Duration::from_secs(1),
+        handler_objective: Duration::from_secs(1),
+    }
+}
+
+#[test]
+fn a_probe_has_to_be_in_time_on_an_average_core() {
+    // 0.65 s less 0.1 s of age.
+    assert!(probe(0.549, false).meets_objective());
+    assert!(!probe(0.551, false).meets_objective());
+}
+
+#[test]
+fn the_learnt_work_of_a_probe_counts_for_three_tenths_of_the_objective_at_most() {
+    let waiting = |objective_ms| ProbeRequest {
+        objective: Duration::from_millis(objective_ms),
+        ..probe(9.0, true)
+    };
+    assert!(waiting(1_000).meets_objective());
+    // 0.3 s of work and 0.1 s of age are 0.65 of 0.615 s.
+    assert!(waiting(616).meets_objective());
+    assert!(!waiting(615).meets_objective());
+}
+
+#[test]
+fn a_probe_is_due_once_nothing_has_run_for_a_quarter_of_a_second() {
+    let mut probe = IdleProbe::default();
+    assert!(!probe.is_due(0.249));
+    assert!(probe.is_due(0.25));
+    probe.record_run(0.25);
+    assert!(!probe.is_due(0.499));
+    assert!(probe.is_due(0.5));
+}
--- a/tests/decisions/recovery.rs
+++ b/tests/decisions/recovery.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
-use crate::common::{SimulatedHost, Stage, ms};
+use crate::common::{SimulatedHost, Stage, config, ms};
 use crate::helpers::{host_without_dependency, reasons};
-use tulipgap::{Action, Arrival, Event, Outcome, RequestIndex};
+use tulipgap::{Action, Arrival, Cancellation, Dependency, Event, Outcome, Reason, RequestIndex};
 
 /// The window over which the mean work of arrivals is taken, and one bucket more.
 const QUIET_TIME: Duration = ms(5_250);
@@ -86,3 +86,99 @@
         }
     }
 }
+
+/// A host with eight cores that cannot cancel runs. Its one handler has this latency objective.
+fn host_with_objective(objective: Duration) -> SimulatedHost {
+    let mut config = config();
+    config.cores = 8;
+    config.cancellation = Cancellation::Unsupported;
+    config.dependency = Dependency::None;
+    config.handlers.truncate(1);
+    config.handlers[0].calls_dependency = false;
+    config.handlers[0].latency_objective = objective;
+    SimulatedHost::new(config, 1)
+}
+
+/// Serves requests of this work without an estimate, one after the other, for `time`; returns how
+/// many were served, and how many were sent.
+fn serve_for(host: &mut SimulatedHost, work: Duration, time: Duration) -> (u32, u32) {
+    let end = host.now + time;
+    let (mut served, mut sent) = (0, 0);
+    while host.now < end {
+        let request = host.arrive(0, 0, None, 0, 1);
+        host.advance(work);
+        sent += 1;
+        if host.requests.contains_key(&request) {
+            host.finish(request, Outcome::Succeeded);
+            served += 1;
+        }
+    }
+    (served, sent)
+}
+
+/// Runs that hung for 18 s raised the usual slowdown, which only completed runs lower. Afterwards
+/// the idle server rejected every request as predicted late, and so completed none.
+#[test]
+fn a_server_serves_again_after_its_runs_hung() {
+    let work = ms(60);
+    let mut host = host_with_objective(ms(330));
+    serve_for(&mut host, work, ms(10_000));
+    for turn in 0..8 {
+        host.arrive(0, 0, None, 0, turn);
+    }
+    host.advance(ms(18_000));
+    while let Some(request) = host.nth(Stage::Running, 0) {
+        host.finish(request, Outcome::Succeeded);
+    }
+    serve_for(&mut host, work, ms(5_000));
+    let (served, sent) = serve_for(&mut host, work, ms(5_000));
+    assert_eq!(served, sent, "requests served of those sent");
+}
+
+/// Before its first run a handler is expected to need 0.1 s. Where its objective is too short for
+/// that, no request was ever admitted, and so its work was never learnt.
+#[test]
+fn a_handler_with_a_short_objective_is_served_before_its_work_is_learnt() {
+    let mut host = host_with_objective(ms(20));
+    host.advance(ms(1_000));
+    serve_for(&mut host, ms(2), ms(5_000));
+    let (served, sent) = serve_for(&mut host, ms(2), ms(5_000));
+    assert_eq!(served, sent, "requests served of those sent");
+}
+
+/// A probe is one request: while it runs, the next ones are judged by what was learnt, and while
+/// others run there is no probe.
+#[test]
+fn an_idle_server_admits_one_request_in_each_probe_interval() {
+    let mut host = host_with_objective(ms(20));
+    host.advance(ms(245));
+    host.arrive(0, 0, None, 0, 1);
+    assert_eq!(reasons(&host), [Reason::PredictedLate]);
+    host.advance(ms(5));
+    let probe = host.arrive(0, 0, None, 0, 1);
+    assert_eq!(reasons(&host), []);
+    host.arrive(0, 0, None, 0, 1);
+    assert_eq!(reasons(&host), [Reason::PredictedLate]);
+    host.advance(ms(10));
+    host.finish(probe, Outcome::Succeeded);
+    host.advance(ms(245));
+    host.arrive(0, 0, None, 0, 1);
+    assert_eq!(reasons(&host), [Reason::PredictedLate]);
+    host.advance(ms(5));
+    host.arrive(0, 0, None, 0, 1);
+    assert_eq!(reasons(&host), []);
+}
+
+/// Runs do not change the estimate of a caller, so a probe that cannot be in time by its own
+/// estimate is rejected, and so is one whose caller waits too briefly for it to end.
+#[test]
+fn a_request_that_cannot_be_in_time_is_no_probe() {
+    let mut host = host_with_objective(ms(30));
+    host.advance(ms(1_000));
+    host.arrive(0, 0, None, 80, 1);
+    assert_eq!(reasons(&host), [Reason::PredictedLate]);
+    host.arrive(0, 0, Some(10), 0, 1);
+    assert_eq!(reasons(&host), [Reason::PredictedLate]);
+    host.arrive(0, 0, Some(20), 0, 1);
+    assert_eq!(reasons(&host), []);
+}
