A probe is admitted whatever the failure rate and the admitted fraction reject

Seen by callers: once every run of the last 2 s had failed, an idle server rejected every arrival for up to 2.25 s more, also after the fault. An admitted fraction at its minimum could reject all of an idle server's arrivals in the same way. Cause: the rule on the failure rate relies on the requests that are still admitted. At a failed fraction of 1 there are none. Change: a probe is an exception to all reasons but memory.

--- a/src/controller/request_arrival.rs
+++ b/src/controller/request_arrival.rs
@@ -114,23 +114,25 @@
         }
     }
 
-    /// Why a request is rejected on arrival; `None` if it is not.
+    /// Why a request is rejected on arrival; `None` if it is not. A probe is rejected for memory
+    /// alone.
     fn rejection_reason(&mut self, index: RequestIndex) -> Option<Reason> {
         let failure_fraction = self.high_failure_fraction();
         let is_shed_for_failures = is_shed_for_failures(failure_fraction, &mut self.rng);
         let level = self.requests[index].level;
         let is_keyed = self.handler_of(&self.requests[index]).is_keyed();
-        if !self.memory.has_room_to_queue(is_keyed) {
-            Some(Reason::MemoryLimit)
+        let reason = if !self.memory.has_room_to_queue(is_keyed) {
+            return Some(Reason::MemoryLimit);
         } else if is_shed_for_failures {
-            Some(Reason::HighFailureRate)
+            Reason::HighFailureRate
         } else if !self.passes_admission_control(level) {
-            Some(Reason::AdmissionControl)
-        } else if !self.is_predicted_in_time(index) && !self.is_probe(index) {
-            Some(Reason::PredictedLate)
+            Reason::AdmissionControl
+        } else if !self.is_predicted_in_time(index) {
+            Reason::PredictedLate
         } else {
-            None
-        }
+            return None;
+        };
+        (!self.is_probe(index)).then_some(reason)
     }
 
     fn passes_admission_control(&mut self, level: usize) -> bool {
--- a/src/health/failure_rate.rs
+++ b/src/health/failure_rate.rs
@@ -3,8 +3,9 @@
 //! A server that fails fast looks idle, and load balancers that follow the load send it more than
 //! its share: the fleet then fails most of its requests although only one server is faulty. While
 //! the fraction of failed runs is high, the server rejects that fraction of arrivals and asks
-//! callers for no traffic. The requests that are still admitted show when the fault is over. The
-//! cost is that, if every server fails alike, a rejected request finds no better server.
+//! callers for no traffic. The requests that are still admitted show when the fault is over; where
+//! every run fails, these are the probes of `queue/idle_probe.rs`. The cost is that, if every server
+//! fails alike, a rejected request finds no better server.
 //!
 //! Outlier detection in load balancers does the same from outside; this rule uses the server's own
 //! observations.
--- a/src/queue/idle_probe.rs
+++ b/src/queue/idle_probe.rs
@@ -1,18 +1,20 @@
-//! When an idle server runs a request although its answer is predicted too late.
+//! When an idle server runs a request that its measurements would reject.
 //!
 //! The prediction (`prediction.rs`) rests on two figures that only runs correct: the slowdown, and
 //! the work learnt for a handler. After a hang, for example, they may be so high that every answer
 //! is predicted too late. Such a server runs nothing, so it measures nothing that would lower them,
-//! and rejects every request although its cores are idle. A server on which nothing has run for
-//! [`PROBE_INTERVAL`] therefore admits a request that an average core would answer in time, and
-//! learns from its run. The request is a probe, as in the half-open state of a circuit breaker.
+//! and rejects every request although its cores are idle. The failure rate and the admitted
+//! fraction may reject all arrivals too, until their windows are over or they have recovered. A
+//! server on which nothing has run for [`PROBE_INTERVAL`] therefore admits a request that an
+//! average core would answer in time, and learns from its run. The request is a probe, as in the
+//! half-open state of a circuit breaker. Only the limit on memory still applies to it.
 //!
 //! The rule ends with the start of the probe, so it never applies while a request runs, is queued
 //! or calls the dependency, and a server that runs requests at least this often is not affected.
 //! A run that is given up before its end teaches nothing, so a probe gets no tolerance for a free
 //! core. Dependency calls are left out of its prediction, because the time of past calls shows as
-//! little of the present. The cost is that a server which really is too slow, or whose dependency
-//! is, runs one request in each interval too late.
+//! little of the present. The cost is that a server which really is too slow or fails its runs, or
+//! whose dependency is too slow, runs one request in each interval in vain.
 //!
 //! Source: M. Nygard, "Release It!" (2007), for the circuit breaker.
 
