Learnt work is at most the latency objective, so that a handler cannot be shut out for good

Seen by callers: without estimates, a handler with an objective under 38 ms was never served beside handlers that kept the server from being idle. Cause: learnt work starts at 0.1 s and only runs of the handler correct it. On a free core a request is admitted up to 2.6 times its objective, so none of them ran. The idle probe does not help where others run. Change: the learnt work stays between 1 ms and the objective of its handler, at the start and after each run.

--- a/src/handlers.rs
+++ b/src/handlers.rs
@@ -69,8 +69,8 @@
     pub(crate) level: usize,
     /// The priority level of requests beyond their tenant's quota.
     pub(crate) over_quota_level: usize,
-    /// Seconds of work of a request without an estimate, learnt from runs; at least
-    /// [`MIN_LEARNT_WORK_SECONDS`].
+    /// Seconds of work of a request without an estimate, learnt from runs; from
+    /// [`MIN_LEARNT_WORK_SECONDS`] to the latency objective.
     pub(crate) learnt_work_seconds: f64,
     /// Attempts of calls that one of its runs makes, retries included, learnt from runs.
     pub(crate) calls_per_run: f64,
@@ -90,7 +90,10 @@
             makes_calls: handler.calls_dependency && config.dependency != Dependency::None,
             level: level(handler.priority_weight),
             over_quota_level: level(handler.priority_weight * config.over_quota_weight),
-            learnt_work_seconds: DEFAULT_WORK_SECONDS,
+            learnt_work_seconds: learnable_work_seconds(
+                DEFAULT_WORK_SECONDS,
+                handler.latency_objective,
+            ),
             calls_per_run: INITIAL_CALLS_PER_RUN,
         }
     }
@@ -133,11 +136,20 @@
             let work_seconds = run.core_seconds / run.slowdown;
             let learnt = self.learnt_work_seconds
                 + LEARNING_GAIN * (work_seconds - self.learnt_work_seconds);
-            self.learnt_work_seconds = learnt.max(MIN_LEARNT_WORK_SECONDS);
+            self.learnt_work_seconds = learnable_work_seconds(learnt, self.latency_objective);
         }
     }
 }
 
+/// The learnt work nearest to `seconds` that is within its range. It is at most the latency
+/// objective, which is set so that runs can meet it: a request of a handler with a longer work
+/// would be rejected also where a core is free, and no run would correct the figure.
+fn learnable_work_seconds(seconds: f64, latency_objective: Duration) -> f64 {
+    seconds
+        .min(latency_objective.as_secs_f64())
+        .max(MIN_LEARNT_WORK_SECONDS)
+}
+
 /// Whether a request belongs to the queue of long requests.
 pub(crate) fn is_long(work_seconds: f64, work_is_learnt: bool, mean_work_seconds: f64) -> bool {
     let factor = if work_is_learnt {
--- a/src/handlers/tests.rs
+++ b/src/handlers/tests.rs
@@ -70,6 +70,18 @@
     assert_eq!(profile.learnt_work_seconds, 0.001);
 }
 
+#[test]
+fn learnt_work_is_at_most_the_latency_objective() {
+    let mut config = config();
+    config.handlers[0].latency_objective = Duration::from_millis(20);
+    let mut profile = handler_profiles(&config).0.remove(0);
+    assert_eq!(profile.learnt_work_seconds, 0.02);
+    profile.learn(&run(18.0, true));
+    assert_eq!(profile.learnt_work_seconds, 0.02);
+    profile.learn(&run(0.0, true));
+    assert_eq!(profile.learnt_work_seconds, 0.019);
+}
+
 #[test]
 fn learnt_work_counts_as_long_only_far_above_the_mean() {
     assert!(is_long(0.11, false, 0.1));
--- a/tests/decisions/recovery.rs
+++ b/tests/decisions/recovery.rs
@@ -216,3 +216,29 @@
     host.arrive(0, 0, None, 10, 1);
     assert_eq!(reasons(&host), [Reason::HighFailureRate]);
 }
+
+/// Before its first run a handler is expected to need 0.1 s. Beside a handler that kept the server
+/// from being idle, one with a short objective was never admitted, and so its work never learnt.
+#[test]
+fn a_handler_with_a_short_objective_is_served_beside_a_busy_one() {
+    let mut config = config_without_calls(ms(400));
+    let mut short = config.handlers[0].clone();
+    short.latency_objective = ms(20);
+    config.handlers.push(short);
+    let mut host = SimulatedHost::new(config, 1);
+    let (mut served, mut sent) = (0, 0);
+    for _ in 0..100 {
+        let busy = host.arrive(0, 0, None, 0, 1);
+        for _ in 0..10 {
+            let request = host.arrive(1, 0, None, 0, 1);
+            host.advance(ms(5));
+            sent += 1;
+            if host.requests.contains_key(&request) {
+                host.finish(request, Outcome::Succeeded);
+                served += 1;
+            }
+        }
+        host.finish(busy, Outcome::Succeeded);
+    }
+    assert_eq!(served, sent, "requests served of those sent");
+}
