--- a/crates/server/src/net/executor/link.rs
+++ b/crates/server/src/net/executor/link.rs
@@ -10,8 +10,8 @@
 
 use super::ExecutorClient;
 use super::protocol::{
-    Booted, Command, FinishedRun, Message, Query, ReachedCall, Refusal, RefusedCommand, has_body,
-    open,
+    Booted, Command, FinishedRun, LINE_FORMAT, Message, Query, ReachedCall, Refusal,
+    RefusedCommand, open,
 };
 use super::queries::Reply;
 use super::resync::Delivery;
@@ -78,7 +78,7 @@
         output.send(&[open(last_notice).as_bytes()]);
         let mut final_query = None;
         loop {
-            link.read_lines(has_body, |line| self.handle_line(line, barrier, &output))?;
+            link.read_lines(LINE_FORMAT, |line| self.handle_line(line, barrier, &output))?;
             // No command is sent over a link after its final query, so the link is closed even if
             // the executor has moved back.
             if final_query.is_some() || self.address.get() != address {
--- a/crates/server/src/net/executor/protocol.rs
+++ b/crates/server/src/net/executor/protocol.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use crate::net::lines::{Line, line, line_with_body};
+use crate::net::lines::{Line, LineFormat, line, line_with_body};
 use crate::requests::{Bytes, Outcome};
 
 /// A command for a run.
@@ -52,10 +52,11 @@
     }
 }
 
-/// Whether a body follows the line with these words.
-pub(super) fn has_body(words: &[&str]) -> bool {
-    matches!(words[0], "REAP" | "IOREQ")
-}
+/// The lines of the executor.
+pub(super) const LINE_FORMAT: LineFormat = LineFormat {
+    has_body: |words| matches!(words[0], "REAP" | "IOREQ"),
+    is_remark: |bytes| bytes.starts_with(b"DMESG "),
+};
 
 /// A message of the executor. Notices are numbered; other messages reply to queries or commands.
 pub(super) enum Message<'a> {
--- a/crates/server/src/net/store/connection.rs
+++ b/crates/server/src/net/store/connection.rs
@@ -9,7 +9,7 @@
 
 use super::StoreClient;
 use super::pool::ConnectionId;
-use super::protocol::{self, has_body};
+use super::protocol::{self, LINE_FORMAT};
 use crate::log::LogLimit;
 use crate::net::connect::connect;
 use crate::net::lines::{Line, MAX_BODY_BYTES, MAX_LINE_BYTES};
@@ -64,7 +64,7 @@
         self.pool.lock().handle_opened(id, &link.output);
         let mut stray_replies = 0;
         loop {
-            let end = link.read_lines(has_body, |line| {
+            let end = link.read_lines(LINE_FORMAT, |line| {
                 self.handle_reply(line, id, &mut stray_replies)
             });
             let mut pool = self.pool.lock();
--- a/crates/server/src/net/store/protocol.rs
+++ b/crates/server/src/net/store/protocol.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::net::lines::{Line, line_with_body};
+use crate::net::lines::{Line, LineFormat, line_with_body};
 use crate::requests::Outcome;
 
 /// Encodes a call: its line and its body.
@@ -13,10 +13,11 @@
     )
 }
 
-/// Whether a body follows the line with these words.
-pub(super) fn has_body(words: &[&str]) -> bool {
-    words.get(1) == Some(&"OK")
-}
+/// The lines of the store. Each is a reply to a call.
+pub(super) const LINE_FORMAT: LineFormat = LineFormat {
+    has_body: |words| words.get(1) == Some(&"OK"),
+    is_remark: |_| false,
+};
 
 /// A line that is not a reply of the protocol.
 #[derive(Debug, thiserror::Error)]
--- a/crates/server/src/net/stream.rs
+++ b/crates/server/src/net/stream.rs
@@ -11,7 +11,7 @@
 use may::net::TcpStream;
 use parking_lot::Mutex;
 
-use super::lines::{self, Line};
+use super::lines::{self, Line, LineError, LineFormat, MAX_SKIPPED_BYTES};
 use super::ring_buffer::RingBuffer;
 use crate::clock;
 
@@ -134,6 +134,8 @@
     pub(crate) input: RingBuffer,
     /// The peer has closed its side: it sends nothing more.
     pub(crate) is_read_closed: bool,
+    /// The bytes of a remark that were skipped so far, while its end has not been read.
+    skipped_bytes: Option<usize>,
 }
 
 impl BufferedStream {
@@ -153,6 +155,7 @@
             output: Arc::new(output),
             input: RingBuffer::new(max_input_bytes),
             is_read_closed: false,
+            skipped_bytes: None,
         }
     }
 
@@ -197,15 +200,16 @@
     /// peer has closed its side.
     pub(crate) fn read_lines(
         &mut self,
-        has_body: impl Fn(&[&str]) -> bool,
+        format: LineFormat,
         mut handle_line: impl FnMut(&Line) -> io::Result<()>,
     ) -> io::Result<()> {
         self.flush()?;
         while self.read()? {
-            while let Some(line) =
-                lines::next(self.input.contiguous(), &has_body).map_err(protocol_error)?
-            {
+            while self.skip_rest_of_remark().map_err(protocol_error)? {
+                let line = lines::next(self.input.contiguous(), format).map_err(protocol_error)?;
+                let Some(line) = line else { break };
                 let used = line.used;
+                self.skipped_bytes = line.is_unended.then_some(0);
                 handle_line(&line)?;
                 self.input.consume(used);
             }
@@ -217,6 +221,25 @@
         }
     }
 
+    /// Drops the input that belongs to a remark which was handled already. Returns whether the
+    /// input begins with a line.
+    ///
+    /// # Errors
+    /// [`LineError::RemarkTooLong`] if the remark goes on for too long.
+    fn skip_rest_of_remark(&mut self) -> Result<bool, LineError> {
+        let Some(skipped_before) = self.skipped_bytes else {
+            return Ok(true);
+        };
+        let (used, is_ended) = lines::rest_of_remark(self.input.contiguous());
+        self.input.consume(used);
+        let skipped = skipped_before + used;
+        self.skipped_bytes = (!is_ended).then_some(skipped);
+        if skipped > MAX_SKIPPED_BYTES {
+            return Err(LineError::RemarkTooLong);
+        }
+        Ok(is_ended)
+    }
+
     /// Whether the peer's system has not acknowledged all written bytes; a reset would drop the
     /// rest. False if the system does not report it.
     pub(crate) fn has_unacknowledged_output(&self) -> bool {
--- a/crates/server/src/net/stream_tests.rs
+++ b/crates/server/src/net/stream_tests.rs
@@ -1,11 +1,13 @@
-//! Draining: how far the output of a connection gets before its socket is closed.
+//! Draining: how far the output of a connection gets before its socket is closed. Skipping of
+//! remarks that are too long.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use super::{BufferedStream, DrainTarget};
+use crate::net::lines::{LineFormat, MAX_SKIPPED_BYTES};
 
 /// More bytes than the socket buffers of both sides hold.
 const LARGE_BYTES: usize = 16 * 1024 * 1024;
@@ -79,3 +81,56 @@
     drop(stream);
     assert_eq!(read_all(&mut peer), written);
 }
+
+const FORMAT: LineFormat = LineFormat {
+    has_body: |_| false,
+    is_remark: |bytes| bytes.starts_with(b"DMESG "),
+};
+
+/// Sends bytes to a stream with an input buffer of 64 KB, and returns the first two words of the
+/// lines that it reads, and the error with which it ends, if it does.
+fn read_lines_of(bytes: Vec<u8>) -> (Vec<String>, Option<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().unwrap();
+    let stream = crate::net::connect::adopt(stream).unwrap();
+    let mut stream = BufferedStream::new(stream, 64 * 1024, 4096);
+    let writer = std::thread::spawn(move || peer.write_all(&bytes).is_ok());
+    let mut lines = Vec::new();
+    let error = loop {
+        let end = stream.read_lines(FORMAT, |line| {
+            lines.push(line.words[..line.words.len().min(2)].join(" "));
+            Ok(())
+        });
+        assert!(stream.input.len() <= 64 * 1024);
+        match end {
+            Ok(()) => std::thread::sleep(Duration::from_millis(1)),
+            Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => break None,
+            Err(error) => break Some(error.to_string()),
+        }
+    };
+    drop(stream);
+    let _ = writer.join();
+    (lines, error)
+}
+
+/// The rest of a long remark is skipped in an input buffer that is far smaller, and the next line
+/// is read.
+#[test]
+fn a_remark_of_a_megabyte_is_skipped() {
+    let remark = [&b"DMESG 7 "[..], &vec![b'\r'; 1 << 20], b"\nINFO 8\r\n"].concat();
+    let (lines, error) = read_lines_of(remark);
+    assert_eq!(lines, ["DMESG 7", "INFO 8"]);
+    assert_eq!(error, None);
+}
+
+#[test]
+fn a_remark_without_end_ends_the_connection() {
+    let remark = [&b"DMESG 7 "[..], &vec![b'x'; 2 * MAX_SKIPPED_BYTES]].concat();
+    let (lines, error) = read_lines_of(remark);
+    assert_eq!(lines, ["DMESG 7"]);
+    assert_eq!(
+        error.as_deref(),
+        Some("a remark is longer than 4194304 bytes")
+    );
+}
--- a/crates/server/tests/program/harness/executor.rs
+++ b/crates/server/tests/program/harness/executor.rs
@@ -65,6 +65,20 @@
         self.notices.push(bytes);
     }
 
+    /// Sends a remark and keeps it, so that it can be sent again over a later link.
+    pub(crate) fn send_remark(&mut self, text: &[u8]) {
+        let head = format!("DMESG {} ", self.notices.len() + 1);
+        self.send_unnumbered_notice(&[head.as_bytes(), text, b"\r\n"].concat());
+    }
+
+    /// Sends bytes in place of the next notice, and keeps them like a notice.
+    pub(crate) fn send_unnumbered_notice(&mut self, bytes: &[u8]) {
+        if let Some(link) = &mut self.link {
+            let _ = link.write_all(bytes);
+        }
+        self.notices.push(bytes.to_owned());
+    }
+
     /// Ends a run with this outcome and result, unless it has ended already.
     pub(crate) fn end_run(&mut self, id: &str, end: &str, result: &[u8]) {
         if self.runs.remove(id).is_some() {
--- a/crates/server/tests/program/recovery.rs
+++ b/crates/server/tests/program/recovery.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use crate::harness::backend::start_backend;
+use crate::harness::backend::{TestBackend, start_backend};
 use crate::harness::edge_node::{AnswerKind, request_fields_with};
 
 /// Longer than the window over which the controller takes the mean work of arrivals.
@@ -29,3 +29,35 @@
         edge.expect_answer(sequence, AnswerKind::Answer);
     }
 }
+
+/// The longest line that the program reads whole, without its line end.
+const MAX_LINE_BYTES: usize = 4096;
+
+/// Waits until a request is answered, and returns how many links the executor has had.
+fn serve_one_request(backend: &TestBackend, number: usize) -> u32 {
+    let mut edge = backend.connect();
+    edge.send_request(1, &format!("{number:016x}"), b"run");
+    edge.expect_answer(1, AnswerKind::Answer);
+    backend.executor().link_count
+}
+
+/// A remark of the executor over the line limit ended the link before its number was recorded, so
+/// the executor sent it again on each next link, and no request was run any more. A remark that is
+/// no UTF-8 did the same.
+#[test]
+fn a_remark_of_any_length_and_bytes_does_not_end_the_executor_link() {
+    let backend = start_backend();
+    let links = serve_one_request(&backend, 1);
+    let head_bytes = "DMESG 1 ".len();
+    let texts: [Vec<u8>; 5] = [
+        vec![b'x'; MAX_LINE_BYTES - head_bytes - 1],
+        vec![b'x'; MAX_LINE_BYTES - head_bytes],
+        vec![b'x'; MAX_LINE_BYTES - head_bytes + 1],
+        vec![b'x'; 1 << 20],
+        b"no UTF-8 \xff\xfe".to_vec(),
+    ];
+    for (index, text) in texts.into_iter().enumerate() {
+        backend.executor().send_remark(&text);
+        assert_eq!(serve_one_request(&backend, 2 + index), links);
+    }
+}
