A link that ends in a violation after the same notice is reopened after growing pauses

Seen by operators: an executor that sends a notice which the program cannot read got a new link 20 times a second for good, and each of the first 20 wrote a line to the log. Cause: a notice that cannot be read is not recorded, so the executor sends it again on the next link. Change: net/executor/reconnect.rs decides on the pause. A violation after the same notice as on the link before waits 50 ms, doubling up to 2 s, and is not logged again. Any other end, or one more notice, begins anew: links that break are reopened as before. Not fixed: nothing runs while the executor repeats such a notice; it may be the end of a run, so it is not passed over.

--- a/crates/server/src/net/executor/link.rs
+++ b/crates/server/src/net/executor/link.rs
@@ -14,6 +14,7 @@
     RefusedCommand, open,
 };
 use super::queries::Reply;
+use super::reconnect::{LinkEnd, Reconnect};
 use super::resync::Delivery;
 use crate::clock;
 use crate::log::LogLimit;
@@ -26,8 +27,6 @@
 };
 use crate::requests::{Bytes, Gauges, Outcome, RequestEvent, RequestId};
 
-/// The pause between two attempts to open a link.
-const RECONNECT_INTERVAL: Duration = Duration::from_millis(50);
 /// How long the executor may take, when it moves, to confirm everything sent over the old link.
 const FINAL_QUERY_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -38,6 +37,7 @@
 impl ExecutorClient {
     /// Keeps a link open; never returns.
     pub(crate) fn run(self: Arc<Self>) {
+        let mut reconnect = Reconnect::default();
         loop {
             let address = self.address.get();
             let end = connect(address, || self.address.get() == address).and_then(|stream| {
@@ -46,18 +46,27 @@
                     address,
                 )
             });
-            let was_up = self.state.lock().close_link();
-            match end {
-                Ok(()) => log::info!("executor link moving address={}", self.address.get()),
-                Err(error) => {
-                    if let Some(count) = LINK_FAILURES.count_event() {
-                        log::warn!("executor link failed error=\"{error}\" count={count}");
-                    }
-                    let has_moved = self.address.get() != address;
-                    if let Some(pause) = reconnect_pause(was_up, has_moved) {
-                        clock::sleep(pause);
-                    }
-                }
+            let (was_up, last_notice) = {
+                let mut state = self.state.lock();
+                (state.close_link(), state.notices.last())
+            };
+            let Err(error) = end else {
+                log::info!("executor link moving address={}", self.address.get());
+                continue;
+            };
+            let is_violation = error.kind() == io::ErrorKind::InvalidData;
+            let link_end = LinkEnd {
+                was_up,
+                has_moved: self.address.get() != address,
+                violation_after: is_violation.then_some(last_notice),
+            };
+            if !reconnect.record(&link_end)
+                && let Some(count) = LINK_FAILURES.count_event()
+            {
+                log::warn!("executor link failed error=\"{error}\" count={count}");
+            }
+            if let Some(pause) = reconnect.pause(&link_end) {
+                clock::sleep(pause);
             }
         }
     }
@@ -308,10 +317,3 @@
         log::info!("executor remark text=\"{text}\" count={count}");
     }
 }
-
-/// The pause before the next attempt to open a link. After a link that was up, or a move of the
-/// executor, the next attempt follows at once. After any other failure, the pause keeps the
-/// attempts from using up the processor.
-fn reconnect_pause(was_up: bool, has_moved: bool) -> Option<Duration> {
-    (!was_up && !has_moved).then_some(RECONNECT_INTERVAL)
-}
--- a/crates/server/src/net/executor/mod.rs
+++ b/crates/server/src/net/executor/mod.rs
@@ -19,6 +19,7 @@
 mod notices;
 mod protocol;
 mod queries;
+mod reconnect;
 mod resync;
 mod state;
 
--- a/crates/server/tests/program/recovery.rs
+++ b/crates/server/tests/program/recovery.rs
@@ -61,3 +61,24 @@
         assert_eq!(serve_one_request(&backend, 2 + index), links);
     }
 }
+
+/// A line that the program cannot read is sent again on each next link, because its notice was not
+/// recorded. The link was opened and closed 20 times a second for good, each time with a log line.
+#[test]
+fn a_link_that_ends_at_the_same_notice_is_reopened_after_growing_pauses() {
+    let mut backend = start_backend();
+    let links = serve_one_request(&backend, 1);
+    let watched = Duration::from_secs(4);
+    backend
+        .executor()
+        .send_unnumbered_notice(&[&b"REAP "[..], &[b'9'; MAX_LINE_BYTES + 1], b"\r\n"].concat());
+    std::thread::sleep(watched);
+    let opened = backend.executor().link_count - links;
+    // At once, and then after 50 ms, 100 ms, and so on up to 2 s: 7 links in 3.15 s, and the eighth
+    // after 5.15 s.
+    assert!((2..=7).contains(&opened), "{opened} links in {watched:?}");
+    backend.signal("TERM");
+    assert!(backend.wait_for_exit().success());
+    let failures = backend.read_log().matches("executor link failed").count();
+    assert_eq!(failures, 1, "log lines for one reason at one notice");
+}
