A server that rejects everything for 5 s although nothing runs logs it, with the reason

Result: recovery::rejections_without_any_run_are_logged_once passes (requests whose own estimates are too long), and the module's tests. The line has no figures of the controller beside the reason, and there is no metric but the line.

--- a/crates/server/src/requests/mod.rs
+++ b/crates/server/src/requests/mod.rs
@@ -9,6 +9,7 @@
 //! client report the progress of runs and calls as [`RequestEvent`]s.
 
 mod idempotency;
+mod idle_rejections;
 mod messages;
 mod metrics;
 mod open_request;
--- a/crates/server/src/requests/state/actions.rs
+++ b/crates/server/src/requests/state/actions.rs
@@ -8,6 +8,7 @@
 use super::RegistryState;
 use crate::invariant;
 use crate::requests::messages::{Command, Response};
+use crate::requests::open_request::OpenRequest;
 use crate::trace::recorded_reason;
 
 impl RegistryState {
@@ -26,6 +27,7 @@
                     retry_other_server,
                 };
                 self.respond_once(request, response, recorded_reason(reason));
+                self.report_idle_rejections(reason);
             }
             Action::Fail { request, reason } => {
                 self.respond_once(request, Response::Failed, recorded_reason(reason));
@@ -46,7 +48,23 @@
         }
     }
 
+    /// Logs that every request is rejected although nothing runs, if that goes on for long. A
+    /// server that drains rejects every request.
+    fn report_idle_rejections(&mut self, reason: tulipgap::Reason) {
+        let report = self
+            .idle_rejections
+            .record_rejection(Instant::now(), reason);
+        let Some(report) = report else { return };
+        let is_running = |request: &OpenRequest| request.is_started && !request.is_released;
+        if self.shutdown.is_some() || self.requests.iter().any(|(_, request)| is_running(request)) {
+            self.idle_rejections.record_run();
+        } else {
+            report.log();
+        }
+    }
+
     fn start_run(&mut self, index: usize) {
+        self.idle_rejections.record_run();
         if let Some(delay) = self.requests[index].start_run(Instant::now()) {
             self.longest_delays.record_queued(delay);
         }
--- a/crates/server/src/requests/state/mod.rs
+++ b/crates/server/src/requests/state/mod.rs
@@ -20,6 +20,7 @@
 
 use self::schedule::ShutdownNotice;
 use super::idempotency::IdempotencyKeys;
+use super::idle_rejections::IdleRejections;
 use super::messages::{Command, RequestId};
 use super::metrics::{LongestDelays, RequestCounts};
 use super::open_request::OpenRequest;
@@ -50,6 +51,7 @@
     /// Whether health checks report this server as healthy, as the controller set it last.
     is_healthy: bool,
     counts: RequestCounts,
+    idle_rejections: IdleRejections,
     /// The longest delays since they were last taken.
     longest_delays: LongestDelays,
     /// The tracer, if requests are recorded.
@@ -71,6 +73,7 @@
             idle_timeout: config.idle_timeout,
             is_healthy: false,
             counts: RequestCounts::default(),
+            idle_rejections: IdleRejections::default(),
             longest_delays: LongestDelays::default(),
             tracer,
         }
--- a/crates/server/tests/program/recovery.rs
+++ b/crates/server/tests/program/recovery.rs
@@ -1,7 +1,7 @@
 //! The program serves again after a disruption: no message and no fault of a peer leaves it in a
 //! state in which it rejects every request.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::harness::backend::{TestBackend, start_backend};
 use crate::harness::edge_node::{AnswerKind, request_fields_with};
@@ -82,3 +82,26 @@
     let failures = backend.read_log().matches("executor link failed").count();
     assert_eq!(failures, 1, "log lines for one reason at one notice");
 }
+
+/// A server that rejects everything answers every request and every health check, so nothing showed
+/// it but the counts of the summaries. Here the estimates of all requests are too long.
+#[test]
+fn rejections_without_any_run_are_logged_once() {
+    let mut backend = start_backend();
+    let mut edge = backend.connect();
+    let start = Instant::now();
+    let mut sequence = 0;
+    while start.elapsed() < Duration::from_millis(5_500) {
+        sequence += 1;
+        let fields = request_fields_with(&format!("{sequence:016x}"), "ms", "40000");
+        edge.send_request_with_fields(sequence, &fields, b"run");
+        edge.expect_answer(sequence, AnswerKind::Rejected);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    backend.signal("TERM");
+    assert!(backend.wait_for_exit().success());
+    let log = backend.read_log();
+    let line = "requests rejected without any run elapsed_ms=5";
+    assert_eq!(log.matches(line).count(), 1, "{log}");
+    assert!(log.contains(" reason=PredictedLate"), "{log}");
+}
