Ticks come eight times within the shortest client timeout, so that mandatory calls fit into it

Seen by callers: with mandatory calls and a client timeout of about 25 ms no request was ever served, on a fresh server too. Cause: a call is made only if its time limit is above the tick interval, and the interval followed the response slack alone, up to 25 ms. Change: the tick interval is at most an eighth of the shortest client timeout, and at least 5 ms as before.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -22,13 +22,17 @@
 const MAX_TICK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Shortest interval between two ticks, which limits the cost of ticks. Between the two limits, the
-/// interval follows from the configured response slack.
+/// interval follows from the configured response slack and from the shortest client timeout.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Number of ticks within the response slack, which is the time after the deadline of a request in
 /// which an answer still counts.
 const TICKS_PER_RESPONSE_SLACK: u32 = 2;
 
+/// Number of ticks within the shortest client timeout. Whatever lasts no longer than a tick cannot
+/// be ended in time, so a request of about a tick could make no dependency call.
+const TICKS_PER_CLIENT_TIMEOUT: u32 = 8;
+
 /// Tick intervals by which a tick must be late for the process to count as stalled.
 const STALL_TICKS: u32 = 2;
 
@@ -46,9 +50,10 @@
 
 impl Schedule {
     /// The schedule of a process that starts now.
-    pub(crate) fn new(response_slack: Duration) -> Self {
-        let tick_interval =
-            (response_slack / TICKS_PER_RESPONSE_SLACK).clamp(MIN_TICK_INTERVAL, MAX_TICK_INTERVAL);
+    pub(crate) fn new(response_slack: Duration, shortest_client_timeout: Duration) -> Self {
+        let tick_interval = (response_slack / TICKS_PER_RESPONSE_SLACK)
+            .min(shortest_client_timeout / TICKS_PER_CLIENT_TIMEOUT)
+            .clamp(MIN_TICK_INTERVAL, MAX_TICK_INTERVAL);
         Schedule {
             tick_interval,
             next_tick: tick_interval,
--- a/src/config.rs
+++ b/src/config.rs
@@ -218,6 +218,14 @@
     }
 }
 
+impl Config {
+    /// The shortest client timeout of all handlers.
+    pub(crate) fn shortest_client_timeout(&self) -> Duration {
+        let timeouts = self.handlers.iter().map(|handler| handler.client_timeout);
+        timeouts.min().unwrap_or(Duration::MAX)
+    }
+}
+
 impl Dependency {
     fn validate(&self) -> Result<(), ConfigError> {
         let Dependency::Shared { share, window, .. } = *self else {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -78,7 +78,7 @@
     pub fn new(config: &Config, seed: u64) -> Result<Self, ConfigError> {
         config.validate()?;
         let (handlers, priority_levels) = handler_profiles(config);
-        let schedule = Schedule::new(config.response_slack);
+        let schedule = Schedule::new(config.response_slack, config.shortest_client_timeout());
         let tick_interval = schedule.tick_interval;
         Ok(Controller {
             priority_levels,
--- a/tests/decisions/recovery.rs
+++ b/tests/decisions/recovery.rs
@@ -242,3 +242,21 @@
     }
     assert_eq!(served, sent, "requests served of those sent");
 }
+
+/// A call whose time limit is not above a tick cannot be enforced, and is not made. With a client
+/// timeout of about a tick no mandatory call was ever made, and every request failed.
+#[test]
+fn a_mandatory_call_is_made_within_a_client_timeout_of_one_tick() {
+    let mut config = config();
+    config.response_slack = ms(80);
+    config.handlers.truncate(1);
+    config.handlers[0].latency_objective = ms(15);
+    config.handlers[0].client_timeout = ms(25);
+    config.handlers[0].degraded_weight = 0.0;
+    let mut host = SimulatedHost::new(config, 1);
+    host.advance(ms(1_000));
+    let request = host.arrive(0, 0, None, 2, 1);
+    host.advance(ms(1));
+    host.reach_call(request);
+    assert_eq!(host.requests[&request].stage, Stage::Calling);
+}
