--- a/review/stand-2/src/edge.rs
+++ b/review/stand-2/src/edge.rs
@@ -10,6 +10,14 @@
 
 use crate::world::{Answer, Shared, Try, ms, unix_ms};
 
+static IDS: AtomicU64 = AtomicU64::new(0);
+
+/// The number of a new try, which no other edge node uses.
+pub fn new_id() -> u64 {
+    let count = IDS.fetch_add(1, Ordering::Relaxed);
+    (0x5a00_0000_0000_0000 + count).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 /// A request to send.
 #[derive(Clone)]
 pub struct Send {
@@ -40,7 +48,6 @@
     world: Shared,
     address: Mutex<SocketAddr>,
     connections: Mutex<Vec<Arc<Connection>>>,
-    id: AtomicU64,
     pub refused: AtomicU64,
 }
 
@@ -56,6 +63,20 @@
     [&(out.len() as u32).to_be_bytes()[..], &out[..]].concat()
 }
 
+/// The message of a request with these fields.
+pub fn process(sequence: i32, fields: &[(&str, String)], body: &[u8]) -> Vec<u8> {
+    let mut out = vec![13, 0, 1, 11, 11];
+    out.extend((fields.len() as u32).to_be_bytes());
+    for (name, value) in fields {
+        out.extend(string(name.as_bytes()));
+        out.extend(string(value.as_bytes()));
+    }
+    out.extend([11, 0, 2]);
+    out.extend(string(body));
+    out.push(0);
+    message(1, "process", sequence, &out)
+}
+
 /// A cursor over a message.
 struct Reader<'a>(&'a [u8]);
 
@@ -137,13 +158,17 @@
     }
 }
 
+/// The kind of an answer to a request.
+pub fn answer_of(frame: &[u8]) -> Option<Answer> {
+    decode(frame).map(|received| received.answer)
+}
+
 impl Edge {
     pub fn new(world: &Shared, address: SocketAddr) -> Arc<Edge> {
         Arc::new(Edge {
             world: world.clone(),
             address: Mutex::new(address),
             connections: Mutex::default(),
-            id: AtomicU64::new(unix_ms().wrapping_mul(0x9e37_79b9_7f4a_7c15)),
             refused: AtomicU64::new(0),
         })
     }
@@ -222,7 +247,7 @@
     }
 
     pub fn send_on(&self, connection: &Arc<Connection>, send: &Send) -> Option<String> {
-        let id = format!("{:016x}", self.id.fetch_add(0x1_0001, Ordering::Relaxed));
+        let id = format!("{:016x}", new_id());
         let mut fields = vec![
             ("kind", send.class.clone()),
             ("req", id.clone()),
@@ -242,15 +267,6 @@
         if send.says_wait {
             fields.push(("timeout", format!("{}.0", send.deadline_ms)));
         }
-        let mut body = vec![13, 0, 1, 11, 11];
-        body.extend((fields.len() as u32).to_be_bytes());
-        for (name, value) in &fields {
-            body.extend(string(name.as_bytes()));
-            body.extend(string(value.as_bytes()));
-        }
-        body.extend([11, 0, 2]);
-        body.extend(string(&send.body));
-        body.push(0);
         let mut open = connection.open.lock().unwrap();
         if connection.is_closed.load(Ordering::Acquire) {
             return None;
@@ -270,7 +286,7 @@
         drop(open);
         self.world
             .note(format!("sent {id} class={} key={}", send.class, send.key));
-        let frame = message(1, "process", sequence, &body);
+        let frame = process(sequence, &fields, &send.body);
         let mut stream: &TcpStream = &connection.stream;
         if stream.write_all(&frame).is_err() {
             self.world.note(format!("sending {id} failed"));
--- a/review/stand-2/src/kernel.rs
+++ b/review/stand-2/src/kernel.rs
@@ -294,7 +294,10 @@
             }
             Some(false) => {}
         }
-        self.world.with(id, |entry| entry.runs += 1);
+        self.world.with(id, |entry| {
+            entry.runs += 1;
+            entry.run_at.get_or_insert_with(Instant::now);
+        });
         self.world.note(format!("run of {id} begins"));
         let (steps, result) = parse(body);
         state.runs.insert(
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -3,8 +3,11 @@
 
 mod backend;
 mod edge;
+mod figures;
+mod flood;
 mod kernel;
 mod keys;
+mod lockout;
 mod probe;
 mod store;
 mod storm;
@@ -48,6 +51,9 @@
     let verdict = match name.as_str() {
         "storm" => storm::run(&place),
         "keys" => keys::run(&place),
+        "flood" => flood::run(&place),
+        "lockout" => lockout::run(&place),
+        "figures" => figures::run(&place),
         "restart" => probe::restart(&place),
         "memory" => probe::memory(&place),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
--- a/review/stand-2/src/storm.rs
+++ b/review/stand-2/src/storm.rs
@@ -83,6 +83,16 @@
     }
     for (key, mut all) in by_key {
         all.sort_by_key(|(_, entry)| entry.sent_at);
+        let first_run = all.iter().filter_map(|(_, entry)| entry.run_at).min();
+        for (id, entry) in &all {
+            let is_rejected_late = entry
+                .answers
+                .iter()
+                .any(|(at, a)| *a == Answer::Rejected && first_run.is_some_and(|run| run < *at));
+            if is_rejected_late {
+                faults.push(format!("key {key}: {id} rejected after a run"));
+            }
+        }
         for (at, (id, entry)) in all.iter().enumerate() {
             for (other, later) in &all[at + 1..] {
                 let gap = later.sent_at.unwrap() - entry.sent_at.unwrap();
@@ -90,7 +100,11 @@
                     if later.runs > 0 {
                         faults.push(format!("key {key} ran twice: {id} {other} gap {gap:?}"));
                     }
-                    if later.answers.iter().any(|(_, a)| *a == Answer::Rejected) {
+                    if later
+                        .answers
+                        .iter()
+                        .any(|(at, a)| *a == Answer::Rejected && Some(*at) > entry.run_at)
+                    {
                         faults.push(format!("key {key} rejected after run: {id} {other}"));
                     }
                 }
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -37,6 +37,8 @@
     pub gone: bool,
     /// How often a run of it was begun.
     pub runs: u32,
+    /// When its first run was begun.
+    pub run_at: Option<Instant>,
     /// How often its result differed from what its run made.
     pub wrong: u32,
     /// The calls of it that the store carried out.
