--- a/review/stand-2/src/edge.rs
+++ b/review/stand-2/src/edge.rs
@@ -40,7 +40,6 @@
     sequence: AtomicI32,
     pub no_more: AtomicBool,
     pub is_closed: AtomicBool,
-    own_close: AtomicBool,
     open_count: AtomicUsize,
 }
 
@@ -183,7 +182,6 @@
             sequence: AtomicI32::new(0),
             no_more: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
-            own_close: AtomicBool::new(false),
             open_count: AtomicUsize::new(0),
         });
         let (edge, reading) = (self.clone(), connection.clone());
@@ -298,44 +296,6 @@
         Some(id)
     }
 
-    /// Says that the caller of a request no longer waits.
-    pub fn give_up(&self, connection: &Arc<Connection>, id: &str) {
-        let open = connection.open.lock().unwrap();
-        let Some(sequence) = open.iter().find(|(_, open)| *open == id).map(|(s, _)| *s) else {
-            return;
-        };
-        drop(open);
-        let mut body = vec![8, 0, 1];
-        body.extend(sequence.to_be_bytes());
-        body.push(0);
-        self.world.with(id, |entry| entry.gone = true);
-        let mut stream: &TcpStream = &connection.stream;
-        let _ = stream.write_all(&message(4, "giveUp", 0, &body));
-    }
-
-    pub fn give_up_any(&self, id: &str) {
-        let connections = self.connections.lock().unwrap().clone();
-        for connection in connections {
-            self.give_up(&connection, id);
-        }
-    }
-
-    /// Resets a pooled connection, as an edge node that restarts does.
-    pub fn reset_one(&self) {
-        let connection = self.connections.lock().unwrap().pop();
-        if let Some(connection) = connection {
-            connection.own_close.store(true, Ordering::Release);
-            let open = connection.open.lock().unwrap();
-            for id in open.values() {
-                self.world.with(id, |entry| entry.reset = true);
-            }
-            connection.is_closed.store(true, Ordering::Release);
-            drop(open);
-            let _ = connection.stream.shutdown(Shutdown::Both);
-            self.world.note("edge node resets a connection");
-        }
-    }
-
     fn read(&self, connection: &Arc<Connection>) {
         let mut stream = connection.stream.try_clone().unwrap();
         loop {
@@ -391,15 +351,12 @@
         }
         let open = connection.open.lock().unwrap();
         connection.is_closed.store(true, Ordering::Release);
-        let is_own = connection.own_close.load(Ordering::Acquire);
         for id in open.values() {
-            if !is_own {
-                self.world.note(format!("connection ended under {id}"));
-                self.world.with(id, |entry| {
-                    entry.cut = true;
-                    entry.cut_at = Some(Instant::now());
-                });
-            }
+            self.world.note(format!("connection ended under {id}"));
+            self.world.with(id, |entry| {
+                entry.cut = true;
+                entry.cut_at = Some(Instant::now());
+            });
         }
     }
 
--- a/review/stand-2/src/figures.rs
+++ b/review/stand-2/src/figures.rs
@@ -7,7 +7,7 @@
 use crate::backend::Platform;
 use crate::edge::{self, Edge, Send};
 use crate::kernel::{Kernel, KernelRules};
-use crate::store::{Store, StoreRules};
+use crate::store::Store;
 use crate::world::{Answer, Try, World, ms, unix_ms};
 use crate::{Place, Verdict};
 
@@ -42,7 +42,7 @@
         state: "steady",
     };
     let (_kernel, kernel_address) = Kernel::start(&world, rules);
-    let (_store, store_address) = Store::start(&world, StoreRules::default());
+    let store_address = Store::start(&world, 10);
     let mut platform = Platform::new(&place.root, &place.folder, kernel_address, store_address);
     platform.settings = settings();
     let _backend = platform.start();
--- a/review/stand-2/src/kernel.rs
+++ b/review/stand-2/src/kernel.rs
@@ -14,7 +14,8 @@
 #[derive(Clone, Copy)]
 enum Step {
     Work(u64),
-    Call,
+    /// A call with a body of so many bytes, or a short one.
+    Call(usize),
 }
 
 struct Run {
@@ -37,11 +38,11 @@
     link_number: u64,
     timers: BTreeMap<(Instant, u64), (String, u64)>,
     counter: u64,
-    /// Commands that are read from now on are lost: the link is about to break.
+    /// Commands for runs that are read from now on are lost: the link is about to break. Questions
+    /// for the gauges are answered.
     is_losing: bool,
-    /// Notices and answers are held back, and no run gets on: the kernel hangs.
-    pub running_peak: usize,
-    commands: u64,
+    lost: u64,
+    links: u64,
 }
 
 /// How the kernel behaves.
@@ -74,7 +75,7 @@
         let number = |text: &str| text.parse::<u64>().unwrap_or(0);
         match word.as_bytes().first() {
             Some(b'w') => steps.push(Step::Work(number(&word[1..]))),
-            Some(b'c') => steps.push(Step::Call),
+            Some(b'c') => steps.push(Step::Call(number(&word[1..]) as usize)),
             Some(b'r') => result = number(&word[1..]) as usize,
             _ => break,
         }
@@ -110,35 +111,33 @@
         address
     }
 
-    /// Loses the commands of the next `lost`, and then breaks the link.
-    pub fn break_link(&self, lost: Duration, in_mid_notice: bool) {
-        self.state.lock().unwrap().is_losing = true;
+    /// Loses the commands for runs of the next `lost`, and then breaks the link. Gauges are told
+    /// until then. Returns how many commands were lost.
+    pub fn break_link(&self, lost: Duration) -> u64 {
+        let before = {
+            let mut state = self.state.lock().unwrap();
+            state.is_losing = true;
+            state.lost
+        };
         std::thread::sleep(lost);
         let mut state = self.state.lock().unwrap();
         state.is_losing = false;
         if let Some(link) = state.link.take() {
-            if in_mid_notice {
-                let _ = (&link).write_all(b"IOREQ 9");
-            }
             let _ = link.shutdown(Shutdown::Both);
         }
         self.world.note("kernel breaks the link");
+        state.lost - before
     }
 
-    /// Reads nothing and sends nothing for that time; the work goes on.
-    pub fn hang(&self, length: Duration) {
-        let _state = self.state.lock().unwrap();
-        std::thread::sleep(length);
+    /// How many links were opened.
+    pub fn links(&self) -> u64 {
+        self.state.lock().unwrap().links
     }
 
     pub fn running(&self) -> usize {
         self.state.lock().unwrap().runs.len()
     }
 
-    pub fn commands(&self) -> u64 {
-        self.state.lock().unwrap().commands
-    }
-
     fn serve(&self, stream: TcpStream) {
         stream.set_nodelay(true).unwrap();
         let mut input = BufReader::new(stream.try_clone().unwrap());
@@ -163,7 +162,6 @@
                 body.truncate(length);
             }
             let mut state = self.state.lock().unwrap();
-            state.commands += 1;
             if let ["OPEN", last] = words[..] {
                 if let Some(old) = state.link.take() {
                     let _ = old.shutdown(Shutdown::Both);
@@ -175,6 +173,7 @@
                 out.extend(state.notices[from..].concat());
                 let _ = (&stream).write_all(&out);
                 state.link = Some(stream.try_clone().unwrap());
+                state.links += 1;
                 self.world
                     .note(format!("kernel link opened after notice {last}"));
                 continue;
@@ -182,7 +181,8 @@
             if own != state.link_number {
                 return;
             }
-            if state.is_losing {
+            if state.is_losing && words[0] != "SYSINFO" {
+                state.lost += 1;
                 self.world.note(format!("kernel loses {text}"));
                 continue;
             }
@@ -313,7 +313,6 @@
                 is_poorer: false,
             },
         );
-        state.running_peak = state.running_peak.max(state.runs.len());
         self.step(state, id);
     }
 
@@ -342,14 +341,17 @@
                 state.timers.insert(key, (id.to_owned(), version));
                 self.wake.notify_one();
             }
-            Some(Step::Call) => {
+            Some(Step::Call(length)) => {
+                let length = *length;
                 if self.world.with(id, |entry| entry.is_over()) == Some(true) {
                     return self.end(state, id, "interrupted", b"");
                 }
                 if let Some(run) = state.runs.get_mut(id) {
                     run.is_waiting = true;
                 }
-                let number = self.notice(state, "IOREQ", id, format!("call of {id}").as_bytes());
+                let mut body = format!("call of {id}").into_bytes();
+                body.resize(body.len().max(length), b'x');
+                let number = self.notice(state, "IOREQ", id, &body);
                 if let Some(run) = state.runs.get_mut(id) {
                     run.call = number;
                 }
--- a/review/stand-2/src/keys.rs
+++ b/review/stand-2/src/keys.rs
@@ -5,7 +5,7 @@
 use crate::backend::Platform;
 use crate::edge::{Edge, Send};
 use crate::kernel::{Kernel, KernelRules};
-use crate::store::{Store, StoreRules};
+use crate::store::Store;
 use crate::world::{World, ms};
 use crate::{Place, Verdict};
 
@@ -42,7 +42,7 @@
         state: "steady",
     };
     let (_kernel, kernel_address) = Kernel::start(&world, rules);
-    let (_store, store_address) = Store::start(&world, StoreRules::default());
+    let store_address = Store::start(&world, 10);
     let mut platform = Platform::new(&place.root, &place.folder, kernel_address, store_address);
     platform.settings = settings();
     platform.memory_mb = MEMORY_MB;
--- a/review/stand-2/src/lockout.rs
+++ b/review/stand-2/src/lockout.rs
@@ -10,7 +10,7 @@
 use crate::backend::Platform;
 use crate::edge::{self, Edge, Send};
 use crate::kernel::{Kernel, KernelRules};
-use crate::store::{Store, StoreRules};
+use crate::store::Store;
 use crate::world::{World, ms, unix_ms};
 use crate::{Place, Verdict};
 
@@ -92,7 +92,7 @@
 }
 
 pub fn run(place: &Place) -> Verdict {
-    let bad_connections = crate::storm::env("BAD", BAD_CONNECTIONS);
+    let bad_connections = crate::env("BAD", BAD_CONNECTIONS);
     let world = World::new(&place.case.join("record.txt"), 7);
     let rules = KernelRules {
         can_halt: true,
@@ -100,13 +100,7 @@
         state: "steady",
     };
     let (_kernel, kernel_address) = Kernel::start(&world, rules);
-    let (_store, store_address) = Store::start(
-        &world,
-        StoreRules {
-            delay_ms: 10,
-            ..StoreRules::default()
-        },
-    );
+    let store_address = Store::start(&world, 10);
     let mut platform = Platform::new(&place.root, &place.folder, kernel_address, store_address);
     platform.settings = settings();
     let mut backend = platform.start();
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -4,13 +4,12 @@
 mod backend;
 mod edge;
 mod figures;
-mod flood;
 mod kernel;
 mod keys;
 mod lockout;
-mod probe;
+mod notice;
+mod starts;
 mod store;
-mod storm;
 mod world;
 
 use std::path::PathBuf;
@@ -34,6 +33,14 @@
     pub trouble: bool,
 }
 
+/// The number that a variable of the environment sets, or the default.
+pub fn env(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default)
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, name, root, case] = &arguments[..] else {
@@ -49,13 +56,11 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match name.as_str() {
-        "storm" => storm::run(&place),
         "keys" => keys::run(&place),
-        "flood" => flood::run(&place),
         "lockout" => lockout::run(&place),
         "figures" => figures::run(&place),
-        "restart" => probe::restart(&place),
-        "memory" => probe::memory(&place),
+        "starts" => starts::run(&place),
+        "notice" => notice::run(&place),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -26,15 +26,11 @@
     /// When its answer is due, slack included.
     pub due_at: Option<Instant>,
     pub answers: Vec<(Instant, Answer)>,
-    /// The connection was reset, or ended on the edge node's side.
-    pub reset: bool,
     /// The connection was ended by the backend without an answer.
     pub cut: bool,
     pub cut_at: Option<Instant>,
     /// Writing it failed, so nothing is owed.
     pub failed_to_send: bool,
-    /// The edge node said that it no longer waits.
-    pub gone: bool,
     /// How often a run of it was begun.
     pub runs: u32,
     /// When its first run was begun.
@@ -50,7 +46,7 @@
 impl Try {
     /// The request needs no run any more.
     pub fn is_over(&self) -> bool {
-        !self.answers.is_empty() || self.gone || self.reset
+        !self.answers.is_empty()
     }
 }
 
@@ -109,7 +105,3 @@
 pub fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
 }
-
-pub fn sleep_until(at: Instant) {
-    std::thread::sleep(at.saturating_duration_since(Instant::now()));
-}
