--- a/review/stand-2/src/kernel.rs
+++ b/review/stand-2/src/kernel.rs
@@ -41,6 +41,8 @@
     /// Commands for runs that are read from now on are lost: the link is about to break. Questions
     /// for the gauges are answered.
     is_losing: bool,
+    /// Then questions for the gauges are lost, too.
+    loses_all: bool,
     lost: u64,
     links: u64,
 }
@@ -112,11 +114,12 @@
     }
 
     /// Loses the commands for runs of the next `lost`, and then breaks the link. Gauges are told
-    /// until then. Returns how many commands were lost.
-    pub fn break_link(&self, lost: Duration) -> u64 {
+    /// until then, unless `loses_all` is set. Returns how many commands were lost.
+    pub fn break_link(&self, lost: Duration, loses_all: bool) -> u64 {
         let before = {
             let mut state = self.state.lock().unwrap();
             state.is_losing = true;
+            state.loses_all = loses_all;
             state.lost
         };
         std::thread::sleep(lost);
@@ -181,7 +184,7 @@
             if own != state.link_number {
                 return;
             }
-            if state.is_losing && words[0] != "SYSINFO" {
+            if state.is_losing && (state.loses_all || words[0] != "SYSINFO") {
                 state.lost += 1;
                 self.world.note(format!("kernel loses {text}"));
                 continue;
--- a/review/stand-2/src/starts.rs
+++ b/review/stand-2/src/starts.rs
@@ -37,11 +37,13 @@
     let start = Instant::now();
     if place.trouble {
         let (kernel, world) = (kernel.clone(), world.clone());
+        // `LOSE_ALL=1` is a kernel that does not answer for the gauges in that time either.
+        let loses_all = crate::env("LOSE_ALL", 0) == 1;
         std::thread::spawn(move || {
             std::thread::sleep(THIRD);
             while start.elapsed() < 2 * THIRD - BREAK_EVERY {
                 std::thread::sleep(BREAK_EVERY - LOST);
-                let lost = kernel.break_link(LOST);
+                let lost = kernel.break_link(LOST, loses_all);
                 world.note(format!("{lost} commands were lost"));
             }
         });
@@ -90,7 +92,7 @@
         }
     }
     let text = format!(
-        "served {} of {} before, {} of {} with the breaks, {} of {} after them; without an answer {}; running in the kernel {}",
+        "served {} of {} before, {} of {} with the breaks, {} of {} after them; without an answer {}; running in the kernel {}; a deep health check says {:?}",
         thirds[0].1,
         thirds[0].0,
         thirds[1].1,
@@ -98,7 +100,8 @@
         thirds[2].1,
         thirds[2].0,
         thirds.iter().map(|third| third.2).sum::<u32>(),
-        kernel.running()
+        kernel.running(),
+        edge.probe(ms(3000))
     );
     println!("{text}");
     world.note(&text);
