Connections on which requests are only rejected give way to those in the backlog

Cause: a connection could be evicted only after 60 ms without use. Each use renewed that time, whatever became of the request, so such clients kept their places for good and the idle connections of edge nodes were evicted for them. Evidence: clients_that_repeat_rejected_requests_do_not_keep_all_descriptors plays the rule alone: nothing was evicted in 2,000 ms. Change: the limiter gets Event::RequestRejected. A connection with a rejected request and none served in the 2 s before is evicted before idle ones, its 60 ms count from its accept, and no idle one is displaced while there is such a connection.

--- a/crates/connection-limits/src/connection.rs
+++ b/crates/connection-limits/src/connection.rs
@@ -22,6 +22,10 @@
     /// The time at which the incomplete message started, if there is one.
     pub(crate) partial_message_since: Option<Duration>,
     pub(crate) has_sent_message: bool,
+    /// The last time at which a request on it was answered with a result.
+    pub(crate) last_served_at: Option<Duration>,
+    /// The last time at which a request on it was rejected.
+    pub(crate) last_rejected_at: Option<Duration>,
     /// Requests and health checks in flight.
     pub(crate) open_requests: u32,
     /// A message timed out while a request was in flight: the limiter closes the connection once no
@@ -45,6 +49,8 @@
             message_awaited_since: Some(now),
             partial_message_since: None,
             has_sent_message: false,
+            last_served_at: None,
+            last_rejected_at: None,
             open_requests: 0,
             is_message_overdue: false,
             is_close_overdue: false,
--- a/crates/connection-limits/src/event.rs
+++ b/crates/connection-limits/src/event.rs
@@ -66,9 +66,15 @@
     RequestFinished {
         /// The connection.
         connection: ConnectionId,
-        /// Whether a final answer was written to the client completely.
+        /// Whether it was served: its answer is a result.
         is_answered: bool,
     },
+    /// A request was rejected. [`Event::RequestFinished`] follows if [`Event::RequestStarted`]
+    /// preceded it.
+    RequestRejected {
+        /// The connection.
+        connection: ConnectionId,
+    },
     /// The client violated the protocol.
     ProtocolViolation {
         /// The connection.
--- a/crates/connection-limits/src/eviction.rs
+++ b/crates/connection-limits/src/eviction.rs
@@ -8,6 +8,12 @@
 //! message. A connection with a request in flight has no class and is never evicted. The trade-off
 //! is that an idle client has to connect again.
 //!
+//! Connections whose requests are all rejected are evicted before idle ones, and their grace period
+//! counts from their accept. A client that sends a request again after each rejection would
+//! otherwise renew its grace period, keep its descriptor indefinitely, and leave clients that the
+//! server would serve in the backlog. The trade-off is that a client that is rejected for
+//! [`SERVED_PERIOD`] by an overloaded server may have to connect again.
+//!
 //! While a new connection waits in the backlog, the grace periods are shorter, and no idle
 //! connection is evicted while more than [`MAX_DISPLACING_SILENT_CONNECTIONS`] connections are
 //! silent: a flood of connections that send nothing would otherwise evict a client whose first
@@ -43,6 +49,11 @@
 /// How long an idle connection is protected after its last use while others wait in the backlog:
 /// its next message may be in transit.
 const RECENT_USE_GRACE: Duration = Duration::from_millis(60);
+/// How long after a served request the rejections on its connection do not count.
+const SERVED_PERIOD: Duration = Duration::from_secs(2);
+/// How long a connection whose requests are all rejected is protected after it was accepted while
+/// others wait in the backlog.
+const REJECTED_GRACE: Duration = Duration::from_millis(60);
 /// How long a connection with an incomplete message is protected after the shutdown notice while
 /// others wait in the backlog: the rest of the message may be in transit.
 const SHUTDOWN_MESSAGE_GRACE: Duration = Duration::from_millis(60);
@@ -66,6 +77,10 @@
     PartialMessage,
     /// The client was asked to close it, and has not done so.
     CloseRequested,
+    /// Its requests are all rejected, and the client was not known when it connected.
+    RejectedNewClient,
+    /// Its requests are all rejected, and the client was known when it connected.
+    RejectedKnownClient,
     /// It is idle, and the client was not known when it connected.
     IdleNewClient,
     /// It is idle, and the client was known when it connected.
@@ -74,16 +89,27 @@
 
 impl EvictionClass {
     /// All classes, in the order in which they are evicted.
-    pub(crate) const ALL: [EvictionClass; 5] = [
+    pub(crate) const ALL: [EvictionClass; 7] = [
         EvictionClass::Silent,
         EvictionClass::PartialMessage,
         EvictionClass::CloseRequested,
+        EvictionClass::RejectedNewClient,
+        EvictionClass::RejectedKnownClient,
+        EvictionClass::IdleNewClient,
+        EvictionClass::IdleKnownClient,
+    ];
+    /// The classes of connections whose requests are all rejected.
+    const REJECTED: [EvictionClass; 2] = [
+        EvictionClass::RejectedNewClient,
+        EvictionClass::RejectedKnownClient,
+    ];
+    /// The classes of connections that have sent complete messages and were not asked to close.
+    pub(crate) const USED: [EvictionClass; 4] = [
+        EvictionClass::RejectedNewClient,
+        EvictionClass::RejectedKnownClient,
         EvictionClass::IdleNewClient,
         EvictionClass::IdleKnownClient,
     ];
-    /// The classes of idle connections.
-    pub(crate) const IDLE: [EvictionClass; 2] =
-        [EvictionClass::IdleNewClient, EvictionClass::IdleKnownClient];
 
     /// The class of a connection; `None` while a request is in flight or the connection is closing.
     fn of(connection: &Connection) -> Option<EvictionClass> {
@@ -95,15 +121,26 @@
             Some(EvictionClass::CloseRequested)
         } else if !connection.has_sent_message {
             Some(EvictionClass::Silent)
-        } else if connection.owner == DescriptorOwner::KnownClients {
-            Some(EvictionClass::IdleKnownClient)
         } else {
-            Some(EvictionClass::IdleNewClient)
+            let is_known = connection.owner == DescriptorOwner::KnownClients;
+            Some(match (is_only_rejected(connection), is_known) {
+                (true, false) => EvictionClass::RejectedNewClient,
+                (true, true) => EvictionClass::RejectedKnownClient,
+                (false, false) => EvictionClass::IdleNewClient,
+                (false, true) => EvictionClass::IdleKnownClient,
+            })
         }
     }
 
+    fn is_used(self) -> bool {
+        Self::USED.contains(&self)
+    }
+
     fn is_idle(self) -> bool {
-        Self::IDLE.contains(&self)
+        matches!(
+            self,
+            EvictionClass::IdleNewClient | EvictionClass::IdleKnownClient
+        )
     }
 
     /// The index of the class's queue.
@@ -158,12 +195,12 @@
 
     /// Moves a connection to the queue of its class, or removes it from its queue if it has no
     /// class. A connection whose class is unchanged keeps its position, unless the class is one of
-    /// the idle classes: the connection was used, so it moves to the back.
+    /// those of used connections: the connection was used again, so it moves to the back.
     pub(crate) fn update(&mut self, id: ConnectionId, connection: &Connection) {
         let Some(class) = EvictionClass::of(connection) else {
             return self.remove(id);
         };
-        if self.queues.queue_of(id.0) != Some(class.queue()) || class.is_idle() {
+        if self.queues.queue_of(id.0) != Some(class.queue()) || class.is_used() {
             self.queues.push_back(id.0, class.queue());
         }
     }
@@ -195,11 +232,11 @@
             .into_iter()
             .filter_map(first_of_class)
             .find(is_evictable)?;
-        if class.is_idle() && urgency == Urgency::Backlog && self.has_too_many_silent() {
+        if class.is_idle() && urgency == Urgency::Backlog && self.protects_idle() {
             return None;
         }
         Some(match urgency {
-            _ if !class.is_idle() => Eviction::Close(id),
+            _ if !class.is_used() => Eviction::Close(id),
             Urgency::Gradual { .. } => Eviction::RequestClose(id),
             Urgency::Immediate
             | Urgency::Backlog
@@ -208,10 +245,15 @@
         })
     }
 
-    /// Whether the number of silent connections exceeds the limit up to which a connection in the
-    /// backlog displaces an idle one.
-    fn has_too_many_silent(&self) -> bool {
-        self.queues.len(EvictionClass::Silent.queue()) > MAX_DISPLACING_SILENT_CONNECTIONS
+    /// Whether a connection in the backlog displaces no idle one: there are too many silent
+    /// connections, or one whose requests are all rejected, which is evicted after its grace
+    /// period.
+    fn protects_idle(&self) -> bool {
+        let silent = self.queues.len(EvictionClass::Silent.queue());
+        let has_rejected = EvictionClass::REJECTED
+            .into_iter()
+            .any(|class| self.first_in(class).is_some());
+        silent > MAX_DISPLACING_SILENT_CONNECTIONS || has_rejected
     }
 
     /// Whether there is a silent connection: it sends its first message soon, or is evicted soon.
@@ -220,6 +262,17 @@
     }
 }
 
+/// Whether a request on the connection was rejected, and none was served in the [`SERVED_PERIOD`]
+/// before.
+fn is_only_rejected(connection: &Connection) -> bool {
+    let served_until = connection
+        .last_served_at
+        .map(|at| at.saturating_add(SERVED_PERIOD));
+    connection
+        .last_rejected_at
+        .is_some_and(|rejected_at| served_until.is_none_or(|until| rejected_at > until))
+}
+
 /// Whether a connection of this class may be evicted now: its grace period is over or skipped.
 fn is_evictable(
     connection: &Connection,
@@ -250,6 +303,22 @@
         EvictionClass::CloseRequested => connection
             .close_requested_at
             .is_some_and(|at| !is_gradual || is_older(at, CLOSE_GRACE)),
+        EvictionClass::RejectedNewClient => match urgency {
+            Urgency::Immediate | Urgency::DrainBacklog => true,
+            Urgency::Backlog | Urgency::ShutdownBacklog => {
+                is_older(connection.accepted_at, REJECTED_GRACE)
+            }
+            Urgency::Gradual { .. } => is_older(connection.accepted_at, NEW_CLIENT_IDLE_GRACE),
+        },
+        EvictionClass::RejectedKnownClient => match urgency {
+            Urgency::Immediate | Urgency::DrainBacklog => true,
+            Urgency::Backlog | Urgency::ShutdownBacklog => {
+                is_older(connection.accepted_at, REJECTED_GRACE)
+            }
+            Urgency::Gradual { for_known_client } => {
+                for_known_client && is_older(connection.accepted_at, KNOWN_CLIENT_IDLE_GRACE)
+            }
+        },
         EvictionClass::IdleNewClient => match urgency {
             Urgency::Immediate | Urgency::DrainBacklog => true,
             Urgency::Backlog | Urgency::ShutdownBacklog => {
--- a/crates/connection-limits/src/limiter/closing.rs
+++ b/crates/connection-limits/src/limiter/closing.rs
@@ -44,7 +44,7 @@
 
     /// Asks the clients of connections that have exceeded the idle timeout to close them.
     fn close_idle_connections(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        for class in EvictionClass::IDLE {
+        for class in EvictionClass::USED {
             while let Some(id) = self.eviction_queues.first_in(class)
                 && let Some(connection) = self.connections.get(id)
                 && self.timeouts.is_idle_too_long(connection, now)
--- a/crates/connection-limits/src/limiter/mod.rs
+++ b/crates/connection-limits/src/limiter/mod.rs
@@ -174,6 +174,7 @@
                 connection,
                 is_answered,
             } => self.handle_request_finished(now, connection, is_answered, actions),
+            Event::RequestRejected { connection } => self.handle_request_rejected(now, connection),
             Event::ProtocolViolation { connection } => {
                 self.handle_protocol_violation(now, connection);
             }
@@ -312,6 +313,9 @@
         };
         connection.open_requests = connection.open_requests.saturating_sub(1);
         connection.last_used_at = now;
+        if is_answered {
+            connection.last_served_at = Some(now);
+        }
         let address = connection.address;
         let overdue = connection
             .overdue()
@@ -329,6 +333,14 @@
         }
     }
 
+    fn handle_request_rejected(&mut self, now: Duration, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(id) else {
+            return;
+        };
+        connection.last_rejected_at = Some(now);
+        self.update_eviction_class(id);
+    }
+
     fn handle_protocol_violation(&mut self, now: Duration, id: ConnectionId) {
         if let Some(connection) = self.connections.get(id) {
             self.known_clients.record_violation(now, connection.address);
--- a/crates/connection-limits/src/tests/eviction.rs
+++ b/crates/connection-limits/src/tests/eviction.rs
@@ -188,3 +188,77 @@
         Some(Eviction::RequestCloseAndClose(ConnectionId(0)))
     );
 }
+
+/// A connection whose requests are rejected, the last one at this time.
+fn rejected_connection(owner: DescriptorOwner, at: u64) -> Connection {
+    Connection {
+        last_used_at: ms(at),
+        last_rejected_at: Some(ms(at)),
+        ..idle_connection(owner)
+    }
+}
+
+/// Guards against clients that keep all descriptors by sending a request again after each
+/// rejection: each use renewed the grace period of their connections.
+#[test]
+fn rejected_connection_in_constant_use_is_evicted_before_an_idle_one() {
+    for owner in [DescriptorOwner::NewClients, DescriptorOwner::KnownClients] {
+        let (queues, table) = queued(vec![idle_connection(owner), rejected_connection(owner, 61)]);
+        let choose = |at| queues.choose(&table, ms(at), Urgency::Backlog);
+        assert_eq!(choose(60), None);
+        let evicted = Some(Eviction::RequestCloseAndClose(ConnectionId(1)));
+        assert_eq!(choose(61), evicted);
+        let full = |at| queues.choose(&table, ms(at), FOR_KNOWN_CLIENT);
+        assert_eq!(full(250), None);
+        assert_eq!(full(1001), Some(Eviction::RequestClose(ConnectionId(1))));
+    }
+}
+
+/// Guards against clients of an overloaded server that lose their connections because some of
+/// their requests are rejected.
+#[test]
+fn connection_with_a_request_served_within_2_s_counts_as_idle() {
+    for (rejected_at, evicted) in [(2000, 0), (2001, 1)] {
+        let used = Connection {
+            last_served_at: Some(ms(0)),
+            ..rejected_connection(DescriptorOwner::NewClients, rejected_at)
+        };
+        let idle = idle_connection(DescriptorOwner::NewClients);
+        let (queues, table) = queued(vec![idle, used]);
+        assert_eq!(
+            queues.choose(&table, ms(rejected_at), Urgency::Backlog),
+            Some(Eviction::RequestCloseAndClose(ConnectionId(evicted)))
+        );
+    }
+}
+
+/// Guards against silent connections that protect those whose requests are all rejected.
+#[test]
+fn backlog_displaces_a_rejected_connection_while_several_are_silent() {
+    let silent = || Connection {
+        accepted_at: ms(1000),
+        ..silent_connection()
+    };
+    let rejected = rejected_connection(DescriptorOwner::NewClients, 1000);
+    let (queues, table) = queued(vec![silent(), silent(), rejected]);
+    assert_eq!(
+        queues.choose(&table, ms(1000), Urgency::Backlog),
+        Some(Eviction::RequestCloseAndClose(ConnectionId(2)))
+    );
+}
+
+/// Guards against idle connections of served clients that are evicted in favour of clients whose
+/// requests are rejected.
+#[test]
+fn backlog_displaces_no_idle_connection_while_a_rejected_one_is_open() {
+    let rejected = Connection {
+        accepted_at: ms(1000),
+        ..rejected_connection(DescriptorOwner::NewClients, 1000)
+    };
+    let idle = idle_connection(DescriptorOwner::NewClients);
+    let (queues, table) = queued(vec![idle, rejected]);
+    let choose = |at| queues.choose(&table, ms(at), Urgency::Backlog);
+    assert_eq!(choose(1060), None);
+    let evicted = Some(Eviction::RequestCloseAndClose(ConnectionId(1)));
+    assert_eq!(choose(1061), evicted);
+}
--- a/crates/connection-limits/tests/limiter/eviction.rs
+++ b/crates/connection-limits/tests/limiter/eviction.rs
@@ -301,3 +301,45 @@
     assert_eq!(server.closed, []);
     assert_eq!(server.paused_until, ms(20), "accepting does not spin");
 }
+
+/// Guards against the loss of all requests of clients in the backlog: clients that send a request
+/// again 20 ms after each rejection kept every descriptor for good, as each use renewed the grace
+/// period of their connections. For 2,000 ms such clients use all descriptors, and a connection
+/// waits in the backlog.
+#[test]
+fn clients_that_repeat_rejected_requests_do_not_keep_all_descriptors() {
+    let mut server = Server::new(Config {
+        full_policy: FullPolicy::Wait,
+        network_limits: None,
+        ..config()
+    });
+    let owner = DescriptorOwner::NewClients;
+    while server.limiter.descriptors().available(owner) > 0 {
+        server.accept(v4(10, 0, 0, 1)).unwrap();
+    }
+    let mut accepted_at = None;
+    for millisecond in 1..2000 {
+        server.now = ms(millisecond);
+        let connections: Vec<ConnectionId> = server.open.keys().copied().collect();
+        for connection in connections {
+            if (millisecond + connection.0 as u64).is_multiple_of(20) {
+                server.reject(connection);
+            }
+        }
+        let mut actions = Vec::new();
+        if server.limiter.may_accept(server.now, Some(1), &mut actions) {
+            accepted_at.get_or_insert(server.now);
+        }
+        for action in actions {
+            if let Action::Close { connection, .. } = action {
+                server.model(connection).is_closing = true;
+            }
+        }
+        server.finish_closing();
+    }
+    // The grace period of 60 ms after the accept, and a call in each millisecond.
+    assert!(
+        accepted_at.is_some_and(|at| at <= ms(62)),
+        "a connection of the backlog was accepted at {accepted_at:?}"
+    );
+}
--- a/crates/connection-limits/tests/limiter/harness.rs
+++ b/crates/connection-limits/tests/limiter/harness.rs
@@ -193,6 +193,14 @@
         self.finish_request(connection, true);
     }
 
+    /// Reads and rejects a complete request.
+    pub(crate) fn reject(&mut self, connection: ConnectionId) {
+        self.handle(Event::MessageCompleted { connection });
+        self.start_request(connection);
+        self.handle(Event::RequestRejected { connection });
+        self.finish_request(connection, false);
+    }
+
     pub(crate) fn close(&mut self, connection: ConnectionId) {
         self.open.remove(&connection);
         self.free.insert(connection);
--- a/crates/server/src/net/frontend/pending_reply.rs
+++ b/crates/server/src/net/frontend/pending_reply.rs
@@ -45,10 +45,14 @@
             .conclude(codec::PROCESS, self.sequence, reply, |open_requests| {
                 open_requests.remove(&self.sequence);
             });
+        let connection = self.connection.id;
+        if matches!(reply, Reply::Rejected { .. } | Reply::Exception(_)) {
+            self.table.notify(Event::RequestRejected { connection });
+        }
         // The reputation of a client grows with served requests, and not with rejected ones.
         let is_answered = matches!(reply, Reply::Result { .. });
         self.table.notify(Event::RequestFinished {
-            connection: self.connection.id,
+            connection,
             is_answered,
         });
     }
--- a/crates/server/src/net/frontend/request.rs
+++ b/crates/server/src/net/frontend/request.rs
@@ -168,6 +168,9 @@
             false => Reply::Rejected { fields: &fields },
         };
         connection.reply(codec::PROCESS, sequence, &reply);
+        self.table.notify(Event::RequestRejected {
+            connection: connection.id,
+        });
     }
 
     /// Registers a request and executes its commands: in the calling coroutine if the request is
--- /dev/null
+++ b/crates/server/tests/program/connection_lockout.rs
@@ -0,0 +1,190 @@
+//! Clients on more connections than the backend has descriptors for, which use them without a
+//! pause. They must not lock other clients out: each connection in the backlog is accepted in time.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use crate::harness::backend::{TestBackend, start_backend_with_sockets};
+use crate::harness::edge_node::{AnswerKind, EdgeConnection, request_fields, request_fields_with};
+use crate::harness::{EDGE_PORT, MAX_ANSWER_TIME};
+
+/// The descriptors of the backend. Forty of them are for clients.
+const DESCRIPTORS: usize = 64;
+/// The connections of the flood.
+const FLOOD_CONNECTIONS: u32 = 60;
+/// How long the flood lasts.
+const FLOOD_TIME: Duration = Duration::from_secs(6);
+/// The pause between two requests of the other client.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The messages of a client of the flood, of which `in_flight` are unanswered at any time.
+#[derive(Clone, Copy, Debug)]
+struct Flood {
+    message: FloodMessage,
+    in_flight: u32,
+    /// The pause between an answer and the next message.
+    pause: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum FloodMessage {
+    /// A request that is rejected for its work estimate.
+    RejectedRequest,
+}
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// A new request id.
+fn new_id() -> String {
+    format!(
+        "{:016x}",
+        0x10c0_0000 + NEXT_ID.fetch_add(1, Ordering::Relaxed)
+    )
+}
+
+fn send(edge: &mut EdgeConnection, message: FloodMessage, sequence: u32) -> std::io::Result<()> {
+    let fields = match message {
+        FloodMessage::RejectedRequest => request_fields_with(&new_id(), "ms", "900000.00"),
+    };
+    let request = edge.encode_request(sequence, &fields, b"run");
+    edge.stream.write_all(&request)
+}
+
+/// Connects; `None` while the backlog is full.
+fn try_connect(backend: &TestBackend) -> Option<EdgeConnection> {
+    let address = format!("{}:{EDGE_PORT}", backend.host).parse().unwrap();
+    let stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok()?;
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(FLOOD_TIME)).unwrap();
+    Some(EdgeConnection { stream })
+}
+
+/// Sends the messages of a client of the flood, and connects again whenever its connection ends.
+/// The client ignores drain notifications.
+fn send_flood(backend: &TestBackend, flood: Flood, is_running: &AtomicBool) {
+    while is_running.load(Ordering::Acquire) {
+        let Some(mut edge) = try_connect(backend) else {
+            continue;
+        };
+        let mut sequence = 0;
+        while is_running.load(Ordering::Acquire) {
+            sequence += 1;
+            if send(&mut edge, flood.message, sequence).is_err() {
+                break;
+            }
+            if sequence < flood.in_flight {
+                continue;
+            }
+            if edge.read_answer().is_none() {
+                break;
+            }
+            std::thread::sleep(flood.pause);
+        }
+    }
+}
+
+/// A client that keeps its connection as long as the backend does.
+struct Client<'a> {
+    backend: &'a TestBackend,
+    connection: Option<EdgeConnection>,
+    sequence: u32,
+}
+
+impl Client<'_> {
+    /// Sends a request and waits for its answer, at most until `deadline`. A connection that ends
+    /// without an answer ran nothing, and the request is sent again on another one. Returns the
+    /// kind of the answer.
+    fn request(&mut self, deadline: Instant) -> Option<AnswerKind> {
+        loop {
+            let left = deadline.checked_duration_since(Instant::now())?;
+            if left.is_zero() {
+                return None;
+            }
+            if self.connection.is_none() {
+                self.connection = try_connect(self.backend);
+            }
+            let Some(edge) = &mut self.connection else {
+                continue;
+            };
+            edge.stream.set_read_timeout(Some(left)).unwrap();
+            self.sequence += 1;
+            let id = new_id();
+            let request = edge.encode_request(self.sequence, &request_fields(&id, "20.0"), b"run");
+            if edge.stream.write_all(&request).is_err() {
+                self.connection = None;
+                continue;
+            }
+            let mut is_notified = false;
+            loop {
+                match edge.read_answer() {
+                    Some(answer) if answer.kind == AnswerKind::NoMore => is_notified = true,
+                    Some(answer) => {
+                        if is_notified {
+                            self.connection = None;
+                        }
+                        return Some(answer.kind);
+                    }
+                    None => break,
+                }
+            }
+            self.connection = None;
+            if Instant::now() < deadline {
+                assert!(!self.backend.was_run(&id), "{id} was run and not answered");
+            }
+        }
+    }
+}
+
+/// Sends requests of another client beside the flood, half of them on new connections, and asserts
+/// that each is answered in time.
+fn assert_other_clients_are_answered(flood: Flood) {
+    let backend = start_backend_with_sockets(DESCRIPTORS);
+    let is_running = AtomicBool::new(true);
+    let (mut slowest, mut served, mut requests) = (Duration::ZERO, 0, 0);
+    std::thread::scope(|scope| {
+        for _ in 0..FLOOD_CONNECTIONS {
+            scope.spawn(|| send_flood(&backend, flood, &is_running));
+        }
+        let new_client = || Client {
+            backend: &backend,
+            connection: None,
+            sequence: 0,
+        };
+        let mut client = new_client();
+        let start = Instant::now();
+        let mut is_answered = true;
+        while is_answered && start.elapsed() < FLOOD_TIME {
+            std::thread::sleep(REQUEST_INTERVAL);
+            let begin = Instant::now();
+            let deadline = begin + MAX_ANSWER_TIME;
+            requests += 1;
+            let answer = match requests % 2 {
+                0 => client.request(deadline),
+                _ => new_client().request(deadline),
+            };
+            slowest = slowest.max(begin.elapsed());
+            served += u32::from(answer == Some(AnswerKind::Answer));
+            is_answered = answer.is_some();
+        }
+        is_running.store(false, Ordering::Release);
+    });
+    println!("{flood:?}: {served} of {requests} served, slowest answer {slowest:?}");
+    assert!(slowest < MAX_ANSWER_TIME, "{flood:?}: {slowest:?}");
+    assert!(served > 0, "{flood:?}");
+}
+
+/// Guards against clients that send a request again after each rejection and keep every descriptor
+/// for good: each use renewed the grace period of their connections, and all requests of other
+/// clients were lost in the backlog.
+#[test]
+fn clients_that_repeat_rejected_requests_lock_nobody_out() {
+    for (in_flight, pause) in [(1, 20), (1, 0), (4, 0)] {
+        assert_other_clients_are_answered(Flood {
+            message: FloodMessage::RejectedRequest,
+            in_flight,
+            pause: Duration::from_millis(pause),
+        });
+    }
+}
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod connection_close;
 mod connection_floods;
+mod connection_lockout;
 mod cost;
 mod deployment;
 mod docs;
