Connections in constant use yield to a backlog that has waited for 200 ms

Need: on more connections than places, clients whose connections always have a request or a health check open, or are used again within 60 ms, locked all other clients out for as long as they stayed. Cause: a connection with an open request is never evicted and one in use is protected for 60 ms; nothing bounded how long the backlog of a full server waits. Change: the limiter measures the wait of the backlog without an accept. After 200 ms it asks the oldest connections to close, one for each that waits; their open requests are answered, and 250 ms later the new action StopReading ends the reading of those that still send.

--- a/crates/connection-limits/src/lib.rs
+++ b/crates/connection-limits/src/lib.rs
@@ -13,7 +13,8 @@
 //!   address and the networks around it, the slow start of a cold server, and descriptors reserved
 //!   for clients that are known to behave well.
 //! - **Eviction**: which connection is closed to free its descriptor. A connection with an open
-//!   request is never evicted.
+//!   request is never evicted. If all are in use, the oldest are asked to close after their open
+//!   requests are answered.
 //! - **Timeouts**: connections that are idle, that do not complete a message, or that the client
 //!   does not close when it is asked to.
 //!
@@ -51,6 +52,7 @@
 #![warn(missing_docs)]
 
 mod accept_pause;
+mod backlog_wait;
 mod config;
 mod connection;
 mod connection_table;
--- a/crates/connection-limits/src/limiter/closing.rs
+++ b/crates/connection-limits/src/limiter/closing.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::{Limiter, Phase};
+use super::{ACCEPT_ORDER_QUEUE, Limiter, Phase};
 use crate::event::{Action, CloseReason, ConnectionId};
 use crate::eviction::{Eviction, EvictionClass, Urgency};
 use crate::timeouts::DeadlineOutcome;
@@ -35,7 +35,12 @@
                     self.close(now, id, CloseReason::MessageTimeout, actions);
                 }
             }
-            DeadlineOutcome::CloseOverdue => connection.is_close_overdue = true,
+            DeadlineOutcome::CloseOverdue => {
+                let was_overdue = std::mem::replace(&mut connection.is_close_overdue, true);
+                if connection.yields_to_backlog && !was_overdue {
+                    actions.push(Action::StopReading { connection: id });
+                }
+            }
             DeadlineOutcome::Close(reason) => self.close(now, id, reason, actions),
             DeadlineOutcome::RequestClose => self.request_close(now, id, actions),
             DeadlineOutcome::Nothing => {}
@@ -72,6 +77,37 @@
         }
     }
 
+    /// Asks the oldest connections to close if those in the backlog have waited for too long, one for
+    /// each that waits.
+    pub(super) fn limit_backlog_wait(
+        &mut self,
+        now: Duration,
+        backlog: Option<usize>,
+        actions: &mut Vec<Action>,
+    ) {
+        let waiting = backlog.unwrap_or(0).min(self.capacity);
+        if waiting == 0 {
+            return self.backlog_wait.end();
+        }
+        if !self.backlog_wait.is_too_long(now) {
+            return;
+        }
+        for _ in 0..waiting {
+            let Some(oldest) = self.accept_order.front(ACCEPT_ORDER_QUEUE) else {
+                return;
+            };
+            self.yield_to_backlog(now, ConnectionId(oldest), actions);
+        }
+    }
+
+    /// Asks the client of a connection to close it so that one in the backlog gets its descriptor.
+    fn yield_to_backlog(&mut self, now: Duration, id: ConnectionId, actions: &mut Vec<Action>) {
+        if let Some(connection) = self.connections.get_mut(id) {
+            connection.yields_to_backlog = true;
+        }
+        self.request_close(now, id, actions);
+    }
+
     /// Evicts one connection, if one may be evicted, so that another gets its descriptor.
     pub(super) fn evict_one(&mut self, now: Duration, urgency: Urgency, actions: &mut Vec<Action>) {
         let eviction = self.eviction_queues.choose(&self.connections, now, urgency);
@@ -107,7 +143,9 @@
             return;
         }
         connection.close_requested_at = Some(now);
-        if connection.is_idle() || self.phase == Phase::Draining {
+        self.accept_order.remove(id.0);
+        let has_close_deadline = connection.is_idle() || connection.yields_to_backlog;
+        if has_close_deadline || self.phase == Phase::Draining {
             let deadline = self.timeouts.idle_deadline(connection, now);
             self.deadlines.set(id, deadline);
         }
@@ -136,6 +174,7 @@
         connection.is_closing = true;
         self.pending_closes.add(id, now);
         self.eviction_queues.remove(id);
+        self.accept_order.remove(id.0);
         self.deadlines.cancel(id);
         actions.push(Action::Close {
             connection: id,
--- a/crates/connection-limits/src/limiter/mod.rs
+++ b/crates/connection-limits/src/limiter/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::accept_pause::accept_pause;
+use crate::backlog_wait::BacklogWait;
 use crate::config::{Config, ConfigError, FullPolicy};
 use crate::connection::Connection;
 use crate::connection_table::ConnectionTable;
@@ -16,6 +17,7 @@
 use crate::event::{AcceptError, Action, ConnectionId, Event, RejectReason};
 use crate::eviction::{EvictionQueues, Urgency};
 use crate::known_clients::KnownClients;
+use crate::linked_queues::LinkedQueues;
 use crate::network_limiter::NetworkLimiter;
 use crate::pending_closes::PendingCloses;
 use crate::slow_start::{OpenConnections, SlowStart};
@@ -23,6 +25,8 @@
 
 /// The number of clients whose reputation is stored, per connection of the capacity.
 const REMEMBERED_CLIENTS_FACTOR: usize = 4;
+/// The queue of [`Limiter::accept_order`], which has no other.
+const ACCEPT_ORDER_QUEUE: usize = 0;
 /// The fraction of the capacity beyond which connections are evicted gradually, so that a
 /// descriptor is free before the next client connects.
 const SATURATION_FRACTION: f64 = 0.85;
@@ -42,6 +46,9 @@
     slow_start: SlowStart,
     known_clients: KnownClients,
     eviction_queues: EvictionQueues,
+    /// The connections that were not asked to close, the oldest first.
+    accept_order: LinkedQueues,
+    backlog_wait: BacklogWait,
     deadlines: Deadlines,
     phase: Phase,
     /// The connections that the host was recently instructed to close.
@@ -88,6 +95,8 @@
                 seed,
             ),
             eviction_queues: EvictionQueues::new(),
+            accept_order: LinkedQueues::new(ACCEPT_ORDER_QUEUE + 1),
+            backlog_wait: BacklogWait::default(),
             deadlines: Deadlines::new(),
             phase: Phase::Serving,
             pending_closes: PendingCloses::default(),
@@ -112,8 +121,8 @@
     }
 
     /// Whether another connection may be accepted now. Under [`FullPolicy::Wait`] a full server
-    /// evicts a connection, so that a descriptor is free for the next one in the backlog. After the
-    /// shutdown notice it evicts one for each connection in the backlog, or one at each call if
+    /// evicts a connection, so that a descriptor is free for the next one in the backlog. If those in
+    /// the backlog wait for too long, it asks connections in use to close. After the shutdown notice it evicts one for each connection in the backlog, or one at each call if
     /// their number is not known.
     pub fn may_accept(
         &mut self,
@@ -135,6 +144,7 @@
             }
             _ => self.evict_one(now, urgency, actions),
         }
+        self.limit_backlog_wait(now, backlog, actions);
         false
     }
 
@@ -257,9 +267,11 @@
             is_acquired,
             "invariant: a connection that is served has a descriptor"
         );
+        self.backlog_wait.end();
         self.network_limiter.record_open(address);
         self.connections
             .insert(id, Connection::new(address, owner, now));
+        self.accept_order.push_back(id.0, ACCEPT_ORDER_QUEUE);
     }
 
     fn handle_message_started(&mut self, now: Duration, id: ConnectionId) {
@@ -353,6 +365,7 @@
         };
         self.pending_closes.remove(id);
         self.eviction_queues.remove(id);
+        self.accept_order.remove(id.0);
         self.deadlines.cancel(id);
         self.descriptors.release(connection.owner);
         self.network_limiter.record_close(connection.address);
--- a/crates/connection-limits/src/tests/mod.rs
+++ b/crates/connection-limits/src/tests/mod.rs
@@ -2,6 +2,7 @@
 //! time or count than documented.
 
 mod accept_pause;
+mod backlog_wait;
 mod eviction;
 mod network_limiter;
 mod slow_start;
--- a/crates/connection-limits/tests/limiter/eviction.rs
+++ b/crates/connection-limits/tests/limiter/eviction.rs
@@ -343,3 +343,108 @@
         "a connection of the backlog was accepted at {accepted_at:?}"
     );
 }
+
+/// Guards against a served client that loses its connection although those of rejected clients give
+/// way to the backlog. For 2,000 ms the rejected clients use their connections every 20 ms and three
+/// connections wait in the backlog, and the served client has the oldest connection.
+#[test]
+fn served_client_keeps_its_connection_while_rejected_ones_give_way() {
+    let mut server = Server::new(Config {
+        full_policy: FullPolicy::Wait,
+        network_limits: None,
+        ..config()
+    });
+    let client = server.accept(v4(127, 1, 1, 1)).unwrap();
+    for millisecond in 1..2000 {
+        server.now = ms(millisecond);
+        let connections: Vec<ConnectionId> = server.open.keys().copied().collect();
+        for connection in connections {
+            let is_due = |interval| (millisecond + connection.0 as u64).is_multiple_of(interval);
+            if connection == client && is_due(100) {
+                server.serve(connection);
+            } else if connection != client && is_due(20) {
+                server.reject(connection);
+            }
+        }
+        let mut actions = Vec::new();
+        while server.limiter.may_accept(server.now, Some(3), &mut actions) {
+            server.accept(v4(10, 0, 0, 1)).expect("a descriptor");
+        }
+        for action in actions {
+            match action {
+                Action::Close { connection, .. } => server.model(connection).is_closing = true,
+                Action::RequestClose { connection } => assert_ne!(connection, client),
+                _ => {}
+            }
+        }
+        server.finish_closing();
+    }
+    assert!(server.open.contains_key(&client));
+}
+
+/// Guards against the loss of all requests of clients in the backlog: clients that always have a
+/// request in flight, or that use their connections within each grace period, kept every descriptor
+/// for good. Whatever they send, a connection of the backlog is accepted within the limit on the
+/// wait in the backlog, the time that a client has to close its connection, the resolution of
+/// deadlines, and one interval between two events for each of the four steps.
+#[test]
+fn clients_that_use_all_connections_without_a_pause_yield_to_the_backlog() {
+    const WAITING: usize = 3;
+    const EVENT_INTERVAL: Duration = ms(1);
+    let bound = ms(200) + ms(250) + ms(10) + 4 * EVENT_INTERVAL;
+    for always_has_request in [true, false] {
+        let mut server = Server::new(Config {
+            full_policy: FullPolicy::Wait,
+            network_limits: None,
+            ..config()
+        });
+        let owner = DescriptorOwner::NewClients;
+        let mut oldest = Vec::new();
+        while server.limiter.descriptors().available(owner) > 0 {
+            let connection = server.accept(v4(10, 0, 0, 1)).unwrap();
+            if always_has_request {
+                server.start_request(connection);
+            }
+            oldest.push(connection);
+        }
+        oldest.truncate(WAITING);
+        while server.limiter.descriptors().available(owner) < WAITING {
+            server.now += EVENT_INTERVAL;
+            assert!(server.now <= bound, "{:?}", server.now);
+            let connections: Vec<ConnectionId> = server.open.keys().copied().collect();
+            for connection in connections {
+                // The next message has arrived before the answer to the last one is written.
+                if !server.open[&connection].has_stopped_reading {
+                    server.handle(Event::MessageCompleted { connection });
+                    server.start_request(connection);
+                }
+                if server.open[&connection].open_requests > 0 {
+                    server.finish_request(connection, true);
+                }
+            }
+            let mut actions = Vec::new();
+            let limiter = &mut server.limiter;
+            limiter.may_accept(server.now, Some(WAITING), &mut actions);
+            limiter.handle_event(server.now, Event::TimerExpired, &mut actions);
+            for action in actions {
+                match action {
+                    Action::Close { connection, .. } => server.model(connection).is_closing = true,
+                    Action::RequestClose { connection } => {
+                        server.model(connection).is_close_requested = true;
+                    }
+                    Action::StopReading { connection } => {
+                        server.model(connection).has_stopped_reading = true;
+                    }
+                    _ => {}
+                }
+            }
+            server.finish_closing();
+        }
+        assert!(
+            oldest
+                .iter()
+                .all(|connection| !server.open.contains_key(connection)),
+            "the oldest connections yield"
+        );
+    }
+}
--- a/crates/connection-limits/tests/limiter/harness.rs
+++ b/crates/connection-limits/tests/limiter/harness.rs
@@ -10,7 +10,7 @@
     Limiter, NetworkLimits, RejectReason, Reservation,
 };
 
-pub(crate) fn ms(span: u64) -> Duration {
+pub(crate) const fn ms(span: u64) -> Duration {
     Duration::from_millis(span)
 }
 
@@ -63,6 +63,7 @@
 pub(crate) struct OpenConnection {
     pub(crate) open_requests: u32,
     pub(crate) is_close_requested: bool,
+    pub(crate) has_stopped_reading: bool,
     pub(crate) is_closing: bool,
 }
 
@@ -111,6 +112,7 @@
                     let model = OpenConnection {
                         open_requests: 0,
                         is_close_requested: false,
+                        has_stopped_reading: false,
                         is_closing: false,
                     };
                     assert!(self.open.insert(connection, model).is_none());
@@ -142,6 +144,11 @@
                     );
                     self.closed.push((connection, reason));
                 }
+                Action::StopReading { connection } => {
+                    let model = self.open.get_mut(&connection).expect("it is open");
+                    assert!(model.is_close_requested, "its client was asked to close it");
+                    model.has_stopped_reading = true;
+                }
                 Action::PauseAccepting { until } => self.paused_until = until,
                 Action::SetTimer { at } => assert!(at > self.now, "a timer is set in the future"),
             }
--- a/crates/connection-limits/tests/limiter/invariants.rs
+++ b/crates/connection-limits/tests/limiter/invariants.rs
@@ -38,7 +38,8 @@
             match (action % 12, selected) {
                 (0..=3, _) => {
                     let mut actions = Vec::new();
-                    let may = server.limiter.may_accept(server.now, None, &mut actions);
+                    let backlog = (selector % 4 > 0).then_some(usize::from(selector % 7));
+                    let may = server.limiter.may_accept(server.now, backlog, &mut actions);
                     for action in actions {
                         match action {
                             Action::Close { connection, .. } => {
--- a/crates/server/src/net/frontend/connection_table.rs
+++ b/crates/server/src/net/frontend/connection_table.rs
@@ -120,7 +120,7 @@
                 let left = ends_at.saturating_duration_since(Instant::now());
                 self.is_short_of_time.store(bound > left, Ordering::Release);
             }
-            if may_accept_at_once || limiter.may_accept(now, backlog, actions) {
+            if limiter.may_accept(now, backlog, actions) {
                 Admission::Accept
             } else if !actions.is_empty()
                 || limiter.has_silent_connection()
@@ -258,6 +258,11 @@
                         connection.request_close();
                     }
                 }
+                Action::StopReading { connection } => {
+                    if let Some(connection) = connections.get(connection.0) {
+                        connection.stop_reading();
+                    }
+                }
                 Action::Close { connection, reason } => {
                     if let Some(connection) = connections.get(connection.0) {
                         connection.close(reason);
--- a/crates/server/tests/program/connection_lockout.rs
+++ b/crates/server/tests/program/connection_lockout.rs
@@ -15,7 +15,7 @@
 /// The connections of the flood.
 const FLOOD_CONNECTIONS: u32 = 60;
 /// How long the flood lasts.
-const FLOOD_TIME: Duration = Duration::from_secs(6);
+const FLOOD_TIME: Duration = Duration::from_secs(3);
 /// The pause between two requests of the other client.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -32,6 +32,15 @@
 enum FloodMessage {
     /// A request that is rejected for its work estimate.
     RejectedRequest,
+    /// A request that is served, as far as the backend has room for it.
+    ServedRequest,
+    /// A request with an unknown handler. The backend closes the connection after the ninth, and
+    /// the client opens another one.
+    MalformedRequest,
+    /// A health check that is answered at once.
+    HealthCheck,
+    /// A health check for which the executor completes a test job.
+    DeepHealthCheck,
 }
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -47,6 +56,16 @@
 fn send(edge: &mut EdgeConnection, message: FloodMessage, sequence: u32) -> std::io::Result<()> {
     let fields = match message {
         FloodMessage::RejectedRequest => request_fields_with(&new_id(), "ms", "900000.00"),
+        FloodMessage::ServedRequest => request_fields(&new_id(), "20.0"),
+        FloodMessage::MalformedRequest => request_fields_with(&new_id(), "kind", "unknown"),
+        FloodMessage::HealthCheck => {
+            let check = edge.encode_health_check(sequence);
+            return edge.stream.write_all(&check);
+        }
+        FloodMessage::DeepHealthCheck => {
+            let check = edge.encode_deep_health_check(sequence);
+            return edge.stream.write_all(&check);
+        }
     };
     let request = edge.encode_request(sequence, &fields, b"run");
     edge.stream.write_all(&request)
@@ -57,7 +76,7 @@
     let address = format!("{}:{EDGE_PORT}", backend.host).parse().unwrap();
     let stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok()?;
     stream.set_nodelay(true).unwrap();
-    stream.set_read_timeout(Some(FLOOD_TIME)).unwrap();
+    stream.set_read_timeout(Some(MAX_ANSWER_TIME)).unwrap();
     Some(EdgeConnection { stream })
 }
 
@@ -188,3 +207,22 @@
         });
     }
 }
+
+/// Guards against clients that keep every descriptor with messages that are not rejected: their
+/// connections are always in use, so none of them could be closed.
+#[test]
+fn clients_that_repeat_other_messages_lock_nobody_out() {
+    for (message, in_flight) in [
+        (FloodMessage::ServedRequest, 2),
+        (FloodMessage::MalformedRequest, 1),
+        (FloodMessage::HealthCheck, 1),
+        (FloodMessage::HealthCheck, 4),
+        (FloodMessage::DeepHealthCheck, 2),
+    ] {
+        assert_other_clients_are_answered(Flood {
+            message,
+            in_flight,
+            pause: Duration::ZERO,
+        });
+    }
+}
--- a/crates/server/tests/program/harness/edge_node.rs
+++ b/crates/server/tests/program/harness/edge_node.rs
@@ -111,6 +111,11 @@
         call(sequence, "probe", b"\0")
     }
 
+    /// Encodes a health check for which the executor completes a test job.
+    pub(crate) fn encode_deep_health_check(&self, sequence: u32) -> Vec<u8> {
+        call(sequence, "probe", b"\x02\0\x01\x01\0")
+    }
+
     pub(crate) fn send_oneway(&mut self, sequence: u32, method: &str) {
         let head = [
             &b"\x80\x01\0\x04"[..],
