A connection that was asked to close has 60 ms beside a backlog too

Cause: where others waited in the backlog, a connection whose client had just been asked to close it was evicted at once; CLOSE_GRACE held only in the gradual eviction. The limiter learns of a message after its session has read the first bytes. Change: the grace of 60 ms holds for the backlog and after the shutdown notice.

--- a/crates/connection-limits/src/eviction.rs
+++ b/crates/connection-limits/src/eviction.rs
@@ -38,9 +38,8 @@
 
 /// How long a connection may be silent, or have an incomplete message, before it may be evicted.
 const SILENCE_GRACE: Duration = Duration::from_millis(500);
-/// How long a client that was asked to close a connection has to do so before a gradual eviction
-/// closes the connection. If a request was in transit at that time, the client sends it again on
-/// another connection. `DRAIN_CLOSE_TIMEOUT` in [`crate::timeouts`] is the same time during a
+/// How long a client that was asked to close a connection has to do so before the connection may be
+/// evicted: a message that it sent before may be in transit. `DRAIN_CLOSE_TIMEOUT` in [`crate::timeouts`] is the same time during a
 /// drain.
 const CLOSE_GRACE: Duration = Duration::from_millis(60);
 /// How long a silent connection is protected after it was accepted while others wait in the
@@ -280,7 +279,7 @@
     now: Duration,
     urgency: Urgency,
 ) -> bool {
-    let is_gradual = matches!(urgency, Urgency::Gradual { .. });
+    let skips_grace = matches!(urgency, Urgency::Immediate | Urgency::DrainBacklog);
     let is_older = |at: Duration, grace: Duration| now.saturating_sub(at) > grace;
     match class {
         EvictionClass::Silent => match urgency {
@@ -302,7 +301,7 @@
         }),
         EvictionClass::CloseRequested => connection
             .close_requested_at
-            .is_some_and(|at| !is_gradual || is_older(at, CLOSE_GRACE)),
+            .is_some_and(|at| skips_grace || is_older(at, CLOSE_GRACE)),
         EvictionClass::RejectedNewClient => match urgency {
             Urgency::Immediate | Urgency::DrainBacklog => true,
             Urgency::Backlog | Urgency::ShutdownBacklog => {
--- a/crates/connection-limits/src/tests/eviction.rs
+++ b/crates/connection-limits/src/tests/eviction.rs
@@ -262,3 +262,23 @@
     let evicted = Some(Eviction::RequestCloseAndClose(ConnectionId(1)));
     assert_eq!(choose(1061), evicted);
 }
+
+/// Guards against a request that is cut off while it is received: when others waited in the
+/// backlog, a connection was closed immediately after its client was asked to close it, although a
+/// message could be in transit.
+#[test]
+fn connection_that_was_asked_to_close_is_not_evicted_while_a_message_may_be_in_transit() {
+    let asked = Connection {
+        close_requested_at: Some(ms(0)),
+        ..idle_connection(DescriptorOwner::NewClients)
+    };
+    let (queues, table) = queued(vec![asked]);
+    let evicted = Some(Eviction::Close(ConnectionId(0)));
+    for urgency in [Urgency::Backlog, Urgency::ShutdownBacklog, FOR_NEW_CLIENT] {
+        assert_eq!(queues.choose(&table, ms(60), urgency), None, "{urgency:?}");
+        assert_eq!(queues.choose(&table, ms(61), urgency), evicted);
+    }
+    for urgency in [Urgency::Immediate, Urgency::DrainBacklog] {
+        assert_eq!(queues.choose(&table, ms(0), urgency), evicted);
+    }
+}
