A reset of a client's connection is noticed before anything unread is handled

Need: operators of other deployments report that requests of a client which had closed its connection were sent on afterwards. Checked here: it is so. Cause: a session learnt of a reset only from a failed read or write. The system first delivers the bytes that came before the reset, and a session without room for another request does not read at all. Change: each turn of a session first asks the system for the pending error of its connection. A client that only ends its sending side is served as before.

--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -129,6 +129,8 @@
             steps: 0,
             has_more: self.is_readable,
         };
+        // The requests of a client that has left are not run.
+        self.stream.check_error()?;
         self.stream.flush()?;
         loop {
             self.read_messages(&mut turn)?;
--- a/crates/server/src/net/stream.rs
+++ b/crates/server/src/net/stream.rs
@@ -175,6 +175,15 @@
         Ok(())
     }
 
+    /// Fails if the connection has failed, for example by a reset of the peer. The system delivers
+    /// bytes that it received before a reset, so a read does not show it at once.
+    pub(crate) fn check_error(&self) -> io::Result<()> {
+        match self.stream.inner().take_error()? {
+            Some(error) => Err(error),
+            None => Ok(()),
+        }
+    }
+
     /// Reads once, and returns whether more bytes may be available at once.
     pub(crate) fn read(&mut self) -> io::Result<bool> {
         if self.is_read_closed {
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -7,6 +7,7 @@
 mod connection_floods;
 mod connection_lockout;
 mod cost;
+mod departed_clients;
 mod deployment;
 mod docs;
 mod executor_link;
