Ids of started requests are remembered apart from those of rejected ones

Need: operators of other deployments report that an id ran twice when it came again after its client had left. Checked here: it is so after a flood. Cause: the last 8,192 ids were remembered in the order of arrival. A client whose requests are rejected on arrival displaces all of them in about half a second. Change: the ids of the last 16,384 started requests are remembered in a set of their own, which only a start displaces.

--- a/crates/server/src/net/frontend/request.rs
+++ b/crates/server/src/net/frontend/request.rs
@@ -184,8 +184,8 @@
         let ParsedRequest {
             mut incoming,
             class,
+            number,
             arrived,
-            ..
         } = request;
         let id = incoming.id.clone();
         let is_at_most_once = self.registry.runs_at_most_once(incoming.handler);
@@ -210,6 +210,7 @@
             ticket,
             pending,
             id,
+            number,
             class,
             body,
             is_at_most_once,
@@ -303,6 +304,8 @@
     ticket: Ticket,
     pending: PendingReply,
     id: RequestId,
+    /// The id as a number.
+    number: u64,
     class: ClassName,
     body: Bytes,
     is_at_most_once: bool,
@@ -335,6 +338,7 @@
             };
             match command {
                 Command::Start => {
+                    self.handler.recent_ids.lock().record_start(self.number);
                     executor.start(&self.id, &self.class, &self.body, self.is_at_most_once);
                 }
                 Command::Cancel => executor.cancel(&self.id),
--- a/crates/server/tests/program/departed_clients.rs
+++ b/crates/server/tests/program/departed_clients.rs
@@ -1,13 +1,19 @@
-//! Requests of clients that have left: they are not run afterwards, and their runs are cancelled.
+//! Requests of clients that have left: they are not run afterwards, and no request is run again when
+//! its id comes again.
 
 use std::time::{Duration, Instant};
 
 use crate::harness::backend::{TestBackend, start_backend};
-use crate::harness::edge_node::{AnswerKind, request_fields, reset_connection};
+use crate::harness::edge_node::{
+    AnswerKind, request_fields, request_fields_with, reset_connection,
+};
 use crate::harness::wait_until;
 
 /// The number of requests of a client that leaves.
 const REQUESTS: u32 = 20;
+/// The number of ids that arrive between two requests with the same id: more than any number of ids
+/// that a backend remembers regardless of what became of their requests.
+const OTHER_IDS: u32 = 20_000;
 /// The maximum number of open requests of one connection.
 const MAX_OPEN_REQUESTS: u32 = 32;
 
@@ -108,3 +114,31 @@
         begin.elapsed()
     );
 }
+
+/// Guards against a second run of a request whose id comes again after its client has left: the ids
+/// of rejected requests displaced those of requests that had run.
+#[test]
+fn an_id_that_has_run_is_not_run_again_after_many_rejected_requests() {
+    let backend = start_backend();
+    let id = "000000000baf0001";
+    let mut edge = backend.connect();
+    edge.send_request(1, id, b"run");
+    edge.expect_answer(1, AnswerKind::Answer);
+    reset_connection(&edge.stream);
+    let mut other = backend.connect();
+    for first in (1..=OTHER_IDS).step_by(MAX_OPEN_REQUESTS as usize) {
+        for sequence in first..first + MAX_OPEN_REQUESTS {
+            let id = format!("00000000{sequence:08x}");
+            let fields = request_fields_with(&id, "ms", "900000.00");
+            other.send_request_with_fields(sequence, &fields, b"run");
+        }
+        for _ in 0..MAX_OPEN_REQUESTS {
+            let answer = other.read_answer().expect("an answer");
+            assert_eq!(answer.kind, AnswerKind::Rejected);
+        }
+    }
+    let mut again = backend.connect();
+    again.send_request(1, id, b"run");
+    again.expect_answer(1, AnswerKind::Exception);
+    assert_eq!(backend.executor().ends[id], 1, "the request has run once");
+}
