Remembered keys and results have a limit in the memory of the process

Need: operators of other deployments report memory that grows without end while one client sends small requests at full speed under ever new names. Cause: the registry kept each key, of any length, with its whole result; only the memory of the executor's machine counted them. Change: keys and results have a tenth of memory_mb each. A key is remembered as a hash of 128 bits. Without room a new keyed request is rejected with a Retry-After before it runs; no key is forgotten before its time. The oldest results go, and their duplicates fail.

--- a/crates/server/src/net/executor/tests.rs
+++ b/crates/server/src/net/executor/tests.rs
@@ -9,7 +9,7 @@
 use super::protocol::Command;
 use super::resync::{Delivery, LastCommand, Run};
 use crate::net::stream::{BufferedStream, MAX_LINE_BUFFER_BYTES};
-use crate::requests::{Bytes, ClassName, Gauges, RequestId, RequestRegistry};
+use crate::requests::{Bytes, ClassName, Gauges, KeyLimits, RequestId, RequestRegistry};
 
 /// Guards against a broken link whose missing gauges count as idle cores, which would raise the
 /// admitted traffic. The last gauges are valid until they are `MAX_GAUGES_AGE` old, and unknown
@@ -37,7 +37,12 @@
 fn client(address: SocketAddr) -> Arc<ExecutorClient> {
     ExecutorClient::new(
         address,
-        Arc::new(RequestRegistry::new(crate::net::test_config().0, 7, None)),
+        Arc::new(RequestRegistry::new(
+            crate::net::test_config().0,
+            7,
+            KeyLimits::for_memory(192.0),
+            None,
+        )),
         Vec::new(),
     )
 }
--- a/crates/server/src/net/frontend/request.rs
+++ b/crates/server/src/net/frontend/request.rs
@@ -232,6 +232,14 @@
             RegisterError::NotStarted => pending.send(&Reply::Rejected {
                 fields: &self.retry_after_fields(),
             }),
+            RegisterError::KeysFull => {
+                if let Some(count) = REJECTED_WITHOUT_MEMORY.count_event() {
+                    log::warn!("request rejected reason=no_key_memory count={count}");
+                }
+                pending.send(&Reply::Rejected {
+                    fields: &self.retry_after_fields(),
+                });
+            }
             RegisterError::DuplicateId => {
                 pending.send(&Reply::Exception(&CallError::Malformed(
                     error.to_string().into(),
--- a/crates/server/src/net/frontend/summary.rs
+++ b/crates/server/src/net/frontend/summary.rs
@@ -6,7 +6,8 @@
 /// field or a repeated id, and requests whose idempotency key was used before with another body.
 /// Each message counts once.
 pub(super) static MALFORMED_MESSAGES: LogLimit = LogLimit::new();
-/// Counts requests that were rejected because the limit on open requests was reached.
+/// Counts requests that were rejected because the limit on open requests or on remembered
+/// idempotency keys was reached.
 pub(super) static REJECTED_WITHOUT_MEMORY: LogLimit = LogLimit::new();
 
 /// The counters of the frontend since the start, and the number of open connections.
--- a/crates/server/src/net/frontend/tests.rs
+++ b/crates/server/src/net/frontend/tests.rs
@@ -15,7 +15,7 @@
 use super::pending_reply::PendingReply;
 use super::{ExecutorClient, Frontend, IDLE_MARGIN, MESSAGE_TIMEOUT, StoreClient};
 use crate::net::stream::DrainTarget;
-use crate::requests::RequestRegistry;
+use crate::requests::{KeyLimits, RequestRegistry};
 
 /// A limiter for `max_descriptors` descriptors; further connections wait in the backlog.
 fn limiter(max_descriptors: usize) -> Limiter {
@@ -75,7 +75,12 @@
     let (controller_config, names) = crate::net::test_config();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let registry = Arc::new(RequestRegistry::new(controller_config, 7, None));
+    let registry = Arc::new(RequestRegistry::new(
+        controller_config,
+        7,
+        KeyLimits::for_memory(192.0),
+        None,
+    ));
     let executor = ExecutorClient::new(address, registry.clone(), Vec::new());
     let store = StoreClient::new(None, registry.clone(), 4);
     let limiter = limiter(64);
--- a/crates/server/src/requests/messages.rs
+++ b/crates/server/src/requests/messages.rs
@@ -14,8 +14,7 @@
 /// The name of a handler in the protocols of callers and the executor.
 pub(crate) type ClassName = Arc<str>;
 
-/// An idempotency key: either as assigned by its caller, or [scoped to its tenant and
-/// handler](IncomingRequest::scoped_key).
+/// An idempotency key, as assigned by its caller.
 pub(crate) type IdempotencyKey = Arc<str>;
 
 /// A body, a result or a reply that is shared without copying.
@@ -43,18 +42,6 @@
     pub(crate) trace: Option<TraceContext>,
 }
 
-impl IncomingRequest {
-    /// The idempotency key, scoped to the tenant and the handler. Callers choose keys, so two
-    /// tenants may choose the same key, and neither may get the other's result.
-    pub(super) fn scoped_key(&self) -> Option<IdempotencyKey> {
-        let key = self.idempotency_key.as_ref()?;
-        Some(match self.tenant {
-            Some(tenant) => format!("{}/{tenant}/{key}", self.handler).into(),
-            None => format!("{}/-/{key}", self.handler).into(),
-        })
-    }
-}
-
 /// A command for a request's coroutine.
 #[derive(Debug, PartialEq)]
 pub(crate) enum Command {
@@ -126,6 +113,9 @@
     /// Its idempotency key was used before with another body.
     #[error("its key came with another body")]
     KeyReused,
+    /// No further idempotency key can be remembered.
+    #[error("no memory for its key")]
+    KeysFull,
     /// The executor has not been up yet.
     #[error("the executor has not started")]
     NotStarted,
--- a/crates/server/src/requests/open_request.rs
+++ b/crates/server/src/requests/open_request.rs
@@ -10,8 +10,9 @@
 use tulipgap::Outcome;
 use tulipgap_trace::Reason;
 
-use super::messages::{Bytes, Command, IdempotencyKey, IncomingRequest, RequestId, Response};
+use super::messages::{Bytes, Command, IncomingRequest, RequestId, Response};
 use super::metrics::FinalOutcome;
+use super::scoped_key::ScopedKey;
 use crate::trace::RequestTrace;
 
 /// A request between its registration and its release.
@@ -37,7 +38,7 @@
     /// The call is in flight.
     is_calling: bool,
     /// The idempotency key, scoped to the tenant and the handler.
-    pub(super) key: Option<IdempotencyKey>,
+    pub(super) key: Option<ScopedKey>,
     pub(super) body_hash: u64,
     pub(super) trace: Option<Box<RequestTrace>>,
 }
@@ -46,7 +47,7 @@
     /// A request that is registered now. `waiter` wakes its coroutine.
     pub(super) fn new(
         incoming: &IncomingRequest,
-        key: Option<IdempotencyKey>,
+        key: Option<ScopedKey>,
         waiter: Arc<Blocker>,
         trace: Option<Box<RequestTrace>>,
     ) -> Self {
--- a/crates/server/src/requests/registry.rs
+++ b/crates/server/src/requests/registry.rs
@@ -9,9 +9,11 @@
 use tulipgap::{Arrival, Config, Controller, Event, Gauges, HandlerIndex, Idempotency};
 use tulipgap_trace::Reason;
 
+use super::key_limits::KeyLimits;
 use super::messages::{IncomingRequest, RegisterError, RequestEvent};
 use super::metrics::{LongestDelays, RequestCounts};
 use super::open_request::OpenRequest;
+use super::scoped_key::KeyHasher;
 use super::state::RegistryState;
 use super::ticket::Ticket;
 use crate::clock;
@@ -25,15 +27,22 @@
     config: Config,
     seed: u64,
     pub(super) state: Arc<Mutex<RegistryState>>,
+    key_hasher: KeyHasher,
     tracer: Option<Arc<Tracer>>,
 }
 
 impl RequestRegistry {
     /// A registry whose controller is started by [`RequestRegistry::start`]. `seed` is the seed of
     /// the controller's random numbers.
-    pub(crate) fn new(config: Config, seed: u64, tracer: Option<Arc<Tracer>>) -> Self {
-        let state = RegistryState::new(&config, tracer.clone());
+    pub(crate) fn new(
+        config: Config,
+        seed: u64,
+        key_limits: KeyLimits,
+        tracer: Option<Arc<Tracer>>,
+    ) -> Self {
+        let state = RegistryState::new(&config, key_limits, tracer.clone());
         RequestRegistry {
+            key_hasher: KeyHasher::default(),
             config,
             seed,
             state: Arc::new(Mutex::new(state)),
@@ -73,8 +82,9 @@
     /// Registers a request. Its ticket returns the commands for it, including the final response.
     ///
     /// # Errors
-    /// [`RegisterError`] if the controller has not started, if the id of the request is open, or if
-    /// its idempotency key was used with another body. The request is then not registered.
+    /// [`RegisterError`] if the controller has not started, if the id of the request is open, if its
+    /// idempotency key was used with another body, or if there is no room for its key. The request
+    /// is then not registered.
     pub(crate) fn register(&self, incoming: IncomingRequest) -> Result<Ticket, RegisterError> {
         let mut state = self.state.lock();
         if !state.is_started() {
@@ -84,14 +94,19 @@
         if state.is_open(&incoming.id) {
             return Err(RegisterError::DuplicateId);
         }
-        let key = incoming.scoped_key();
+        let key = self.key_hasher.scoped_key(&incoming);
         state.expire_keys();
-        let duplicated_body = state.duplicated_body(key.as_ref(), incoming.age);
+        let duplicated_body = state.duplicated_body(key, incoming.age);
         // A key with another body was copied or forged, and its sender must not get the result of
         // the caller that assigned the key.
         if duplicated_body.is_some_and(|body_hash| body_hash != incoming.body_hash) {
             return Err(RegisterError::KeyReused);
         }
+        let is_new_key = key.is_some() && duplicated_body.is_none();
+        if is_new_key && self.is_keyed(incoming.handler) && state.has_no_room_for_a_key() {
+            self.record_unregistered(&incoming, Reason::NO_CAPACITY);
+            return Err(RegisterError::KeysFull);
+        }
         let waiter = Arc::new(Blocker::new(true));
         let trace = self.new_trace(&incoming);
         let index = state.insert(OpenRequest::new(&incoming, key, waiter.clone(), trace));
@@ -118,10 +133,9 @@
     /// Whether another attempt of the same keyed request is open or has run. Such a duplicate must
     /// not be rejected.
     pub(crate) fn is_duplicate(&self, incoming: &IncomingRequest) -> bool {
-        self.state
-            .lock()
-            .duplicated_body(incoming.scoped_key().as_ref(), incoming.age)
-            .is_some()
+        let key = self.key_hasher.scoped_key(incoming);
+        let state = self.state.lock();
+        state.duplicated_body(key, incoming.age).is_some()
     }
 
     /// Reports an event of a request. Events of a request that is not open are ignored.
@@ -211,6 +225,12 @@
         handler.is_none_or(|handler| handler.idempotency != Idempotency::Idempotent)
     }
 
+    /// Whether requests of a handler run at most once for each idempotency key.
+    fn is_keyed(&self, handler: HandlerIndex) -> bool {
+        let handler = self.config.handlers.get(handler);
+        handler.is_some_and(|handler| handler.idempotency == Idempotency::Keyed)
+    }
+
     /// The tracer, if requests are recorded.
     pub(crate) fn tracer(&self) -> Option<&Arc<Tracer>> {
         self.tracer.as_ref()
--- a/crates/server/src/requests/state/key_actions.rs
+++ b/crates/server/src/requests/state/key_actions.rs
@@ -7,8 +7,9 @@
 use tulipgap_trace::Reason;
 
 use super::RegistryState;
-use crate::requests::messages::{IdempotencyKey, Response};
+use crate::requests::messages::Response;
 use crate::requests::open_request::OpenRequest;
+use crate::requests::scoped_key::ScopedKey;
 
 impl RegistryState {
     /// Removes expired idempotency keys.
@@ -20,25 +21,31 @@
     /// `age` ago is a duplicate of it.
     pub(in crate::requests) fn duplicated_body(
         &self,
-        key: Option<&IdempotencyKey>,
+        key: Option<ScopedKey>,
         age: Duration,
     ) -> Option<u64> {
         self.keys
             .duplicated_body(key, self.now().saturating_sub(age))
     }
 
+    /// Whether no further key can be remembered.
+    pub(in crate::requests) fn has_no_room_for_a_key(&self) -> bool {
+        self.keys.is_full()
+    }
+
     /// Remembers the key of a request, if it has one, for `retention` from `now`.
     pub(super) fn remember_key(&mut self, index: usize, now: Duration, retention: Duration) {
         let OpenRequest { key, body_hash, .. } = &self.requests[index];
-        if let Some(key) = key.clone() {
+        if let Some(key) = *key {
             self.keys.remember(key, index, *body_hash, now, retention);
         }
     }
 
     /// Coalesces a duplicate: it waits for the response to the first request with its key.
     pub(super) fn coalesce(&mut self, index: usize) {
-        let key = self.requests[index].key.clone().unwrap_or_default();
-        self.keys.coalesce(key, index);
+        if let Some(key) = self.requests[index].key {
+            self.keys.coalesce(key, index);
+        }
     }
 
     /// Forgets the key of a request before the end of its retention, and fails the duplicates that
@@ -50,14 +57,14 @@
 
     /// Stores the response for the duplicates of a request, if the request owns its key.
     pub(super) fn complete_key(&mut self, index: usize, response: Response) {
-        if let Some(key) = &self.requests[index].key {
+        if let Some(key) = self.requests[index].key {
             self.keys.complete(key, index, response);
         }
     }
 
     /// Forgets the key of a request: further requests with this key are not duplicates.
     pub(super) fn forget_key(&mut self, index: usize) {
-        if let Some(key) = &self.requests[index].key {
+        if let Some(key) = self.requests[index].key {
             self.keys.forget(key, index);
         }
     }
@@ -65,7 +72,7 @@
     /// Removes a request from the duplicates that wait for the response to the first request with
     /// its key.
     pub(super) fn stop_waiting_for_key(&mut self, index: usize) {
-        if let Some(key) = &self.requests[index].key {
+        if let Some(key) = self.requests[index].key {
             self.keys.remove_duplicate(key, index);
         }
     }
--- a/crates/server/src/requests/state/mod.rs
+++ b/crates/server/src/requests/state/mod.rs
@@ -21,6 +21,7 @@
 use self::schedule::ShutdownNotice;
 use super::idempotency::IdempotencyKeys;
 use super::idle_rejections::IdleRejections;
+use super::key_limits::KeyLimits;
 use super::messages::{Command, RequestId};
 use super::metrics::{LongestDelays, RequestCounts};
 use super::open_request::OpenRequest;
@@ -60,14 +61,14 @@
 
 impl RegistryState {
     /// Creates a state without open requests, whose controller has not started.
-    pub(super) fn new(config: &Config, tracer: Option<Arc<Tracer>>) -> Self {
+    pub(super) fn new(config: &Config, key_limits: KeyLimits, tracer: Option<Arc<Tracer>>) -> Self {
         let client_timeouts = config.handlers.iter().map(|handler| handler.client_timeout);
         RegistryState {
             running: None,
             shutdown: None,
             requests: Slab::new(),
             indices: HashMap::new(),
-            keys: IdempotencyKeys::new(client_timeouts.max().unwrap_or_default()),
+            keys: IdempotencyKeys::new(key_limits, client_timeouts.max().unwrap_or_default()),
             timers: Timers::default(),
             feedback: None,
             idle_timeout: config.idle_timeout,
--- a/crates/server/src/requests/tests/idempotency.rs
+++ b/crates/server/src/requests/tests/idempotency.rs
@@ -11,7 +11,8 @@
     CLIENT_TIMEOUT, RETENTION, bytes, incoming, next_command, registry, registry_at_capacity,
 };
 use crate::requests::{
-    Command, IncomingRequest, Outcome, RegisterError, RequestEvent, RequestRegistry, Response,
+    Command, IncomingRequest, KeyLimits, Outcome, RegisterError, RequestEvent, RequestRegistry,
+    Response,
 };
 
 /// A duplicate that arrives while the first attempt runs, or later within the retention, is not run
@@ -109,7 +110,12 @@
     let mut config = config();
     config.handlers[0].idempotency = Idempotency::Keyed;
     config.handlers[0].key_retention = ms(RETENTION);
-    let registry = Arc::new(RequestRegistry::new(config, 7, None));
+    let registry = Arc::new(RequestRegistry::new(
+        config,
+        7,
+        KeyLimits::for_memory(192.0),
+        None,
+    ));
     assert!(registry.start(false, Duration::ZERO));
     let of = |id: &str, handler, tenant| IncomingRequest {
         tenant,
--- a/crates/server/src/requests/tests/lifecycle.rs
+++ b/crates/server/src/requests/tests/lifecycle.rs
@@ -4,7 +4,9 @@
 
 use super::common::{config, ms};
 use super::{bytes, incoming, next_command, registry, registry_at_capacity};
-use crate::requests::{Command, Outcome, RegisterError, RequestEvent, RequestRegistry, Response};
+use crate::requests::{
+    Command, KeyLimits, Outcome, RegisterError, RequestEvent, RequestRegistry, Response,
+};
 
 /// The normal lifecycle of a request: it is started, makes a call and gets the reply, has a second
 /// call skipped, and completes. A second reply to the same call is ignored.
@@ -90,7 +92,7 @@
 #[test]
 fn the_clock_starts_at_zero_when_warm_and_at_the_uptime_when_cold() {
     for (cold, uptime) in [(false, Duration::ZERO), (true, ms(4000))] {
-        let registry = RequestRegistry::new(config(), 7, None);
+        let registry = RequestRegistry::new(config(), 7, KeyLimits::for_memory(192.0), None);
         assert!(!registry.is_started() && !registry.is_healthy());
         assert!(registry.start(cold, ms(4000)));
         assert!(
--- a/crates/server/src/requests/tests/mod.rs
+++ b/crates/server/src/requests/tests/mod.rs
@@ -16,7 +16,9 @@
 
 use common::{config, ms};
 
-use super::{Bytes, Command, Gauges, IdempotencyKey, IncomingRequest, RequestRegistry, Ticket};
+use super::{
+    Bytes, Command, Gauges, IdempotencyKey, IncomingRequest, KeyLimits, RequestRegistry, Ticket,
+};
 
 /// The retention of a key, in milliseconds.
 const RETENTION: u64 = 2000;
@@ -24,7 +26,12 @@
 const CLIENT_TIMEOUT: u64 = 3000;
 
 fn registry() -> Arc<RequestRegistry> {
-    let registry = Arc::new(RequestRegistry::new(config(), 7, None));
+    let registry = Arc::new(RequestRegistry::new(
+        config(),
+        7,
+        KeyLimits::for_memory(192.0),
+        None,
+    ));
     assert!(registry.start(false, Duration::ZERO));
     registry
 }
--- a/crates/server/src/requests/tests/shutdown.rs
+++ b/crates/server/src/requests/tests/shutdown.rs
@@ -5,14 +5,19 @@
 
 use super::common::{config, ms};
 use super::{incoming, next_command, registry};
-use crate::requests::{Command, IncomingRequest, RequestRegistry, Response};
+use crate::requests::{Command, IncomingRequest, KeyLimits, RequestRegistry, Response};
 
 /// Guards against a shutdown notice that is dropped because the executor is not up yet: once the
 /// executor was up, requests were admitted and run until the termination. The registry keeps the
 /// notice and notifies the controller right after the start.
 #[test]
 fn a_shutdown_notice_before_the_start_takes_effect_at_the_start() {
-    let registry = Arc::new(RequestRegistry::new(config(), 7, None));
+    let registry = Arc::new(RequestRegistry::new(
+        config(),
+        7,
+        KeyLimits::for_memory(192.0),
+        None,
+    ));
     registry.shutdown_notice(Instant::now(), ms(9000));
     assert!(registry.start(false, Duration::ZERO));
     assert!(!registry.is_healthy());
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -20,7 +20,7 @@
 use crate::net::registration::{self, Registration};
 use crate::net::spawn;
 use crate::net::store::StoreClient;
-use crate::requests::RequestRegistry;
+use crate::requests::{KeyLimits, RequestRegistry};
 use crate::trace::Tracer;
 
 /// The store client opens at most the configured number of sockets divided by this number.
@@ -85,6 +85,7 @@
         let registry = Arc::new(RequestRegistry::new(
             config.controller.clone(),
             config.seed,
+            KeyLimits::for_memory(config.memory_mb),
             tracer,
         ));
         let gauge_names = config.names.gauges.clone();
--- a/crates/server/tests/program/main.rs
+++ b/crates/server/tests/program/main.rs
@@ -20,6 +20,7 @@
 mod load;
 mod malformed_messages;
 mod membership;
+mod memory_limits;
 mod peer_moves;
 mod recording;
 mod recovery;
