A test of one client that sends small or malformed messages at full speed

Need: the users ask whether other clients wait or get no answer beside one client that sends small or unsound messages on one connection, always under new ids. The test guards against it.

--- a/crates/server/tests/program/connection_lockout.rs
+++ b/crates/server/tests/program/connection_lockout.rs
@@ -1,5 +1,6 @@
-//! Clients on more connections than the backend has descriptors for, which use them without a
-//! pause. They must not lock other clients out: each connection in the backlog is accepted in time.
+//! Clients that send without a pause, on one connection or on more than the backend has descriptors
+//! for. They must not lock other clients out: each connection in the backlog is accepted in time, and
+//! each request on it is answered in time.
 
 use std::io::Write;
 use std::net::TcpStream;
@@ -12,8 +13,8 @@
 
 /// The descriptors of the backend. Forty of them are for clients.
 const DESCRIPTORS: usize = 64;
-/// The connections of the flood.
-const FLOOD_CONNECTIONS: u32 = 60;
+/// More connections than the backend has descriptors for.
+const EXCESS_CONNECTIONS: u32 = 60;
 /// How long the flood lasts.
 const FLOOD_TIME: Duration = Duration::from_secs(3);
 /// The pause between two requests of the other client.
@@ -23,6 +24,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Flood {
     message: FloodMessage,
+    connections: u32,
     in_flight: u32,
     /// The pause between an answer and the next message.
     pause: Duration,
@@ -37,6 +39,11 @@
     /// A request with an unknown handler. The backend closes the connection after the ninth, and
     /// the client opens another one.
     MalformedRequest,
+    /// Bytes that are no message. The backend closes the connection, and the client opens another
+    /// one.
+    Garbage,
+    /// A one-way cancellation of a request that is not open.
+    Cancellation,
     /// A health check that is answered at once.
     HealthCheck,
     /// A health check for which the executor completes a test job.
@@ -58,6 +65,11 @@
         FloodMessage::RejectedRequest => request_fields_with(&new_id(), "ms", "900000.00"),
         FloodMessage::ServedRequest => request_fields(&new_id(), "20.0"),
         FloodMessage::MalformedRequest => request_fields_with(&new_id(), "kind", "unknown"),
+        FloodMessage::Garbage => return edge.stream.write_all(&[0xff; 16]),
+        FloodMessage::Cancellation => {
+            let cancellation = edge.encode_oneway(sequence, "giveUp");
+            return edge.stream.write_all(&cancellation);
+        }
         FloodMessage::HealthCheck => {
             let check = edge.encode_health_check(sequence);
             return edge.stream.write_all(&check);
@@ -163,7 +175,7 @@
     let is_running = AtomicBool::new(true);
     let (mut slowest, mut served, mut requests) = (Duration::ZERO, 0, 0);
     std::thread::scope(|scope| {
-        for _ in 0..FLOOD_CONNECTIONS {
+        for _ in 0..flood.connections {
             scope.spawn(|| send_flood(&backend, flood, &is_running));
         }
         let new_client = || Client {
@@ -202,6 +214,7 @@
     for (in_flight, pause) in [(1, 20), (1, 0), (4, 0)] {
         assert_other_clients_are_answered(Flood {
             message: FloodMessage::RejectedRequest,
+            connections: EXCESS_CONNECTIONS,
             in_flight,
             pause: Duration::from_millis(pause),
         });
@@ -221,8 +234,31 @@
     ] {
         assert_other_clients_are_answered(Flood {
             message,
+            connections: EXCESS_CONNECTIONS,
             in_flight,
             pause: Duration::ZERO,
         });
     }
 }
+
+/// Guards against clients that wait or get no answer while one client sends small or malformed
+/// messages on one connection at full speed, always under new ids.
+#[test]
+fn one_client_at_full_speed_delays_nobody() {
+    for message in [
+        FloodMessage::ServedRequest,
+        FloodMessage::RejectedRequest,
+        FloodMessage::MalformedRequest,
+        FloodMessage::Garbage,
+        FloodMessage::Cancellation,
+        FloodMessage::HealthCheck,
+        FloodMessage::DeepHealthCheck,
+    ] {
+        assert_other_clients_are_answered(Flood {
+            message,
+            connections: 1,
+            in_flight: 32,
+            pause: Duration::ZERO,
+        });
+    }
+}
--- a/crates/server/tests/program/harness/edge_node.rs
+++ b/crates/server/tests/program/harness/edge_node.rs
@@ -116,16 +116,20 @@
         call(sequence, "probe", b"\x02\0\x01\x01\0")
     }
 
-    pub(crate) fn send_oneway(&mut self, sequence: u32, method: &str) {
+    /// Encodes a one-way message without arguments.
+    pub(crate) fn encode_oneway(&self, sequence: u32, method: &str) -> Vec<u8> {
         let head = [
             &b"\x80\x01\0\x04"[..],
             &encode_string(method.as_bytes()),
             &sequence.to_be_bytes(),
         ]
         .concat();
-        self.stream
-            .write_all(&encode_string(&[&head[..], b"\0"].concat()))
-            .unwrap();
+        encode_string(&[&head[..], b"\0"].concat())
+    }
+
+    pub(crate) fn send_oneway(&mut self, sequence: u32, method: &str) {
+        let message = self.encode_oneway(sequence, method);
+        self.stream.write_all(&message).unwrap();
     }
 
     pub(crate) fn send_request_with_fields(
