A command has arrived only when its link lasts 50 ms longer than the reply after it

Cause: the reply to a later query counted as proof that a command had arrived. Change: module arrivals. Commands that were read before a reply have arrived once a query that was sent 50 ms after the reply is answered too; at the end of a link all others may be lost. A start that may run at most once fails if its link breaks within 50 to 100 ms of it, where it was up to 25 ms.

--- a/crates/server/src/net/executor/link.rs
+++ b/crates/server/src/net/executor/link.rs
@@ -13,7 +13,7 @@
     Booted, Command, FinishedRun, LINE_FORMAT, Message, Query, ReachedCall, Refusal,
     RefusedCommand, open,
 };
-use super::queries::Reply;
+use super::queries::{QueryKind, Reply};
 use super::reconnect::{LinkEnd, Reconnect};
 use super::resync::Delivery;
 use crate::clock;
@@ -78,10 +78,12 @@
             let mut state = self.state.lock();
             state.link = Some(output.clone());
             // Commands that were sent over the previous link may be lost, so the reply to this
-            // query confirms none of them.
+            // query shows nothing about them.
             (
                 state.notices.last(),
-                state.queries.open(Arc::new(Blocker::new(true)), false, 0),
+                state
+                    .queries
+                    .open(Arc::new(Blocker::new(true)), QueryKind::Gauges, 0),
             )
         };
         output.send(&[open(last_notice).as_bytes()]);
@@ -108,9 +110,11 @@
         let mut state = self.state.lock();
         state.output.take()?;
         let commands_before = state.commands_sent;
-        let tag = state
-            .queries
-            .open(Arc::new(Blocker::new(true)), false, commands_before);
+        let tag = state.queries.open(
+            Arc::new(Blocker::new(true)),
+            QueryKind::Final,
+            commands_before,
+        );
         drop(state);
         output.try_send(&[Query::Gauges.encode(tag).as_bytes()]);
         let (client, output) = (self.clone(), output.clone());
--- a/crates/server/src/net/executor/mod.rs
+++ b/crates/server/src/net/executor/mod.rs
@@ -9,11 +9,13 @@
 //! | `link` | opening a link, reading from it, and closing it when the executor moves |
 //! | `state` | the state of the link and of the runs |
 //! | `resync` | the decision on each run when a new link is ready |
+//! | `arrivals` | which commands have arrived for certain |
 //! | `notices` | the sequence numbers of notices |
 //! | `queries` | open queries |
 //! | `gauges` | the last reading of the gauges |
 //! | `protocol` | the messages on the wire |
 
+mod arrivals;
 mod gauges;
 mod link;
 mod notices;
@@ -34,7 +36,7 @@
 use parking_lot::Mutex;
 
 use self::protocol::{Command, Query};
-use self::queries::Reply;
+use self::queries::{QueryKind, Reply};
 use self::resync::{Delivery, LastCommand, Run};
 use self::state::LinkState;
 use super::stream::{BUFFER_FULL_RETRY_INTERVAL, SendOutcome};
@@ -190,10 +192,11 @@
             let mut state = self.state.lock();
             let output = state.output.clone()?;
             let commands_before = state.commands_sent;
-            let is_test_job = matches!(query, Query::TestJob);
-            let tag = state
-                .queries
-                .open(waiter.clone(), is_test_job, commands_before);
+            let kind = match query {
+                Query::Gauges => QueryKind::Gauges,
+                Query::TestJob => QueryKind::TestJob,
+            };
+            let tag = state.queries.open(waiter.clone(), kind, commands_before);
             // With a full buffer, the reply would be too late anyway.
             if output.try_send(&[query.encode(tag).as_bytes()]) != SendOutcome::Queued {
                 state.queries.close(tag);
--- a/crates/server/src/net/executor/queries.rs
+++ b/crates/server/src/net/executor/queries.rs
@@ -1,8 +1,9 @@
-//! Open queries to the executor, which replies with the tag of the query. A reply also confirms
-//! that every command sent before the query has arrived.
+//! Open queries to the executor, which replies with the tag of the query. A reply also shows that the
+//! executor has read every command sent before the query.
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use may::sync::Blocker;
 
@@ -15,15 +16,33 @@
     TestJob(bool),
 }
 
+/// What a query is for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum QueryKind {
+    Gauges,
+    TestJob,
+    /// The last query of a link that this side closes after the reply.
+    Final,
+}
+
 struct OpenQuery {
     waiter: Arc<Blocker>,
-    /// The query is a test job.
-    is_test_job: bool,
+    kind: QueryKind,
     /// The number of commands that were sent before the query.
     commands_before: u64,
+    sent_at: Instant,
     reply: Option<Reply>,
 }
 
+/// What a reply shows about the commands before its query.
+pub(super) struct ReadCommands {
+    /// The number of commands that were sent before the query.
+    pub(super) position: u64,
+    pub(super) sent_at: Instant,
+    /// It was the last query of its link.
+    pub(super) is_final: bool,
+}
+
 /// The open queries of one link. The coroutine that waits for a query closes it; all are closed
 /// when the link ends.
 #[derive(Default)]
@@ -37,7 +56,7 @@
     pub(super) fn open(
         &mut self,
         waiter: Arc<Blocker>,
-        is_test_job: bool,
+        kind: QueryKind,
         commands_before: u64,
     ) -> u64 {
         self.last_tag += 1;
@@ -45,8 +64,9 @@
             self.last_tag,
             OpenQuery {
                 waiter,
-                is_test_job,
+                kind,
                 commands_before,
+                sent_at: Instant::now(),
                 reply: None,
             },
         );
@@ -58,12 +78,16 @@
         self.open.remove(&tag).and_then(|query| query.reply)
     }
 
-    /// Stores a reply. Returns the number of commands that it confirms, unless its query is closed.
-    pub(super) fn answer(&mut self, tag: u64, reply: Reply) -> Option<u64> {
+    /// Stores a reply. Returns the commands that were read before it, unless its query is closed.
+    pub(super) fn answer(&mut self, tag: u64, reply: Reply) -> Option<ReadCommands> {
         let query = self.open.get_mut(&tag)?;
         query.reply = Some(reply);
         query.waiter.unpark();
-        Some(query.commands_before)
+        Some(ReadCommands {
+            position: query.commands_before,
+            sent_at: query.sent_at,
+            is_final: query.kind == QueryKind::Final,
+        })
     }
 
     /// Whether a query is answered or closed.
@@ -75,7 +99,9 @@
 
     /// Closes all test jobs: their coroutines stop waiting.
     pub(super) fn abandon_test_jobs(&mut self) {
-        let abandoned = self.open.extract_if(|_, query| query.is_test_job);
+        let abandoned = self
+            .open
+            .extract_if(|_, query| query.kind == QueryKind::TestJob);
         for (_, query) in abandoned {
             query.waiter.unpark();
         }
--- a/crates/server/src/net/executor/resync.rs
+++ b/crates/server/src/net/executor/resync.rs
@@ -8,7 +8,7 @@
 //!
 //! The decision, after all missed notices are read:
 //! - A command that has arrived is not sent again. A notice about a run confirms the last command
-//!   for the run, and the reply to a query confirms all commands before the query.
+//!   for the run, and replies to queries confirm commands as the module `arrivals` decides.
 //! - A command that may be lost is sent again. Starting a run that is already running has no
 //!   effect, and the skip of a call names the call. A reply to a call could be taken as the reply
 //!   to the run's next call, so the call is skipped instead, which has no effect if the reply has
--- a/crates/server/src/net/executor/state.rs
+++ b/crates/server/src/net/executor/state.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Instant;
 
+use super::arrivals::Arrivals;
 use super::gauges::LastGauges;
 use super::notices::NoticeSequence;
 use super::queries::{Queries, Reply};
@@ -25,8 +27,7 @@
     /// The number of commands that were sent, over all links. The position of a command is its
     /// number among them.
     pub(super) commands_sent: u64,
-    /// All commands up to this position have arrived.
-    pub(super) commands_arrived: u64,
+    pub(super) arrivals: Arrivals,
     pub(super) last_gauges: LastGauges,
 }
 
@@ -43,6 +44,7 @@
     pub(super) fn close_link(&mut self) -> bool {
         self.link = None;
         self.queries.abandon_all();
+        self.arrivals.end_link();
         self.output.take().is_some()
     }
 
@@ -52,10 +54,16 @@
         Delivery::Sent(self.commands_sent)
     }
 
-    /// Stores the reply to a query, which confirms that the commands before the query have arrived.
+    /// Stores the reply to a query.
     pub(super) fn answer(&mut self, tag: u64, reply: Reply) {
-        if let Some(commands) = self.queries.answer(tag, reply) {
-            self.commands_arrived = self.commands_arrived.max(commands);
+        let Some(read) = self.queries.answer(tag, reply) else {
+            return;
+        };
+        if read.is_final {
+            self.arrivals.record_final_reply(read.position);
+        } else {
+            self.arrivals
+                .record_reply(read.position, read.sent_at, Instant::now());
         }
     }
 
@@ -68,7 +76,7 @@
         }
         self.output = Some(output.clone());
         let inputs = ResyncInputs {
-            commands_arrived: self.commands_arrived,
+            commands_arrived: self.arrivals.certain(),
             has_missing_notices: self.notices.take_gap(),
         };
         let (mut outcome_unknown, mut resend) = (Vec::new(), Vec::new());
--- a/crates/server/src/net/executor/tests.rs
+++ b/crates/server/src/net/executor/tests.rs
@@ -112,8 +112,8 @@
     let link = BufferedStream::new(stream, MAX_LINE_BUFFER_BYTES, one);
     {
         let mut state = client.state.lock();
-        (state.link, state.commands_sent, state.commands_arrived) =
-            (Some(link.output.clone()), 7, 2);
+        (state.link, state.commands_sent) = (Some(link.output.clone()), 7);
+        state.arrivals.record_final_reply(2);
         // Starts that have arrived, may have arrived (idempotent and at-most-once), were never
         // sent, and are confirmed.
         let runs = [
--- a/crates/server/tests/program/executor_link.rs
+++ b/crates/server/tests/program/executor_link.rs
@@ -237,6 +237,40 @@
     }
 }
 
+/// Guards against a server that never serves again: starts that the executor loses with its link
+/// counted as arrived, because it had replied to a query after them, and each kept a core of the
+/// idle executor for good. An idempotent start is sent again, a start that may run at most once
+/// fails, and the next requests are served.
+#[test]
+fn starts_that_are_lost_after_an_answered_query_keep_no_core() {
+    /// More than the cores of the executor.
+    const LOST_STARTS: u32 = 6;
+    for (effect, expected) in [
+        (r#""effect":"pure""#, AnswerKind::Answer),
+        (r#""effect":"side_effect""#, AnswerKind::Crashed),
+    ] {
+        let backend = start_backend_with_changes(&[(r#""effect":"pure""#, effect)]);
+        let mut edge = backend.connect();
+        for sequence in 1..=LOST_STARTS {
+            let id = format!("000000000a0d{sequence:04x}");
+            backend.executor().starts_to_lose = 1;
+            edge.send_request(sequence, &id, b"run");
+            let answer = edge.read_answer().expect("an answer");
+            assert_eq!((answer.sequence, &answer.kind), (sequence, &expected));
+            let ends = backend.executor().ends.get(&id).copied();
+            assert_eq!(ends.is_some(), expected == AnswerKind::Answer, "{id}");
+        }
+        let begin = Instant::now();
+        edge.send_request(100, "000000000a0d0100", b"run");
+        edge.expect_answer(100, AnswerKind::Answer);
+        assert!(begin.elapsed() < Duration::from_secs(1));
+        assert!(
+            backend.executor().ends.values().all(|&ends| ends == 1),
+            "run again"
+        );
+    }
+}
+
 /// Guards against a result that is lost or handled twice: it is in the receive buffer together with
 /// the end of the executor's link, and in the last turn with a shutdown notice. The backend reads
 /// the result before the end, or receives it again over the next link and handles it once.
--- a/crates/server/tests/program/harness/executor.rs
+++ b/crates/server/tests/program/harness/executor.rs
@@ -33,6 +33,11 @@
     /// after the first reply to a query of the gauges on the next link, and the notice of its end
     /// is sent only when the next command arrives.
     pub(crate) should_cut_link_at_start: bool,
+    /// The number of starts that the stub loses from now on: it reads them, replies to the next
+    /// query of the gauges, and then closes the link.
+    pub(crate) starts_to_lose: u32,
+    /// A start was lost on the current link.
+    pub(crate) has_lost_start: bool,
     /// The stub does not reply to queries of the gauges.
     pub(crate) should_ignore_queries: bool,
     /// The id of the run that ends after the next reply to a query of the gauges.
@@ -103,6 +108,10 @@
             ["SCHED", id, "page", _] if body == b"unknown" => {
                 self.send_line(format!("EINVAL SCHED {id}\r\n"))
             }
+            ["SCHED", _, "page", _] if self.starts_to_lose > 0 => {
+                self.starts_to_lose -= 1;
+                self.has_lost_start = true;
+            }
             ["SCHED", id, "page", _] => {
                 let id = id.to_string();
                 let starts = self.runs.entry(id.clone()).or_default();
@@ -130,6 +139,11 @@
             ["SYSINFO", _] if self.should_ignore_queries => {}
             ["SYSINFO", tag] => {
                 self.send_line(format!("INFO {tag} 0.1 0 0 1\r\n"));
+                if std::mem::take(&mut self.has_lost_start)
+                    && let Some(link) = self.link.take()
+                {
+                    let _ = link.shutdown(Shutdown::Both);
+                }
                 if self.link.is_some()
                     && let Some(id) = self.ending_run.take()
                 {
