One grace for used connections in the eviction, and comments reworded

Need: the arms of rejected and idle connections in is_evictable stood twice, and some comments needed a second reading. Change: one arm with the time since which a connection is protected; comments of the changed files reworded. No decision changes. Result: golden transcripts and tests of the limiter unchanged and passed.

--- a/crates/connection-limits/src/backlog_wait.rs
+++ b/crates/connection-limits/src/backlog_wait.rs
@@ -20,7 +20,8 @@
 /// The wait of the connections in the backlog.
 #[derive(Default)]
 pub(crate) struct BacklogWait {
-    /// Since when connections wait and none was accepted; `None` if no connection waits.
+    /// The start of the wait, at which no connection was accepted any more; `None` if no connection
+    /// waits.
     since: Option<Duration>,
 }
 
--- a/crates/connection-limits/src/event.rs
+++ b/crates/connection-limits/src/event.rs
@@ -165,8 +165,8 @@
         reason: CloseReason,
     },
     /// Read nothing that arrives on the connection from now on. The client was asked to close it,
-    /// and has had time to send what it had begun. [`Action::Close`] follows once no request is in
-    /// flight.
+    /// and has had time to send the rest of its messages. [`Action::Close`] follows once no request
+    /// is in flight.
     StopReading {
         /// The connection.
         connection: ConnectionId,
--- a/crates/connection-limits/src/eviction.rs
+++ b/crates/connection-limits/src/eviction.rs
@@ -39,8 +39,8 @@
 /// How long a connection may be silent, or have an incomplete message, before it may be evicted.
 const SILENCE_GRACE: Duration = Duration::from_millis(500);
 /// How long a client that was asked to close a connection has to do so before the connection may be
-/// evicted: a message that it sent before may be in transit. `DRAIN_CLOSE_TIMEOUT` in [`crate::timeouts`] is the same time during a
-/// drain.
+/// evicted: a message that it sent before may be in transit. `DRAIN_CLOSE_TIMEOUT` in
+/// [`crate::timeouts`] is the same time during a drain.
 const CLOSE_GRACE: Duration = Duration::from_millis(60);
 /// How long a silent connection is protected after it was accepted while others wait in the
 /// backlog: its first message may be in transit.
@@ -135,6 +135,13 @@
         Self::USED.contains(&self)
     }
 
+    fn is_of_known_client(self) -> bool {
+        matches!(
+            self,
+            EvictionClass::RejectedKnownClient | EvictionClass::IdleKnownClient
+        )
+    }
+
     fn is_idle(self) -> bool {
         matches!(
             self,
@@ -302,37 +309,25 @@
         EvictionClass::CloseRequested => connection
             .close_requested_at
             .is_some_and(|at| skips_grace || is_older(at, CLOSE_GRACE)),
-        EvictionClass::RejectedNewClient => match urgency {
-            Urgency::Immediate | Urgency::DrainBacklog => true,
-            Urgency::Backlog | Urgency::ShutdownBacklog => {
-                is_older(connection.accepted_at, REJECTED_GRACE)
-            }
-            Urgency::Gradual { .. } => is_older(connection.accepted_at, NEW_CLIENT_IDLE_GRACE),
-        },
-        EvictionClass::RejectedKnownClient => match urgency {
-            Urgency::Immediate | Urgency::DrainBacklog => true,
-            Urgency::Backlog | Urgency::ShutdownBacklog => {
-                is_older(connection.accepted_at, REJECTED_GRACE)
-            }
-            Urgency::Gradual { for_known_client } => {
-                for_known_client && is_older(connection.accepted_at, KNOWN_CLIENT_IDLE_GRACE)
-            }
-        },
-        EvictionClass::IdleNewClient => match urgency {
-            Urgency::Immediate | Urgency::DrainBacklog => true,
-            Urgency::Backlog | Urgency::ShutdownBacklog => {
-                is_older(connection.last_used_at, RECENT_USE_GRACE)
-            }
-            Urgency::Gradual { .. } => is_older(connection.last_used_at, NEW_CLIENT_IDLE_GRACE),
-        },
-        EvictionClass::IdleKnownClient => match urgency {
-            Urgency::Immediate | Urgency::DrainBacklog => true,
-            Urgency::Backlog | Urgency::ShutdownBacklog => {
-                is_older(connection.last_used_at, RECENT_USE_GRACE)
-            }
-            Urgency::Gradual { for_known_client } => {
-                for_known_client && is_older(connection.last_used_at, KNOWN_CLIENT_IDLE_GRACE)
+        EvictionClass::RejectedNewClient
+        | EvictionClass::RejectedKnownClient
+        | EvictionClass::IdleNewClient
+        | EvictionClass::IdleKnownClient => {
+            let (protected_since, backlog_grace) = if class.is_idle() {
+                (connection.last_used_at, RECENT_USE_GRACE)
+            } else {
+                (connection.accepted_at, REJECTED_GRACE)
+            };
+            match urgency {
+                Urgency::Immediate | Urgency::DrainBacklog => true,
+                Urgency::Backlog | Urgency::ShutdownBacklog => {
+                    is_older(protected_since, backlog_grace)
+                }
+                Urgency::Gradual { for_known_client } if class.is_of_known_client() => {
+                    for_known_client && is_older(protected_since, KNOWN_CLIENT_IDLE_GRACE)
+                }
+                Urgency::Gradual { .. } => is_older(protected_since, NEW_CLIENT_IDLE_GRACE),
             }
-        },
+        }
     }
 }
--- a/crates/connection-limits/src/limiter/mod.rs
+++ b/crates/connection-limits/src/limiter/mod.rs
@@ -121,8 +121,9 @@
     }
 
     /// Whether another connection may be accepted now. Under [`FullPolicy::Wait`] a full server
-    /// evicts a connection, so that a descriptor is free for the next one in the backlog. If those in
-    /// the backlog wait for too long, it asks connections in use to close. After the shutdown notice it evicts one for each connection in the backlog, or one at each call if
+    /// evicts a connection, so that a descriptor is free for the next one in the backlog. If
+    /// connections wait in the backlog for too long, it asks connections in use to close. After the
+    /// shutdown notice it evicts one for each connection in the backlog, or one at each call if
     /// their number is not known.
     pub fn may_accept(
         &mut self,
--- a/crates/server/src/net/executor/queries.rs
+++ b/crates/server/src/net/executor/queries.rs
@@ -16,7 +16,7 @@
     TestJob(bool),
 }
 
-/// What a query is for.
+/// The purpose of a query.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum QueryKind {
     Gauges,
@@ -34,7 +34,7 @@
     reply: Option<Reply>,
 }
 
-/// What a reply shows about the commands before its query.
+/// The commands before a query, which the executor had read when it replied.
 pub(super) struct ReadCommands {
     /// The number of commands that were sent before the query.
     pub(super) position: u64,
--- a/crates/server/src/net/frontend/recent_ids.rs
+++ b/crates/server/src/net/frontend/recent_ids.rs
@@ -9,8 +9,8 @@
 //! that has lost its connection.
 //!
 //! Protection: a request with a repeated id is answered with an exception before the controller
-//! sees it. The ids of requests that were started are remembered apart from all others: those of
-//! rejected requests, which one client can send without a limit, do not displace them.
+//! sees it. The ids of started requests are remembered apart from all others, so the ids of rejected
+//! requests, which one client can send without a limit, do not displace them.
 //!
 //! Cost: the memory for the ids. A client that repeats an id by mistake is treated as one that
 //! violates the protocol: it loses its reputation with the limiter, and its connection closes after
