A test of clients that read no reply on more connections than places

Need: the pictures are to be tried with replies unread, too. Change: 60 connections at 40 places send rejected requests without a pause and read nothing; another client connects anew for each request.

--- a/crates/server/tests/program/connection_lockout.rs
+++ b/crates/server/tests/program/connection_lockout.rs
@@ -8,7 +8,9 @@
 use std::time::{Duration, Instant};
 
 use crate::harness::backend::{TestBackend, start_backend_with_sockets};
-use crate::harness::edge_node::{AnswerKind, EdgeConnection, request_fields, request_fields_with};
+use crate::harness::edge_node::{
+    AnswerKind, EdgeConnection, connect_slow_reader, request_fields, request_fields_with,
+};
 use crate::harness::{EDGE_PORT, MAX_ANSWER_TIME};
 
 /// The descriptors of the backend. Forty of them are for clients.
@@ -262,3 +264,60 @@
         });
     }
 }
+
+/// Sends rejected requests without reading a reply, keeps the connection when nothing more can be
+/// written, and connects again whenever it ends.
+fn send_without_reading(backend: &TestBackend, is_running: &AtomicBool) {
+    while is_running.load(Ordering::Acquire) {
+        let mut edge = connect_slow_reader(backend);
+        edge.stream.set_nonblocking(true).unwrap();
+        let (mut sequence, mut unsent) = (0, Vec::new());
+        while is_running.load(Ordering::Acquire) {
+            if unsent.is_empty() {
+                sequence += 1;
+                let fields = request_fields_with(&new_id(), "ms", "900000.00");
+                unsent = edge.encode_request(sequence, &fields, b"run");
+            }
+            match edge.stream.write(&unsent) {
+                Ok(sent) => drop(unsent.drain(..sent)),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                    std::thread::sleep(REQUEST_INTERVAL);
+                }
+                Err(_) => break,
+            }
+        }
+    }
+}
+
+/// Guards against clients that keep every descriptor for good because they read no reply: a
+/// connection does not close before its replies are written.
+#[test]
+fn clients_that_read_no_reply_lock_nobody_out() {
+    let backend = start_backend_with_sockets(DESCRIPTORS);
+    let is_running = AtomicBool::new(true);
+    let (mut slowest, mut requests) = (Duration::ZERO, 0);
+    std::thread::scope(|scope| {
+        for _ in 0..EXCESS_CONNECTIONS {
+            scope.spawn(|| send_without_reading(&backend, &is_running));
+        }
+        // By then the clients have filled the buffers between them and the backend.
+        std::thread::sleep(FLOOD_TIME);
+        let start = Instant::now();
+        let mut is_answered = true;
+        while is_answered && start.elapsed() < FLOOD_TIME {
+            std::thread::sleep(REQUEST_INTERVAL);
+            let begin = Instant::now();
+            let mut client = Client {
+                backend: &backend,
+                connection: None,
+                sequence: 0,
+            };
+            requests += 1;
+            is_answered = client.request(begin + MAX_ANSWER_TIME).is_some();
+            slowest = slowest.max(begin.elapsed());
+        }
+        is_running.store(false, Ordering::Release);
+    });
+    println!("{requests} requests, slowest answer {slowest:?}");
+    assert!(slowest < MAX_ANSWER_TIME, "{slowest:?}");
+}
