A connection that yields to the backlog is read to its end; flood tests run one by one

And the new flood tests ran beside each other, with 60 threads at full speed each. Change: Action::StopReading and its time go. A connection in use is asked to close only while no other is silent, half, asked or only rejected.

--- a/crates/connection-limits/src/connection.rs
+++ b/crates/connection-limits/src/connection.rs
@@ -16,8 +16,6 @@
     pub(crate) last_used_at: Duration,
     /// The time at which the client was asked to close the connection.
     pub(crate) close_requested_at: Option<Duration>,
-    /// The client was asked to close the connection so that one in the backlog gets its descriptor.
-    pub(crate) yields_to_backlog: bool,
     /// The start of the message timeout, for the first message or for a message that has started;
     /// `None` if no message is due.
     pub(crate) message_awaited_since: Option<Duration>,
@@ -48,7 +46,6 @@
             accepted_at: now,
             last_used_at: now,
             close_requested_at: None,
-            yields_to_backlog: false,
             message_awaited_since: Some(now),
             partial_message_since: None,
             has_sent_message: false,
--- a/crates/connection-limits/src/event.rs
+++ b/crates/connection-limits/src/event.rs
@@ -164,13 +164,6 @@
         /// The cause.
         reason: CloseReason,
     },
-    /// Read nothing that arrives on the connection from now on. The client was asked to close it,
-    /// and has had time to send the rest of its messages. [`Action::Close`] follows once no request
-    /// is in flight.
-    StopReading {
-        /// The connection.
-        connection: ConnectionId,
-    },
     /// Accept no connection before this time, which is on the clock of the events.
     PauseAccepting {
         /// The time.
--- a/crates/connection-limits/src/eviction.rs
+++ b/crates/connection-limits/src/eviction.rs
@@ -262,6 +262,14 @@
         silent > MAX_DISPLACING_SILENT_CONNECTIONS || has_rejected
     }
 
+    /// Whether there is a connection that is evicted after its grace period although its client may
+    /// be using it: it is silent, has an incomplete message, was asked to close, or is only rejected.
+    pub(crate) fn has_unused(&self) -> bool {
+        EvictionClass::ALL
+            .into_iter()
+            .any(|class| !class.is_idle() && self.first_in(class).is_some())
+    }
+
     /// Whether there is a silent connection: it sends its first message soon, or is evicted soon.
     pub(crate) fn has_silent(&self) -> bool {
         self.first_in(EvictionClass::Silent).is_some()
--- a/crates/connection-limits/src/limiter/closing.rs
+++ b/crates/connection-limits/src/limiter/closing.rs
@@ -35,12 +35,7 @@
                     self.close(now, id, CloseReason::MessageTimeout, actions);
                 }
             }
-            DeadlineOutcome::CloseOverdue => {
-                let was_overdue = std::mem::replace(&mut connection.is_close_overdue, true);
-                if connection.yields_to_backlog && !was_overdue {
-                    actions.push(Action::StopReading { connection: id });
-                }
-            }
+            DeadlineOutcome::CloseOverdue => connection.is_close_overdue = true,
             DeadlineOutcome::Close(reason) => self.close(now, id, reason, actions),
             DeadlineOutcome::RequestClose => self.request_close(now, id, actions),
             DeadlineOutcome::Nothing => {}
@@ -77,8 +72,9 @@
         }
     }
 
-    /// Asks the oldest connections to close if those in the backlog have waited for too long, one for
-    /// each that waits.
+    /// Asks the oldest connections to close if the backlog has waited for too long, one for each
+    /// connection that waits. While there is a connection that is not in use, its eviction frees a
+    /// descriptor.
     pub(super) fn limit_backlog_wait(
         &mut self,
         now: Duration,
@@ -86,7 +82,7 @@
         actions: &mut Vec<Action>,
     ) {
         let waiting = backlog.unwrap_or(0).min(self.capacity);
-        if waiting == 0 {
+        if waiting == 0 || self.eviction_queues.has_unused() {
             return self.backlog_wait.end();
         }
         if !self.backlog_wait.is_too_long(now) {
@@ -96,16 +92,8 @@
             let Some(oldest) = self.accept_order.front(ACCEPT_ORDER_QUEUE) else {
                 return;
             };
-            self.yield_to_backlog(now, ConnectionId(oldest), actions);
-        }
-    }
-
-    /// Asks the client of a connection to close it so that one in the backlog gets its descriptor.
-    fn yield_to_backlog(&mut self, now: Duration, id: ConnectionId, actions: &mut Vec<Action>) {
-        if let Some(connection) = self.connections.get_mut(id) {
-            connection.yields_to_backlog = true;
+            self.request_close(now, ConnectionId(oldest), actions);
         }
-        self.request_close(now, id, actions);
     }
 
     /// Evicts one connection, if one may be evicted, so that another gets its descriptor.
@@ -144,8 +132,7 @@
         }
         connection.close_requested_at = Some(now);
         self.accept_order.remove(id.0);
-        let has_close_deadline = connection.is_idle() || connection.yields_to_backlog;
-        if has_close_deadline || self.phase == Phase::Draining {
+        if connection.is_idle() || self.phase == Phase::Draining {
             let deadline = self.timeouts.idle_deadline(connection, now);
             self.deadlines.set(id, deadline);
         }
--- a/crates/connection-limits/src/timeouts.rs
+++ b/crates/connection-limits/src/timeouts.rs
@@ -24,10 +24,6 @@
 /// about to end. The delay with which the host handles the deadline adds to it.
 const DRAIN_CLOSE_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// How long a client has to close a connection that yields to one in the backlog. After that, the
-/// host reads nothing more from it, and the connection closes once its requests are answered.
-const YIELD_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// The current timeouts.
 #[derive(Clone, Copy)]
 pub(crate) struct Timeouts {
@@ -74,7 +70,7 @@
         connection: &Connection,
         now: Duration,
     ) -> Duration {
-        if self.is_draining || connection.yields_to_backlog {
+        if self.is_draining {
             self.idle_deadline(connection, now)
         } else {
             now.saturating_add(self.idle)
@@ -83,17 +79,10 @@
 
     /// The deadline of a connection after it has become idle.
     pub(crate) fn idle_deadline(&self, connection: &Connection, now: Duration) -> Duration {
-        self.close_deadline(connection)
-            .unwrap_or(now.saturating_add(self.idle))
-    }
-
-    /// The time until which the client has to close the connection; `None` if it was not asked to.
-    fn close_deadline(&self, connection: &Connection) -> Option<Duration> {
-        let timeout = match connection.yields_to_backlog {
-            true => self.close.min(YIELD_TIMEOUT),
-            false => self.close,
-        };
-        Some(connection.close_requested_at?.saturating_add(timeout))
+        match connection.close_requested_at {
+            Some(requested_at) => requested_at.saturating_add(self.close),
+            None => now.saturating_add(self.idle),
+        }
     }
 
     /// Whether a connection has exceeded the idle timeout. The check does not rely on the deadline
@@ -118,16 +107,20 @@
         }
         if connection.open_requests > 0 {
             // A client that sends without a pause may always have a request in flight.
-            let has_to_close = self.is_draining || connection.yields_to_backlog;
-            return match self.close_deadline(connection) {
-                Some(close_at) if has_to_close && close_at <= now => DeadlineOutcome::CloseOverdue,
+            let close_at = connection
+                .close_requested_at
+                .map(|at| at.saturating_add(self.close));
+            return match close_at {
+                Some(close_at) if self.is_draining && close_at <= now => {
+                    DeadlineOutcome::CloseOverdue
+                }
                 // The end of the request sets a new deadline.
                 _ => DeadlineOutcome::Nothing,
             };
         }
-        if let Some(close_at) = self.close_deadline(connection) {
-            return if now < close_at {
-                DeadlineOutcome::Extend(close_at)
+        if let Some(requested_at) = connection.close_requested_at {
+            return if now.saturating_sub(requested_at) < self.close {
+                DeadlineOutcome::Extend(requested_at.saturating_add(self.close))
             } else {
                 DeadlineOutcome::Close(CloseReason::CloseTimeout)
             };
--- a/crates/server/src/net/frontend/connection.rs
+++ b/crates/server/src/net/frontend/connection.rs
@@ -55,8 +55,6 @@
     is_close_requested: AtomicBool,
     /// The connection closes as soon as no request or health check is open.
     is_closing: AtomicBool,
-    /// Nothing that arrives from now on is read.
-    has_stopped_reading: AtomicBool,
     /// A message has timed out: the session reads nothing more.
     has_timed_out: AtomicBool,
 }
@@ -73,7 +71,6 @@
             accepted_at: Instant::now(),
             is_close_requested: AtomicBool::new(false),
             is_closing: AtomicBool::new(false),
-            has_stopped_reading: AtomicBool::new(false),
             has_timed_out: AtomicBool::new(false),
         }
     }
@@ -117,17 +114,6 @@
         self.is_closing.load(Ordering::Acquire)
     }
 
-    /// Has the session read nothing that arrives from now on.
-    pub(super) fn stop_reading(&self) {
-        self.has_stopped_reading.store(true, Ordering::Release);
-        self.output.wake();
-    }
-
-    /// Whether nothing that arrives from now on is read.
-    pub(super) fn has_stopped_reading(&self) -> bool {
-        self.has_stopped_reading.load(Ordering::Acquire)
-    }
-
     /// Whether a message has timed out.
     pub(super) fn has_timed_out(&self) -> bool {
         self.has_timed_out.load(Ordering::Acquire)
--- a/crates/server/src/net/frontend/connection_table.rs
+++ b/crates/server/src/net/frontend/connection_table.rs
@@ -258,11 +258,6 @@
                         connection.request_close();
                     }
                 }
-                Action::StopReading { connection } => {
-                    if let Some(connection) = connections.get(connection.0) {
-                        connection.stop_reading();
-                    }
-                }
                 Action::Close { connection, reason } => {
                     if let Some(connection) = connections.get(connection.0) {
                         connection.close(reason);
--- a/crates/server/src/net/frontend/session.rs
+++ b/crates/server/src/net/frontend/session.rs
@@ -233,8 +233,6 @@
         let has_timed_out = self.connection.has_timed_out();
         let may_end = is_closing && self.connection.open_count() == 0;
         self.stop_reading_after_timeout(may_end && self.connection.is_closing());
-        // The turn has read what had arrived before.
-        self.has_stopped_reading |= self.connection.has_stopped_reading();
         let is_input_exhausted = self.has_stopped_reading && !turn.has_more;
         let should_stop_reading = may_end && (has_partial_message || is_input_exhausted);
         if self.is_readable && has_timed_out {
--- a/crates/server/tests/program/harness/mod.rs
+++ b/crates/server/tests/program/harness/mod.rs
@@ -8,8 +8,8 @@
 pub(crate) mod store;
 
 use std::net::UdpSocket;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Port of the program for edge nodes, in `config_json`.
@@ -29,6 +29,13 @@
 /// shorter than the wait of a caller that is blocked by another one.
 pub(crate) const MAX_ANSWER_TIME: Duration = Duration::from_secs(5);
 
+/// Waits until no other test sends without a pause. Such tests run one after another: together they
+/// would take the processors and the network from tests with time limits.
+pub(crate) fn wait_for_flood_turn() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::new(());
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns a loopback address that is used by no other test and by no other test process that runs
 /// at the same time: a UDP socket that stays open until the process ends claims it.
 pub(crate) fn unique_address() -> String {
