--- a/crates/connection-limits/src/backlog_wait.rs
+++ b/crates/connection-limits/src/backlog_wait.rs
@@ -6,10 +6,12 @@
 //! keep all descriptors, and the requests of other clients would be lost in the backlog. So if no
 //! connection is accepted for [`MAX_BACKLOG_WAIT`], the connections that were open for the longest
 //! time are asked to close, one for each that waits. Each of them still gets the answers to its
-//! requests. As the oldest yield, every client gets a turn, whatever it sends.
+//! requests, and closes at its first moment without a request in flight. As the oldest yield, every
+//! client gets a turn.
 //!
-//! The trade-off is that clients on more connections than there are descriptors have to connect
-//! again from time to time.
+//! The guard does not hold against a client that ignores the request to close and always has a
+//! request in flight: its connection stays open. The trade-off is that clients on more connections
+//! than there are descriptors have to connect again from time to time.
 
 use std::time::Duration;
 
@@ -31,8 +33,8 @@
         self.since = None;
     }
 
-    /// Records that connections wait while no descriptor is free. Returns whether they have waited
-    /// for too long; the next wait then begins.
+    /// Records that connections wait and none can be accepted. Returns whether they have waited for
+    /// too long; the next wait then begins.
     pub(crate) fn is_too_long(&mut self, now: Duration) -> bool {
         let since = *self.since.get_or_insert(now);
         let is_too_long = now.saturating_sub(since) > MAX_BACKLOG_WAIT;
--- a/crates/connection-limits/tests/limiter/eviction.rs
+++ b/crates/connection-limits/tests/limiter/eviction.rs
@@ -382,15 +382,16 @@
     assert!(server.open.contains_key(&client));
 }
 
-/// Guards against the loss of all requests of clients in the backlog: clients that use their
-/// connections again within each grace period kept every descriptor for good. A connection of the
-/// backlog is accepted within the limit on the wait in the backlog, the time that a client has to
-/// close its connection, and one interval between two events for each of the four steps.
-#[test]
-fn clients_that_use_all_connections_without_a_pause_yield_to_the_backlog() {
-    const WAITING: usize = 3;
+/// The number of connections that wait in the backlog of [`assert_oldest_connections_yield`].
+const WAITING: usize = 3;
+
+/// Lets clients use all connections without a pause while connections wait in the backlog. Asserts
+/// that these are accepted, in place of the oldest connections, within the limit on the wait in the
+/// backlog, 250 ms for a client to close its connection, the resolution of deadlines, and one
+/// interval between two events for each of the four steps.
+fn assert_oldest_connections_yield(always_has_request: bool) {
     const EVENT_INTERVAL: Duration = ms(1);
-    let bound = ms(200) + ms(60) + 4 * EVENT_INTERVAL;
+    let bound = ms(200) + ms(250) + ms(10) + 4 * EVENT_INTERVAL;
     let mut server = Server::new(Config {
         full_policy: FullPolicy::Wait,
         network_limits: None,
@@ -399,22 +400,35 @@
     let owner = DescriptorOwner::NewClients;
     let mut oldest = Vec::new();
     while server.limiter.descriptors().available(owner) > 0 {
-        oldest.push(server.accept(v4(10, 0, 0, 1)).unwrap());
+        let connection = server.accept(v4(10, 0, 0, 1)).unwrap();
+        if always_has_request {
+            server.start_request(connection);
+        }
+        oldest.push(connection);
     }
     oldest.truncate(WAITING);
-    oldest
-        .iter()
-        .for_each(|&connection| server.serve(connection));
-    while server.limiter.descriptors().available(owner) == 0 {
+    let (mut accepted, mut closed) = (0, Vec::new());
+    while accepted < WAITING {
         server.now += EVENT_INTERVAL;
-        assert!(server.now <= bound, "{:?}", server.now);
+        assert!(
+            server.now <= bound,
+            "{accepted} accepted by {:?}",
+            server.now
+        );
         let connections: Vec<ConnectionId> = server.open.keys().copied().collect();
-        connections
-            .into_iter()
-            .for_each(|connection| server.serve(connection));
+        for connection in connections {
+            // The next message has arrived before the answer to the last one is written.
+            server.handle(Event::MessageCompleted { connection });
+            server.start_request(connection);
+            server.finish_request(connection, true);
+        }
         let mut actions = Vec::new();
-        let limiter = &mut server.limiter;
-        limiter.may_accept(server.now, Some(WAITING), &mut actions);
+        let backlog = Some(WAITING - accepted);
+        if server.limiter.may_accept(server.now, backlog, &mut actions) {
+            server.accept(v4(10, 0, 0, 2)).expect("a descriptor");
+            accepted += 1;
+        }
+        server.handle(Event::TimerExpired);
         for action in actions {
             match action {
                 Action::Close { connection, .. } => server.model(connection).is_closing = true,
@@ -424,8 +438,27 @@
                 _ => {}
             }
         }
+        let closing = server.open.iter().filter(|(_, model)| model.is_closing);
+        closed.extend(closing.map(|(&connection, _)| connection));
         server.finish_closing();
     }
-    let is_closed = |connection: &ConnectionId| !server.open.contains_key(connection);
-    assert!(oldest.iter().any(is_closed), "the oldest connections yield");
+    assert!(
+        oldest.iter().all(|connection| closed.contains(connection)),
+        "the oldest connections {oldest:?} yield: {closed:?}"
+    );
+}
+
+/// Guards against the loss of all requests of clients in the backlog: clients that use their
+/// connections again within each grace period kept every descriptor for good.
+#[test]
+fn clients_that_use_all_connections_without_a_pause_yield_to_the_backlog() {
+    assert_oldest_connections_yield(false);
+}
+
+/// Guards against the loss of all requests of clients in the backlog: clients that always have a
+/// request in flight keep every descriptor for good, as a connection is closed only once no request
+/// is in flight.
+#[test]
+fn clients_that_always_have_a_request_in_flight_yield_to_the_backlog() {
+    assert_oldest_connections_yield(true);
 }
