One source of new request ids in the program tests, and a clearer name in the eviction

Need: connection_lockout and memory_limits each made ids of their own, and has_unused needed explaining. Change: harness::edge_node::new_request_id; has_unused is has_soon_evictable; a test name says what it measures. No behaviour changes.

--- a/crates/connection-limits/src/eviction.rs
+++ b/crates/connection-limits/src/eviction.rs
@@ -262,9 +262,10 @@
         silent > MAX_DISPLACING_SILENT_CONNECTIONS || has_rejected
     }
 
-    /// Whether there is a connection that is evicted after its grace period although its client may
-    /// be using it: it is silent, has an incomplete message, was asked to close, or is only rejected.
-    pub(crate) fn has_unused(&self) -> bool {
+    /// Whether there is a connection whose grace period is not renewed by its use, so that its
+    /// eviction frees a descriptor soon: a silent or only rejected one, one with an incomplete
+    /// message, or one that was asked to close.
+    pub(crate) fn has_soon_evictable(&self) -> bool {
         EvictionClass::ALL
             .into_iter()
             .any(|class| !class.is_idle() && self.first_in(class).is_some())
--- a/crates/connection-limits/src/limiter/closing.rs
+++ b/crates/connection-limits/src/limiter/closing.rs
@@ -73,8 +73,7 @@
     }
 
     /// Asks the oldest connections to close if the backlog has waited for too long, one for each
-    /// connection that waits. While there is a connection that is not in use, its eviction frees a
-    /// descriptor.
+    /// connection that waits, unless an eviction frees a descriptor soon.
     pub(super) fn limit_backlog_wait(
         &mut self,
         now: Duration,
@@ -82,7 +81,7 @@
         actions: &mut Vec<Action>,
     ) {
         let waiting = backlog.unwrap_or(0).min(self.capacity);
-        if waiting == 0 || self.eviction_queues.has_unused() {
+        if waiting == 0 || self.eviction_queues.has_soon_evictable() {
             return self.backlog_wait.end();
         }
         if !self.backlog_wait.is_too_long(now) {
--- a/crates/connection-limits/src/tests/backlog_wait.rs
+++ b/crates/connection-limits/src/tests/backlog_wait.rs
@@ -3,7 +3,7 @@
 
 /// Guards against connections that yield although the backlog was emptied in the meantime.
 #[test]
-fn wait_is_too_long_after_200_ms_without_a_free_descriptor() {
+fn wait_is_too_long_after_200_ms_without_an_accepted_connection() {
     let mut wait = BacklogWait::default();
     assert!(!wait.is_too_long(ms(1000)));
     assert!(!wait.is_too_long(ms(1200)));
--- a/crates/server/tests/program/connection_lockout.rs
+++ b/crates/server/tests/program/connection_lockout.rs
@@ -4,12 +4,13 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::harness::backend::{TestBackend, start_backend_with_sockets};
 use crate::harness::edge_node::{
-    AnswerKind, EdgeConnection, connect_slow_reader, request_fields, request_fields_with,
+    AnswerKind, EdgeConnection, connect_slow_reader, new_request_id, request_fields,
+    request_fields_with,
 };
 use crate::harness::{EDGE_PORT, MAX_ANSWER_TIME, wait_for_flood_turn};
 
@@ -52,21 +53,11 @@
     DeepHealthCheck,
 }
 
-static NEXT_ID: AtomicU64 = AtomicU64::new(1);
-
-/// A new request id.
-fn new_id() -> String {
-    format!(
-        "{:016x}",
-        0x10c0_0000 + NEXT_ID.fetch_add(1, Ordering::Relaxed)
-    )
-}
-
 fn send(edge: &mut EdgeConnection, message: FloodMessage, sequence: u32) -> std::io::Result<()> {
     let fields = match message {
-        FloodMessage::RejectedRequest => request_fields_with(&new_id(), "ms", "900000.00"),
-        FloodMessage::ServedRequest => request_fields(&new_id(), "20.0"),
-        FloodMessage::MalformedRequest => request_fields_with(&new_id(), "kind", "unknown"),
+        FloodMessage::RejectedRequest => request_fields_with(&new_request_id(), "ms", "900000.00"),
+        FloodMessage::ServedRequest => request_fields(&new_request_id(), "20.0"),
+        FloodMessage::MalformedRequest => request_fields_with(&new_request_id(), "kind", "unknown"),
         FloodMessage::Garbage => return edge.stream.write_all(&[0xff; 16]),
         FloodMessage::Cancellation => {
             let cancellation = edge.encode_oneway(sequence, "giveUp");
@@ -143,7 +134,7 @@
             };
             edge.stream.set_read_timeout(Some(left)).unwrap();
             self.sequence += 1;
-            let id = new_id();
+            let id = new_request_id();
             let request = edge.encode_request(self.sequence, &request_fields(&id, "20.0"), b"run");
             if edge.stream.write_all(&request).is_err() {
                 self.connection = None;
@@ -276,7 +267,7 @@
         while is_running.load(Ordering::Acquire) {
             if unsent.is_empty() {
                 sequence += 1;
-                let fields = request_fields_with(&new_id(), "ms", "900000.00");
+                let fields = request_fields_with(&new_request_id(), "ms", "900000.00");
                 unsent = edge.encode_request(sequence, &fields, b"run");
             }
             match edge.stream.write(&unsent) {
--- a/crates/server/tests/program/harness/edge_node.rs
+++ b/crates/server/tests/program/harness/edge_node.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsRawFd;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use socket2::{Domain, Socket, Type};
@@ -54,6 +54,12 @@
     [&(bytes.len() as u32).to_be_bytes(), bytes].concat()
 }
 
+/// A request id that this test process has not used for any other request with an id from here.
+pub(crate) fn new_request_id() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(0x10c0_0000);
+    format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// The fields of a valid request with this id, which needs `need` KB of memory.
 pub(crate) fn request_fields(id: &str, need: &str) -> Vec<(&'static str, String)> {
     let ts = SystemTime::now()
--- a/crates/server/tests/program/memory_limits.rs
+++ b/crates/server/tests/program/memory_limits.rs
@@ -3,14 +3,14 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use socket2::{Domain, Socket, Type};
 
 use crate::harness::backend::{BackendSetup, TestBackend};
 use crate::harness::edge_node::{
-    AnswerKind, EdgeConnection, encode_string, request_fields, reset_connection,
+    AnswerKind, EdgeConnection, encode_string, new_request_id, request_fields, reset_connection,
 };
 use crate::harness::{EDGE_PORT, wait_for_flood_turn};
 
@@ -27,15 +27,6 @@
 /// How often the memory of the process is read.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
 
-static NEXT_ID: AtomicU64 = AtomicU64::new(1);
-
-fn new_id() -> String {
-    format!(
-        "{:016x}",
-        0x3e30_0000 + NEXT_ID.fetch_add(1, Ordering::Relaxed)
-    )
-}
-
 /// What a client sends on each of its connections. It never reads.
 #[derive(Clone, Copy, Debug)]
 enum Load {
@@ -76,7 +67,7 @@
 ];
 
 fn large_message(edge: &EdgeConnection) -> Vec<u8> {
-    let mut fields = request_fields(&new_id(), "20.0");
+    let mut fields = request_fields(&new_request_id(), "20.0");
     fields.push(("padding", "x".repeat(13_500)));
     edge.encode_request(1, &fields, &[b'b'; 2000])
 }
@@ -102,12 +93,16 @@
             bytes.pop();
             bytes
         }),
-        Load::LargeResults => {
-            Some(edge.encode_request(sequence, &request_fields(&new_id(), "1.0"), b"large"))
-        }
-        Load::LongRuns => {
-            Some(edge.encode_request(sequence, &request_fields(&new_id(), "20.0"), &[b'h'; 2048]))
-        }
+        Load::LargeResults => Some(edge.encode_request(
+            sequence,
+            &request_fields(&new_request_id(), "1.0"),
+            b"large",
+        )),
+        Load::LongRuns => Some(edge.encode_request(
+            sequence,
+            &request_fields(&new_request_id(), "20.0"),
+            &[b'h'; 2048],
+        )),
         Load::LongUnknownMethods => {
             let name = encode_string("\u{1}".repeat(15_000).as_bytes());
             let head = [
@@ -120,13 +115,19 @@
             Some(encode_string(&head))
         }
         Load::LongKeys => {
-            let mut fields = request_fields(&new_id(), "20.0");
-            fields.push(("opkey", format!("{}{}", new_id(), "k".repeat(14_000))));
+            let mut fields = request_fields(&new_request_id(), "20.0");
+            fields.push((
+                "opkey",
+                format!("{}{}", new_request_id(), "k".repeat(14_000)),
+            ));
             Some(edge.encode_request(sequence, &fields, b"run"))
         }
         Load::LongKeysAndLargeMessage if sequence <= 2 => {
-            let mut fields = request_fields(&new_id(), "20.0");
-            fields.push(("opkey", format!("{}{}", new_id(), "k".repeat(14_000))));
+            let mut fields = request_fields(&new_request_id(), "20.0");
+            fields.push((
+                "opkey",
+                format!("{}{}", new_request_id(), "k".repeat(14_000)),
+            ));
             Some(edge.encode_request(sequence, &fields, b"hang"))
         }
         Load::LongKeysAndLargeMessage => (sequence == 3).then(|| {
@@ -277,8 +278,11 @@
         std::thread::scope(|scope| {
             scope.spawn(|| {
                 for sequence in 1.. {
-                    let mut fields = request_fields(&new_id(), "20.0");
-                    fields.push(("opkey", format!("{}{}", new_id(), "k".repeat(padding))));
+                    let mut fields = request_fields(&new_request_id(), "20.0");
+                    fields.push((
+                        "opkey",
+                        format!("{}{}", new_request_id(), "k".repeat(padding)),
+                    ));
                     let request = writer.encode_request(sequence, &fields, body);
                     if !is_running.load(Ordering::Acquire)
                         || writer.stream.write_all(&request).is_err()
